--- /dev/null
+++ b/crates/holdpoint-core/src/admit.rs
@@ -0,0 +1,273 @@
+//! Admission: which requests run now, which wait, and which are refused at once.
+//!
+//! The gate bounds the requests in flight by a limit that follows attainment (additive increase,
+//! multiplicative decrease). Past the limit, requests wait in a queue for each organisation;
+//! queues are served by start-time fair queueing, so that a burst of one organisation lengthens
+//! its own queue only. A request whose wait and work would pass its deadline is refused at once,
+//! with the time after which the queue would have room for it.
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+
+use crate::ids::{Millis, Name};
+
+/// Identifies a request that waits.
+pub type Ticket = u64;
+
+/// Steps of virtual time that one request of an organisation with share 1 takes.
+const STRIDE: u64 = 1 << 20;
+/// Least time between two decreases of the limit, in milliseconds.
+const DECREASE_MS: Millis = 100;
+/// Factor of one decrease.
+const DECREASE: f64 = 0.9;
+/// Weight of the newest measurement of the time between completions.
+const NEWEST: f64 = 0.1;
+/// Shortest `Retry-After`, in milliseconds.
+const LEAST_RETRY_MS: Millis = 1000;
+
+/// A request that asks to be admitted.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// Organisation.
+    pub organisation: &'a str,
+    /// Its weight in fair sharing.
+    pub share: u32,
+    /// Most requests that it may have in flight on this instance.
+    pub cap: u32,
+    /// Wall-clock time by which the answer must be whole.
+    pub deadline: Millis,
+    /// Time that the work usually takes, in milliseconds.
+    pub need: Millis,
+}
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Refusal {
+    /// The organisation has as many requests in flight as it may.
+    OrganisationLimit,
+    /// The work alone would pass the deadline.
+    Hopeless,
+    /// The wait and the work would pass the deadline.
+    Overload,
+}
+
+/// What becomes of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// It runs now.
+    Admit,
+    /// It waits; a completion or [`Gate::expire`] names its ticket.
+    Defer(Ticket),
+    /// It is refused.
+    Refuse {
+        /// Why.
+        reason: Refusal,
+        /// When to come back, in milliseconds from now.
+        retry_after: Millis,
+    },
+}
+
+#[derive(Debug)]
+struct Waiting {
+    ticket: Ticket,
+    latest: Millis,
+}
+
+#[derive(Debug, Default)]
+struct Queue {
+    in_flight: u32,
+    share: u32,
+    virtual_time: u64,
+    waiting: VecDeque<Waiting>,
+}
+
+/// Bounds the requests in flight on one instance.
+#[derive(Debug)]
+pub struct Gate {
+    limit: f64,
+    ceiling: f64,
+    in_flight: usize,
+    queues: HashMap<Name, Queue>,
+    /// Organisations with requests that wait, by virtual time.
+    ready: BTreeSet<(u64, Name)>,
+    virtual_now: u64,
+    next_ticket: Ticket,
+    gap_ms: f64,
+    last_done: Millis,
+    last_decrease: Millis,
+}
+
+impl Gate {
+    /// Makes a gate that never lets more than `ceiling` requests through at once.
+    pub fn new(ceiling: usize) -> Gate {
+        Gate {
+            limit: (ceiling as f64 / 4.0).max(1.0),
+            ceiling: ceiling as f64,
+            in_flight: 0,
+            queues: HashMap::new(),
+            ready: BTreeSet::new(),
+            virtual_now: 0,
+            next_ticket: 1,
+            gap_ms: 0.0,
+            last_done: 0,
+            last_decrease: 0,
+        }
+    }
+
+    /// Requests in flight.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.queues.values().map(|it| it.waiting.len()).sum()
+    }
+
+    /// Limit now in force.
+    pub fn limit(&self) -> usize {
+        (self.limit as usize).max(1)
+    }
+
+    /// Organisations with a request in flight or waiting.
+    pub fn organisations(&self) -> usize {
+        self.queues.len()
+    }
+
+    /// Decides on a request.
+    pub fn offer(&mut self, now: Millis, ask: &Ask<'_>) -> Offer {
+        let refuse = |reason, retry_after: Millis| Offer::Refuse {
+            reason,
+            retry_after: retry_after.max(LEAST_RETRY_MS),
+        };
+        if ask.deadline < now + ask.need {
+            self.forget(ask.organisation);
+            return refuse(Refusal::Hopeless, ask.need);
+        }
+        let wait = self.expected_wait(ask);
+        let is_full = self.limit() <= self.in_flight;
+        let virtual_now = self.virtual_now;
+        let queue = self.queues.entry(ask.organisation.to_owned()).or_default();
+        queue.share = ask.share.max(1);
+        if ask.cap <= queue.in_flight + queue.waiting.len() as u32 {
+            self.forget(ask.organisation);
+            return refuse(Refusal::OrganisationLimit, wait);
+        }
+        if !is_full && self.ready.is_empty() {
+            queue.in_flight += 1;
+            queue.virtual_time = queue.virtual_time.max(virtual_now) + stride(queue.share);
+            self.in_flight += 1;
+            return Offer::Admit;
+        }
+        if ask.deadline < now + wait + ask.need {
+            self.forget(ask.organisation);
+            return refuse(Refusal::Overload, wait);
+        }
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        if queue.waiting.is_empty() {
+            queue.virtual_time = queue.virtual_time.max(virtual_now);
+            self.ready.insert((queue.virtual_time, ask.organisation.to_owned()));
+        }
+        queue.waiting.push_back(Waiting { ticket, latest: ask.deadline - ask.need });
+        Offer::Defer(ticket)
+    }
+
+    /// Ends a request and returns the tickets that run now.
+    pub fn done(&mut self, now: Millis, organisation: &str, on_time: bool) -> Vec<Ticket> {
+        self.learn(now, on_time);
+        self.in_flight = self.in_flight.saturating_sub(1);
+        if let Some(queue) = self.queues.get_mut(organisation) {
+            queue.in_flight = queue.in_flight.saturating_sub(1);
+        }
+        self.forget(organisation);
+        self.fill()
+    }
+
+    /// Removes the requests that can no longer make their deadline and returns their tickets.
+    pub fn expire(&mut self, now: Millis) -> Vec<Ticket> {
+        self.drop_waiting(|it| it.latest < now)
+    }
+
+    /// Removes a request whose caller has gone; `false` where it waits no longer.
+    pub fn abandon(&mut self, ticket: Ticket) -> bool {
+        !self.drop_waiting(|it| it.ticket == ticket).is_empty()
+    }
+
+    fn drop_waiting(&mut self, is_over: impl Fn(&Waiting) -> bool) -> Vec<Ticket> {
+        let mut dropped = Vec::new();
+        let mut empty = Vec::new();
+        for (_, name) in &self.ready {
+            let queue = self.queues.get_mut(name).expect("a ready organisation has a queue");
+            dropped.extend(queue.waiting.iter().filter(|it| is_over(it)).map(|it| it.ticket));
+            queue.waiting.retain(|it| !is_over(it));
+            if queue.waiting.is_empty() {
+                empty.push((queue.virtual_time, name.clone()));
+            }
+        }
+        for key in empty {
+            self.ready.remove(&key);
+            self.forget(&key.1);
+        }
+        dropped
+    }
+
+    fn fill(&mut self) -> Vec<Ticket> {
+        let mut admitted = Vec::new();
+        while self.in_flight < self.limit() {
+            let Some((time, name)) = self.ready.pop_first() else { break };
+            self.virtual_now = self.virtual_now.max(time);
+            let queue = self.queues.get_mut(&name).expect("a ready organisation has a queue");
+            let Some(first) = queue.waiting.pop_front() else { continue };
+            admitted.push(first.ticket);
+            queue.in_flight += 1;
+            queue.virtual_time = time + stride(queue.share);
+            self.in_flight += 1;
+            if !queue.waiting.is_empty() {
+                self.ready.insert((queue.virtual_time, name));
+            }
+        }
+        admitted
+    }
+
+    /// Wait of one more request of an organisation, from the rate of completions and the part of
+    /// them that falls to it.
+    fn expected_wait(&self, ask: &Ask<'_>) -> Millis {
+        let ahead = self.queues.get(ask.organisation).map_or(0, |it| it.waiting.len());
+        let own = f64::from(ask.share.max(1));
+        let others: u32 = self
+            .ready
+            .iter()
+            .filter(|it| it.1 != ask.organisation)
+            .map(|it| self.queues.get(&it.1).map_or(0, |it| it.share))
+            .sum();
+        let part = own / (own + f64::from(others));
+        ((ahead + 1) as f64 * self.gap_ms / part) as Millis
+    }
+
+    fn learn(&mut self, now: Millis, on_time: bool) {
+        let is_busy = self.limit() <= self.in_flight;
+        if self.last_done != 0 && is_busy {
+            let gap = now.saturating_sub(self.last_done) as f64;
+            self.gap_ms += NEWEST * (gap - self.gap_ms);
+        }
+        self.last_done = now;
+        if on_time && is_busy {
+            self.limit = (self.limit + 1.0 / self.limit).min(self.ceiling);
+        }
+        if !on_time && self.last_decrease + DECREASE_MS <= now {
+            self.limit = (self.limit.min(self.in_flight as f64) * DECREASE).max(1.0);
+            self.last_decrease = now;
+        }
+    }
+
+    fn forget(&mut self, organisation: &str) {
+        let idle = |it: &Queue| it.in_flight == 0 && it.waiting.is_empty();
+        if self.queues.get(organisation).is_some_and(idle) {
+            self.queues.remove(organisation);
+        }
+    }
+}
+
+fn stride(share: u32) -> u64 {
+    STRIDE / u64::from(share.max(1))
+}
--- /dev/null
+++ b/crates/holdpoint-core/src/deadline.rs
@@ -0,0 +1,85 @@
+//! One deadline over many stages: what each may use, and when to give up.
+
+use hdrhistogram::Histogram;
+
+use crate::ids::Millis;
+
+/// How long one half of the measurements is gathered, in milliseconds.
+const TURN_MS: Millis = 10_000;
+/// Fewest measurements that a quantile is taken from.
+const LEAST: u64 = 20;
+/// Longest time measured, in milliseconds.
+const LONGEST_MS: u64 = 600_000;
+
+/// Times of the last ten to twenty seconds, in milliseconds.
+#[derive(Clone, Debug)]
+pub struct Times {
+    now: Histogram<u32>,
+    before: Histogram<u32>,
+    turned: Millis,
+}
+
+impl Default for Times {
+    fn default() -> Times {
+        Times::new()
+    }
+}
+
+impl Times {
+    /// Makes an empty record of times.
+    pub fn new() -> Times {
+        let empty = Histogram::new_with_max(LONGEST_MS, 2).expect("the bounds are constants");
+        Times { now: empty.clone(), before: empty, turned: 0 }
+    }
+
+    /// Records a time.
+    pub fn record(&mut self, now: Millis, ms: Millis) {
+        self.turn(now);
+        self.now.saturating_record(ms.clamp(1, LONGEST_MS));
+    }
+
+    /// A quantile, from 0 to 1; `None` where too little was measured.
+    pub fn quantile(&self, q: f64) -> Option<Millis> {
+        let newer = self.now.len();
+        let older = self.before.len();
+        if newer + older < LEAST {
+            return None;
+        }
+        let part = |it: &Histogram<u32>| it.value_at_quantile(q) as f64 * it.len() as f64;
+        Some(((part(&self.now) + part(&self.before)) / (newer + older) as f64) as Millis)
+    }
+
+    fn turn(&mut self, now: Millis) {
+        if now < self.turned + TURN_MS {
+            return;
+        }
+        std::mem::swap(&mut self.now, &mut self.before);
+        self.now.reset();
+        self.turned = now;
+    }
+}
+
+/// What a stage may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Budget {
+    /// The stage may use this much, in milliseconds.
+    Use(Millis),
+    /// The request cannot end in time: what remains is below what the stages ahead need.
+    Hopeless {
+        /// What the stages ahead need at the least, in milliseconds.
+        need: Millis,
+    },
+}
+
+/// Budget of a stage: what remains, less what the stages after it usually take.
+///
+/// `own` and `later` are low quantiles (the tenth of a hundred): a request is given up only when
+/// even a good run could not save it. The caller keeps the whole of what remains for a last stage.
+pub fn budget(remaining: Millis, own: Option<Millis>, later: &[Option<Millis>]) -> Budget {
+    let after: Millis = later.iter().flatten().sum();
+    let need = own.unwrap_or(0) + after;
+    if remaining <= need {
+        return Budget::Hopeless { need };
+    }
+    Budget::Use(remaining - after)
+}
--- /dev/null
+++ b/crates/holdpoint-core/src/fold.rs
@@ -0,0 +1,199 @@
+//! Control state as a fold over the records of the control stream.
+//!
+//! Every instance folds the same records in the same order, so every instance reaches the same
+//! state with no further agreement. Time is the log's own append time, never a local clock.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use holdpoint_schema::records::{Body, Change, Lease, Record};
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+
+use crate::ids::{Incarnation, Millis, Name, Offset};
+
+/// How long a change id and a silent writer are remembered, in milliseconds of log time.
+pub const MEMORY_MS: Millis = 3_600_000;
+
+/// A resource in force.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Offset of the record that set it.
+    pub version: Offset,
+    /// Specification, by the schema of its kind.
+    pub spec: Map<String, Value>,
+}
+
+/// What became of a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Verdict {
+    /// Offset of the change's first record.
+    pub offset: Offset,
+    /// Whether it was made against the version then in force.
+    pub won: bool,
+    /// Version in force after it: its own, or the one that it lost to.
+    pub version: Offset,
+}
+
+/// A lease as the log grants it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Incarnation that holds it.
+    pub holder: Incarnation,
+    /// Offset of the bid that won it: the fencing token of every order made under it.
+    pub token: Offset,
+    /// Log time at which it lapses.
+    pub until: Millis,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Writer {
+    seq: u64,
+    at: Millis,
+}
+
+/// Control state after some prefix of the control stream.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    offset: Offset,
+    resources: BTreeMap<String, BTreeMap<Name, Entry>>,
+    changes: BTreeMap<String, Verdict>,
+    change_times: VecDeque<(Millis, String)>,
+    writers: BTreeMap<Incarnation, Writer>,
+    leases: BTreeMap<Name, Grant>,
+}
+
+/// What one record did to the state.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// A resource was set or deleted.
+    Changed {
+        /// Kind of the resource.
+        kind: String,
+        /// Name of the resource.
+        name: Name,
+        /// The resource as it now stands; `None` after a deletion.
+        entry: Option<Entry>,
+    },
+    /// A change was made against a version no longer in force.
+    Conflict,
+    /// The record, or its change, was counted before.
+    Duplicate,
+    /// A lease was granted, renewed or given up.
+    Leased,
+    /// A bid for a lease that another holds.
+    LeaseHeld,
+    /// Nothing that this stream folds.
+    Ignored,
+}
+
+impl State {
+    /// Offset of the last record folded in.
+    pub fn offset(&self) -> Offset {
+        self.offset
+    }
+
+    /// Folds in the record at `offset`, appended at log time `at`.
+    pub fn apply(&mut self, offset: Offset, at: Millis, record: &Record) -> Effect {
+        if offset <= self.offset {
+            return Effect::Duplicate;
+        }
+        self.offset = offset;
+        self.forget(at);
+        if !self.count(record, at) {
+            return Effect::Duplicate;
+        }
+        match &record.body {
+            Body::Change(it) => self.change(offset, at, it),
+            Body::Lease(it) => self.lease(offset, at, it),
+            Body::Snapshot(_) | Body::Claims(_) => Effect::Ignored,
+        }
+    }
+
+    /// Moves past an offset whose record could not be read, so that all instances skip it alike.
+    pub fn skip(&mut self, offset: Offset) {
+        self.offset = self.offset.max(offset);
+    }
+
+    /// Resource of a kind by its name.
+    pub fn resource(&self, kind: &str, name: &str) -> Option<&Entry> {
+        self.resources.get(kind)?.get(name)
+    }
+
+    /// Resources of a kind, by name.
+    pub fn resources(&self, kind: &str) -> impl Iterator<Item = (&Name, &Entry)> {
+        self.resources.get(kind).into_iter().flatten()
+    }
+
+    /// Verdict on a change, while it is remembered.
+    pub fn verdict(&self, change: &str) -> Option<Verdict> {
+        self.changes.get(change).copied()
+    }
+
+    /// Grant of a lease, lapsed or not.
+    pub fn grant(&self, lease: &str) -> Option<&Grant> {
+        self.leases.get(lease)
+    }
+
+    /// Whether the record was counted for the first time. A writer appends one record at a time,
+    /// so a sequence number at or below its highest is an append whose answer was lost.
+    fn count(&mut self, record: &Record, at: Millis) -> bool {
+        let next = Writer { seq: record.seq, at };
+        match self.writers.get_mut(&record.writer) {
+            Some(it) if record.seq <= it.seq => false,
+            Some(it) => {
+                *it = next;
+                true
+            }
+            None => {
+                self.writers.insert(record.writer.clone(), next);
+                true
+            }
+        }
+    }
+
+    fn change(&mut self, offset: Offset, at: Millis, change: &Change) -> Effect {
+        if self.changes.contains_key(&change.change) {
+            return Effect::Duplicate;
+        }
+        let current = self.resource(&change.kind, &change.name).map_or(0, |it| it.version);
+        let won = current == change.base;
+        let version = if won { offset } else { current };
+        self.changes.insert(change.change.clone(), Verdict { offset, won, version });
+        self.change_times.push_back((at, change.change.clone()));
+        if !won {
+            return Effect::Conflict;
+        }
+        let kind = self.resources.entry(change.kind.clone()).or_default();
+        let entry =
+            (!change.spec.is_empty()).then(|| Entry { version: offset, spec: change.spec.clone() });
+        match &entry {
+            Some(it) => drop(kind.insert(change.name.clone(), it.clone())),
+            None => drop(kind.remove(&change.name)),
+        }
+        Effect::Changed { kind: change.kind.clone(), name: change.name.clone(), entry }
+    }
+
+    fn lease(&mut self, offset: Offset, at: Millis, bid: &Lease) -> Effect {
+        let held = self.leases.get(&bid.lease).filter(|it| at < it.until);
+        let token = match held {
+            Some(it) if it.holder != bid.holder => return Effect::LeaseHeld,
+            Some(it) => it.token,
+            None => offset,
+        };
+        let grant = Grant { holder: bid.holder.clone(), token, until: at + bid.length_ms };
+        self.leases.insert(bid.lease.clone(), grant);
+        Effect::Leased
+    }
+
+    fn forget(&mut self, at: Millis) {
+        let old = |it: Millis| it + MEMORY_MS < at;
+        while self.change_times.front().is_some_and(|it| old(it.0)) {
+            let (_, change) = self.change_times.pop_front().expect("the front was just seen");
+            self.changes.remove(&change);
+        }
+        let oldest = self.writers.values().map(|it| it.at).min();
+        if oldest.is_some_and(old) {
+            self.writers.retain(|_, it| !old(it.at));
+        }
+    }
+}
--- /dev/null
+++ b/crates/holdpoint-core/src/lib.rs
@@ -0,0 +1,36 @@
+//! Every decision of holdpoint as plain structs and functions.
+//!
+//! Nothing here does I/O, reads a clock or draws random numbers of its own: times and random
+//! generators are arguments, so that a test can replay any decision.
+//!
+//! ```
+//! use holdpoint_core::ledger::Ledger;
+//!
+//! // "Not run" can be said only by a ledger that no call was sent under.
+//! let ledger = Ledger::new();
+//! let call = ledger.begin().expect("the ledger is open");
+//! call.never_sent();
+//! assert!(ledger.close().is_ok());
+//! assert!(ledger.begin().is_none(), "a closed ledger lets nothing through");
+//! ```
+
+pub mod admit;
+pub mod assemble;
+pub mod batch;
+pub mod burn;
+pub mod catalog;
+pub mod claims;
+pub mod deadline;
+pub mod fold;
+pub mod ids;
+pub mod ledger;
+pub mod lifecycle;
+pub mod membership;
+pub mod pipeline;
+pub mod prelude;
+pub mod retry;
+pub mod route;
+pub mod snapshot;
+pub mod subset;
+pub mod token;
+pub mod trial;
--- /dev/null
+++ b/crates/holdpoint-core/src/route.rs
@@ -0,0 +1,451 @@
+//! Routing: which target of a pool serves a call.
+//!
+//! A router sees a subset of its pool whose size does not grow with the pool. The `predicted`
+//! route weighs what it knows of each target by how old it is: the calls of its own in flight are
+//! exact, the load that the target reported fades with the age of the report, and the time a unit
+//! of work takes is learned for each target.
+
+use std::collections::HashMap;
+
+use holdpoint_schema::resources::{Policy, Route};
+use rand::{Rng, RngExt};
+
+use crate::{ids::Millis, subset::subset};
+
+/// Weight of the newest measurement of a target's speed.
+const NEWEST: f64 = 0.1;
+/// Most prefixes remembered for one target.
+const PREFIXES: usize = 512;
+/// Age at which a remembered prefix has lost half its weight, in milliseconds.
+const PREFIX_TRUST_MS: f64 = 30_000.0;
+/// Share of a call's work that a cached prefix saves at most.
+const PREFIX_SAVES: f64 = 0.5;
+/// Longest ejection as a multiple of the first one.
+const EJECT_DOUBLINGS: u32 = 5;
+
+/// A target as the pool and the instance list give it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// IP number and port.
+    pub address: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Whether any sign says that it is leaving.
+    pub leaving: bool,
+}
+
+/// Load as a target reports it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Calls that it runs.
+    pub running: u32,
+    /// Calls that wait in its queue.
+    pub waiting: u32,
+}
+
+/// A call to route.
+#[derive(Clone, Copy, Debug)]
+pub struct Call<'a> {
+    /// Work expected, in any unit that is the same for all calls of the pool.
+    pub work: f64,
+    /// Hash of the prompt's prefix, where the target caches prefixes.
+    pub prefix: Option<u64>,
+    /// Targets already tried for this call.
+    pub tried: &'a [String],
+    /// Calls in flight to one target that this instance allows itself.
+    pub cap: u32,
+}
+
+/// Why a target was chosen.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Reason {
+    /// Route that chose it.
+    pub route: Route,
+    /// Targets that were compared.
+    pub compared: usize,
+    /// Targets that were left out as ejected.
+    pub ejected: usize,
+    /// Predicted time of the call at the target, in milliseconds; 0 for routes that predict none.
+    pub predicted: f64,
+    /// Whether the prompt's prefix was expected in the target's cache.
+    pub prefix_hit: bool,
+}
+
+/// A decision.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// Address of the target.
+    pub address: String,
+    /// Why.
+    pub reason: Reason,
+}
+
+/// Why no target can be chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoTarget {
+    /// The pool has no target that is not leaving.
+    Empty,
+    /// Every target was tried for this call.
+    Tried,
+    /// Every target has as many calls in flight as it may.
+    Full,
+}
+
+/// How a call at a target ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum End {
+    /// A whole answer after this time, in milliseconds.
+    Whole(Millis),
+    /// A failure of the target.
+    Failed,
+    /// Given up here, for no fault of the target.
+    Dropped,
+}
+
+#[derive(Clone, Debug)]
+struct Report {
+    at: Millis,
+    load: f64,
+    own: f64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Target {
+    address: String,
+    domain: String,
+    in_flight: u32,
+    work: f64,
+    report: Option<Report>,
+    /// Milliseconds that one unit of work takes, per unit of work at the target; 0 if unknown.
+    pace: f64,
+    failures: u32,
+    ejections: u32,
+    ejected_until: Millis,
+    prefixes: HashMap<u64, Millis>,
+}
+
+/// Routes the calls of one instance to one pool.
+#[derive(Debug)]
+pub struct Router {
+    salt: String,
+    domain: String,
+    policy: Policy,
+    known: Vec<Member>,
+    targets: Vec<Target>,
+    turn: usize,
+}
+
+impl Router {
+    /// Makes a router of the instance `salt`, which stands in `domain`.
+    pub fn new(salt: &str, domain: &str, policy: Policy) -> Router {
+        Router {
+            salt: salt.to_owned(),
+            domain: domain.to_owned(),
+            policy,
+            known: Vec::new(),
+            targets: Vec::new(),
+            turn: 0,
+        }
+    }
+
+    /// Policy in force.
+    pub fn policy(&self) -> &Policy {
+        &self.policy
+    }
+
+    /// Puts another policy in force; what was learned of the targets is kept.
+    pub fn set_policy(&mut self, policy: Policy) {
+        if self.policy.subset != policy.subset {
+            self.known.clear();
+        }
+        self.policy = policy;
+    }
+
+    /// Takes in the pool's targets. Those that leave get no more calls from now on.
+    pub fn set_members(&mut self, members: &[Member]) {
+        if self.known == members {
+            return;
+        }
+        self.known = members.to_vec();
+        let staying: Vec<&Member> = members.iter().filter(|it| !it.leaving).collect();
+        let addresses = staying.iter().map(|it| it.address.as_str());
+        let chosen = subset(&self.salt, addresses, self.policy.subset as usize);
+        let mut old: HashMap<String, Target> =
+            self.targets.drain(..).map(|it| (it.address.clone(), it)).collect();
+        self.targets = chosen
+            .into_iter()
+            .map(|index| {
+                let member = staying[index];
+                let fresh = || Target {
+                    address: member.address.clone(),
+                    domain: member.domain.clone(),
+                    ..Target::default()
+                };
+                old.remove(&member.address).unwrap_or_else(fresh)
+            })
+            .collect();
+    }
+
+    /// Stops giving work to a target at once; the next list of members confirms or corrects it.
+    pub fn leave(&mut self, address: &str) {
+        self.targets.retain(|it| it.address != address);
+        for member in &mut self.known {
+            member.leaving |= member.address == address;
+        }
+    }
+
+    /// Number of targets that calls may go to.
+    pub fn len(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// Whether calls have nowhere to go.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
+    /// Calls in flight to all targets.
+    pub fn in_flight(&self) -> u32 {
+        self.targets.iter().map(|it| it.in_flight).sum()
+    }
+
+    /// Chooses a target for a call. [`Router::sent`] must follow where the call is made.
+    ///
+    /// `policy` may differ from the router's own where a trial has given the request to an arm.
+    pub fn choose(
+        &mut self,
+        now: Millis,
+        policy: &Policy,
+        call: &Call<'_>,
+        rng: &mut impl Rng,
+    ) -> Result<Choice, NoTarget> {
+        if self.targets.is_empty() {
+            return Err(NoTarget::Empty);
+        }
+        let (candidates, ejected) = self.candidates(now, policy, call)?;
+        let route = policy.route;
+        let (index, compared) = match route {
+            Route::Random => (candidates[rng.random_range(0..candidates.len())], 1),
+            Route::RoundRobin => {
+                self.turn = self.turn.wrapping_add(1);
+                (candidates[self.turn % candidates.len()], 1)
+            }
+            Route::LeastLoaded => (self.least(&candidates, rng), candidates.len()),
+            Route::TwoChoices => {
+                let drawn = draw(&candidates, 2, rng);
+                (self.least(&drawn, rng), drawn.len())
+            }
+            Route::Predicted => self.least_predicted(now, policy, call, &candidates, rng),
+        };
+        let target = &self.targets[index];
+        let predicted =
+            if route == Route::Predicted { self.predict(now, policy, call, target) } else { 0.0 };
+        let prefix_hit = prefix_trust(target, call, now) > 0.5;
+        let reason = Reason { route, compared, ejected, predicted, prefix_hit };
+        Ok(Choice { address: target.address.clone(), reason })
+    }
+
+    /// Counts a call as sent to a target.
+    pub fn sent(&mut self, now: Millis, address: &str, call: &Call<'_>) {
+        let Some(target) = self.target(address) else { return };
+        target.in_flight += 1;
+        target.work += call.work;
+        if let Some(prefix) = call.prefix {
+            remember(target, prefix, now);
+        }
+    }
+
+    /// Counts a call as ended. A failure in a row of failures may eject the target.
+    pub fn ended(&mut self, now: Millis, address: &str, work: f64, end: End) {
+        let (eject_failures, eject_ms) = (self.policy.eject_failures, self.policy.eject_ms);
+        let Some(target) = self.target(address) else { return };
+        match end {
+            End::Whole(ms) => {
+                learn_pace(target, work, ms);
+                target.failures = 0;
+                target.ejections = 0;
+            }
+            End::Failed => {
+                target.failures += 1;
+                if eject_failures <= target.failures {
+                    let doublings = target.ejections.min(EJECT_DOUBLINGS);
+                    target.ejected_until = now + (eject_ms << doublings);
+                    target.ejections += 1;
+                    target.failures = eject_failures.saturating_sub(1);
+                }
+            }
+            End::Dropped => (),
+        }
+        target.in_flight = target.in_flight.saturating_sub(1);
+        target.work = (target.work - work).max(0.0);
+    }
+
+    /// Takes in a load report that a target made at `at`.
+    pub fn report(&mut self, at: Millis, address: &str, load: Load) {
+        let Some(target) = self.target(address) else { return };
+        if target.report.as_ref().is_some_and(|it| at < it.at) {
+            return;
+        }
+        let load = f64::from(load.running) + f64::from(load.waiting);
+        target.report = Some(Report { at, load, own: f64::from(target.in_flight) });
+    }
+
+    /// Takes in a cache event: the target now holds this prefix, or holds it no longer.
+    pub fn cached(&mut self, now: Millis, address: &str, prefix: u64, held: bool) {
+        let Some(target) = self.target(address) else { return };
+        if held {
+            remember(target, prefix, now);
+        } else {
+            target.prefixes.remove(&prefix);
+        }
+    }
+
+    /// Forgets what a target's cache held: some of its events were lost.
+    pub fn cache_gap(&mut self, address: &str) {
+        if let Some(target) = self.target(address) {
+            target.prefixes.clear();
+        }
+    }
+
+    fn target(&mut self, address: &str) -> Option<&mut Target> {
+        self.targets.iter_mut().find(|it| it.address == address)
+    }
+
+    /// Targets that the call may go to, and how many were left out as ejected. At most the part
+    /// of the pool above the floor is left out, the longest ejected ones first.
+    fn candidates(
+        &self,
+        now: Millis,
+        policy: &Policy,
+        call: &Call<'_>,
+    ) -> Result<(Vec<usize>, usize), NoTarget> {
+        let untried = |it: &usize| !call.tried.contains(&self.targets[*it].address);
+        let all: Vec<usize> = (0..self.targets.len()).filter(untried).collect();
+        if all.is_empty() {
+            return Err(NoTarget::Tried);
+        }
+        let free = |it: &usize| self.targets[*it].in_flight < call.cap;
+        let open: Vec<usize> = all.into_iter().filter(free).collect();
+        if open.is_empty() {
+            return Err(NoTarget::Full);
+        }
+        let (mut fit, mut ejected): (Vec<usize>, Vec<usize>) =
+            open.into_iter().partition(|it| self.targets[*it].ejected_until <= now);
+        let floor = (self.targets.len() as f64 * policy.eject_floor).ceil() as usize;
+        ejected.sort_by_key(|it| std::cmp::Reverse(self.targets[*it].ejected_until));
+        while fit.is_empty() || (fit.len() < floor && !ejected.is_empty()) {
+            let Some(soonest) = ejected.pop() else { break };
+            fit.push(soonest);
+        }
+        Ok((fit, ejected.len()))
+    }
+
+    fn least(&self, candidates: &[usize], rng: &mut impl Rng) -> usize {
+        lowest(candidates, rng, |it| {
+            let target = &self.targets[it];
+            let reported = target.report.as_ref().map_or(0.0, |it| it.load);
+            reported.max(f64::from(target.in_flight))
+        })
+    }
+
+    fn least_predicted(
+        &self,
+        now: Millis,
+        policy: &Policy,
+        call: &Call<'_>,
+        candidates: &[usize],
+        rng: &mut impl Rng,
+    ) -> (usize, usize) {
+        let mut drawn = draw(candidates, policy.choices.max(1) as usize, rng);
+        // A target that holds the prefix is always compared: drawing it by luck alone would
+        // waste the cache in a large pool.
+        let holder = candidates
+            .iter()
+            .copied()
+            .filter(|it| !drawn.contains(it))
+            .max_by(|a, b| {
+                let trust = |it: &usize| prefix_trust(&self.targets[*it], call, now);
+                trust(a).total_cmp(&trust(b))
+            })
+            .filter(|it| 0.0 < prefix_trust(&self.targets[*it], call, now));
+        drawn.extend(holder);
+        let best = lowest(&drawn, rng, |it| self.predict(now, policy, call, &self.targets[it]));
+        (best, drawn.len())
+    }
+
+    /// Predicted time of a call at a target: its own work and the work already there, at the
+    /// target's learned pace.
+    fn predict(&self, now: Millis, policy: &Policy, call: &Call<'_>, target: &Target) -> f64 {
+        let trust_ms = policy.report_trust_ms as f64;
+        let others = target.report.as_ref().map_or(0.0, |it| {
+            let age = now.saturating_sub(it.at) as f64;
+            (it.load - it.own).max(0.0) * 0.5_f64.powf(age / trust_ms)
+        });
+        let mean_work = if target.in_flight == 0 {
+            call.work
+        } else {
+            target.work / f64::from(target.in_flight)
+        };
+        let saved = PREFIX_SAVES * prefix_trust(target, call, now);
+        let work = call.work * (1.0 - saved) + target.work + others * mean_work;
+        let pace = if target.pace == 0.0 { self.mean_pace() } else { target.pace };
+        let near = if target.domain == self.domain { 0.0 } else { self.mean_pace() * 0.1 };
+        (work + call.work) * pace + near
+    }
+
+    fn mean_pace(&self) -> f64 {
+        let known: Vec<f64> =
+            self.targets.iter().map(|it| it.pace).filter(|it| 0.0 < *it).collect();
+        if known.is_empty() { 1.0 } else { known.iter().sum::<f64>() / known.len() as f64 }
+    }
+}
+
+/// Learns the pace from a call's time and the work that stood at the target when it ended.
+fn learn_pace(target: &mut Target, work: f64, ms: Millis) {
+    let seen = (ms as f64).max(0.1) / (target.work + work).max(0.001);
+    target.pace =
+        if target.pace == 0.0 { seen } else { target.pace + NEWEST * (seen - target.pace) };
+}
+
+fn remember(target: &mut Target, prefix: u64, now: Millis) {
+    if PREFIXES <= target.prefixes.len() && !target.prefixes.contains_key(&prefix) {
+        let oldest = target.prefixes.iter().min_by_key(|it| *it.1).map(|it| *it.0);
+        oldest.and_then(|it| target.prefixes.remove(&it));
+    }
+    target.prefixes.insert(prefix, now);
+}
+
+/// How far the target may be trusted to hold the call's prefix, from 0 to 1.
+fn prefix_trust(target: &Target, call: &Call<'_>, now: Millis) -> f64 {
+    let Some(seen) = call.prefix.and_then(|it| target.prefixes.get(&it)) else { return 0.0 };
+    0.5_f64.powf(now.saturating_sub(*seen) as f64 / PREFIX_TRUST_MS)
+}
+
+/// Draws `n` of the candidates without repetition.
+fn draw(candidates: &[usize], n: usize, rng: &mut impl Rng) -> Vec<usize> {
+    if candidates.len() <= n {
+        return candidates.to_vec();
+    }
+    let mut rest = candidates.to_vec();
+    (0..n).map(|_| rest.swap_remove(rng.random_range(0..rest.len()))).collect()
+}
+
+/// The candidate of lowest score; ties are broken by chance, so that instances do not all choose
+/// the same one.
+fn lowest(candidates: &[usize], rng: &mut impl Rng, score: impl Fn(usize) -> f64) -> usize {
+    let mut best = candidates[0];
+    let mut best_score = f64::INFINITY;
+    let mut ties = 0;
+    for &candidate in candidates {
+        let found = score(candidate);
+        if found < best_score {
+            (best, best_score, ties) = (candidate, found, 1);
+        } else if found == best_score {
+            ties += 1;
+            if rng.random_range(0..ties) == 0 {
+                best = candidate;
+            }
+        }
+    }
+    best
+}
--- /dev/null
+++ b/crates/holdpoint-core/src/subset.rs
@@ -0,0 +1,26 @@
+//! Deterministic choices by rendezvous hashing.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Weight of `item` for `key`: the highest one is chosen.
+pub fn weight(key: &str, item: &str) -> u64 {
+    xxh3_64(format!("{key}\n{item}").as_bytes())
+}
+
+/// The item chosen for a key; all who know the same items choose the same one.
+pub fn owner<'a>(key: &str, items: impl Iterator<Item = &'a str>) -> Option<&'a str> {
+    items.max_by_key(|it| (weight(key, it), *it))
+}
+
+/// Indices of the `n` items of highest weight for a key, in rising order.
+pub fn subset<'a>(key: &str, items: impl Iterator<Item = &'a str>, n: usize) -> Vec<usize> {
+    let mut weights: Vec<(u64, usize)> =
+        items.enumerate().map(|(index, it)| (weight(key, it), index)).collect();
+    if n < weights.len() {
+        weights.select_nth_unstable_by(n, |a, b| b.cmp(a));
+        weights.truncate(n);
+    }
+    let mut indices: Vec<usize> = weights.into_iter().map(|it| it.1).collect();
+    indices.sort_unstable();
+    indices
+}
--- /dev/null
+++ b/crates/holdpoint-emulator/src/lib.rs
@@ -0,0 +1,20 @@
+//! Whole systems in one process: stand-ins for the platform and the targets, instances of the
+//! daemon before them, callers who check every answer, and experiments on all of it.
+//!
+//! ```no_run
+//! use holdpoint_emulator::{load, world::{Plan, World}};
+//!
+//! # async fn example() {
+//! let world = World::start(&Plan::new(3)).await;
+//! let tally = load::run(&world, &load::Mix::new(200, 16)).await;
+//! assert_eq!(tally.broken(), 0);
+//! # }
+//! ```
+
+pub mod caller;
+pub mod load;
+pub mod measure;
+pub mod overhead;
+pub mod plot;
+pub mod users;
+pub mod world;
--- /dev/null
+++ b/crates/holdpoint-emulator/src/world.rs
@@ -0,0 +1,288 @@
+//! A whole system: stand-ins and instances.
+
+use std::{sync::Arc, time::Duration};
+
+use holdpoint_core::ids::sha256_hex;
+use holdpoint_platform::{
+    Http, OperatorClient,
+    operators::{ApiError, ChangeForm},
+};
+use holdpoint_schema::{
+    caller::{ChangeState, ChangeStatus},
+    resources::Resource,
+    settings::Settings,
+};
+use holdpoint_standin::{
+    list::ListStandin,
+    log::LogStandin,
+    tally::Tally,
+    target::{TargetFaults, TargetStandin},
+};
+use holdpointd::{Ended, Instance};
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+
+use crate::users::{self, PoolForm, WINE_PLACES};
+
+/// Bearer token of the operator.
+pub const OPERATOR_TOKEN: &str = "demo-operator";
+/// How often a condition is looked at while it is waited for.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// What a system is made of.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Instances.
+    pub instances: usize,
+    /// Pools of targets.
+    pub pools: Vec<PoolForm>,
+    /// Resources applied at the start.
+    pub resources: Vec<Resource>,
+    /// Seed of the stand-ins' faults.
+    pub seed: u64,
+    /// Settings of all instances, but for names and addresses: a JSON object laid over the
+    /// defaults.
+    pub settings: Value,
+}
+
+impl Plan {
+    /// Plans a system with the pools and resources of both users.
+    pub fn new(instances: usize) -> Plan {
+        Plan {
+            instances,
+            pools: users::pools(),
+            resources: users::resources(),
+            seed: 1,
+            settings: json!({}),
+        }
+    }
+
+    /// Lays settings over the defaults.
+    pub fn with_settings(mut self, settings: Value) -> Plan {
+        self.settings = settings;
+        self
+    }
+
+    /// Sets the seed.
+    pub fn with_seed(mut self, seed: u64) -> Plan {
+        self.seed = seed;
+        self
+    }
+}
+
+/// A running system.
+pub struct World {
+    /// The log.
+    pub log: LogStandin,
+    /// The instance list.
+    pub list: ListStandin,
+    /// Targets of all pools.
+    pub targets: Vec<(String, TargetStandin)>,
+    /// What the targets truly ran.
+    pub tally: Tally,
+    /// HTTP client of callers and operators.
+    pub http: Http,
+    settings: Value,
+    slots: Mutex<Vec<Slot>>,
+}
+
+struct Slot {
+    name: String,
+    instance: Option<Instance>,
+    callers: String,
+    operators: String,
+}
+
+impl World {
+    /// Starts a system, waits until all instances are ready and applies the resources.
+    pub async fn start(plan: &Plan) -> World {
+        let (log, list) = (LogStandin::start().await, ListStandin::start().await);
+        let tally = Tally::new();
+        let mut targets = Vec::new();
+        for pool in &plan.pools {
+            for index in 0..pool.targets {
+                let seed = plan.seed.wrapping_mul(1000) + targets.len() as u64;
+                let form = users::target_form(pool, index);
+                let target = TargetStandin::start(form, tally.clone(), seed).await;
+                list.add_target(target.listed());
+                targets.push((pool.name.to_owned(), target));
+            }
+        }
+        let world = World {
+            log,
+            list,
+            targets,
+            tally,
+            http: Http::new(),
+            settings: plan.settings.clone(),
+            slots: Mutex::new(Vec::new()),
+        };
+        for index in 0..plan.instances {
+            world.start_instance(&format!("entry-{}", index + 1));
+        }
+        world.until("all instances are ready", |it| it.all_ready()).await;
+        if 0 < plan.instances {
+            world.apply(&plan.resources).await;
+        }
+        world
+    }
+
+    /// Starts an instance, in place of any of the same name.
+    pub fn start_instance(&self, name: &str) {
+        let mut slots = self.slots.lock();
+        let index = slots.iter().position(|it| it.name == name).unwrap_or(slots.len());
+        let domain = WINE_PLACES[index % WINE_PLACES.len()];
+        let instance = Instance::start(self.settings_of(name, domain)).expect("loopback is free");
+        let addresses = instance.addresses();
+        self.list.add_instance(name, &addresses.peers.to_string());
+        let slot = Slot {
+            name: name.to_owned(),
+            instance: Some(instance),
+            callers: addresses.callers.to_string(),
+            operators: addresses.operators.to_string(),
+        };
+        if index < slots.len() { slots[index] = slot } else { slots.push(slot) }
+    }
+
+    /// Ends an instance at once, as if its process had died.
+    pub fn kill(&self, index: usize) {
+        let instance = self.slots.lock()[index].instance.take();
+        if let Some(it) = instance {
+            it.kill();
+        }
+    }
+
+    /// Stops an instance as planned, and takes it off the list.
+    pub async fn stop(&self, index: usize) -> Option<Ended> {
+        let (instance, name) = {
+            let mut slots = self.slots.lock();
+            (slots[index].instance.take(), slots[index].name.clone())
+        };
+        let ended = instance?.stop().await;
+        self.list.remove_instance(&name);
+        Some(ended)
+    }
+
+    /// Number of instances started.
+    pub fn len(&self) -> usize {
+        self.slots.lock().len()
+    }
+
+    /// Whether no instance was started.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Callers' address of an instance, dead or alive.
+    pub fn callers(&self, index: usize) -> String {
+        self.slots.lock()[index].callers.clone()
+    }
+
+    /// Operators' address of an instance, dead or alive.
+    pub fn operators(&self, index: usize) -> String {
+        self.slots.lock()[index].operators.clone()
+    }
+
+    /// What the threads of a live instance share.
+    pub fn shared(&self, index: usize) -> Option<Arc<holdpointd::Shared>> {
+        self.slots.lock()[index].instance.as_ref().map(|it| it.shared().clone())
+    }
+
+    /// Whether an instance is live and takes new work.
+    pub fn is_ready(&self, index: usize) -> bool {
+        self.shared(index).is_some_and(|it| it.is_ready(&it.now()))
+    }
+
+    /// Whether every live instance takes new work and sees the others.
+    pub fn all_ready(&self) -> bool {
+        let live: Vec<_> = (0..self.len()).filter_map(|it| self.shared(it)).collect();
+        live.iter().all(|it| {
+            let view = it.now();
+            it.is_ready(&view) && live.len() <= view.peers.len() + 1
+        })
+    }
+
+    /// Client of an instance's operator API.
+    pub fn operator(&self, index: usize) -> OperatorClient {
+        OperatorClient::new(self.http.clone(), &self.operators(index), OPERATOR_TOKEN)
+    }
+
+    /// Targets of a pool.
+    pub fn pool(&self, name: &str) -> Vec<&TargetStandin> {
+        self.targets.iter().filter(|it| it.0 == name).map(|it| &it.1).collect()
+    }
+
+    /// Sets the fault switches of all targets of a pool.
+    pub fn set_faults(&self, pool: &str, faults: &TargetFaults) {
+        for target in self.pool(pool) {
+            *target.faults() = faults.clone();
+        }
+    }
+
+    /// Applies resources in order by the first live instance.
+    pub async fn apply(&self, resources: &[Resource]) {
+        let index = (0..self.len()).find(|it| self.shared(*it).is_some()).expect("one is live");
+        let operator = self.operator(index);
+        for resource in resources {
+            let spec = Value::Object(resource.spec.clone());
+            let (kind, name) = (resource.kind.to_string(), resource.name.clone());
+            let status = operator.put(&kind, &name, &spec, &ChangeForm::default()).await;
+            let accepted = status.map(|it| it.state) == Ok(ChangeState::Accepted);
+            assert!(accepted, "{kind}/{name} is accepted");
+        }
+    }
+
+    /// Sets one resource by an instance.
+    pub async fn put(
+        &self,
+        index: usize,
+        kind: &str,
+        name: &str,
+        spec: &Value,
+        form: &ChangeForm,
+    ) -> Result<ChangeStatus, ApiError> {
+        self.operator(index).put(kind, name, spec, form).await
+    }
+
+    /// Waits for a condition, for ten seconds at the most.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the condition does not come about.
+    pub async fn until(&self, what: &str, is_met: impl Fn(&World) -> bool) {
+        for _ in 0..1000 {
+            if is_met(self) {
+                return;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        panic!("waited in vain until {what}");
+    }
+
+    fn settings_of(&self, name: &str, domain: &str) -> Settings {
+        let any = "127.0.0.1:0";
+        let mut value = json!({
+            "instance": name,
+            "domain": domain,
+            "listen": { "callers": any, "operators": any, "peers": any },
+            "platform": { "log": self.log.address(), "list": self.list.address() },
+            "operators": [{ "name": "demo", "token_sha256": sha256_hex(OPERATOR_TOKEN.as_bytes()) }],
+            "resume_keys": [{ "id": 1, "secret": "emulator-secret-0001" }],
+            "timing": { "heartbeat_ms": 200, "list_poll_ms": 200 },
+        });
+        overlay(&mut value, &self.settings);
+        holdpointd::settings::check(&value).expect("the emulator's settings are valid")
+    }
+}
+
+/// Lays one JSON value over another: objects member by member, all else as a whole.
+fn overlay(under: &mut Value, over: &Value) {
+    match (under, over) {
+        (Value::Object(under), Value::Object(over)) => {
+            for (name, value) in over {
+                overlay(under.entry(name.clone()).or_insert(Value::Null), value);
+            }
+        }
+        (under, over) => *under = over.clone(),
+    }
+}
--- /dev/null
+++ b/crates/holdpoint-platform/src/lib.rs
@@ -0,0 +1,27 @@
+//! Clients for the platform's services and for targets. They carry calls and decide nothing.
+//!
+//! ```
+//! use holdpoint_platform::clock::Clock;
+//!
+//! let clock = Clock::with_manual(1_000);
+//! clock.advance(250);
+//! assert_eq!(clock.now(), 1_250);
+//! ```
+
+pub mod clock;
+pub mod engine;
+pub mod http;
+pub mod list;
+pub mod log;
+pub mod operators;
+pub mod target;
+
+pub use crate::{
+    clock::Clock,
+    engine::EngineClient,
+    http::{CallError, Http},
+    list::ListClient,
+    log::LogClient,
+    operators::OperatorClient,
+    target::TargetClient,
+};
--- /dev/null
+++ b/crates/holdpoint-standin/src/lib.rs
@@ -0,0 +1,21 @@
+//! Small stand-ins for the platform and for targets, with fault switches.
+//!
+//! Each listens on a port of its own choosing on the loopback address and counts what it truly
+//! ran, so that a test can compare what a caller was told with what happened.
+//!
+//! ```
+//! # let runtime = tokio::runtime::Runtime::new().unwrap();
+//! # runtime.block_on(async {
+//! use holdpoint_standin::log::LogStandin;
+//!
+//! let log = LogStandin::start().await;
+//! log.faults().outage = true;
+//! assert!(log.address().starts_with("127.0.0.1:"));
+//! # });
+//! ```
+
+pub mod list;
+pub mod log;
+pub mod serve;
+pub mod tally;
+pub mod target;
--- /dev/null
+++ b/crates/holdpoint-standin/src/tally.rs
@@ -0,0 +1,67 @@
+//! What targets truly ran, by the marker that each request carries in its input.
+
+use std::{collections::HashMap, sync::Arc};
+
+use parking_lot::Mutex;
+use serde_json::Value;
+
+/// Field of an input that marks the request it belongs to.
+pub const MARKER: &str = "marker";
+
+/// Counts runs by pool and marker; clones share their counts.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    runs: Arc<Mutex<HashMap<(String, String), u32>>>,
+}
+
+impl Tally {
+    /// Makes an empty tally.
+    pub fn new() -> Tally {
+        Tally::default()
+    }
+
+    /// Counts a run.
+    pub fn add(&self, pool: &str, marker: &str) {
+        *self.runs.lock().entry((pool.to_owned(), marker.to_owned())).or_default() += 1;
+    }
+
+    /// Runs of a request by a pool.
+    pub fn runs(&self, pool: &str, marker: &str) -> u32 {
+        self.runs.lock().get(&(pool.to_owned(), marker.to_owned())).copied().unwrap_or(0)
+    }
+
+    /// Runs by a pool, of all requests.
+    pub fn total(&self, pool: &str) -> u64 {
+        self.runs.lock().iter().filter(|it| it.0.0 == pool).map(|it| u64::from(*it.1)).sum()
+    }
+}
+
+/// All different markers in a value. An answer that holds another request's marker is crossed.
+pub fn markers(value: &Value) -> Vec<String> {
+    let mut found = Vec::new();
+    collect(value, &mut found);
+    found.sort_unstable();
+    found.dedup();
+    found
+}
+
+fn collect(value: &Value, found: &mut Vec<String>) {
+    match value {
+        Value::Object(map) => {
+            for (name, value) in map {
+                match value {
+                    Value::String(it) if name == MARKER => found.push(it.clone()),
+                    it => collect(it, found),
+                }
+            }
+        }
+        Value::Array(items) => items.iter().for_each(|it| collect(it, found)),
+        // A generated text may itself be JSON that an earlier stage put into the prompt.
+        Value::String(it) if it.starts_with('{') => {
+            if let Ok(inner) = serde_json::from_str(it) {
+                collect(&inner, found);
+            }
+        }
+        _ => (),
+    }
+}
--- /dev/null
+++ b/crates/holdpoint/src/cli.rs
@@ -0,0 +1,177 @@
+//! The commands and their arguments.
+
+use std::path::PathBuf;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap_complete::{Shell, generate};
+use log::LevelFilter;
+
+/// The whole command line.
+pub(crate) fn command() -> Command {
+    Command::new("holdpoint")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Operates holdpoint: resources, reports, checks, demonstration and benches")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .arg(
+            Arg::new("instance")
+                .long("instance")
+                .global(true)
+                .value_name("ADDRESS")
+                .default_value("127.0.0.1:8101")
+                .help("Operators' address of any instance"),
+        )
+        .arg(
+            Arg::new("token")
+                .long("token")
+                .global(true)
+                .value_name("TOKEN")
+                .default_value("")
+                .help("Operator's bearer token; HOLDPOINT_TOKEN where empty"),
+        )
+        .arg(
+            Arg::new("output")
+                .short('o')
+                .long("output")
+                .global(true)
+                .value_parser(["table", "json"])
+                .default_value("table")
+                .help("Form of the output"),
+        )
+        .arg(
+            Arg::new("log-level")
+                .long("log-level")
+                .global(true)
+                .value_parser(value_parser!(LevelFilter))
+                .default_value("off")
+                .help("Log of instances in this process: off, error, warn, info, debug"),
+        )
+        .subcommands([get(), apply(), delete(), watch(), status(), change(), report()])
+        .subcommands([check_settings(), demo(), bench(), completion_command()])
+}
+
+/// Writes the completion of a shell to standard output.
+pub(crate) fn completion(matches: &ArgMatches) {
+    let shell: Shell = *matches.get_one("shell").expect("the argument is required");
+    generate(shell, &mut command(), "holdpoint", &mut std::io::stdout());
+}
+
+fn kind() -> Arg {
+    Arg::new("kind").required(true).value_parser([
+        "pipelines",
+        "pools",
+        "policies",
+        "trials",
+        "organisations",
+        "placements",
+    ])
+}
+
+fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("N")
+        .default_value(default)
+        .value_parser(value_parser!(u64))
+        .help(help)
+}
+
+fn plot() -> Arg {
+    Arg::new("plot")
+        .long("plot")
+        .value_name("FILE")
+        .value_parser(value_parser!(PathBuf))
+        .help("Also write a plot, as SVG")
+}
+
+fn get() -> Command {
+    Command::new("get").about("Show resources of a kind, or one").arg(kind()).arg(Arg::new("name"))
+}
+
+fn apply() -> Command {
+    Command::new("apply").about("Apply the resources of a file, in its order").arg(
+        Arg::new("file")
+            .short('f')
+            .long("file")
+            .required(true)
+            .value_name("FILE")
+            .value_parser(value_parser!(PathBuf)),
+    )
+}
+
+fn delete() -> Command {
+    Command::new("delete")
+        .about("Delete a resource")
+        .arg(kind())
+        .arg(Arg::new("name").required(true))
+        .arg(
+            Arg::new("version")
+                .long("version")
+                .value_parser(value_parser!(u64))
+                .help("Delete only this version"),
+        )
+}
+
+fn watch() -> Command {
+    Command::new("watch")
+        .about("Follow the changes of a kind, one JSON event a line")
+        .arg(kind())
+        .arg(number("from", "0", "Version to go on from; 0 begins with all that exists"))
+}
+
+fn status() -> Command {
+    Command::new("status").about("Show each instance, its phase and its offset")
+}
+
+fn change() -> Command {
+    Command::new("change")
+        .about("Show how far a change has come")
+        .arg(Arg::new("id").required(true))
+}
+
+fn report() -> Command {
+    Command::new("report")
+        .about("Reports over all instances")
+        .subcommand_required(true)
+        .subcommand(Command::new("burn").about("Service-level burn by pipeline").arg(plot()))
+        .subcommand(
+            Command::new("trial")
+                .about("Attainment and cost of a trial's arms")
+                .arg(Arg::new("name").required(true))
+                .arg(plot()),
+        )
+}
+
+fn check_settings() -> Command {
+    Command::new("check-settings").about("Check a settings file and name every mistake").arg(
+        Arg::new("file").required(true).value_name("FILE").value_parser(value_parser!(PathBuf)),
+    )
+}
+
+fn demo() -> Command {
+    Command::new("demo")
+        .about("Run stand-ins and instances in this process, with the pipelines of both users")
+        .arg(number("instances", "3", "Instances"))
+        .arg(number("requests", "1500", "Requests of the check"))
+        .arg(number("seed", "1", "Seed of the check"))
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(ArgAction::SetTrue)
+                .help("Send a bounded load, compare answers with what ran, and exit"),
+        )
+}
+
+fn bench() -> Command {
+    Command::new("bench").about("Measure").subcommand_required(true).subcommand(
+        Command::new("overhead")
+            .about("Calls through holdpoint against the same calls straight to the target")
+            .arg(number("requests", "2000", "Requests a measurement")),
+    )
+}
+
+fn completion_command() -> Command {
+    Command::new("completion")
+        .about("Write a shell's completion to standard output")
+        .arg(Arg::new("shell").required(true).value_parser(value_parser!(Shell)))
+}
--- /dev/null
+++ b/crates/holdpoint/src/main.rs
@@ -0,0 +1,51 @@
+//! The command line for operators: resources, reports, checks, the demonstration and the benches.
+
+mod api;
+mod bench;
+mod cli;
+mod demo;
+mod failure;
+mod output;
+
+use std::process::ExitCode;
+
+use clap::ArgMatches;
+use log::LevelFilter;
+use simplelog::{ColorChoice, ConfigBuilder, TermLogger, TerminalMode};
+
+use crate::failure::Failure;
+
+fn main() -> ExitCode {
+    let matches = cli::command().get_matches();
+    let level = matches.get_one("log-level").copied().unwrap_or(LevelFilter::Off);
+    let config = ConfigBuilder::new().add_filter_allow_str("holdpoint").build();
+    // Only a second logger in the same process fails here.
+    drop(TermLogger::init(level, config, TerminalMode::Stderr, ColorChoice::Auto));
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build();
+    let result = match runtime {
+        Ok(it) => it.block_on(run(&matches)),
+        Err(_) => Err(Failure::Runtime),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(it) => {
+            eprintln!("holdpoint: {it}");
+            it.exit_code()
+        }
+    }
+}
+
+async fn run(matches: &ArgMatches) -> Result<(), Failure> {
+    match matches.subcommand() {
+        Some(("check-settings", it)) => api::check_settings(it),
+        Some(("completion", it)) => {
+            cli::completion(it);
+            Ok(())
+        }
+        Some(("demo", it)) => demo::run(it).await,
+        Some(("bench", it)) => bench::run(it).await,
+        Some((name, it)) => api::run(name, it, matches).await,
+        None => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/holdpointd/src/events.rs
@@ -0,0 +1,80 @@
+//! Numbered log events. docs/EVENTS.md is their catalogue; a test holds it against this table.
+
+use log::Level;
+
+/// A kind of log event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// Number, which never changes its meaning.
+    pub code: u16,
+    /// Level.
+    pub level: Level,
+    /// Short text.
+    pub text: &'static str,
+}
+
+macro_rules! events {
+    ($($(#[$doc:meta])* $name:ident = $code:literal $level:ident $text:literal;)*) => {
+        $($(#[$doc])* pub const $name: Event =
+            Event { code: $code, level: Level::$level, text: $text };)*
+
+        /// All events.
+        pub const ALL: &[Event] = &[$($name),*];
+    };
+}
+
+events! {
+    /// The process has started.
+    STARTED = 100 Info "started";
+    /// The phase of the instance's life changed.
+    PHASE = 101 Info "phase changed";
+    /// A planned stop began.
+    STOPPING = 102 Info "planned stop began";
+    /// A planned stop ended.
+    STOPPED = 103 Info "planned stop ended";
+    /// The settings cannot be used.
+    BAD_SETTINGS = 104 Error "settings cannot be used";
+    /// A listening address cannot be bound.
+    BAD_ADDRESS = 105 Error "address cannot be bound";
+    /// State was restored from a snapshot in the log.
+    RESTORED = 200 Info "state restored from a snapshot";
+    /// State was taken over from a peer.
+    ADOPTED = 201 Info "state taken over from a peer";
+    /// A snapshot was found not to match its hash or offset.
+    BAD_SNAPSHOT = 202 Error "snapshot rejected";
+    /// Records expired before they were read and no snapshot covers them.
+    GAP = 203 Error "records expired unread and no snapshot covers them";
+    /// A record cannot be read by this version.
+    BAD_RECORD = 204 Warn "record cannot be read";
+    /// The log does not answer.
+    LOG_SILENT = 205 Warn "log does not answer";
+    /// The log answers again.
+    LOG_BACK = 206 Info "log answers again";
+    /// A snapshot was appended.
+    SNAPSHOT = 207 Info "snapshot appended";
+    /// A resource changed.
+    CHANGED = 300 Info "resource changed";
+    /// A change lost to another.
+    CONFLICT = 301 Info "change lost to another";
+    /// A change is in force everywhere.
+    ACCEPTED = 302 Info "change in force everywhere";
+    /// A member joined, changed its phase or stopped.
+    MEMBER = 400 Info "member changed";
+    /// A target is leaving.
+    TARGET_LEAVING = 401 Info "target is leaving";
+    /// The instance list cannot be read.
+    LIST_SILENT = 402 Warn "instance list cannot be read";
+    /// An answer belonged to another attempt and was dropped.
+    CROSSED = 500 Error "answer of another attempt dropped";
+    /// A call that may not be repeated has an unknown outcome.
+    OUTCOME_UNKNOWN = 501 Error "outcome unknown";
+    /// A claimant is gone without an outcome.
+    CLAIMANT_GONE = 502 Warn "claimant gone without an outcome";
+    /// Streams were handed over at the drain limit.
+    HANDED_OVER = 503 Info "streams handed over";
+}
+
+/// Writes an event to the log.
+pub fn emit(event: Event, instance: &str, detail: &str) {
+    log::log!(event.level, "E{:03} {instance}: {}: {detail}", event.code, event.text);
+}
--- /dev/null
+++ b/crates/holdpointd/src/instance.rs
@@ -0,0 +1,283 @@
+//! One instance: its threads, its addresses, its start and its end.
+
+use std::{
+    fmt,
+    net::{SocketAddr, TcpListener},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread::JoinHandle,
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use error_stack::{Report, ResultExt};
+use holdpoint_platform::{Clock, EngineClient, Http, LogClient, TargetClient};
+use holdpoint_schema::settings::Settings;
+use tokio::{
+    runtime::{Builder, Runtime},
+    sync::{mpsc, watch},
+};
+use uuid::Uuid;
+
+use crate::{
+    control::{self, INPUTS, Input},
+    events::{self, emit},
+    metrics::Metrics,
+    operators,
+    peers::{self, PeerPool},
+    settings::token_keys,
+    shared::{InFlight, Published, Shared, raised},
+    traffic::{self, Traffic},
+};
+
+/// How long streams may take to tell their callers where to go on.
+const HAND_OVER: Duration = Duration::from_millis(1000);
+/// How long the last answers may take to be written.
+const CLOSE: Duration = Duration::from_millis(1000);
+
+/// Why an instance cannot start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartError {
+    /// A listening address cannot be bound.
+    Bind,
+    /// A thread or its runtime cannot be made.
+    Thread,
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            StartError::Bind => "a listening address cannot be bound",
+            StartError::Thread => "a thread cannot be started",
+        })
+    }
+}
+
+impl std::error::Error for StartError {}
+
+/// How a planned stop ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// Everything in flight finished.
+    Drained,
+    /// The drain limit passed with work in flight; its streams were handed over.
+    Cut,
+}
+
+/// Addresses that an instance listens on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Addresses {
+    /// Callers' HTTP.
+    pub callers: SocketAddr,
+    /// Operators' HTTP.
+    pub operators: SocketAddr,
+    /// Peer RPC.
+    pub peers: SocketAddr,
+}
+
+/// A running instance.
+pub struct Instance {
+    shared: Arc<Shared>,
+    addresses: Addresses,
+    runtime: Option<Runtime>,
+    control: Option<JoinHandle<()>>,
+    kill: watch::Sender<bool>,
+    close: watch::Sender<bool>,
+    servers: Vec<tokio::task::JoinHandle<()>>,
+}
+
+struct Listeners {
+    callers: TcpListener,
+    operators: TcpListener,
+    peers: TcpListener,
+}
+
+impl Instance {
+    /// Starts an instance; it serves as soon as it knows the state of the log.
+    pub fn start(settings: Settings) -> Result<Instance, Report<StartError>> {
+        Instance::with_clock(settings, Clock::new())
+    }
+
+    /// Starts an instance that goes by a clock of the caller's.
+    pub fn with_clock(settings: Settings, clock: Clock) -> Result<Instance, Report<StartError>> {
+        let listeners = Listeners::bind(&settings)?;
+        let addresses = listeners.addresses()?;
+        let threads = settings.runtime.traffic_threads as usize;
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(threads)
+            .thread_name("traffic")
+            .enable_all()
+            .build()
+            .change_context(StartError::Thread)?;
+        let (inputs, receiver) = mpsc::channel(INPUTS);
+        let shared = Arc::new(shared(settings, clock, inputs));
+        let (kill, killed) = watch::channel(false);
+        let (close, _) = watch::channel(false);
+        let control = control_thread(&shared, listeners.peers, addresses.peers, receiver, killed)?;
+        let callers = traffic::router(shared.clone());
+        let operators = operators::router(shared.clone());
+        runtime.spawn(traffic::expire_waiting(shared.clone()));
+        let servers = vec![
+            serve(&runtime, listeners.callers, callers, close.subscribe()),
+            serve(&runtime, listeners.operators, operators, close.subscribe()),
+        ];
+        let detail = format!("{} at {}", shared.incarnation, addresses.callers);
+        emit(events::STARTED, &shared.settings.instance, &detail);
+        let (runtime, control) = (Some(runtime), Some(control));
+        Ok(Instance { shared, addresses, runtime, control, kill, close, servers })
+    }
+
+    /// Addresses that it listens on.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// What its threads share.
+    pub fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// Stops as planned: not ready first, then no new work, then all that is in flight ends or is
+    /// handed over.
+    pub async fn stop(mut self) -> Ended {
+        let timing = &self.shared.settings.timing;
+        self.shared.is_leaving.store(true, Ordering::Release);
+        tokio::time::sleep(Duration::from_millis(timing.linger_ms)).await;
+        drop(self.shared.control.send(Input::Stop).await);
+        let limit = Duration::from_millis(timing.drain_ms);
+        let idle = self.shared.in_flight.idle();
+        let is_drained = tokio::time::timeout(limit, idle).await.is_ok();
+        // Watches never end by themselves, so they are told as well.
+        self.shared.hand_over.send_replace(true);
+        if !is_drained {
+            let n = self.shared.in_flight.count();
+            emit(events::HANDED_OVER, &self.shared.settings.instance, &n.to_string());
+            drop(tokio::time::timeout(HAND_OVER, self.shared.in_flight.idle()).await);
+        }
+        self.close.send_replace(true);
+        for server in self.servers.drain(..) {
+            drop(tokio::time::timeout(CLOSE, server).await);
+        }
+        drop(self.shared.control.send(Input::Drained).await);
+        if let Some(it) = self.control.take() {
+            drop(tokio::task::spawn_blocking(move || it.join()).await);
+        }
+        emit(events::STOPPED, &self.shared.settings.instance, "");
+        if is_drained { Ended::Drained } else { Ended::Cut }
+    }
+
+    /// Ends at once, as if the process had died.
+    pub fn kill(self) {
+        drop(self);
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        self.kill.send_replace(true);
+        if let Some(it) = self.runtime.take() {
+            it.shutdown_background();
+        }
+    }
+}
+
+impl Listeners {
+    fn bind(settings: &Settings) -> Result<Listeners, Report<StartError>> {
+        let bind = |address: &str| {
+            let listener = TcpListener::bind(address)
+                .change_context(StartError::Bind)
+                .attach_with(|| address.to_owned())?;
+            listener.set_nonblocking(true).change_context(StartError::Bind)?;
+            Ok::<TcpListener, Report<StartError>>(listener)
+        };
+        Ok(Listeners {
+            callers: bind(&settings.listen.callers)?,
+            operators: bind(&settings.listen.operators)?,
+            peers: bind(&settings.listen.peers)?,
+        })
+    }
+
+    fn addresses(&self) -> Result<Addresses, Report<StartError>> {
+        let of = |it: &TcpListener| it.local_addr().change_context(StartError::Bind);
+        let (callers, operators) = (of(&self.callers)?, of(&self.operators)?);
+        Ok(Addresses { callers, operators, peers: of(&self.peers)? })
+    }
+}
+
+fn shared(settings: Settings, clock: Clock, control: mpsc::Sender<Input>) -> Shared {
+    let http = Http::new();
+    let timeout = Duration::from_millis(settings.timing.log_timeout_ms);
+    let metrics = Arc::new(Metrics::new());
+    Shared {
+        // Incarnations sort by their start, which a UUID of version 7 gives.
+        incarnation: Uuid::now_v7().simple().to_string(),
+        token_keys: token_keys(&settings),
+        published: ArcSwap::from_pointee(Published::new()),
+        control,
+        log: LogClient::new(http.clone(), &settings.platform.log, timeout),
+        targets: TargetClient::new(http.clone()),
+        engines: EngineClient::new(http.clone()),
+        http,
+        peers: PeerPool::new(metrics.clone()),
+        metrics,
+        serve_until: AtomicU64::new(0),
+        is_leaving: AtomicBool::new(false),
+        in_flight: Arc::new(InFlight::default()),
+        hand_over: watch::channel(false).0,
+        traffic: Traffic::new(&settings),
+        calls: AtomicU64::new(1),
+        settings,
+        clock,
+    }
+}
+
+fn control_thread(
+    shared: &Arc<Shared>,
+    peers: TcpListener,
+    bound: SocketAddr,
+    inputs: mpsc::Receiver<Input>,
+    mut killed: watch::Receiver<bool>,
+) -> Result<JoinHandle<()>, Report<StartError>> {
+    let shared = shared.clone();
+    let advertise = match shared.settings.listen.advertise.as_str() {
+        "" => bound.to_string(),
+        it => it.to_owned(),
+    };
+    let runtime =
+        Builder::new_current_thread().enable_all().build().change_context(StartError::Thread)?;
+    let run = move || {
+        runtime.block_on(async move {
+            let Ok(listener) = tokio::net::TcpListener::from_std(peers) else { return };
+            let reporter = shared.clone();
+            let report = move || {
+                serde_json::to_string(&traffic::local_report(&reporter)).unwrap_or_default()
+            };
+            let (way, metrics) = (shared.control.clone(), shared.metrics.clone());
+            tokio::spawn(peers::serve(listener, way, Arc::new(report), metrics));
+            tokio::select! {
+                () = control::run(shared, advertise, inputs) => (),
+                () = raised(&mut killed) => (),
+            }
+        });
+        runtime.shutdown_background();
+    };
+    std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(run)
+        .change_context(StartError::Thread)
+}
+
+fn serve(
+    runtime: &Runtime,
+    listener: TcpListener,
+    router: axum::Router,
+    mut close: watch::Receiver<bool>,
+) -> tokio::task::JoinHandle<()> {
+    runtime.spawn(async move {
+        let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
+        let closed = async move { raised(&mut close).await };
+        drop(axum::serve(listener, router).with_graceful_shutdown(closed).await);
+    })
+}
--- /dev/null
+++ b/crates/holdpointd/src/lib.rs
@@ -0,0 +1,30 @@
+//! The holdpoint daemon as a library, so that a demonstration or a test can run several
+//! instances inside one process.
+//!
+//! ```no_run
+//! use holdpointd::{Instance, settings};
+//!
+//! # async fn example() -> Result<(), Box<dyn std::error::Error>> {
+//! let settings = settings::load("examples/prairie-cellars.jsonc".as_ref())?;
+//! let instance = Instance::start(settings)?;
+//! println!("callers: http://{}", instance.addresses().callers);
+//! instance.stop().await;
+//! # Ok(())
+//! # }
+//! ```
+
+mod control;
+pub mod events;
+mod instance;
+pub mod metrics;
+mod operators;
+pub mod peers;
+pub mod settings;
+mod shared;
+mod traffic;
+
+pub use crate::{
+    instance::{Addresses, Ended, Instance, StartError},
+    shared::{Published, Shared},
+    traffic::{BurnReport, Problem, ProblemKind, Report, TrialReport},
+};
--- /dev/null
+++ b/crates/holdpointd/src/metrics.rs
@@ -0,0 +1,97 @@
+//! Metrics, counted by OpenTelemetry and shown in the Prometheus text form.
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Histogram, Meter, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// Bounds of latency buckets, in milliseconds.
+const LATENCY_BOUNDS: [f64; 12] =
+    [1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 500.0, 1000.0, 2000.0, 5000.0];
+
+/// All instruments of one instance.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    /// Requests by pipeline and outcome.
+    pub requests: Counter<u64>,
+    /// Time of requests, in milliseconds.
+    pub latency: Histogram<f64>,
+    /// Attempts by pool and end.
+    pub attempts: Counter<u64>,
+    /// Repeated chunks dropped.
+    pub dropped_chunks: Counter<u64>,
+    /// Answers of other attempts dropped.
+    pub crossed: Counter<u64>,
+    /// Generations resumed at their engine.
+    pub resumes: Counter<u64>,
+    /// Appends to the log, by stream.
+    pub appends: Counter<u64>,
+    /// Bytes appended to and read from the log, by direction.
+    pub log_bytes: Counter<u64>,
+    /// Bytes to and from peers, by direction.
+    pub peer_bytes: Counter<u64>,
+    /// Heartbeats, by result.
+    pub heartbeats: Counter<u64>,
+    /// Changes, by verdict.
+    pub changes: Counter<u64>,
+}
+
+impl Metrics {
+    /// Makes the instruments.
+    pub fn new() -> Metrics {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .expect("a new registry has no names yet");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("holdpoint");
+        let counter = |name: &'static str, text: &'static str| counter(&meter, name, text);
+        Metrics {
+            requests: counter("holdpoint_requests", "Requests by pipeline and outcome"),
+            latency: meter
+                .f64_histogram("holdpoint_latency_ms")
+                .with_description("Time of requests in milliseconds")
+                .with_boundaries(LATENCY_BOUNDS.to_vec())
+                .build(),
+            attempts: counter("holdpoint_attempts", "Attempts by pool and end"),
+            dropped_chunks: counter("holdpoint_dropped_chunks", "Repeated chunks dropped"),
+            crossed: counter("holdpoint_crossed", "Answers of other attempts dropped"),
+            resumes: counter("holdpoint_resumes", "Generations resumed at their engine"),
+            appends: counter("holdpoint_appends", "Appends to the log by stream"),
+            log_bytes: counter("holdpoint_log_bytes", "Bytes to and from the log"),
+            peer_bytes: counter("holdpoint_peer_bytes", "Bytes to and from peers"),
+            heartbeats: counter("holdpoint_heartbeats", "Heartbeats by result"),
+            changes: counter("holdpoint_changes", "Changes by verdict"),
+            registry,
+            _provider: provider,
+        }
+    }
+
+    /// All metrics in the Prometheus text form.
+    pub fn text(&self) -> String {
+        let mut out = Vec::new();
+        // Only a broken writer fails here, and a vector is none.
+        drop(TextEncoder::new().encode(&self.registry.gather(), &mut out));
+        String::from_utf8(out).unwrap_or_default()
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        Metrics::new()
+    }
+}
+
+/// A label with its value.
+pub fn label(name: &'static str, value: impl Into<String>) -> KeyValue {
+    KeyValue::new(name, value.into())
+}
+
+fn counter(meter: &Meter, name: &'static str, text: &'static str) -> Counter<u64> {
+    meter.u64_counter(name).with_description(text).build()
+}
--- /dev/null
+++ b/crates/holdpointd/src/operators/changes.rs
@@ -0,0 +1,137 @@
+//! Changes to resources.
+
+use std::sync::Arc;
+
+use axum::{
+    Json,
+    body::Bytes,
+    extract::{Path, State},
+    http::{HeaderMap, StatusCode, header},
+    response::{IntoResponse, Response},
+};
+use holdpoint_core::{catalog::check, ids::Offset};
+use holdpoint_schema::{
+    Fault, Part,
+    caller::{ChangeState, ChangeStatus},
+    faults,
+    records::Change,
+};
+use serde_json::{Map, Value, json};
+use uuid::Uuid;
+
+use crate::{
+    control::{Input, change_wait_limit},
+    operators::{Refusal, ask, auth::operator, kind_of, resources},
+    shared::Shared,
+};
+
+/// Header with the change id, by which a change can be repeated safely.
+const CHANGE: &str = "holdpoint-change";
+
+/// `PUT /apis/v1/{kind}/{name}` with the specification as body.
+pub(crate) async fn put(
+    State(shared): State<Arc<Shared>>,
+    Path((kind, name)): Path<(String, String)>,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Result<Response, Refusal> {
+    let operator = operator(&shared, &headers)?.to_owned();
+    let known = kind_of(&kind)?;
+    let value: Value =
+        serde_json::from_slice(&body).map_err(|it| Refusal::BadBody(it.to_string()))?;
+    let found = name_faults(&kind, &name, &value);
+    if !found.is_empty() {
+        return Err(Refusal::Faults(found));
+    }
+    let Value::Object(spec) = value else { return Err(Refusal::NoKind) };
+    let found = check(&shared.now().catalog, known, &spec);
+    if !found.is_empty() {
+        return Err(Refusal::Faults(found));
+    }
+    change(&shared, &headers, operator, kind, name, spec).await
+}
+
+/// `DELETE /apis/v1/{kind}/{name}`.
+pub(crate) async fn delete(
+    State(shared): State<Arc<Shared>>,
+    Path((kind, name)): Path<(String, String)>,
+    headers: HeaderMap,
+) -> Result<Response, Refusal> {
+    let operator = operator(&shared, &headers)?.to_owned();
+    kind_of(&kind)?;
+    change(&shared, &headers, operator, kind, name, Map::new()).await
+}
+
+/// `GET /apis/v1/changes/{id}`.
+pub(crate) async fn status(
+    State(shared): State<Arc<Shared>>,
+    Path(change): Path<String>,
+    headers: HeaderMap,
+) -> Result<Response, Refusal> {
+    operator(&shared, &headers)?;
+    let status = ask(&shared, |reply| Input::ChangeStatus { change, reply }).await?;
+    Ok(Json(status).into_response())
+}
+
+async fn change(
+    shared: &Shared,
+    headers: &HeaderMap,
+    operator: String,
+    kind: String,
+    name: String,
+    spec: Map<String, Value>,
+) -> Result<Response, Refusal> {
+    let stated = base(headers)?;
+    let base = match stated {
+        Some(it) => it,
+        None => {
+            let found = resources(shared, &kind, Some(name.clone())).await?;
+            found.first().map_or(0, |it| it.1)
+        }
+    };
+    let given = headers.get(CHANGE).and_then(|it| it.to_str().ok()).map(str::to_owned);
+    let id = given.unwrap_or_else(|| Uuid::now_v7().to_string());
+    let change = Change { change: id.clone(), kind, name, base, spec, operator };
+    let asked = ask(shared, |reply| Input::Change { change, reply });
+    let status = match tokio::time::timeout(change_wait_limit(shared), asked).await {
+        Ok(it) => it?,
+        Err(_) => {
+            let (state, missing) = (ChangeState::Unknown, Vec::new());
+            ChangeStatus { change: id, state, version: None, missing }
+        }
+    };
+    Ok(answer(&status, stated.is_some()))
+}
+
+fn answer(status: &ChangeStatus, was_conditional: bool) -> Response {
+    let code = match status.state {
+        ChangeState::Accepted => StatusCode::OK,
+        ChangeState::Pending => StatusCode::ACCEPTED,
+        ChangeState::Conflict if was_conditional => StatusCode::PRECONDITION_FAILED,
+        ChangeState::Conflict => StatusCode::CONFLICT,
+        ChangeState::Unknown => StatusCode::GATEWAY_TIMEOUT,
+    };
+    (code, Json(status)).into_response()
+}
+
+/// Version that the operator says the change is made against.
+fn base(headers: &HeaderMap) -> Result<Option<Offset>, Refusal> {
+    let text = |name| headers.get(name).map(|it| it.to_str().unwrap_or("?").trim_matches('"'));
+    if text(header::IF_NONE_MATCH) == Some("*") {
+        return Ok(Some(0));
+    }
+    match text(header::IF_MATCH) {
+        None => Ok(None),
+        Some(it) => it.parse().map(Some).map_err(|_| Refusal::BadVersion),
+    }
+}
+
+fn name_faults(kind: &str, name: &str, spec: &Value) -> Vec<Fault> {
+    let resource = json!({ "kind": kind, "name": name, "spec": spec });
+    let found = faults(Part::ResourceFile, &json!({ "resources": [resource] }));
+    let shorten = |it: Fault| {
+        let path = it.path.trim_start_matches("/resources/0").trim_start_matches("/spec");
+        Fault { path: path.to_owned(), text: it.text }
+    };
+    found.into_iter().map(shorten).collect()
+}
--- /dev/null
+++ b/crates/holdpointd/src/peers.rs
@@ -0,0 +1,217 @@
+//! RPC between instances: tarpc over TCP, encoded as CBOR.
+//!
+//! CBOR carries field names, so that instances of two versions can talk while one replaces the
+//! other: a field that one side does not know is passed over, and one that is absent has its
+//! default (see the tests).
+
+use std::{
+    collections::HashMap,
+    io,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+    time::{Duration, Instant},
+};
+
+use futures::{Future, StreamExt};
+use holdpoint_schema::{
+    peer::{ClaimAsk, ClaimReply, Digest, Settle},
+    records::Snapshot,
+};
+use parking_lot::Mutex;
+use tarpc::{
+    client::{self, RpcError},
+    context,
+    serde_transport::{Transport, new as transport},
+    server::{BaseChannel, Channel},
+    tokio_util::codec::{Framed, LengthDelimitedCodec},
+};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::{TcpListener, TcpStream},
+    sync::{mpsc, oneshot},
+};
+use tokio_serde::formats::Cbor;
+
+use crate::{
+    control::Input,
+    metrics::{Metrics, label},
+};
+
+/// Largest message between peers, in bytes.
+const MAX_FRAME: usize = 64 << 20;
+/// How long a connection to a peer may take to be made.
+const CONNECT: Duration = Duration::from_millis(500);
+
+/// What instances ask of each other.
+#[tarpc::service]
+pub trait Peers {
+    /// Exchanges digests.
+    async fn heartbeat(digest: Digest) -> Option<Digest>;
+    /// Asks the writer of a claim stream for a claim.
+    async fn claim(ask: ClaimAsk) -> ClaimReply;
+    /// Asks the writer of a claim stream to record a release or an outcome.
+    async fn settle(settle: Settle) -> bool;
+    /// Asks for the peer's state.
+    async fn snapshot() -> Option<Snapshot>;
+    /// Asks for the peer's part of the reports, as JSON.
+    async fn report() -> String;
+}
+
+/// Why a peer gave no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerSilent;
+
+/// Connections to peers, made when first needed.
+#[derive(Clone)]
+pub struct PeerPool {
+    clients: Arc<Mutex<HashMap<String, PeersClient>>>,
+    metrics: Arc<Metrics>,
+}
+
+impl PeerPool {
+    /// Makes a pool with no connections.
+    pub fn new(metrics: Arc<Metrics>) -> PeerPool {
+        PeerPool { clients: Arc::default(), metrics }
+    }
+
+    /// Makes a call to a peer. A call that fails closes the connection.
+    pub async fn call<T, F>(
+        &self,
+        address: &str,
+        limit: Duration,
+        call: impl FnOnce(PeersClient, context::Context) -> F,
+    ) -> Result<T, PeerSilent>
+    where
+        F: Future<Output = Result<T, RpcError>>,
+    {
+        let client = self.client(address).await?;
+        let mut context = context::current();
+        context.deadline = Instant::now() + limit;
+        let answer = tokio::time::timeout(limit, call(client, context)).await;
+        if let Ok(Ok(it)) = answer {
+            return Ok(it);
+        }
+        self.clients.lock().remove(address);
+        Err(PeerSilent)
+    }
+
+    async fn client(&self, address: &str) -> Result<PeersClient, PeerSilent> {
+        if let Some(it) = self.clients.lock().get(address) {
+            return Ok(it.clone());
+        }
+        let connect = tokio::time::timeout(CONNECT, TcpStream::connect(address));
+        let stream = connect.await.map_err(|_| PeerSilent)?.map_err(|_| PeerSilent)?;
+        stream.set_nodelay(true).map_err(|_| PeerSilent)?;
+        let framed = framed(Counted { stream, metrics: self.metrics.clone() });
+        let io = transport(framed, Cbor::default());
+        let client = PeersClient::new(client::Config::default(), io).spawn();
+        self.clients.lock().insert(address.to_owned(), client.clone());
+        Ok(client)
+    }
+}
+
+/// Serves peers until the task is dropped.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    control: mpsc::Sender<Input>,
+    report: Arc<dyn Fn() -> String + Send + Sync>,
+    metrics: Arc<Metrics>,
+) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        if stream.set_nodelay(true).is_err() {
+            continue;
+        }
+        let io: Transport<_, _, _, _> =
+            transport(framed(Counted { stream, metrics: metrics.clone() }), Cbor::default());
+        let server = PeerServer { control: control.clone(), report: report.clone() };
+        let channel = BaseChannel::with_defaults(io);
+        tokio::spawn(channel.execute(server.serve()).for_each(|it| async move {
+            tokio::spawn(it);
+        }));
+    }
+}
+
+fn framed(stream: Counted) -> Framed<Counted, LengthDelimitedCodec> {
+    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME).new_framed(stream)
+}
+
+#[derive(Clone)]
+struct PeerServer {
+    control: mpsc::Sender<Input>,
+    report: Arc<dyn Fn() -> String + Send + Sync>,
+}
+
+impl PeerServer {
+    async fn ask<T>(&self, input: impl FnOnce(oneshot::Sender<T>) -> Input) -> Option<T> {
+        let (reply, answer) = oneshot::channel();
+        self.control.send(input(reply)).await.ok()?;
+        answer.await.ok()
+    }
+}
+
+impl Peers for PeerServer {
+    async fn heartbeat(self, _: context::Context, digest: Digest) -> Option<Digest> {
+        self.ask(|reply| Input::Heartbeat { digest, reply }).await
+    }
+
+    async fn claim(self, _: context::Context, ask: ClaimAsk) -> ClaimReply {
+        self.ask(|reply| Input::Claim { ask, reply }).await.unwrap_or(ClaimReply::Silent)
+    }
+
+    async fn settle(self, _: context::Context, settle: Settle) -> bool {
+        self.ask(|reply| Input::Settle { settle, reply }).await.unwrap_or(false)
+    }
+
+    async fn snapshot(self, _: context::Context) -> Option<Snapshot> {
+        self.ask(|reply| Input::Snapshot { reply }).await.flatten()
+    }
+
+    async fn report(self, _: context::Context) -> String {
+        (self.report)()
+    }
+}
+
+/// A connection whose bytes are counted.
+#[derive(Debug)]
+struct Counted {
+    stream: TcpStream,
+    metrics: Arc<Metrics>,
+}
+
+impl AsyncRead for Counted {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let ready = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let n = (buf.filled().len() - before) as u64;
+        self.metrics.peer_bytes.add(n, &[label("direction", "in")]);
+        ready
+    }
+}
+
+impl AsyncWrite for Counted {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let ready = Pin::new(&mut self.stream).poll_write(cx, buf);
+        if let Poll::Ready(Ok(n)) = ready {
+            self.metrics.peer_bytes.add(n as u64, &[label("direction", "out")]);
+        }
+        ready
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/holdpointd/src/settings.rs
@@ -0,0 +1,110 @@
+//! Settings: JSON with comments, checked as a whole before anything starts.
+
+use std::{fmt, fs, path::Path};
+
+use error_stack::{Report, ResultExt};
+use holdpoint_core::token::TokenKey;
+use holdpoint_schema::{Fault, Part, faults, settings::Settings};
+use jsonc_parser::{ParseOptions, parse_to_serde_value};
+use serde_json::Value;
+
+/// Why a file of JSON with comments cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FileError {
+    /// The file cannot be read.
+    Read,
+    /// The text is not JSON with comments.
+    Syntax {
+        /// What is wrong and where, by line and column.
+        text: String,
+    },
+    /// The values are not valid: every fault, with its path.
+    Faults(Vec<Fault>),
+}
+
+impl fmt::Display for FileError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            FileError::Read => f.write_str("the file cannot be read"),
+            FileError::Syntax { text } => write!(f, "the file is not JSON with comments: {text}"),
+            FileError::Faults(faults) => {
+                let lines: Vec<String> = faults.iter().map(fault_line).collect();
+                f.write_str(&lines.join("; "))
+            }
+        }
+    }
+}
+
+impl std::error::Error for FileError {}
+
+/// Reads settings from a file.
+pub fn load(path: &Path) -> Result<Settings, Report<FileError>> {
+    check(&read_jsonc(path)?)
+}
+
+/// Reads a file of JSON with comments.
+pub fn read_jsonc(path: &Path) -> Result<Value, Report<FileError>> {
+    let text = fs::read_to_string(path).change_context(FileError::Read)?;
+    parse_jsonc(&text)
+}
+
+/// Reads a text of JSON with comments.
+pub fn parse_jsonc(text: &str) -> Result<Value, Report<FileError>> {
+    parse_to_serde_value(text, &ParseOptions::default())
+        .map_err(|it| Report::new(FileError::Syntax { text: it.to_string() }))
+}
+
+/// Checks settings: their form by the schema, then what holds between them.
+pub fn check(value: &Value) -> Result<Settings, Report<FileError>> {
+    let mut found = faults(Part::Settings, value);
+    if found.is_empty() {
+        let settings: Settings = serde_json::from_value(value.clone())
+            .map_err(|it| Report::new(FileError::Syntax { text: it.to_string() }))?;
+        found = cross_faults(&settings);
+        if found.is_empty() {
+            return Ok(settings);
+        }
+    }
+    Err(Report::new(FileError::Faults(found)))
+}
+
+/// Keys that sign and verify resume tokens.
+pub fn token_keys(settings: &Settings) -> Vec<TokenKey> {
+    let keys = settings.resume_keys.iter();
+    keys.map(|it| TokenKey { id: it.id, secret: it.secret.clone().into_bytes() }).collect()
+}
+
+/// One line for one fault.
+pub fn fault_line(fault: &Fault) -> String {
+    let path = if fault.path.is_empty() { "/" } else { &fault.path };
+    format!("{path}: {}", fault.text)
+}
+
+fn cross_faults(settings: &Settings) -> Vec<Fault> {
+    let timing = &settings.timing;
+    let mut found = Vec::new();
+    let mut fault = |path: &str, text: &str| {
+        found.push(Fault { path: path.to_owned(), text: text.to_owned() });
+    };
+    // A claim must outlive its key by a margin: a key is refused before its claim can expire.
+    if timing.retention_ms < 2 * (timing.claim_window_ms + timing.skew_ms) {
+        fault("/timing/claim_window_ms", "must be below half of retention_ms, less skew_ms");
+    }
+    // Only an instance that has isolated itself may be declared gone.
+    if timing.dead_ms < timing.confirm_ms {
+        fault("/timing/dead_ms", "must not be below confirm_ms");
+    }
+    if settings.limits.max_patience_ms < settings.limits.patience_ms {
+        fault("/limits/patience_ms", "must not be above max_patience_ms");
+    }
+    let advertise = &settings.listen.advertise;
+    if !advertise.is_empty() && advertise.parse::<std::net::SocketAddr>().is_err() {
+        fault("/listen/advertise", "must be an IP number and a port");
+    }
+    let mut ids: Vec<u32> = settings.resume_keys.iter().map(|it| it.id).collect();
+    ids.sort_unstable();
+    if ids.windows(2).any(|it| it[0] == it[1]) {
+        fault("/resume_keys", "two keys have the same id");
+    }
+    found
+}
--- /dev/null
+++ b/crates/holdpointd/src/traffic/admission.rs
@@ -0,0 +1,117 @@
+//! Admission on the running path: the gate, and the requests that wait at it.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use holdpoint_core::{
+    admit::{Ask, Gate, Offer, Refusal, Ticket},
+    ids::{Millis, Name},
+};
+use parking_lot::Mutex;
+use tokio::sync::oneshot;
+
+use crate::shared::Shared;
+
+/// Interval at which waiting requests are checked against their deadlines.
+const SWEEP: Duration = Duration::from_millis(10);
+
+#[derive(Debug)]
+struct Inner {
+    gate: Gate,
+    waiters: HashMap<Ticket, oneshot::Sender<bool>>,
+}
+
+/// The gate and the requests that wait at it.
+#[derive(Debug)]
+pub(crate) struct Admission {
+    inner: Mutex<Inner>,
+}
+
+/// Why a request was refused at the gate, and when to come back.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Refused {
+    pub(crate) reason: Refusal,
+    pub(crate) retry_after: Millis,
+}
+
+/// A request that was let through; it ends when dropped.
+pub(crate) struct Admitted {
+    shared: Arc<Shared>,
+    organisation: Name,
+    on_time: bool,
+}
+
+impl Admission {
+    pub(crate) fn new(ceiling: usize) -> Admission {
+        Admission { inner: Mutex::new(Inner { gate: Gate::new(ceiling), waiters: HashMap::new() }) }
+    }
+
+    fn done(&self, now: Millis, organisation: &str, on_time: bool) {
+        let mut inner = self.inner.lock();
+        let mut tickets = inner.gate.done(now, organisation, on_time);
+        while let Some(ticket) = tickets.pop() {
+            let waiter = inner.waiters.remove(&ticket);
+            let is_gone = waiter.is_none_or(|it| it.send(true).is_err());
+            if is_gone {
+                // Its caller has left; the place goes to the next one.
+                tickets.extend(inner.gate.done(now, organisation, true));
+            }
+        }
+    }
+
+    fn expire(&self, now: Millis) {
+        let mut inner = self.inner.lock();
+        for ticket in inner.gate.expire(now) {
+            if let Some(it) = inner.waiters.remove(&ticket) {
+                let _ = it.send(false);
+            }
+        }
+    }
+}
+
+/// Admits a request, now or after a wait, or refuses it.
+pub(crate) async fn admit(shared: &Arc<Shared>, ask: &Ask<'_>) -> Result<Admitted, Refused> {
+    let admission = &shared.traffic.admission;
+    let admitted = || Admitted {
+        shared: shared.clone(),
+        organisation: ask.organisation.to_owned(),
+        on_time: true,
+    };
+    let receiver = {
+        let mut inner = admission.inner.lock();
+        match inner.gate.offer(shared.clock.now(), ask) {
+            Offer::Admit => return Ok(admitted()),
+            Offer::Refuse { reason, retry_after } => return Err(Refused { reason, retry_after }),
+            Offer::Defer(ticket) => {
+                let (sender, receiver) = oneshot::channel();
+                inner.waiters.insert(ticket, sender);
+                receiver
+            }
+        }
+    };
+    match receiver.await {
+        Ok(true) => Ok(admitted()),
+        Ok(false) | Err(_) => Err(Refused { reason: Refusal::Overload, retry_after: 1000 }),
+    }
+}
+
+/// Refuses the waiting requests that can no longer make their deadline, as long as it runs.
+pub(crate) async fn expire_waiting(shared: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(SWEEP).await;
+        shared.traffic.admission.expire(shared.clock.now());
+    }
+}
+
+impl Admitted {
+    /// Notes that the request missed its deadline, which lowers the limit.
+    pub(crate) fn missed(&mut self) {
+        self.on_time = false;
+    }
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        let now = self.shared.clock.now();
+        self.shared.traffic.admission.done(now, &self.organisation, self.on_time);
+    }
+}
--- /dev/null
+++ b/crates/holdpointd/src/traffic/callers.rs
@@ -0,0 +1,449 @@
+//! The callers' HTTP surface.
+
+use std::{sync::Arc, time::Duration};
+
+use axum::{
+    Json, Router,
+    body::Body,
+    extract::{Path, State},
+    http::{HeaderMap, HeaderName, HeaderValue, header},
+    response::{IntoResponse, Response},
+    routing::{get, post},
+};
+use holdpoint_core::{
+    admit::{Ask, Refusal},
+    burn::Cause,
+    catalog::Versioned,
+    claims::{BadKey, check_key},
+    ids::{Millis, Name, sha256_hex},
+    ledger::Ledger,
+    pipeline::Graph,
+    trial::arm_of,
+};
+use holdpoint_schema::{
+    Part, caller::Answer, faults, peer::ClaimReply, records::ClaimKey, resources::Organisation,
+};
+use serde_json::Value;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+
+use crate::{
+    events::{self, emit},
+    metrics::label,
+    shared::{Published, Shared, Working},
+    traffic::{
+        PipelineState,
+        admission::{Admitted, admit},
+        claim::{self, Claim},
+        job::{Done, InTrial, Job, Sink, StreamEvent},
+        problem::{Problem, ProblemKind},
+        resume, sse,
+    },
+};
+
+/// Chunks that wait for a slow caller before its generation is read no further.
+pub(crate) const SINK: usize = 64;
+
+const PATIENCE: HeaderName = HeaderName::from_static("holdpoint-patience-ms");
+const KEY: HeaderName = HeaderName::from_static("idempotency-key");
+const REPLAYED: HeaderName = HeaderName::from_static("holdpoint-replayed");
+
+/// Routes of the callers' address.
+pub(crate) fn router(shared: Arc<Shared>) -> Router {
+    Router::new()
+        .route("/v1/pipelines/{pipeline}/requests", post(request))
+        .route("/v1/requests/{id}", get(resume::resume))
+        .route("/healthz", get(|| async { "ok\n" }))
+        .route("/readyz", get(ready))
+        .with_state(shared)
+}
+
+async fn ready(State(shared): State<Arc<Shared>>) -> Response {
+    if shared.is_ready(&shared.now()) {
+        "ready\n".into_response()
+    } else {
+        Problem::before_start(ProblemKind::NotReady).into_response()
+    }
+}
+
+/// Organisation of a caller key. The keys are looked up by their hash, so the time a look-up
+/// takes says nothing about them.
+pub(crate) fn authenticate<'a>(
+    view: &'a Published,
+    headers: &HeaderMap,
+) -> Result<(&'a Name, &'a Organisation), Problem> {
+    let bearer = headers.get(header::AUTHORIZATION).and_then(|it| it.to_str().ok());
+    bearer
+        .and_then(|it| it.strip_prefix("Bearer "))
+        .and_then(|it| view.catalog.organisation_of(&sha256_hex(it.as_bytes())))
+        .ok_or_else(|| Problem::before_start(ProblemKind::Unauthorized))
+}
+
+/// A request that was read and checked, before it is admitted.
+struct Checked {
+    view: Arc<Published>,
+    organisation: Name,
+    share: u32,
+    cap: u32,
+    pipeline: Name,
+    graph: Arc<Versioned<Graph>>,
+    input: Value,
+    arrived: Millis,
+    deadline: Millis,
+    key: Option<String>,
+    wants_stream: bool,
+    ledger: Ledger,
+}
+
+async fn request(
+    State(shared): State<Arc<Shared>>,
+    Path(pipeline): Path<String>,
+    headers: HeaderMap,
+    body: Body,
+) -> Response {
+    let working = shared.in_flight.start();
+    let checked = match check(&shared, pipeline, &headers, body).await {
+        Ok(it) => it,
+        Err(it) => return it.into_response(),
+    };
+    match serve(&shared, checked, working).await {
+        Ok(it) => it,
+        Err(it) => it.into_response(),
+    }
+}
+
+async fn check(
+    shared: &Shared,
+    pipeline: Name,
+    headers: &HeaderMap,
+    body: Body,
+) -> Result<Checked, Problem> {
+    let refuse = Problem::before_start;
+    let view = shared.now();
+    if !shared.may_serve(&view) {
+        return Err(refuse(ProblemKind::NotReady).with_retry_after(1000));
+    }
+    let arrived = shared.clock.now();
+    let (organisation, details) = authenticate(&view, headers)?;
+    let graph = view.catalog.pipelines.get(&pipeline).cloned();
+    let graph = graph.ok_or_else(|| refuse(ProblemKind::NoPipeline))?;
+    if !details.pipelines.is_empty() && !details.pipelines.contains(&pipeline) {
+        return Err(refuse(ProblemKind::Forbidden));
+    }
+    let patience = patience(shared, headers, graph.spec.patience_ms)?;
+    let key = headers.get(KEY).and_then(|it| it.to_str().ok()).map(str::to_owned);
+    let key = key.filter(|_| !graph.spec.is_repeatable());
+    if !graph.spec.is_repeatable() {
+        check_life(shared, key.as_deref(), arrived)?;
+    }
+    let input = read_input(shared, body, patience).await?;
+    let accept = headers.get(header::ACCEPT).and_then(|it| it.to_str().ok()).unwrap_or_default();
+    Ok(Checked {
+        organisation: organisation.clone(),
+        share: details.share,
+        cap: details.concurrency,
+        pipeline,
+        graph,
+        input,
+        arrived,
+        deadline: arrived + patience,
+        key,
+        wants_stream: accept.contains("text/event-stream"),
+        ledger: Ledger::new(),
+        view,
+    })
+}
+
+fn patience(shared: &Shared, headers: &HeaderMap, usual: Millis) -> Result<Millis, Problem> {
+    let longest = shared.settings.limits.max_patience_ms;
+    let Some(value) = headers.get(PATIENCE) else { return Ok(usual.min(longest)) };
+    let stated = value.to_str().ok().and_then(|it| it.parse::<Millis>().ok());
+    match stated.filter(|it| 0 < *it) {
+        Some(it) => Ok(it.min(longest)),
+        None => {
+            let problem = Problem::before_start(ProblemKind::BadRequest);
+            let detail = "must be a whole number of milliseconds above 0";
+            Err(problem.with_path("Holdpoint-Patience-Ms").with_detail(detail))
+        }
+    }
+}
+
+fn check_life(shared: &Shared, key: Option<&str>, now: Millis) -> Result<(), Problem> {
+    let refuse = |kind| Problem::before_start(kind).with_path("Idempotency-Key");
+    let key = key.ok_or_else(|| refuse(ProblemKind::KeyMissing))?;
+    let timing = &shared.settings.timing;
+    check_key(key, now, timing.claim_window_ms, timing.skew_ms).map_err(|it| match it {
+        BadKey::Format | BadKey::Future => refuse(ProblemKind::KeyInvalid),
+        BadKey::Old => refuse(ProblemKind::KeyExpired),
+    })
+}
+
+async fn read_input(shared: &Shared, body: Body, patience: Millis) -> Result<Value, Problem> {
+    let limit = shared.settings.limits.body_bytes as usize;
+    let read = axum::body::to_bytes(body, limit);
+    let bytes = tokio::time::timeout(Duration::from_millis(patience), read)
+        .await
+        .map_err(|_| Problem::before_start(ProblemKind::SlowBody))?
+        .map_err(|it| {
+            let is_over = std::error::Error::source(&it)
+                .is_some_and(|it| it.is::<http_body_util::LengthLimitError>());
+            let kind = if is_over { ProblemKind::TooLarge } else { ProblemKind::BadRequest };
+            Problem::before_start(kind)
+        })?;
+    let refuse = || Problem::before_start(ProblemKind::BadRequest);
+    let mut value: Value =
+        serde_json::from_slice(&bytes).map_err(|it| refuse().with_detail(it.to_string()))?;
+    if let Some(fault) = faults(Part::Call, &value).into_iter().next() {
+        return Err(refuse().with_path(fault.path).with_detail(fault.text));
+    }
+    Ok(value["input"].take())
+}
+
+async fn serve(
+    shared: &Arc<Shared>,
+    checked: Checked,
+    working: Working,
+) -> Result<Response, Problem> {
+    let state = shared.traffic.pipelines.of(&checked.pipeline, PipelineState::default);
+    let need = expected_ms(&state, &checked.graph.spec);
+    let ask = Ask {
+        organisation: &checked.organisation,
+        share: checked.share,
+        cap: checked.cap,
+        deadline: checked.deadline,
+        need,
+    };
+    let admitted = admit(shared, &ask).await.map_err(|it| {
+        let kind = match it.reason {
+            Refusal::OrganisationLimit => ProblemKind::OrganisationLimit,
+            Refusal::Hopeless => ProblemKind::Hopeless,
+            Refusal::Overload => ProblemKind::Overload,
+        };
+        let cause = Cause { stage: String::new(), target: String::new(), kind: kind.name().into() };
+        state.burn.lock().bad(shared.clock.now(), cause);
+        count(shared, &checked.pipeline, kind.name());
+        Problem::of_ledger(kind, &checked.ledger).with_retry_after(it.retry_after)
+    })?;
+    let call = shared.next_call();
+    let claim = claim_of(&checked, call);
+    let token = match &claim {
+        None => None,
+        Some(it) => match claimed(shared, it, checked.deadline, &checked.ledger).await? {
+            Claimed::Won(it) => Some(it),
+            Claimed::Replay(it) => return Ok(replayed(it)),
+        },
+    };
+    let request = format!("{}:{call}", shared.incarnation);
+    let job = Job {
+        shared: shared.clone(),
+        trial: trial_of(&checked, &request),
+        view: checked.view,
+        organisation: checked.organisation,
+        pipeline: checked.pipeline,
+        graph: checked.graph,
+        state,
+        input: checked.input,
+        call,
+        request,
+        arrived: checked.arrived,
+        deadline: checked.deadline,
+        key: checked.key,
+        token,
+        ledger: checked.ledger,
+    };
+    let running = Running { job, claim, admitted, _working: working };
+    if checked.wants_stream {
+        return Ok(running.streamed().await);
+    }
+    running.answered().await
+}
+
+/// What the stages of a pipeline usually take along the longest chain, in milliseconds.
+fn expected_ms(state: &PipelineState, graph: &Graph) -> Millis {
+    let times = state.times.lock();
+    let first = graph.order.first().copied().unwrap_or(0);
+    let chain = graph.chain_from(first);
+    let usual = |it: &usize| times.get(&graph.steps[*it].stage.name)?.quantile(0.5);
+    chain.iter().filter_map(usual).sum()
+}
+
+fn claim_of(checked: &Checked, call: u64) -> Option<Claim> {
+    let key = ClaimKey {
+        organisation: checked.organisation.clone(),
+        pipeline: checked.pipeline.clone(),
+        key: checked.key.clone()?,
+    };
+    let body_hash = sha256_hex(checked.input.to_string().as_bytes());
+    Some(Claim { key, body_hash, call })
+}
+
+enum Claimed {
+    Won(u64),
+    Replay(String),
+}
+
+/// Claims the key; only a claim that was won lets the request go on. Whatever else the log says
+/// or does not say, this instance sends nothing, and it gives up a claim that may yet land.
+async fn claimed(
+    shared: &Arc<Shared>,
+    claim: &Claim,
+    until: Millis,
+    ledger: &Ledger,
+) -> Result<Claimed, Problem> {
+    let reply = claim::claim(shared, claim, until).await;
+    let refuse = |kind| Problem::of_ledger(kind, ledger);
+    match reply {
+        ClaimReply::Won(_) if until <= shared.clock.now() => {
+            claim::release(shared, claim, "deadline");
+            Err(refuse(ProblemKind::Deadline))
+        }
+        ClaimReply::Won(it) => Ok(Claimed::Won(it)),
+        ClaimReply::Done(it) => Ok(Claimed::Replay(it)),
+        ClaimReply::Held(_) => {
+            Err(Problem::may_have_run(ProblemKind::InProgress).with_retry_after(1000))
+        }
+        ClaimReply::Unknown => Err(Problem::may_have_run(ProblemKind::OutcomeUnknown)),
+        ClaimReply::Mismatch => Err(refuse(ProblemKind::KeyMismatch)),
+        ClaimReply::Expired => Err(refuse(ProblemKind::KeyExpired)),
+        ClaimReply::Silent => {
+            claim::release(shared, claim, "log silent");
+            Err(refuse(ProblemKind::LogSilent).with_retry_after(2000))
+        }
+    }
+}
+
+fn replayed(answer: String) -> Response {
+    let headers = [
+        (header::CONTENT_TYPE, HeaderValue::from_static("application/json")),
+        (REPLAYED, HeaderValue::from_static("true")),
+    ];
+    (headers, answer).into_response()
+}
+
+/// Trial and arm of a request. Several trials of one pipeline share its requests evenly.
+fn trial_of(checked: &Checked, request: &str) -> Option<InTrial> {
+    let stable = checked.key.as_deref().unwrap_or(request);
+    let trials = checked.view.catalog.trials.iter();
+    let trials: Vec<_> = trials.filter(|it| it.1.spec.pipeline == checked.pipeline).collect();
+    let names = trials.iter().map(|it| it.0.as_str());
+    let name = holdpoint_core::subset::owner(stable, names)?;
+    let trial = &trials.iter().find(|it| it.0 == name)?.1.spec;
+    let arm = arm_of(name, trial, stable)?;
+    let policy = checked.view.catalog.policy(&arm.policy);
+    Some(InTrial { trial: name.to_owned(), arm: arm.name.clone(), policy })
+}
+
+/// A request that has been admitted and, where it must be, claimed.
+struct Running {
+    job: Job,
+    claim: Option<Claim>,
+    admitted: Admitted,
+    /// Keeps a planned stop waiting until the request has ended.
+    _working: Working,
+}
+
+impl Running {
+    /// Runs to the end and answers in one piece. A claimed request runs on even if its caller
+    /// goes: its outcome is to be recorded. Any other is given up with its caller.
+    async fn answered(self) -> Result<Response, Problem> {
+        let whole = if self.claim.is_some() {
+            let task = tokio::spawn(self.run(None));
+            task.await.unwrap_or_else(|_| Err(Problem::may_have_run(ProblemKind::StageFailed)))
+        } else {
+            self.run(None).await
+        };
+        whole.map(|it| Json(it).into_response())
+    }
+
+    async fn streamed(self) -> Response {
+        let (sink, events) = mpsc::channel(SINK);
+        let request = self.job.request.clone();
+        tokio::spawn(async move {
+            let event = match self.run(Some(&sink)).await {
+                Ok(Some(it)) => StreamEvent::End(Box::new(it)),
+                Ok(None) => return,
+                Err(it) => StreamEvent::Failed(Box::new(it)),
+            };
+            // The caller may have gone.
+            drop(sink.send(event).await);
+        });
+        let gone = Problem::may_have_run(ProblemKind::StageFailed).with_request(request);
+        sse::answer(ReceiverStream::new(events), gone).await
+    }
+
+    /// Runs the stages, records how it ended, and returns the whole answer, or nothing where the
+    /// rest is read elsewhere.
+    async fn run(mut self, sink: Option<&Sink>) -> Result<Option<Answer>, Problem> {
+        let (result, costs) = self.job.run(sink).await;
+        let now = self.job.shared.clock.now();
+        let is_on_time = now <= self.job.deadline;
+        let shared = self.job.shared.clone();
+        let attained = is_on_time && result.is_ok();
+        if let Some(it) = &self.job.trial {
+            let stats = shared.traffic.trials.of(&it.trial, Default::default);
+            stats.lock().entry(it.arm.clone()).or_default().add(attained, &costs);
+        }
+        let took = now.saturating_sub(self.job.arrived);
+        let pipeline = [label("pipeline", self.job.pipeline.clone())];
+        shared.metrics.latency.record(took as f64, &pipeline);
+        let ended = match result {
+            Ok(Done::Whole(answer)) => Ok(Some(answer)),
+            Ok(Done::Moved | Done::CallerGone) => Ok(None),
+            Err(failure) => Err((self.job.problem(&failure), failure)),
+        };
+        match ended {
+            Ok(answer) => {
+                self.ended_well(now, is_on_time, answer.as_ref());
+                Ok(answer)
+            }
+            Err((problem, failure)) => {
+                self.ended_badly(now, &problem);
+                let cause = Job::cause(&failure, problem.kind());
+                self.job.state.burn.lock().bad(now, cause);
+                Err(problem)
+            }
+        }
+    }
+
+    fn ended_well(&mut self, now: Millis, is_on_time: bool, answer: Option<&Answer>) {
+        let shared = &self.job.shared;
+        if is_on_time {
+            self.job.state.burn.lock().good(now);
+        } else {
+            self.admitted.missed();
+            let kind = "late".to_owned();
+            let cause = Cause { stage: String::new(), target: String::new(), kind };
+            self.job.state.burn.lock().bad(now, cause);
+        }
+        if let Some(claim) = &self.claim {
+            let text = answer.and_then(|it| serde_json::to_string(it).ok());
+            claim::settle(shared, claim, text);
+        }
+        let outcome = if is_on_time { "attained" } else { "late" };
+        count(shared, &self.job.pipeline, outcome);
+    }
+
+    fn ended_badly(&mut self, _now: Millis, problem: &Problem) {
+        let shared = &self.job.shared;
+        if problem.kind() == ProblemKind::Deadline {
+            self.admitted.missed();
+        }
+        if let Some(claim) = &self.claim {
+            match problem.run() {
+                holdpoint_schema::caller::Run::No => {
+                    claim::release(shared, claim, problem.kind().name());
+                }
+                _ => {
+                    emit(events::OUTCOME_UNKNOWN, &shared.settings.instance, &claim.key.key);
+                    claim::settle(shared, claim, None);
+                }
+            }
+        }
+        count(shared, &self.job.pipeline, problem.kind().name());
+    }
+}
+
+fn count(shared: &Shared, pipeline: &str, outcome: &'static str) {
+    let labels = [label("pipeline", pipeline), label("outcome", outcome)];
+    shared.metrics.requests.add(1, &labels);
+}
--- /dev/null
+++ b/crates/holdpointd/src/traffic/mod.rs
@@ -0,0 +1,102 @@
+//! Traffic: callers' requests, from admission through the stages to the answer.
+
+mod admission;
+mod callers;
+mod claim;
+mod generate;
+mod job;
+mod problem;
+mod report;
+mod resume;
+mod sse;
+mod stage;
+
+use std::collections::BTreeMap;
+
+use holdpoint_core::{
+    burn::Burn,
+    deadline::Times,
+    ids::Name,
+    retry::RetryBudget,
+    route::{Member, Router},
+    trial::ArmStats,
+};
+use holdpoint_schema::{resources::Policy, settings::Settings};
+use parking_lot::Mutex;
+use std::sync::Arc;
+
+use crate::shared::Lazy;
+
+pub(crate) use crate::traffic::{
+    admission::expire_waiting,
+    callers::router,
+    report::{local_report, merged_report},
+};
+pub use crate::traffic::{
+    problem::{Problem, ProblemKind},
+    report::{BurnReport, Report, TrialReport},
+};
+
+/// State of the traffic threads.
+#[derive(Debug)]
+pub struct Traffic {
+    admission: admission::Admission,
+    pools: Lazy<PoolState>,
+    pipelines: Lazy<PipelineState>,
+    trials: Lazy<Mutex<BTreeMap<Name, ArmStats>>>,
+}
+
+impl Traffic {
+    /// Makes the state of an instance with no traffic yet.
+    pub fn new(settings: &Settings) -> Traffic {
+        Traffic {
+            admission: admission::Admission::new(settings.limits.concurrency as usize),
+            pools: Lazy::default(),
+            pipelines: Lazy::default(),
+            trials: Lazy::default(),
+        }
+    }
+}
+
+/// What the traffic threads know of one pool.
+#[derive(Debug)]
+struct PoolState {
+    router: Mutex<Router>,
+    /// The list of members that the router last took in.
+    members: Mutex<Arc<Vec<Member>>>,
+    retries: Mutex<RetryBudget>,
+    times: Mutex<Times>,
+}
+
+impl PoolState {
+    fn new(settings: &Settings, policy: Policy) -> PoolState {
+        PoolState {
+            router: Mutex::new(Router::new(&settings.instance, &settings.domain, policy)),
+            members: Mutex::default(),
+            retries: Mutex::default(),
+            times: Mutex::default(),
+        }
+    }
+
+    /// Brings the router's members and policy up to date.
+    fn refresh(&self, members: &Arc<Vec<Member>>, policy: &Policy) {
+        let mut known = self.members.lock();
+        let mut router = self.router.lock();
+        if router.policy() != policy {
+            router.set_policy(policy.clone());
+            router.set_members(members);
+        }
+        if !Arc::ptr_eq(&known, members) {
+            router.set_members(members);
+            *known = members.clone();
+        }
+    }
+}
+
+/// What the traffic threads know of one pipeline.
+#[derive(Debug, Default)]
+struct PipelineState {
+    /// Times of the stages, by name.
+    times: Mutex<BTreeMap<Name, Times>>,
+    burn: Mutex<Burn>,
+}
