Claims: a writer that is new to a stream knows at once that it has read it to the end

An instance that takes over a claim stream cannot answer before it has read the stream to its end. Its first read of a stream with no records waited for one, for a quarter of confirm_ms (1,000 ms by default). Ruled out: the peer RPC (a stopped peer fails in milliseconds) and group commit (25 ms).

Change: a tail waits only once it has seen the end of its stream. The overhead bench calls the four till-stock targets in turn on its direct side, as the instance does.

--- a/crates/holdpoint-emulator/src/overhead.rs
+++ b/crates/holdpoint-emulator/src/overhead.rs
@@ -46,35 +46,36 @@
 
 /// Measures a plain lookup at each number of callers.
 pub async fn run(world: &World, requests: usize) -> Vec<Row> {
-    let target = world.pool("till-stock")[0].address().to_owned();
-    let instance = world.callers(0);
+    let targets = world.pool("till-stock").iter().map(|it| it.address().to_owned()).collect();
+    let instances = vec![world.callers(0)];
+    let direct = Call {
+        addresses: targets,
+        path: "/v1/stock",
+        body: json!({ "call": { "marker": "bench" } }).to_string(),
+    };
+    let through = Call {
+        addresses: instances,
+        path: "/v1/pipelines/price-lookup/requests",
+        body: json!({ "input": { "marker": "bench" } }).to_string(),
+    };
     let mut rows = Vec::new();
     for callers in CALLERS {
-        let direct = Call {
-            address: target.clone(),
-            path: "/v1/stock",
-            body: json!({ "call": { "marker": "bench" } }).to_string(),
-        };
-        let through = Call {
-            address: instance.clone(),
-            path: "/v1/pipelines/price-lookup/requests",
-            body: json!({ "input": { "marker": "bench" } }).to_string(),
-        };
         // Connections are made and code paths warmed before anything is counted.
         side(world, &direct, callers, requests / 10).await;
         side(world, &through, callers, requests / 10).await;
-        let direct = side(world, &direct, callers, requests).await;
+        let straight = side(world, &direct, callers, requests).await;
         let before = thread_time("traffic") + thread_time("control");
-        let through = side(world, &through, callers, requests).await;
+        let by_instance = side(world, &through, callers, requests).await;
         let spent = thread_time("traffic") + thread_time("control") - before;
         let cpu_us = spent.as_secs_f64() * 1e6 / requests as f64;
-        rows.push(Row { callers, direct, through, cpu_us });
+        rows.push(Row { callers, direct: straight, through: by_instance, cpu_us });
     }
     rows
 }
 
 struct Call {
-    address: String,
+    /// Addresses that are called in turn.
+    addresses: Vec<String>,
     path: &'static str,
     body: String,
 }
@@ -83,7 +84,7 @@
     let started = Instant::now();
     let bytes = loopback_bytes();
     let made: Vec<(Duration, bool)> = stream::iter(0..requests)
-        .map(|_| one(world, call))
+        .map(|index| one(world, call, index))
         .buffer_unordered(callers)
         .collect()
         .await;
@@ -99,7 +100,7 @@
     }
 }
 
-async fn one(world: &World, call: &Call) -> (Duration, bool) {
+async fn one(world: &World, call: &Call, index: usize) -> (Duration, bool) {
     let headers = [
         ("authorization", "Bearer demo-calgary-shops".to_owned()),
         ("x-request-id", "bench:1:0:0".to_owned()),
@@ -108,6 +109,7 @@
     let started = Instant::now();
     let body = call.body.clone().into_bytes();
     let limit = Duration::from_secs(10);
-    let sent = world.http.call(Method::POST, &call.address, call.path, &headers, body, limit).await;
+    let address = &call.addresses[index % call.addresses.len()];
+    let sent = world.http.call(Method::POST, address, call.path, &headers, body, limit).await;
     (started.elapsed(), sent.is_ok_and(|it| it.status.is_success()))
 }
--- a/crates/holdpointd/src/control/tail.rs
+++ b/crates/holdpointd/src/control/tail.rs
@@ -43,11 +43,13 @@
 pub(crate) async fn control(shared: Arc<Shared>) {
     let mut next: Offset = 1;
     let mut has_state = false;
+    let mut wait = Duration::ZERO;
     loop {
         let asked = shared.clock.now();
-        match read(&shared, CONTROL, next, wait(&shared)).await {
+        match read(&shared, CONTROL, next, wait).await {
             Ok(batch) => {
                 has_state = true;
+                wait = wait_after(&shared, &batch);
                 next = batch.records.last().map_or(next, |it| it.offset + 1);
                 if shared.control.send(Input::Records { batch, asked }).await.is_err() {
                     return;
@@ -88,9 +90,11 @@
 pub(crate) async fn claims(shared: Arc<Shared>, stream: u32) {
     let name = claim_stream(stream);
     let mut next: Offset = 1;
+    let mut wait = Duration::ZERO;
     loop {
-        match read(&shared, &name, next, wait(&shared)).await {
+        match read(&shared, &name, next, wait).await {
             Ok(batch) => {
+                wait = wait_after(&shared, &batch);
                 next = batch.records.last().map_or(next, |it| it.offset + 1);
                 if shared.control.send(Input::ClaimRecords { stream, batch }).await.is_err() {
                     return;
@@ -121,9 +125,13 @@
     format!("claims-{stream}")
 }
 
-/// How long one read waits for a record. A read confirms the head as of when it was asked, so
-/// several must fit into the bound.
-fn wait(shared: &Shared) -> Duration {
+/// How long the next read waits for a record: not at all until the end of the stream was seen
+/// once, since whoever follows an empty stream must know at once that it is empty. A read confirms
+/// the head as of when it was asked, so several must fit into the bound.
+fn wait_after(shared: &Shared, batch: &Batch) -> Duration {
+    if batch.records.len() == LIMIT {
+        return Duration::ZERO;
+    }
     Duration::from_millis(shared.settings.timing.confirm_ms / 4)
 }
 
