--- a/crates/holdpoint-core/src/batch.rs
+++ b/crates/holdpoint-core/src/batch.rs
@@ -2,22 +2,27 @@
 
 use crate::ids::Millis;
 
-/// Most entries in one append.
-pub const MAX_ENTRIES: usize = 512;
-
 /// Gathers entries for one stream and says when to append them.
 #[derive(Debug)]
 pub struct Batcher<T> {
     interval_ms: Millis,
+    most: usize,
     waiting: Vec<T>,
     in_flight: bool,
     last: Option<Millis>,
 }
 
 impl<T> Batcher<T> {
-    /// Makes a batcher whose appends lie at least `interval_ms` apart.
-    pub fn new(interval_ms: Millis) -> Batcher<T> {
-        Batcher { interval_ms, waiting: Vec::new(), in_flight: false, last: None }
+    /// Makes a batcher whose appends lie at least `interval_ms` apart and carry at most `most`
+    /// entries.
+    pub fn new(interval_ms: Millis, most: usize) -> Batcher<T> {
+        Batcher {
+            interval_ms,
+            most: most.max(1),
+            waiting: Vec::new(),
+            in_flight: false,
+            last: None,
+        }
     }
 
     /// Least time between two appends to one of `streams` streams that share a rate.
@@ -60,7 +65,7 @@
         }
         self.in_flight = true;
         self.last = Some(now);
-        let n = self.waiting.len().min(MAX_ENTRIES);
+        let n = self.waiting.len().min(self.most);
         Some(self.waiting.drain(..n).collect())
     }
 
--- a/crates/holdpoint-emulator/src/world.rs
+++ b/crates/holdpoint-emulator/src/world.rs
@@ -15,6 +15,7 @@
 use holdpoint_standin::{
     list::ListStandin,
     log::LogStandin,
+    relay::Relay,
     tally::Tally,
     target::{TargetFaults, TargetStandin},
 };
@@ -43,6 +44,8 @@
     /// Settings of all instances, but for names and addresses: a JSON object laid over the
     /// defaults.
     pub settings: Value,
+    /// Whether instances reach each other through relays, which can lose what they carry.
+    pub relays: bool,
 }
 
 impl Plan {
@@ -54,6 +57,7 @@
             resources: users::resources(),
             seed: 1,
             settings: json!({}),
+            relays: false,
         }
     }
 
@@ -63,6 +67,12 @@
         self
     }
 
+    /// Puts a relay before each instance's peer address.
+    pub fn with_relays(mut self) -> Plan {
+        self.relays = true;
+        self
+    }
+
     /// Sets the seed.
     pub fn with_seed(mut self, seed: u64) -> Plan {
         self.seed = seed;
@@ -83,6 +93,7 @@
     /// HTTP client of callers and operators.
     pub http: Http,
     settings: Value,
+    relays: bool,
     slots: Mutex<Vec<Slot>>,
 }
 
@@ -91,6 +102,7 @@
     instance: Option<Instance>,
     callers: String,
     operators: String,
+    relay: Option<Arc<Relay>>,
 }
 
 impl World {
@@ -115,10 +127,11 @@
             tally,
             http: Http::new(),
             settings: plan.settings.clone(),
+            relays: plan.relays,
             slots: Mutex::new(Vec::new()),
         };
         for index in 0..plan.instances {
-            world.start_instance(&format!("entry-{}", index + 1));
+            world.start_instance(&format!("entry-{}", index + 1)).await;
         }
         world.until("all instances are ready", |it| it.all_ready()).await;
         if 0 < plan.instances {
@@ -128,14 +141,25 @@
     }
 
     /// Starts an instance, in place of any of the same name.
-    pub fn start_instance(&self, name: &str) {
+    pub async fn start_instance(&self, name: &str) {
+        let relay = if self.relays { Some(Arc::new(Relay::start().await)) } else { None };
         let mut slots = self.slots.lock();
         let index = slots.iter().position(|it| it.name == name).unwrap_or(slots.len());
         let domain = WINE_PLACES[index % WINE_PLACES.len()];
-        let instance = Instance::start(self.settings_of(name, domain)).expect("loopback is free");
+        let mut settings = self.settings_of(name, domain);
+        if let Some(it) = &relay {
+            settings.listen.advertise = it.address().to_owned();
+        }
+        let instance = Instance::start(settings).expect("loopback is free");
         let addresses = instance.addresses();
-        self.list.add_instance(name, &addresses.peers.to_string());
+        let peers = addresses.peers.to_string();
+        if let Some(it) = &relay {
+            it.lead_to(&peers);
+        }
+        let listed = relay.as_ref().map_or(peers.as_str(), |it| it.address());
+        self.list.add_instance(name, listed);
         let slot = Slot {
+            relay: relay.clone(),
             name: name.to_owned(),
             instance: Some(instance),
             callers: addresses.callers.to_string(),
@@ -163,6 +187,13 @@
         Some(ended)
     }
 
+    /// Loses what other instances send to one of them, or what it answers, or both.
+    pub fn lose(&self, index: usize, calls: bool, answers: bool) {
+        if let Some(it) = &self.slots.lock()[index].relay {
+            it.lose(calls, answers);
+        }
+    }
+
     /// Number of instances started.
     pub fn len(&self) -> usize {
         self.slots.lock().len()
--- a/crates/holdpoint-standin/src/lib.rs
+++ b/crates/holdpoint-standin/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub mod list;
 pub mod log;
+pub mod relay;
 pub mod serve;
 pub mod tally;
 pub mod target;
--- /dev/null
+++ b/crates/holdpoint-standin/src/relay.rs
@@ -0,0 +1,100 @@
+//! A relay between instances, which can lose either direction.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
+
+use parking_lot::Mutex;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    task::JoinHandle,
+};
+
+/// Bytes that are passed on at once.
+const CHUNK: usize = 16 << 10;
+
+#[derive(Debug, Default)]
+struct Inner {
+    target: Mutex<String>,
+    loses_calls: AtomicBool,
+    loses_answers: AtomicBool,
+}
+
+/// The relay.
+#[derive(Debug)]
+pub struct Relay {
+    address: String,
+    inner: Arc<Inner>,
+    task: JoinHandle<()>,
+}
+
+impl Relay {
+    /// Starts a relay that leads nowhere yet.
+    pub async fn start() -> Relay {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has a free port");
+        let address = listener.local_addr().expect("a bound socket has an address").to_string();
+        let inner = Arc::new(Inner::default());
+        let task = tokio::spawn(accept(listener, inner.clone()));
+        Relay { address, inner, task }
+    }
+
+    /// Address that it listens on.
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
+    /// Leads to an address from now on.
+    pub fn lead_to(&self, target: &str) {
+        target.clone_into(&mut self.inner.target.lock());
+    }
+
+    /// Loses, without a word, what is sent to the target, or what it answers, or both.
+    pub fn lose(&self, calls: bool, answers: bool) {
+        self.inner.loses_calls.store(calls, Ordering::Release);
+        self.inner.loses_answers.store(answers, Ordering::Release);
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept(listener: TcpListener, inner: Arc<Inner>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        let target = inner.target.lock().clone();
+        let Ok(far) = TcpStream::connect(target).await else { continue };
+        // Only delays follow where an option of the socket cannot be set.
+        drop((stream.set_nodelay(true), far.set_nodelay(true)));
+        let (near_read, near_write) = stream.into_split();
+        let (far_read, far_write) = far.into_split();
+        let (calls, answers) = (inner.clone(), inner.clone());
+        tokio::spawn(pass(near_read, far_write, move || calls.loses_calls.load(Ordering::Acquire)));
+        tokio::spawn(pass(far_read, near_write, move || {
+            answers.loses_answers.load(Ordering::Acquire)
+        }));
+    }
+}
+
+/// Passes bytes on until either side closes. A connection that has lost a byte loses all the
+/// rest: what followed would make no sense to its reader.
+async fn pass(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, loses: impl Fn() -> bool) {
+    let mut buffer = vec![0; CHUNK];
+    let mut is_lost = false;
+    while let Ok(n) = from.read(&mut buffer).await {
+        if n == 0 {
+            return;
+        }
+        is_lost |= loses();
+        if !is_lost && to.write_all(&buffer[..n]).await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/holdpoint-standin/src/tally.rs
+++ b/crates/holdpoint-standin/src/tally.rs
@@ -12,6 +12,18 @@
 #[derive(Clone, Debug, Default)]
 pub struct Tally {
     runs: Arc<Mutex<HashMap<(String, String), u32>>>,
+    keys: Arc<Mutex<HashMap<(String, String), Option<Value>>>>,
+}
+
+/// How an idempotency key stands at a pool that checks keys.
+#[derive(Clone, Debug, PartialEq)]
+pub enum KeyState {
+    /// Never seen before: the caller of [`Tally::claim_key`] runs it.
+    First,
+    /// Being run by another call.
+    Running,
+    /// Run before, with this output.
+    Done(Value),
 }
 
 impl Tally {
@@ -25,6 +37,24 @@
         *self.runs.lock().entry((pool.to_owned(), marker.to_owned())).or_default() += 1;
     }
 
+    /// Checks a key at a pool, whose targets share what they know, and marks it as running.
+    pub fn claim_key(&self, pool: &str, key: &str) -> KeyState {
+        let mut keys = self.keys.lock();
+        match keys.get(&(pool.to_owned(), key.to_owned())) {
+            Some(Some(it)) => KeyState::Done(it.clone()),
+            Some(None) => KeyState::Running,
+            None => {
+                keys.insert((pool.to_owned(), key.to_owned()), None);
+                KeyState::First
+            }
+        }
+    }
+
+    /// Records the output of a key.
+    pub fn end_key(&self, pool: &str, key: &str, output: Value) {
+        self.keys.lock().insert((pool.to_owned(), key.to_owned()), Some(output));
+    }
+
     /// Runs of a request by a pool.
     pub fn runs(&self, pool: &str, marker: &str) -> u32 {
         self.runs.lock().get(&(pool.to_owned(), marker.to_owned())).copied().unwrap_or(0)
--- a/crates/holdpoint-standin/src/target.rs
+++ b/crates/holdpoint-standin/src/target.rs
@@ -33,7 +33,7 @@
 
 use crate::{
     serve::Server,
-    tally::{Tally, markers},
+    tally::{KeyState, Tally, markers},
 };
 
 /// Fault switches of a target. Parts are of a thousand calls.
@@ -55,6 +55,8 @@
     pub reorder: u32,
     /// Streams cut after half of their chunks.
     pub cut: u32,
+    /// Streams cut between their last chunk and the end mark.
+    pub cut_end: u32,
     /// Whether the target says that it is leaving.
     pub leaving: bool,
 }
@@ -94,7 +96,6 @@
     waiting: AtomicU32,
     calls: AtomicU64,
     last_call: AtomicU64,
-    seen: Mutex<HashMap<String, Value>>,
     streams: Mutex<HashMap<String, Arc<Buffer>>>,
 }
 
@@ -118,7 +119,6 @@
             waiting: AtomicU32::new(0),
             calls: AtomicU64::new(0),
             last_call: AtomicU64::new(0),
-            seen: Mutex::default(),
             streams: Mutex::default(),
             form,
         });
@@ -221,16 +221,19 @@
     };
     let key = headers.get("idempotency-key").and_then(|it| it.to_str().ok()).map(str::to_owned);
     let key = key.filter(|_| inner.form.checks_keys);
-    let repeated = key.as_ref().and_then(|it| inner.seen.lock().get(it).cloned());
-    if let Some(it) = repeated {
-        return inner.signed(&headers, 0, Json(it).into_response());
+    match key.as_ref().map(|it| inner.tally.claim_key(&inner.form.pool, it)) {
+        None | Some(KeyState::First) => (),
+        Some(KeyState::Running) => {
+            return inner.signed(&headers, 0, StatusCode::CONFLICT.into_response());
+        }
+        Some(KeyState::Done(it)) => return inner.signed(&headers, 0, Json(it).into_response()),
     }
     let cost = work(&inner, 1).await;
     let found = markers(&value);
     found.iter().for_each(|it| inner.tally.add(&inner.form.pool, it));
     let output = json!({ "pool": inner.form.pool, "marker": found.first(), "of": found.len() });
     if let Some(it) = key {
-        inner.seen.lock().insert(it, output.clone());
+        inner.tally.end_key(&inner.form.pool, &it, output.clone());
     }
     if inner.hits(inner.faults.lock().lose_answer) {
         return inner.signed(&headers, cost, broken());
@@ -331,7 +334,9 @@
     next: usize,
 ) -> Response {
     let faults = inner.faults.lock().clone();
+    let is_cut_at_end = inner.hits(faults.cut_end);
     let cut = inner.hits(faults.cut).then_some(buffer.total / 2);
+    let cut = cut.or(is_cut_at_end.then_some(buffer.total));
     let engine_ms = inner.form.step.as_millis() as u64 * buffer.total as u64;
     let reader = Reader { inner: inner.clone(), attempt, buffer, next, cut, engine_ms };
     let events = stream::unfold(reader, |mut it| async move {
--- a/crates/holdpoint/src/demo.rs
+++ b/crates/holdpoint/src/demo.rs
@@ -92,7 +92,7 @@
     let asked = Instant::now();
     let ended = if 1 < world.len() { world.stop(1).await } else { Some(Ended::Drained) };
     let stop_ms = asked.elapsed().as_millis();
-    world.start_instance("entry-replacement");
+    world.start_instance("entry-replacement").await;
     Events { change_ms, ended, stop_ms }
 }
 
--- a/crates/holdpointd/src/control/claim_stream.rs
+++ b/crates/holdpointd/src/control/claim_stream.rs
@@ -57,10 +57,11 @@
     pub(crate) fn new(shared: Arc<Shared>, index: u32) -> ClaimStream {
         let settings = &shared.settings;
         let (streams, rate) = (settings.claims.streams, settings.claims.appends_per_second);
+        let interval = Batcher::<Item>::interval(streams, rate);
         ClaimStream {
             index,
             table: ClaimTable::new(settings.timing.claim_window_ms),
-            batcher: Batcher::new(Batcher::<Item>::interval(streams, rate)),
+            batcher: Batcher::new(interval, settings.claims.batch as usize),
             landing: Vec::new(),
             waits: Vec::new(),
             is_current: false,
