The fault matrix, placement under a fenced lease, and failures as tests

Cause: the promises had been shown with nothing failing but a planned stop. Causes: the writer of a key's stream got the caller's whole patience, so nothing was left to write the claim elsewhere when it was cut off; and the emulated caller gave up a stream that broke before its first chunk, and a lookup whose connection broke, which a real one repeats.

Change: the writer gets a quarter of the patience, then the claim is written here; a peer that failed is passed over for 2 s. The emulated caller repeats what may be repeated.

No mechanism but the claim rule is broken on purpose yet.

--- a/crates/holdpoint-core/src/lib.rs
+++ b/crates/holdpoint-core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod lifecycle;
 pub mod membership;
 pub mod pipeline;
+pub mod placement;
 pub mod prelude;
 pub mod retry;
 pub mod route;
--- a/crates/holdpoint-emulator/src/caller.rs
+++ b/crates/holdpoint-emulator/src/caller.rs
@@ -88,8 +88,9 @@
 /// Makes a request at one instance, and where that breaks, goes on at the others.
 ///
 /// A request that was certainly not run (refused connection, or told so for the instance's own
-/// sake) is made again at the next instance. A broken stream is resumed. A call with a key whose
-/// answer was lost is repeated with the same key.
+/// sake) is made again at the next instance. A broken stream is resumed. A call whose connection
+/// broke before an answer is repeated: with the same key where it has one, and freely where the
+/// pipeline may be repeated. What counts as lost is a request that has no whole answer after that.
 pub async fn request(http: &Http, instances: &[String], first: usize, request: &Request) -> Told {
     let until = Instant::now() + request.patience;
     let mut told = Told::Silence(CallError::NotConnected);
@@ -101,13 +102,14 @@
         let address = &instances[(first + turn) % instances.len()];
         told = match once(http, address, request, left).await {
             Once::Told(it) => it,
+            // Nothing of it was seen, so there is nothing to resume: it is asked for again.
+            Once::Reading(reading) if reading.token.is_none() => Told::Silence(CallError::Broken),
             Once::Reading(reading) => {
                 return resume(http, instances, first + turn + 1, request, reading).await;
             }
         };
         let is_not_ready = told.problem_kind() == Some("not-ready");
-        let is_lost =
-            matches!(told, Told::Silence(it) if it.is_never_sent() || request.key.is_some());
+        let is_lost = matches!(told, Told::Silence(_));
         let is_held = told.problem_kind() == Some("in-progress");
         if is_held {
             tokio::time::sleep(Duration::from_millis(50)).await;
--- a/crates/holdpoint-emulator/src/lib.rs
+++ b/crates/holdpoint-emulator/src/lib.rs
@@ -12,6 +12,7 @@
 //! ```
 
 pub mod caller;
+pub mod faults;
 pub mod load;
 pub mod measure;
 pub mod overhead;
--- a/crates/holdpoint-emulator/src/load.rs
+++ b/crates/holdpoint-emulator/src/load.rs
@@ -183,6 +183,8 @@
     pub verdicts: BTreeMap<String, Verdicts>,
     /// Times of whole answers by pipeline, in microseconds.
     pub times: BTreeMap<String, Histogram<u64>>,
+    /// What was told in each request that broke a promise.
+    pub details: Vec<String>,
     /// Time that the whole load took.
     pub took: Duration,
 }
@@ -286,10 +288,17 @@
 }
 
 fn judge(made: &[Made], runs: &Runs, took: Duration) -> Tally {
-    let mut tally = Tally { verdicts: BTreeMap::new(), times: BTreeMap::new(), took };
+    let (verdicts, times) = (BTreeMap::new(), BTreeMap::new());
+    let mut tally = Tally { verdicts, times, details: Vec::new(), took };
     for made in made {
         let verdicts = tally.verdicts.entry(made.kind.pipeline.to_owned()).or_default();
+        let before = verdicts.broken();
         judge_one(made, runs, verdicts);
+        if before < verdicts.broken() {
+            let ran = runs.runs(made.kind.pool, &made.marker);
+            let (pipeline, told) = (made.kind.pipeline, &made.told);
+            tally.details.push(format!("{pipeline} {}: ran {ran}, told {told:?}", made.marker));
+        }
         if made.told.is_whole() {
             let name = made.kind.pipeline.to_owned();
             let times = tally.times.entry(name).or_insert_with(measure::times);
--- a/crates/holdpoint-emulator/src/users.rs
+++ b/crates/holdpoint-emulator/src/users.rs
@@ -30,6 +30,8 @@
     pub slots: usize,
     /// Whether its targets run a call with a known idempotency key only once.
     pub checks_keys: bool,
+    /// Whether its engines refuse orders with a token below the highest they have seen.
+    pub checks_tokens: bool,
 }
 
 /// Resources of both users, in an order in which each names only earlier ones.
@@ -45,6 +47,7 @@
         step: Duration::from_millis(step_ms),
         slots,
         checks_keys,
+        checks_tokens: true,
     };
     let engine = |name, targets| PoolForm { step: STEP, ..pool(name, targets, 0, 16, false) };
     vec![
@@ -77,6 +80,7 @@
         step: pool.step,
         slots: pool.slots,
         checks_keys: pool.checks_keys,
+        checks_tokens: pool.checks_tokens,
     }
 }
 
--- a/crates/holdpoint-platform/src/engine.rs
+++ b/crates/holdpoint-platform/src/engine.rs
@@ -4,14 +4,14 @@
 
 use eventsource_stream::{Event, Eventsource};
 use futures::{Stream, StreamExt};
-use holdpoint_core::ids::AttemptId;
-use holdpoint_schema::platform::{Completion, CompletionChunk};
+use holdpoint_core::ids::{AttemptId, Offset};
+use holdpoint_schema::platform::{Completion, CompletionChunk, EngineOrder, EngineReport};
 use http_body_util::BodyExt;
 use hyper::{Method, Response, body::Incoming};
 
 use crate::{
     http::{CallError, Http},
-    target::{ATTEMPT, Signs, headers_of, is_echoed, signs},
+    target::{ATTEMPT, Signs, TOKEN, headers_of, is_echoed, signs},
 };
 
 /// Data of the event that ends a stream.
@@ -19,6 +19,11 @@
 /// How long a cancellation may take.
 const CANCEL: Duration = Duration::from_millis(500);
 
+/// How long a report or an order may take.
+const ORDER: Duration = Duration::from_millis(1000);
+/// HTTP path of what an engine holds.
+const HOLDING: &str = "/v1/holding";
+
 /// One event of a generation.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Generated {
@@ -99,6 +104,33 @@
         generation(reply, attempt)
     }
 
+    /// Reads what an engine holds and does.
+    pub async fn report(&self, address: &str) -> Result<EngineReport, CallError> {
+        let call = self.http.call(Method::GET, address, HOLDING, &[], Vec::new(), ORDER);
+        let reply = call.await?;
+        if !reply.status.is_success() {
+            return Err(CallError::Status(reply.status.as_u16()));
+        }
+        serde_json::from_slice(&reply.body).map_err(|_| CallError::BadAnswer)
+    }
+
+    /// Gives an engine an order, fenced by a token where it checks tokens.
+    pub async fn order(
+        &self,
+        address: &str,
+        token: Option<Offset>,
+        order: &EngineOrder,
+    ) -> Result<(), CallError> {
+        let headers: Vec<_> = token.map(|it| (TOKEN, it.to_string())).into_iter().collect();
+        let body = serde_json::to_vec(order).unwrap_or_default();
+        let reply = self.http.call(Method::PUT, address, HOLDING, &headers, body, ORDER).await?;
+        if reply.status.is_success() {
+            Ok(())
+        } else {
+            Err(CallError::Status(reply.status.as_u16()))
+        }
+    }
+
     /// Cancels a generation; a failure to do so costs the engine's time only.
     pub async fn cancel(&self, address: &str, attempt: &str) {
         let headers = [(ATTEMPT, attempt.to_owned())];
--- a/crates/holdpoint-standin/src/tally.rs
+++ b/crates/holdpoint-standin/src/tally.rs
@@ -8,11 +8,14 @@
 /// Field of an input that marks the request it belongs to.
 pub const MARKER: &str = "marker";
 
+/// Pool and marker, or pool and idempotency key.
+type AtPool = (String, String);
+
 /// Counts runs by pool and marker; clones share their counts.
 #[derive(Clone, Debug, Default)]
 pub struct Tally {
-    runs: Arc<Mutex<HashMap<(String, String), u32>>>,
-    keys: Arc<Mutex<HashMap<(String, String), Option<Value>>>>,
+    runs: Arc<Mutex<HashMap<AtPool, u32>>>,
+    keys: Arc<Mutex<HashMap<AtPool, Option<Value>>>>,
 }
 
 /// How an idempotency key stands at a pool that checks keys.
--- a/crates/holdpoint-standin/src/target.rs
+++ b/crates/holdpoint-standin/src/target.rs
@@ -19,11 +19,12 @@
         IntoResponse, Response,
         sse::{Event, Sse},
     },
-    routing::{any, post},
+    routing::{any, get, post},
 };
 use futures::{StreamExt, stream};
 use holdpoint_schema::platform::{
-    Completion, CompletionChoice, CompletionChunk, CompletionUsage, ListState, ListedTarget,
+    Completion, CompletionChoice, CompletionChunk, CompletionUsage, EngineOrder, EngineReport,
+    ListState, ListedTarget,
 };
 use parking_lot::{Mutex, MutexGuard};
 use rand::{RngExt, SeedableRng};
@@ -74,6 +75,24 @@
     pub slots: usize,
     /// Whether it runs a call with an idempotency key that it has seen only once.
     pub checks_keys: bool,
+    /// Whether it refuses orders whose fencing token is below the highest it has seen.
+    pub checks_tokens: bool,
+}
+
+/// An order that an engine has followed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Followed {
+    /// Fencing token, where one was given.
+    pub token: Option<u64>,
+    /// What it was to hold.
+    pub order: EngineOrder,
+}
+
+#[derive(Debug, Default)]
+struct Orders {
+    followed: Vec<Followed>,
+    highest: u64,
+    refused: u64,
 }
 
 #[derive(Debug, Default)]
@@ -97,6 +116,7 @@
     calls: AtomicU64,
     last_call: AtomicU64,
     streams: Mutex<HashMap<String, Arc<Buffer>>>,
+    orders: Mutex<Orders>,
 }
 
 /// The stand-in.
@@ -120,11 +140,13 @@
             calls: AtomicU64::new(0),
             last_call: AtomicU64::new(0),
             streams: Mutex::default(),
+            orders: Mutex::default(),
             form,
         });
         let router = Router::new()
             .route("/v1/completions", post(complete))
             .route("/v1/streams", any(stream_of))
+            .route("/v1/holding", get(report).put(follow))
             .fallback(post(run))
             .with_state(inner.clone());
         TargetStandin { server: Server::start(router).await, inner }
@@ -150,6 +172,16 @@
         self.inner.last_call.load(Ordering::Relaxed)
     }
 
+    /// Orders that it has followed.
+    pub fn followed(&self) -> Vec<Followed> {
+        self.inner.orders.lock().followed.clone()
+    }
+
+    /// Orders that it has refused for their token.
+    pub fn refused_orders(&self) -> u64 {
+        self.inner.orders.lock().refused
+    }
+
     /// Stops listening: connections to it are refused from now on.
     pub fn stop(&self) {
         self.server.stop();
@@ -298,6 +330,33 @@
     served(&inner, &headers, attempt, buffer, next)
 }
 
+async fn report(State(inner): State<Arc<Inner>>) -> Json<EngineReport> {
+    let last = inner.orders.lock().followed.last().map(|it| it.order.clone());
+    let nothing = EngineOrder { model: String::new(), adapter: String::new(), role: "both".into() };
+    Json(EngineReport {
+        holds: last.unwrap_or(nothing),
+        running: inner.running.load(Ordering::Relaxed),
+        waiting: inner.waiting.load(Ordering::Relaxed),
+    })
+}
+
+async fn follow(
+    State(inner): State<Arc<Inner>>,
+    headers: HeaderMap,
+    Json(order): Json<EngineOrder>,
+) -> StatusCode {
+    let token = headers.get("fencing-token").and_then(|it| it.to_str().ok());
+    let token = token.and_then(|it| it.parse::<u64>().ok());
+    let mut orders = inner.orders.lock();
+    if inner.form.checks_tokens && token.is_none_or(|it| it < orders.highest) {
+        orders.refused += 1;
+        return StatusCode::PRECONDITION_FAILED;
+    }
+    orders.highest = orders.highest.max(token.unwrap_or(0));
+    orders.followed.push(Followed { token, order });
+    StatusCode::NO_CONTENT
+}
+
 fn attempt_of(headers: &HeaderMap) -> String {
     headers.get("x-request-id").and_then(|it| it.to_str().ok()).unwrap_or_default().to_owned()
 }
--- a/crates/holdpoint/src/bench.rs
+++ b/crates/holdpoint/src/bench.rs
@@ -1,17 +1,23 @@
 //! Measurements.
 
 use clap::ArgMatches;
+use futures::{StreamExt, stream};
 use holdpoint_emulator::{
+    faults::{self, Cell, Fault},
     overhead::{self, Row},
     world::{Plan, World},
 };
 
 use crate::{failure::Failure, output::table};
 
+/// Cells of the fault matrix that run at once, each on a system of its own.
+const CELLS_AT_ONCE: usize = 4;
+
 /// Runs a measurement.
 pub(crate) async fn run(matches: &ArgMatches) -> Result<(), Failure> {
     match matches.subcommand() {
         Some(("overhead", it)) => overhead(it).await,
+        Some(("faults", it)) => fault_matrix(it).await,
         _ => Ok(()),
     }
 }
@@ -59,3 +65,70 @@
         (it.direct.failed + it.through.failed).to_string(),
     ]
 }
+
+async fn fault_matrix(matches: &ArgMatches) -> Result<(), Failure> {
+    let seed = number(matches, "seed") as u64;
+    let requests = number(matches, "requests");
+    let only = matches.get_one::<String>("only");
+    let is_wanted = |it: &Vec<Fault>| only.is_none_or(|only| cell_name(it).contains(only.as_str()));
+    let cells: Vec<Cell> = stream::iter(faults::cells().into_iter().filter(is_wanted))
+        .map(|it| async move { faults::run(&it, requests, seed).await })
+        .buffered(CELLS_AT_ONCE)
+        .collect()
+        .await;
+    let broken: u64 = cells.iter().map(|it| it.verdicts.broken()).sum();
+    let stuck = cells.iter().filter(|it| it.recovery_ms.is_none()).count();
+    let rows: Vec<_> = cells.iter().map(|it| cell_row(&cell_name(&it.faults), it)).collect();
+    let header = [
+        "FAULTS",
+        "REQUESTS",
+        "ATTAINED",
+        "LATE",
+        "NOT RUN",
+        "UNKNOWN",
+        "FALSE",
+        "DOUBLED",
+        "LOST",
+        "CROSSED",
+        "RECOVERY MS",
+        "PROBLEMS",
+    ];
+    cells.iter().flat_map(|it| &it.details).for_each(|it| println!("broken: {it}"));
+    println!("{} cells, seed {seed}", rows.len());
+    println!("{}", table(&header, rows));
+    if 0 < stuck {
+        return Err(Failure::NotMet(format!("{stuck} cells did not recover")));
+    }
+    match broken {
+        0 => Ok(()),
+        n => Err(Failure::Broken(n)),
+    }
+}
+
+fn cell_name(faults: &[Fault]) -> String {
+    let names = faults
+        .iter()
+        .map(|it| serde_json::to_value(it).ok().and_then(|it| it.as_str().map(str::to_owned)));
+    names.flatten().collect::<Vec<_>>().join(" + ")
+}
+
+fn cell_row(name: &str, cell: &Cell) -> Vec<String> {
+    let it = &cell.verdicts;
+    let numbers = [
+        it.requests,
+        it.attained,
+        it.late,
+        it.not_run,
+        it.unknown,
+        it.false_not_run,
+        it.doubled,
+        it.lost,
+        it.crossed,
+    ];
+    let mut row = vec![name.to_owned()];
+    row.extend(numbers.iter().map(u64::to_string));
+    row.push(cell.recovery_ms.map_or("none".to_owned(), |it| it.to_string()));
+    let problems = it.problems.iter().map(|(kind, n)| format!("{kind} {n}"));
+    row.push(problems.collect::<Vec<_>>().join(", "));
+    row
+}
--- a/crates/holdpoint/src/cli.rs
+++ b/crates/holdpoint/src/cli.rs
@@ -163,11 +163,21 @@
 }
 
 fn bench() -> Command {
-    Command::new("bench").about("Measure").subcommand_required(true).subcommand(
-        Command::new("overhead")
-            .about("Calls through holdpoint against the same calls straight to the target")
-            .arg(number("requests", "2000", "Requests a measurement")),
-    )
+    Command::new("bench")
+        .about("Measure")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("overhead")
+                .about("Calls through holdpoint against the same calls straight to the target")
+                .arg(number("requests", "2000", "Requests a measurement")),
+        )
+        .subcommand(
+            Command::new("faults")
+                .about("The fault matrix: each fault alone and in pairs, under load")
+                .arg(number("requests", "250", "Requests a cell"))
+                .arg(number("seed", "1", "Seed of load and faults"))
+                .arg(Arg::new("only").long("only").help("Only cells with this fault")),
+        )
 }
 
 fn completion_command() -> Command {
--- a/crates/holdpoint/src/demo.rs
+++ b/crates/holdpoint/src/demo.rs
@@ -59,6 +59,7 @@
     let mix = Mix::new(requests, CALLERS).with_seed(seed);
     let (tally, events) = tokio::join!(load::run(world, &mix), meanwhile(world));
     println!("{}", table(&HEADER, rows(&tally)));
+    tally.details.iter().for_each(|it| println!("broken: {it}"));
     println!("change of a policy in force on all instances after {} ms", events.change_ms);
     println!("planned stop of instance 2: {:?} after {} ms", events.ended, events.stop_ms);
     println!("{:.1} s in all", started.elapsed().as_secs_f64());
--- a/crates/holdpointd/src/control/mod.rs
+++ b/crates/holdpointd/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod claim_stream;
 mod claims;
 mod exchange;
+mod placement;
 mod publish;
 mod tail;
 mod watchers;
@@ -29,7 +30,13 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{
-    control::{changes::Changes, claims::Claims, exchange::Exchange, watchers::Watchers},
+    control::{
+        changes::Changes,
+        claims::Claims,
+        exchange::Exchange,
+        placement::{Placing, Planners},
+        watchers::Watchers,
+    },
     events::{self, emit},
     peers::PeerSilent,
     shared::Shared,
@@ -67,6 +74,7 @@
     Settle { settle: Settle, reply: oneshot::Sender<bool> },
     ClaimRecords { stream: u32, batch: Batch },
     ClaimLanded { stream: u32, offset: Offset },
+    RoundEnded { planners: Planners },
     Snapshot { reply: oneshot::Sender<Option<Snapshot>> },
     Stop,
     Drained,
@@ -84,6 +92,9 @@
     changes: Changes,
     claims: Claims,
     watchers: Watchers,
+    placing: Placing,
+    /// The log's own time, as of its last answer.
+    log_now: Millis,
     head_confirmed: Option<Millis>,
     log_silent: bool,
     list_silent: bool,
@@ -142,6 +153,8 @@
             changes: Changes::new(shared.clone()),
             claims: Claims::new(shared.clone()),
             watchers: Watchers::new(),
+            placing: Placing::default(),
+            log_now: 0,
             head_confirmed: None,
             log_silent: false,
             list_silent: false,
@@ -189,6 +202,7 @@
             Input::ClaimLanded { stream, offset } => {
                 self.claims.landed(stream, offset, &self.view);
             }
+            Input::RoundEnded { planners } => self.round_ended(planners),
             Input::Snapshot { reply } => {
                 let is_known = self.state.offset() != 0 || self.life.confirmed().is_some();
                 drop(reply.send(is_known.then(|| snapshot::take(&self.state))));
@@ -212,6 +226,7 @@
         self.changes.tick(now, &self.state, &self.view);
         self.claims.tick(now, &self.view);
         self.snapshot_if_due(now);
+        self.place(now);
         self.note_members();
     }
 
@@ -245,6 +260,7 @@
 
     fn records(&mut self, batch: &Batch, asked: Millis) {
         self.set_log_silent(false);
+        self.log_now = self.log_now.max(batch.now);
         for read in &batch.records {
             if read.offset <= self.state.offset() {
                 continue;
@@ -279,6 +295,7 @@
     }
 
     fn effect(&mut self, offset: Offset, effect: Effect) {
+        self.leased(&effect);
         let instance = &self.shared.settings.instance;
         match effect {
             Effect::Changed { kind, name, entry } => {
--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -58,6 +58,8 @@
     CONFLICT = 301 Info "change lost to another";
     /// A change is in force everywhere.
     ACCEPTED = 302 Info "change in force everywhere";
+    /// An engine was given an order.
+    ORDERED = 303 Info "engine ordered";
     /// A member joined, changed its phase or stopped.
     MEMBER = 400 Info "member changed";
     /// A target is leaving.
--- a/crates/holdpointd/src/peers.rs
+++ b/crates/holdpointd/src/peers.rs
@@ -43,6 +43,9 @@
 /// How long a connection to a peer may take to be made.
 const CONNECT: Duration = Duration::from_millis(500);
 
+/// How long a peer is suspect after a call to it failed.
+const SUSPECT: Duration = Duration::from_millis(2000);
+
 /// What instances ask of each other.
 #[tarpc::service]
 pub trait Peers {
@@ -66,13 +69,20 @@
 #[derive(Clone)]
 pub struct PeerPool {
     clients: Arc<Mutex<HashMap<String, PeersClient>>>,
+    /// When a call to a peer last failed.
+    failed: Arc<Mutex<HashMap<String, Instant>>>,
     metrics: Arc<Metrics>,
 }
 
 impl PeerPool {
     /// Makes a pool with no connections.
     pub fn new(metrics: Arc<Metrics>) -> PeerPool {
-        PeerPool { clients: Arc::default(), metrics }
+        PeerPool { clients: Arc::default(), failed: Arc::default(), metrics }
+    }
+
+    /// Whether a call to the peer failed so lately that another way, if there is one, is better.
+    pub fn is_suspect(&self, address: &str) -> bool {
+        self.failed.lock().get(address).is_some_and(|it| it.elapsed() < SUSPECT)
     }
 
     /// Makes a call to a peer. A call that fails closes the connection.
@@ -82,6 +92,23 @@
         limit: Duration,
         call: impl FnOnce(PeersClient, context::Context) -> F,
     ) -> Result<T, PeerSilent>
+    where
+        F: Future<Output = Result<T, RpcError>>,
+    {
+        let answer = self.try_call(address, limit, call).await;
+        match &answer {
+            Ok(_) => drop(self.failed.lock().remove(address)),
+            Err(PeerSilent) => drop(self.failed.lock().insert(address.to_owned(), Instant::now())),
+        }
+        answer
+    }
+
+    async fn try_call<T, F>(
+        &self,
+        address: &str,
+        limit: Duration,
+        call: impl FnOnce(PeersClient, context::Context) -> F,
+    ) -> Result<T, PeerSilent>
     where
         F: Future<Output = Result<T, RpcError>>,
     {
--- a/crates/holdpointd/src/traffic/claim.rs
+++ b/crates/holdpointd/src/traffic/claim.rs
@@ -17,8 +17,10 @@
 const SETTLE_LIMIT: Duration = Duration::from_millis(2000);
 /// Pause between two tries.
 const SETTLE_PAUSE: Duration = Duration::from_millis(100);
-/// Least time that is left for a writer that has to be asked over the network.
-const LEAST_MS: Millis = 20;
+/// The writer of a stream gets one of so many parts of the patience.
+const WRITER_PART: Millis = 4;
+/// What the network may add to a writer's answer, in milliseconds.
+const HOP_MS: Millis = 20;
 
 /// One call that may not be repeated.
 #[derive(Clone, Debug)]
@@ -29,9 +31,29 @@
 }
 
 /// Claims a key. [`ClaimReply::Silent`] means that the log did not say in time.
+///
+/// The writer gets a part of the patience only: one that is cut off must leave time to write the
+/// claim here. Two writers cost an append more; the log decides between them.
 pub(crate) async fn claim(shared: &Arc<Shared>, claim: &Claim, until: Millis) -> ClaimReply {
-    let patience_ms = until.saturating_sub(shared.clock.now());
-    let ask = ClaimAsk {
+    let left = || until.saturating_sub(shared.clock.now());
+    let mut last = ClaimReply::Silent;
+    if let Some(writer) = writer(shared, &claim.key) {
+        let part = left() / WRITER_PART;
+        last = ask_writer(shared, &writer, ask(shared, claim, part)).await;
+    }
+    if is_open(&last) && 0 < left() {
+        last = ask_here(shared, ask(shared, claim, left())).await;
+    }
+    last
+}
+
+/// Whether waiting longer may give another answer.
+fn is_open(reply: &ClaimReply) -> bool {
+    matches!(reply, ClaimReply::Silent | ClaimReply::Held(_))
+}
+
+fn ask(shared: &Shared, claim: &Claim, patience_ms: Millis) -> ClaimAsk {
+    ClaimAsk {
         organisation: claim.key.organisation.clone(),
         pipeline: claim.key.pipeline.clone(),
         key: claim.key.key.clone(),
@@ -39,20 +61,18 @@
         claimant: shared.incarnation.clone(),
         call: claim.call,
         patience_ms,
-    };
-    if let Some(writer) = writer(shared, &claim.key) {
-        let limit = Duration::from_millis(patience_ms + LEAST_MS);
-        let asked = ask.clone();
-        let call = shared.peers.call(&writer, limit, |client, context| async move {
-            client.claim(context, asked).await
-        });
-        match call.await {
-            Ok(ClaimReply::Silent) | Err(_) => (),
-            Ok(it) => return it,
-        }
     }
-    let patience_ms = until.saturating_sub(shared.clock.now());
-    let ask = ClaimAsk { patience_ms, ..ask };
+}
+
+async fn ask_writer(shared: &Arc<Shared>, writer: &str, ask: ClaimAsk) -> ClaimReply {
+    let limit = Duration::from_millis(ask.patience_ms + HOP_MS);
+    let call = shared
+        .peers
+        .call(writer, limit, |client, context| async move { client.claim(context, ask).await });
+    call.await.unwrap_or(ClaimReply::Silent)
+}
+
+async fn ask_here(shared: &Arc<Shared>, ask: ClaimAsk) -> ClaimReply {
     let (reply, answer) = oneshot::channel();
     if shared.control.send(Input::Claim { ask, reply }).await.is_err() {
         return ClaimReply::Silent;
@@ -110,5 +130,6 @@
 
 fn writer(shared: &Shared, key: &ClaimKey) -> Option<String> {
     let stream = stream_of(key, shared.settings.claims.streams) as usize;
-    shared.now().claim_writers.get(stream).cloned().flatten()
+    let writer = shared.now().claim_writers.get(stream).cloned().flatten();
+    writer.filter(|it| !shared.peers.is_suspect(it))
 }
--- /dev/null
+++ b/crates/holdpointd/tests/process.rs
@@ -0,0 +1,158 @@
+//! The daemon as a process of its own: settings, signals, exit codes, and a pause.
+
+use std::{
+    fs,
+    path::PathBuf,
+    process::{Child, Command, Output, Stdio},
+    time::Duration,
+};
+
+use holdpoint_platform::{CallError, Http, OperatorClient, operators::ChangeForm};
+use holdpoint_standin::{list::ListStandin, log::LogStandin};
+use hyper::Method;
+use serde_json::{Value, json};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_holdpointd");
+const TOKEN: &str = "secret-operator";
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::write(&path, text).unwrap();
+    path
+}
+
+fn free_port() -> u16 {
+    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
+}
+
+struct Daemon {
+    child: Child,
+    callers: String,
+    operators: String,
+}
+
+impl Daemon {
+    /// Starts the binary; its ports are free ones, since another process has to know them.
+    fn start(name: &str, log: &LogStandin, list: &ListStandin) -> Daemon {
+        let (callers, operators, peers) = (free_port(), free_port(), free_port());
+        let address = |port: u16| format!("127.0.0.1:{port}");
+        let settings = json!({
+            "instance": name, "domain": "d",
+            "listen": { "callers": address(callers), "operators": address(operators), "peers": address(peers) },
+            "platform": { "log": log.address(), "list": list.address() },
+            "operators": [{ "name": "op", "token_sha256": holdpoint_core::ids::sha256_hex(TOKEN.as_bytes()) }],
+            "resume_keys": [{ "id": 1, "secret": "0123456789abcdef" }],
+            "timing": { "confirm_ms": 600, "dead_ms": 600, "log_timeout_ms": 200, "list_poll_ms": 100 }
+        });
+        let path = file(&format!("{name}.jsonc"), &format!("// A comment.\n{settings}"));
+        let child = Command::new(BINARY)
+            .args(["--settings", path.to_str().unwrap(), "--log-level", "off"])
+            .spawn()
+            .unwrap();
+        list.add_instance(name, &address(peers));
+        Daemon { child, callers: address(callers), operators: address(operators) }
+    }
+
+    fn signal(&self, signal: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+    }
+
+    async fn until_ready(&self, http: &Http) {
+        for _ in 0..1000 {
+            let call = self.get(http, "/readyz").await;
+            if call.is_ok_and(|it| it == 200) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("the daemon is not ready");
+    }
+
+    async fn get(&self, http: &Http, path: &str) -> Result<u16, CallError> {
+        let limit = Duration::from_secs(5);
+        let reply = http.call(Method::GET, &self.callers, path, &[], Vec::new(), limit).await?;
+        Ok(reply.status.as_u16())
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        // It may have ended already.
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
+
+fn run(args: &[&str]) -> Output {
+    Command::new(BINARY).args(args).stderr(Stdio::piped()).output().unwrap()
+}
+
+#[test]
+fn settings_that_cannot_be_used_end_with_one_line_and_code_2() {
+    let bad =
+        file("bad.jsonc", r#"{ "instance": "Bad Name", "domain": "d", "listen": {}, "extra": 1 }"#);
+    let cut = file("cut.jsonc", "{ \"instance\": ");
+    for path in [bad.to_str().unwrap(), cut.to_str().unwrap(), "/does/not/exist"] {
+        let output = run(&["--settings", path]);
+        let text = String::from_utf8(output.stderr).unwrap();
+        assert_eq!(output.status.code(), Some(2), "{text}");
+        assert_eq!(text.trim_end().lines().count(), 1, "{text}");
+    }
+    let text = String::from_utf8(run(&["--settings", bad.to_str().unwrap()]).stderr).unwrap();
+    for part in ["/instance", "/listen", "extra", "platform"] {
+        assert!(text.contains(part), "{part} is named: {text}");
+    }
+}
+
+#[test]
+fn the_examples_are_valid() {
+    for name in ["prairie-cellars", "armor"] {
+        let path =
+            PathBuf::from(env!("CARGO_MANIFEST_DIR")).join(format!("../../examples/{name}.jsonc"));
+        let output = run(&["--settings", path.to_str().unwrap(), "--check"]);
+        assert_eq!(output.status.code(), Some(0), "{output:?}");
+    }
+}
+
+#[tokio::test]
+async fn sigterm_is_a_planned_stop_with_code_0() {
+    let (log, list, http) = (LogStandin::start().await, ListStandin::start().await, Http::new());
+    let mut daemon = Daemon::start("term", &log, &list);
+    daemon.until_ready(&http).await;
+    daemon.signal("-TERM");
+    let status = tokio::task::spawn_blocking(move || daemon.child.wait().unwrap()).await.unwrap();
+    assert_eq!(status.code(), Some(0));
+}
+
+#[tokio::test]
+async fn a_paused_instance_confirms_before_it_takes_the_next_request() {
+    let (log, list, http) = (LogStandin::start().await, ListStandin::start().await, Http::new());
+    let daemon = Daemon::start("pause", &log, &list);
+    daemon.until_ready(&http).await;
+    let operator = OperatorClient::new(http.clone(), &daemon.operators, TOKEN);
+    let organisation = json!({ "key_sha256": [holdpoint_core::ids::sha256_hex(b"key")] });
+    operator.put("organisations", "o", &organisation, &ChangeForm::default()).await.unwrap();
+    daemon.signal("-STOP");
+    // While it sleeps, the log goes down and another instance is listed that does not answer:
+    // when it wakes it can confirm nothing.
+    log.faults().outage = true;
+    list.add_instance("other", "127.0.0.1:1");
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    let headers = [("authorization", "Bearer key".to_owned())];
+    let path = "/v1/pipelines/none/requests";
+    let limit = Duration::from_secs(10);
+    let (asked, ()) = tokio::join!(
+        http.call(Method::POST, &daemon.callers, path, &headers, b"{}".to_vec(), limit),
+        async {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            daemon.signal("-CONT");
+        }
+    );
+    let reply = asked.unwrap();
+    let problem: Value = serde_json::from_slice(&reply.body).unwrap();
+    assert_eq!(problem["type"], "urn:holdpoint:problem:not-ready", "{problem}");
+    assert_eq!(problem["run"], "no");
+    log.faults().outage = false;
+    daemon.until_ready(&http).await;
+}
