--- a/crates/holdpoint-emulator/src/lib.rs
+++ b/crates/holdpoint-emulator/src/lib.rs
@@ -12,6 +12,7 @@
 //! ```
 
 pub mod caller;
+pub mod control;
 pub mod faults;
 pub mod load;
 pub mod measure;
--- a/crates/holdpoint/src/bench.rs
+++ b/crates/holdpoint/src/bench.rs
@@ -3,6 +3,7 @@
 use clap::ArgMatches;
 use futures::{StreamExt, stream};
 use holdpoint_emulator::{
+    control,
     faults::{self, Cell, Fault},
     overhead::{self, Row},
     world::{Plan, World},
@@ -17,6 +18,7 @@
 pub(crate) async fn run(matches: &ArgMatches) -> Result<(), Failure> {
     match matches.subcommand() {
         Some(("overhead", it)) => overhead(it).await,
+        Some(("control", it)) => control(it).await,
         Some(("faults", it)) => fault_matrix(it).await,
         _ => Ok(()),
     }
@@ -132,3 +134,66 @@
     row.push(problems.collect::<Vec<_>>().join(", "));
     row
 }
+
+async fn control(matches: &ArgMatches) -> Result<(), Failure> {
+    let it = control::changes(number(matches, "instances"), number(matches, "changes")).await;
+    let header = [
+        "INSTANCES",
+        "CHANGES",
+        "IN FORCE MEDIAN MS",
+        "WORST",
+        "TOLD MEDIAN MS",
+        "WORST",
+        "TOLD EARLY",
+    ];
+    let row = vec![
+        it.instances.to_string(),
+        it.changes.to_string(),
+        format!("{:.1}", it.median_ms),
+        format!("{:.1}", it.worst_ms),
+        format!("{:.1}", it.told_median_ms),
+        format!("{:.1}", it.told_worst_ms),
+        it.told_early.to_string(),
+    ];
+    println!("{}", table(&header, vec![row]));
+    let rows = control::leaving().await;
+    let row = |it: &control::LeavingTimes| {
+        vec![it.sign.to_owned(), it.last_ms.to_string(), it.calls.to_string()]
+    };
+    let header = ["SIGN", "LAST NEW CALL AFTER MS", "NEW CALLS AFTER"];
+    println!("{}", table(&header, rows.iter().map(row).collect()));
+    let seconds = number(matches, "seconds") as u32;
+    let mut rows = Vec::new();
+    for batch in [1, 512] {
+        for offered in [1, 10, 100, 1000] {
+            rows.push(claim_row(&control::claims(offered, batch, seconds).await));
+        }
+    }
+    let header = [
+        "CALLS/S",
+        "BATCH",
+        "WHOLE",
+        "NOT RUN",
+        "OTHER",
+        "P50 MS",
+        "P99 MS",
+        "APPENDS/S",
+        "LIMITED",
+    ];
+    println!("{}", table(&header, rows));
+    Ok(())
+}
+
+fn claim_row(it: &control::ClaimTimes) -> Vec<String> {
+    vec![
+        it.offered.to_string(),
+        it.batch.to_string(),
+        it.whole.to_string(),
+        it.not_run.to_string(),
+        it.other.to_string(),
+        format!("{:.1}", it.p50_ms),
+        format!("{:.1}", it.p99_ms),
+        format!("{:.0}", it.appends),
+        it.limited.to_string(),
+    ]
+}
--- a/crates/holdpoint/src/cli.rs
+++ b/crates/holdpoint/src/cli.rs
@@ -171,6 +171,13 @@
                 .about("Calls through holdpoint against the same calls straight to the target")
                 .arg(number("requests", "2000", "Requests a measurement")),
         )
+        .subcommand(
+            Command::new("control")
+                .about("Changes, leaving targets and claims on running instances")
+                .arg(number("instances", "8", "Instances for changes"))
+                .arg(number("changes", "100", "Changes"))
+                .arg(number("seconds", "4", "Seconds for each rate of claims")),
+        )
         .subcommand(
             Command::new("faults")
                 .about("The fault matrix: each fault alone and in pairs, under load")
