--- a/crates/holdpoint-core/tests/fold.rs
+++ b/crates/holdpoint-core/tests/fold.rs
@@ -115,8 +115,8 @@
         let (records, _) = history(&draws);
         let whole = folded(&records);
         let n = (records.len() as f64 * cut) as usize;
-        let taken = snapshot::take(&folded(&records[..n]));
-        let mut state = snapshot::restore(&taken).unwrap();
+        let taken = snapshot::take(&folded(&records[..n]), 64);
+        let mut state = snapshot::restore(taken.iter().rev().chain(&taken)).unwrap();
         for (index, record) in records.iter().enumerate() {
             // Records that the snapshot covers are read again and must change nothing.
             let before = state.offset();
@@ -125,7 +125,7 @@
                 prop_assert_eq!(effect, Effect::Duplicate);
             }
         }
-        prop_assert_eq!(snapshot::take(&state), snapshot::take(&whole));
+        prop_assert_eq!(snapshot::take(&state, 64), snapshot::take(&whole, 64));
     }
 
     #[test]
@@ -165,13 +165,17 @@
 fn a_snapshot_that_was_tampered_with_is_rejected() {
     let mut state = State::default();
     state.apply(1, 0, &bid("a", 1, 10));
-    let good = snapshot::take(&state);
+    let parts = snapshot::take(&state, 16);
+    assert!(1 < parts.len());
+    assert_eq!(snapshot::restore(&parts[1..]), Err(BadSnapshot::Parts));
+    assert_eq!(snapshot::restore([]), Err(BadSnapshot::Parts));
+    let good = snapshot::take(&state, 1 << 20).remove(0);
     let mut bad = good.clone();
     bad.state = bad.state.replace("placement", "placemenu");
-    assert_eq!(snapshot::restore(&bad), Err(BadSnapshot::Hash));
+    assert_eq!(snapshot::restore([&bad]), Err(BadSnapshot::Hash));
     let mut moved = good;
     moved.offset = 9;
-    assert_eq!(snapshot::restore(&moved), Err(BadSnapshot::Offset));
+    assert_eq!(snapshot::restore([&moved]), Err(BadSnapshot::Offset));
 }
 
 #[test]
--- a/crates/holdpoint-emulator/src/lib.rs
+++ b/crates/holdpoint-emulator/src/lib.rs
@@ -12,11 +12,13 @@
 //! ```
 
 pub mod caller;
+pub mod capacity;
 pub mod control;
 pub mod faults;
 pub mod load;
 pub mod measure;
 pub mod overhead;
 pub mod plot;
+pub mod running;
 pub mod users;
 pub mod world;
--- /dev/null
+++ b/crates/holdpoint-emulator/src/running.rs
@@ -0,0 +1,101 @@
+//! What running instances spend by themselves, and how long a new one takes to start.
+
+use std::time::{Duration, Instant};
+
+use holdpoint_core::ids::sha256_hex;
+use holdpoint_platform::{Http, LogClient};
+use holdpoint_schema::records::{Body, Change, Record};
+use serde::Serialize;
+use serde_json::json;
+
+use crate::{
+    control,
+    measure::{resident_bytes, thread_time},
+    world::{Plan, World},
+};
+
+/// What one instance spends while nothing is asked of it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Idle {
+    /// Instances.
+    pub instances: usize,
+    /// Processor time of its control thread, as a percentage of a core.
+    pub control_percent: f64,
+    /// Bytes a second to and from its peers, both ways.
+    pub peer_bytes: f64,
+    /// Heartbeats a second that it begins.
+    pub heartbeats: f64,
+    /// Reads of the log a second.
+    pub log_reads: f64,
+    /// Resident memory, in bytes: the growth of the process by one instance.
+    pub memory: f64,
+    /// Median and worst time until a change is in force on all instances, in milliseconds.
+    pub in_force_ms: (f64, f64),
+}
+
+/// Runs instances with the settings of a real system and counts for `seconds`.
+pub async fn idle(instances: usize, seconds: u64) -> Idle {
+    let timing = json!({ "timing": { "heartbeat_ms": 500, "list_poll_ms": 1000 } });
+    let plan = Plan::new(0).with_settings(timing);
+    let resources = plan.resources.clone();
+    let before = resident_bytes();
+    let world = World::start(&Plan { instances, resources: Vec::new(), ..plan }).await;
+    let memory = (resident_bytes().saturating_sub(before)) as f64 / instances as f64;
+    world.apply(&resources).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let counted = |name: &str| -> f64 {
+        (0..instances)
+            .filter_map(|it| world.shared(it))
+            .map(|it| sum(&it.metrics.text(), name))
+            .sum()
+    };
+    let began = Instant::now();
+    let (time, bytes) = (thread_time("control"), counted("holdpoint_peer_bytes_total"));
+    let beats = counted("holdpoint_heartbeats_total");
+    let reads = world.log.counts().reads;
+    tokio::time::sleep(Duration::from_secs(seconds)).await;
+    let took = began.elapsed().as_secs_f64() * instances as f64;
+    let spent = (thread_time("control") - time).as_secs_f64();
+    let idle = Idle {
+        instances,
+        control_percent: 100.0 * spent / took,
+        peer_bytes: (counted("holdpoint_peer_bytes_total") - bytes) / took,
+        heartbeats: (counted("holdpoint_heartbeats_total") - beats) / took,
+        log_reads: (world.log.counts().reads - reads) as f64 / took,
+        memory,
+        in_force_ms: (0.0, 0.0),
+    };
+    drop(world);
+    let times = control::changes(instances, 20).await;
+    Idle { in_force_ms: (times.median_ms, times.worst_ms), ..idle }
+}
+
+/// Sum of all lines of one metric.
+fn sum(text: &str, name: &str) -> f64 {
+    let lines = text.lines().filter(|it| it.starts_with(name));
+    lines.filter_map(|it| it.rsplit(' ').next()?.parse::<f64>().ok()).sum()
+}
+
+/// Time until a new instance is ready, in milliseconds, with so many records in the log.
+pub async fn start_ms(records: usize) -> f64 {
+    let world = World::start(&Plan { pools: Vec::new(), ..Plan::new(0) }).await;
+    let client = LogClient::new(Http::new(), world.log.address(), Duration::from_secs(5));
+    for seq in 1..=records as u64 {
+        let name = format!("organisation-{seq}");
+        let spec = json!({ "key_sha256": [sha256_hex(name.as_bytes())] });
+        let change = Change {
+            change: format!("c{seq}"),
+            kind: "organisations".to_owned(),
+            name,
+            base: 0,
+            spec: spec.as_object().cloned().unwrap_or_default(),
+            operator: "op".to_owned(),
+        };
+        let record = Record { writer: "w".to_owned(), seq, at: seq, body: Body::Change(change) };
+        client.append("control", &record).await.expect("the log takes records");
+    }
+    let began = Instant::now();
+    world.start_instance("entry-1").await;
+    world.until("the instance is ready", |it| it.is_ready(0)).await;
+    began.elapsed().as_secs_f64() * 1000.0
+}
--- a/crates/holdpoint/src/bench.rs
+++ b/crates/holdpoint/src/bench.rs
@@ -3,9 +3,11 @@
 use clap::ArgMatches;
 use futures::{StreamExt, stream};
 use holdpoint_emulator::{
+    capacity::{self, Slope},
     control,
     faults::{self, Cell, Fault},
     overhead::{self, Row},
+    running,
     world::{Plan, World},
 };
 
@@ -18,6 +20,7 @@
 pub(crate) async fn run(matches: &ArgMatches) -> Result<(), Failure> {
     match matches.subcommand() {
         Some(("overhead", it)) => overhead(it).await,
+        Some(("capacity", it)) => capacity(it).await,
         Some(("control", it)) => control(it).await,
         Some(("faults", it)) => fault_matrix(it).await,
         _ => Ok(()),
@@ -197,3 +200,68 @@
         it.limited.to_string(),
     ]
 }
+
+/// Net bytes allocated by this process so far.
+fn allocated() -> usize {
+    let stats = crate::ALLOCATOR.stats();
+    let grown = stats.bytes_allocated as isize - stats.bytes_deallocated as isize;
+    // Growth by reallocation is counted by the crate in both of these and once more, by itself.
+    usize::try_from(grown).unwrap_or(0)
+}
+
+async fn capacity(matches: &ArgMatches) -> Result<(), Failure> {
+    let slopes = capacity::slopes(allocated);
+    let header = ["WHAT", "BY", "SLOPE", "LOWEST", "HIGHEST", "AT 0", "AT THE LARGEST"];
+    println!("{}", table(&header, slopes.iter().map(slope_row).collect()));
+    let mut rows = Vec::new();
+    for n in [8, 32, 128, 350] {
+        let (bytes, rounds) = capacity::acknowledged(n);
+        rows.push(vec![n.to_string(), format!("{bytes:.0}"), rounds.to_string()]);
+    }
+    let header = ["INSTANCES", "BYTES AN INSTANCE FOR ONE CHANGE", "ROUNDS"];
+    println!("{}", table(&header, rows));
+    let mut rows = Vec::new();
+    for n in [4, 8, 16, 32, 64] {
+        let it = running::idle(n, number(matches, "seconds") as u64).await;
+        rows.push(vec![
+            n.to_string(),
+            format!("{:.2}", it.control_percent),
+            format!("{:.0}", it.peer_bytes),
+            format!("{:.1}", it.heartbeats),
+            format!("{:.1}", it.log_reads),
+            format!("{:.1}", it.memory / 1e6),
+            format!("{:.1}", it.in_force_ms.0),
+            format!("{:.1}", it.in_force_ms.1),
+        ]);
+    }
+    let header = [
+        "INSTANCES",
+        "CONTROL % OF A CORE",
+        "PEER BYTES/S",
+        "HEARTBEATS/S",
+        "LOG READS/S",
+        "MEMORY MB",
+        "IN FORCE MEDIAN MS",
+        "WORST",
+    ];
+    println!("{}", table(&header, rows));
+    let mut rows = Vec::new();
+    for n in [10, 100, 1000, 10_000] {
+        rows.push(vec![n.to_string(), format!("{:.0}", running::start_ms(n).await)]);
+    }
+    println!("{}", table(&["RECORDS IN THE LOG", "START MS"], rows));
+    Ok(())
+}
+
+fn slope_row(it: &Slope) -> Vec<String> {
+    let largest = it.points.last().copied().unwrap_or_default();
+    vec![
+        it.what.to_owned(),
+        it.by.to_owned(),
+        format!("{:.4}", it.slope),
+        format!("{:.4}", it.spread.0),
+        format!("{:.4}", it.spread.1),
+        format!("{:.1}", it.base),
+        format!("{:.1} at {}", largest.1, largest.0),
+    ]
+}
--- a/crates/holdpoint/src/cli.rs
+++ b/crates/holdpoint/src/cli.rs
@@ -171,6 +171,11 @@
                 .about("Calls through holdpoint against the same calls straight to the target")
                 .arg(number("requests", "2000", "Requests a measurement")),
         )
+        .subcommand(
+            Command::new("capacity")
+                .about("Slopes of state, time and bytes, for docs/CAPACITY.md")
+                .arg(number("seconds", "5", "Seconds that idle instances are counted for")),
+        )
         .subcommand(
             Command::new("control")
                 .about("Changes, leaving targets and claims on running instances")
--- a/crates/holdpoint/src/main.rs
+++ b/crates/holdpoint/src/main.rs
@@ -7,14 +7,19 @@
 mod failure;
 mod output;
 
-use std::process::ExitCode;
+use std::{alloc::System, process::ExitCode};
 
 use clap::ArgMatches;
 use log::LevelFilter;
 use simplelog::{ColorChoice, ConfigBuilder, TermLogger, TerminalMode};
+use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
 
 use crate::failure::Failure;
 
+/// Counts allocations, for `bench capacity`.
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
 fn main() -> ExitCode {
     let matches = cli::command().get_matches();
     let level = matches.get_one("log-level").copied().unwrap_or(LevelFilter::Off);
--- a/crates/holdpointd/src/control/mod.rs
+++ b/crates/holdpointd/src/control/mod.rs
@@ -10,7 +10,11 @@
 mod tail;
 mod watchers;
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
 
 use holdpoint_core::{
     catalog::Catalog,
@@ -75,6 +79,7 @@
     ClaimRecords { stream: u32, batch: Batch },
     ClaimLanded { stream: u32, offset: Offset },
     RoundEnded { planners: Planners },
+    PartLanded,
     Snapshot { reply: oneshot::Sender<Option<Snapshot>> },
     Stop,
     Drained,
@@ -98,6 +103,9 @@
     head_confirmed: Option<Millis>,
     log_silent: bool,
     list_silent: bool,
+    /// Parts of a snapshot that are still to be appended, and its mark.
+    snapshots: VecDeque<Snapshot>,
+    snapshot_mark: Option<Snapshot>,
     snapshot_offset: Offset,
     snapshot_at: Millis,
     /// Whether what the traffic threads see is out of date.
@@ -158,6 +166,8 @@
             head_confirmed: None,
             log_silent: false,
             list_silent: false,
+            snapshots: VecDeque::new(),
+            snapshot_mark: None,
             snapshot_offset: 0,
             snapshot_at: now,
             is_dirty: true,
@@ -203,9 +213,11 @@
                 self.claims.landed(stream, offset, &self.view);
             }
             Input::RoundEnded { planners } => self.round_ended(planners),
+            Input::PartLanded => self.append_part(),
             Input::Snapshot { reply } => {
                 let is_known = self.state.offset() != 0 || self.life.confirmed().is_some();
-                drop(reply.send(is_known.then(|| snapshot::take(&self.state))));
+                let whole = || snapshot::take(&self.state, usize::MAX).pop();
+                drop(reply.send(is_known.then(whole).flatten()));
             }
             Input::Stop => {
                 emit(events::STOPPING, &self.shared.settings.instance, "");
@@ -361,14 +373,34 @@
         let since = self.state.offset().saturating_sub(self.snapshot_offset);
         let age = now.saturating_sub(self.snapshot_at);
         let retention = self.shared.settings.timing.retention_ms;
-        if !snapshot::is_due(since, age, retention, rank) {
+        if self.snapshot_mark.is_some() || !snapshot::is_due(since, age, retention, rank) {
             return;
         }
         self.snapshot_at = now;
         self.snapshot_offset = self.state.offset();
         let detail = format!("offset {}", self.state.offset());
         emit(events::SNAPSHOT, &self.shared.settings.instance, &detail);
-        self.changes.append(Body::Snapshot(snapshot::take(&self.state)));
+        let parts = snapshot::take(&self.state, snapshot::PART_BYTES);
+        let mark = snapshot::mark(&parts[0]);
+        self.snapshots.extend(parts);
+        self.snapshot_mark = Some(mark);
+        self.append_part();
+    }
+
+    /// Appends the next part of a snapshot to its stream, and after the last one the mark.
+    fn append_part(&mut self) {
+        let Some(part) = self.snapshots.pop_front() else {
+            if let Some(mark) = self.snapshot_mark.take() {
+                self.changes.append(Body::Snapshot(mark));
+            }
+            return;
+        };
+        let record = tail::record(&self.shared, u64::from(part.part), Body::Snapshot(part));
+        let shared = self.shared.clone();
+        tokio::spawn(async move {
+            tail::append(&shared, tail::SNAPSHOTS, &record).await;
+            drop(shared.control.send(Input::PartLanded).await);
+        });
     }
 
     fn note_members(&mut self) {
--- a/crates/holdpointd/src/control/tail.rs
+++ b/crates/holdpointd/src/control/tail.rs
@@ -1,11 +1,11 @@
 //! Reads streams of the log and hands their records to the control thread.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use holdpoint_core::{
     fold::State,
     ids::{Millis, Offset},
-    snapshot,
+    snapshot::{self, BadSnapshot},
 };
 use holdpoint_platform::{
     ListClient,
@@ -22,8 +22,12 @@
 
 /// Name of the control stream.
 pub(crate) const CONTROL: &str = "control";
+/// Name of the stream of snapshots.
+pub(crate) const SNAPSHOTS: &str = "snapshots";
 /// Most records in one read.
 const LIMIT: usize = 512;
+/// Parts of snapshots that are read at once, from the newest back.
+const PARTS_AT_ONCE: u64 = 16;
 /// Pause after a failed read.
 const PAUSE: Duration = Duration::from_millis(100);
 /// How long a peer may take to send its state.
@@ -147,33 +151,55 @@
     Ok(batch)
 }
 
-/// Finds the newest snapshot among the records still kept.
+/// Finds the newest usable snapshot that reaches to the oldest record still kept.
 async fn restore(shared: &Shared, first: Offset) -> Start {
-    let mut next = first;
-    let mut records: Vec<ReadRecord> = Vec::new();
-    loop {
-        let Ok(batch) = read(shared, CONTROL, next, Duration::ZERO).await else {
-            return Start::Silent;
-        };
-        next = batch.records.last().map_or(next, |it| it.offset + 1);
-        let is_end = batch.next <= next;
-        records.extend(batch.records);
-        if is_end {
-            break;
-        }
+    let parts = match snapshot_parts(shared).await {
+        Ok(it) => it,
+        Err(ReadError::Silent) => return Start::Silent,
+        Err(ReadError::Expired { .. }) => return Start::Gap,
+    };
+    let mut snapshots: BTreeMap<(Offset, &str), Vec<&Snapshot>> = BTreeMap::new();
+    for part in parts.iter().filter(|it| first <= it.offset + 1) {
+        snapshots.entry((part.offset, &part.hash)).or_default().push(part);
     }
-    let covers = |it: &&Snapshot| first <= it.offset + 1;
-    for snapshot in records.iter().rev().filter_map(snapshot_in).filter(covers) {
-        match snapshot::restore(snapshot) {
+    for parts in snapshots.into_values().rev() {
+        match snapshot::restore(parts) {
             Ok(it) => return Start::Restored(Box::new(it)),
+            // The newest one may still be on its way into the log.
+            Err(BadSnapshot::Parts) => (),
             Err(it) => emit(events::BAD_SNAPSHOT, &shared.settings.instance, &format!("{it:?}")),
         }
     }
     Start::Gap
 }
 
-fn snapshot_in(read: &ReadRecord) -> Option<&Snapshot> {
-    match &read.record.as_ref()?.body {
+/// Reads the end of the stream of snapshots, back to the last whole one.
+async fn snapshot_parts(shared: &Shared) -> Result<Vec<Snapshot>, ReadError> {
+    let end = read(shared, SNAPSHOTS, Offset::MAX, Duration::ZERO).await?;
+    let mut parts: Vec<Snapshot> = Vec::new();
+    let mut before = end.next;
+    while end.first < before && !has_whole(&parts) {
+        let from = end.first.max(before.saturating_sub(PARTS_AT_ONCE));
+        let batch = read(shared, SNAPSHOTS, from, Duration::ZERO).await?;
+        let older = batch.records.into_iter().filter(|it| it.offset < before);
+        parts.extend(older.filter_map(snapshot_in));
+        before = from;
+    }
+    Ok(parts)
+}
+
+fn has_whole(parts: &[Snapshot]) -> bool {
+    parts.iter().any(|one| {
+        let same = |it: &&Snapshot| it.offset == one.offset && it.hash == one.hash;
+        let mut found: Vec<u32> = parts.iter().filter(same).map(|it| it.part).collect();
+        found.sort_unstable();
+        found.dedup();
+        found.len() == one.parts as usize
+    })
+}
+
+fn snapshot_in(read: ReadRecord) -> Option<Snapshot> {
+    match read.record?.body {
         Body::Snapshot(it) => Some(it),
         Body::Change(_) | Body::Lease(_) | Body::Claims(_) => None,
     }
@@ -191,7 +217,7 @@
                 client.snapshot(context).await
             });
         let Ok(Some(found)) = call.await else { continue };
-        let Ok(state) = snapshot::restore(&found) else { continue };
+        let Ok(state) = snapshot::restore([&found]) else { continue };
         if newest.as_ref().is_none_or(|it| it.offset() < state.offset()) {
             newest = Some(state);
         }
