--- a/crates/holdpoint-core/src/admit.rs
+++ b/crates/holdpoint-core/src/admit.rs
@@ -1,10 +1,12 @@
 //! Admission: which requests run now, which wait, and which are refused at once.
 //!
-//! The gate bounds the requests in flight by a limit that follows attainment (additive increase,
-//! multiplicative decrease). Past the limit, requests wait in a queue for each organisation;
-//! queues are served by start-time fair queueing, so that a burst of one organisation lengthens
-//! its own queue only. A request whose wait and work would pass its deadline is refused at once,
-//! with the time after which the queue would have room for it.
+//! The gate bounds the requests in flight by a limit that follows what the targets report (additive
+//! increase, multiplicative decrease): a queue at the targets means that more is let through than
+//! they can run. Requests wait here instead, where they can still be ordered and refused: in a
+//! queue for each organisation, the least work first. Queues are served by start-time fair
+//! queueing, so that a burst of one organisation lengthens its own queue only. A request whose wait
+//! and work would pass its deadline is refused at once, with the time after which the queue would
+//! have room for it.
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
@@ -17,10 +19,21 @@
 const STRIDE: u64 = 1 << 20;
 /// Least time between two decreases of the limit, in milliseconds.
 const DECREASE_MS: Millis = 100;
-/// Factor of one decrease.
+/// Factor of one decrease for a full target.
 const DECREASE: f64 = 0.9;
-/// Weight of the newest measurement of the time between completions.
-const NEWEST: f64 = 0.1;
+/// A queue at a target weighs so many times as much as none: the limit comes to rest where one
+/// answer in four has seen a queue, which keeps the targets' batches full.
+const QUEUE_WEIGHT: f64 = 8.0;
+/// A target that runs so many times as many calls as wait there has no queue.
+const NO_QUEUE: u32 = 4;
+/// Limit at the start and lowest limit.
+const GROWTH: f64 = 4.0;
+const START: f64 = 32.0;
+const LOWEST: f64 = 4.0;
+/// Time over which completions are counted, in milliseconds.
+const COUNT_MS: Millis = 200;
+/// Weight of the newest count.
+const NEWEST: f64 = 0.3;
 /// Shortest `Retry-After`, in milliseconds.
 const LEAST_RETRY_MS: Millis = 1000;
 
@@ -39,6 +52,34 @@
     pub need: Millis,
 }
 
+/// What the end of a request says about the load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Signal {
+    /// Nothing: it ended before a target was asked, or for another reason than load.
+    #[default]
+    Silent,
+    /// Its targets had no queue.
+    Clear,
+    /// A target had a queue.
+    Queued,
+    /// A target had a queue as long as what it ran.
+    Full,
+}
+
+impl Signal {
+    /// What a target's report says. A few calls that wait are no queue: they have come since the
+    /// last step of the batch.
+    pub fn of_load(running: u32, waiting: u32) -> Signal {
+        if NO_QUEUE * waiting <= running {
+            Signal::Clear
+        } else if waiting < running {
+            Signal::Queued
+        } else {
+            Signal::Full
+        }
+    }
+}
+
 /// Why a request is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Refusal {
@@ -69,6 +110,7 @@
 #[derive(Debug)]
 struct Waiting {
     ticket: Ticket,
+    need: Millis,
     latest: Millis,
 }
 
@@ -84,6 +126,8 @@
 #[derive(Debug)]
 pub struct Gate {
     limit: f64,
+    /// Whether the limit still doubles: no target has shown a queue yet.
+    is_starting: bool,
     ceiling: f64,
     in_flight: usize,
     queues: HashMap<Name, Queue>,
@@ -92,7 +136,8 @@
     virtual_now: u64,
     next_ticket: Ticket,
     gap_ms: f64,
-    last_done: Millis,
+    counted: u32,
+    counted_since: Millis,
     last_decrease: Millis,
 }
 
@@ -100,7 +145,8 @@
     /// Makes a gate that never lets more than `ceiling` requests through at once.
     pub fn new(ceiling: usize) -> Gate {
         Gate {
-            limit: (ceiling as f64 / 4.0).max(1.0),
+            limit: START.min(ceiling as f64),
+            is_starting: true,
             ceiling: ceiling as f64,
             in_flight: 0,
             queues: HashMap::new(),
@@ -108,7 +154,8 @@
             virtual_now: 0,
             next_ticket: 1,
             gap_ms: 0.0,
-            last_done: 0,
+            counted: 0,
+            counted_since: 0,
             last_decrease: 0,
         }
     }
@@ -168,13 +215,15 @@
             queue.virtual_time = queue.virtual_time.max(virtual_now);
             self.ready.insert((queue.virtual_time, ask.organisation.to_owned()));
         }
-        queue.waiting.push_back(Waiting { ticket, latest: ask.deadline - ask.need });
+        let place = queue.waiting.partition_point(|it| it.need <= ask.need);
+        let latest = ask.deadline - ask.need;
+        queue.waiting.insert(place, Waiting { ticket, need: ask.need, latest });
         Offer::Defer(ticket)
     }
 
     /// Ends a request and returns the tickets that run now.
-    pub fn done(&mut self, now: Millis, organisation: &str, on_time: bool) -> Vec<Ticket> {
-        self.learn(now, on_time);
+    pub fn done(&mut self, now: Millis, organisation: &str, signal: Signal) -> Vec<Ticket> {
+        self.learn(now, signal);
         self.in_flight = self.in_flight.saturating_sub(1);
         if let Some(queue) = self.queues.get_mut(organisation) {
             queue.in_flight = queue.in_flight.saturating_sub(1);
@@ -229,35 +278,60 @@
         admitted
     }
 
-    /// Wait of one more request of an organisation, from the rate of completions and the part of
-    /// them that falls to it.
+    /// Wait of one more request of an organisation: those of its own queue that go first, and of
+    /// each other queue as many as fair queueing serves in the meantime.
     fn expected_wait(&self, ask: &Ask<'_>) -> Millis {
-        let ahead = self.queues.get(ask.organisation).map_or(0, |it| it.waiting.len());
-        let own = f64::from(ask.share.max(1));
-        let others: u32 = self
-            .ready
-            .iter()
-            .filter(|it| it.1 != ask.organisation)
-            .map(|it| self.queues.get(&it.1).map_or(0, |it| it.share))
-            .sum();
-        let part = own / (own + f64::from(others));
-        ((ahead + 1) as f64 * self.gap_ms / part) as Millis
+        let own = self.queues.get(ask.organisation);
+        let first = own.map_or(0, |it| it.waiting.partition_point(|it| it.need <= ask.need)) + 1;
+        let share = f64::from(ask.share.max(1));
+        let served = |it: &Queue| {
+            let fair = first as f64 * f64::from(it.share) / share;
+            fair.min(it.waiting.len() as f64)
+        };
+        let others = self.ready.iter().filter(|it| it.1 != ask.organisation);
+        let before: f64 = others.filter_map(|it| self.queues.get(&it.1)).map(served).sum();
+        ((first as f64 + before) * self.gap_ms) as Millis
     }
 
-    fn learn(&mut self, now: Millis, on_time: bool) {
+    fn learn(&mut self, now: Millis, signal: Signal) {
         let is_busy = self.limit() <= self.in_flight;
-        if self.last_done != 0 && is_busy {
-            let gap = now.saturating_sub(self.last_done) as f64;
-            self.gap_ms += NEWEST * (gap - self.gap_ms);
+        self.count(now, is_busy);
+        match signal {
+            Signal::Clear if is_busy => {
+                let step = if self.is_starting { 1.0 } else { GROWTH / self.limit };
+                self.limit = (self.limit + step).min(self.ceiling);
+            }
+            Signal::Queued => {
+                self.is_starting = false;
+                self.limit = (self.limit - QUEUE_WEIGHT / self.limit).max(LOWEST);
+            }
+            Signal::Full if self.last_decrease + DECREASE_MS <= now => {
+                self.is_starting = false;
+                self.limit = (self.limit.min(self.in_flight as f64) * DECREASE).max(LOWEST);
+                self.last_decrease = now;
+            }
+            Signal::Clear | Signal::Full | Signal::Silent => (),
         }
-        self.last_done = now;
-        if on_time && is_busy {
-            self.limit = (self.limit + 1.0 / self.limit).min(self.ceiling);
+    }
+
+    /// Counts a completion. Only a time during which the gate was busy throughout says how fast
+    /// requests can end.
+    fn count(&mut self, now: Millis, is_busy: bool) {
+        if !is_busy {
+            self.counted = 0;
+            self.counted_since = now;
+            return;
         }
-        if !on_time && self.last_decrease + DECREASE_MS <= now {
-            self.limit = (self.limit.min(self.in_flight as f64) * DECREASE).max(1.0);
-            self.last_decrease = now;
+        self.counted += 1;
+        let span = now.saturating_sub(self.counted_since);
+        if span < COUNT_MS {
+            return;
         }
+        let gap = span as f64 / f64::from(self.counted);
+        self.gap_ms =
+            if self.gap_ms == 0.0 { gap } else { self.gap_ms + NEWEST * (gap - self.gap_ms) };
+        self.counted = 0;
+        self.counted_since = now;
     }
 
     fn forget(&mut self, organisation: &str) {
--- a/crates/holdpoint-core/src/route.rs
+++ b/crates/holdpoint-core/src/route.rs
@@ -10,16 +10,20 @@
 use holdpoint_schema::resources::{Policy, Route};
 use rand::{Rng, RngExt};
 
-use crate::{ids::Millis, subset::subset};
+use crate::{admit::Signal, ids::Millis, subset::subset};
 
 /// Weight of the newest measurement of a target's speed.
 const NEWEST: f64 = 0.1;
+/// What each call in the batch adds to the time of the others, as a part of it.
+const BATCH_COST: f64 = 0.015;
+/// Paces that differ from the mean by less than this part of it count as the same.
+const SAME_PACE: f64 = 0.4;
+/// What another failure domain adds, in milliseconds.
+const FAR_MS: f64 = 2.0;
 /// Most prefixes remembered for one target.
 const PREFIXES: usize = 512;
 /// Age at which a remembered prefix has lost half its weight, in milliseconds.
 const PREFIX_TRUST_MS: f64 = 30_000.0;
-/// Share of a call's work that a cached prefix saves at most.
-const PREFIX_SAVES: f64 = 0.5;
 /// Longest ejection as a multiple of the first one.
 const EJECT_DOUBLINGS: u32 = 5;
 
@@ -48,6 +52,8 @@
 pub struct Call<'a> {
     /// Work expected, in any unit that is the same for all calls of the pool.
     pub work: f64,
+    /// Part of the work that a cached prefix saves.
+    pub prefix_work: f64,
     /// Hash of the prompt's prefix, where the target caches prefixes.
     pub prefix: Option<u64>,
     /// Targets already tried for this call.
@@ -105,8 +111,8 @@
 #[derive(Clone, Debug)]
 struct Report {
     at: Millis,
-    load: f64,
-    own: f64,
+    /// Calls of other instances that ran or waited there.
+    others: f64,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -116,8 +122,10 @@
     in_flight: u32,
     work: f64,
     report: Option<Report>,
-    /// Milliseconds that one unit of work takes, per unit of work at the target; 0 if unknown.
+    /// Milliseconds that one unit of work takes once it runs; 0 if unknown.
     pace: f64,
+    /// Calls that it runs at once, as far as its reports have shown; 0 if unknown.
+    slots: f64,
     failures: u32,
     ejections: u32,
     ejected_until: Millis,
@@ -132,6 +140,8 @@
     policy: Policy,
     known: Vec<Member>,
     targets: Vec<Target>,
+    /// Mean over all targets of what others had there when they last reported.
+    mean_others: f64,
     turn: usize,
 }
 
@@ -144,6 +154,7 @@
             policy,
             known: Vec::new(),
             targets: Vec::new(),
+            mean_others: 0.0,
             turn: 0,
         }
     }
@@ -286,8 +297,14 @@
         if target.report.as_ref().is_some_and(|it| at < it.at) {
             return;
         }
-        let load = f64::from(load.running) + f64::from(load.waiting);
-        target.report = Some(Report { at, load, own: f64::from(target.in_flight) });
+        let running = f64::from(load.running);
+        // A queue shows where the limit is; without one there is room for more than runs.
+        let is_queued = Signal::Clear < Signal::of_load(load.running, load.waiting);
+        target.slots = if is_queued { running } else { target.slots.max(running + 1.0) };
+        let all = running + f64::from(load.waiting);
+        target.report = Some(Report { at, others: (all - f64::from(target.in_flight)).max(0.0) });
+        let reported = self.targets.iter().filter_map(|it| it.report.as_ref());
+        self.mean_others = mean(reported.map(|it| it.others)).unwrap_or(0.0);
     }
 
     /// Takes in a cache event: the target now holds this prefix, or holds it no longer.
@@ -343,8 +360,8 @@
     fn least(&self, candidates: &[usize], rng: &mut impl Rng) -> usize {
         lowest(candidates, rng, |it| {
             let target = &self.targets[it];
-            let reported = target.report.as_ref().map_or(0.0, |it| it.load);
-            reported.max(f64::from(target.in_flight))
+            let reported = target.report.as_ref().map_or(0.0, |it| it.others);
+            reported + f64::from(target.in_flight)
         })
     }
 
@@ -373,36 +390,60 @@
         (best, drawn.len())
     }
 
-    /// Predicted time of a call at a target: its own work and the work already there, at the
-    /// target's learned pace.
+    /// Predicted time of a call at a target: its work at the target's pace, slowed a little by
+    /// each call in the batch, after a wait for those that stand before it in the queue.
     fn predict(&self, now: Millis, policy: &Policy, call: &Call<'_>, target: &Target) -> f64 {
-        let trust_ms = policy.report_trust_ms as f64;
-        let others = target.report.as_ref().map_or(0.0, |it| {
-            let age = now.saturating_sub(it.at) as f64;
-            (it.load - it.own).max(0.0) * 0.5_f64.powf(age / trust_ms)
-        });
+        let load = f64::from(target.in_flight) + self.others(now, policy, target);
+        let pace = self.pace_of(target);
+        let slots = if target.slots == 0.0 { load + 1.0 } else { target.slots };
+        let ahead = (load + 1.0 - slots).max(0.0);
         let mean_work = if target.in_flight == 0 {
             call.work
         } else {
             target.work / f64::from(target.in_flight)
         };
-        let saved = PREFIX_SAVES * prefix_trust(target, call, now);
-        let work = call.work * (1.0 - saved) + target.work + others * mean_work;
-        let pace = if target.pace == 0.0 { self.mean_pace() } else { target.pace };
-        let near = if target.domain == self.domain { 0.0 } else { self.mean_pace() * 0.1 };
-        (work + call.work) * pace + near
+        let wait = ahead * mean_work * pace / slots.max(1.0);
+        let saved = call.prefix_work * prefix_trust(target, call, now);
+        let run = (call.work - saved) * pace * (1.0 + BATCH_COST * load);
+        let far = if target.domain == self.domain { 0.0 } else { FAR_MS };
+        run + wait + far
+    }
+
+    /// Calls of other instances at a target: what it reported, fading with the age of the report
+    /// into the mean of all targets. Fading into nothing would make a target that has not been
+    /// heard of for long look empty, and draw everyone to it.
+    fn others(&self, now: Millis, policy: &Policy, target: &Target) -> f64 {
+        let Some(report) = &target.report else { return self.mean_others };
+        let age = now.saturating_sub(report.at) as f64;
+        let trust = 0.5_f64.powf(age / policy.report_trust_ms as f64);
+        trust * report.others + (1.0 - trust) * self.mean_others
+    }
+
+    /// Pace of a target; the mean of all where it is unknown or not clearly another. Small
+    /// differences are noise, and following them sends everyone to the target that was lucky.
+    fn pace_of(&self, target: &Target) -> f64 {
+        let mean = self.mean_pace();
+        let is_clear = mean * SAME_PACE < (target.pace - mean).abs();
+        if target.pace != 0.0 && is_clear { target.pace } else { mean }
     }
 
     fn mean_pace(&self) -> f64 {
-        let known: Vec<f64> =
-            self.targets.iter().map(|it| it.pace).filter(|it| 0.0 < *it).collect();
-        if known.is_empty() { 1.0 } else { known.iter().sum::<f64>() / known.len() as f64 }
+        mean(self.targets.iter().map(|it| it.pace).filter(|it| 0.0 < *it)).unwrap_or(1.0)
     }
 }
 
-/// Learns the pace from a call's time and the work that stood at the target when it ended.
+fn mean(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let (n, sum) = values.fold((0_u32, 0.0), |(n, sum), it| (n + 1, sum + it));
+    (0 < n).then(|| sum / f64::from(n))
+}
+
+/// Learns the pace from a call's time, less the wait that the queue of its time explains.
 fn learn_pace(target: &mut Target, work: f64, ms: Millis) {
-    let seen = (ms as f64).max(0.1) / (target.work + work).max(0.001);
+    let others = target.report.as_ref().map_or(0.0, |it| it.others);
+    let load = f64::from(target.in_flight) + others;
+    let queued = if target.slots == 0.0 { 1.0 } else { (load / target.slots).max(1.0) };
+    let slowed = queued * (1.0 + BATCH_COST * load.min(target.slots.max(1.0)));
+    let seen = (ms as f64).max(0.1) / (work.max(0.001) * slowed);
     target.pace =
         if target.pace == 0.0 { seen } else { target.pace + NEWEST * (seen - target.pace) };
 }
--- a/crates/holdpoint-emulator/src/capacity.rs
+++ b/crates/holdpoint-emulator/src/capacity.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, hint::black_box, pin::Pin, time::Instant};
 
 use holdpoint_core::{
-    admit::{Ask, Gate, Offer},
+    admit::{Ask, Gate, Offer, Signal},
     catalog::{Catalog, default_policy},
     claims::{ClaimTable, Claimant},
     fold::{Effect, State},
@@ -210,7 +210,8 @@
             let mut router = router(&pool(n));
             let policy = default_policy();
             let mut rng = ChaCha8Rng::seed_from_u64(1);
-            let call = Call { work: 1.0, prefix: Some(7), tried: &[], cap: 10_000 };
+            let call =
+                Call { work: 1.0, prefix_work: 0.1, prefix: Some(7), tried: &[], cap: 10_000 };
             micros(|| {
                 for now in 0..CALLS as u64 {
                     if let Ok(it) = router.choose(now, &policy, &call, &mut rng) {
@@ -252,7 +253,7 @@
                     let ask =
                         Ask { organisation: name, share: 1, cap: 64, deadline: 10_000, need: 100 };
                     if gate.offer(index as u64, &ask) == Offer::Admit {
-                        drop(black_box(gate.done(index as u64, name, true)));
+                        drop(black_box(gate.done(index as u64, name, Signal::Clear)));
                     }
                 }
             }) / REQUESTS as f64
--- a/crates/holdpoint-emulator/src/lib.rs
+++ b/crates/holdpoint-emulator/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod measure;
 pub mod overhead;
 pub mod plot;
+pub mod policies;
 pub mod running;
 pub mod users;
 pub mod world;
--- /dev/null
+++ b/crates/holdpoint-emulator/src/policies/run.rs
@@ -0,0 +1,459 @@
+//! One run in manual time.
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, HashMap},
+};
+
+use holdpoint_core::{
+    admit::{Ask, Gate, Offer, Signal, Ticket},
+    deadline::{Budget, Times, budget},
+    retry::RetryBudget,
+    route::{Call, End, Load, Member, Router},
+};
+use holdpoint_schema::resources::{Policy, Route};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::policies::{
+    Outcome, Setup, Trouble,
+    engine::{self, Engine, Work},
+    policy_of,
+    workload::{Arrival, arrivals},
+};
+
+/// Requests that one instance lets through at once, at the most.
+const CEILING: usize = 1024;
+/// Interval at which waiting requests are checked, in microseconds.
+const SWEEP_US: u64 = 10_000;
+/// Time after which a failing engine refuses, in microseconds.
+const FAIL_US: u64 = 3000;
+/// Most attempts for one request.
+const MAX_ATTEMPTS: usize = 4;
+/// Bytes of prompt that make one unit of work against tokens generated, as in the daemon.
+const PROMPT_UNITS: f64 = 40.0;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive(usize),
+    Route(usize),
+    Deliver(usize, usize),
+    StepEnd(usize, u64),
+    Failed(usize, usize),
+    Ended(usize, usize, u64),
+    Dropped(usize, usize, u64),
+    Sweep,
+}
+
+struct Request {
+    arrival: Arrival,
+    deadline_us: u64,
+    tried: Vec<String>,
+    sent_us: u64,
+    first_sent_us: u64,
+}
+
+struct Instance {
+    router: Router,
+    gate: Gate,
+    retries: RetryBudget,
+    /// Times by class: each is a pipeline of its own.
+    times: Vec<Times>,
+    waiting: HashMap<Ticket, usize>,
+}
+
+pub(crate) struct Run<'a> {
+    setup: &'a Setup,
+    policy: Policy,
+    now_us: u64,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    sequence: u64,
+    requests: Vec<Request>,
+    instances: Vec<Instance>,
+    engines: Vec<Engine>,
+    /// Requests that the scheduler which knows everything has not placed yet.
+    central: Vec<usize>,
+    rng: ChaCha8Rng,
+    outcome: Outcome,
+    open: usize,
+}
+
+impl<'a> Run<'a> {
+    pub(crate) fn new(setup: &'a Setup) -> Run<'a> {
+        let user = setup.user;
+        let mut rng = ChaCha8Rng::seed_from_u64(setup.seed);
+        let weight: f64 = user.classes.iter().map(|it| f64::from(it.weight)).sum();
+        let mean = |of: &dyn Fn(&crate::policies::workload::Class) -> u32| {
+            user.classes.iter().map(|it| f64::from(it.weight) * f64::from(of(it))).sum::<f64>()
+                / weight
+        };
+        let able = engine::capacity(mean(&|it| it.prompt), mean(&|it| it.output));
+        let rate = able * user.engines as f64 * f64::from(setup.load) / 100.0;
+        let arrivals = arrivals(user, rate, setup.seconds, setup.instances, &mut rng);
+        let policy = policy_of(setup.arm.route.unwrap_or(Route::Predicted));
+        let instances = (0..setup.instances).map(|it| instance(setup, it, &policy)).collect();
+        let slow = |it: usize| setup.trouble == Trouble::SlowQuarter && it % 4 == 0;
+        let engine = |it| Engine::new(if slow(it) { 3 } else { 1 });
+        let mut run = Run {
+            setup,
+            policy,
+            now_us: 0,
+            events: BinaryHeap::new(),
+            sequence: 0,
+            requests: Vec::with_capacity(arrivals.len()),
+            instances,
+            engines: (0..user.engines).map(engine).collect(),
+            central: Vec::new(),
+            rng,
+            outcome: Outcome { seconds: setup.seconds, ..Outcome::default() },
+            open: arrivals.len(),
+        };
+        for (index, arrival) in arrivals.into_iter().enumerate() {
+            let deadline_us = arrival.at_us + arrival.class.patience_ms * 1000;
+            run.at(arrival.at_us, Event::Arrive(index));
+            run.requests.push(Request {
+                arrival,
+                deadline_us,
+                tried: Vec::new(),
+                sent_us: 0,
+                first_sent_us: 0,
+            });
+        }
+        run.at(SWEEP_US, Event::Sweep);
+        run
+    }
+
+    pub(crate) fn run(mut self) -> Outcome {
+        self.outcome.offered = self.requests.len() as u64;
+        while 0 < self.open
+            && let Some(Reverse((at, _, event))) = self.events.pop()
+        {
+            self.now_us = at;
+            match event {
+                Event::Arrive(it) => self.arrive(it),
+                Event::Route(it) => self.route(it),
+                Event::Deliver(it, engine) => self.deliver(it, engine),
+                Event::StepEnd(engine, took) => self.step_end(engine, took),
+                Event::Failed(it, engine) => self.failed(it, engine),
+                Event::Ended(it, engine, spent) => self.ended(it, engine, spent),
+                Event::Dropped(it, engine, spent) => self.dropped(it, engine, spent),
+                Event::Sweep => self.sweep(),
+            }
+        }
+        self.outcome
+    }
+
+    fn at(&mut self, at_us: u64, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((at_us, self.sequence, event)));
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.now_us / 1000
+    }
+
+    fn knows_everything(&self) -> bool {
+        self.setup.arm.route.is_none()
+    }
+
+    fn arrive(&mut self, index: usize) {
+        if self.knows_everything() {
+            let before = self.before_us();
+            return self.at(self.now_us + before, Event::Route(index));
+        }
+        if !self.setup.arm.admits {
+            return self.start(index);
+        }
+        let now = self.now_ms();
+        let request = &self.requests[index];
+        let instance = &mut self.instances[request.arrival.instance];
+        let ask = Ask {
+            organisation: ORGANISATIONS[request.arrival.organisation],
+            share: 1,
+            cap: u32::MAX,
+            deadline: request.deadline_us / 1000,
+            need: instance.times[request.arrival.kind].quantile(0.5).unwrap_or(0),
+        };
+        match instance.gate.offer(now, &ask) {
+            Offer::Admit => self.start(index),
+            Offer::Defer(ticket) => drop(instance.waiting.insert(ticket, index)),
+            Offer::Refuse { .. } => self.refuse(),
+        }
+    }
+
+    fn refuse(&mut self) {
+        self.outcome.refused += 1;
+        self.open -= 1;
+    }
+
+    fn before_us(&self) -> u64 {
+        let factor = if self.setup.trouble == Trouble::SlowStage { 10 } else { 1 };
+        self.setup.user.before_us * factor
+    }
+
+    /// The stage before generation, then routing.
+    fn start(&mut self, index: usize) {
+        let before = self.before_us();
+        self.requests[index].first_sent_us = self.now_us;
+        self.at(self.now_us + before, Event::Route(index));
+    }
+
+    fn route(&mut self, index: usize) {
+        if self.knows_everything() {
+            self.central.push(index);
+            return self.place();
+        }
+        let now = self.now_ms();
+        let request = &self.requests[index];
+        let instance = &mut self.instances[request.arrival.instance];
+        let left = request.deadline_us.saturating_sub(self.now_us) / 1000;
+        let is_hopeless = matches!(
+            budget(left, instance.times[request.arrival.kind].quantile(0.1), &[]),
+            Budget::Hopeless { .. }
+        );
+        if is_hopeless || MAX_ATTEMPTS <= request.tried.len() {
+            return self.give_up(index);
+        }
+        let call = call(request);
+        let chosen = instance.router.choose(now, &self.policy, &call, &mut self.rng);
+        let Ok(choice) = chosen else { return self.give_up(index) };
+        instance.router.sent(now, &choice.address, &call);
+        if request.tried.is_empty() {
+            instance.retries.first(self.policy.retry_percent);
+        }
+        let engine: usize = choice.address[1..].parse().unwrap_or(0);
+        let way = self.way_us(request.arrival.instance, engine);
+        self.requests[index].sent_us = self.now_us;
+        self.at(self.now_us + way, Event::Deliver(index, engine));
+    }
+
+    fn give_up(&mut self, index: usize) {
+        self.open -= 1;
+        self.done_at_gate(index, Signal::Silent);
+    }
+
+    fn way_us(&self, instance: usize, engine: usize) -> u64 {
+        if instance % 4 == engine % 4 { 100 } else { self.setup.user.domain_us }
+    }
+
+    fn deliver(&mut self, index: usize, engine: usize) {
+        let is_failing = self.setup.trouble == Trouble::FailingTenth && engine.is_multiple_of(10);
+        if is_failing {
+            return self.at(self.now_us + FAIL_US, Event::Failed(index, engine));
+        }
+        let request = &self.requests[index];
+        self.engines[engine].waiting.push_back(Work {
+            request: index,
+            prompt: request.arrival.class.prompt,
+            left: request.arrival.class.output,
+            prefix: request.arrival.prefix,
+            deadline_us: request.deadline_us,
+            spent_us: 0,
+        });
+        self.step_begin(engine);
+    }
+
+    fn step_begin(&mut self, engine: usize) {
+        let it = &mut self.engines[engine];
+        if it.is_stepping || (it.waiting.is_empty() && it.running.is_empty()) {
+            return;
+        }
+        let (took, dropped) = it.begin(self.now_us);
+        it.is_stepping = !it.running.is_empty();
+        let is_stepping = it.is_stepping;
+        self.drop_all(&dropped, engine);
+        if is_stepping {
+            self.at(self.now_us + took, Event::StepEnd(engine, took));
+        }
+    }
+
+    fn step_end(&mut self, engine: usize, took: u64) {
+        self.engines[engine].is_stepping = false;
+        let stepped = self.engines[engine].end(self.now_us, took);
+        for work in &stepped.whole {
+            let way = self.way_us(self.requests[work.request].arrival.instance, engine);
+            self.at(self.now_us + way, Event::Ended(work.request, engine, work.spent_us));
+        }
+        self.drop_all(&stepped.dropped, engine);
+        self.step_begin(engine);
+        if self.knows_everything() {
+            self.place();
+        }
+    }
+
+    fn drop_all(&mut self, dropped: &[Work], engine: usize) {
+        for work in dropped {
+            self.at(self.now_us, Event::Dropped(work.request, engine, work.spent_us));
+        }
+    }
+
+    fn ended(&mut self, index: usize, engine: usize, spent_us: u64) {
+        self.open -= 1;
+        let is_on_time = self.now_us <= self.requests[index].deadline_us;
+        self.outcome.engine_ms += spent_us / 1000;
+        if is_on_time {
+            self.outcome.attained += 1;
+        } else {
+            self.outcome.wasted_ms += spent_us / 1000;
+        }
+        if self.knows_everything() {
+            return;
+        }
+        let now = self.now_ms();
+        let request = &self.requests[index];
+        let took = (self.now_us - request.sent_us) / 1000;
+        let all = (self.now_us - request.first_sent_us) / 1000;
+        let instance = &mut self.instances[request.arrival.instance];
+        let address = address(engine);
+        instance.times[request.arrival.kind].record(now, all);
+        instance.router.ended(now, &address, call(request).work, End::Whole(took));
+        let running = self.engines[engine].running.len() as u32;
+        let waiting = self.engines[engine].waiting.len() as u32;
+        instance.router.report(now, &address, Load { running, waiting });
+        self.done_at_gate(index, Signal::of_load(running, waiting));
+    }
+
+    fn dropped(&mut self, index: usize, engine: usize, spent_us: u64) {
+        self.open -= 1;
+        self.outcome.engine_ms += spent_us / 1000;
+        self.outcome.wasted_ms += spent_us / 1000;
+        if self.knows_everything() {
+            return;
+        }
+        let now = self.now_ms();
+        let request = &self.requests[index];
+        let instance = &mut self.instances[request.arrival.instance];
+        instance.router.ended(now, &address(engine), call(request).work, End::Dropped);
+        let running = self.engines[engine].running.len() as u32;
+        let waiting = self.engines[engine].waiting.len() as u32;
+        self.done_at_gate(index, Signal::of_load(running, waiting));
+    }
+
+    fn failed(&mut self, index: usize, engine: usize) {
+        if self.knows_everything() {
+            self.central.push(index);
+            return self.place();
+        }
+        let now = self.now_ms();
+        let request = &mut self.requests[index];
+        let instance = &mut self.instances[request.arrival.instance];
+        let address = address(engine);
+        instance.router.ended(now, &address, call(request).work, End::Failed);
+        request.tried.push(address);
+        if instance.retries.spend() {
+            self.outcome.retries += 1;
+            self.route(index);
+        } else {
+            self.give_up(index);
+        }
+    }
+
+    fn done_at_gate(&mut self, index: usize, signal: Signal) {
+        if !self.setup.arm.admits {
+            return;
+        }
+        let now = self.now_ms();
+        let arrival = self.requests[index].arrival;
+        let name = ORGANISATIONS[arrival.organisation];
+        let tickets = self.instances[arrival.instance].gate.done(now, name, signal);
+        for ticket in tickets {
+            if let Some(it) = self.instances[arrival.instance].waiting.remove(&ticket) {
+                self.start(it);
+            }
+        }
+    }
+
+    fn sweep(&mut self) {
+        let now = self.now_ms();
+        for index in 0..self.instances.len() {
+            for ticket in self.instances[index].gate.expire(now) {
+                if self.instances[index].waiting.remove(&ticket).is_some() {
+                    self.refuse();
+                }
+            }
+        }
+        self.at(self.now_us + SWEEP_US, Event::Sweep);
+    }
+
+    /// The scheduler that knows everything: it hands a call to an engine only when a slot is free,
+    /// the one with the least slack first among those that can still make it, to the engine that
+    /// holds its prefix or has least to do.
+    fn place(&mut self) {
+        loop {
+            let free: Vec<usize> = (0..self.engines.len())
+                .filter(|it| {
+                    let failing =
+                        self.setup.trouble == Trouble::FailingTenth && it.is_multiple_of(10);
+                    let engine = &self.engines[*it];
+                    !failing && engine.running.len() + engine.waiting.len() < engine::SLOTS
+                })
+                .collect();
+            if free.is_empty() {
+                return;
+            }
+            let now = self.now_us;
+            let before = self.central.len();
+            let requests = &self.requests;
+            self.central.retain(|it| {
+                let request = &requests[*it];
+                now + u64::from(request.arrival.class.output) * 7000 <= request.deadline_us
+            });
+            for _ in self.central.len()..before {
+                self.refuse();
+            }
+            // Shortest first: it gives the most answers when not all can be given.
+            let shortest = |it: &usize| {
+                let class = self.requests[*it].arrival.class;
+                (class.output, class.prompt, self.requests[*it].deadline_us)
+            };
+            let next =
+                self.central.iter().enumerate().min_by_key(|it| shortest(it.1)).map(|it| it.0);
+            let Some(place) = next else { return };
+            let index = self.central.swap_remove(place);
+            let prefix = self.requests[index].arrival.prefix;
+            let best = free.into_iter().min_by_key(|it| {
+                let engine = &self.engines[*it];
+                (engine.slowness, !engine.holds(prefix), engine.backlog())
+            });
+            if let Some(engine) = best {
+                self.requests[index].sent_us = now;
+                self.deliver(index, engine);
+            }
+        }
+    }
+}
+
+const ORGANISATIONS: [&str; 5] = ["a", "b", "c", "d", "e"];
+
+fn address(engine: usize) -> String {
+    format!("e{engine}")
+}
+
+fn call(request: &Request) -> Call<'_> {
+    let class = request.arrival.class;
+    let prompt = f64::from(class.prompt) / PROMPT_UNITS;
+    let work = f64::from(class.output) + prompt;
+    let prefix_work = work * 0.5;
+    Call {
+        work,
+        prefix_work,
+        prefix: Some(request.arrival.prefix),
+        tried: &request.tried,
+        cap: 256,
+    }
+}
+
+fn instance(setup: &Setup, index: usize, policy: &Policy) -> Instance {
+    let member =
+        |it: usize| Member { address: address(it), domain: format!("d{}", it % 4), leaving: false };
+    let members: Vec<Member> = (0..setup.user.engines).map(member).collect();
+    let mut router = Router::new(&format!("i{index}"), &format!("d{}", index % 4), policy.clone());
+    router.set_members(&members);
+    Instance {
+        router,
+        gate: Gate::new(CEILING),
+        retries: RetryBudget::new(),
+        times: vec![Times::new(); setup.user.classes.len()],
+        waiting: HashMap::new(),
+    }
+}
--- a/crates/holdpoint/src/bench.rs
+++ b/crates/holdpoint/src/bench.rs
@@ -22,12 +22,13 @@
         Some(("overhead", it)) => overhead(it).await,
         Some(("capacity", it)) => capacity(it).await,
         Some(("control", it)) => control(it).await,
+        Some(("policies", it)) => crate::judge::policies(it),
         Some(("faults", it)) => fault_matrix(it).await,
         _ => Ok(()),
     }
 }
 
-fn number(matches: &ArgMatches, name: &str) -> usize {
+pub(crate) fn number(matches: &ArgMatches, name: &str) -> usize {
     matches.get_one::<u64>(name).map_or(1, |it| *it as usize)
 }
 
--- a/crates/holdpoint/src/cli.rs
+++ b/crates/holdpoint/src/cli.rs
@@ -176,6 +176,14 @@
                 .about("Slopes of state, time and bytes, for docs/CAPACITY.md")
                 .arg(number("seconds", "5", "Seconds that idle instances are counted for")),
         )
+        .subcommand(
+            Command::new("policies")
+                .about("Routes and admission against baselines and a bound, in manual time")
+                .arg(number("seeds", "5", "Seeds, from 1"))
+                .arg(number("seconds", "20", "Seconds of arrivals"))
+                .arg(number("instances", "6", "Entry instances"))
+                .arg(plot()),
+        )
         .subcommand(
             Command::new("control")
                 .about("Changes, leaving targets and claims on running instances")
--- /dev/null
+++ b/crates/holdpoint/src/judge.rs
@@ -0,0 +1,143 @@
+//! Policies judged against each other.
+
+use std::path::PathBuf;
+
+use clap::ArgMatches;
+use holdpoint_emulator::{
+    plot::{Series, Texts, lines},
+    policies::{ARMOR, ARMS, Outcome, PRAIRIE, Setup, Trouble, User, run_all},
+};
+
+use crate::{bench::number, failure::Failure, output::table};
+
+/// Offered loads, as percentages of what the engines can do.
+const LOADS: [u32; 5] = [50, 80, 100, 130, 200];
+/// Load at which troubles are compared.
+const TROUBLED_LOAD: u32 = 130;
+const USERS: [&User; 2] = [&PRAIRIE, &ARMOR];
+
+/// Runs all arms on both users' workloads and prints what each attained and cost.
+pub(crate) fn policies(matches: &ArgMatches) -> Result<(), Failure> {
+    let seeds = number(matches, "seeds") as u64;
+    let setup = |user, arm, load, trouble| Setup {
+        user,
+        arm,
+        load,
+        trouble,
+        seed: 0,
+        instances: number(matches, "instances"),
+        seconds: number(matches, "seconds") as u64,
+    };
+    let mut setups = Vec::new();
+    for user in USERS {
+        for arm in ARMS {
+            setups.extend(LOADS.iter().map(|it| setup(user, arm, *it, Trouble::None)));
+        }
+        for trouble in [Trouble::SlowStage, Trouble::FailingTenth, Trouble::SlowQuarter] {
+            setups.extend(ARMS.iter().map(|it| setup(user, *it, TROUBLED_LOAD, trouble)));
+        }
+    }
+    let outcomes = run_all(&setups, seeds);
+    let all: Vec<(Setup, Outcome)> = setups.into_iter().zip(outcomes).collect();
+    println!("{seeds} seeds from 1; attainment with its interval of 95 in 100\n");
+    for user in USERS {
+        print_user(user, &all);
+    }
+    if let Some(path) = matches.get_one::<PathBuf>("plot") {
+        plot(path, &all)?;
+    }
+    let failed = failures(&all);
+    if failed.is_empty() { Ok(()) } else { Err(Failure::NotMet(failed.join("; "))) }
+}
+
+fn is_of(it: &Setup, user: &User, load: u32, trouble: Trouble) -> bool {
+    it.user.name == user.name && it.load == load && it.trouble == trouble
+}
+
+fn print_user(user: &User, all: &[(Setup, Outcome)]) {
+    let troubles = [Trouble::SlowStage, Trouble::FailingTenth, Trouble::SlowQuarter];
+    let cases = LOADS.iter().map(|it| (*it, Trouble::None));
+    for (load, trouble) in cases.chain(troubles.map(|it| (TROUBLED_LOAD, it))) {
+        println!("{} at {load} %, trouble: {trouble:?}", user.name);
+        let rows = all.iter().filter(|it| is_of(&it.0, user, load, trouble)).map(row).collect();
+        let header = [
+            "ARM",
+            "ATTAINED",
+            "LOW",
+            "HIGH",
+            "GOODPUT/S",
+            "REFUSED",
+            "ENGINE MS AN ANSWER",
+            "WASTED %",
+            "RETRIES %",
+        ];
+        println!("{}\n", table(&header, rows));
+    }
+}
+
+fn row((setup, it): &(Setup, Outcome)) -> Vec<String> {
+    let interval = it.attainment();
+    let percent = |part: u64, whole: u64| 100.0 * part as f64 / whole.max(1) as f64;
+    vec![
+        setup.arm.name.to_owned(),
+        format!("{:.4}", interval.mid),
+        format!("{:.4}", interval.low),
+        format!("{:.4}", interval.high),
+        format!("{:.0}", it.goodput()),
+        format!("{:.1} %", percent(it.refused, it.offered)),
+        format!("{:.1}", it.cost()),
+        format!("{:.1}", percent(it.wasted_ms, it.engine_ms)),
+        format!("{:.2}", percent(it.retries, it.offered)),
+    ]
+}
+
+/// What must be shown and is not.
+fn failures(all: &[(Setup, Outcome)]) -> Vec<String> {
+    let mut failed = Vec::new();
+    let of = |user: &User, arm: &str, load: u32, trouble: Trouble| {
+        let found = all.iter().find(|it| is_of(&it.0, user, load, trouble) && it.0.arm.name == arm);
+        found.map(|it| it.1).unwrap_or_default()
+    };
+    for user in USERS {
+        let cases = [
+            (130, Trouble::None),
+            (TROUBLED_LOAD, Trouble::SlowStage),
+            (TROUBLED_LOAD, Trouble::FailingTenth),
+        ];
+        for (load, trouble) in cases {
+            let ours = of(user, ARMS[0].name, load, trouble).attainment();
+            let baselines = ARMS[1..].iter().filter(|it| it.route.is_some());
+            for arm in baselines {
+                let theirs = of(user, arm.name, load, trouble).attainment();
+                if ours.low <= theirs.high {
+                    let case = format!("{} at {load} %, {trouble:?}", user.name);
+                    failed.push(format!("{case}: not above {}", arm.name));
+                }
+            }
+        }
+        let goodput = |load| of(user, ARMS[0].name, load, Trouble::None).goodput();
+        if goodput(200) < goodput(100) {
+            failed.push(format!("{}: goodput falls from 100 to 200 %", user.name));
+        }
+    }
+    failed
+}
+
+fn plot(path: &std::path::Path, all: &[(Setup, Outcome)]) -> Result<(), Failure> {
+    let series = ARMS.iter().map(|arm| {
+        let points = all
+            .iter()
+            .filter(|it| it.0.arm.name == arm.name && it.0.trouble == Trouble::None)
+            .filter(|it| it.0.user.name == PRAIRIE.name)
+            .map(|it| (f64::from(it.0.load), it.1.goodput()))
+            .collect();
+        Series { name: arm.name.to_owned(), points }
+    });
+    let series: Vec<Series> = series.collect();
+    let texts = Texts {
+        title: "Prairie Cellars: requests answered in time",
+        x: "offered load, % of what the engines can do",
+        y: "answers a second",
+    };
+    lines(path, texts, &series).map_err(Failure::Plot)
+}
--- a/crates/holdpoint/src/main.rs
+++ b/crates/holdpoint/src/main.rs
@@ -5,6 +5,7 @@
 mod cli;
 mod demo;
 mod failure;
+mod judge;
 mod output;
 
 use std::{alloc::System, process::ExitCode};
--- a/crates/holdpointd/src/traffic/admission.rs
+++ b/crates/holdpointd/src/traffic/admission.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use holdpoint_core::{
-    admit::{Ask, Gate, Offer, Refusal, Ticket},
+    admit::{Ask, Gate, Offer, Refusal, Signal, Ticket},
     ids::{Millis, Name},
 };
 use parking_lot::Mutex;
@@ -37,7 +37,7 @@
 pub(crate) struct Admitted {
     shared: Arc<Shared>,
     organisation: Name,
-    on_time: bool,
+    signal: Signal,
 }
 
 impl Admission {
@@ -45,15 +45,15 @@
         Admission { inner: Mutex::new(Inner { gate: Gate::new(ceiling), waiters: HashMap::new() }) }
     }
 
-    fn done(&self, now: Millis, organisation: &str, on_time: bool) {
+    fn done(&self, now: Millis, organisation: &str, signal: Signal) {
         let mut inner = self.inner.lock();
-        let mut tickets = inner.gate.done(now, organisation, on_time);
+        let mut tickets = inner.gate.done(now, organisation, signal);
         while let Some(ticket) = tickets.pop() {
             let waiter = inner.waiters.remove(&ticket);
             let is_gone = waiter.is_none_or(|it| it.send(true).is_err());
             if is_gone {
                 // Its caller has left; the place goes to the next one.
-                tickets.extend(inner.gate.done(now, organisation, true));
+                tickets.extend(inner.gate.done(now, organisation, Signal::Silent));
             }
         }
     }
@@ -74,7 +74,7 @@
     let admitted = || Admitted {
         shared: shared.clone(),
         organisation: ask.organisation.to_owned(),
-        on_time: true,
+        signal: Signal::Silent,
     };
     let receiver = {
         let mut inner = admission.inner.lock();
@@ -103,15 +103,15 @@
 }
 
 impl Admitted {
-    /// Notes that the request missed its deadline, which lowers the limit.
-    pub(crate) fn missed(&mut self) {
-        self.on_time = false;
+    /// Notes what the request's targets said about their load.
+    pub(crate) fn note(&mut self, signal: Signal) {
+        self.signal = signal;
     }
 }
 
 impl Drop for Admitted {
     fn drop(&mut self) {
         let now = self.shared.clock.now();
-        self.shared.traffic.admission.done(now, &self.organisation, self.on_time);
+        self.shared.traffic.admission.done(now, &self.organisation, self.signal);
     }
 }
--- a/crates/holdpointd/src/traffic/callers.rs
+++ b/crates/holdpointd/src/traffic/callers.rs
@@ -23,6 +23,7 @@
 use holdpoint_schema::{
     Part, caller::Answer, faults, peer::ClaimReply, records::ClaimKey, resources::Organisation,
 };
+use parking_lot::Mutex;
 use serde_json::Value;
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
@@ -250,6 +251,7 @@
         key: checked.key,
         token,
         ledger: checked.ledger,
+        load: Mutex::default(),
     };
     let running = Running { job, claim, admitted, _working: working };
     if checked.wants_stream {
@@ -375,6 +377,7 @@
     /// rest is read elsewhere.
     async fn run(mut self, sink: Option<&Sink>) -> Result<Option<Answer>, Problem> {
         let (result, costs) = self.job.run(sink).await;
+        self.admitted.note(self.job.signal());
         let now = self.job.shared.clock.now();
         let is_on_time = now <= self.job.deadline;
         let shared = self.job.shared.clone();
@@ -397,7 +400,7 @@
                 Ok(answer)
             }
             Err((problem, failure)) => {
-                self.ended_badly(now, &problem);
+                self.ended_badly(&problem);
                 let cause = Job::cause(&failure, problem.kind());
                 self.job.state.burn.lock().bad(now, cause);
                 Err(problem)
@@ -405,12 +408,11 @@
         }
     }
 
-    fn ended_well(&mut self, now: Millis, is_on_time: bool, answer: Option<&Answer>) {
+    fn ended_well(&self, now: Millis, is_on_time: bool, answer: Option<&Answer>) {
         let shared = &self.job.shared;
         if is_on_time {
             self.job.state.burn.lock().good(now);
         } else {
-            self.admitted.missed();
             let kind = "late".to_owned();
             let cause = Cause { stage: String::new(), target: String::new(), kind };
             self.job.state.burn.lock().bad(now, cause);
@@ -423,11 +425,8 @@
         count(shared, &self.job.pipeline, outcome);
     }
 
-    fn ended_badly(&mut self, _now: Millis, problem: &Problem) {
+    fn ended_badly(&self, problem: &Problem) {
         let shared = &self.job.shared;
-        if problem.kind() == ProblemKind::Deadline {
-            self.admitted.missed();
-        }
         if let Some(claim) = &self.claim {
             match problem.run() {
                 holdpoint_schema::caller::Run::No => {
--- a/crates/holdpointd/src/traffic/job.rs
+++ b/crates/holdpointd/src/traffic/job.rs
@@ -7,6 +7,7 @@
 
 use futures::{StreamExt, stream::FuturesUnordered};
 use holdpoint_core::{
+    admit::Signal,
     burn::Cause,
     catalog::Versioned,
     ids::{Millis, Name, Offset},
@@ -17,8 +18,10 @@
 use holdpoint_platform::CallError;
 use holdpoint_schema::{
     caller::{Answer, StageReport},
+    platform::TargetLoad,
     resources::Policy,
 };
+use parking_lot::Mutex;
 use serde_json::Value;
 use tokio::sync::mpsc;
 
@@ -72,6 +75,8 @@
     pub(crate) token: Option<Offset>,
     pub(crate) trial: Option<InTrial>,
     pub(crate) ledger: Ledger,
+    /// The worst that targets have reported of their load so far.
+    pub(crate) load: Mutex<Signal>,
 }
 
 /// How a request ended well.
@@ -131,6 +136,17 @@
         self.deadline.saturating_sub(self.shared.clock.now())
     }
 
+    /// Notes the load that a target reported: the worst one counts.
+    pub(crate) fn note_load(&self, load: &TargetLoad) {
+        let mut worst = self.load.lock();
+        *worst = worst.max(Signal::of_load(load.running, load.waiting));
+    }
+
+    /// What the targets reported, for the gate.
+    pub(crate) fn signal(&self) -> Signal {
+        *self.load.lock()
+    }
+
     /// Whether calls of a stage count as running the request: in a pipeline with calls that may
     /// not be repeated, those; elsewhere, all.
     pub(crate) fn counts(&self, stage: usize) -> bool {
--- a/crates/holdpointd/src/traffic/stage.rs
+++ b/crates/holdpointd/src/traffic/stage.rs
@@ -39,7 +39,9 @@
 /// Part of the prompt that its prefix hash is taken from, in bytes.
 const PREFIX_BYTES: usize = 256;
 /// Bytes of a prompt that make one unit of work.
-const BYTES_A_UNIT: f64 = 40.0;
+const BYTES_A_UNIT: f64 = 160.0;
+/// Part of reading a prompt that a cached prefix saves.
+const PREFIX_SAVES: f64 = 0.5;
 /// An attempt that may be repeated is given up after this many times its usual time.
 const PATIENCE_FACTOR: u64 = 4;
 /// An attempt is never given up earlier than this, in milliseconds.
@@ -53,7 +55,9 @@
     pub(crate) pool: &'a Pool,
     pub(crate) state: Arc<PoolState>,
     pub(crate) inputs: Map<String, Value>,
+    /// Work expected: tokens to be generated, and the prompt in the same unit.
     pub(crate) units: f64,
+    prompt_units: f64,
     pub(crate) prefix: Option<u64>,
     policy: Policy,
 }
@@ -117,15 +121,12 @@
         state.refresh(&members_of(&job.view.targets, &stage.pool), &own);
         let policy = job.trial.as_ref().map_or(own, |it| it.policy.clone());
         let prompt = (pool.kind == PoolKind::Engine).then(|| prompt(&inputs));
-        let (units, prefix) = match &prompt {
-            Some(it) => {
-                let head = &it.as_bytes()[..it.len().min(PREFIX_BYTES)];
-                let units = f64::from(stage.max_tokens) + it.len() as f64 / BYTES_A_UNIT;
-                (units, Some(xxh3_64(head)))
-            }
-            None => (1.0, None),
-        };
-        Work { job, index, stage, pool, state, inputs, units, prefix, policy }
+        let prompt_units = prompt.as_ref().map_or(0.0, |it| it.len() as f64 / BYTES_A_UNIT);
+        let tokens = prompt.as_ref().map_or(1.0, |_| f64::from(stage.max_tokens));
+        let head = |it: &String| xxh3_64(&it.as_bytes()[..it.len().min(PREFIX_BYTES)]);
+        let prefix = prompt.as_ref().map(head);
+        let units = tokens + prompt_units;
+        Work { job, index, stage, pool, state, inputs, units, prompt_units, prefix, policy }
     }
 
     async fn attempts(&self, sink: Option<&Sink>, cost: &mut u64) -> Result<StageDone, Failed> {
@@ -220,7 +221,13 @@
     }
 
     fn call<'b>(&self, tried: &'b [String]) -> Call<'b> {
-        Call { work: self.units, prefix: self.prefix, tried, cap: self.pool.concurrency }
+        Call {
+            work: self.units,
+            prefix_work: self.prompt_units * PREFIX_SAVES,
+            prefix: self.prefix,
+            tried,
+            cap: self.pool.concurrency,
+        }
     }
 
     /// Counts the attempt in the request's ledger, where this stage counts; `None` where the
@@ -290,6 +297,7 @@
         let mut router = self.state.router.lock();
         router.ended(now, address, self.units, end);
         if let Some(it) = &attempted.signs.load {
+            self.job.note_load(it);
             router.report(now, address, Load { running: it.running, waiting: it.waiting });
         }
         if attempted.signs.leaving {
