--- a/crates/holdpoint-emulator/src/capacity.rs
+++ b/crates/holdpoint-emulator/src/capacity.rs
@@ -29,6 +29,9 @@
 /// Times that each measurement is made; the spread is between them.
 const REPEATS: usize = 5;
 
+/// Sizes with what was measured at each.
+type Points = Vec<(f64, f64)>;
+
 /// A measured slope.
 #[derive(Clone, Debug, Serialize)]
 pub struct Slope {
@@ -37,7 +40,7 @@
     /// What it grows with.
     pub by: &'static str,
     /// Points of the middle run.
-    pub points: Vec<(f64, f64)>,
+    pub points: Points,
     /// Growth for one more, of the median run.
     pub slope: f64,
     /// Value at size 0, of the median run.
@@ -57,9 +60,9 @@
     for size in sizes {
         black_box(measure(*size));
     }
-    let mut runs: Vec<(f64, f64, Vec<(f64, f64)>)> = (0..REPEATS)
+    let mut runs: Vec<(f64, f64, Points)> = (0..REPEATS)
         .map(|_| {
-            let points: Vec<_> = sizes.iter().map(|it| (*it as f64, measure(*it))).collect();
+            let points: Points = sizes.iter().map(|it| (*it as f64, measure(*it))).collect();
             let (slope, base) = line(&points);
             (slope, base, points)
         })
--- a/crates/holdpoint-emulator/src/policies/run.rs
+++ b/crates/holdpoint-emulator/src/policies/run.rs
@@ -92,7 +92,7 @@
         let arrivals = arrivals(user, rate, setup.seconds, setup.instances, &mut rng);
         let policy = policy_of(setup.arm.route.unwrap_or(Route::Predicted));
         let instances = (0..setup.instances).map(|it| instance(setup, it, &policy)).collect();
-        let slow = |it: usize| setup.trouble == Trouble::SlowQuarter && it % 4 == 0;
+        let slow = |it: usize| setup.trouble == Trouble::SlowQuarter && it.is_multiple_of(4);
         let engine = |it| Engine::new(if slow(it) { 3 } else { 1 });
         let mut run = Run {
             setup,
