A call told "in progress" gives up its own late claim; request handling split by job

Cause: read while splitting callers.rs. A call whose claim was still on its way was told that another holds the key. Had that one released the key before the late claim landed, the late claim would have held it, with nobody behind it, until its window ended: every repeat told "in progress". Nothing could run twice.

--- a/crates/holdpoint-core/tests/claims.rs
+++ b/crates/holdpoint-core/tests/claims.rs
@@ -257,6 +257,18 @@
     assert_eq!(table.standing(&key(), "h", &claimant(1)), Standing::Won(3));
 }
 
+#[test]
+fn a_call_that_was_told_in_progress_gives_up_its_own_late_claim() {
+    let mut table = ClaimTable::new(WINDOW);
+    table.apply(1, KEY_TIME, &[entry(0, Kind::Claim)]);
+    // Call 1 was told that call 0 holds the key; its claim is still on its way.
+    table.apply(2, KEY_TIME, &[entry(1, Kind::Release)]);
+    assert_eq!(table.standing(&key(), "h", &claimant(2)), Standing::Held(claimant(0)));
+    table.apply(3, KEY_TIME, &[entry(0, Kind::Release)]);
+    table.apply(4, KEY_TIME, &[entry(1, Kind::Claim)]);
+    assert_eq!(table.standing(&key(), "h", &claimant(2)), Standing::Free, "nobody is stuck");
+}
+
 #[test]
 fn another_body_is_a_mismatch() {
     let mut table = ClaimTable::new(WINDOW);
--- a/crates/holdpointd/src/traffic/callers.rs
+++ b/crates/holdpointd/src/traffic/callers.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use axum::{
-    Json, Router,
+    Router,
     body::Body,
     extract::{Path, State},
     http::{HeaderMap, HeaderName, HeaderValue, header},
@@ -21,30 +21,24 @@
     trial::arm_of,
 };
 use holdpoint_schema::{
-    Part, caller::Answer, faults, peer::ClaimReply, records::ClaimKey, resources::Organisation,
+    Part, faults, peer::ClaimReply, records::ClaimKey, resources::Organisation,
 };
 use parking_lot::Mutex;
 use serde_json::Value;
-use tokio::sync::mpsc;
-use tokio_stream::wrappers::ReceiverStream;
 
 use crate::{
-    events::{self, emit},
-    metrics::label,
     shared::{Published, Shared, Working},
     traffic::{
         PipelineState,
-        admission::{Admitted, admit},
+        admission::admit,
         claim::{self, Claim},
-        job::{Done, InTrial, Job, Sink, StreamEvent},
+        job::{InTrial, Job},
         problem::{Problem, ProblemKind},
-        resume, sse,
+        resume,
+        running::{Running, count},
     },
 };
 
-/// Chunks that wait for a slow caller before its generation is read no further.
-pub(crate) const SINK: usize = 64;
-
 const PATIENCE: HeaderName = HeaderName::from_static("holdpoint-patience-ms");
 const KEY: HeaderName = HeaderName::from_static("idempotency-key");
 const REPLAYED: HeaderName = HeaderName::from_static("holdpoint-replayed");
@@ -253,7 +247,7 @@
         ledger: checked.ledger,
         load: Mutex::default(),
     };
-    let running = Running { job, claim, admitted, _working: working };
+    let running = Running::new(job, claim, admitted, working);
     if checked.wants_stream {
         return Ok(running.streamed().await);
     }
@@ -302,10 +296,15 @@
         ClaimReply::Won(it) => Ok(Claimed::Won(it)),
         ClaimReply::Done(it) => Ok(Claimed::Replay(it)),
         ClaimReply::Held(_) => {
+            // A claim of this call may still be on its way and must not outlive the holder's.
+            claim::release(shared, claim, "held");
             Err(Problem::may_have_run(ProblemKind::InProgress).with_retry_after(1000))
         }
         ClaimReply::Unknown => Err(Problem::may_have_run(ProblemKind::OutcomeUnknown)),
-        ClaimReply::Mismatch => Err(refuse(ProblemKind::KeyMismatch)),
+        ClaimReply::Mismatch => {
+            claim::release(shared, claim, "mismatch");
+            Err(refuse(ProblemKind::KeyMismatch))
+        }
         ClaimReply::Expired => Err(refuse(ProblemKind::KeyExpired)),
         ClaimReply::Silent => {
             claim::release(shared, claim, "log silent");
@@ -334,115 +333,3 @@
     let policy = checked.view.catalog.policy(&arm.policy);
     Some(InTrial { trial: name.to_owned(), arm: arm.name.clone(), policy })
 }
-
-/// A request that has been admitted and, where it must be, claimed.
-struct Running {
-    job: Job,
-    claim: Option<Claim>,
-    admitted: Admitted,
-    /// Keeps a planned stop waiting until the request has ended.
-    _working: Working,
-}
-
-impl Running {
-    /// Runs to the end and answers in one piece. A claimed request runs on even if its caller
-    /// goes: its outcome is to be recorded. Any other is given up with its caller.
-    async fn answered(self) -> Result<Response, Problem> {
-        let whole = if self.claim.is_some() {
-            let task = tokio::spawn(self.run(None));
-            task.await.unwrap_or_else(|_| Err(Problem::may_have_run(ProblemKind::StageFailed)))
-        } else {
-            self.run(None).await
-        };
-        whole.map(|it| Json(it).into_response())
-    }
-
-    async fn streamed(self) -> Response {
-        let (sink, events) = mpsc::channel(SINK);
-        let request = self.job.request.clone();
-        tokio::spawn(async move {
-            let event = match self.run(Some(&sink)).await {
-                Ok(Some(it)) => StreamEvent::End(Box::new(it)),
-                Ok(None) => return,
-                Err(it) => StreamEvent::Failed(Box::new(it)),
-            };
-            // The caller may have gone.
-            drop(sink.send(event).await);
-        });
-        let gone = Problem::may_have_run(ProblemKind::StageFailed).with_request(request);
-        sse::answer(ReceiverStream::new(events), gone).await
-    }
-
-    /// Runs the stages, records how it ended, and returns the whole answer, or nothing where the
-    /// rest is read elsewhere.
-    async fn run(mut self, sink: Option<&Sink>) -> Result<Option<Answer>, Problem> {
-        let (result, costs) = self.job.run(sink).await;
-        self.admitted.note(self.job.signal());
-        let now = self.job.shared.clock.now();
-        let is_on_time = now <= self.job.deadline;
-        let shared = self.job.shared.clone();
-        let attained = is_on_time && result.is_ok();
-        if let Some(it) = &self.job.trial {
-            let stats = shared.traffic.trials.of(&it.trial, Default::default);
-            stats.lock().entry(it.arm.clone()).or_default().add(attained, &costs);
-        }
-        let took = now.saturating_sub(self.job.arrived);
-        let pipeline = [label("pipeline", self.job.pipeline.clone())];
-        shared.metrics.latency.record(took as f64, &pipeline);
-        let ended = match result {
-            Ok(Done::Whole(answer)) => Ok(Some(answer)),
-            Ok(Done::Moved | Done::CallerGone) => Ok(None),
-            Err(failure) => Err((self.job.problem(&failure), failure)),
-        };
-        match ended {
-            Ok(answer) => {
-                self.ended_well(now, is_on_time, answer.as_ref());
-                Ok(answer)
-            }
-            Err((problem, failure)) => {
-                self.ended_badly(&problem);
-                let cause = Job::cause(&failure, problem.kind());
-                self.job.state.burn.lock().bad(now, cause);
-                Err(problem)
-            }
-        }
-    }
-
-    fn ended_well(&self, now: Millis, is_on_time: bool, answer: Option<&Answer>) {
-        let shared = &self.job.shared;
-        if is_on_time {
-            self.job.state.burn.lock().good(now);
-        } else {
-            let kind = "late".to_owned();
-            let cause = Cause { stage: String::new(), target: String::new(), kind };
-            self.job.state.burn.lock().bad(now, cause);
-        }
-        if let Some(claim) = &self.claim {
-            let text = answer.and_then(|it| serde_json::to_string(it).ok());
-            claim::settle(shared, claim, text);
-        }
-        let outcome = if is_on_time { "attained" } else { "late" };
-        count(shared, &self.job.pipeline, outcome);
-    }
-
-    fn ended_badly(&self, problem: &Problem) {
-        let shared = &self.job.shared;
-        if let Some(claim) = &self.claim {
-            match problem.run() {
-                holdpoint_schema::caller::Run::No => {
-                    claim::release(shared, claim, problem.kind().name());
-                }
-                _ => {
-                    emit(events::OUTCOME_UNKNOWN, &shared.settings.instance, &claim.key.key);
-                    claim::settle(shared, claim, None);
-                }
-            }
-        }
-        count(shared, &self.job.pipeline, problem.kind().name());
-    }
-}
-
-fn count(shared: &Shared, pipeline: &str, outcome: &'static str) {
-    let labels = [label("pipeline", pipeline), label("outcome", outcome)];
-    shared.metrics.requests.add(1, &labels);
-}
--- a/crates/holdpointd/src/traffic/mod.rs
+++ b/crates/holdpointd/src/traffic/mod.rs
@@ -8,6 +8,7 @@
 mod problem;
 mod report;
 mod resume;
+mod running;
 mod sse;
 mod stage;
 
--- a/crates/holdpointd/src/traffic/resume.rs
+++ b/crates/holdpointd/src/traffic/resume.rs
@@ -20,10 +20,11 @@
     metrics::label,
     shared::Shared,
     traffic::{
-        callers::{SINK, authenticate},
+        callers::authenticate,
         generate::Outlet,
         job::{Sink, StreamEvent},
         problem::{Problem, ProblemKind},
+        running::SINK,
         sse,
         stage::AttemptError,
     },
