The command line tested against a running system

Cause: watch, get, delete, status and reports had been run by nothing but hand.

Change: two tests: apply, conflict by version, read and watch at the other instance with resume, delete; status, burn, trial with its plot, bad token, bad file; with their exit codes.

--- /dev/null
+++ b/crates/holdpoint/tests/cli.rs
@@ -0,0 +1,85 @@
+//! The command line against a running system.
+
+use std::{
+    io::{BufRead, BufReader},
+    path::PathBuf,
+    process::{Command, Output, Stdio},
+};
+
+use holdpoint_emulator::world::{OPERATOR_TOKEN, Plan, World};
+use serde_json::Value;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_holdpoint");
+
+fn holdpoint(instance: &str, args: &[&str]) -> Command {
+    let mut command = Command::new(BINARY);
+    command.args(["--instance", instance, "--token", OPERATOR_TOKEN]).args(args);
+    command
+}
+
+async fn run(instance: &str, args: &[&str]) -> Output {
+    let mut command = holdpoint(instance, args);
+    tokio::task::spawn_blocking(move || command.output().unwrap()).await.unwrap()
+}
+
+fn json(output: &Output) -> Value {
+    serde_json::from_slice(&output.stdout).unwrap()
+}
+
+fn file(name: &str, text: &str) -> String {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).unwrap();
+    path.to_str().unwrap().to_owned()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn resources_are_read_applied_watched_and_deleted() {
+    let world = World::start(&Plan::new(2)).await;
+    let (first, second) = (world.operators(0), world.operators(1));
+    let policy = r#"{ "resources": [ // A comment.
+        { "kind": "policies", "name": "cli", "version": 0, "spec": { "route": "random" } } ] }"#;
+    let path = file("policy.jsonc", policy);
+    let before = json(&run(&first, &["-o", "json", "get", "policies"]).await)["offset"].to_string();
+    assert_eq!(run(&first, &["apply", "-f", &path]).await.status.code(), Some(0));
+    let got = json(&run(&second, &["get", "policies", "cli"]).await);
+    assert_eq!(got["spec"]["route"], "random");
+    let again = run(&second, &["apply", "-f", &path]).await;
+    assert_eq!(again.status.code(), Some(5), "it exists already: a conflict");
+
+    // A watch resumes after the version it is given, at the other instance.
+    let mut child = holdpoint(&second, &["watch", "policies", "--from", &before])
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+    let seen: Value = serde_json::from_str(&lines.next().unwrap().unwrap()).unwrap();
+    assert_eq!((&seen["name"], &seen["version"]), (&got["name"], &got["version"]));
+    assert_eq!(run(&first, &["delete", "policies", "cli"]).await.status.code(), Some(0));
+    let gone: Value = serde_json::from_str(&lines.next().unwrap().unwrap()).unwrap();
+    assert_eq!(gone.get("spec"), None);
+    child.kill().unwrap();
+    child.wait().unwrap();
+    assert_eq!(run(&second, &["get", "policies", "cli"]).await.status.code(), Some(3));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn reports_and_status_cover_all_instances_and_mistakes_are_named() {
+    let world = World::start(&Plan::new(2)).await;
+    let address = world.operators(0);
+    let status = json(&run(&address, &["-o", "json", "status"]).await);
+    assert_eq!(status["instances"].as_array().unwrap().len(), 2);
+    let burn = json(&run(&address, &["-o", "json", "report", "burn"]).await);
+    assert_eq!(burn["instances"].as_array().unwrap().len(), 2);
+    let plot = file("trial.svg", "");
+    let trial = run(&address, &["report", "trial", "pairing-routes", "--plot", &plot]).await;
+    let text = String::from_utf8(trial.stdout).unwrap();
+    assert!(text.contains("not-enough-data"), "{text}");
+    let refused =
+        Command::new(BINARY).args(["--instance", &address, "--token", "x", "status"]).output();
+    assert_eq!(refused.unwrap().status.code(), Some(3));
+    let bad =
+        file("bad.jsonc", r#"{ "resources": [{ "kind": "pools", "name": "X", "spec": {} }] }"#);
+    let output = run(&address, &["apply", "-f", &bad]).await;
+    assert_eq!(output.status.code(), Some(2));
+    assert!(String::from_utf8(output.stderr).unwrap().contains("/resources/0/name"));
+}
