Claims: a group commit starts when it is due, not at the next tick

A batch that waits out its interval was looked at on ticks only. Ruled out: the log and the peers, which were as before.

Change: the control thread wakes when a batch is due.

--- a/crates/holdpointd/src/control/claim_stream.rs
+++ b/crates/holdpointd/src/control/claim_stream.rs
@@ -125,6 +125,10 @@
         self.pump(now);
     }
 
+    pub(crate) fn due(&self) -> Option<Millis> {
+        self.batcher.due()
+    }
+
     pub(crate) fn tick(&mut self, now: Millis, view: &View) {
         self.review(now, view);
         self.pump(now);
--- a/crates/holdpointd/src/control/claims.rs
+++ b/crates/holdpointd/src/control/claims.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// When the next group commit may start; `None` where nothing waits for one.
+    pub(crate) fn due(&self) -> Option<Millis> {
+        self.streams.iter().flatten().filter_map(ClaimStream::due).min()
+    }
+
     pub(crate) fn tick(&mut self, now: Millis, view: &View) {
         for stream in &mut self.streams {
             let Some(it) = stream else { continue };
--- a/crates/holdpointd/src/control/mod.rs
+++ b/crates/holdpointd/src/control/mod.rs
@@ -128,6 +128,7 @@
             // The tick goes first: after a pause it must see the clock's jump before any input
             // that waited through the pause can confirm the head.
             _ = ticks.tick() => control.tick(),
+            () = control.claims_due() => control.claims_tick(),
             input = inputs.recv() => match input {
                 Some(it) => control.handle(it),
                 None => break,
@@ -231,6 +232,22 @@
         }
     }
 
+    /// Waits until a group commit of claims may start: a tick would be too late for most.
+    fn claims_due(&self) -> impl Future<Output = ()> + use<> {
+        let now = self.shared.clock.now();
+        let wait = self.claims.due().map(|it| Duration::from_millis(it.saturating_sub(now)));
+        async move {
+            match wait {
+                Some(it) => tokio::time::sleep(it).await,
+                None => std::future::pending().await,
+            }
+        }
+    }
+
+    fn claims_tick(&mut self) {
+        self.claims.tick(self.shared.clock.now(), &self.view);
+    }
+
     fn tick(&mut self) {
         let now = self.shared.clock.now();
         self.life_event(lifecycle::Event::Tick { now });
