Core: functions without a caller removed

Cause: the last read of the whole change. Gate::abandon, Router::cached and Router::cache_gap had no caller and no test: cache events are not read yet (docs/CAPACITY.md says so), and a request whose caller has gone gives its place up when its turn comes.

Change: the three are gone; 22 lines less. Behaviour is as it was.

The whole suite was not run again after this deletion.

--- a/crates/holdpoint-core/src/admit.rs
+++ b/crates/holdpoint-core/src/admit.rs
@@ -247,11 +247,6 @@
         self.drop_waiting(|it| it.latest < now)
     }
 
-    /// Removes a request whose caller has gone; `false` where it waits no longer.
-    pub fn abandon(&mut self, ticket: Ticket) -> bool {
-        !self.drop_waiting(|it| it.ticket == ticket).is_empty()
-    }
-
     fn drop_waiting(&mut self, is_over: impl Fn(&Waiting) -> bool) -> Vec<Ticket> {
         let mut dropped = Vec::new();
         let mut empty = Vec::new();
--- a/crates/holdpoint-core/src/route.rs
+++ b/crates/holdpoint-core/src/route.rs
@@ -307,23 +307,6 @@
         self.mean_others = mean(reported.map(|it| it.others)).unwrap_or(0.0);
     }
 
-    /// Takes in a cache event: the target now holds this prefix, or holds it no longer.
-    pub fn cached(&mut self, now: Millis, address: &str, prefix: u64, held: bool) {
-        let Some(target) = self.target(address) else { return };
-        if held {
-            remember(target, prefix, now);
-        } else {
-            target.prefixes.remove(&prefix);
-        }
-    }
-
-    /// Forgets what a target's cache held: some of its events were lost.
-    pub fn cache_gap(&mut self, address: &str) {
-        if let Some(target) = self.target(address) {
-            target.prefixes.clear();
-        }
-    }
-
     fn target(&mut self, address: &str) -> Option<&mut Target> {
         self.targets.iter_mut().find(|it| it.address == address)
     }
