--- /dev/null
+++ b/crates/holdpoint-core/src/directory.rs
@@ -0,0 +1,130 @@
+//! The directory of target instances: who is there, where, and who is leaving.
+//!
+//! Entries are keyed by id, since addresses are used again by other services. A sign of leaving
+//! is final for an id: neither an older entry nor a later one takes it back.
+
+use std::collections::{BTreeMap, HashSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::Name;
+
+/// Identifies one start of one target instance.
+pub type TargetId = String;
+
+/// A target instance, as it describes itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetInstance {
+    /// Id of this start.
+    pub id: TargetId,
+    /// Service that it belongs to.
+    pub service: Name,
+    /// IP number and port.
+    pub address: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it says that it is leaving.
+    pub is_leaving: bool,
+    /// Rises with each entry of this id.
+    pub sequence: u64,
+}
+
+/// What an entry changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing but its sequence, or it was older than what is known.
+    Nothing,
+    /// A new instance.
+    Joined,
+    /// The instance is leaving or has left.
+    Leaving,
+    /// Something else about it.
+    Altered,
+}
+
+/// All target instances that are known.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    instances: BTreeMap<TargetId, TargetInstance>,
+    /// Ids that have shown a sign of leaving.
+    leaving: HashSet<TargetId>,
+}
+
+impl Directory {
+    /// Takes in an entry.
+    pub fn put(&mut self, entry: TargetInstance) -> Change {
+        let is_leaving = entry.is_leaving || self.leaving.contains(&entry.id);
+        let entry = TargetInstance { is_leaving, ..entry };
+        let known = self.instances.get(&entry.id);
+        if known.is_some_and(|it| entry.sequence < it.sequence) {
+            return Change::Nothing;
+        }
+        let change = match known {
+            None => Change::Joined,
+            Some(it) if is_leaving && !it.is_leaving => Change::Leaving,
+            Some(it) if is_same(it, &entry) => Change::Nothing,
+            Some(_) => Change::Altered,
+        };
+        if is_leaving {
+            self.leaving.insert(entry.id.clone());
+        }
+        self.instances.insert(entry.id.clone(), entry);
+        change
+    }
+
+    /// Takes in that an entry is gone.
+    pub fn remove(&mut self, id: &str) -> Change {
+        if self.instances.remove(id).is_some() { Change::Leaving } else { Change::Nothing }
+    }
+
+    /// Takes in a sign of leaving that did not come from the instance's own entry.
+    pub fn leave(&mut self, id: &str) -> Change {
+        let Some(found) = self.instances.get_mut(id) else { return Change::Nothing };
+        if found.is_leaving {
+            return Change::Nothing;
+        }
+        found.is_leaving = true;
+        self.leaving.insert(id.to_owned());
+        Change::Leaving
+    }
+
+    /// Takes in a whole list, read at once: what it does not name is gone.
+    pub fn replace(&mut self, entries: Vec<TargetInstance>) {
+        let named: HashSet<&str> = entries.iter().map(|it| it.id.as_str()).collect();
+        self.instances.retain(|id, _| named.contains(id.as_str()));
+        for entry in entries {
+            self.put(entry);
+        }
+    }
+
+    /// An instance by its id.
+    pub fn get(&self, id: &str) -> Option<&TargetInstance> {
+        self.instances.get(id)
+    }
+
+    /// All instances.
+    pub fn all(&self) -> impl Iterator<Item = &TargetInstance> {
+        self.instances.values()
+    }
+
+    /// Instances of a service, in the order of their ids.
+    pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a TargetInstance> {
+        self.instances.values().filter(move |it| it.service == service)
+    }
+
+    /// Number of instances.
+    pub fn len(&self) -> usize {
+        self.instances.len()
+    }
+
+    /// Whether no instance is known.
+    pub fn is_empty(&self) -> bool {
+        self.instances.is_empty()
+    }
+}
+
+fn is_same(known: &TargetInstance, entry: &TargetInstance) -> bool {
+    TargetInstance { sequence: known.sequence, ..entry.clone() } == *known
+}
--- /dev/null
+++ b/crates/holdpoint-core/src/event_split.rs
@@ -0,0 +1,56 @@
+//! Cuts a byte stream of server-sent events into whole events, byte for byte.
+
+use bytes::{Bytes, BytesMut};
+
+/// One whole event, with the blank line that ends it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WholeEvent {
+    /// Its bytes.
+    pub bytes: Bytes,
+    /// Its id, where it has one.
+    pub id: Option<String>,
+}
+
+/// Collects bytes until an event is whole.
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    buffer: BytesMut,
+    /// Bytes of the buffer in which no end was found.
+    searched: usize,
+}
+
+impl EventSplitter {
+    /// Takes in bytes and returns the events that they complete.
+    pub fn push(&mut self, bytes: &[u8]) -> Vec<WholeEvent> {
+        self.buffer.extend_from_slice(bytes);
+        let mut events = Vec::new();
+        while let Some(end) = self.find_end() {
+            let bytes = self.buffer.split_to(end).freeze();
+            self.searched = 0;
+            let id = event_id(&bytes);
+            events.push(WholeEvent { bytes, id });
+        }
+        events
+    }
+
+    /// Whether part of an event is held back.
+    pub fn is_partial(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// Index after the next blank line.
+    fn find_end(&mut self) -> Option<usize> {
+        let from = self.searched.saturating_sub(3);
+        let tail = &self.buffer[from..];
+        let plain = tail.windows(2).position(|it| it == b"\n\n").map(|it| it + 2);
+        let carriage = tail.windows(4).position(|it| it == b"\r\n\r\n").map(|it| it + 4);
+        self.searched = self.buffer.len();
+        [plain, carriage].into_iter().flatten().min().map(|it| from + it)
+    }
+}
+
+fn event_id(bytes: &[u8]) -> Option<String> {
+    let text = std::str::from_utf8(bytes).ok()?;
+    let id = text.lines().filter_map(|it| it.strip_prefix("id:")).next_back()?;
+    Some(id.trim().to_owned())
+}
--- a/crates/holdpoint-core/src/ledger.rs
+++ b/crates/holdpoint-core/src/ledger.rs
@@ -54,4 +54,9 @@
     pub fn never_sent(self) {
         self.ledger.word.fetch_sub(1, Ordering::AcqRel);
     }
+
+    /// Takes the call back on the target's own word that it has not run it and never will.
+    pub fn declined(self) {
+        self.ledger.word.fetch_sub(1, Ordering::AcqRel);
+    }
 }
--- a/crates/holdpoint-core/src/route.rs
+++ b/crates/holdpoint-core/src/route.rs
@@ -10,7 +10,11 @@
 use holdpoint_schema::resources::{Policy, Route};
 use rand::{Rng, RngExt};
 
-use crate::{admit::Signal, ids::Millis, subset::subset};
+use crate::{
+    admit::Signal,
+    ids::Millis,
+    subset::{subset, weight},
+};
 
 /// Weight of the newest measurement of a target's speed.
 const NEWEST: f64 = 0.1;
@@ -24,6 +28,9 @@
 const PREFIXES: usize = 512;
 /// Age at which a remembered prefix has lost half its weight, in milliseconds.
 const PREFIX_TRUST_MS: f64 = 30_000.0;
+/// How far the first and the second target for a prefix are trusted to hold it.
+const FIRST_TRUST: f64 = 0.9;
+const SECOND_TRUST: f64 = 0.2;
 /// Longest ejection as a multiple of the first one.
 const EJECT_DOUBLINGS: u32 = 5;
 
@@ -247,11 +254,13 @@
                 (self.least(&drawn, rng), drawn.len())
             }
             Route::Predicted => self.least_predicted(now, policy, call, &candidates, rng),
+            Route::Affinity => self.least_by_affinity(now, policy, call, &candidates, rng),
         };
         let target = &self.targets[index];
-        let predicted =
-            if route == Route::Predicted { self.predict(now, policy, call, target) } else { 0.0 };
-        let prefix_hit = prefix_trust(target, call, now) > 0.5;
+        let trust = prefix_trust(target, call, now);
+        let predicts = matches!(route, Route::Predicted | Route::Affinity);
+        let predicted = if predicts { self.predict(now, policy, call, target, trust) } else { 0.0 };
+        let prefix_hit = trust > 0.5;
         let reason = Reason { route, compared, ejected, predicted, prefix_hit };
         Ok(Choice { address: target.address.clone(), reason })
     }
@@ -369,13 +378,57 @@
             })
             .filter(|it| 0.0 < prefix_trust(&self.targets[*it], call, now));
         drawn.extend(holder);
-        let best = lowest(&drawn, rng, |it| self.predict(now, policy, call, &self.targets[it]));
+        let best = lowest(&drawn, rng, |it| {
+            let target = &self.targets[it];
+            self.predict(now, policy, call, target, prefix_trust(target, call, now))
+        });
         (best, drawn.len())
     }
 
+    /// The target of least predicted time, where all instances expect a prefix at the same
+    /// targets: those of highest weight for it by rendezvous hashing. So the requests that share a
+    /// prefix meet without any message, until the target is so busy that reading the prefix anew
+    /// elsewhere is faster.
+    fn least_by_affinity(
+        &self,
+        now: Millis,
+        policy: &Policy,
+        call: &Call<'_>,
+        candidates: &[usize],
+        rng: &mut impl Rng,
+    ) -> (usize, usize) {
+        let mut ranked = candidates.to_vec();
+        if let Some(prefix) = call.prefix {
+            let key = format!("{prefix:x}");
+            ranked.sort_by_cached_key(|it| {
+                std::cmp::Reverse(weight(&key, &self.targets[*it].address))
+            });
+        }
+        let trust = |index: usize| {
+            let rank = ranked.iter().position(|it| *it == index).unwrap_or(usize::MAX);
+            let expected = match (call.prefix, rank) {
+                (Some(_), 0) => FIRST_TRUST,
+                (Some(_), 1) => SECOND_TRUST,
+                _ => 0.0,
+            };
+            prefix_trust(&self.targets[index], call, now).min(FIRST_TRUST).max(expected)
+        };
+        let best = lowest(&ranked, rng, |it| {
+            self.predict(now, policy, call, &self.targets[it], trust(it))
+        });
+        (best, ranked.len())
+    }
+
     /// Predicted time of a call at a target: its work at the target's pace, slowed a little by
     /// each call in the batch, after a wait for those that stand before it in the queue.
-    fn predict(&self, now: Millis, policy: &Policy, call: &Call<'_>, target: &Target) -> f64 {
+    fn predict(
+        &self,
+        now: Millis,
+        policy: &Policy,
+        call: &Call<'_>,
+        target: &Target,
+        trust: f64,
+    ) -> f64 {
         let load = f64::from(target.in_flight) + self.others(now, policy, target);
         let pace = self.pace_of(target);
         let slots = if target.slots == 0.0 { load + 1.0 } else { target.slots };
@@ -386,7 +439,7 @@
             target.work / f64::from(target.in_flight)
         };
         let wait = ahead * mean_work * pace / slots.max(1.0);
-        let saved = call.prefix_work * prefix_trust(target, call, now);
+        let saved = call.prefix_work * trust;
         let run = (call.work - saved) * pace * (1.0 + BATCH_COST * load);
         let far = if target.domain == self.domain { 0.0 } else { FAR_MS };
         run + wait + far
--- /dev/null
+++ b/crates/holdpoint-core/src/stage_graph.rs
@@ -0,0 +1,102 @@
+//! The stages before a request's own service: which pieces are to be made, from what, and when.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{ids::Millis, ingress::StageStep};
+
+/// Where a piece's work comes from.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PieceSource {
+    /// From the request's own key.
+    Key(String),
+    /// From the results with these handles.
+    Inputs(Vec<String>),
+}
+
+/// One piece to make.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PieceWork {
+    /// Id of the request.
+    pub request: String,
+    /// Index of the stage.
+    pub stage: usize,
+    /// Index of the piece within the stage.
+    pub piece: u32,
+    /// What it is made from.
+    pub source: PieceSource,
+}
+
+/// Why a piece has no result.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum NoResult {
+    /// Its time was over at its turn.
+    Late,
+    /// An input is gone.
+    InputGone,
+    /// The target had no room for it.
+    NoRoom,
+    /// The target failed.
+    Failed,
+    /// No target or instance could be reached.
+    Unreachable,
+}
+
+/// The graph of one request: the route's stages with the request's number of pieces.
+#[derive(Clone, Debug)]
+pub struct StageGraph {
+    after: Vec<Vec<usize>>,
+    pieces: Vec<u32>,
+}
+
+impl StageGraph {
+    /// Makes the graph; a stage with no pieces is left out.
+    pub fn new(steps: &[StageStep], pieces: &[u32]) -> StageGraph {
+        let pieces = (0..steps.len()).map(|it| pieces.get(it).copied().unwrap_or(1)).collect();
+        StageGraph { after: steps.iter().map(|it| it.after.clone()).collect(), pieces }
+    }
+
+    /// Number of stages, those left out included.
+    pub fn len(&self) -> usize {
+        self.after.len()
+    }
+
+    /// Whether nothing is to be made.
+    pub fn is_empty(&self) -> bool {
+        self.pieces.iter().all(|it| *it == 0)
+    }
+
+    /// Pieces of a stage.
+    pub fn pieces(&self, stage: usize) -> u32 {
+        self.pieces[stage]
+    }
+
+    /// Stages that a stage needs and that are not left out.
+    pub fn needs(&self, stage: usize) -> impl Iterator<Item = usize> {
+        self.after[stage].iter().copied().filter(|it| self.pieces[*it] != 0)
+    }
+
+    /// Whether another stage comes after a stage.
+    pub fn is_needed(&self, stage: usize) -> bool {
+        (0..self.len()).any(|it| self.pieces[it] != 0 && self.after[it].contains(&stage))
+    }
+
+    /// Stages whose results the request's own service takes.
+    pub fn last(&self) -> impl Iterator<Item = usize> {
+        (0..self.len()).filter(|it| self.pieces[*it] != 0 && !self.is_needed(*it))
+    }
+
+    /// Number of stages on the longest chain that begins after `stage`.
+    pub fn depth_after(&self, stage: usize) -> u32 {
+        let later = (stage + 1..self.len())
+            .filter(|it| self.pieces[*it] != 0 && self.after[*it].contains(&stage));
+        later.map(|it| 1 + self.depth_after(it)).max().unwrap_or(0)
+    }
+}
+
+/// Time by which a stage's results should be there, so that what follows can be in time.
+///
+/// `target` is the time by which the answer should begin, `stage_ms` what one stage usually takes
+/// and `last_ms` what the request's own service does.
+pub fn due(target: Millis, depth_after: u32, stage_ms: Millis, last_ms: Millis) -> Millis {
+    target.saturating_sub(last_ms + u64::from(depth_after) * stage_ms)
+}
--- a/crates/holdpoint-schema/src/check.rs
+++ b/crates/holdpoint-schema/src/check.rs
@@ -7,6 +7,7 @@
 
 const SETTINGS: &str = include_str!("../schemas/settings.json");
 const RESOURCES: &str = include_str!("../schemas/resources.json");
+const INGRESS: &str = include_str!("../schemas/ingress.json");
 const CALLER: &str = include_str!("../schemas/caller.json");
 
 /// One fault in a checked value.
@@ -39,9 +40,11 @@
     Placement,
     /// A caller's request body.
     Call,
+    /// Settings of a daemon that serves the platform's ingress.
+    Ingress,
 }
 
-const PARTS: [Part; 9] = [
+const PARTS: [Part; 10] = [
     Part::Settings,
     Part::ResourceFile,
     Part::Pipeline,
@@ -51,6 +54,7 @@
     Part::Organisation,
     Part::Placement,
     Part::Call,
+    Part::Ingress,
 ];
 
 /// Returns every fault of `value` against one part of the schemas; none means that it is valid.
@@ -62,9 +66,10 @@
 }
 
 fn validator(part: Part) -> &'static Validator {
-    static VALIDATORS: OnceLock<Vec<Validator>> = OnceLock::new();
-    let all = VALIDATORS.get_or_init(|| PARTS.iter().map(|it| compiled(*it)).collect());
-    &all[part as usize]
+    // Each part is compiled when first asked for: a daemon uses one or two of them.
+    static VALIDATORS: [OnceLock<Validator>; PARTS.len()] =
+        [const { OnceLock::new() }; PARTS.len()];
+    VALIDATORS[part as usize].get_or_init(|| compiled(part))
 }
 
 fn compiled(part: Part) -> Validator {
@@ -78,6 +83,7 @@
         Part::Organisation => (RESOURCES, "Organisation"),
         Part::Placement => (RESOURCES, "Placement"),
         Part::Call => (CALLER, ""),
+        Part::Ingress => (INGRESS, ""),
     };
     let mut schema: Value = serde_json::from_str(text).expect("schemas are checked in and parse");
     if !name.is_empty() {
--- a/crates/holdpoint-schema/src/lib.rs
+++ b/crates/holdpoint-schema/src/lib.rs
@@ -16,6 +16,7 @@
 #[rustfmt::skip]
 mod generated {
     pub mod caller;
+    pub mod ingress;
     pub mod peer;
     pub mod platform;
     pub mod records;
@@ -25,5 +26,5 @@
 
 pub use crate::{
     check::{Fault, Part, faults},
-    generated::{caller, peer, platform, records, resources, settings},
+    generated::{caller, ingress, peer, platform, records, resources, settings},
 };
--- a/crates/holdpoint-schema/tests/drift.rs
+++ b/crates/holdpoint-schema/tests/drift.rs
@@ -8,7 +8,8 @@
 use serde_json::{Map, Value};
 use typify::{TypeSpace, TypeSpaceSettings};
 
-const NAMES: [&str; 6] = ["settings", "resources", "records", "peer", "caller", "platform"];
+const NAMES: [&str; 7] =
+    ["settings", "resources", "records", "peer", "caller", "platform", "ingress"];
 
 /// Keywords that are checked by the validator and would only turn plain types into wrappers.
 const CHECKS: [&str; 7] =
--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -74,6 +74,38 @@
     CLAIMANT_GONE = 502 Warn "claimant gone without an outcome";
     /// Streams were handed over at the drain limit.
     HANDED_OVER = 503 Info "streams handed over";
+    /// A configuration is in force.
+    CONFIGURED = 600 Info "configuration in force";
+    /// A configuration in the store cannot be read.
+    BAD_CONFIGURATION = 601 Error "configuration cannot be read";
+    /// An entry of a target instance cannot be read.
+    BAD_ENTRY = 602 Warn "target entry cannot be read";
+    /// A target instance joined or changed.
+    TARGET_CHANGED = 603 Info "target changed";
+    /// The store does not answer.
+    STORE_SILENT = 604 Warn "store does not answer";
+    /// The store answers again.
+    STORE_BACK = 605 Info "store answers again";
+    /// A peer joined, moved or left.
+    PEER_CHANGED = 606 Info "peer changed";
+    /// A peer does not answer.
+    PEER_SILENT = 607 Warn "peer does not answer";
+    /// The settings file was read again.
+    RELOADED = 608 Info "settings read again";
+    /// A request was sent to a target.
+    SENT = 700 Info "sent to a target";
+    /// A send ended without a whole answer.
+    SEND_FAILED = 701 Info "send failed";
+    /// A call that made results of a stage ended.
+    BATCH = 702 Info "batch ended";
+    /// Results of a stage are missing.
+    STAGE_FAILED = 703 Info "stage results missing";
+    /// A stream broke off at its target.
+    STREAM_MOVED = 704 Info "stream broke off at its target";
+    /// A request was denied before it had a route.
+    REQUEST_DENIED = 705 Info "request denied";
+    /// A request ended.
+    REQUEST_ENDED = 706 Info "request ended";
 }
 
 /// Writes an event to the log.
--- /dev/null
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -0,0 +1,324 @@
+//! Makes pieces of stages in calls that carry the pieces of many requests.
+
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use holdpoint_adapter::stages as wire;
+use holdpoint_core::{
+    batcher::{Batcher, Call, CallEnd, Sizes, Ticket, Waiting},
+    directory::{Directory, TargetId},
+    ids::{Millis, Name},
+    ingress::{Service, Version},
+    stage_graph::{NoResult, PieceWork},
+};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use tokio::sync::oneshot;
+
+use crate::{
+    events::{self, emit},
+    ingress::{
+        send::{left, own_call},
+        shared::IngressShared,
+    },
+    metrics::label,
+};
+
+/// Shortest time that a call to a target is given, in milliseconds.
+const LEAST_CALL_MS: Millis = 400;
+
+/// A piece that an instance asks for. Times are spans, since clocks differ.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct PieceAsk {
+    /// What to make.
+    pub(crate) work: PieceWork,
+    /// Milliseconds until its result should be there; negative where that is over.
+    pub(crate) due_in_ms: i64,
+    /// Milliseconds until its result helps nobody.
+    pub(crate) left_ms: Millis,
+    /// Rank of its request; 0 goes first.
+    pub(crate) rank: u32,
+    /// Room that its result takes, in bytes.
+    pub(crate) bytes: u64,
+    /// Failure domain where its result is needed.
+    pub(crate) domain: String,
+}
+
+/// A result's handle, or why there is none.
+pub(crate) type PieceResult = Result<String, NoResult>;
+
+struct Pending {
+    work: PieceWork,
+    deadline: Instant,
+    offered: Instant,
+    reply: oneshot::Sender<PieceResult>,
+}
+
+/// The batcher of one service on this instance.
+struct ServiceBatches {
+    batcher: Batcher,
+    pending: HashMap<Ticket, Pending>,
+}
+
+/// The batchers of all services on this instance.
+#[derive(Default)]
+pub(crate) struct Batches {
+    services: Mutex<HashMap<Name, ServiceBatches>>,
+    /// Targets by service, as last told: id, failure domain, whether it is leaving.
+    targets: Mutex<HashMap<Name, Vec<(TargetId, String, bool)>>>,
+    version: Mutex<Version>,
+    next_ticket: std::sync::atomic::AtomicU64,
+}
+
+impl Batches {
+    /// Takes in the services' sizes from the configuration in force.
+    pub(crate) fn configure(&self, shared: &IngressShared) {
+        let configuration = shared.configuration();
+        *self.version.lock() = configuration.version;
+        let mut services = self.services.lock();
+        for (name, of_service) in services.iter_mut() {
+            if let Some(sizes) = configuration.services.get(name).and_then(|it| sizes(it)) {
+                of_service.batcher.set_sizes(sizes);
+            }
+        }
+    }
+
+    /// Takes in the targets of all services.
+    pub(crate) fn set_targets(&self, directory: &Directory) {
+        let mut targets: HashMap<Name, Vec<(TargetId, String, bool)>> = HashMap::new();
+        for it in directory.all() {
+            let of_service = targets.entry(it.service.clone()).or_default();
+            of_service.push((it.id.clone(), it.domain.clone(), it.is_leaving));
+        }
+        let mut services = self.services.lock();
+        for (name, of_service) in services.iter_mut() {
+            let its = targets.get(name).map_or(&[][..], Vec::as_slice);
+            of_service.batcher.set_targets(borrowed(its));
+        }
+        *self.targets.lock() = targets;
+    }
+
+    /// Makes pieces on this instance; the results come in the order of the pieces.
+    pub(crate) async fn make(
+        &self,
+        shared: &Arc<IngressShared>,
+        service: &str,
+        asks: Vec<PieceAsk>,
+    ) -> Vec<PieceResult> {
+        let count = asks.len();
+        let Some(replies) = self.offer(shared, service, asks) else {
+            return vec![Err(NoResult::Unreachable); count];
+        };
+        pump(shared, service);
+        let mut results = Vec::with_capacity(count);
+        for reply in replies {
+            results.push(reply.await.unwrap_or(Err(NoResult::Failed)));
+        }
+        results
+    }
+
+    /// Time that one more piece of a service would take, in milliseconds, as far as is known here.
+    pub(crate) fn expected_ms(&self, service: &str) -> Option<f64> {
+        self.services.lock().get(service).map(|it| it.batcher.expected_ms())
+    }
+
+    fn offer(
+        &self,
+        shared: &IngressShared,
+        service: &str,
+        asks: Vec<PieceAsk>,
+    ) -> Option<Vec<oneshot::Receiver<PieceResult>>> {
+        let configuration = shared.configuration();
+        let sizes = configuration.services.get(service).and_then(|it| sizes(it))?;
+        let mut services = self.services.lock();
+        let of_service = services.entry(service.to_owned()).or_insert_with(|| {
+            let mut batcher = Batcher::new(sizes);
+            if let Some(its) = self.targets.lock().get(service) {
+                batcher.set_targets(borrowed(its));
+            }
+            ServiceBatches { batcher, pending: HashMap::new() }
+        });
+        let now = shared.clock.now();
+        let offered = Instant::now();
+        let mut replies = Vec::with_capacity(asks.len());
+        for ask in asks {
+            let ticket = self.next_ticket.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+            let (reply, answer) = oneshot::channel();
+            replies.push(answer);
+            of_service.batcher.offer(Waiting {
+                ticket,
+                due: now.saturating_add_signed(ask.due_in_ms),
+                deadline: now + ask.left_ms,
+                rank: ask.rank,
+                bytes: ask.bytes,
+                domain: ask.domain,
+            });
+            let deadline = offered + Duration::from_millis(ask.left_ms);
+            of_service.pending.insert(ticket, Pending { work: ask.work, deadline, offered, reply });
+        }
+        Some(replies)
+    }
+
+    /// Takes the next call of a service, with its pieces.
+    fn next(&self, shared: &IngressShared, service: &str) -> Option<(Call, Vec<Pending>, Millis)> {
+        let now = shared.clock.now();
+        let mut services = self.services.lock();
+        let of_service = services.get_mut(service)?;
+        let pending = &mut of_service.pending;
+        of_service.batcher.retain(|it| pending.get(&it).is_some_and(|it| !it.reply.is_closed()));
+        pending.retain(|_, it| !it.reply.is_closed());
+        for ticket in of_service.batcher.expire(now) {
+            if let Some(it) = of_service.pending.remove(&ticket) {
+                drop(it.reply.send(Err(NoResult::Late)));
+            }
+        }
+        let call = of_service.batcher.next(now)?;
+        let pieces: Vec<Pending> =
+            call.tickets.iter().filter_map(|it| of_service.pending.remove(it)).collect();
+        let patience = of_service.batcher.patience_ms(&call.target, pieces.len());
+        Some((call, pieces, patience))
+    }
+
+    fn ended(
+        &self,
+        shared: &IngressShared,
+        service: &str,
+        target: &str,
+        pieces: usize,
+        end: CallEnd,
+    ) {
+        if let Some(it) = self.services.lock().get_mut(service) {
+            it.batcher.ended(shared.clock.now(), target, pieces, end);
+        }
+    }
+
+    /// Gives pieces back to the queue after a call that did nothing.
+    fn again(&self, shared: &IngressShared, service: &str, pieces: Vec<Pending>) {
+        let now = shared.clock.now();
+        let mut services = self.services.lock();
+        let Some(of_service) = services.get_mut(service) else { return };
+        for piece in pieces {
+            let ticket = self.next_ticket.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+            let deadline = shared.millis_at(piece.deadline);
+            of_service.batcher.offer(Waiting {
+                ticket,
+                due: now,
+                deadline,
+                rank: 0,
+                bytes: 0,
+                domain: String::new(),
+            });
+            of_service.pending.insert(ticket, piece);
+        }
+    }
+
+    fn services_with_work(&self) -> Vec<Name> {
+        let services = self.services.lock();
+        services.iter().filter(|it| it.1.batcher.waiting() != 0).map(|it| it.0.clone()).collect()
+    }
+}
+
+/// Starts calls for all that waits where a target has become free with time.
+pub(crate) fn pump_all(shared: &Arc<IngressShared>) {
+    for service in shared.batches.services_with_work() {
+        pump(shared, &service);
+    }
+}
+
+/// Starts as many calls of a service as its targets take.
+fn pump(shared: &Arc<IngressShared>, service: &str) {
+    while let Some((call, pieces, patience)) = shared.batches.next(shared, service) {
+        tokio::spawn(run(shared.clone(), service.to_owned(), call, pieces, patience));
+    }
+}
+
+async fn run(
+    shared: Arc<IngressShared>,
+    service: Name,
+    call: Call,
+    pieces: Vec<Pending>,
+    patience: Millis,
+) {
+    let begun = Instant::now();
+    let count = pieces.len();
+    let outcome = ask_target(&shared, &call, &pieces, patience).await;
+    let ms = begun.elapsed().as_millis() as Millis;
+    let (end, text) = match &outcome {
+        Ok(_) => (CallEnd::Answered(ms), "answered"),
+        Err(CallEnd::Full) => (CallEnd::Full, "full"),
+        Err(_) => (CallEnd::Failed, "failed"),
+    };
+    let waited = pieces.iter().map(|it| (begun - it.offered).as_millis()).max().unwrap_or(0);
+    let detail = format!(
+        "service={service} target={} pieces={count} left={} waited_ms={waited} ms={ms} end={text}",
+        call.target, call.left
+    );
+    emit(events::BATCH, &shared.settings.instance, &detail);
+    shared.metrics.batches.add(1, &[label("end", text)]);
+    shared.metrics.pieces.add(count as u64, &[label("end", text)]);
+    shared.batches.ended(&shared, &service, &call.target, count, end);
+    match outcome {
+        Ok(results) => {
+            let mut results = results.into_iter();
+            for piece in pieces {
+                let result = results.next().unwrap_or(Err(NoResult::Failed));
+                if let Err(Ok(handle)) = piece.reply.send(result) {
+                    // Its request has ended meanwhile.
+                    shared.frees.give_up(handle);
+                }
+            }
+        }
+        Err(CallEnd::Full) => shared.batches.again(&shared, &service, pieces),
+        Err(_) => {
+            for piece in pieces {
+                drop(piece.reply.send(Err(NoResult::Failed)));
+            }
+        }
+    }
+    pump(&shared, &service);
+}
+
+async fn ask_target(
+    shared: &IngressShared,
+    call: &Call,
+    pieces: &[Pending],
+    patience: Millis,
+) -> Result<Vec<PieceResult>, CallEnd> {
+    let target = shared.staying_target(&call.target).ok_or(CallEnd::Full)?;
+    let body =
+        wire::run_body(pieces.iter().map(|it| (&it.work, left(it.deadline).as_millis() as Millis)));
+    let limit = Duration::from_millis(patience.max(LEAST_CALL_MS));
+    let answer = own_call(shared, &target, wire::RUN_PATH, body, limit).await;
+    let (status, head, body) = answer.map_err(|_| CallEnd::Failed)?;
+    if head.is_misdirected {
+        shared.target_leaves(&target.id, "misdirected");
+        return Err(CallEnd::Full);
+    }
+    if head.is_declined {
+        return Err(CallEnd::Full);
+    }
+    let results = wire::parse_run(&body).map_err(|_| CallEnd::Failed)?;
+    if !status.is_success() || results.len() != pieces.len() {
+        return Err(CallEnd::Failed);
+    }
+    Ok(results)
+}
+
+fn sizes(service: &Service) -> Option<Sizes> {
+    let limits = service.batches.as_ref()?;
+    Some(Sizes {
+        calls: limits.calls,
+        pieces: limits.pieces,
+        call_ms: limits.call_ms,
+        piece_ms: limits.piece_ms,
+    })
+}
+
+fn borrowed(
+    targets: &[(TargetId, String, bool)],
+) -> impl Iterator<Item = (&str, &str, bool)> + use<'_> {
+    targets.iter().map(|it| (it.0.as_str(), it.1.as_str(), it.2))
+}
--- /dev/null
+++ b/crates/holdpointd/src/ingress/connections.rs
@@ -0,0 +1,150 @@
+//! Connections to target instances: made when needed, kept for the next request, used with care.
+
+use std::{
+    collections::HashMap,
+    io,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use holdpoint_core::directory::{TargetId, TargetInstance};
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use socket2::SockRef;
+use tokio::{net::TcpStream, task::AbortHandle};
+
+/// How long sent bytes may stay unacknowledged before the connection counts as dead.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(2500);
+/// How long a connection may rest whose target states no limit.
+const USUAL_REST: Duration = Duration::from_secs(4);
+/// How long before a stated limit a connection is no longer used.
+const REST_MARGIN: Duration = Duration::from_millis(700);
+/// How long a connection may have rested that carries a request which may run only once.
+const CAREFUL_REST: Duration = Duration::from_millis(1500);
+/// Most connections at rest to one target.
+const MOST_AT_REST: usize = 16;
+
+/// How carefully a connection is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Care {
+    /// The request may run again if the connection proves to be closing.
+    Usual,
+    /// It may not.
+    Once,
+}
+
+/// A connection in use. Dropping it closes it at once, so that the target stops its work.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) target: TargetId,
+    task: Option<AbortHandle>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if let Some(it) = self.task.take() {
+            it.abort();
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Resting {
+    connection: Connection,
+    since: Instant,
+    limit: Duration,
+}
+
+/// Connections of one instance to all targets.
+#[derive(Debug)]
+pub(crate) struct Connections {
+    connect: Duration,
+    resting: Mutex<HashMap<TargetId, Vec<Resting>>>,
+}
+
+impl Connections {
+    /// Makes an empty set; making a connection may take `connect`.
+    pub(crate) fn new(connect: Duration) -> Connections {
+        Connections { connect, resting: Mutex::default() }
+    }
+
+    /// Takes a connection at rest or makes one. An error means that nothing was sent.
+    pub(crate) async fn take(&self, target: &TargetInstance, care: Care) -> io::Result<Connection> {
+        if let Some(it) = self.take_resting(&target.id, care) {
+            return Ok(it);
+        }
+        let made = tokio::time::timeout(self.connect, connect(&target.address)).await;
+        let (sender, task) = made.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        Ok(Connection { sender, target: target.id.clone(), task: Some(task) })
+    }
+
+    /// Keeps a connection whose answer was read to its end.
+    pub(crate) fn give_back(&self, connection: Connection, idle_limit: Option<Duration>) {
+        let limit = idle_limit.map_or(USUAL_REST, |it| it.saturating_sub(REST_MARGIN));
+        if limit.is_zero() || connection.sender.is_closed() {
+            return;
+        }
+        let mut all = self.resting.lock();
+        let resting = all.entry(connection.target.clone()).or_default();
+        resting.push(Resting { connection, since: Instant::now(), limit });
+        if MOST_AT_REST < resting.len() {
+            resting.remove(0);
+        }
+    }
+
+    /// Closes the connections at rest of all other targets.
+    pub(crate) fn retain(&self, is_kept: impl Fn(&str) -> bool) {
+        self.resting.lock().retain(|id, _| is_kept(id));
+    }
+
+    /// Closes the connections that have rested too long.
+    pub(crate) fn sweep(&self) {
+        let mut all = self.resting.lock();
+        for resting in all.values_mut() {
+            resting.retain(|it| it.is_usable(Care::Usual));
+        }
+        all.retain(|_, it| !it.is_empty());
+    }
+
+    fn take_resting(&self, target: &str, care: Care) -> Option<Connection> {
+        let mut all = self.resting.lock();
+        let resting = all.get_mut(target)?;
+        // The one that rested least is the least likely to be closing.
+        while let Some(it) = resting.pop() {
+            if it.is_usable(care) {
+                return Some(it.connection);
+            }
+        }
+        None
+    }
+}
+
+impl Resting {
+    fn is_usable(&self, care: Care) -> bool {
+        let rested = self.since.elapsed();
+        let limit = match care {
+            Care::Usual => self.limit,
+            Care::Once => self.limit.min(CAREFUL_REST),
+        };
+        rested < limit && self.connection.sender.is_ready()
+    }
+}
+
+/// Connects to an address; the connection runs as a task of its own.
+pub(crate) async fn connect(address: &str) -> io::Result<(SendRequest<Full<Bytes>>, AbortHandle)> {
+    let stream = TcpStream::connect(address).await?;
+    guard(&stream)?;
+    let (sender, connection) =
+        http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+    let task = tokio::spawn(async move { drop(connection.await) });
+    Ok((sender, task.abort_handle()))
+}
+
+/// Sets what keeps a connection quick and lets a dead link be noticed.
+pub(crate) fn guard(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED))
+}
--- /dev/null
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -0,0 +1,123 @@
+//! The platform's ingress: requests of any method and body, by host and path, to the services that
+//! the operators' configuration names.
+//!
+//! All of it runs on one thread: an instance has a part of one core, and what a request touches
+//! is mostly shared by all. Everything that decides is in `holdpoint-core`; every name of the
+//! platform is in `holdpoint-adapter`.
+
+mod answer;
+mod batches;
+mod connections;
+mod context;
+mod frees;
+mod front;
+mod peers;
+mod pools;
+mod request;
+mod send;
+mod shared;
+mod stages;
+mod store;
+mod stream;
+mod watch;
+mod whole;
+
+use std::{
+    net::TcpListener,
+    sync::{Arc, atomic::Ordering},
+    time::{Duration, Instant},
+};
+
+use error_stack::{Report, ResultExt};
+use holdpoint_schema::ingress::IngressSettings;
+use tokio::time::{interval, sleep, timeout};
+
+use crate::{
+    Ended, StartError,
+    events::{self, emit},
+    ingress::shared::IngressShared,
+};
+
+/// How often calls are started that had to wait for time to pass.
+const PUMP: Duration = Duration::from_millis(50);
+/// How often connections that have rested too long are closed.
+const SWEEP: Duration = Duration::from_millis(1000);
+/// How long before the forced end a planned stop gives up on what is still in flight.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// How long callers' connections may take to close once nothing is in flight.
+const CLOSE: Duration = Duration::from_millis(150);
+
+/// One running ingress instance.
+pub struct Ingress {
+    shared: Arc<IngressShared>,
+}
+
+impl Ingress {
+    /// Starts an instance on the runtime of the caller.
+    pub fn start(settings: IngressSettings) -> Result<Ingress, Report<StartError>> {
+        let listen = settings.listen.clone();
+        let callers = bind(&listen.callers)?;
+        let readiness = bind(&listen.readiness)?;
+        let peers = bind(&listen.peers)?;
+        let metrics = if listen.metrics.is_empty() { None } else { Some(bind(&listen.metrics)?) };
+        let shared = Arc::new(IngressShared::new(settings));
+        tokio::spawn(watch::follow_configuration(shared.clone()));
+        tokio::spawn(watch::follow_targets(shared.clone()));
+        tokio::spawn(watch::follow_peers(shared.clone()));
+        tokio::spawn(peers::serve(shared.clone(), peers));
+        tokio::spawn(front::readiness(shared.clone(), readiness));
+        tokio::spawn(front::callers(shared.clone(), callers));
+        if let Some(it) = metrics {
+            tokio::spawn(front::metrics(shared.clone(), it));
+        }
+        tokio::spawn(tick(shared.clone()));
+        emit(events::STARTED, &shared.settings.instance, &format!("callers={}", listen.callers));
+        Ok(Ingress { shared })
+    }
+
+    /// Stops as planned: not ready at once, new work while the balancer notices, then the end of
+    /// all that is in flight, within the grace that the platform gives.
+    pub async fn stop(self) -> Ended {
+        let shared = &self.shared;
+        let begun = Instant::now();
+        let timing = &shared.settings.timing;
+        let grace = Duration::from_secs_f64(timing.grace_s).saturating_sub(STOP_MARGIN);
+        let detail = format!("in_flight={}", shared.in_flight.count());
+        emit(events::STOPPING, &shared.settings.instance, &detail);
+        shared.is_leaving.store(true, Ordering::Release);
+        let left = tokio::spawn({
+            let shared = shared.clone();
+            async move { watch::leave_peers(&shared).await }
+        });
+        sleep(Duration::from_millis(timing.linger_ms).min(grace)).await;
+        shared.closing.send_replace(true);
+        let rest = grace.saturating_sub(begun.elapsed());
+        let is_drained = timeout(rest, shared.in_flight.idle()).await.is_ok();
+        sleep(CLOSE).await;
+        left.abort();
+        let detail = format!("in_flight={}", shared.in_flight.count());
+        emit(events::STOPPED, &shared.settings.instance, &detail);
+        if is_drained { Ended::Drained } else { Ended::Cut }
+    }
+}
+
+async fn tick(shared: Arc<IngressShared>) {
+    let mut pump = interval(PUMP);
+    let mut free = interval(frees::GATHER);
+    let mut sweep = interval(SWEEP);
+    loop {
+        tokio::select! {
+            _ = pump.tick() => batches::pump_all(&shared),
+            _ = free.tick() => frees::flush(&shared),
+            _ = sweep.tick() => shared.connections.sweep(),
+        }
+    }
+}
+
+fn bind(address: &str) -> Result<tokio::net::TcpListener, Report<StartError>> {
+    let listener = TcpListener::bind(address)
+        .change_context(StartError::Bind)
+        .attach_with(|| address.to_owned())?;
+    listener.set_nonblocking(true).change_context(StartError::Bind)?;
+    tokio::net::TcpListener::from_std(listener).change_context(StartError::Bind)
+}
--- /dev/null
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -0,0 +1,351 @@
+//! RPC between ingress instances: pieces for the instance that batches them, and state for one
+//! that the store does not answer.
+
+use std::{
+    collections::HashMap,
+    future::Future,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use futures::StreamExt;
+use holdpoint_core::{
+    directory::TargetInstance,
+    ids::Name,
+    ingress::Version,
+    stage_graph::NoResult,
+    subset::{owner, weight},
+};
+use holdpoint_schema::ingress::{Batching, IngressSettings};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use tarpc::{
+    client::{self, RpcError},
+    context,
+    serde_transport::{Transport, new as transport},
+    server::{BaseChannel, Channel},
+    tokio_util::codec::LengthDelimitedCodec,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Notify,
+};
+use tokio_serde::formats::Cbor;
+
+use crate::{
+    events::{self, emit},
+    ingress::{
+        batches::{PieceAsk, PieceResult},
+        connections::guard,
+        shared::IngressShared,
+    },
+};
+
+/// Largest message between peers, in bytes.
+const MAX_FRAME: usize = 16 << 20;
+/// How long a connection to a peer may take to be made.
+const CONNECT: Duration = Duration::from_millis(300);
+/// How often a peer that works for this instance is asked whether it is there.
+const PING: Duration = Duration::from_millis(250);
+/// How long it may take to answer.
+const PING_LIMIT: Duration = Duration::from_millis(350);
+/// How long a peer that was silent is passed over; doubled each time.
+const SUSPECT: Duration = Duration::from_millis(1500);
+/// Longest time that a peer is passed over.
+const LONGEST_SUSPECT: Duration = Duration::from_secs(12);
+
+/// What an instance knows, for one that the store does not answer.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct PeerState {
+    /// The configuration in force, where it is later than the one that the asker has.
+    pub(crate) configuration: Option<Vec<u8>>,
+    /// All target instances.
+    pub(crate) targets: Vec<TargetInstance>,
+    /// Whether the list of targets was read from the store just now.
+    pub(crate) is_fresh: bool,
+    /// Peers by name.
+    pub(crate) peers: Vec<(Name, String)>,
+}
+
+/// What ingress instances ask of each other.
+#[tarpc::service]
+pub(crate) trait IngressPeers {
+    /// Makes pieces of a service's stage.
+    async fn make(service: Name, asks: Vec<PieceAsk>) -> Vec<PieceResult>;
+    /// Says that the instance is there.
+    async fn ping() -> bool;
+    /// Tells what the instance knows; the asker has a configuration of this version.
+    async fn state(known: Version) -> PeerState;
+}
+
+/// No answer from a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct PeerSilent;
+
+struct Link {
+    client: IngressPeersClient,
+    /// Raised when the peer is found to be silent.
+    lost: Arc<Notify>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Suspicion {
+    until: Instant,
+    times: u32,
+}
+
+/// The peers of an instance.
+pub(crate) struct Peers {
+    own_name: Name,
+    batching: Batching,
+    seeds: Vec<String>,
+    known: Mutex<HashMap<Name, String>>,
+    links: Mutex<HashMap<String, Link>>,
+    suspects: Mutex<HashMap<String, Suspicion>>,
+}
+
+impl Peers {
+    /// Makes the peers of an instance that knows none yet.
+    pub(crate) fn new(settings: &IngressSettings) -> Peers {
+        let is_other = |it: &&String| **it != settings.listen.peers;
+        Peers {
+            own_name: settings.instance.clone(),
+            batching: settings.decisions.batching,
+            seeds: settings.seeds.iter().filter(is_other).cloned().collect(),
+            known: Mutex::default(),
+            links: Mutex::default(),
+            suspects: Mutex::default(),
+        }
+    }
+
+    /// Takes in a peer, or that it has left.
+    pub(crate) fn set(&self, name: &str, address: Option<&str>) {
+        if name == self.own_name {
+            return;
+        }
+        let mut known = self.known.lock();
+        match address {
+            Some(it) => {
+                // An entry that is written anew is a peer that has started anew.
+                self.suspects.lock().remove(it);
+                known.insert(name.to_owned(), it.to_owned());
+            }
+            None => drop(known.remove(name)),
+        }
+    }
+
+    /// All peers by name, this instance left out.
+    pub(crate) fn all(&self) -> Vec<(Name, String)> {
+        self.known.lock().iter().map(|(name, it)| (name.clone(), it.clone())).collect()
+    }
+
+    /// Number of instances, this one included.
+    pub(crate) fn instance_count(&self) -> usize {
+        self.known.lock().len() + 1
+    }
+
+    /// Addresses to ask for state, those that answer first.
+    pub(crate) fn to_ask(&self) -> Vec<String> {
+        let mut addresses: Vec<String> = self.known.lock().values().cloned().collect();
+        addresses.extend(self.seeds.iter().cloned());
+        addresses.sort();
+        addresses.dedup();
+        addresses.sort_by_key(|it| (self.is_suspect(it), weight(&self.own_name, it)));
+        addresses
+    }
+
+    /// The peer that batches a service's pieces; `None` where this instance does.
+    pub(crate) fn batcher_of(&self, service: &str) -> Option<String> {
+        if self.batching == Batching::Own {
+            return None;
+        }
+        let known = self.known.lock();
+        let live = known.iter().filter(|it| !self.is_suspect(it.1)).map(|it| it.0.as_str());
+        let chosen = owner(service, live.chain([self.own_name.as_str()]))?;
+        known.get(chosen).cloned()
+    }
+
+    /// Has a peer make pieces. An error means that the peer is silent.
+    pub(crate) async fn make(
+        self: &Peers,
+        shared: &Arc<IngressShared>,
+        address: &str,
+        service: &str,
+        asks: Vec<PieceAsk>,
+        limit: Duration,
+    ) -> Result<Vec<PieceResult>, PeerSilent> {
+        let (client, lost) = self.link(shared, address).await?;
+        let call = client.make(context_for(limit), service.to_owned(), asks);
+        let answer = tokio::select! {
+            it = tokio::time::timeout(limit, call) => it,
+            () = lost.notified() => return Err(PeerSilent),
+        };
+        match answer {
+            Ok(Ok(it)) => Ok(it),
+            Ok(Err(RpcError::DeadlineExceeded)) | Err(_) => Ok(Vec::new()),
+            Ok(Err(_)) => {
+                self.suspect(shared, address, "broken");
+                Err(PeerSilent)
+            }
+        }
+    }
+
+    /// Asks a peer what it knows.
+    pub(crate) async fn state(
+        &self,
+        shared: &Arc<IngressShared>,
+        address: &str,
+        known: Version,
+        limit: Duration,
+    ) -> Result<PeerState, PeerSilent> {
+        let (client, lost) = self.link(shared, address).await?;
+        let call = tokio::time::timeout(limit, client.state(context_for(limit), known));
+        tokio::select! {
+            it = call => it.map_err(|_| PeerSilent)?.map_err(|_| PeerSilent),
+            () = lost.notified() => Err(PeerSilent),
+        }
+    }
+
+    fn is_suspect(&self, address: &str) -> bool {
+        self.suspects.lock().get(address).is_some_and(|it| Instant::now() < it.until)
+    }
+
+    fn suspect(&self, shared: &IngressShared, address: &str, cause: &str) {
+        if let Some(it) = self.links.lock().remove(address) {
+            it.lost.notify_waiters();
+        }
+        let mut suspects = self.suspects.lock();
+        let times = suspects.get(address).map_or(0, |it| it.times + 1);
+        let span = (SUSPECT * 2_u32.pow(times.min(4))).min(LONGEST_SUSPECT);
+        suspects.insert(address.to_owned(), Suspicion { until: Instant::now() + span, times });
+        let detail = format!("peer={address} cause={cause} for_ms={}", span.as_millis());
+        emit(events::PEER_SILENT, &shared.settings.instance, &detail);
+    }
+
+    fn trust(&self, address: &str) {
+        self.suspects.lock().remove(address);
+    }
+
+    async fn link(
+        &self,
+        shared: &Arc<IngressShared>,
+        address: &str,
+    ) -> Result<(IngressPeersClient, Arc<Notify>), PeerSilent> {
+        let found = self.links.lock().get(address).map(|it| (it.client.clone(), it.lost.clone()));
+        if let Some(it) = found {
+            return Ok(it);
+        }
+        let connected = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await;
+        let Ok(Ok(stream)) = connected else {
+            self.suspect(shared, address, "unreachable");
+            return Err(PeerSilent);
+        };
+        guard(&stream).map_err(|_| PeerSilent)?;
+        let io = transport(codec().new_framed(stream), Cbor::default());
+        let client = IngressPeersClient::new(client::Config::default(), io).spawn();
+        let lost = Arc::new(Notify::new());
+        let link = Link { client: client.clone(), lost: lost.clone() };
+        self.links.lock().insert(address.to_owned(), link);
+        tokio::spawn(watch(shared.clone(), address.to_owned(), client.clone()));
+        Ok((client, lost))
+    }
+}
+
+/// Asks a peer again and again whether it is there, until it is not.
+async fn watch(shared: Arc<IngressShared>, address: String, client: IngressPeersClient) {
+    loop {
+        tokio::time::sleep(PING).await;
+        let ping = tokio::time::timeout(PING_LIMIT, client.ping(context_for(PING_LIMIT)));
+        match ping.await {
+            Ok(Ok(_)) => shared.peers.trust(&address),
+            _ => {
+                shared.peers.suspect(&shared, &address, "silent");
+                return;
+            }
+        }
+    }
+}
+
+/// Serves peers until the task is dropped.
+pub(crate) async fn serve(shared: Arc<IngressShared>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        if guard(&stream).is_err() {
+            continue;
+        }
+        let io: Transport<_, _, _, _> = transport(codec().new_framed(stream), Cbor::default());
+        let server = PeerServer { shared: shared.clone() };
+        let channel = BaseChannel::with_defaults(io);
+        tokio::spawn(channel.execute(server.serve()).for_each(|it| {
+            tokio::spawn(it);
+            std::future::ready(())
+        }));
+    }
+}
+
+#[derive(Clone)]
+struct PeerServer {
+    shared: Arc<IngressShared>,
+}
+
+impl IngressPeers for PeerServer {
+    async fn make(
+        self,
+        _: context::Context,
+        service: Name,
+        asks: Vec<PieceAsk>,
+    ) -> Vec<PieceResult> {
+        self.shared.batches.make(&self.shared, &service, asks).await
+    }
+
+    async fn ping(self, _: context::Context) -> bool {
+        true
+    }
+
+    async fn state(self, _: context::Context, known: Version) -> PeerState {
+        let is_later = known < self.shared.configuration().version;
+        PeerState {
+            configuration: is_later.then(|| self.shared.configuration_bytes().to_vec()),
+            targets: self.shared.targets(),
+            is_fresh: self.shared.is_fresh(),
+            peers: self.shared.peers.all(),
+        }
+    }
+}
+
+/// Has pieces made by the instance that batches them, or here if none can be reached.
+pub(crate) fn make_anywhere(
+    shared: Arc<IngressShared>,
+    service: Name,
+    asks: Vec<PieceAsk>,
+    limit: Duration,
+) -> impl Future<Output = Vec<PieceResult>> + Send {
+    async move {
+        let count = asks.len();
+        let until = Instant::now() + limit;
+        while let Some(address) = shared.peers.batcher_of(&service) {
+            let left = until.saturating_duration_since(Instant::now());
+            let made = shared.peers.make(&shared, &address, &service, asks.clone(), left).await;
+            let Ok(mut results) = made else { continue };
+            if results.iter().all(|it| *it == Err(NoResult::Unreachable)) && !results.is_empty() {
+                // The peer does not know the service yet.
+                break;
+            }
+            results.resize(count, Err(NoResult::Late));
+            return results;
+        }
+        shared.batches.make(&shared, &service, asks).await
+    }
+}
+
+fn context_for(limit: Duration) -> context::Context {
+    let mut context = context::current();
+    context.deadline = Instant::now() + limit;
+    context
+}
+
+fn codec() -> tarpc::tokio_util::codec::length_delimited::Builder {
+    let mut builder = LengthDelimitedCodec::builder();
+    builder.max_frame_length(MAX_FRAME);
+    builder
+}
--- /dev/null
+++ b/crates/holdpointd/src/ingress/pools.rs
@@ -0,0 +1,163 @@
+//! What an instance knows of each service: its targets, its retry budget, its times.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
+
+use holdpoint_core::{
+    budget::{SharedBudget, Terms},
+    deadline::Times,
+    directory::Directory,
+    ids::{Millis, Name},
+    route::{Call, Choice, End, Load, Member, NoTarget, Router},
+};
+use holdpoint_schema::{
+    ingress::IngressSettings,
+    resources::{Policy, Route},
+};
+use parking_lot::{Mutex, RwLock};
+
+/// Failures in a row that take a target out for a while.
+const EJECT_FAILURES: u32 = 2;
+/// How long that is at first, in milliseconds.
+const EJECT_MS: u64 = 1500;
+/// Part of a pool that is never taken out.
+const EJECT_FLOOR: f64 = 0.3;
+/// Age at which a load report has lost half its weight, in milliseconds.
+const REPORT_TRUST_MS: u64 = 400;
+
+/// One service as an instance sees it.
+#[derive(Debug)]
+pub(crate) struct Pool {
+    router: Mutex<Router>,
+    budget: Mutex<SharedBudget>,
+    /// Time to the first part of an answer, in milliseconds.
+    pub(crate) times: Mutex<Times>,
+    policy: Policy,
+}
+
+/// All services that were asked for.
+#[derive(Debug)]
+pub(crate) struct Pools {
+    pools: RwLock<HashMap<Name, Arc<Pool>>>,
+    members: Mutex<HashMap<Name, Vec<Member>>>,
+    salt: String,
+    domain: String,
+    ratio: f64,
+    window_ms: Millis,
+    slack: f64,
+    instances: AtomicUsize,
+}
+
+impl Pools {
+    /// Makes an empty set.
+    pub(crate) fn new(settings: &IngressSettings) -> Pools {
+        Pools {
+            pools: RwLock::default(),
+            members: Mutex::default(),
+            salt: settings.instance.clone(),
+            domain: settings.domain.clone(),
+            ratio: settings.retries.ratio,
+            window_ms: (settings.retries.window_s * 1000.0) as Millis,
+            slack: settings.retries.slack,
+            instances: AtomicUsize::new(1),
+        }
+    }
+
+    /// Takes in how many instances share the retry budget.
+    pub(crate) fn set_instances(&self, instances: usize) {
+        self.instances.store(instances.max(1), Ordering::Release);
+    }
+
+    /// Terms of the retry budget.
+    pub(crate) fn terms(&self) -> Terms {
+        let instances = self.instances.load(Ordering::Acquire);
+        Terms { ratio: self.ratio, window_ms: self.window_ms, slack: self.slack, instances }
+    }
+
+    /// Takes in the targets of all services.
+    pub(crate) fn set_targets(&self, directory: &Directory) {
+        let mut members: HashMap<Name, Vec<Member>> = HashMap::new();
+        for it in directory.all() {
+            members.entry(it.service.clone()).or_default().push(Member {
+                address: it.id.clone(),
+                domain: it.domain.clone(),
+                leaving: it.is_leaving,
+            });
+        }
+        for (name, pool) in self.pools.read().iter() {
+            let of_service = members.get(name).map_or(&[][..], Vec::as_slice);
+            pool.router.lock().set_members(of_service);
+        }
+        *self.members.lock() = members;
+    }
+
+    /// The pool of a service.
+    pub(crate) fn of(&self, service: &str) -> Arc<Pool> {
+        if let Some(it) = self.pools.read().get(service) {
+            return it.clone();
+        }
+        let pool = Pool::new(&self.salt, &self.domain);
+        if let Some(it) = self.members.lock().get(service) {
+            pool.router.lock().set_members(it);
+        }
+        self.pools.write().entry(service.to_owned()).or_insert_with(|| Arc::new(pool)).clone()
+    }
+}
+
+impl Pool {
+    fn new(salt: &str, domain: &str) -> Pool {
+        let policy = Policy {
+            route: Route::Affinity,
+            subset: u32::MAX,
+            choices: 4,
+            report_trust_ms: REPORT_TRUST_MS,
+            eject_failures: EJECT_FAILURES,
+            eject_ms: EJECT_MS,
+            eject_floor: EJECT_FLOOR,
+            retry_percent: 0,
+        };
+        Pool {
+            router: Mutex::new(Router::new(salt, domain, policy.clone())),
+            budget: Mutex::default(),
+            times: Mutex::default(),
+            policy,
+        }
+    }
+
+    /// Chooses a target.
+    pub(crate) fn choose(&self, now: Millis, call: &Call<'_>) -> Result<Choice, NoTarget> {
+        self.router.lock().choose(now, &self.policy, call, &mut rand::rng())
+    }
+
+    /// Counts a call as sent.
+    pub(crate) fn sent(&self, now: Millis, target: &str, call: &Call<'_>) {
+        self.router.lock().sent(now, target, call);
+    }
+
+    /// Counts a call as ended.
+    pub(crate) fn ended(&self, now: Millis, target: &str, work: f64, end: End) {
+        self.router.lock().ended(now, target, work, end);
+    }
+
+    /// Takes in a load that a target told.
+    pub(crate) fn report(&self, now: Millis, target: &str, load: Option<Load>) {
+        if let Some(it) = load {
+            self.router.lock().report(now, target, it);
+        }
+    }
+
+    /// Counts a request for the service.
+    pub(crate) fn request(&self, now: Millis, terms: &Terms) {
+        self.budget.lock().request(now, terms);
+    }
+
+    /// Spends a second send where the budget has it.
+    pub(crate) fn spend(&self, now: Millis, terms: &Terms) -> bool {
+        self.budget.lock().spend(now, terms)
+    }
+}
--- /dev/null
+++ b/crates/holdpointd/src/ingress/request.rs
@@ -0,0 +1,134 @@
+//! A caller's request, from its first byte to the path that serves it.
+
+use std::{
+    convert::Infallible,
+    sync::{Arc, atomic::Ordering},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use holdpoint_adapter::headers::{self, CallerHead};
+use holdpoint_core::{
+    ingress::{Configuration, Denied, Shape},
+    ledger::Ledger,
+};
+use http::{HeaderValue, Request, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+
+use crate::{
+    events::{self, emit},
+    ingress::{
+        answer::{Answer, Failure, failure, refusal},
+        context::{Context, Parts},
+        send::CallerRequest,
+        shared::IngressShared,
+        stream, whole,
+    },
+    shared::Working,
+};
+
+/// When a request may come back that found no configuration.
+const NOT_CONFIGURED: Duration = Duration::from_millis(500);
+
+/// Serves a request.
+pub(crate) async fn serve(
+    shared: Arc<IngressShared>,
+    request: Request<Incoming>,
+) -> Result<Answer, Infallible> {
+    let working = shared.in_flight.start();
+    let arrived = Instant::now();
+    let mut answer = match admit(&shared, request, arrived, working).await {
+        Ok(it) => match it.route.shape {
+            Shape::Whole => whole::serve(&it).await,
+            Shape::Events { .. } => stream::serve(it).await,
+        },
+        Err(it) => it,
+    };
+    if shared.is_leaving.load(Ordering::Acquire) {
+        answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(answer)
+}
+
+/// Reads a request and finds its route; an error is the answer to it.
+async fn admit(
+    shared: &Arc<IngressShared>,
+    request: Request<Incoming>,
+    arrived: Instant,
+    working: Working,
+) -> Result<Context, Answer> {
+    let configuration = shared.configuration();
+    let (parts, body) = request.into_parts();
+    let head = headers::read_caller(&parts.headers);
+    let deny = |it: Failure| {
+        let id = head.request_id.as_deref();
+        let detail = format!(
+            "id={} cause={it:?} path={} version={}",
+            id.unwrap_or("none"),
+            parts.uri.path(),
+            configuration.version
+        );
+        emit(events::REQUEST_DENIED, &shared.settings.instance, &detail);
+        failure(it, id)
+    };
+    let body = read_body(&configuration, &head, body).await.map_err(deny)?;
+    if configuration.version == 0 {
+        let proof = Ledger::new().close().map_err(|_| deny(Failure::Broken))?;
+        return Err(refusal(proof, head.request_id.as_deref(), NOT_CONFIGURED));
+    }
+    let Some(id) = head.request_id.clone() else { return Err(deny(Failure::BadRequest)) };
+    let host = parts.headers.get(header::HOST).and_then(|it| it.to_str().ok());
+    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
+    // What denies a request is looked up in the configuration of this moment.
+    let configuration = shared.configuration();
+    let route = configuration.route(host, parts.uri.path()).map_err(|it| deny(denial(it)))?;
+    let organisation =
+        configuration.organisation(route, head.key.as_deref()).map_err(|it| deny(denial(it)))?;
+    let service = route.service_of(&id).ok_or_else(|| deny(Failure::NoRoute))?.to_owned();
+    let parts = Parts {
+        request: CallerRequest {
+            method: parts.method.clone(),
+            path: parts.uri.clone(),
+            headers: parts.headers.clone(),
+            body,
+            id,
+        },
+        route: route.clone(),
+        service,
+        organisation: organisation.map(|it| it.name.clone()),
+        rank: route.rank_for(organisation.map(Arc::as_ref)),
+        version: configuration.version,
+        arrived,
+        working,
+        head: head.clone(),
+    };
+    Ok(Context::new(shared.clone(), parts))
+}
+
+fn denial(denied: Denied) -> Failure {
+    match denied {
+        Denied::NoRoute => Failure::NoRoute,
+        Denied::BadKey => Failure::BadKey,
+    }
+}
+
+async fn read_body(
+    configuration: &Configuration,
+    head: &CallerHead,
+    body: Incoming,
+) -> Result<Bytes, Failure> {
+    use hyper::body::Body;
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let limit = Duration::from_millis(configuration.limits.head_ms);
+    let limit = head.patience.map_or(limit, |it| it.max(limit));
+    let read = Limited::new(body, configuration.limits.body_bytes).collect();
+    match tokio::time::timeout(limit, read).await {
+        Ok(Ok(it)) => Ok(it.to_bytes()),
+        Ok(Err(it)) if it.is::<LengthLimitError>() => Err(Failure::TooLarge),
+        Ok(Err(_)) => Err(Failure::BadRequest),
+        Err(_) => Err(Failure::SlowBody),
+    }
+}
--- /dev/null
+++ b/crates/holdpointd/src/ingress/send.rs
@@ -0,0 +1,169 @@
+//! One send of one request to one target, and what its outcome proves.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use holdpoint_adapter::headers::{self, Added, TargetHead};
+use holdpoint_core::directory::TargetInstance;
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+
+use crate::ingress::{
+    connections::{Care, Connection},
+    shared::IngressShared,
+};
+
+/// Longest body that may still be on its way when an answer is there and the connection is kept.
+const SHORT_BODY: usize = 8 << 10;
+
+/// A request as its caller sent it.
+#[derive(Clone, Debug)]
+pub(crate) struct CallerRequest {
+    pub(crate) method: Method,
+    pub(crate) path: http::Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) id: String,
+}
+
+/// Why a send has no answer that counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Break {
+    /// The connection was closed or reset, or carried no proper answer.
+    Cut,
+    /// The answer belongs to another request.
+    Crossed,
+    /// A success without the target's signature.
+    Unsigned,
+}
+
+/// Outcome of a send.
+pub(crate) enum Sent {
+    /// No byte of the request has left.
+    NotSent,
+    /// The target has not run the request and never will.
+    Declined { status: StatusCode, head: TargetHead },
+    /// The head of an answer to this request.
+    Answered { head: TargetHead, response: Box<Response<Incoming>>, connection: Connection },
+    /// It may have run.
+    Broken(Break),
+}
+
+/// Sends a request and waits for the head of its answer.
+pub(crate) async fn send(
+    shared: &IngressShared,
+    target: &TargetInstance,
+    request: &CallerRequest,
+    added: &Added<'_>,
+    care: Care,
+) -> Sent {
+    let Ok(mut connection) = shared.connections.take(target, care).await else {
+        return Sent::NotSent;
+    };
+    let Some(outgoing) = outgoing(request, added) else { return Sent::NotSent };
+    let response = match connection.sender.try_send_request(outgoing).await {
+        Ok(it) => it,
+        Err(it) if it.message().is_some() => return Sent::NotSent,
+        Err(_) => return Sent::Broken(Break::Cut),
+    };
+    let head = headers::read_target(response.status(), response.headers());
+    if head.is_misdirected {
+        // The answer of another target, which knows nothing of this request's id.
+        return Sent::Declined { status: response.status(), head };
+    }
+    if head.request_id.as_deref() != Some(request.id.as_str()) {
+        shared.metrics.crossed.add(1, &[]);
+        return Sent::Broken(Break::Crossed);
+    }
+    if head.is_declined {
+        let status = response.status();
+        keep_after(shared, connection, response, &head, request.body.len());
+        return Sent::Declined { status, head };
+    }
+    if response.status().is_success() && !head.has_signature {
+        return Sent::Broken(Break::Unsigned);
+    }
+    Sent::Answered { head, response: Box::new(response), connection }
+}
+
+/// Reads an answer's body to its end; `None` where it breaks off.
+pub(crate) async fn whole_body(
+    shared: &IngressShared,
+    head: &TargetHead,
+    response: Response<Incoming>,
+    connection: Connection,
+    request: &CallerRequest,
+) -> Option<Bytes> {
+    let is_success = response.status().is_success();
+    let body = response.into_body().collect().await.ok()?.to_bytes();
+    let is_sent = is_success || request.body.len() <= SHORT_BODY;
+    if is_sent && !head.closes {
+        shared.connections.give_back(connection, head.idle_limit);
+    }
+    Some(body)
+}
+
+/// A call of the system's own to a target: its answer's status and body.
+pub(crate) async fn own_call(
+    shared: &IngressShared,
+    target: &TargetInstance,
+    path: &'static str,
+    body: Vec<u8>,
+    limit: Duration,
+) -> Result<(StatusCode, TargetHead, Bytes), Break> {
+    let call = async {
+        let taken = shared.connections.take(target, Care::Usual).await;
+        let mut connection = taken.map_err(|_| Break::Cut)?;
+        let mut request = Request::new(Full::new(Bytes::from(body)));
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = http::Uri::from_static(path);
+        *request.headers_mut() = headers::own_call(&target.id);
+        set_host(request.headers_mut(), &target.address);
+        let sent = connection.sender.send_request(request).await;
+        let response = sent.map_err(|_| Break::Cut)?;
+        let status = response.status();
+        let head = headers::read_target(status, response.headers());
+        let body = response.into_body().collect().await.map_err(|_| Break::Cut)?.to_bytes();
+        if !head.closes {
+            shared.connections.give_back(connection, head.idle_limit);
+        }
+        Ok((status, head, body))
+    };
+    tokio::time::timeout(limit, call).await.map_err(|_| Break::Cut)?
+}
+
+/// Time left until a moment.
+pub(crate) fn left(until: Instant) -> Duration {
+    until.saturating_duration_since(Instant::now())
+}
+
+fn outgoing(request: &CallerRequest, added: &Added<'_>) -> Option<Request<Full<Bytes>>> {
+    let mut out = Request::new(Full::new(request.body.clone()));
+    *out.method_mut() = request.method.clone();
+    let path = request.path.path_and_query()?.clone();
+    *out.uri_mut() = http::Uri::from(path);
+    *out.headers_mut() = headers::forwarded(&request.headers, added);
+    Some(out)
+}
+
+fn set_host(headers: &mut HeaderMap, address: &str) {
+    if let Ok(it) = http::HeaderValue::from_str(address) {
+        headers.insert(http::header::HOST, it);
+    }
+}
+
+/// Keeps a connection after an answer that the caller does not need, once its body was read.
+fn keep_after(
+    shared: &IngressShared,
+    connection: Connection,
+    response: Response<Incoming>,
+    head: &TargetHead,
+    body_length: usize,
+) {
+    use hyper::body::Body;
+    let is_empty = response.body().is_end_stream();
+    if is_empty && !head.closes && body_length <= SHORT_BODY {
+        shared.connections.give_back(connection, head.idle_limit);
+    }
+}
--- /dev/null
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -0,0 +1,228 @@
+//! Makes the results of a request's stages, in the order of its graph.
+
+use std::{
+    collections::HashSet,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
+use holdpoint_core::{
+    ids::Millis,
+    stage_graph::{NoResult, PieceSource, PieceWork, StageGraph, due},
+};
+
+use crate::{
+    events::{self, emit},
+    ingress::{
+        batches::{PieceAsk, PieceResult},
+        context::Context,
+        peers::make_anywhere,
+        shared::IngressShared,
+    },
+};
+
+/// How often one piece is made anew.
+const REMAKES: u32 = 4;
+/// Pause before a piece is made anew that found no room.
+const ROOM_PAUSE: Duration = Duration::from_millis(120);
+/// How often the inputs of a stage are made anew.
+const INPUT_REMAKES: u32 = 2;
+/// Usual time from a model server's taking a request to its first event, until measured.
+const FIRST_EVENT_MS: Millis = 300;
+/// Usual time of a stage, until its service's configuration is known.
+const STAGE_MS: Millis = 400;
+
+/// Results held for a request. Dropping them gives them up.
+pub(crate) struct Held {
+    shared: Arc<IngressShared>,
+    handles: HashSet<String>,
+}
+
+impl Held {
+    fn new(shared: &Arc<IngressShared>) -> Held {
+        Held { shared: shared.clone(), handles: HashSet::new() }
+    }
+
+    fn give_up(&mut self, handles: &[String]) {
+        for handle in handles {
+            if self.handles.remove(handle) {
+                self.shared.frees.give_up(handle.clone());
+            }
+        }
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        for handle in self.handles.drain() {
+            self.shared.frees.give_up(handle);
+        }
+    }
+}
+
+/// Results of a request's last stages.
+pub(crate) struct Results {
+    /// Handles for the request's own service.
+    pub(crate) inputs: Vec<String>,
+    /// Keeps them until they are no longer needed.
+    _held: Held,
+}
+
+type StageOutcome = (usize, Result<Vec<String>, NoResult>);
+
+/// Makes all results; they are needed in `domain`.
+pub(crate) async fn make_all(ctx: &Context, domain: &str) -> Result<Results, NoResult> {
+    let graph = StageGraph::new(&ctx.route.stages, &ctx.head.pieces);
+    let mut held = Held::new(&ctx.shared);
+    if graph.is_empty() {
+        return Ok(Results { inputs: Vec::new(), _held: held });
+    }
+    let begun = Instant::now();
+    let made = make_graph(ctx, &graph, domain, &mut held).await;
+    ctx.note_stages(begun);
+    let results = made?;
+    let inputs = graph.last().filter_map(|it| results[it].clone()).flatten().collect();
+    Ok(Results { inputs, _held: held })
+}
+
+async fn make_graph(
+    ctx: &Context,
+    graph: &StageGraph,
+    domain: &str,
+    held: &mut Held,
+) -> Result<Vec<Option<Vec<String>>>, NoResult> {
+    let mut results: Vec<Option<Vec<String>>> = vec![None; graph.len()];
+    let mut is_begun: Vec<bool> = (0..graph.len()).map(|it| graph.pieces(it) == 0).collect();
+    let mut running: FuturesUnordered<BoxFuture<'_, StageOutcome>> = FuturesUnordered::new();
+    let mut remakes = 0;
+    loop {
+        for stage in 0..graph.len() {
+            if is_begun[stage] || graph.needs(stage).any(|it| results[it].is_none()) {
+                continue;
+            }
+            is_begun[stage] = true;
+            let inputs =
+                graph.needs(stage).filter_map(|it| results[it].clone()).flatten().collect();
+            let made = make_stage(ctx, graph, stage, inputs, domain);
+            running.push(Box::pin(async move { (stage, made.await) }));
+        }
+        let Some((stage, outcome)) = running.next().await else { return Ok(results) };
+        match outcome {
+            Ok(handles) => {
+                held.handles.extend(handles.iter().cloned());
+                results[stage] = Some(handles);
+                give_up_used(graph, &results, held);
+            }
+            Err(NoResult::InputGone) if remakes < INPUT_REMAKES => {
+                remakes += 1;
+                is_begun[stage] = false;
+                for needed in graph.needs(stage) {
+                    results[needed] = None;
+                    is_begun[needed] = false;
+                }
+            }
+            Err(it) => return Err(it),
+        }
+    }
+}
+
+/// Gives up the results of stages that every stage after them has used.
+fn give_up_used(graph: &StageGraph, results: &[Option<Vec<String>>], held: &mut Held) {
+    for (stage, handles) in results.iter().enumerate() {
+        let Some(handles) = handles else { continue };
+        let is_pending = (0..graph.len())
+            .filter(|it| graph.pieces(*it) != 0 && graph.needs(*it).any(|it| it == stage))
+            .any(|it| results[it].is_none());
+        if graph.is_needed(stage) && !is_pending {
+            held.give_up(handles);
+        }
+    }
+}
+
+async fn make_stage(
+    ctx: &Context,
+    graph: &StageGraph,
+    stage: usize,
+    inputs: Vec<String>,
+    domain: &str,
+) -> Result<Vec<String>, NoResult> {
+    let source = if inputs.is_empty() {
+        PieceSource::Key(ctx.head.piece_key.clone().unwrap_or_default())
+    } else {
+        PieceSource::Inputs(inputs)
+    };
+    let count = graph.pieces(stage);
+    let mut handles: Vec<Option<String>> = vec![None; count as usize];
+    for round in 0..=REMAKES {
+        let missing: Vec<u32> = (0..count).filter(|it| handles[*it as usize].is_none()).collect();
+        let ask = |piece: &u32| ask(ctx, graph, stage, *piece, source.clone(), domain);
+        let asks: Vec<PieceAsk> = missing.iter().map(ask).collect();
+        let service = ctx.route.stages[stage].service.clone();
+        let made = make_anywhere(ctx.shared.clone(), service, asks, ctx.left()).await;
+        let failure = take_in(&mut handles, &missing, made);
+        let Some(cause) = failure else { break };
+        let detail = format!("id={} stage={stage} round={round} cause={cause:?}", ctx.request.id);
+        emit(events::STAGE_FAILED, &ctx.shared.settings.instance, &detail);
+        let is_final = matches!(cause, NoResult::InputGone | NoResult::Late) || round == REMAKES;
+        if is_final || ctx.left().is_zero() {
+            give_up_all(ctx, handles);
+            return Err(cause);
+        }
+        if matches!(cause, NoResult::NoRoom | NoResult::Unreachable) {
+            tokio::time::sleep(ROOM_PAUSE).await;
+        }
+    }
+    Ok(handles.into_iter().flatten().collect())
+}
+
+/// Takes in results; returns why one is missing, if one is.
+fn take_in(
+    handles: &mut [Option<String>],
+    missing: &[u32],
+    made: Vec<PieceResult>,
+) -> Option<NoResult> {
+    let mut failure = None;
+    for (piece, result) in missing.iter().zip(made) {
+        match result {
+            Ok(it) => handles[*piece as usize] = Some(it),
+            Err(it) if it == NoResult::InputGone || failure.is_none() => failure = Some(it),
+            Err(_) => (),
+        }
+    }
+    failure
+}
+
+fn give_up_all(ctx: &Context, handles: Vec<Option<String>>) {
+    handles.into_iter().flatten().for_each(|it| ctx.shared.frees.give_up(it));
+}
+
+fn ask(
+    ctx: &Context,
+    graph: &StageGraph,
+    stage: usize,
+    piece: u32,
+    source: PieceSource,
+    domain: &str,
+) -> PieceAsk {
+    let step = &ctx.route.stages[stage];
+    let first_ms = ctx.pool.times.lock().quantile(0.5).unwrap_or(FIRST_EVENT_MS);
+    let stage_ms = stage_ms(ctx, &step.service);
+    let target = ctx.route.target_ms;
+    let due = due(target, graph.depth_after(stage), stage_ms, first_ms);
+    let spent = ctx.arrived.elapsed().as_millis() as i64;
+    PieceAsk {
+        work: PieceWork { request: ctx.request.id.clone(), stage, piece, source },
+        due_in_ms: due as i64 - spent,
+        left_ms: ctx.left().as_millis() as Millis,
+        rank: ctx.rank,
+        bytes: step.bytes,
+        domain: domain.to_owned(),
+    }
+}
+
+fn stage_ms(ctx: &Context, service: &str) -> Millis {
+    let configuration = ctx.shared.configuration();
+    let limits = configuration.services.get(service).and_then(|it| it.batches.as_ref());
+    limits.map_or(STAGE_MS, |it| (1.5 * it.call_ms + 4.0 * it.piece_ms) as Millis)
+}
--- /dev/null
+++ b/crates/holdpointd/src/ingress/store.rs
@@ -0,0 +1,152 @@
+//! A client of the platform's store: one connection, made anew whenever a call fails.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use holdpoint_adapter::store::{
+    KeyedRecord, ReadPage, append_body, append_path, newest_path, parse_newest, parse_read,
+    read_path,
+};
+use http::{HeaderValue, Method, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::SendRequest;
+use tokio::task::AbortHandle;
+
+use crate::ingress::connections::connect;
+
+/// Why a call to the store failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StoreError {
+    /// No answer: what was asked may have been done or not.
+    Silent,
+    /// An answer that says that nothing was done.
+    Refused(StatusCode),
+    /// The records asked for are gone.
+    Gone,
+    /// An answer that cannot be read.
+    BadAnswer,
+}
+
+/// One connection to the store.
+pub(crate) struct StoreClient {
+    address: String,
+    timeout: Duration,
+    connection: Option<(SendRequest<Full<Bytes>>, Guard)>,
+}
+
+/// Ends the connection's task with the connection.
+struct Guard(AbortHandle);
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl StoreClient {
+    /// Makes a client that has not connected yet.
+    pub(crate) fn new(address: &str, timeout: Duration) -> StoreClient {
+        StoreClient { address: address.to_owned(), timeout, connection: None }
+    }
+
+    /// Closes the connection; the next call makes a new one.
+    pub(crate) fn reset(&mut self) {
+        self.connection = None;
+    }
+
+    /// Reads the newest records of a topic and the offset at which reading goes on.
+    pub(crate) async fn newest(
+        &mut self,
+        topic: &str,
+    ) -> Result<(Vec<KeyedRecord>, u64), StoreError> {
+        let mut records: Vec<KeyedRecord> = Vec::new();
+        let mut end = None;
+        loop {
+            let path = newest_path(topic, records.last().map(|it| it.key.as_str()));
+            let body = self.call(Method::GET, &path, Bytes::new(), Duration::ZERO).await?;
+            let page = parse_newest(&body).map_err(|_| StoreError::BadAnswer)?;
+            let is_empty = page.records.is_empty();
+            records.extend(page.records);
+            // The pages are no snapshot: what changed since the first is read again from there.
+            let end = *end.get_or_insert(page.end);
+            if !page.has_more || is_empty {
+                return Ok((records, end));
+            }
+        }
+    }
+
+    /// Reads the records from an offset on; waits for one for at most `wait`.
+    pub(crate) async fn read(
+        &mut self,
+        topic: &str,
+        from: u64,
+        wait: Duration,
+    ) -> Result<ReadPage, StoreError> {
+        let path = read_path(topic, from, wait.as_millis() as u64);
+        let body = self.call(Method::GET, &path, Bytes::new(), wait).await?;
+        parse_read(body, from).map_err(|_| StoreError::BadAnswer)
+    }
+
+    /// Appends a record to a keyed topic of our own.
+    pub(crate) async fn append(
+        &mut self,
+        topic: &str,
+        key: &str,
+        value: &[u8],
+    ) -> Result<(), StoreError> {
+        let body = Bytes::from(append_body(key, value));
+        self.call(Method::POST, &append_path(topic), body, Duration::ZERO).await.map(drop)
+    }
+
+    async fn call(
+        &mut self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        wait: Duration,
+    ) -> Result<Bytes, StoreError> {
+        let timeout = self.timeout;
+        let limit = wait + timeout;
+        // After a call without a whole answer the connection is of no further use.
+        let mut connection = self.connection.take();
+        let answered = tokio::time::timeout(limit, async {
+            if connection.as_ref().is_none_or(|it| !it.0.is_ready()) {
+                let made = tokio::time::timeout(timeout, connect(&self.address)).await;
+                let (sender, task) = made.map_err(|_| StoreError::Silent)?.map_err(silent)?;
+                connection = Some((sender, Guard(task)));
+            }
+            let (sender, _) = connection.as_mut().ok_or(StoreError::Silent)?;
+            let request = request(&self.address, method, path, body)?;
+            let answer = sender.send_request(request).await.map_err(silent)?;
+            let status = answer.status();
+            let body = answer.into_body().collect().await.map_err(silent)?.to_bytes();
+            Ok((status, body))
+        })
+        .await;
+        let (status, body) = answered.map_err(silent)??;
+        self.connection = connection;
+        match status {
+            StatusCode::OK => Ok(body),
+            StatusCode::GONE => Err(StoreError::Gone),
+            other => Err(StoreError::Refused(other)),
+        }
+    }
+}
+
+fn silent<E>(_: E) -> StoreError {
+    StoreError::Silent
+}
+
+fn request(
+    address: &str,
+    method: Method,
+    path: &str,
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>, StoreError> {
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = method;
+    *request.uri_mut() = path.parse().map_err(|_| StoreError::BadAnswer)?;
+    let host = HeaderValue::from_str(address).map_err(|_| StoreError::BadAnswer)?;
+    request.headers_mut().insert(header::HOST, host);
+    Ok(request)
+}
--- /dev/null
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -0,0 +1,411 @@
+//! Requests whose answer is a stream of events.
+//!
+//! Each whole event is passed on at once; part of one is held back. Where the route allows it, a
+//! stream that breaks off goes on at another target inside the same answer.
+
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use holdpoint_adapter::headers::TargetHead;
+use holdpoint_core::{
+    directory::TargetInstance,
+    event_split::{EventSplitter, WholeEvent},
+    ids::Millis,
+    ingress::Shape,
+    route::End,
+};
+use http::{StatusCode, response::Parts};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::sync::mpsc;
+
+use crate::{
+    events::{self, emit},
+    ingress::{
+        answer::{Answer, BrokenOff, Failure, failure, passed_on, refusal, streamed},
+        connections::Connection,
+        context::{Attempts, Context, NoSend, end_send},
+        send::{Sent, send},
+        stages::{self, Results},
+    },
+};
+
+/// Events that may wait for a caller who reads slowly.
+const BUFFERED: usize = 16;
+/// Part of the target time without a first event after which another target is tried.
+const FIRST_PATIENCE: f64 = 0.5;
+/// The same as a multiple of the time that 95 in 100 first events take.
+const FIRST_PATIENCE_OF_USUAL: u64 = 2;
+/// Part of the longest timely pause after which a stream goes on elsewhere.
+const GAP_PATIENCE: f64 = 0.6;
+/// When a refused request may come back.
+const COME_BACK: Duration = Duration::from_millis(500);
+/// How often inputs that are gone are made anew for the model server.
+const INPUT_REMAKES: u32 = 2;
+
+/// A stream that has begun.
+struct Open {
+    target: TargetInstance,
+    head: TargetHead,
+    parts: Parts,
+    body: Incoming,
+    connection: Connection,
+    splitter: EventSplitter,
+    first: Vec<WholeEvent>,
+    /// Whether the body has already ended.
+    is_ended: bool,
+    /// Time from the send to the first event, in milliseconds.
+    first_ms: Millis,
+}
+
+/// How one send of a stream ended before its first event.
+enum Ended {
+    Open(Box<Open>),
+    /// The target failed it by an answer of its own.
+    Failed(Box<Parts>, Bytes),
+    NotSent,
+    Declined,
+    InputsGone,
+    Broken,
+    Silent,
+}
+
+/// Why a stream did not begin.
+enum NotOpen {
+    Failed(Box<Parts>, Bytes),
+    NoSend(&'static str),
+}
+
+/// Serves a request.
+pub(crate) async fn serve(ctx: Context) -> Answer {
+    let mut attempts = Attempts::default();
+    let opened = tokio::time::timeout(ctx.left(), open(&ctx, &mut attempts, None)).await;
+    match opened.unwrap_or(Err(NotOpen::NoSend(NoSend::Time.name()))) {
+        Ok(it) => {
+            ctx.note_first();
+            // Until its end the stream counts as left by its caller.
+            ctx.note_end(it.parts.status.as_u16(), "");
+            let (sender, receiver) = mpsc::channel(BUFFERED);
+            let answer = streamed(&it.parts, receiver);
+            tokio::spawn(pump(ctx, attempts, it, sender));
+            answer
+        }
+        Err(NotOpen::Failed(parts, body)) => {
+            ctx.note_end(parts.status.as_u16(), "target-failed");
+            passed_on(&parts, body)
+        }
+        Err(NotOpen::NoSend(cause)) => give_up(&ctx, cause),
+    }
+}
+
+/// The system's own final answer: a refusal where nothing has run, else a failure.
+fn give_up(ctx: &Context, cause: &'static str) -> Answer {
+    let id = Some(ctx.request.id.as_str());
+    let answer = match ctx.ledger.close() {
+        Ok(proof) => refusal(proof, id, COME_BACK),
+        Err(_) if ctx.left().is_zero() => failure(Failure::TimeOver, id),
+        Err(_) => failure(Failure::Broken, id),
+    };
+    ctx.note_end(answer.status().as_u16(), cause);
+    answer
+}
+
+/// Makes the stages' results and sends the request until a stream begins.
+async fn open(
+    ctx: &Context,
+    attempts: &mut Attempts,
+    last_event: Option<&str>,
+) -> Result<Box<Open>, NotOpen> {
+    let mut results = stage_results(ctx).await?;
+    let mut remakes = 0;
+    let mut last_failure = None;
+    let cause = loop {
+        let target = match attempts.next(ctx) {
+            Ok(it) => it,
+            Err(it) => break it,
+        };
+        match attempt(ctx, attempts, &target, last_event, &results.inputs).await {
+            Ended::Open(it) => return Ok(it),
+            Ended::Failed(parts, body) => {
+                last_failure = Some((parts, body));
+                if !ctx.is_repeatable() {
+                    break NoSend::Attempts;
+                }
+            }
+            Ended::NotSent => attempts.take_back(),
+            Ended::InputsGone if remakes < INPUT_REMAKES => {
+                remakes += 1;
+                attempts.take_back();
+                results = stage_results(ctx).await?;
+            }
+            Ended::Declined | Ended::InputsGone => (),
+            Ended::Broken | Ended::Silent if ctx.is_repeatable() => (),
+            Ended::Broken | Ended::Silent => break NoSend::Attempts,
+        }
+    };
+    match last_failure {
+        Some((parts, body)) => Err(NotOpen::Failed(parts, body)),
+        None => Err(NotOpen::NoSend(cause.name())),
+    }
+}
+
+async fn stage_results(ctx: &Context) -> Result<Results, NotOpen> {
+    let now = ctx.shared.clock.now();
+    let likely = ctx.pool.choose(now, &ctx.call(&[])).ok();
+    let domain = likely
+        .and_then(|it| ctx.shared.staying_target(&it.address))
+        .map_or(String::new(), |it| it.domain);
+    stages::make_all(ctx, &domain).await.map_err(|_| NotOpen::NoSend("stages"))
+}
+
+async fn attempt(
+    ctx: &Context,
+    attempts: &Attempts,
+    target: &TargetInstance,
+    last_event: Option<&str>,
+    inputs: &[String],
+) -> Ended {
+    let Some(begun) = ctx.ledger.begin() else { return Ended::Broken };
+    let limit = first_patience(ctx, attempts);
+    let sent = tokio::time::timeout(limit, send_stream(ctx, target, last_event, inputs)).await;
+    let ended = sent.unwrap_or(Ended::Silent);
+    match &ended {
+        Ended::Open(it) => ctx.pool.times.lock().record(ctx.shared.clock.now(), it.first_ms),
+        Ended::Failed(..) => end_send(ctx, target, End::Failed, "target-failed"),
+        Ended::NotSent => {
+            begun.never_sent();
+            end_send(ctx, target, End::Failed, "not-sent");
+        }
+        Ended::Declined => {
+            begun.declined();
+            end_send(ctx, target, End::Failed, "declined");
+        }
+        Ended::InputsGone => {
+            begun.declined();
+            end_send(ctx, target, End::Dropped, "inputs-gone");
+        }
+        Ended::Broken => end_send(ctx, target, End::Failed, "broken"),
+        Ended::Silent => end_send(ctx, target, End::Failed, "silent"),
+    }
+    ended
+}
+
+/// Sends the request and waits for the first whole event.
+async fn send_stream(
+    ctx: &Context,
+    target: &TargetInstance,
+    last_event: Option<&str>,
+    inputs: &[String],
+) -> Ended {
+    let started = Instant::now();
+    let added = ctx.added(target, last_event, inputs);
+    let sent = send(&ctx.shared, target, &ctx.request, &added, ctx.care()).await;
+    let (head, response, connection) = match sent {
+        Sent::NotSent => return Ended::NotSent,
+        Sent::Broken(_) => return Ended::Broken,
+        Sent::Declined { status, head } => {
+            ctx.pool.report(ctx.shared.clock.now(), &target.id, head.load);
+            if head.is_misdirected {
+                ctx.shared.target_leaves(&target.id, "misdirected");
+            }
+            let is_gone = status == StatusCode::CONFLICT;
+            return if is_gone { Ended::InputsGone } else { Ended::Declined };
+        }
+        Sent::Answered { head, response, connection } => (head, response, connection),
+    };
+    ctx.pool.report(ctx.shared.clock.now(), &target.id, head.load);
+    let (parts, mut body) = response.into_parts();
+    if !parts.status.is_success() {
+        return match body.collect().await {
+            Ok(it) => Ended::Failed(Box::new(parts), it.to_bytes()),
+            Err(_) => Ended::Broken,
+        };
+    }
+    let mut splitter = EventSplitter::default();
+    loop {
+        let (first, is_ended) = match next_events(&mut body, &mut splitter).await {
+            Next::Events(it) if it.is_empty() => continue,
+            Next::Events(it) => (it, false),
+            Next::End => (Vec::new(), true),
+            Next::Broken => return Ended::Broken,
+        };
+        return Ended::Open(Box::new(Open {
+            target: target.clone(),
+            head,
+            parts,
+            body,
+            connection,
+            splitter,
+            first,
+            is_ended,
+            first_ms: started.elapsed().as_millis() as Millis,
+        }));
+    }
+}
+
+enum Next {
+    Events(Vec<WholeEvent>),
+    End,
+    Broken,
+}
+
+async fn next_events(body: &mut Incoming, splitter: &mut EventSplitter) -> Next {
+    match body.frame().await {
+        Some(Ok(frame)) => {
+            Next::Events(frame.into_data().map_or(Vec::new(), |it| splitter.push(&it)))
+        }
+        None if !splitter.is_partial() => Next::End,
+        Some(Err(_)) | None => Next::Broken,
+    }
+}
+
+/// Passes events on until the stream ends, breaks off for good or is left by its caller.
+async fn pump(
+    ctx: Context,
+    mut attempts: Attempts,
+    mut open_stream: Box<Open>,
+    sender: mpsc::Sender<Result<Bytes, BrokenOff>>,
+) {
+    let mut last_id: Option<String> = ctx.head.last_event.clone();
+    let status = open_stream.parts.status.as_u16();
+    loop {
+        let target = open_stream.target.clone();
+        let first_ms = open_stream.first_ms;
+        let passed = tokio::select! {
+            it = pass(&ctx, &attempts, open_stream, &mut last_id, &sender) => it,
+            () = sender.closed() => Passed::CallerGone,
+            () = tokio::time::sleep(ctx.left()) => Passed::TimeOver,
+        };
+        match passed {
+            Passed::Whole => {
+                end_send(&ctx, &target, End::Whole(first_ms), "answered");
+                ctx.note_end(status, "answered");
+                return;
+            }
+            Passed::CallerGone => {
+                end_send(&ctx, &target, End::Dropped, "caller-gone");
+                ctx.note_end(status, "caller-gone");
+                return;
+            }
+            Passed::TimeOver => {
+                end_send(&ctx, &target, End::Dropped, "time-over");
+                return break_off(&ctx, status, "time-over", &sender).await;
+            }
+            Passed::Broken(cause) => {
+                end_send(&ctx, &target, End::Failed, cause);
+                if !ctx.is_repeatable() {
+                    return break_off(&ctx, status, cause, &sender).await;
+                }
+                let reopened = tokio::select! {
+                    it = open(&ctx, &mut attempts, last_id.as_deref()) => it,
+                    () = sender.closed() => Err(NotOpen::NoSend("caller-gone")),
+                    () = tokio::time::sleep(ctx.left()) => Err(NotOpen::NoSend("time-over")),
+                };
+                let event = last_id.as_deref().unwrap_or("none");
+                let detail = format!(
+                    "id={} from={} cause={cause} last_event={event} resumed={}",
+                    ctx.request.id,
+                    target.id,
+                    reopened.is_ok()
+                );
+                emit(events::STREAM_MOVED, &ctx.shared.settings.instance, &detail);
+                match reopened {
+                    Ok(it) => open_stream = it,
+                    Err(_) => return break_off(&ctx, status, cause, &sender).await,
+                }
+            }
+        }
+    }
+}
+
+async fn break_off(
+    ctx: &Context,
+    status: u16,
+    cause: &'static str,
+    sender: &mpsc::Sender<Result<Bytes, BrokenOff>>,
+) {
+    ctx.note_end(status, cause);
+    // A caller who is gone needs no sign.
+    drop(sender.send(Err(BrokenOff)).await);
+}
+
+/// How the passing on of one target's stream ended.
+enum Passed {
+    Whole,
+    Broken(&'static str),
+    CallerGone,
+    TimeOver,
+}
+
+async fn pass(
+    ctx: &Context,
+    attempts: &Attempts,
+    open: Box<Open>,
+    last_id: &mut Option<String>,
+    sender: &mpsc::Sender<Result<Bytes, BrokenOff>>,
+) -> Passed {
+    let Open { head, mut body, connection, mut splitter, first, is_ended, .. } = *open;
+    if !pass_events(first, last_id, sender).await {
+        return Passed::CallerGone;
+    }
+    let gap = gap_patience(ctx, attempts);
+    while !is_ended {
+        let next = tokio::time::timeout(gap, next_events(&mut body, &mut splitter)).await;
+        match next {
+            Ok(Next::Events(events)) => {
+                if !pass_events(events, last_id, sender).await {
+                    return Passed::CallerGone;
+                }
+            }
+            Ok(Next::End) => break,
+            Ok(Next::Broken) => return Passed::Broken("broken"),
+            Err(_) => return Passed::Broken("silent"),
+        }
+    }
+    if !head.closes {
+        ctx.shared.connections.give_back(connection, head.idle_limit);
+    }
+    Passed::Whole
+}
+
+/// Passes events on in one piece; `false` where the caller is gone.
+async fn pass_events(
+    events: Vec<WholeEvent>,
+    last_id: &mut Option<String>,
+    sender: &mpsc::Sender<Result<Bytes, BrokenOff>>,
+) -> bool {
+    if let Some(it) = events.iter().rev().find_map(|it| it.id.clone()) {
+        *last_id = Some(it);
+    }
+    let bytes = match &events[..] {
+        [] => return true,
+        [one] => one.bytes.clone(),
+        many => {
+            let mut joined = BytesMut::new();
+            many.iter().for_each(|it| joined.extend_from_slice(&it.bytes));
+            joined.freeze()
+        }
+    };
+    sender.send(Ok(bytes)).await.is_ok()
+}
+
+/// How long a first event is waited for: to the end where no other send may follow.
+fn first_patience(ctx: &Context, attempts: &Attempts) -> Duration {
+    let left = ctx.left();
+    if !ctx.is_repeatable() || !attempts.may_repeat(ctx) {
+        return left;
+    }
+    let usual = ctx.pool.times.lock().quantile(0.95).unwrap_or(0);
+    let usual = Duration::from_millis(FIRST_PATIENCE_OF_USUAL * usual);
+    ctx.target_time().mul_f64(FIRST_PATIENCE).max(usual).min(left)
+}
+
+/// How long the next event is waited for.
+fn gap_patience(ctx: &Context, attempts: &Attempts) -> Duration {
+    match ctx.route.shape {
+        Shape::Events { gap_ms } if ctx.is_repeatable() && attempts.may_repeat(ctx) => {
+            Duration::from_millis(gap_ms).mul_f64(GAP_PATIENCE)
+        }
+        _ => ctx.left(),
+    }
+}
--- a/crates/holdpointd/src/lib.rs
+++ b/crates/holdpointd/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod control;
 pub mod events;
+pub mod ingress;
 mod instance;
 pub mod metrics;
 mod operators;
--- a/crates/holdpointd/src/main.rs
+++ b/crates/holdpointd/src/main.rs
@@ -1,19 +1,26 @@
 //! The daemon: one instance, from its settings until a planned stop.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
 use clap::{Arg, ArgAction, Command, value_parser};
 use holdpointd::{
     Ended, Instance,
     events::{self, emit},
+    ingress::Ingress,
     settings,
 };
 use log::LevelFilter;
-use simplelog::{ColorChoice, ConfigBuilder, TermLogger, TerminalMode};
+use simplelog::{ConfigBuilder, WriteLogger};
 use tokio::signal::unix::{SignalKind, signal};
+use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 
 /// Exit code for settings that cannot be used.
 const BAD_SETTINGS: u8 = 2;
+/// Most lines of the log that wait to be written.
+const LOG_LINES: usize = 4096;
 /// Exit code for an instance that cannot start.
 const CANNOT_START: u8 = 4;
 
@@ -29,6 +36,11 @@
                 .value_parser(value_parser!(PathBuf))
                 .help("Settings, JSON with comments"),
         )
+        .arg(
+            Arg::new("ingress").long("ingress").action(ArgAction::SetTrue).help(
+                "Serve the platform's ingress: the settings are those of an ingress instance",
+            ),
+        )
         .arg(
             Arg::new("check")
                 .long("check")
@@ -48,8 +60,11 @@
 fn main() -> ExitCode {
     let matches = command().get_matches();
     let level = matches.get_one("log-level").copied().unwrap_or(LevelFilter::Info);
-    start_log(level);
+    let _log = start_log(level);
     let path: &PathBuf = matches.get_one("settings").expect("the argument is required");
+    if matches.get_flag("ingress") {
+        return ingress(path, matches.get_flag("check"));
+    }
     let settings = match settings::load(path) {
         Ok(it) => it,
         Err(it) => {
@@ -76,6 +91,53 @@
     ExitCode::from(u8::try_from(code).unwrap_or(1))
 }
 
+/// Runs an ingress instance on one thread, until a signal asks for a planned stop.
+fn ingress(path: &Path, only_checks: bool) -> ExitCode {
+    let settings = match settings::load_ingress(path) {
+        Ok(it) => it,
+        Err(it) => {
+            eprintln!("{}: {}", path.display(), it.current_context());
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    if only_checks {
+        return ExitCode::SUCCESS;
+    }
+    let Ok(runtime) = tokio::runtime::Builder::new_current_thread().enable_all().build() else {
+        return ExitCode::from(CANNOT_START);
+    };
+    let ended = runtime.block_on(async {
+        let name = settings.instance.clone();
+        let instance = match Ingress::start(settings) {
+            Ok(it) => it,
+            Err(it) => {
+                emit(events::BAD_ADDRESS, "holdpointd", &format!("{it:?}"));
+                return None;
+            }
+        };
+        let mut terminate = signal(SignalKind::terminate()).ok()?;
+        let mut interrupt = signal(SignalKind::interrupt()).ok()?;
+        let mut reload = signal(SignalKind::hangup()).ok()?;
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                _ = reload.recv() => {
+                    let outcome = settings::load_ingress(path).map(drop);
+                    let text = outcome.map_or_else(|it| it.current_context().to_string(), |()| "valid".to_owned());
+                    emit(events::RELOADED, &name, &text);
+                }
+            }
+        }
+        Some(instance.stop().await)
+    });
+    runtime.shutdown_background();
+    match ended {
+        Some(Ended::Drained | Ended::Cut) => ExitCode::SUCCESS,
+        None => ExitCode::from(CANNOT_START),
+    }
+}
+
 /// Runs until a signal asks for a planned stop.
 fn run(instance: Instance) -> Option<Ended> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().ok()?;
@@ -90,13 +152,20 @@
     })
 }
 
-fn start_log(level: LevelFilter) {
+/// Starts the log: lines go to standard error from a thread of their own, which drops lines
+/// rather than hold traffic up. The guard writes what is left when it is dropped.
+fn start_log(level: LevelFilter) -> WorkerGuard {
     let config = ConfigBuilder::new()
         .set_time_format_rfc3339()
         .set_target_level(LevelFilter::Off)
         .set_thread_level(LevelFilter::Off)
         .add_filter_allow_str("holdpoint")
         .build();
+    let (writer, guard) = NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(LOG_LINES)
+        .finish(std::io::stderr());
     // Only a second logger in the same process fails here.
-    drop(TermLogger::init(level, config, TerminalMode::Stderr, ColorChoice::Auto));
+    drop(WriteLogger::init(level, config, writer));
+    guard
 }
--- a/crates/holdpointd/src/metrics.rs
+++ b/crates/holdpointd/src/metrics.rs
@@ -22,6 +22,10 @@
     pub latency: Histogram<f64>,
     /// Attempts by pool and end.
     pub attempts: Counter<u64>,
+    /// Calls that made results of stages, by end.
+    pub batches: Counter<u64>,
+    /// Pieces in those calls, by end.
+    pub pieces: Counter<u64>,
     /// Repeated chunks dropped.
     pub dropped_chunks: Counter<u64>,
     /// Answers of other attempts dropped.
@@ -59,6 +63,8 @@
                 .with_boundaries(LATENCY_BOUNDS.to_vec())
                 .build(),
             attempts: counter("holdpoint_attempts", "Attempts by pool and end"),
+            batches: counter("holdpoint_batches", "Calls for results of stages by end"),
+            pieces: counter("holdpoint_pieces", "Pieces in calls for results of stages by end"),
             dropped_chunks: counter("holdpoint_dropped_chunks", "Repeated chunks dropped"),
             crossed: counter("holdpoint_crossed", "Answers of other attempts dropped"),
             resumes: counter("holdpoint_resumes", "Generations resumed at their engine"),
--- a/crates/holdpointd/src/settings.rs
+++ b/crates/holdpointd/src/settings.rs
@@ -4,7 +4,7 @@
 
 use error_stack::{Report, ResultExt};
 use holdpoint_core::token::TokenKey;
-use holdpoint_schema::{Fault, Part, faults, settings::Settings};
+use holdpoint_schema::{Fault, Part, faults, ingress::IngressSettings, settings::Settings};
 use jsonc_parser::{ParseOptions, parse_to_serde_value};
 use serde_json::Value;
 
@@ -68,6 +68,17 @@
     Err(Report::new(FileError::Faults(found)))
 }
 
+/// Reads the settings of an ingress instance from a file.
+pub fn load_ingress(path: &Path) -> Result<IngressSettings, Report<FileError>> {
+    let value = read_jsonc(path)?;
+    let found = faults(Part::Ingress, &value);
+    if !found.is_empty() {
+        return Err(Report::new(FileError::Faults(found)));
+    }
+    serde_json::from_value(value)
+        .map_err(|it| Report::new(FileError::Syntax { text: it.to_string() }))
+}
+
 /// Keys that sign and verify resume tokens.
 pub fn token_keys(settings: &Settings) -> Vec<TokenKey> {
     let keys = settings.resume_keys.iter();
