Results of stages are given up through the batcher, which keeps account of their room

Streams were moved after pauses of 300 ms, which engines make while they read other prompts (106 broken off). Change: the batcher of a service reserves room, gives results up at their makers and sends a piece back to the queue rather than to its request; large results are made where they are needed; a stream moves after twice its longest timely pause.

--- a/crates/holdpoint-core/src/batcher.rs
+++ b/crates/holdpoint-core/src/batcher.rs
@@ -3,9 +3,12 @@
 //! A call costs a fixed time plus a little for each piece, and a target works on few calls at
 //! once. So a target is given as many calls as it works on and no more: while one runs, pieces
 //! gather here, where they can still be ordered. Pieces that can be in time go first, the nearest
-//! due time before others; those that are late anyway follow by rank.
+//! due time before others; those that are late anyway follow by rank. A large result is made in
+//! the failure domain where it is needed, as long as its due time leaves room to wait for a target
+//! there. The room that results take at each target is kept account of, from the call that makes
+//! them until they are given up or their time is over.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 use crate::{directory::TargetId, ids::Millis};
 
@@ -16,6 +19,17 @@
 const SUSPECT_MS: Millis = 500;
 /// Longest time that a target is suspect, in milliseconds.
 const LONGEST_SUSPECT_MS: Millis = 4000;
+/// How long a target that was full, or had no room, gets no calls, in milliseconds.
+const FULL_MS: Millis = 80;
+/// Weight of the newest measurement of a target's slowness.
+const NEWEST: f64 = 0.3;
+/// A target that is so many times slower than the fastest gets work only when others are behind.
+const SLOW: f64 = 2.0;
+/// Bytes of a result below which it does not matter where it is made.
+const NEAR_BYTES: u64 = 200_000;
+/// A piece waits for a target in its failure domain until its due time is this near, in
+/// milliseconds.
+const NEAR_SLACK_MS: Millis = 300;
 
 /// A piece that waits.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -30,7 +44,7 @@
     pub rank: u32,
     /// Room that its result takes, in bytes.
     pub bytes: u64,
-    /// Failure domain where its result is needed.
+    /// Failure domain where its result is needed; any where empty.
     pub domain: String,
 }
 
@@ -40,7 +54,7 @@
     /// Target to call.
     pub target: TargetId,
     /// Pieces in it.
-    pub tickets: Vec<Ticket>,
+    pub pieces: Vec<Waiting>,
     /// Pieces that wait still.
     pub left: usize,
 }
@@ -67,6 +81,10 @@
     pub call_ms: f64,
     /// Time of each piece, in milliseconds.
     pub piece_ms: f64,
+    /// Room for results at one target, in bytes; 0 where it is not bounded.
+    pub room_bytes: u64,
+    /// How long a result is kept, in milliseconds.
+    pub keep_ms: Millis,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -78,6 +96,15 @@
     suspect_until: Millis,
     /// How much longer its calls take than stated; 1 until measured.
     slowness: f64,
+    /// Room reserved by calls and taken by results, in bytes.
+    used_bytes: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Kept {
+    target: TargetId,
+    bytes: u64,
+    until: Millis,
 }
 
 /// Batches for one service.
@@ -86,20 +113,14 @@
     sizes: Sizes,
     waiting: Vec<Waiting>,
     targets: BTreeMap<TargetId, Target>,
+    /// Results that take room, by handle.
+    kept: HashMap<String, Kept>,
 }
 
-/// Weight of the newest measurement of a target's slowness.
-const NEWEST: f64 = 0.3;
-/// A target that is so many times slower than the fastest gets work only when others are busy
-/// for long.
-const SLOW: f64 = 2.0;
-/// Bytes of results below which it does not matter where they are made.
-const NEAR_BYTES: u64 = 200_000;
-
 impl Batcher {
     /// Makes a batcher with no targets yet.
     pub fn new(sizes: Sizes) -> Batcher {
-        Batcher { sizes, waiting: Vec::new(), targets: BTreeMap::new() }
+        Batcher { sizes, waiting: Vec::new(), targets: BTreeMap::new(), kept: HashMap::new() }
     }
 
     /// Puts other sizes in force.
@@ -159,6 +180,7 @@
 
     /// Returns a call to make now, if there is one. [`Batcher::ended`] must follow.
     pub fn next(&mut self, now: Millis) -> Option<Call> {
+        self.forget_kept(now);
         if self.waiting.is_empty() {
             return None;
         }
@@ -166,31 +188,48 @@
         if free.is_empty() {
             return None;
         }
-        let take = (self.sizes.pieces.max(1) as usize).min(self.waiting.len());
-        let call_ms = (self.sizes.call_ms + self.sizes.piece_ms * take as f64) as Millis;
-        self.waiting.sort_by_key(|it| {
-            let is_late = it.due < now + call_ms;
-            (is_late, if is_late { it.rank } else { 0 }, it.due, it.ticket)
-        });
-        let target = self.best_target(&free, &self.waiting[..take]);
-        let tickets = self.waiting.drain(..take).map(|it| it.ticket).collect();
+        self.order(now);
+        let packed = free.into_iter().map(|it| (self.pack(now, &it), it));
+        let (indices, target) = packed.max_by_key(|it| self.score(&it.0, &it.1))?;
+        if indices.is_empty() {
+            return None;
+        }
+        let mut pieces = Vec::with_capacity(indices.len());
+        for index in indices.into_iter().rev() {
+            pieces.push(self.waiting.remove(index));
+        }
+        pieces.reverse();
         let chosen = self.targets.get_mut(&target)?;
         chosen.calls += 1;
-        Some(Call { target, tickets, left: self.waiting.len() })
+        chosen.used_bytes += pieces.iter().map(|it| it.bytes).sum::<u64>();
+        Some(Call { target, pieces, left: self.waiting.len() })
     }
 
-    /// Ends a call of so many pieces.
-    pub fn ended(&mut self, now: Millis, target: &str, pieces: usize, end: CallEnd) {
-        let stated = self.sizes.call_ms + self.sizes.piece_ms * pieces as f64;
-        let Some(target) = self.targets.get_mut(target) else { return };
+    /// Ends a call. `results` has the handle of each piece's result, in their order; those of a
+    /// call that did not answer are all absent.
+    pub fn ended(&mut self, now: Millis, call: &Call, end: CallEnd, results: &[Option<&str>]) {
+        let stated = self.sizes.call_ms + self.sizes.piece_ms * call.pieces.len() as f64;
+        let mut freed = 0;
+        for (index, piece) in call.pieces.iter().enumerate() {
+            match results.get(index).copied().flatten() {
+                Some(handle) => {
+                    let until = now + self.sizes.keep_ms;
+                    let kept = Kept { target: call.target.clone(), bytes: piece.bytes, until };
+                    self.kept.insert(handle.to_owned(), kept);
+                }
+                None => freed += piece.bytes,
+            }
+        }
+        let Some(target) = self.targets.get_mut(&call.target) else { return };
         target.calls = target.calls.saturating_sub(1);
+        target.used_bytes = target.used_bytes.saturating_sub(freed);
         match end {
             CallEnd::Answered(ms) => {
                 let seen = ms as f64 / stated.max(1.0);
                 target.slowness += NEWEST * (seen - target.slowness);
                 target.failures = 0;
             }
-            CallEnd::Full => target.suspect_until = now + SUSPECT_MS / 5,
+            CallEnd::Full => target.suspect_until = now + FULL_MS,
             CallEnd::Failed => {
                 let span = SUSPECT_MS << target.failures.min(4);
                 target.suspect_until = now + span.min(LONGEST_SUSPECT_MS);
@@ -199,6 +238,21 @@
         }
     }
 
+    /// Takes in that a target had no room for a piece, although it should have had.
+    pub fn no_room(&mut self, now: Millis, target: &str) {
+        if let Some(it) = self.targets.get_mut(target) {
+            it.suspect_until = it.suspect_until.max(now + FULL_MS);
+        }
+    }
+
+    /// Takes in that a result was given up at its maker.
+    pub fn given_up(&mut self, handle: &str) {
+        let Some(kept) = self.kept.remove(handle) else { return };
+        if let Some(target) = self.targets.get_mut(&kept.target) {
+            target.used_bytes = target.used_bytes.saturating_sub(kept.bytes);
+        }
+    }
+
     /// Longest time that a call of so many pieces at a target is waited for, in milliseconds.
     pub fn patience_ms(&self, target: &str, pieces: usize) -> Millis {
         let stated = self.sizes.call_ms + self.sizes.piece_ms * pieces as f64;
@@ -206,13 +260,62 @@
         (stated * (1.0 + slowness) + 300.0) as Millis
     }
 
-    /// Time at which a suspect target may be tried again, if pieces wait for one.
-    pub fn next_time(&self) -> Option<Millis> {
-        if self.waiting.is_empty() {
-            return None;
+    fn forget_kept(&mut self, now: Millis) {
+        let over: Vec<String> =
+            self.kept.iter().filter(|it| it.1.until < now).map(|it| it.0.clone()).collect();
+        over.iter().for_each(|it| self.given_up(it));
+    }
+
+    /// Orders what waits: the nearest due time first, then what is late anyway, by rank.
+    fn order(&mut self, now: Millis) {
+        let call_ms = (self.sizes.call_ms + self.sizes.piece_ms) as Millis;
+        self.waiting.sort_by_key(|it| {
+            let is_late = it.due < now + call_ms;
+            (is_late, if is_late { it.rank } else { 0 }, it.due, it.ticket)
+        });
+    }
+
+    /// Indices of the pieces that a call at a target would take.
+    fn pack(&self, now: Millis, id: &str) -> Vec<usize> {
+        let Some(target) = self.targets.get(id) else { return Vec::new() };
+        let mut room = match self.sizes.room_bytes {
+            0 => u64::MAX,
+            it => it.saturating_sub(target.used_bytes),
+        };
+        let mut indices = Vec::new();
+        for (index, piece) in self.waiting.iter().enumerate() {
+            if self.sizes.pieces.max(1) as usize <= indices.len() {
+                break;
+            }
+            if piece.bytes <= room && self.may_go(now, piece, target) {
+                room -= piece.bytes;
+                indices.push(index);
+            }
+        }
+        indices
+    }
+
+    /// Whether a piece may be made at a target, or waits for one where its result is needed.
+    fn may_go(&self, now: Millis, piece: &Waiting, target: &Target) -> bool {
+        let is_anywhere = piece.bytes < NEAR_BYTES || piece.domain.is_empty();
+        if is_anywhere || piece.domain == target.domain {
+            return true;
         }
-        let idle = self.targets.values().filter(|it| !it.is_leaving && it.calls < self.sizes.calls);
-        idle.map(|it| it.suspect_until).min()
+        let call_ms = (self.sizes.call_ms + self.sizes.piece_ms) as Millis;
+        let is_urgent = piece.due < now + call_ms + NEAR_SLACK_MS;
+        let is_near =
+            |it: &Target| it.domain == piece.domain && !it.is_leaving && it.suspect_until <= now;
+        is_urgent || !self.targets.values().any(is_near)
+    }
+
+    /// How good a call would be: the most pieces, then the most large ones in their failure
+    /// domain, then the fastest target.
+    fn score(&self, indices: &[usize], id: &str) -> (usize, u64, i64) {
+        let Some(target) = self.targets.get(id) else { return (0, 0, 0) };
+        let is_near = |it: &&Waiting| NEAR_BYTES <= it.bytes && it.domain == target.domain;
+        let pieces = indices.iter().map(|it| &self.waiting[*it]);
+        let near_bytes = pieces.filter(is_near).map(|it| it.bytes).sum();
+        (indices.len(), near_bytes, -(target.slowness * 10.0) as i64)
     }
 
     /// Targets that may take a call now. One much slower than the fastest is left out while the
@@ -227,24 +330,8 @@
         let is_behind = self.sizes.pieces as usize * self.usable() / 2 < self.waiting.len();
         staying()
             .filter(|it| it.1.suspect_until <= now && it.1.calls < calls)
-            .filter(|it| is_behind || it.1.slowness < SLOW * fastest || it.1.slowness < SLOW)
+            .filter(|it| is_behind || it.1.slowness < SLOW * fastest.max(1.0))
             .map(|it| it.0.clone())
             .collect()
     }
-
-    /// The free target in the failure domain where most bytes are needed; the fastest of equals.
-    fn best_target(&self, free: &[TargetId], pieces: &[Waiting]) -> TargetId {
-        let near_bytes = |domain: &str| -> u64 {
-            pieces
-                .iter()
-                .filter(|it| NEAR_BYTES <= it.bytes && it.domain == domain)
-                .map(|it| it.bytes)
-                .sum()
-        };
-        let score = |id: &&TargetId| {
-            let target = &self.targets[*id];
-            (near_bytes(&target.domain), -(target.slowness * 10.0) as i64)
-        };
-        free.iter().max_by_key(score).cloned().unwrap_or_default()
-    }
 }
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -27,6 +27,8 @@
     metrics::label,
 };
 
+/// How often a piece goes back to the queue for want of room.
+const RETURNS: u32 = 20;
 /// Shortest time that a call to a target is given, in milliseconds.
 const LEAST_CALL_MS: Millis = 400;
 
@@ -54,6 +56,8 @@
     work: PieceWork,
     deadline: Instant,
     offered: Instant,
+    /// How often it went back to the queue.
+    returns: u32,
     reply: oneshot::Sender<PieceResult>,
 }
 
@@ -120,11 +124,6 @@
         results
     }
 
-    /// Time that one more piece of a service would take, in milliseconds, as far as is known here.
-    pub(crate) fn expected_ms(&self, service: &str) -> Option<f64> {
-        self.services.lock().get(service).map(|it| it.batcher.expected_ms())
-    }
-
     fn offer(
         &self,
         shared: &IngressShared,
@@ -157,28 +156,35 @@
                 domain: ask.domain,
             });
             let deadline = offered + Duration::from_millis(ask.left_ms);
-            of_service.pending.insert(ticket, Pending { work: ask.work, deadline, offered, reply });
+            of_service
+                .pending
+                .insert(ticket, Pending { work: ask.work, deadline, offered, returns: 0, reply });
         }
         Some(replies)
     }
 
+    /// Takes in that results were given up at their makers.
+    pub(crate) fn given_up(&self, service: &str, handles: &[String]) {
+        if let Some(it) = self.services.lock().get_mut(service) {
+            handles.iter().for_each(|handle| it.batcher.given_up(handle));
+        }
+    }
+
     /// Takes the next call of a service, with its pieces.
     fn next(&self, shared: &IngressShared, service: &str) -> Option<(Call, Vec<Pending>, Millis)> {
         let now = shared.clock.now();
         let mut services = self.services.lock();
-        let of_service = services.get_mut(service)?;
-        let pending = &mut of_service.pending;
-        of_service.batcher.retain(|it| pending.get(&it).is_some_and(|it| !it.reply.is_closed()));
+        let ServiceBatches { batcher, pending } = services.get_mut(service)?;
+        batcher.retain(|it| pending.get(&it).is_some_and(|it| !it.reply.is_closed()));
         pending.retain(|_, it| !it.reply.is_closed());
-        for ticket in of_service.batcher.expire(now) {
-            if let Some(it) = of_service.pending.remove(&ticket) {
+        for ticket in batcher.expire(now) {
+            if let Some(it) = pending.remove(&ticket) {
                 drop(it.reply.send(Err(NoResult::Late)));
             }
         }
-        let call = of_service.batcher.next(now)?;
-        let pieces: Vec<Pending> =
-            call.tickets.iter().filter_map(|it| of_service.pending.remove(it)).collect();
-        let patience = of_service.batcher.patience_ms(&call.target, pieces.len());
+        let call = batcher.next(now)?;
+        let pieces = call.pieces.iter().filter_map(|it| pending.remove(&it.ticket)).collect();
+        let patience = batcher.patience_ms(&call.target, call.pieces.len());
         Some((call, pieces, patience))
     }
 
@@ -186,33 +192,27 @@
         &self,
         shared: &IngressShared,
         service: &str,
-        target: &str,
-        pieces: usize,
+        call: &Call,
         end: CallEnd,
+        results: &[PieceResult],
     ) {
-        if let Some(it) = self.services.lock().get_mut(service) {
-            it.batcher.ended(shared.clock.now(), target, pieces, end);
+        let now = shared.clock.now();
+        let handles: Vec<Option<&str>> =
+            results.iter().map(|it| it.as_ref().ok().map(String::as_str)).collect();
+        let mut services = self.services.lock();
+        let Some(it) = services.get_mut(service) else { return };
+        it.batcher.ended(now, call, end, &handles);
+        if results.contains(&Err(NoResult::NoRoom)) {
+            it.batcher.no_room(now, &call.target);
         }
     }
 
-    /// Gives pieces back to the queue after a call that did nothing.
-    fn again(&self, shared: &IngressShared, service: &str, pieces: Vec<Pending>) {
-        let now = shared.clock.now();
+    /// Gives a piece back to the queue that was not made.
+    fn again(&self, service: &str, waiting: Waiting, pending: Pending) {
         let mut services = self.services.lock();
         let Some(of_service) = services.get_mut(service) else { return };
-        for piece in pieces {
-            let ticket = self.next_ticket.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-            let deadline = shared.millis_at(piece.deadline);
-            of_service.batcher.offer(Waiting {
-                ticket,
-                due: now,
-                deadline,
-                rank: 0,
-                bytes: 0,
-                domain: String::new(),
-            });
-            of_service.pending.insert(ticket, piece);
-        }
+        of_service.pending.insert(waiting.ticket, pending);
+        of_service.batcher.offer(waiting);
     }
 
     fn services_with_work(&self) -> Vec<Name> {
@@ -229,7 +229,7 @@
 }
 
 /// Starts as many calls of a service as its targets take.
-fn pump(shared: &Arc<IngressShared>, service: &str) {
+pub(crate) fn pump(shared: &Arc<IngressShared>, service: &str) {
     while let Some((call, pieces, patience)) = shared.batches.next(shared, service) {
         tokio::spawn(run(shared.clone(), service.to_owned(), call, pieces, patience));
     }
@@ -243,42 +243,64 @@
     patience: Millis,
 ) {
     let begun = Instant::now();
-    let count = pieces.len();
     let outcome = ask_target(&shared, &call, &pieces, patience).await;
     let ms = begun.elapsed().as_millis() as Millis;
-    let (end, text) = match &outcome {
-        Ok(_) => (CallEnd::Answered(ms), "answered"),
-        Err(CallEnd::Full) => (CallEnd::Full, "full"),
-        Err(_) => (CallEnd::Failed, "failed"),
+    let (results, end, text) = match outcome {
+        Ok(it) => (it, CallEnd::Answered(ms), "answered"),
+        Err(CallEnd::Full) => (Vec::new(), CallEnd::Full, "full"),
+        Err(_) => (Vec::new(), CallEnd::Failed, "failed"),
     };
+    log_call(&shared, &service, &call, &pieces, &results, (begun, ms, text));
+    shared.batches.ended(&shared, &service, &call, end, &results);
+    let mut results = results.into_iter();
+    for (waiting, piece) in call.pieces.into_iter().zip(pieces) {
+        let usual = if end == CallEnd::Full { NoResult::NoRoom } else { NoResult::Failed };
+        let result = results.next().unwrap_or(Err(usual));
+        deliver(&shared, &service, waiting, piece, result);
+    }
+    pump(&shared, &service);
+}
+
+/// Hands a result to whoever asked for it; a piece that found no room goes back to the queue.
+fn deliver(
+    shared: &IngressShared,
+    service: &str,
+    waiting: Waiting,
+    mut piece: Pending,
+    result: PieceResult,
+) {
+    if result == Err(NoResult::NoRoom) && piece.returns < RETURNS {
+        piece.returns += 1;
+        shared.batches.again(service, waiting, piece);
+        return;
+    }
+    if let Err(Ok(handle)) = piece.reply.send(result) {
+        // Its request has ended meanwhile.
+        shared.frees.give_up(service, handle);
+    }
+}
+
+fn log_call(
+    shared: &IngressShared,
+    service: &str,
+    call: &Call,
+    pieces: &[Pending],
+    results: &[PieceResult],
+    (begun, ms, end): (Instant, Millis, &'static str),
+) {
     let waited = pieces.iter().map(|it| (begun - it.offered).as_millis()).max().unwrap_or(0);
+    let made = results.iter().filter(|it| it.is_ok()).count();
+    let no_room = results.iter().filter(|it| **it == Err(NoResult::NoRoom)).count();
     let detail = format!(
-        "service={service} target={} pieces={count} left={} waited_ms={waited} ms={ms} end={text}",
-        call.target, call.left
+        "service={service} target={} pieces={} made={made} no_room={no_room} left={} \
+         waited_ms={waited} ms={ms} end={end}",
+        call.target,
+        pieces.len(),
+        call.left
     );
     emit(events::BATCH, &shared.settings.instance, &detail);
-    shared.metrics.batches.add(1, &[label("end", text)]);
-    shared.metrics.pieces.add(count as u64, &[label("end", text)]);
-    shared.batches.ended(&shared, &service, &call.target, count, end);
-    match outcome {
-        Ok(results) => {
-            let mut results = results.into_iter();
-            for piece in pieces {
-                let result = results.next().unwrap_or(Err(NoResult::Failed));
-                if let Err(Ok(handle)) = piece.reply.send(result) {
-                    // Its request has ended meanwhile.
-                    shared.frees.give_up(handle);
-                }
-            }
-        }
-        Err(CallEnd::Full) => shared.batches.again(&shared, &service, pieces),
-        Err(_) => {
-            for piece in pieces {
-                drop(piece.reply.send(Err(NoResult::Failed)));
-            }
-        }
-    }
-    pump(&shared, &service);
+    shared.metrics.batches.add(1, &[label("end", end)]);
+    shared.metrics.pieces.add(pieces.len() as u64, &[label("end", end)]);
 }
 
 async fn ask_target(
@@ -314,6 +336,8 @@
         pieces: limits.pieces,
         call_ms: limits.call_ms,
         piece_ms: limits.piece_ms,
+        room_bytes: limits.room_bytes,
+        keep_ms: limits.keep_ms,
     })
 }
 
--- a/crates/holdpointd/src/ingress/frees.rs
+++ b/crates/holdpointd/src/ingress/frees.rs
@@ -1,49 +1,80 @@
 //! Gives up results that are no longer needed, so that their makers have room again.
+//!
+//! The instance that batches a service tells the makers, since it keeps account of their room.
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use holdpoint_adapter::stages as wire;
+use holdpoint_core::ids::Name;
 use parking_lot::Mutex;
 
 use crate::ingress::{send::own_call, shared::IngressShared};
 
-/// How long results are gathered before their makers are told.
-pub(crate) const GATHER: Duration = Duration::from_millis(40);
+/// How long results are gathered before they are given up together.
+pub(crate) const GATHER: Duration = Duration::from_millis(25);
 /// How long one call may take.
 const LIMIT: Duration = Duration::from_millis(500);
 
-/// Handles of results that nobody needs any more.
+/// Handles of results that nobody needs any more, by service.
 #[derive(Debug, Default)]
 pub(crate) struct Frees {
-    handles: Mutex<Vec<String>>,
+    handles: Mutex<HashMap<Name, Vec<String>>>,
 }
 
 impl Frees {
     /// Gives up a result.
-    pub(crate) fn give_up(&self, handle: String) {
-        self.handles.lock().push(handle);
+    pub(crate) fn give_up(&self, service: &str, handle: String) {
+        self.handles.lock().entry(service.to_owned()).or_default().push(handle);
     }
 
-    fn take(&self) -> Vec<String> {
+    fn take(&self) -> HashMap<Name, Vec<String>> {
         std::mem::take(&mut *self.handles.lock())
     }
 }
 
-/// Tells the makers of all results that were given up, one call each.
+/// Gives up all results that were gathered.
 pub(crate) fn flush(shared: &Arc<IngressShared>) {
+    for (service, handles) in shared.frees.take() {
+        match shared.peers.batcher_of(&service) {
+            None => tell_makers(shared, &service, handles),
+            Some(address) => {
+                let shared = shared.clone();
+                tokio::spawn(async move {
+                    let told = shared.peers.give_up(&shared, &address, &service, handles.clone());
+                    if told.await.is_err() {
+                        tell_makers(&shared, &service, handles);
+                    }
+                });
+            }
+        }
+    }
+}
+
+/// Tells the makers of results that these are no longer needed, one call each.
+pub(crate) fn tell_makers(shared: &Arc<IngressShared>, service: &str, handles: Vec<String>) {
     let mut by_maker: HashMap<String, Vec<String>> = HashMap::new();
-    for handle in shared.frees.take() {
+    for handle in handles {
         if let Some(maker) = wire::maker(&handle).map(str::to_owned) {
             by_maker.entry(maker).or_default().push(handle);
         }
     }
     for (maker, handles) in by_maker {
         let Some(target) = shared.target_at(&maker) else { continue };
-        let shared = shared.clone();
-        tokio::spawn(async move {
-            let body = wire::free_body(&handles);
-            // A result that is not given up goes by itself when its time is over.
-            drop(own_call(&shared, &target, wire::FREE_PATH, body, LIMIT).await);
-        });
+        tokio::spawn(tell(shared.clone(), service.to_owned(), target, handles));
+    }
+}
+
+async fn tell(
+    shared: Arc<IngressShared>,
+    service: Name,
+    target: holdpoint_core::directory::TargetInstance,
+    handles: Vec<String>,
+) {
+    let body = wire::free_body(&handles);
+    let told = own_call(&shared, &target, wire::FREE_PATH, body, LIMIT).await;
+    // A result whose maker was not told goes by itself when its time is over.
+    if told.is_ok_and(|it| it.0.is_success()) {
+        shared.batches.given_up(&service, &handles);
+        crate::ingress::batches::pump(&shared, &service);
     }
 }
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -37,6 +37,7 @@
     ingress::{
         batches::{PieceAsk, PieceResult},
         connections::guard,
+        frees::tell_makers,
         shared::IngressShared,
     },
 };
@@ -72,6 +73,8 @@
 pub(crate) trait IngressPeers {
     /// Makes pieces of a service's stage.
     async fn make(service: Name, asks: Vec<PieceAsk>) -> Vec<PieceResult>;
+    /// Gives up results of a service's stage.
+    async fn give_up(service: Name, handles: Vec<String>);
     /// Says that the instance is there.
     async fn ping() -> bool;
     /// Tells what the instance knows; the asker has a configuration of this version.
@@ -190,6 +193,20 @@
         }
     }
 
+    /// Has a peer give up results.
+    pub(crate) async fn give_up(
+        &self,
+        shared: &Arc<IngressShared>,
+        address: &str,
+        service: &str,
+        handles: Vec<String>,
+    ) -> Result<(), PeerSilent> {
+        let (client, _) = self.link(shared, address).await?;
+        let told = client.give_up(context_for(PING_LIMIT), service.to_owned(), handles);
+        let told = tokio::time::timeout(PING_LIMIT, told).await;
+        told.map_err(|_| PeerSilent)?.map_err(|_| PeerSilent)
+    }
+
     /// Asks a peer what it knows.
     pub(crate) async fn state(
         &self,
@@ -298,6 +315,10 @@
         self.shared.batches.make(&self.shared, &service, asks).await
     }
 
+    async fn give_up(self, _: context::Context, service: Name, handles: Vec<String>) {
+        tell_makers(&self.shared, &service, handles);
+    }
+
     async fn ping(self, _: context::Context) -> bool {
         true
     }
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -1,14 +1,14 @@
 //! Makes the results of a request's stages, in the order of its graph.
 
 use std::{
-    collections::HashSet,
+    collections::HashMap,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
 use holdpoint_core::{
-    ids::Millis,
+    ids::{Millis, Name},
     stage_graph::{NoResult, PieceSource, PieceWork, StageGraph, due},
 };
 
@@ -36,18 +36,19 @@
 /// Results held for a request. Dropping them gives them up.
 pub(crate) struct Held {
     shared: Arc<IngressShared>,
-    handles: HashSet<String>,
+    /// Services by handle.
+    handles: HashMap<String, Name>,
 }
 
 impl Held {
     fn new(shared: &Arc<IngressShared>) -> Held {
-        Held { shared: shared.clone(), handles: HashSet::new() }
+        Held { shared: shared.clone(), handles: HashMap::new() }
     }
 
     fn give_up(&mut self, handles: &[String]) {
         for handle in handles {
-            if self.handles.remove(handle) {
-                self.shared.frees.give_up(handle.clone());
+            if let Some(service) = self.handles.remove(handle) {
+                self.shared.frees.give_up(&service, handle.clone());
             }
         }
     }
@@ -55,8 +56,8 @@
 
 impl Drop for Held {
     fn drop(&mut self) {
-        for handle in self.handles.drain() {
-            self.shared.frees.give_up(handle);
+        for (handle, service) in self.handles.drain() {
+            self.shared.frees.give_up(&service, handle);
         }
     }
 }
@@ -110,7 +111,8 @@
         let Some((stage, outcome)) = running.next().await else { return Ok(results) };
         match outcome {
             Ok(handles) => {
-                held.handles.extend(handles.iter().cloned());
+                let service = &ctx.route.stages[stage].service;
+                held.handles.extend(handles.iter().map(|it| (it.clone(), service.clone())));
                 results[stage] = Some(handles);
                 give_up_used(graph, &results, held);
             }
@@ -166,7 +168,7 @@
         emit(events::STAGE_FAILED, &ctx.shared.settings.instance, &detail);
         let is_final = matches!(cause, NoResult::InputGone | NoResult::Late) || round == REMAKES;
         if is_final || ctx.left().is_zero() {
-            give_up_all(ctx, handles);
+            give_up_all(ctx, stage, handles);
             return Err(cause);
         }
         if matches!(cause, NoResult::NoRoom | NoResult::Unreachable) {
@@ -193,8 +195,9 @@
     failure
 }
 
-fn give_up_all(ctx: &Context, handles: Vec<Option<String>>) {
-    handles.into_iter().flatten().for_each(|it| ctx.shared.frees.give_up(it));
+fn give_up_all(ctx: &Context, stage: usize, handles: Vec<Option<String>>) {
+    let service = &ctx.route.stages[stage].service;
+    handles.into_iter().flatten().for_each(|it| ctx.shared.frees.give_up(service, it));
 }
 
 fn ask(
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -36,8 +36,9 @@
 const FIRST_PATIENCE: f64 = 0.5;
 /// The same as a multiple of the time that 95 in 100 first events take.
 const FIRST_PATIENCE_OF_USUAL: u64 = 2;
-/// Part of the longest timely pause after which a stream goes on elsewhere.
-const GAP_PATIENCE: f64 = 0.6;
+/// A stream goes on elsewhere after so many times the longest timely pause. Engines pause while
+/// they read the prompts of others, so a shorter silence says nothing.
+const GAP_PATIENCE: f64 = 2.0;
 /// When a refused request may come back.
 const COME_BACK: Duration = Duration::from_millis(500);
 /// How often inputs that are gone are made anew for the model server.
