Pieces made near their inputs; stages that would be late are refused at once; a closed listener in a stop

Change: a piece waits for a target in the failure domain of its inputs while its due time allows; the batcher predicts when a first stage would be there and refuses what would be late, callers who have asked before excepted; after the linger of a stop no connection is accepted.

--- a/crates/holdpoint-core/src/batcher.rs
+++ b/crates/holdpoint-core/src/batcher.rs
@@ -25,7 +25,7 @@
 const NEWEST: f64 = 0.3;
 /// A target that is so many times slower than the fastest gets work only when others are behind.
 const SLOW: f64 = 2.0;
-/// Bytes of a result below which it does not matter where it is made.
+/// Moved bytes below which it does not matter where a piece is made.
 const NEAR_BYTES: u64 = 200_000;
 /// A piece waits for a target in its failure domain until its due time is this near, in
 /// milliseconds.
@@ -44,8 +44,13 @@
     pub rank: u32,
     /// Room that its result takes, in bytes.
     pub bytes: u64,
-    /// Failure domain where its result is needed; any where empty.
+    /// Failure domain that most of its inputs come from or its result goes to; any where empty.
     pub domain: String,
+    /// Bytes that are moved between failure domains if it is made in another one.
+    pub near_bytes: u64,
+    /// Time at which a request that has cost nothing yet is given up, so that its caller hears of
+    /// it in time; the deadline for others.
+    pub give_up: Millis,
 }
 
 /// A call to make.
@@ -160,19 +165,28 @@
         self.targets.values().filter(|it| !it.is_leaving).count()
     }
 
-    /// Time until one more piece would be made if it came now, in milliseconds.
-    pub fn expected_ms(&self) -> f64 {
-        let targets = self.usable().max(1) as f64;
-        let full_call =
-            self.sizes.call_ms + self.sizes.piece_ms * f64::from(self.sizes.pieces.max(1));
-        let calls_ahead = self.waiting.len() as f64 / f64::from(self.sizes.pieces.max(1));
-        self.sizes.call_ms + self.sizes.piece_ms + calls_ahead * full_call / targets
+    /// Time in which so many more pieces would be made that are due at a time, in milliseconds:
+    /// after the call that ends next, after those that are due before them, in a call of their own.
+    pub fn expected_ms(&self, now: Millis, due: Millis, pieces: usize) -> Millis {
+        let usable = |it: &&Target| !it.is_leaving && it.suspect_until <= now;
+        let targets = self.targets.values().filter(usable).count().max(1) as f64;
+        let is_free = self.targets.values().filter(usable).any(|it| it.calls < self.sizes.calls);
+        let most = f64::from(self.sizes.pieces.max(1));
+        let own_call = self.sizes.call_ms + self.sizes.piece_ms * (pieces as f64).min(most);
+        if is_free && self.waiting.is_empty() {
+            return own_call as Millis;
+        }
+        let ahead = self.waiting.iter().filter(|it| now <= it.due && it.due <= due).count() as f64;
+        let full_call = self.sizes.call_ms + self.sizes.piece_ms * most;
+        let gap = full_call / targets;
+        (gap + ahead / most * gap + own_call) as Millis
     }
 
-    /// Removes and returns the pieces that can no longer be made in time for their deadline.
+    /// Removes and returns the pieces that can no longer be made in time for their deadline, or
+    /// whose request is to be given up.
     pub fn expire(&mut self, now: Millis) -> Vec<Ticket> {
         let least = (self.sizes.call_ms + self.sizes.piece_ms) as Millis;
-        let is_over = |it: &Waiting| it.deadline < now + least;
+        let is_over = |it: &Waiting| it.deadline < now + least || it.give_up < now;
         let over = self.waiting.iter().filter(|it| is_over(it)).map(|it| it.ticket).collect();
         self.waiting.retain(|it| !is_over(it));
         over
@@ -297,7 +311,7 @@
 
     /// Whether a piece may be made at a target, or waits for one where its result is needed.
     fn may_go(&self, now: Millis, piece: &Waiting, target: &Target) -> bool {
-        let is_anywhere = piece.bytes < NEAR_BYTES || piece.domain.is_empty();
+        let is_anywhere = piece.near_bytes < NEAR_BYTES || piece.domain.is_empty();
         if is_anywhere || piece.domain == target.domain {
             return true;
         }
@@ -312,9 +326,9 @@
     /// domain, then the fastest target.
     fn score(&self, indices: &[usize], id: &str) -> (usize, u64, i64) {
         let Some(target) = self.targets.get(id) else { return (0, 0, 0) };
-        let is_near = |it: &&Waiting| NEAR_BYTES <= it.bytes && it.domain == target.domain;
+        let is_near = |it: &&Waiting| NEAR_BYTES <= it.near_bytes && it.domain == target.domain;
         let pieces = indices.iter().map(|it| &self.waiting[*it]);
-        let near_bytes = pieces.filter(is_near).map(|it| it.bytes).sum();
+        let near_bytes = pieces.filter(is_near).map(|it| it.near_bytes).sum();
         (indices.len(), near_bytes, -(target.slowness * 10.0) as i64)
     }
 
--- a/crates/holdpoint-core/src/stage_graph.rs
+++ b/crates/holdpoint-core/src/stage_graph.rs
@@ -39,6 +39,8 @@
     Failed,
     /// No target or instance could be reached.
     Unreachable,
+    /// It would take so many milliseconds, too long for its request to be in time.
+    Overload(Millis),
 }
 
 /// The graph of one request: the route's stages with the request's number of pieces.
@@ -77,7 +79,7 @@
 
     /// Whether another stage comes after a stage.
     pub fn is_needed(&self, stage: usize) -> bool {
-        (0..self.len()).any(|it| self.pieces[it] != 0 && self.after[it].contains(&stage))
+        self.after(stage).next().is_some()
     }
 
     /// Stages whose results the request's own service takes.
@@ -85,18 +87,8 @@
         (0..self.len()).filter(|it| self.pieces[*it] != 0 && !self.is_needed(*it))
     }
 
-    /// Number of stages on the longest chain that begins after `stage`.
-    pub fn depth_after(&self, stage: usize) -> u32 {
-        let later = (stage + 1..self.len())
-            .filter(|it| self.pieces[*it] != 0 && self.after[*it].contains(&stage));
-        later.map(|it| 1 + self.depth_after(it)).max().unwrap_or(0)
+    /// Stages that need a stage's results.
+    pub fn after(&self, stage: usize) -> impl Iterator<Item = usize> {
+        (0..self.len()).filter(move |it| self.pieces[*it] != 0 && self.after[*it].contains(&stage))
     }
 }
-
-/// Time by which a stage's results should be there, so that what follows can be in time.
-///
-/// `target` is the time by which the answer should begin, `stage_ms` what one stage usually takes
-/// and `last_ms` what the request's own service does.
-pub fn due(target: Millis, depth_after: u32, stage_ms: Millis, last_ms: Millis) -> Millis {
-    target.saturating_sub(last_ms + u64::from(depth_after) * stage_ms)
-}
--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -100,6 +100,8 @@
     BATCH = 702 Info "batch ended";
     /// Results of a stage are missing.
     STAGE_FAILED = 703 Info "stage results missing";
+    /// Results of a stage would come too late.
+    STAGE_REFUSED = 707 Info "stage refused";
     /// A stream broke off at its target.
     STREAM_MOVED = 704 Info "stream broke off at its target";
     /// A request was denied before it had a route.
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -45,8 +45,14 @@
     pub(crate) rank: u32,
     /// Room that its result takes, in bytes.
     pub(crate) bytes: u64,
-    /// Failure domain where its result is needed.
+    /// Failure domain that most of its inputs come from or its result goes to.
     pub(crate) domain: String,
+    /// Bytes that are moved between failure domains if it is made in another one.
+    pub(crate) near_bytes: u64,
+    /// Milliseconds until its request is given up; negative where that is over.
+    pub(crate) give_up_in_ms: i64,
+    /// Whether it is refused at once where it would not be there in time.
+    pub(crate) is_refusable: bool,
 }
 
 /// A result's handle, or why there is none.
@@ -113,8 +119,9 @@
         asks: Vec<PieceAsk>,
     ) -> Vec<PieceResult> {
         let count = asks.len();
-        let Some(replies) = self.offer(shared, service, asks) else {
-            return vec![Err(NoResult::Unreachable); count];
+        let replies = match self.offer(shared, service, asks) {
+            Ok(it) => it,
+            Err(it) => return vec![Err(it); count],
         };
         pump(shared, service);
         let mut results = Vec::with_capacity(count);
@@ -129,9 +136,10 @@
         shared: &IngressShared,
         service: &str,
         asks: Vec<PieceAsk>,
-    ) -> Option<Vec<oneshot::Receiver<PieceResult>>> {
+    ) -> Result<Vec<oneshot::Receiver<PieceResult>>, NoResult> {
         let configuration = shared.configuration();
-        let sizes = configuration.services.get(service).and_then(|it| sizes(it))?;
+        let sizes = configuration.services.get(service).and_then(|it| sizes(it));
+        let sizes = sizes.ok_or(NoResult::Unreachable)?;
         let mut services = self.services.lock();
         let of_service = services.entry(service.to_owned()).or_insert_with(|| {
             let mut batcher = Batcher::new(sizes);
@@ -141,6 +149,20 @@
             ServiceBatches { batcher, pending: HashMap::new() }
         });
         let now = shared.clock.now();
+        if let Some(first) = asks.first().filter(|it| it.is_refusable) {
+            let due = now.saturating_add_signed(first.due_in_ms);
+            let expected = of_service.batcher.expected_ms(now, due, asks.len());
+            if due < now + expected {
+                let detail = format!(
+                    "id={} service={service} expected_ms={expected} due_in_ms={} waiting={}",
+                    first.work.request,
+                    first.due_in_ms,
+                    of_service.batcher.waiting()
+                );
+                emit(events::STAGE_REFUSED, &shared.settings.instance, &detail);
+                return Err(NoResult::Overload(expected));
+            }
+        }
         let offered = Instant::now();
         let mut replies = Vec::with_capacity(asks.len());
         for ask in asks {
@@ -154,13 +176,15 @@
                 rank: ask.rank,
                 bytes: ask.bytes,
                 domain: ask.domain,
+                near_bytes: ask.near_bytes,
+                give_up: now.saturating_add_signed(ask.give_up_in_ms),
             });
             let deadline = offered + Duration::from_millis(ask.left_ms);
             of_service
                 .pending
                 .insert(ticket, Pending { work: ask.work, deadline, offered, returns: 0, reply });
         }
-        Some(replies)
+        Ok(replies)
     }
 
     /// Takes in that results were given up at their makers.
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -30,6 +30,9 @@
 /// Work of a generation before its first token, in tokens read.
 const GENERATION_BASE: f64 = 2000.0;
 
+/// Part of a route's time that a caller who asks for the first time waits at least.
+const FIRST_ASK: f64 = 0.97;
+
 /// One request on its way.
 pub(crate) struct Context {
     pub(crate) shared: Arc<IngressShared>,
@@ -112,6 +115,12 @@
         self.route.repeat == Repeat::Free
     }
 
+    /// Whether its caller has likely asked before: it waits for less than the route allows.
+    pub(crate) fn has_asked_before(&self) -> bool {
+        let timeout = Duration::from_millis(self.route.timeout_ms);
+        self.head.patience.is_some_and(|it| it < timeout.mul_f64(FIRST_ASK))
+    }
+
     /// How carefully connections are chosen for it.
     pub(crate) fn care(&self) -> Care {
         if self.is_repeatable() { Care::Usual } else { Care::Once }
--- a/crates/holdpointd/src/ingress/front.rs
+++ b/crates/holdpointd/src/ingress/front.rs
@@ -23,16 +23,23 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Serves callers until the task is dropped.
+///
+/// Once connections are to be closed, none is accepted any more: a request that came so late would
+/// be cut off by the end of the process, while a closed port sends its caller elsewhere at once.
 pub(crate) async fn callers(shared: Arc<IngressShared>, listener: TcpListener) {
-    accept(listener, |stream| {
+    let mut closing = shared.closing.subscribe();
+    let accepting = accept(listener, |stream| {
         let shared = shared.clone();
         async move {
             let each = shared.clone();
             let service = service_fn(move |it| request::serve(each.clone(), it));
             serve_connection(&shared, stream, service).await;
         }
-    })
-    .await;
+    });
+    tokio::select! {
+        () = accepting => (),
+        () = raised(&mut closing) => (),
+    }
 }
 
 /// Answers the balancer's question whether this instance is ready.
--- a/crates/holdpointd/src/ingress/send.rs
+++ b/crates/holdpointd/src/ingress/send.rs
@@ -27,16 +27,9 @@
     pub(crate) id: String,
 }
 
-/// Why a send has no answer that counts.
+/// A call of the system's own had no whole answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Break {
-    /// The connection was closed or reset, or carried no proper answer.
-    Cut,
-    /// The answer belongs to another request.
-    Crossed,
-    /// A success without the target's signature.
-    Unsigned,
-}
+pub(crate) struct NoAnswer;
 
 /// Outcome of a send.
 pub(crate) enum Sent {
@@ -47,7 +40,7 @@
     /// The head of an answer to this request.
     Answered { head: TargetHead, response: Box<Response<Incoming>>, connection: Connection },
     /// It may have run.
-    Broken(Break),
+    Broken,
 }
 
 /// Sends a request and waits for the head of its answer.
@@ -65,7 +58,7 @@
     let response = match connection.sender.try_send_request(outgoing).await {
         Ok(it) => it,
         Err(it) if it.message().is_some() => return Sent::NotSent,
-        Err(_) => return Sent::Broken(Break::Cut),
+        Err(_) => return Sent::Broken,
     };
     let head = headers::read_target(response.status(), response.headers());
     if head.is_misdirected {
@@ -74,7 +67,7 @@
     }
     if head.request_id.as_deref() != Some(request.id.as_str()) {
         shared.metrics.crossed.add(1, &[]);
-        return Sent::Broken(Break::Crossed);
+        return Sent::Broken;
     }
     if head.is_declined {
         let status = response.status();
@@ -82,7 +75,7 @@
         return Sent::Declined { status, head };
     }
     if response.status().is_success() && !head.has_signature {
-        return Sent::Broken(Break::Unsigned);
+        return Sent::Broken;
     }
     Sent::Answered { head, response: Box::new(response), connection }
 }
@@ -111,26 +104,26 @@
     path: &'static str,
     body: Vec<u8>,
     limit: Duration,
-) -> Result<(StatusCode, TargetHead, Bytes), Break> {
+) -> Result<(StatusCode, TargetHead, Bytes), NoAnswer> {
     let call = async {
         let taken = shared.connections.take(target, Care::Usual).await;
-        let mut connection = taken.map_err(|_| Break::Cut)?;
+        let mut connection = taken.map_err(|_| NoAnswer)?;
         let mut request = Request::new(Full::new(Bytes::from(body)));
         *request.method_mut() = Method::POST;
         *request.uri_mut() = http::Uri::from_static(path);
         *request.headers_mut() = headers::own_call(&target.id);
         set_host(request.headers_mut(), &target.address);
         let sent = connection.sender.send_request(request).await;
-        let response = sent.map_err(|_| Break::Cut)?;
+        let response = sent.map_err(|_| NoAnswer)?;
         let status = response.status();
         let head = headers::read_target(status, response.headers());
-        let body = response.into_body().collect().await.map_err(|_| Break::Cut)?.to_bytes();
+        let body = response.into_body().collect().await.map_err(|_| NoAnswer)?.to_bytes();
         if !head.closes {
             shared.connections.give_back(connection, head.idle_limit);
         }
         Ok((status, head, body))
     };
-    tokio::time::timeout(limit, call).await.map_err(|_| Break::Cut)?
+    tokio::time::timeout(limit, call).await.map_err(|_| NoAnswer)?
 }
 
 /// Time left until a moment.
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -5,7 +5,7 @@
         Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use arc_swap::ArcSwap;
@@ -188,14 +188,4 @@
             && self.configuration.load().version != 0
             && !self.directory.lock().is_empty()
     }
-
-    /// Milliseconds on the clock at a later or earlier moment.
-    pub(crate) fn millis_at(&self, moment: Instant) -> Millis {
-        let now = Instant::now();
-        if now <= moment {
-            self.clock.now() + (moment - now).as_millis() as Millis
-        } else {
-            self.clock.now().saturating_sub((now - moment).as_millis() as Millis)
-        }
-    }
 }
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -1,15 +1,16 @@
 //! Makes the results of a request's stages, in the order of its graph.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
+use holdpoint_adapter::stages as wire;
 use holdpoint_core::{
     ids::{Millis, Name},
-    stage_graph::{NoResult, PieceSource, PieceWork, StageGraph, due},
+    stage_graph::{NoResult, PieceSource, PieceWork, StageGraph},
 };
 
 use crate::{
@@ -22,6 +23,8 @@
     },
 };
 
+/// Part of the time that a request has, after which it is given up if nothing was made for it.
+const HELD_PART: f64 = 0.4;
 /// How often one piece is made anew.
 const REMAKES: u32 = 4;
 /// Pause before a piece is made anew that found no room.
@@ -149,24 +152,27 @@
     inputs: Vec<String>,
     domain: &str,
 ) -> Result<Vec<String>, NoResult> {
+    let begun = Instant::now();
+    let near = near(ctx, graph, stage, &inputs, domain);
     let source = if inputs.is_empty() {
         PieceSource::Key(ctx.head.piece_key.clone().unwrap_or_default())
     } else {
         PieceSource::Inputs(inputs)
     };
     let count = graph.pieces(stage);
+    let service = &ctx.route.stages[stage].service;
     let mut handles: Vec<Option<String>> = vec![None; count as usize];
     for round in 0..=REMAKES {
         let missing: Vec<u32> = (0..count).filter(|it| handles[*it as usize].is_none()).collect();
-        let ask = |piece: &u32| ask(ctx, graph, stage, *piece, source.clone(), domain);
+        let ask = |piece: &u32| ask(ctx, graph, stage, *piece, source.clone(), &near, round);
         let asks: Vec<PieceAsk> = missing.iter().map(ask).collect();
-        let service = ctx.route.stages[stage].service.clone();
-        let made = make_anywhere(ctx.shared.clone(), service, asks, ctx.left()).await;
+        let made = make_anywhere(ctx.shared.clone(), service.clone(), asks, ctx.left()).await;
         let failure = take_in(&mut handles, &missing, made);
         let Some(cause) = failure else { break };
         let detail = format!("id={} stage={stage} round={round} cause={cause:?}", ctx.request.id);
         emit(events::STAGE_FAILED, &ctx.shared.settings.instance, &detail);
-        let is_final = matches!(cause, NoResult::InputGone | NoResult::Late) || round == REMAKES;
+        let is_final = round == REMAKES
+            || matches!(cause, NoResult::InputGone | NoResult::Late | NoResult::Overload(_));
         if is_final || ctx.left().is_zero() {
             give_up_all(ctx, stage, handles);
             return Err(cause);
@@ -175,9 +181,35 @@
             tokio::time::sleep(ROOM_PAUSE).await;
         }
     }
+    let ms = begun.elapsed().as_millis() as Millis;
+    ctx.shared.pools.of(service).times.lock().record(ctx.shared.clock.now(), ms);
     Ok(handles.into_iter().flatten().collect())
 }
 
+/// Failure domain that a stage's pieces are best made in, and the bytes that each of them moves
+/// between failure domains otherwise: its inputs, and its result where the request's own service
+/// takes it in `domain`.
+fn near(
+    ctx: &Context,
+    graph: &StageGraph,
+    stage: usize,
+    inputs: &[String],
+    domain: &str,
+) -> (String, u64) {
+    let mut bytes: BTreeMap<String, u64> = BTreeMap::new();
+    if !graph.is_needed(stage) {
+        *bytes.entry(domain.to_owned()).or_default() += ctx.route.stages[stage].bytes;
+    }
+    let input_bytes = graph.needs(stage).map(|it| ctx.route.stages[it].bytes).max().unwrap_or(0);
+    for handle in inputs {
+        let maker = wire::maker(handle).and_then(|it| ctx.shared.target_at(it));
+        if let Some(it) = maker {
+            *bytes.entry(it.domain).or_default() += input_bytes;
+        }
+    }
+    bytes.into_iter().max_by_key(|it| it.1).unwrap_or_default()
+}
+
 /// Takes in results; returns why one is missing, if one is.
 fn take_in(
     handles: &mut [Option<String>],
@@ -206,24 +238,42 @@
     stage: usize,
     piece: u32,
     source: PieceSource,
-    domain: &str,
+    (domain, near_bytes): &(String, u64),
+    round: u32,
 ) -> PieceAsk {
     let step = &ctx.route.stages[stage];
     let first_ms = ctx.pool.times.lock().quantile(0.5).unwrap_or(FIRST_EVENT_MS);
-    let stage_ms = stage_ms(ctx, &step.service);
-    let target = ctx.route.target_ms;
-    let due = due(target, graph.depth_after(stage), stage_ms, first_ms);
+    let after_ms = ms_after(ctx, graph, stage) + first_ms;
     let spent = ctx.arrived.elapsed().as_millis() as i64;
+    // As long as nothing has been made for the request, giving it up costs nobody anything.
+    let is_first = graph.needs(stage).next().is_none() && round == 0;
+    let left_ms = ctx.left().as_millis() as Millis;
+    let limit_ms = (ctx.until - ctx.arrived).as_millis() as i64;
+    let give_up_in_ms =
+        if is_first { (limit_ms as f64 * HELD_PART) as i64 - spent } else { left_ms as i64 };
     PieceAsk {
         work: PieceWork { request: ctx.request.id.clone(), stage, piece, source },
-        due_in_ms: due as i64 - spent,
-        left_ms: ctx.left().as_millis() as Millis,
+        due_in_ms: ctx.route.target_ms as i64 - after_ms as i64 - spent,
+        left_ms,
         rank: ctx.rank,
         bytes: step.bytes,
-        domain: domain.to_owned(),
+        domain: domain.clone(),
+        near_bytes: *near_bytes,
+        give_up_in_ms,
+        is_refusable: is_first && !ctx.has_asked_before(),
     }
 }
 
+/// Time that the stages after a stage usually take, along the longest chain, in milliseconds.
+fn ms_after(ctx: &Context, graph: &StageGraph, stage: usize) -> Millis {
+    let later = graph.after(stage).map(|it| {
+        let service = &ctx.route.stages[it].service;
+        let usual = ctx.shared.pools.of(service).times.lock().quantile(0.5);
+        usual.unwrap_or_else(|| stage_ms(ctx, service)) + ms_after(ctx, graph, it)
+    });
+    later.max().unwrap_or(0)
+}
+
 fn stage_ms(ctx: &Context, service: &str) -> Millis {
     let configuration = ctx.shared.configuration();
     let limits = configuration.services.get(service).and_then(|it| it.batches.as_ref());
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -13,6 +13,7 @@
     ids::Millis,
     ingress::Shape,
     route::End,
+    stage_graph::NoResult,
 };
 use http::{StatusCode, response::Parts};
 use http_body_util::BodyExt;
@@ -75,6 +76,8 @@
 enum NotOpen {
     Failed(Box<Parts>, Bytes),
     NoSend(&'static str),
+    /// The stages have too much to do; they would take so long.
+    Overload(Duration),
 }
 
 /// Serves a request.
@@ -95,15 +98,16 @@
             ctx.note_end(parts.status.as_u16(), "target-failed");
             passed_on(&parts, body)
         }
-        Err(NotOpen::NoSend(cause)) => give_up(&ctx, cause),
+        Err(NotOpen::NoSend(cause)) => give_up(&ctx, cause, COME_BACK),
+        Err(NotOpen::Overload(it)) => give_up(&ctx, "overload", it.max(COME_BACK)),
     }
 }
 
 /// The system's own final answer: a refusal where nothing has run, else a failure.
-fn give_up(ctx: &Context, cause: &'static str) -> Answer {
+fn give_up(ctx: &Context, cause: &'static str, retry_after: Duration) -> Answer {
     let id = Some(ctx.request.id.as_str());
     let answer = match ctx.ledger.close() {
-        Ok(proof) => refusal(proof, id, COME_BACK),
+        Ok(proof) => refusal(proof, id, retry_after),
         Err(_) if ctx.left().is_zero() => failure(Failure::TimeOver, id),
         Err(_) => failure(Failure::Broken, id),
     };
@@ -156,7 +160,11 @@
     let domain = likely
         .and_then(|it| ctx.shared.staying_target(&it.address))
         .map_or(String::new(), |it| it.domain);
-    stages::make_all(ctx, &domain).await.map_err(|_| NotOpen::NoSend("stages"))
+    stages::make_all(ctx, &domain).await.map_err(|it| match it {
+        NoResult::Overload(ms) => NotOpen::Overload(Duration::from_millis(ms)),
+        NoResult::Late => NotOpen::NoSend("stages-late"),
+        _ => NotOpen::NoSend("stages"),
+    })
 }
 
 async fn attempt(
@@ -203,7 +211,7 @@
     let sent = send(&ctx.shared, target, &ctx.request, &added, ctx.care()).await;
     let (head, response, connection) = match sent {
         Sent::NotSent => return Ended::NotSent,
-        Sent::Broken(_) => return Ended::Broken,
+        Sent::Broken => return Ended::Broken,
         Sent::Declined { status, head } => {
             ctx.pool.report(ctx.shared.clock.now(), &target.id, head.load);
             if head.is_misdirected {
--- a/crates/holdpointd/src/ingress/whole.rs
+++ b/crates/holdpointd/src/ingress/whole.rs
@@ -141,7 +141,7 @@
             }
             Ended::Declined
         }
-        Sent::Broken(_) => Ended::Broken,
+        Sent::Broken => Ended::Broken,
         Sent::Answered { head, response, connection } => {
             ctx.pool.report(ctx.shared.clock.now(), &target.id, head.load);
             let (parts, body) = response.into_parts();
