--- a/crates/holdpoint-core/src/batcher.rs
+++ b/crates/holdpoint-core/src/batcher.rs
@@ -31,8 +31,16 @@
 /// milliseconds.
 const NEAR_SLACK_MS: Millis = 300;
 
+/// How long a target counts as full that had no room although the account said so, in
+/// milliseconds.
+const UNKNOWN_ROOM_MS: Millis = 300;
+/// Bounds of how much longer pieces wait than predicted.
+const LAG_BOUNDS: (f64, f64) = (1.0, 6.0);
+/// Weight of the newest measurement of that.
+const NEWEST_LAG: f64 = 0.1;
+
 /// A piece that waits.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Waiting {
     /// Ticket.
     pub ticket: Ticket,
@@ -51,10 +59,14 @@
     /// Time at which a request that has cost nothing yet is given up, so that its caller hears of
     /// it in time; the deadline for others.
     pub give_up: Millis,
+    /// When it was offered; set by the batcher.
+    pub offered: Millis,
+    /// Wait predicted then, in milliseconds; set by the batcher.
+    pub predicted_wait: f64,
 }
 
 /// A call to make.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Call {
     /// Target to call.
     pub target: TargetId,
@@ -120,12 +132,20 @@
     targets: BTreeMap<TargetId, Target>,
     /// Results that take room, by handle.
     kept: HashMap<String, Kept>,
+    /// How many times longer pieces wait than predicted.
+    lag: f64,
 }
 
 impl Batcher {
     /// Makes a batcher with no targets yet.
     pub fn new(sizes: Sizes) -> Batcher {
-        Batcher { sizes, waiting: Vec::new(), targets: BTreeMap::new(), kept: HashMap::new() }
+        Batcher {
+            sizes,
+            waiting: Vec::new(),
+            targets: BTreeMap::new(),
+            kept: HashMap::new(),
+            lag: 1.0,
+        }
     }
 
     /// Puts other sizes in force.
@@ -146,8 +166,14 @@
     }
 
     /// Offers a piece.
-    pub fn offer(&mut self, piece: Waiting) {
-        self.waiting.push(piece);
+    pub fn offer(&mut self, now: Millis, piece: Waiting) {
+        let predicted_wait = self.predicted_wait(now, piece.due);
+        self.waiting.push(Waiting { offered: now, predicted_wait, ..piece });
+    }
+
+    /// Takes back all pieces that wait, for another instance to make.
+    pub fn hand_over(&mut self) -> Vec<Ticket> {
+        self.waiting.drain(..).map(|it| it.ticket).collect()
     }
 
     /// Takes back the pieces that are no longer wanted.
@@ -168,18 +194,32 @@
     /// Time in which so many more pieces would be made that are due at a time, in milliseconds:
     /// after the call that ends next, after those that are due before them, in a call of their own.
     pub fn expected_ms(&self, now: Millis, due: Millis, pieces: usize) -> Millis {
+        let most = f64::from(self.sizes.pieces.max(1));
+        let own_call = self.sizes.call_ms + self.sizes.piece_ms * (pieces as f64).min(most);
+        (self.lag * self.predicted_wait(now, due) + own_call) as Millis
+    }
+
+    /// Wait of one more piece, as far as the targets' stated times explain it, in milliseconds.
+    fn predicted_wait(&self, now: Millis, due: Millis) -> f64 {
         let usable = |it: &&Target| !it.is_leaving && it.suspect_until <= now;
         let targets = self.targets.values().filter(usable).count().max(1) as f64;
         let is_free = self.targets.values().filter(usable).any(|it| it.calls < self.sizes.calls);
-        let most = f64::from(self.sizes.pieces.max(1));
-        let own_call = self.sizes.call_ms + self.sizes.piece_ms * (pieces as f64).min(most);
         if is_free && self.waiting.is_empty() {
-            return own_call as Millis;
+            return 0.0;
         }
+        let most = f64::from(self.sizes.pieces.max(1));
         let ahead = self.waiting.iter().filter(|it| now <= it.due && it.due <= due).count() as f64;
-        let full_call = self.sizes.call_ms + self.sizes.piece_ms * most;
-        let gap = full_call / targets;
-        (gap + ahead / most * gap + own_call) as Millis
+        let gap = (self.sizes.call_ms + self.sizes.piece_ms * most) / targets;
+        gap + ahead / most * gap
+    }
+
+    /// Learns how much longer pieces wait than predicted, from those of a call.
+    fn learn_lag(&mut self, now: Millis, pieces: &[Waiting]) {
+        for piece in pieces {
+            let waited = now.saturating_sub(piece.offered) as f64;
+            let seen = (waited / piece.predicted_wait.max(20.0)).clamp(LAG_BOUNDS.0, LAG_BOUNDS.1);
+            self.lag += NEWEST_LAG * (seen - self.lag);
+        }
     }
 
     /// Removes and returns the pieces that can no longer be made in time for their deadline, or
@@ -213,6 +253,7 @@
             pieces.push(self.waiting.remove(index));
         }
         pieces.reverse();
+        self.learn_lag(now, &pieces);
         let chosen = self.targets.get_mut(&target)?;
         chosen.calls += 1;
         chosen.used_bytes += pieces.iter().map(|it| it.bytes).sum::<u64>();
@@ -254,9 +295,14 @@
 
     /// Takes in that a target had no room for a piece, although it should have had.
     pub fn no_room(&mut self, now: Millis, target: &str) {
-        if let Some(it) = self.targets.get_mut(target) {
-            it.suspect_until = it.suspect_until.max(now + FULL_MS);
-        }
+        let Some(found) = self.targets.get_mut(target) else { return };
+        found.suspect_until = found.suspect_until.max(now + FULL_MS);
+        // Results that another instance had made there are unknown here; they go with time.
+        let unknown = self.sizes.room_bytes.saturating_sub(found.used_bytes);
+        found.used_bytes += unknown;
+        let until = now + UNKNOWN_ROOM_MS;
+        let kept = Kept { target: target.to_owned(), bytes: unknown, until };
+        self.kept.insert(format!("unknown:{target}:{now}"), kept);
     }
 
     /// Takes in that a result was given up at its maker.
--- a/crates/holdpoint-core/src/stage_graph.rs
+++ b/crates/holdpoint-core/src/stage_graph.rs
@@ -39,6 +39,8 @@
     Failed,
     /// No target or instance could be reached.
     Unreachable,
+    /// Another instance batches the service's pieces now.
+    Moved,
     /// It would take so many milliseconds, too long for its request to be in time.
     Overload(Millis),
 }
--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -102,6 +102,8 @@
     STAGE_FAILED = 703 Info "stage results missing";
     /// Results of a stage would come too late.
     STAGE_REFUSED = 707 Info "stage refused";
+    /// Pieces that waited were handed over to the instance that batches them now.
+    HANDED_PIECES_OVER = 708 Info "pieces handed over";
     /// A stream broke off at its target.
     STREAM_MOVED = 704 Info "stream broke off at its target";
     /// A request was denied before it had a route.
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -71,6 +71,8 @@
 struct ServiceBatches {
     batcher: Batcher,
     pending: HashMap<Ticket, Pending>,
+    /// Whether this instance was the one that batches the service when last looked at.
+    is_owner: bool,
 }
 
 /// The batchers of all services on this instance.
@@ -146,7 +148,7 @@
             if let Some(its) = self.targets.lock().get(service) {
                 batcher.set_targets(borrowed(its));
             }
-            ServiceBatches { batcher, pending: HashMap::new() }
+            ServiceBatches { batcher, pending: HashMap::new(), is_owner: false }
         });
         let now = shared.clock.now();
         if let Some(first) = asks.first().filter(|it| it.is_refusable) {
@@ -169,7 +171,7 @@
             let ticket = self.next_ticket.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
             let (reply, answer) = oneshot::channel();
             replies.push(answer);
-            of_service.batcher.offer(Waiting {
+            let waiting = Waiting {
                 ticket,
                 due: now.saturating_add_signed(ask.due_in_ms),
                 deadline: now + ask.left_ms,
@@ -178,7 +180,9 @@
                 domain: ask.domain,
                 near_bytes: ask.near_bytes,
                 give_up: now.saturating_add_signed(ask.give_up_in_ms),
-            });
+                ..Waiting::default()
+            };
+            of_service.batcher.offer(now, waiting);
             let deadline = offered + Duration::from_millis(ask.left_ms);
             of_service
                 .pending
@@ -198,7 +202,7 @@
     fn next(&self, shared: &IngressShared, service: &str) -> Option<(Call, Vec<Pending>, Millis)> {
         let now = shared.clock.now();
         let mut services = self.services.lock();
-        let ServiceBatches { batcher, pending } = services.get_mut(service)?;
+        let ServiceBatches { batcher, pending, .. } = services.get_mut(service)?;
         batcher.retain(|it| pending.get(&it).is_some_and(|it| !it.reply.is_closed()));
         pending.retain(|_, it| !it.reply.is_closed());
         for ticket in batcher.expire(now) {
@@ -232,11 +236,31 @@
     }
 
     /// Gives a piece back to the queue that was not made.
-    fn again(&self, service: &str, waiting: Waiting, pending: Pending) {
+    fn again(&self, now: Millis, service: &str, waiting: Waiting, pending: Pending) {
         let mut services = self.services.lock();
         let Some(of_service) = services.get_mut(service) else { return };
         of_service.pending.insert(waiting.ticket, pending);
-        of_service.batcher.offer(waiting);
+        of_service.batcher.offer(now, waiting);
+    }
+
+    /// Hands what waits over where another instance has become the one that batches a service.
+    fn hand_over(&self, shared: &IngressShared) {
+        let mut services = self.services.lock();
+        for (name, of_service) in services.iter_mut() {
+            let is_owner = shared.peers.batcher_of(name).is_none();
+            let was_owner = std::mem::replace(&mut of_service.is_owner, is_owner);
+            if is_owner || !was_owner {
+                continue;
+            }
+            let tickets = of_service.batcher.hand_over();
+            let detail = format!("service={name} pieces={}", tickets.len());
+            emit(events::HANDED_PIECES_OVER, &shared.settings.instance, &detail);
+            for ticket in tickets {
+                if let Some(it) = of_service.pending.remove(&ticket) {
+                    drop(it.reply.send(Err(NoResult::Moved)));
+                }
+            }
+        }
     }
 
     fn services_with_work(&self) -> Vec<Name> {
@@ -247,6 +271,7 @@
 
 /// Starts calls for all that waits where a target has become free with time.
 pub(crate) fn pump_all(shared: &Arc<IngressShared>) {
+    shared.batches.hand_over(shared);
     for service in shared.batches.services_with_work() {
         pump(shared, &service);
     }
@@ -295,7 +320,7 @@
 ) {
     if result == Err(NoResult::NoRoom) && piece.returns < RETURNS {
         piece.returns += 1;
-        shared.batches.again(service, waiting, piece);
+        shared.batches.again(shared.clock.now(), service, waiting, piece);
         return;
     }
     if let Err(Ok(handle)) = piece.reply.send(result) {
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -85,6 +85,7 @@
         let detail = format!("in_flight={}", shared.in_flight.count());
         emit(events::STOPPING, &shared.settings.instance, &detail);
         shared.is_leaving.store(true, Ordering::Release);
+        shared.peers.leave();
         let left = tokio::spawn({
             let shared = shared.clone();
             async move { watch::leave_peers(&shared).await }
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -4,7 +4,10 @@
 use std::{
     collections::HashMap,
     future::Future,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -105,6 +108,8 @@
     known: Mutex<HashMap<Name, String>>,
     links: Mutex<HashMap<String, Link>>,
     suspects: Mutex<HashMap<String, Suspicion>>,
+    /// Whether this instance is about to stop and batches for nobody any more.
+    is_leaving: AtomicBool,
 }
 
 impl Peers {
@@ -118,9 +123,15 @@
             known: Mutex::default(),
             links: Mutex::default(),
             suspects: Mutex::default(),
+            is_leaving: AtomicBool::new(false),
         }
     }
 
+    /// Takes in that this instance is about to stop.
+    pub(crate) fn leave(&self) {
+        self.is_leaving.store(true, Ordering::Release);
+    }
+
     /// Takes in a peer, or that it has left.
     pub(crate) fn set(&self, name: &str, address: Option<&str>) {
         if name == self.own_name {
@@ -164,7 +175,8 @@
         }
         let known = self.known.lock();
         let live = known.iter().filter(|it| !self.is_suspect(it.1)).map(|it| it.0.as_str());
-        let chosen = owner(service, live.chain([self.own_name.as_str()]))?;
+        let own = Some(self.own_name.as_str()).filter(|_| !self.is_leaving.load(Ordering::Acquire));
+        let chosen = owner(service, live.chain(own))?;
         known.get(chosen).cloned()
     }
 
