Batches take whole groups, wait for room, and go anywhere once a service is behind

Commune-portal's servers were busy 4.6 of 5 with 10 pieces a call of 16, inventory's with 4.4 of 8: a result holds room until its whole stage and the next one are made, groups were split over calls, one-piece calls went out whenever a little room came back, and large pieces queued for the one server of their zone while others idled. Change: whole groups; small calls of a service that is behind wait up to 80 ms for room; nearness yields to a backlog; results are given up after 8 ms; pieces are handed over with the batcher.

--- a/crates/holdpoint-core/src/batcher.rs
+++ b/crates/holdpoint-core/src/batcher.rs
@@ -34,6 +34,13 @@
 /// How long a target counts as full that had no room although the account said so, in
 /// milliseconds.
 const UNKNOWN_ROOM_MS: Millis = 300;
+/// Part of the targets' next calls, as one in so many, above which a service is behind.
+const BEHIND: usize = 3;
+/// A call of less than one in so many of its most pieces is small.
+const SMALL_CALL: usize = 2;
+/// How long a target of a service that is behind waits for room for more than a small call, in
+/// milliseconds.
+const GATHER_MS: Millis = 80;
 /// Bounds of how much longer pieces wait than predicted.
 const LAG_BOUNDS: (f64, f64) = (1.0, 6.0);
 /// Weight of the newest measurement of that.
@@ -44,6 +51,9 @@
 pub struct Waiting {
     /// Ticket.
     pub ticket: Ticket,
+    /// Pieces of one group are wanted together: a result of one is of no use, and only takes room,
+    /// until all are made.
+    pub group: u64,
     /// Time by which its result should be there, for the request to be in time.
     pub due: Millis,
     /// Time after which its result helps nobody.
@@ -115,6 +125,8 @@
     slowness: f64,
     /// Room reserved by calls and taken by results, in bytes.
     used_bytes: u64,
+    /// When its last call ended.
+    idle_since: Millis,
 }
 
 #[derive(Clone, Debug)]
@@ -277,6 +289,7 @@
         }
         let Some(target) = self.targets.get_mut(&call.target) else { return };
         target.calls = target.calls.saturating_sub(1);
+        target.idle_since = now;
         target.used_bytes = target.used_bytes.saturating_sub(freed);
         match end {
             CallEnd::Answered(ms) => {
@@ -331,34 +344,69 @@
         let call_ms = (self.sizes.call_ms + self.sizes.piece_ms) as Millis;
         self.waiting.sort_by_key(|it| {
             let is_late = it.due < now + call_ms;
-            (is_late, if is_late { it.rank } else { 0 }, it.due, it.ticket)
+            (is_late, if is_late { it.rank } else { 0 }, it.due, it.group, it.ticket)
         });
     }
 
-    /// Indices of the pieces that a call at a target would take.
+    /// Whether more waits than a part of what the targets' next calls take.
+    fn is_behind(&self) -> bool {
+        self.sizes.pieces as usize * self.usable() < BEHIND * self.waiting.len()
+    }
+
+    /// Indices of the pieces that a call at a target would take: whole groups, as far as they fit.
     fn pack(&self, now: Millis, id: &str) -> Vec<usize> {
         let Some(target) = self.targets.get(id) else { return Vec::new() };
-        let mut room = match self.sizes.room_bytes {
+        let room = match self.sizes.room_bytes {
             0 => u64::MAX,
             it => it.saturating_sub(target.used_bytes),
         };
+        let indices = self.pack_into(now, target, room);
+        let is_small = indices.len() * SMALL_CALL < self.sizes.pieces as usize;
+        let has_waited = target.idle_since + GATHER_MS <= now;
+        if is_small && self.is_behind() && !has_waited {
+            // Room comes back within the time of a small call, and then more fits in.
+            return Vec::new();
+        }
+        indices
+    }
+
+    fn pack_into(&self, now: Millis, target: &Target, mut room: u64) -> Vec<usize> {
+        let most = self.sizes.pieces.max(1) as usize;
         let mut indices = Vec::new();
-        for (index, piece) in self.waiting.iter().enumerate() {
-            if self.sizes.pieces.max(1) as usize <= indices.len() {
-                break;
-            }
-            if piece.bytes <= room && self.may_go(now, piece, target) {
-                room -= piece.bytes;
-                indices.push(index);
+        let mut from = 0;
+        while from < self.waiting.len() && indices.len() < most {
+            let group = self.waiting[from].group;
+            let same = self.waiting[from..].iter().take_while(|it| it.group == group).count();
+            let pieces = &self.waiting[from..from + same];
+            let bytes: u64 = pieces.iter().map(|it| it.bytes).sum();
+            let may_go = self.may_go(now, &pieces[0], target);
+            if may_go && bytes <= room && indices.len() + same <= most {
+                room -= bytes;
+                indices.extend(from..from + same);
+            } else if may_go && indices.is_empty() && self.must_split(same, bytes) {
+                for (index, piece) in pieces.iter().enumerate().take(most) {
+                    if room < piece.bytes {
+                        break;
+                    }
+                    room -= piece.bytes;
+                    indices.push(from + index);
+                }
             }
+            from += same;
         }
         indices
     }
 
+    /// Whether a group fits into no call as a whole.
+    fn must_split(&self, pieces: usize, bytes: u64) -> bool {
+        let is_large = self.sizes.room_bytes != 0 && self.sizes.room_bytes < 2 * bytes;
+        self.sizes.pieces as usize <= 2 * pieces || is_large
+    }
+
     /// Whether a piece may be made at a target, or waits for one where its result is needed.
     fn may_go(&self, now: Millis, piece: &Waiting, target: &Target) -> bool {
         let is_anywhere = piece.near_bytes < NEAR_BYTES || piece.domain.is_empty();
-        if is_anywhere || piece.domain == target.domain {
+        if is_anywhere || piece.domain == target.domain || self.is_behind() {
             return true;
         }
         let call_ms = (self.sizes.call_ms + self.sizes.piece_ms) as Millis;
@@ -387,7 +435,7 @@
             .filter(|it| it.1.suspect_until <= now)
             .map(|it| it.1.slowness)
             .fold(f64::INFINITY, f64::min);
-        let is_behind = self.sizes.pieces as usize * self.usable() / 2 < self.waiting.len();
+        let is_behind = self.is_behind();
         staying()
             .filter(|it| it.1.suspect_until <= now && it.1.calls < calls)
             .filter(|it| is_behind || it.1.slowness < SLOW * fastest.max(1.0))
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -166,6 +166,7 @@
             }
         }
         let offered = Instant::now();
+        let group = self.next_ticket.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         let mut replies = Vec::with_capacity(asks.len());
         for ask in asks {
             let ticket = self.next_ticket.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
@@ -173,6 +174,7 @@
             replies.push(answer);
             let waiting = Waiting {
                 ticket,
+                group,
                 due: now.saturating_add_signed(ask.due_in_ms),
                 deadline: now + ask.left_ms,
                 rank: ask.rank,
--- a/crates/holdpointd/src/ingress/frees.rs
+++ b/crates/holdpointd/src/ingress/frees.rs
@@ -7,11 +7,12 @@
 use holdpoint_adapter::stages as wire;
 use holdpoint_core::ids::Name;
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 
 use crate::ingress::{send::own_call, shared::IngressShared};
 
 /// How long results are gathered before they are given up together.
-pub(crate) const GATHER: Duration = Duration::from_millis(25);
+const GATHER: Duration = Duration::from_millis(8);
 /// How long one call may take.
 const LIMIT: Duration = Duration::from_millis(500);
 
@@ -19,12 +20,14 @@
 #[derive(Debug, Default)]
 pub(crate) struct Frees {
     handles: Mutex<HashMap<Name, Vec<String>>>,
+    gathered: Notify,
 }
 
 impl Frees {
     /// Gives up a result.
     pub(crate) fn give_up(&self, service: &str, handle: String) {
         self.handles.lock().entry(service.to_owned()).or_default().push(handle);
+        self.gathered.notify_one();
     }
 
     fn take(&self) -> HashMap<Name, Vec<String>> {
@@ -32,8 +35,16 @@
     }
 }
 
-/// Gives up all results that were gathered.
-pub(crate) fn flush(shared: &Arc<IngressShared>) {
+/// Gives results up, soon after each other together, until the task is dropped.
+pub(crate) async fn run(shared: Arc<IngressShared>) {
+    loop {
+        shared.frees.gathered.notified().await;
+        tokio::time::sleep(GATHER).await;
+        flush(&shared);
+    }
+}
+
+fn flush(shared: &Arc<IngressShared>) {
     for (service, handles) in shared.frees.take() {
         match shared.peers.batcher_of(&service) {
             None => tell_makers(shared, &service, handles),
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -70,6 +70,7 @@
         if let Some(it) = metrics {
             tokio::spawn(front::metrics(shared.clone(), it));
         }
+        tokio::spawn(frees::run(shared.clone()));
         tokio::spawn(tick(shared.clone()));
         emit(events::STARTED, &shared.settings.instance, &format!("callers={}", listen.callers));
         Ok(Ingress { shared })
@@ -104,12 +105,10 @@
 
 async fn tick(shared: Arc<IngressShared>) {
     let mut pump = interval(PUMP);
-    let mut free = interval(frees::GATHER);
     let mut sweep = interval(SWEEP);
     loop {
         tokio::select! {
             _ = pump.tick() => batches::pump_all(&shared),
-            _ = free.tick() => frees::flush(&shared),
             _ = sweep.tick() => shared.connections.sweep(),
         }
     }
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -32,7 +32,7 @@
 /// Pause before a piece is asked for at another instance, which may not know of it yet.
 const MOVE_PAUSE: Duration = Duration::from_millis(15);
 /// Part of the time for which a stage off the longest chain could wait that it does.
-const DELAYED_PART: f64 = 0.7;
+const DELAYED_PART: f64 = 0.0;
 /// How often the inputs of a stage are made anew.
 const INPUT_REMAKES: u32 = 2;
 /// Usual time from a model server's taking a request to its first event, until measured.
