Peers tell each other of later configurations; nearness yields later

Change: pings between instances carry the configuration's version, whoever is behind fetches it from the other; the long poll lasts 2.5 s.

--- a/crates/holdpoint-core/src/batcher.rs
+++ b/crates/holdpoint-core/src/batcher.rs
@@ -34,8 +34,11 @@
 /// How long a target counts as full that had no room although the account said so, in
 /// milliseconds.
 const UNKNOWN_ROOM_MS: Millis = 300;
-/// Part of the targets' next calls, as one in so many, above which a service is behind.
-const BEHIND: usize = 3;
+/// Part of what the targets' next calls take, above which a service is behind: calls wait to be
+/// worth their time, and slow targets are used too.
+const BEHIND: f64 = 0.33;
+/// The same above which pieces are made wherever a target is free.
+const FAR_BEHIND: f64 = 0.6;
 /// A call of less than one in so many of its most pieces is small.
 const SMALL_CALL: usize = 2;
 /// How long a target of a service that is behind waits for room for more than a small call, in
@@ -349,8 +352,8 @@
     }
 
     /// Whether more waits than a part of what the targets' next calls take.
-    fn is_behind(&self) -> bool {
-        self.sizes.pieces as usize * self.usable() < BEHIND * self.waiting.len()
+    fn is_behind(&self, part: f64) -> bool {
+        part * f64::from(self.sizes.pieces) * (self.usable() as f64) < self.waiting.len() as f64
     }
 
     /// Indices of the pieces that a call at a target would take: whole groups, as far as they fit.
@@ -363,7 +366,7 @@
         let indices = self.pack_into(now, target, room);
         let is_small = indices.len() * SMALL_CALL < self.sizes.pieces as usize;
         let has_waited = target.idle_since + GATHER_MS <= now;
-        if is_small && self.is_behind() && !has_waited {
+        if is_small && self.is_behind(BEHIND) && !has_waited {
             // Room comes back within the time of a small call, and then more fits in.
             return Vec::new();
         }
@@ -406,7 +409,7 @@
     /// Whether a piece may be made at a target, or waits for one where its result is needed.
     fn may_go(&self, now: Millis, piece: &Waiting, target: &Target) -> bool {
         let is_anywhere = piece.near_bytes < NEAR_BYTES || piece.domain.is_empty();
-        if is_anywhere || piece.domain == target.domain || self.is_behind() {
+        if is_anywhere || piece.domain == target.domain || self.is_behind(FAR_BEHIND) {
             return true;
         }
         let call_ms = (self.sizes.call_ms + self.sizes.piece_ms) as Millis;
@@ -435,7 +438,7 @@
             .filter(|it| it.1.suspect_until <= now)
             .map(|it| it.1.slowness)
             .fold(f64::INFINITY, f64::min);
-        let is_behind = self.is_behind();
+        let is_behind = self.is_behind(BEHIND);
         staying()
             .filter(|it| it.1.suspect_until <= now && it.1.calls < calls)
             .filter(|it| is_behind || it.1.slowness < SLOW * fastest.max(1.0))
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -11,7 +11,8 @@
     time::{Duration, Instant},
 };
 
-use futures::StreamExt;
+use bytes::Bytes;
+use futures::{StreamExt, future::BoxFuture};
 use holdpoint_core::{
     directory::TargetInstance,
     ids::Name,
@@ -78,8 +79,9 @@
     async fn make(service: Name, asks: Vec<PieceAsk>) -> Vec<PieceResult>;
     /// Gives up results of a service's stage.
     async fn give_up(service: Name, handles: Vec<String>);
-    /// Says that the instance is there.
-    async fn ping() -> bool;
+    /// Says that the instance is there, and which configuration it has. The asker at this address
+    /// has the configuration of this version.
+    async fn ping(known: Version, address: String) -> Version;
     /// Tells what the instance knows; the asker has a configuration of this version.
     async fn state(known: Version) -> PeerState;
 }
@@ -284,9 +286,16 @@
 async fn watch(shared: Arc<IngressShared>, address: String, client: IngressPeersClient) {
     loop {
         tokio::time::sleep(PING).await;
-        let ping = tokio::time::timeout(PING_LIMIT, client.ping(context_for(PING_LIMIT)));
-        match ping.await {
-            Ok(Ok(_)) => shared.peers.trust(&address),
+        let known = shared.configuration().version;
+        let own_address = shared.settings.listen.peers.clone();
+        let ping = client.ping(context_for(PING_LIMIT), known, own_address);
+        match tokio::time::timeout(PING_LIMIT, ping).await {
+            Ok(Ok(theirs)) => {
+                shared.peers.trust(&address);
+                if known < theirs {
+                    drop(tokio::spawn(catch_up(shared.clone(), address.clone())));
+                }
+            }
             _ => {
                 shared.peers.suspect(&shared, &address, "silent");
                 return;
@@ -295,6 +304,18 @@
     }
 }
 
+/// Takes over the configuration of a peer that has a later one, as where the store's answer was
+/// lost on its way here.
+fn catch_up(shared: Arc<IngressShared>, address: String) -> BoxFuture<'static, ()> {
+    Box::pin(async move {
+        let known = shared.configuration().version;
+        let state = shared.peers.state(&shared, &address, known, PING_LIMIT).await;
+        if let Some(it) = state.ok().and_then(|it| it.configuration) {
+            shared.offer_configuration(&Bytes::from(it), "peer");
+        }
+    })
+}
+
 /// Serves peers until the task is dropped.
 pub(crate) async fn serve(shared: Arc<IngressShared>, listener: TcpListener) {
     loop {
@@ -331,8 +352,12 @@
         tell_makers(&self.shared, &service, handles);
     }
 
-    async fn ping(self, _: context::Context) -> bool {
-        true
+    async fn ping(self, _: context::Context, known: Version, address: String) -> Version {
+        let in_force = self.shared.configuration().version;
+        if in_force < known {
+            tokio::spawn(catch_up(self.shared.clone(), address));
+        }
+        in_force
     }
 
     async fn state(self, _: context::Context, known: Version) -> PeerState {
--- a/crates/holdpointd/src/ingress/watch.rs
+++ b/crates/holdpointd/src/ingress/watch.rs
@@ -20,7 +20,7 @@
 };
 
 /// How long a read waits for a new configuration.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(8000);
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(2500);
 /// How long a read waits for a change among the peers.
 const PEERS_WAIT: Duration = Duration::from_millis(15_000);
 /// Pause after a call that failed.
