--- a/crates/holdpoint-core/src/batcher.rs
+++ b/crates/holdpoint-core/src/batcher.rs
@@ -72,6 +72,8 @@
     /// Time at which a request that has cost nothing yet is given up, so that its caller hears of
     /// it in time; the deadline for others.
     pub give_up: Millis,
+    /// Whether it is made from results that take room until it is made.
+    pub holds_inputs: bool,
     /// When it was offered; set by the batcher.
     pub offered: Millis,
     /// Wait predicted then, in milliseconds; set by the batcher.
@@ -342,11 +344,13 @@
         over.iter().for_each(|it| self.given_up(it));
     }
 
-    /// Orders what waits: the nearest due time first, then what is late anyway, by rank.
+    /// Orders what waits: the nearest due time first, then what is late anyway, by rank. A piece
+    /// whose inputs take room elsewhere keeps its place though it is late: put behind, it would
+    /// hold up the stage before.
     fn order(&mut self, now: Millis) {
         let call_ms = (self.sizes.call_ms + self.sizes.piece_ms) as Millis;
         self.waiting.sort_by_key(|it| {
-            let is_late = it.due < now + call_ms;
+            let is_late = !it.holds_inputs && it.due < now + call_ms;
             (is_late, if is_late { it.rank } else { 0 }, it.due, it.group, it.ticket)
         });
     }
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -109,6 +109,8 @@
     seeds: Vec<String>,
     known: Mutex<HashMap<Name, String>>,
     links: Mutex<HashMap<String, Link>>,
+    /// Held while a connection to a peer is made, so that there is one to each.
+    connecting: tokio::sync::Mutex<()>,
     suspects: Mutex<HashMap<String, Suspicion>>,
     /// Whether this instance is about to stop and batches for nobody any more.
     is_leaving: AtomicBool,
@@ -124,6 +126,7 @@
             seeds: settings.seeds.iter().filter(is_other).cloned().collect(),
             known: Mutex::default(),
             links: Mutex::default(),
+            connecting: tokio::sync::Mutex::default(),
             suspects: Mutex::default(),
             is_leaving: AtomicBool::new(false),
         }
@@ -201,7 +204,7 @@
             Ok(Ok(it)) => Ok(it),
             Ok(Err(RpcError::DeadlineExceeded)) | Err(_) => Ok(Vec::new()),
             Ok(Err(_)) => {
-                self.suspect(shared, address, "broken");
+                self.lose(shared, address, &lost, "broken");
                 Err(PeerSilent)
             }
         }
@@ -241,14 +244,27 @@
         self.suspects.lock().get(address).is_some_and(|it| Instant::now() < it.until)
     }
 
-    fn suspect(&self, shared: &IngressShared, address: &str, cause: &str) {
-        if let Some(it) = self.links.lock().remove(address) {
-            it.lost.notify_waiters();
+    /// Takes in that a peer was silent on a connection, unless that is no longer the one in use.
+    fn lose(&self, shared: &IngressShared, address: &str, lost: &Arc<Notify>, cause: &str) {
+        let mut links = self.links.lock();
+        if links.get(address).is_some_and(|it| Arc::ptr_eq(&it.lost, lost)) {
+            links.remove(address);
+            drop(links);
+            self.suspect(shared, address, cause);
         }
+        lost.notify_waiters();
+    }
+
+    fn suspect(&self, shared: &IngressShared, address: &str, cause: &str) {
+        let now = Instant::now();
         let mut suspects = self.suspects.lock();
-        let times = suspects.get(address).map_or(0, |it| it.times + 1);
+        let before = suspects.get(address).copied();
+        if before.is_some_and(|it| now < it.until) {
+            return;
+        }
+        let times = before.map_or(0, |it| it.times + 1);
         let span = (SUSPECT * 2_u32.pow(times.min(4))).min(LONGEST_SUSPECT);
-        suspects.insert(address.to_owned(), Suspicion { until: Instant::now() + span, times });
+        suspects.insert(address.to_owned(), Suspicion { until: now + span, times });
         let detail = format!("peer={address} cause={cause} for_ms={}", span.as_millis());
         emit(events::PEER_SILENT, &shared.settings.instance, &detail);
     }
@@ -262,8 +278,11 @@
         shared: &Arc<IngressShared>,
         address: &str,
     ) -> Result<(IngressPeersClient, Arc<Notify>), PeerSilent> {
-        let found = self.links.lock().get(address).map(|it| (it.client.clone(), it.lost.clone()));
-        if let Some(it) = found {
+        if let Some(it) = self.found_link(address) {
+            return Ok(it);
+        }
+        let _one = self.connecting.lock().await;
+        if let Some(it) = self.found_link(address) {
             return Ok(it);
         }
         let connected = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await;
@@ -277,13 +296,22 @@
         let lost = Arc::new(Notify::new());
         let link = Link { client: client.clone(), lost: lost.clone() };
         self.links.lock().insert(address.to_owned(), link);
-        tokio::spawn(watch(shared.clone(), address.to_owned(), client.clone()));
+        tokio::spawn(watch(shared.clone(), address.to_owned(), client.clone(), lost.clone()));
         Ok((client, lost))
     }
+
+    fn found_link(&self, address: &str) -> Option<(IngressPeersClient, Arc<Notify>)> {
+        self.links.lock().get(address).map(|it| (it.client.clone(), it.lost.clone()))
+    }
 }
 
 /// Asks a peer again and again whether it is there, until it is not.
-async fn watch(shared: Arc<IngressShared>, address: String, client: IngressPeersClient) {
+async fn watch(
+    shared: Arc<IngressShared>,
+    address: String,
+    client: IngressPeersClient,
+    lost: Arc<Notify>,
+) {
     loop {
         tokio::time::sleep(PING).await;
         let known = shared.configuration().version;
@@ -297,7 +325,7 @@
                 }
             }
             _ => {
-                shared.peers.suspect(&shared, &address, "silent");
+                shared.peers.lose(&shared, &address, &lost, "silent");
                 return;
             }
         }
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -31,8 +31,6 @@
 const ROOM_PAUSE: Duration = Duration::from_millis(120);
 /// Pause before a piece is asked for at another instance, which may not know of it yet.
 const MOVE_PAUSE: Duration = Duration::from_millis(15);
-/// Part of the time for which a stage off the longest chain could wait that it does.
-const DELAYED_PART: f64 = 0.0;
 /// How often the inputs of a stage are made anew.
 const INPUT_REMAKES: u32 = 2;
 /// Usual time from a model server's taking a request to its first event, until measured.
@@ -112,12 +110,8 @@
             is_begun[stage] = true;
             let inputs =
                 graph.needs(stage).filter_map(|it| results[it].clone()).flatten().collect();
-            let delay = delay(ctx, graph, stage);
             let made = make_stage(ctx, graph, stage, inputs, domain);
-            running.push(Box::pin(async move {
-                tokio::time::sleep(delay).await;
-                (stage, made.await)
-            }));
+            running.push(Box::pin(async move { (stage, made.await) }));
         }
         let Some((stage, outcome)) = running.next().await else { return Ok(results) };
         match outcome {
@@ -192,7 +186,7 @@
         }
     }
     let ms = begun.elapsed().as_millis() as Millis;
-    ctx.shared.pools.of(service).times.lock().record(ctx.shared.clock.now(), ms);
+    ctx.shared.pools.of(service).stage_took(ms);
     Ok(handles.into_iter().flatten().collect())
 }
 
@@ -274,25 +268,10 @@
     }
 }
 
-/// How long a stage with a large result is put off. A result takes room at its maker until the
-/// request's own service has it; made at once, it would lie there while a longer chain is made.
-fn delay(ctx: &Context, graph: &StageGraph, stage: usize) -> Duration {
-    if graph.is_needed(stage) || graph.needs(stage).next().is_some() {
-        return Duration::ZERO;
-    }
-    let usual = |it: usize| usual_ms(ctx, &ctx.route.stages[it].service);
-    let first = (0..graph.len()).filter(|it| graph.pieces(*it) != 0);
-    let chains = first
-        .filter(|it| graph.needs(*it).next().is_none())
-        .map(|it| usual(it) + ms_after(ctx, graph, it));
-    let longest = chains.max().unwrap_or(0);
-    Duration::from_millis(longest.saturating_sub(usual(stage))).mul_f64(DELAYED_PART)
-}
-
 /// Time that a stage at a service usually takes, in milliseconds.
 fn usual_ms(ctx: &Context, service: &str) -> Millis {
-    let usual = ctx.shared.pools.of(service).times.lock().quantile(0.5);
-    usual.unwrap_or_else(|| stage_ms(ctx, service))
+    let recent = ctx.shared.pools.of(service).recent_stage_ms();
+    recent.unwrap_or_else(|| stage_ms(ctx, service))
 }
 
 /// Time that the stages after a stage usually take, along the longest chain, in milliseconds.
