--- a/crates/holdpoint-core/src/batcher.rs
+++ b/crates/holdpoint-core/src/batcher.rs
@@ -69,11 +69,9 @@
     pub domain: String,
     /// Bytes that are moved between failure domains if it is made in another one.
     pub near_bytes: u64,
-    /// Time at which a request that has cost nothing yet is given up, so that its caller hears of
-    /// it in time; the deadline for others.
+    /// Time after which its request is given up if it is late, so that its caller hears of it while
+    /// there is time to ask again.
     pub give_up: Millis,
-    /// Whether it is made from results that take room until it is made.
-    pub holds_inputs: bool,
     /// When it was offered; set by the batcher.
     pub offered: Millis,
     /// Wait predicted then, in milliseconds; set by the batcher.
@@ -243,7 +241,8 @@
     /// whose request is to be given up.
     pub fn expire(&mut self, now: Millis) -> Vec<Ticket> {
         let least = (self.sizes.call_ms + self.sizes.piece_ms) as Millis;
-        let is_over = |it: &Waiting| it.deadline < now + least || it.give_up < now;
+        let is_late = |it: &Waiting| it.due < now + least;
+        let is_over = |it: &Waiting| it.deadline < now + least || (is_late(it) && it.give_up < now);
         let over = self.waiting.iter().filter(|it| is_over(it)).map(|it| it.ticket).collect();
         self.waiting.retain(|it| !is_over(it));
         over
@@ -344,13 +343,11 @@
         over.iter().for_each(|it| self.given_up(it));
     }
 
-    /// Orders what waits: the nearest due time first, then what is late anyway, by rank. A piece
-    /// whose inputs take room elsewhere keeps its place though it is late: put behind, it would
-    /// hold up the stage before.
+    /// Orders what waits: the nearest due time first, then what is late anyway, by rank.
     fn order(&mut self, now: Millis) {
         let call_ms = (self.sizes.call_ms + self.sizes.piece_ms) as Millis;
         self.waiting.sort_by_key(|it| {
-            let is_late = !it.holds_inputs && it.due < now + call_ms;
+            let is_late = it.due < now + call_ms;
             (is_late, if is_late { it.rank } else { 0 }, it.due, it.group, it.ticket)
         });
     }
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -12,7 +12,7 @@
     directory::{Directory, TargetId},
     ids::{Millis, Name},
     ingress::{Service, Version},
-    stage_graph::{NoResult, PieceSource, PieceWork},
+    stage_graph::{NoResult, PieceWork},
 };
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
@@ -172,9 +172,7 @@
             let ticket = self.next_ticket.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
             let (reply, answer) = oneshot::channel();
             replies.push(answer);
-            let holds_inputs = matches!(ask.work.source, PieceSource::Inputs(_));
             let waiting = Waiting {
-                holds_inputs,
                 ticket,
                 group,
                 due: now.saturating_add_signed(ask.due_in_ms),
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -23,8 +23,11 @@
     },
 };
 
-/// Part of the time that a request has, after which it is given up if nothing was made for it.
+/// Part of the time that a request has, after which it is given up if it is late and nothing was
+/// made for it yet.
 const HELD_PART: f64 = 0.4;
+/// The same where stages before have been made.
+const HELD_PART_BEGUN: f64 = 0.48;
 /// How often one piece is made anew.
 const REMAKES: u32 = 4;
 /// Pause before a piece is made anew that found no room.
@@ -253,8 +256,8 @@
     let is_first = graph.needs(stage).next().is_none() && round == 0;
     let left_ms = ctx.left().as_millis() as Millis;
     let limit_ms = (ctx.until - ctx.arrived).as_millis() as i64;
-    let give_up_in_ms =
-        if is_first { (limit_ms as f64 * HELD_PART) as i64 - spent } else { left_ms as i64 };
+    let held_part = if is_first { HELD_PART } else { HELD_PART_BEGUN };
+    let give_up_in_ms = (limit_ms as f64 * held_part) as i64 - spent;
     PieceAsk {
         work: PieceWork { request: ctx.request.id.clone(), stage, piece, source },
         due_in_ms: ctx.route.target_ms as i64 - after_ms as i64 - spent,
