--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -29,7 +29,8 @@
 };
 
 use error_stack::{Report, ResultExt};
-use holdpoint_schema::ingress::IngressSettings;
+use holdpoint_core::ingress::Version;
+use holdpoint_schema::ingress::{IngressSettings, Listen};
 use tokio::time::{interval, sleep, timeout};
 
 use crate::{
@@ -54,12 +55,14 @@
 
 impl Ingress {
     /// Starts an instance on the runtime of the caller.
-    pub fn start(settings: IngressSettings) -> Result<Ingress, Report<StartError>> {
+    pub fn start(mut settings: IngressSettings) -> Result<Ingress, Report<StartError>> {
+        let listen = &mut settings.listen;
+        let callers = bind(&mut listen.callers)?;
+        let readiness = bind(&mut listen.readiness)?;
+        let peers = bind(&mut listen.peers)?;
+        let metrics =
+            if listen.metrics.is_empty() { None } else { Some(bind(&mut listen.metrics)?) };
         let listen = settings.listen.clone();
-        let callers = bind(&listen.callers)?;
-        let readiness = bind(&listen.readiness)?;
-        let peers = bind(&listen.peers)?;
-        let metrics = if listen.metrics.is_empty() { None } else { Some(bind(&listen.metrics)?) };
         let shared = Arc::new(IngressShared::new(settings));
         tokio::spawn(watch::follow_configuration(shared.clone()));
         tokio::spawn(watch::follow_targets(shared.clone()));
@@ -76,6 +79,31 @@
         Ok(Ingress { shared })
     }
 
+    /// Addresses that it listens on, with the ports that were chosen where the settings say 0.
+    pub fn listen(&self) -> &Listen {
+        &self.shared.settings.listen
+    }
+
+    /// Version of the configuration in force; 0 is none.
+    pub fn version(&self) -> Version {
+        self.shared.configuration().version
+    }
+
+    /// Whether the balancer may send callers here.
+    pub fn is_ready(&self) -> bool {
+        self.shared.is_ready()
+    }
+
+    /// Number of peers that it knows.
+    pub fn peer_count(&self) -> usize {
+        self.shared.peers.all().len()
+    }
+
+    /// Number of target instances that it knows and that are not leaving.
+    pub fn target_count(&self) -> usize {
+        self.shared.targets().iter().filter(|it| !it.is_leaving).count()
+    }
+
     /// Stops as planned: not ready at once, new work while the balancer notices, then the end of
     /// all that is in flight, within the grace that the platform gives.
     pub async fn stop(self) -> Ended {
@@ -114,10 +142,13 @@
     }
 }
 
-fn bind(address: &str) -> Result<tokio::net::TcpListener, Report<StartError>> {
-    let listener = TcpListener::bind(address)
+/// Binds an address and puts the one that was bound in its place.
+fn bind(address: &mut String) -> Result<tokio::net::TcpListener, Report<StartError>> {
+    let listener = TcpListener::bind(address.as_str())
         .change_context(StartError::Bind)
-        .attach_with(|| address.to_owned())?;
+        .attach_with(|| address.clone())?;
+    let bound = listener.local_addr().change_context(StartError::Bind)?;
+    *address = bound.to_string();
     listener.set_nonblocking(true).change_context(StartError::Bind)?;
     tokio::net::TcpListener::from_std(listener).change_context(StartError::Bind)
 }
--- /dev/null
+++ b/crates/holdpointd/tests/ingress.rs
@@ -0,0 +1,448 @@
+//! The ingress against a stand-in of the platform: what callers and targets see.
+
+use std::{future::Future, net::SocketAddr, time::Duration};
+
+use holdpoint_adapter_standin::{
+    Behaviour, CallerAnswer, CallerRequest, Gate, Outage, Store, Target, call, sample_configuration,
+};
+use holdpointd::ingress::Ingress;
+use http::{Method, StatusCode};
+use serde_json::json;
+
+/// How long a condition may take to hold; a test that works takes a fraction of it.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// One instance with its store and targets.
+struct System {
+    store: Store,
+    plain: Vec<Target>,
+    engines: Vec<Target>,
+    encoder: Target,
+    instance: Ingress,
+}
+
+fn start_instance(name: &str, gate: &Gate) -> Ingress {
+    let settings = json!({
+        "instance": name, "domain": "z1",
+        "listen": { "callers": "127.0.0.1:0", "readiness": "127.0.0.1:0", "peers": "127.0.0.1:0",
+            "metrics": "127.0.0.1:0" },
+        "store": { "address": gate.address.to_string(), "poll_ms": 50, "timeout_ms": 300 },
+        "timing": { "linger_ms": 100, "grace_s": 5.0 },
+        "retries": { "ratio": 0.2, "window_s": 10.0, "slack": 60.0 },
+    });
+    Ingress::start(serde_json::from_value(settings).unwrap()).unwrap()
+}
+
+async fn until(condition: impl Fn() -> bool) {
+    let wait = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, wait).await.expect("the condition holds in time");
+}
+
+async fn start(plain: &[Behaviour], engines: &[Behaviour]) -> System {
+    let store = Store::start().await;
+    store.put_configuration(&sample_configuration(1));
+    let mut system = System {
+        plain: Vec::new(),
+        engines: Vec::new(),
+        encoder: Target::start("i-encode", "encode", Behaviour::Answer).await,
+        instance: start_instance("a", &store.gate),
+        store,
+    };
+    for (index, it) in plain.iter().enumerate() {
+        system.plain.push(Target::start(&format!("i-plain-{index}"), "plain", *it).await);
+    }
+    for (index, it) in engines.iter().enumerate() {
+        system.engines.push(Target::start(&format!("i-engine-{index}"), "engine", *it).await);
+    }
+    let targets = system.plain.iter().chain(&system.engines).chain([&system.encoder]);
+    targets.for_each(|it| system.store.put_target(it, false));
+    let count = plain.len() + engines.len() + 1;
+    until(|| system.instance.is_ready() && system.instance.target_count() == count).await;
+    system
+}
+
+impl System {
+    fn callers(&self) -> SocketAddr {
+        self.instance.listen().callers.parse().unwrap()
+    }
+
+    async fn ask(&self, id: &str, path: &str) -> CallerAnswer {
+        self.send(CallerRequest::new(id, path)).await
+    }
+
+    async fn send(&self, request: CallerRequest) -> CallerAnswer {
+        call(self.callers(), request).await.expect("there is an answer")
+    }
+
+    fn plain_runs(&self) -> usize {
+        self.plain.iter().map(|it| it.runs().len()).sum()
+    }
+
+    fn engine_runs(&self) -> usize {
+        self.engines.iter().map(|it| it.runs().len()).sum()
+    }
+}
+
+fn header(answer: &CallerAnswer, name: &str) -> String {
+    answer.headers.get(name).map_or(String::new(), |it| it.to_str().unwrap().to_owned())
+}
+
+fn story(from: u64, to: u64) -> String {
+    (from..to).map(|it| format!("id: {it}\ndata: part {it}\n\n")).collect()
+}
+
+#[tokio::test]
+async fn a_request_reaches_a_target_as_it_was_sent_and_its_answer_comes_back() {
+    let system = start(&[Behaviour::Answer], &[]).await;
+    let request = CallerRequest::new("r-1", "/safe/x?y=1")
+        .with_body("some bytes")
+        .with_header("x-own", "kept")
+        .with_header("connection", "x-hop")
+        .with_header("x-hop", "dropped")
+        .with_header("holdpoint-tenant", "forged")
+        .with_header("holdpoint-hold", "forged");
+    let answer = system.send(request).await;
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(answer.body, "some bytes");
+    assert!(answer.is_whole);
+    assert_eq!(header(&answer, "holdpoint-response-stamp"), "stamp-i-plain-0-r-1");
+    assert_eq!(header(&answer, "holdpoint-request-id"), "r-1");
+    let run = &system.plain[0].runs()[0];
+    assert_eq!(run.line, "POST /safe/x?y=1");
+    assert_eq!(run.body, "some bytes");
+    let of = |name: &str| run.headers.get(name).map(|it| it.to_str().unwrap());
+    assert_eq!(of("x-own"), Some("kept"));
+    assert_eq!(of("x-hop"), None);
+    assert_eq!(of("authorization"), None, "the key is kept back");
+    assert_eq!(of("holdpoint-tenant"), Some("acme"));
+    assert_eq!(of("holdpoint-hold"), None);
+    assert_eq!(of("holdpoint-expect-instance"), Some("i-plain-0"));
+    let left: u64 = of("holdpoint-deadline-ms").unwrap().parse().unwrap();
+    assert!(left <= 2000);
+}
+
+#[tokio::test]
+async fn what_is_not_allowed_is_denied_and_not_run() {
+    let system = start(&[Behaviour::Answer], &[]).await;
+    let status = async |request| system.send(request).await.status;
+    let new = CallerRequest::new;
+    assert_eq!(status(new("r-1", "/nowhere/")).await, StatusCode::NOT_FOUND);
+    let elsewhere = new("r-2", "/safe/").with_header("host", "other.example");
+    assert_eq!(status(elsewhere).await, StatusCode::NOT_FOUND);
+    let no_key = new("r-3", "/safe/").without_header("authorization");
+    assert_eq!(status(no_key).await, StatusCode::UNAUTHORIZED);
+    let bad_key = new("r-4", "/safe/").with_header("authorization", "Bearer key-2");
+    assert_eq!(status(bad_key).await, StatusCode::UNAUTHORIZED);
+    let no_id = new("r-5", "/safe/").without_header("holdpoint-request-id");
+    assert_eq!(status(no_id).await, StatusCode::BAD_REQUEST);
+    let large = new("r-6", "/safe/").with_body(vec![b'x'; 2001]);
+    assert_eq!(status(large).await, StatusCode::PAYLOAD_TOO_LARGE);
+    assert_eq!(system.plain_runs(), 0);
+    let open = new("r-7", "/open/").without_header("authorization").with_method(Method::GET);
+    assert_eq!(status(open).await, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn a_request_that_may_run_once_runs_at_most_once() {
+    for behaviour in [
+        Behaviour::RunAndCut,
+        Behaviour::Cross,
+        Behaviour::Unsigned,
+        Behaviour::CutBody,
+        Behaviour::Fail,
+    ] {
+        let system = start(&[behaviour, behaviour], &[]).await;
+        let answer = system.ask("r-1", "/unsafe/").await;
+        assert_eq!(system.plain_runs(), 1, "{behaviour:?}");
+        assert!(answer.status.is_server_error(), "{behaviour:?}: {}", answer.status);
+        assert_ne!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{behaviour:?} has run");
+        let has_stamp = !header(&answer, "holdpoint-response-stamp").is_empty();
+        assert_eq!(has_stamp, behaviour == Behaviour::Fail, "{behaviour:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_hung_request_that_may_run_once_ends_with_a_failure_that_promises_nothing() {
+    let system = start(&[Behaviour::RunAndHang, Behaviour::RunAndHang], &[]).await;
+    let request = CallerRequest::new("r-1", "/unsafe/").with_header("holdpoint-deadline-ms", "300");
+    let answer = system.send(request).await;
+    assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT);
+    assert_eq!(system.plain_runs(), 1);
+}
+
+#[tokio::test]
+async fn a_declined_request_goes_to_another_target_or_is_refused_as_not_run() {
+    let system = start(&[Behaviour::Decline, Behaviour::Answer], &[]).await;
+    for id in 0..10 {
+        let answer = system.ask(&format!("r-{id}"), "/unsafe/").await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    assert_eq!(system.plain_runs(), 10);
+    let system = start(&[Behaviour::Decline, Behaviour::Decline], &[]).await;
+    let answer = system.ask("r-1", "/unsafe/").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    let seconds: f64 = header(&answer, "retry-after").parse().unwrap();
+    assert!(0.0 < seconds);
+    assert_eq!(system.plain_runs(), 0);
+}
+
+#[tokio::test]
+async fn a_repeatable_request_goes_on_at_another_target() {
+    for behaviour in [
+        Behaviour::RunAndCut,
+        Behaviour::RunAndHang,
+        Behaviour::Cross,
+        Behaviour::Unsigned,
+        Behaviour::CutBody,
+        Behaviour::Fail,
+    ] {
+        let system = start(&[behaviour, Behaviour::Answer], &[]).await;
+        for id in 0..4 {
+            let answer = system.ask(&format!("r-{id}"), "/safe/").await;
+            assert_eq!(answer.status, StatusCode::OK, "{behaviour:?}");
+            assert_eq!(answer.body, "input", "{behaviour:?}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_route_with_one_attempt_is_sent_once() {
+    let system = start(&[Behaviour::Fail, Behaviour::Fail], &[]).await;
+    let answer = system.ask("r-1", "/safe/deep/x").await;
+    assert_eq!(answer.status, StatusCode::INTERNAL_SERVER_ERROR);
+    assert_eq!(system.plain_runs(), 1);
+}
+
+#[tokio::test]
+async fn a_stream_is_passed_on_byte_for_byte() {
+    let system = start(&[], &[Behaviour::Events(20)]).await;
+    let answer = system.ask("r-1", "/story/").await;
+    assert_eq!(answer.status, StatusCode::OK);
+    assert!(answer.is_whole);
+    assert_eq!(answer.body, story(0, 20));
+}
+
+#[tokio::test]
+async fn a_broken_stream_goes_on_elsewhere_inside_the_same_answer() {
+    let system = start(&[], &[Behaviour::BreakAfter(5), Behaviour::Events(12)]).await;
+    for id in 0..6 {
+        let answer = system.ask(&format!("r-{id}"), "/story/").await;
+        assert!(answer.is_whole, "request {id}");
+        assert_eq!(answer.body, story(0, 12), "request {id}");
+    }
+    assert!(system.engines[0].runs().len() < 6, "an engine that breaks off is avoided");
+}
+
+#[tokio::test]
+async fn a_broken_stream_that_may_not_be_resumed_never_looks_whole() {
+    let system = start(&[], &[Behaviour::BreakAfter(5), Behaviour::BreakAfter(5)]).await;
+    let answer = system.ask("r-1", "/once/").await;
+    assert!(!answer.is_whole);
+    assert_eq!(answer.body, story(0, 5), "part of an event is held back");
+    assert_eq!(system.engine_runs(), 1);
+}
+
+#[tokio::test]
+async fn a_caller_resumes_a_stream_after_the_last_event_it_has() {
+    let system = start(&[], &[Behaviour::Events(12)]).await;
+    let request = CallerRequest::new("r-1", "/story/").with_header("last-event-id", "7");
+    let answer = system.send(request).await;
+    assert_eq!(answer.body, story(8, 12));
+}
+
+#[tokio::test]
+async fn stages_are_made_in_order_and_their_results_given_up() {
+    let system = start(&[], &[Behaviour::Events(3)]).await;
+    let answer = system.send(CallerRequest::new("r-1", "/staged/").with_pieces("2,3")).await;
+    assert_eq!(answer.body, story(0, 3));
+    let pieces: Vec<_> = system.encoder.batches().into_iter().flatten().collect();
+    let first: Vec<_> = pieces.iter().filter(|it| it["stage"] == 0).collect();
+    let second: Vec<_> = pieces.iter().filter(|it| it["stage"] == 1).collect();
+    assert_eq!((first.len(), second.len()), (2, 3));
+    assert!(first.iter().all(|it| it["key"] == "aa11" && it["inputs"].is_null()));
+    assert!(second.iter().all(|it| it["inputs"].as_array().unwrap().len() == 2));
+    let inputs =
+        system.engines[0].runs()[0].headers["holdpoint-inputs"].to_str().unwrap().to_owned();
+    assert_eq!(inputs.split(',').count(), 3);
+    until(|| system.encoder.freed().len() == 5).await;
+}
+
+#[tokio::test]
+async fn pieces_of_several_requests_share_a_call() {
+    let system = start(&[], &[Behaviour::Events(3)]).await;
+    let requests = (0..8).map(|id| {
+        system.send(CallerRequest::new(&format!("r-{id}"), "/staged/").with_pieces("1,1"))
+    });
+    let answers = futures::future::join_all(requests).await;
+    assert!(answers.iter().all(|it| it.is_whole && it.status == StatusCode::OK));
+    let batches = system.encoder.batches();
+    assert!(batches.iter().any(|it| 1 < it.len()));
+    assert!(batches.iter().all(|it| it.len() <= 4), "a call takes four pieces at most");
+}
+
+#[tokio::test]
+async fn a_broken_configuration_never_replaces_a_good_one_nor_an_older_one_a_later() {
+    let system = start(&[Behaviour::Answer], &[]).await;
+    system.store.put_configuration_bytes(b"{ \"version\": 9, \"routes\": 3 }");
+    system.store.put_configuration(&sample_configuration(5));
+    until(|| system.instance.version() == 5).await;
+    system.store.put_configuration(&sample_configuration(3));
+    let mut emptied = sample_configuration(7);
+    emptied["routes"] = json!([]);
+    system.store.put_configuration(&emptied);
+    until(|| system.instance.version() == 7).await;
+    assert_eq!(system.ask("r-1", "/safe/").await.status, StatusCode::NOT_FOUND);
+}
+
+#[tokio::test]
+async fn forgotten_history_is_read_anew() {
+    let system = start(&[Behaviour::Answer], &[]).await;
+    system.store.put_configuration(&sample_configuration(2));
+    system.store.compact();
+    until(|| system.instance.version() == 2).await;
+    let another = Target::start("i-late", "plain", Behaviour::Answer).await;
+    system.store.put_target(&another, false);
+    system.store.compact();
+    until(|| system.instance.target_count() == 3).await;
+}
+
+#[tokio::test]
+async fn an_instance_without_a_configuration_says_that_it_has_not_run_the_request() {
+    let store = Store::start().await;
+    let instance = start_instance("a", &store.gate);
+    assert!(!instance.is_ready());
+    let callers = instance.listen().callers.parse().unwrap();
+    let answer = call(callers, CallerRequest::new("r-1", "/safe/")).await.unwrap();
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.headers.contains_key("retry-after"));
+}
+
+#[tokio::test]
+async fn a_leaving_target_gets_nothing_more_by_any_sign() {
+    let system = start(&[Behaviour::Answer, Behaviour::Answer], &[]).await;
+    system.store.put_target(&system.plain[0], true);
+    until(|| system.instance.target_count() == 2).await;
+    let before = system.plain[0].runs().len();
+    // An entry from before the sign does not take it back.
+    system.store.put_target(&system.plain[0], false);
+    for id in 0..10 {
+        assert_eq!(system.ask(&format!("r-{id}"), "/safe/").await.status, StatusCode::OK);
+    }
+    assert_eq!(system.plain[0].runs().len(), before);
+    system.store.drop_target("i-plain-1");
+    until(|| system.instance.target_count() == 1).await;
+    let answer = system.ask("r-last", "/safe/").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+}
+
+/// Two instances, each with a way of its own to the store.
+async fn two_instances() -> (System, Gate, Ingress) {
+    let system = start(&[Behaviour::Answer], &[Behaviour::Events(3)]).await;
+    let gate = system.store.open_gate().await;
+    let other = start_instance("b", &gate);
+    until(|| other.is_ready() && other.peer_count() == 1).await;
+    until(|| system.instance.peer_count() == 1).await;
+    (system, gate, other)
+}
+
+async fn configured_by_a_peer(outage: Outage) {
+    let (system, gate, other) = two_instances().await;
+    gate.set_outage(outage);
+    system.store.put_configuration(&sample_configuration(4));
+    until(|| other.version() == 4).await;
+}
+
+#[tokio::test]
+async fn an_instance_that_the_store_turns_away_is_configured_by_its_peer() {
+    configured_by_a_peer(Outage::Busy).await;
+}
+
+#[tokio::test]
+async fn an_instance_that_hears_nothing_of_the_store_is_configured_by_its_peer() {
+    configured_by_a_peer(Outage::Silent).await;
+}
+
+/// Seen on armor trouble-3: after a restart one long read was never answered, while the reads of
+/// the target list went on, so nothing looked wrong for seconds.
+#[tokio::test]
+async fn a_lost_answer_to_one_long_read_does_not_leave_an_old_configuration_in_force() {
+    let (system, gate, other) = two_instances().await;
+    gate.set_outage(Outage::SilentWaits);
+    // The read that waits since before the outage is still answered, with this version.
+    system.store.put_configuration(&sample_configuration(4));
+    until(|| other.version() == 4).await;
+    let staged = async |instance: &Ingress, id: &str| {
+        let callers = instance.listen().callers.parse().unwrap();
+        let request = CallerRequest::new(id, "/staged/").with_pieces("1,1");
+        call(callers, request).await.unwrap()
+    };
+    // Whichever of the two batches, one is now connected to the other.
+    assert!(staged(&other, "r-1").await.is_whole);
+    assert!(staged(&system.instance, "r-2").await.is_whole);
+    system.store.put_configuration(&sample_configuration(6));
+    until(|| other.version() == 6).await;
+}
+
+#[tokio::test]
+async fn pieces_of_two_instances_meet_at_one() {
+    let (system, _gate, other) = two_instances().await;
+    let addresses = [&system.instance, &other].map(|it| it.listen().callers.parse().unwrap());
+    let ask = |id: usize| {
+        let request = CallerRequest::new(&format!("r-{id}"), "/staged/").with_pieces("1,1");
+        call(addresses[id % 2], request)
+    };
+    let answers = futures::future::join_all((0..12).map(ask)).await;
+    assert!(answers.into_iter().all(|it| it.is_some_and(|it| it.is_whole)));
+    let mixed = |pieces: &Vec<serde_json::Value>| {
+        let number = |it: &serde_json::Value| {
+            it["id"].as_str().unwrap().trim_start_matches("r-").parse::<usize>().unwrap() % 2
+        };
+        pieces.iter().any(|it| number(it) == 0) && pieces.iter().any(|it| number(it) == 1)
+    };
+    assert!(system.encoder.batches().iter().any(mixed), "one call has pieces of both");
+}
+
+fn stop(instance: Ingress) -> impl Future<Output = holdpointd::Ended> {
+    instance.stop()
+}
+
+#[tokio::test]
+async fn a_planned_stop_finishes_what_is_in_flight_and_takes_nothing_late() {
+    let system = start(&[Behaviour::Answer], &[Behaviour::Events(150)]).await;
+    let callers = system.callers();
+    let running = tokio::spawn(call(callers, CallerRequest::new("r-1", "/story/")));
+    until(|| system.engine_runs() == 1).await;
+    let stopping = tokio::spawn(stop(system.instance));
+    let answer = running.await.unwrap().unwrap();
+    assert!(answer.is_whole);
+    assert_eq!(answer.body, story(0, 150));
+    assert_eq!(stopping.await.unwrap(), holdpointd::Ended::Drained);
+    assert!(
+        call(callers, CallerRequest::new("r-2", "/safe/")).await.is_none(),
+        "the port is closed"
+    );
+}
+
+#[tokio::test]
+async fn a_caller_who_leaves_ends_the_work_at_the_target() {
+    let system = start(&[], &[Behaviour::Events(100_000)]).await;
+    let call = tokio::spawn(call(system.callers(), CallerRequest::new("r-1", "/story/")));
+    until(|| system.engine_runs() == 1).await;
+    call.abort();
+    let metrics = async || {
+        let address = system.instance.listen().metrics.parse().unwrap();
+        let request = CallerRequest::new("m", "/metrics").with_method(Method::GET);
+        let answer = holdpoint_adapter_standin::call(address, request).await.unwrap();
+        String::from_utf8_lossy(&answer.body).into_owned()
+    };
+    let gone = async {
+        while !metrics().await.contains("outcome=\"caller-gone\"") {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, gone).await.expect("the request ends with its caller");
+}
