--- /dev/null
+++ b/crates/holdpoint-core/tests/batcher.rs
@@ -0,0 +1,284 @@
+//! Laws of batching: what holds for every order of offers, calls, results and losses.
+
+use std::collections::{HashMap, HashSet};
+
+use holdpoint_core::batcher::{Batcher, Call, CallEnd, Sizes, Waiting};
+use proptest::prelude::*;
+
+const SIZES: Sizes = Sizes {
+    calls: 1,
+    pieces: 6,
+    call_ms: 200.0,
+    piece_ms: 20.0,
+    room_bytes: 10_000,
+    keep_ms: 4000,
+};
+const TARGETS: [(&str, &str); 3] = [("t-0", "a"), ("t-1", "b"), ("t-2", "b")];
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// Pieces of one group: how many, their bytes, milliseconds until due, whether in domain `a`.
+    Offer(u64, u64, u64, bool),
+    /// The oldest call ends: well, full or failed.
+    End(u8),
+    /// The oldest result is given up.
+    GiveUp,
+    /// Time passes.
+    Pass(u64),
+    /// A target leaves, or all are back.
+    Leave(Option<usize>),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (1..8_u64, 1..3000_u64, 0..3000_u64, any::<bool>())
+            .prop_map(|(count, bytes, due, near)| Step::Offer(count, bytes, due, near)),
+        4 => (0..6_u8).prop_map(Step::End),
+        2 => Just(Step::GiveUp),
+        3 => (1..400_u64).prop_map(Step::Pass),
+        1 => prop::option::of(0..3_usize).prop_map(Step::Leave),
+    ]
+}
+
+struct Model {
+    batcher: Batcher,
+    now: u64,
+    tickets: u64,
+    running: Vec<Call>,
+    /// Results with their target, bytes and end of their time.
+    kept: Vec<(String, String, u64, u64)>,
+    leaving: HashSet<&'static str>,
+    /// Pieces that wait, and how often each was called.
+    waiting: HashSet<u64>,
+    group_sizes: HashMap<u64, usize>,
+}
+
+impl Model {
+    fn new() -> Model {
+        let mut model = Model {
+            batcher: Batcher::new(SIZES),
+            now: 10_000,
+            tickets: 0,
+            running: Vec::new(),
+            kept: Vec::new(),
+            leaving: HashSet::new(),
+            waiting: HashSet::new(),
+            group_sizes: HashMap::new(),
+        };
+        model.set_targets();
+        model
+    }
+
+    fn set_targets(&mut self) {
+        let targets = TARGETS.iter().map(|it| (it.0, it.1, self.leaving.contains(it.0)));
+        self.batcher.set_targets(targets);
+    }
+
+    fn apply(&mut self, step: &Step) {
+        match step {
+            Step::Offer(count, bytes, due, near) => self.offer(*count, *bytes, *due, *near),
+            Step::End(how) => self.end(*how),
+            Step::GiveUp => {
+                if !self.kept.is_empty() {
+                    let (handle, ..) = self.kept.remove(0);
+                    self.batcher.given_up(&handle);
+                }
+            }
+            Step::Pass(ms) => self.now += ms,
+            Step::Leave(None) => self.leaving.clear(),
+            Step::Leave(Some(index)) => drop(self.leaving.insert(TARGETS[*index].0)),
+        }
+        self.set_targets();
+        for ticket in self.batcher.expire(self.now) {
+            assert!(self.waiting.remove(&ticket), "only what waits can expire");
+        }
+        while let Some(call) = self.batcher.next(self.now) {
+            self.check(&call);
+            self.running.push(call);
+        }
+    }
+
+    fn offer(&mut self, count: u64, bytes: u64, due: u64, near: bool) {
+        let group = self.tickets;
+        self.group_sizes.insert(group, count as usize);
+        for _ in 0..count {
+            self.tickets += 1;
+            self.waiting.insert(self.tickets);
+            let piece = Waiting {
+                ticket: self.tickets,
+                group,
+                due: self.now + due,
+                deadline: self.now + due + 4000,
+                rank: (bytes % 3) as u32,
+                bytes,
+                domain: if near { "a".to_owned() } else { String::new() },
+                near_bytes: 300_000,
+                give_up: self.now + due + 2000,
+                ..Waiting::default()
+            };
+            self.batcher.offer(self.now, piece);
+        }
+    }
+
+    fn check(&mut self, call: &Call) {
+        assert!(!call.pieces.is_empty());
+        assert!(call.pieces.len() <= SIZES.pieces as usize, "no call is larger than allowed");
+        assert!(!self.leaving.contains(call.target.as_str()), "a leaving target gets no call");
+        let others = self.running.iter().filter(|it| it.target == call.target).count();
+        assert!(others < SIZES.calls as usize, "a target gets no more calls than it works on");
+        for piece in &call.pieces {
+            assert!(self.waiting.remove(&piece.ticket), "a piece is in one call at a time");
+        }
+        let now = self.now;
+        let of_target = |target: &str| target == call.target;
+        let kept: u64 =
+            self.kept.iter().filter(|it| of_target(&it.1) && now <= it.3).map(|it| it.2).sum();
+        let asked: u64 = call.pieces.iter().map(|it| it.bytes).sum();
+        assert!(kept + asked <= SIZES.room_bytes, "no call needs more room than there is");
+    }
+
+    fn end(&mut self, how: u8) {
+        if self.running.is_empty() {
+            return;
+        }
+        let call = self.running.remove(0);
+        let handles: Vec<String> =
+            call.pieces.iter().map(|it| format!("{}/{}", call.target, it.ticket)).collect();
+        let (end, results): (CallEnd, Vec<Option<&str>>) = match how {
+            0 => (CallEnd::Failed, Vec::new()),
+            1 => (CallEnd::Full, Vec::new()),
+            2 => (CallEnd::Answered(300), vec![None; handles.len()]),
+            _ => (CallEnd::Answered(300), handles.iter().map(|it| Some(it.as_str())).collect()),
+        };
+        self.batcher.ended(self.now, &call, end, &results);
+        if 2 < how {
+            let until = self.now + SIZES.keep_ms;
+            for (handle, piece) in handles.into_iter().zip(&call.pieces) {
+                self.kept.push((handle, call.target.clone(), piece.bytes, until));
+            }
+        }
+    }
+}
+
+proptest! {
+    #[test]
+    fn limits_of_calls_pieces_and_room_hold(steps in prop::collection::vec(step(), 1..120)) {
+        let mut model = Model::new();
+        for step in &steps {
+            model.apply(step);
+        }
+        prop_assert_eq!(model.batcher.waiting(), model.waiting.len());
+    }
+
+    #[test]
+    fn what_waits_is_called_or_expires_once_a_target_is_free(
+        steps in prop::collection::vec(step(), 1..60),
+    ) {
+        let mut model = Model::new();
+        for step in &steps {
+            model.apply(step);
+        }
+        model.apply(&Step::Leave(None));
+        for _ in 0..400 {
+            model.apply(&Step::End(3));
+            model.apply(&Step::GiveUp);
+            model.apply(&Step::Pass(100));
+        }
+        prop_assert_eq!(model.batcher.waiting(), 0);
+    }
+}
+
+fn piece(ticket: u64, group: u64, due: u64) -> Waiting {
+    Waiting {
+        ticket,
+        group,
+        due,
+        deadline: 90_000,
+        give_up: 90_000,
+        bytes: 1,
+        ..Waiting::default()
+    }
+}
+
+fn batcher(targets: &[(&str, &str)]) -> Batcher {
+    let mut batcher = Batcher::new(SIZES);
+    batcher.set_targets(targets.iter().map(|it| (it.0, it.1, false)));
+    batcher
+}
+
+fn tickets(call: &Call) -> Vec<u64> {
+    call.pieces.iter().map(|it| it.ticket).collect()
+}
+
+#[test]
+fn the_nearest_due_time_goes_first_and_what_is_late_goes_last() {
+    let mut batcher = batcher(&[("t", "a")]);
+    for (ticket, due) in [(1, 5000), (2, 3000), (3, 1000), (4, 4000)] {
+        batcher.offer(1000, piece(ticket, ticket, due));
+    }
+    let call = batcher.next(1000).unwrap();
+    assert_eq!(tickets(&call), [2, 4, 1, 3]);
+}
+
+#[test]
+fn a_group_is_not_split_over_calls() {
+    let mut batcher = batcher(&[("t", "a")]);
+    for ticket in 0..4 {
+        batcher.offer(1000, piece(ticket, 1, 3000));
+    }
+    for ticket in 4..7 {
+        batcher.offer(1000, piece(ticket, 2, 3001));
+    }
+    batcher.offer(1000, piece(7, 3, 3002));
+    let call = batcher.next(1000).unwrap();
+    assert_eq!(tickets(&call), [0, 1, 2, 3, 7], "three more do not fit, one does");
+}
+
+#[test]
+fn a_group_larger_than_a_call_is_made_in_parts() {
+    let mut batcher = batcher(&[("t", "a")]);
+    for ticket in 0..9 {
+        batcher.offer(1000, piece(ticket, 1, 3000));
+    }
+    let call = batcher.next(1000).unwrap();
+    assert_eq!(call.pieces.len(), 6);
+    batcher.ended(1300, &call, CallEnd::Answered(300), &[None; 6]);
+    assert_eq!(batcher.next(1300).unwrap().pieces.len(), 3);
+}
+
+#[test]
+fn a_large_result_waits_for_a_target_where_it_is_needed_while_there_is_time() {
+    let mut batcher = batcher(&[("far", "b"), ("near", "a")]);
+    let large = |ticket, due| Waiting {
+        domain: "a".to_owned(),
+        near_bytes: 1_500_000,
+        ..piece(ticket, ticket, due)
+    };
+    batcher.offer(1000, large(1, 3000));
+    let call = batcher.next(1000).unwrap();
+    assert_eq!(call.target, "near");
+    batcher.offer(1000, large(2, 3000));
+    assert_eq!(batcher.next(1000), None, "it waits for the near one");
+    assert_eq!(batcher.next(2600).unwrap().target, "far", "until its due time is near");
+}
+
+#[test]
+fn a_late_piece_is_given_up_before_half_of_its_time_and_a_timely_one_is_not() {
+    let mut batcher = batcher(&[]);
+    batcher.offer(1000, Waiting { give_up: 2000, ..piece(1, 1, 1100) });
+    batcher.offer(1000, Waiting { give_up: 2000, ..piece(2, 2, 9000) });
+    assert_eq!(batcher.expire(1900), Vec::<u64>::new());
+    assert_eq!(batcher.expire(2001), [1]);
+}
+
+#[test]
+fn a_target_that_had_no_room_counts_as_full_for_a_while() {
+    let mut batcher = batcher(&[("t", "a")]);
+    batcher.offer(1000, piece(1, 1, 3000));
+    let call = batcher.next(1000).unwrap();
+    batcher.ended(1220, &call, CallEnd::Answered(220), &[None]);
+    batcher.no_room(1220, "t");
+    batcher.offer(1220, piece(2, 2, 3000));
+    assert_eq!(batcher.next(1400), None);
+    assert!(batcher.next(1600).is_some());
+}
--- /dev/null
+++ b/crates/holdpoint-core/tests/ingress.rs
@@ -0,0 +1,202 @@
+//! Laws of what the ingress decides: routes, targets that leave, the shared retry budget, events.
+
+use holdpoint_core::{
+    budget::{SharedBudget, Terms},
+    directory::{Change, Directory, TargetInstance},
+    event_split::EventSplitter,
+    ingress::{CallerLimits, Configuration, Denied, IngressRoute, Repeat, Shape, Tenancy, newer},
+    ledger::Ledger,
+    prompt::{Part, Prompt},
+};
+use proptest::prelude::*;
+
+fn route(name: &str, host: &str, prefix: &str, services: &[(&str, u32)]) -> IngressRoute {
+    IngressRoute {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        services: services.iter().map(|it| (it.0.to_owned(), it.1)).collect(),
+        repeat: Repeat::Once,
+        shape: Shape::Whole,
+        timeout_ms: 1000,
+        target_ms: 100,
+        rank: 2,
+        attempts: 1,
+        stages: Vec::new(),
+        is_anonymous: name == "open",
+        is_sticky: false,
+    }
+}
+
+fn configuration() -> Configuration {
+    let routes = vec![
+        route("short", "a.example", "/x/", &[("s", 1)]),
+        route("long", "a.example", "/x/y/", &[("s", 90), ("t", 10)]),
+        route("open", "b.example", "/", &[("s", 1)]),
+    ];
+    let acme = Tenancy { name: "acme".to_owned(), rank: Some(0) };
+    let organisations = vec![(acme, vec!["k-1".to_owned(), "k-2".to_owned()])];
+    Configuration::new(3, routes, Vec::new(), CallerLimits::default(), Some(organisations))
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let configuration = configuration();
+    let found = |host, path| configuration.route(host, path).map(|it| it.name.clone());
+    assert_eq!(found("a.example", "/x/1"), Ok("short".to_owned()));
+    assert_eq!(found("A.Example:8080", "/x/y/1"), Ok("long".to_owned()));
+    assert_eq!(found("a.example", "/x"), Err(Denied::NoRoute));
+    assert_eq!(found("c.example", "/x/1"), Err(Denied::NoRoute));
+}
+
+#[test]
+fn keys_belong_to_organisations_and_open_routes_need_none() {
+    let configuration = configuration();
+    let long = configuration.route("a.example", "/x/y/").unwrap();
+    let organisation = configuration.organisation(long, Some("k-2")).unwrap().unwrap();
+    assert_eq!(organisation.name, "acme");
+    assert_eq!(long.rank_for(Some(organisation)), 0, "a route's rank yields to an organisation's");
+    assert_eq!(configuration.organisation(long, Some("k-3")), Err(Denied::BadKey));
+    assert_eq!(configuration.organisation(long, None), Err(Denied::BadKey));
+    let open = configuration.route("b.example", "/z").unwrap();
+    assert_eq!(configuration.organisation(open, None), Ok(None));
+}
+
+#[test]
+fn a_split_follows_its_weights_and_is_the_same_for_the_same_request() {
+    let configuration = configuration();
+    let long = configuration.route("a.example", "/x/y/").unwrap();
+    let to_t = (0..10_000).filter(|it| long.service_of(&format!("r-{it}")) == Some("t")).count();
+    assert!((800..1200).contains(&to_t), "{to_t} of 10,000 at a weight of 10 in 100");
+    assert_eq!(long.service_of("r-1"), long.service_of("r-1"));
+}
+
+fn entry(sequence: u64, is_leaving: bool) -> TargetInstance {
+    TargetInstance {
+        id: "i".to_owned(),
+        service: "s".to_owned(),
+        address: "10.0.0.1:80".to_owned(),
+        domain: "a".to_owned(),
+        slots: 1,
+        is_leaving,
+        sequence,
+    }
+}
+
+#[test]
+fn a_beat_changes_nothing_and_an_old_entry_is_passed_over() {
+    let mut directory = Directory::default();
+    assert_eq!(directory.put(entry(2, false)), Change::Joined);
+    assert_eq!(directory.put(entry(3, false)), Change::Nothing);
+    assert_eq!(directory.put(TargetInstance { slots: 4, ..entry(1, false) }), Change::Nothing);
+    assert_eq!(directory.get("i").unwrap().slots, 1);
+    assert_eq!(directory.put(TargetInstance { slots: 4, ..entry(4, false) }), Change::Altered);
+}
+
+proptest! {
+    #[test]
+    fn leaving_is_final_for_an_id(entries in prop::collection::vec((0..20_u64, any::<bool>()), 1..40)) {
+        let mut directory = Directory::default();
+        let mut newest = 0;
+        let mut has_left = false;
+        for (sequence, is_leaving) in entries {
+            has_left |= is_leaving && newest <= sequence;
+            newest = newest.max(sequence);
+            directory.put(entry(sequence, is_leaving));
+            prop_assert_eq!(directory.get("i").unwrap().is_leaving, has_left);
+        }
+        directory.replace(vec![entry(100, false)]);
+        prop_assert_eq!(directory.get("i").unwrap().is_leaving, has_left);
+    }
+
+    #[test]
+    fn versions_only_rise(versions in prop::collection::vec(0..50_u64, 1..40)) {
+        let mut in_force = 0;
+        for found in versions {
+            let before = in_force;
+            if newer(in_force, found) {
+                in_force = found;
+            }
+            prop_assert!(before <= in_force && found <= in_force);
+        }
+    }
+
+    /// The rule is counted over any window, for all instances together.
+    #[test]
+    fn second_sends_of_all_instances_keep_the_budget(
+        sends in prop::collection::vec((0..4_usize, 0..300_u64, any::<bool>()), 1..400),
+    ) {
+        let terms = Terms { ratio: 0.2, window_ms: 10_000, slack: 40.0, instances: 4 };
+        let mut budgets = vec![SharedBudget::default(); 4];
+        let (mut now, mut requests, mut repeats) = (0, Vec::new(), Vec::new());
+        for (instance, pause, is_repeat) in sends {
+            now += pause;
+            if is_repeat {
+                if budgets[instance].spend(now, &terms) {
+                    repeats.push(now);
+                }
+            } else {
+                budgets[instance].request(now, &terms);
+                requests.push(now);
+            }
+            let count = |times: &[u64]| {
+                times.iter().filter(|it| now < **it + terms.window_ms).count() as f64
+            };
+            let allowed = terms.ratio * count(&requests) + terms.slack;
+            prop_assert!(count(&repeats) <= allowed);
+        }
+    }
+
+    #[test]
+    fn events_come_out_byte_for_byte_however_they_are_cut(
+        cuts in prop::collection::vec(1..9_usize, 1..80),
+        ends in prop::collection::vec(any::<bool>(), 1..12),
+    ) {
+        let event = |(index, carriage): (usize, &bool)| {
+            if *carriage {
+                format!("id: {index}\r\ndata: a\r\n\r\n")
+            } else {
+                format!("weights:2\nid:{index}\ndata: a\ndata: b\n\n")
+            }
+        };
+        let whole: String = ends.iter().enumerate().map(event).collect();
+        let bytes = format!("{whole}id: 99\ndata: par").into_bytes();
+        let mut splitter = EventSplitter::default();
+        let (mut rest, mut cuts, mut out) = (&bytes[..], cuts.iter().cycle(), Vec::new());
+        while !rest.is_empty() {
+            let (now, later) = rest.split_at((*cuts.next().unwrap()).min(rest.len()));
+            out.extend(splitter.push(now));
+            rest = later;
+        }
+        let joined: Vec<u8> = out.iter().flat_map(|it| it.bytes.to_vec()).collect();
+        prop_assert_eq!(joined, whole.into_bytes());
+        prop_assert!(splitter.is_partial());
+        let ids: Vec<String> = out.iter().map(|it| it.id.clone().unwrap()).collect();
+        let expected: Vec<String> = (0..ends.len()).map(|it| it.to_string()).collect();
+        prop_assert_eq!(ids, expected);
+    }
+}
+
+#[test]
+fn only_a_proof_says_that_nothing_has_run() {
+    let ledger = Ledger::new();
+    ledger.begin().unwrap().declined();
+    ledger.begin().unwrap().never_sent();
+    assert!(ledger.close().is_ok());
+    let ledger = Ledger::new();
+    ledger.begin().unwrap().declined();
+    drop(ledger.begin().unwrap());
+    assert!(ledger.close().is_err(), "one call that may have run is enough");
+}
+
+#[test]
+fn requests_meet_by_the_longest_part_that_they_share() {
+    let part = |id, tokens| Part { id, tokens };
+    let prompt = |parts: Vec<Part>| Prompt { parts, tokens_in: 500, ..Prompt::default() };
+    let one = prompt(vec![part(1, 100), part(2, 200), part(3, 50)]);
+    let two = prompt(vec![part(1, 100), part(2, 200), part(4, 70)]);
+    assert_eq!(one.affinity(), two.affinity());
+    assert_eq!((one.shared_tokens(), one.tokens_to_read()), (300, 500));
+    assert_eq!(prompt(vec![part(9, 10)]).affinity(), None);
+    assert_eq!(prompt(Vec::new()).shared_tokens(), 0);
+}
