--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -67,6 +67,9 @@
     reply: oneshot::Sender<PieceResult>,
 }
 
+/// A target as the batchers know it: id, failure domain, whether it is leaving.
+type Known = (TargetId, String, bool);
+
 /// The batcher of one service on this instance.
 struct ServiceBatches {
     batcher: Batcher,
@@ -79,8 +82,8 @@
 #[derive(Default)]
 pub(crate) struct Batches {
     services: Mutex<HashMap<Name, ServiceBatches>>,
-    /// Targets by service, as last told: id, failure domain, whether it is leaving.
-    targets: Mutex<HashMap<Name, Vec<(TargetId, String, bool)>>>,
+    /// Targets by service, as last told.
+    targets: Mutex<HashMap<Name, Vec<Known>>>,
     version: Mutex<Version>,
     next_ticket: std::sync::atomic::AtomicU64,
 }
@@ -100,7 +103,7 @@
 
     /// Takes in the targets of all services.
     pub(crate) fn set_targets(&self, directory: &Directory) {
-        let mut targets: HashMap<Name, Vec<(TargetId, String, bool)>> = HashMap::new();
+        let mut targets: HashMap<Name, Vec<Known>> = HashMap::new();
         for it in directory.all() {
             let of_service = targets.entry(it.service.clone()).or_default();
             of_service.push((it.id.clone(), it.domain.clone(), it.is_leaving));
@@ -392,8 +395,6 @@
     })
 }
 
-fn borrowed(
-    targets: &[(TargetId, String, bool)],
-) -> impl Iterator<Item = (&str, &str, bool)> + use<'_> {
+fn borrowed(targets: &[Known]) -> impl Iterator<Item = (&str, &str, bool)> + use<'_> {
     targets.iter().map(|it| (it.0.as_str(), it.1.as_str(), it.2))
 }
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -3,7 +3,6 @@
 
 use std::{
     collections::HashMap,
-    future::Future,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -383,7 +382,7 @@
     async fn ping(self, _: context::Context, known: Version, address: String) -> Version {
         let in_force = self.shared.configuration().version;
         if in_force < known {
-            tokio::spawn(catch_up(self.shared.clone(), address));
+            tokio::spawn(catch_up(self.shared, address));
         }
         in_force
     }
@@ -400,28 +399,26 @@
 }
 
 /// Has pieces made by the instance that batches them, or here if none can be reached.
-pub(crate) fn make_anywhere(
-    shared: Arc<IngressShared>,
-    service: Name,
+pub(crate) async fn make_anywhere(
+    shared: &Arc<IngressShared>,
+    service: &str,
     asks: Vec<PieceAsk>,
     limit: Duration,
-) -> impl Future<Output = Vec<PieceResult>> + Send {
-    async move {
-        let count = asks.len();
-        let until = Instant::now() + limit;
-        while let Some(address) = shared.peers.batcher_of(&service) {
-            let left = until.saturating_duration_since(Instant::now());
-            let made = shared.peers.make(&shared, &address, &service, asks.clone(), left).await;
-            let Ok(mut results) = made else { continue };
-            if results.iter().all(|it| *it == Err(NoResult::Unreachable)) && !results.is_empty() {
-                // The peer does not know the service yet.
-                break;
-            }
-            results.resize(count, Err(NoResult::Late));
-            return results;
+) -> Vec<PieceResult> {
+    let count = asks.len();
+    let until = Instant::now() + limit;
+    while let Some(address) = shared.peers.batcher_of(service) {
+        let left = until.saturating_duration_since(Instant::now());
+        let made = shared.peers.make(shared, &address, service, asks.clone(), left).await;
+        let Ok(mut results) = made else { continue };
+        if results.iter().all(|it| *it == Err(NoResult::Unreachable)) && !results.is_empty() {
+            // The peer does not know the service yet.
+            break;
         }
-        shared.batches.make(&shared, &service, asks).await
+        results.resize(count, Err(NoResult::Late));
+        return results;
     }
+    shared.batches.make(shared, service, asks).await
 }
 
 fn context_for(limit: Duration) -> context::Context {
--- a/crates/holdpointd/src/ingress/send.rs
+++ b/crates/holdpointd/src/ingress/send.rs
@@ -34,7 +34,7 @@
 /// Outcome of a send.
 pub(crate) enum Sent {
     /// No byte of the request has left.
-    NotSent,
+    Nothing,
     /// The target has not run the request and never will.
     Declined { status: StatusCode, head: TargetHead },
     /// The head of an answer to this request.
@@ -52,12 +52,12 @@
     care: Care,
 ) -> Sent {
     let Ok(mut connection) = shared.connections.take(target, care).await else {
-        return Sent::NotSent;
+        return Sent::Nothing;
     };
-    let Some(outgoing) = outgoing(request, added) else { return Sent::NotSent };
+    let Some(outgoing) = outgoing(request, added) else { return Sent::Nothing };
     let response = match connection.sender.try_send_request(outgoing).await {
         Ok(it) => it,
-        Err(it) if it.message().is_some() => return Sent::NotSent,
+        Err(it) if it.message().is_some() => return Sent::Nothing,
         Err(_) => return Sent::Broken,
     };
     let head = headers::read_target(response.status(), response.headers());
@@ -71,7 +71,7 @@
     }
     if head.is_declined {
         let status = response.status();
-        keep_after(shared, connection, response, &head, request.body.len());
+        keep_after(shared, connection, &response, &head, request.body.len());
         return Sent::Declined { status, head };
     }
     if response.status().is_success() && !head.has_signature {
@@ -150,7 +150,7 @@
 fn keep_after(
     shared: &IngressShared,
     connection: Connection,
-    response: Response<Incoming>,
+    response: &Response<Incoming>,
     head: &TargetHead,
     body_length: usize,
 ) {
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -106,11 +106,11 @@
     let mut running: FuturesUnordered<BoxFuture<'_, StageOutcome>> = FuturesUnordered::new();
     let mut remakes = 0;
     loop {
-        for stage in 0..graph.len() {
-            if is_begun[stage] || graph.needs(stage).any(|it| results[it].is_none()) {
+        for (stage, is_begun) in is_begun.iter_mut().enumerate() {
+            if *is_begun || graph.needs(stage).any(|it| results[it].is_none()) {
                 continue;
             }
-            is_begun[stage] = true;
+            *is_begun = true;
             let inputs =
                 graph.needs(stage).filter_map(|it| results[it].clone()).flatten().collect();
             let made = make_stage(ctx, graph, stage, inputs, domain);
@@ -171,7 +171,7 @@
         let missing: Vec<u32> = (0..count).filter(|it| handles[*it as usize].is_none()).collect();
         let ask = |piece: &u32| ask(ctx, graph, stage, *piece, source.clone(), &near, round);
         let asks: Vec<PieceAsk> = missing.iter().map(ask).collect();
-        let made = make_anywhere(ctx.shared.clone(), service.clone(), asks, ctx.left()).await;
+        let made = make_anywhere(&ctx.shared, service, asks, ctx.left()).await;
         let failure = take_in(&mut handles, &missing, made);
         let Some(cause) = failure else { break };
         let detail = format!("id={} stage={stage} round={round} cause={cause:?}", ctx.request.id);
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -210,7 +210,7 @@
     let added = ctx.added(target, last_event, inputs);
     let sent = send(&ctx.shared, target, &ctx.request, &added, ctx.care()).await;
     let (head, response, connection) = match sent {
-        Sent::NotSent => return Ended::NotSent,
+        Sent::Nothing => return Ended::NotSent,
         Sent::Broken => return Ended::Broken,
         Sent::Declined { status, head } => {
             ctx.pool.report(ctx.shared.clock.now(), &target.id, head.load);
@@ -358,7 +358,10 @@
         return Passed::CallerGone;
     }
     let gap = gap_patience(ctx, attempts);
-    while !is_ended {
+    if is_ended {
+        return keep(ctx, connection, &head);
+    }
+    loop {
         let next = tokio::time::timeout(gap, next_events(&mut body, &mut splitter)).await;
         match next {
             Ok(Next::Events(events)) => {
@@ -366,11 +369,15 @@
                     return Passed::CallerGone;
                 }
             }
-            Ok(Next::End) => break,
+            Ok(Next::End) => return keep(ctx, connection, &head),
             Ok(Next::Broken) => return Passed::Broken("broken"),
             Err(_) => return Passed::Broken("silent"),
         }
     }
+}
+
+/// Ends a stream that came whole; its connection is kept.
+fn keep(ctx: &Context, connection: Connection, head: &TargetHead) -> Passed {
     if !head.closes {
         ctx.shared.connections.give_back(connection, head.idle_limit);
     }
--- a/crates/holdpointd/src/ingress/whole.rs
+++ b/crates/holdpointd/src/ingress/whole.rs
@@ -133,7 +133,7 @@
 async fn send_whole(ctx: &Context, target: &TargetInstance, inputs: &[String]) -> Ended {
     let added = ctx.added(target, None, inputs);
     match send(&ctx.shared, target, &ctx.request, &added, ctx.care()).await {
-        Sent::NotSent => Ended::NotSent,
+        Sent::Nothing => Ended::NotSent,
         Sent::Declined { head, .. } => {
             ctx.pool.report(ctx.shared.clock.now(), &target.id, head.load);
             if head.is_misdirected {
--- a/crates/holdpointd/tests/ingress.rs
+++ b/crates/holdpointd/tests/ingress.rs
@@ -3,7 +3,8 @@
 use std::{future::Future, net::SocketAddr, time::Duration};
 
 use holdpoint_adapter_standin::{
-    Behaviour, CallerAnswer, CallerRequest, Gate, Outage, Store, Target, call, sample_configuration,
+    Behaviour, CallerAnswer, CallerRequest, Gate, Outage, Store, Target, call, names,
+    sample_configuration,
 };
 use holdpointd::ingress::Ingress;
 use http::{Method, StatusCode};
@@ -103,14 +104,14 @@
         .with_header("x-own", "kept")
         .with_header("connection", "x-hop")
         .with_header("x-hop", "dropped")
-        .with_header("holdpoint-tenant", "forged")
-        .with_header("holdpoint-hold", "forged");
+        .with_header(names::ORGANISATION, "forged")
+        .with_header(names::HOLD, "forged");
     let answer = system.send(request).await;
     assert_eq!(answer.status, StatusCode::OK);
     assert_eq!(answer.body, "some bytes");
     assert!(answer.is_whole);
-    assert_eq!(header(&answer, "holdpoint-response-stamp"), "stamp-i-plain-0-r-1");
-    assert_eq!(header(&answer, "holdpoint-request-id"), "r-1");
+    assert_eq!(header(&answer, names::SIGNATURE), "stamp-i-plain-0-r-1");
+    assert_eq!(header(&answer, names::REQUEST_ID), "r-1");
     let run = &system.plain[0].runs()[0];
     assert_eq!(run.line, "POST /safe/x?y=1");
     assert_eq!(run.body, "some bytes");
@@ -118,10 +119,10 @@
     assert_eq!(of("x-own"), Some("kept"));
     assert_eq!(of("x-hop"), None);
     assert_eq!(of("authorization"), None, "the key is kept back");
-    assert_eq!(of("holdpoint-tenant"), Some("acme"));
-    assert_eq!(of("holdpoint-hold"), None);
-    assert_eq!(of("holdpoint-expect-instance"), Some("i-plain-0"));
-    let left: u64 = of("holdpoint-deadline-ms").unwrap().parse().unwrap();
+    assert_eq!(of(names::ORGANISATION), Some("acme"));
+    assert_eq!(of(names::HOLD), None);
+    assert_eq!(of(names::TARGET), Some("i-plain-0"));
+    let left: u64 = of(names::DEADLINE).unwrap().parse().unwrap();
     assert!(left <= 2000);
 }
 
@@ -137,7 +138,7 @@
     assert_eq!(status(no_key).await, StatusCode::UNAUTHORIZED);
     let bad_key = new("r-4", "/safe/").with_header("authorization", "Bearer key-2");
     assert_eq!(status(bad_key).await, StatusCode::UNAUTHORIZED);
-    let no_id = new("r-5", "/safe/").without_header("holdpoint-request-id");
+    let no_id = new("r-5", "/safe/").without_header(names::REQUEST_ID);
     assert_eq!(status(no_id).await, StatusCode::BAD_REQUEST);
     let large = new("r-6", "/safe/").with_body(vec![b'x'; 2001]);
     assert_eq!(status(large).await, StatusCode::PAYLOAD_TOO_LARGE);
@@ -160,7 +161,7 @@
         assert_eq!(system.plain_runs(), 1, "{behaviour:?}");
         assert!(answer.status.is_server_error(), "{behaviour:?}: {}", answer.status);
         assert_ne!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{behaviour:?} has run");
-        let has_stamp = !header(&answer, "holdpoint-response-stamp").is_empty();
+        let has_stamp = !header(&answer, names::SIGNATURE).is_empty();
         assert_eq!(has_stamp, behaviour == Behaviour::Fail, "{behaviour:?}");
     }
 }
@@ -168,7 +169,7 @@
 #[tokio::test]
 async fn a_hung_request_that_may_run_once_ends_with_a_failure_that_promises_nothing() {
     let system = start(&[Behaviour::RunAndHang, Behaviour::RunAndHang], &[]).await;
-    let request = CallerRequest::new("r-1", "/unsafe/").with_header("holdpoint-deadline-ms", "300");
+    let request = CallerRequest::new("r-1", "/unsafe/").with_header(names::DEADLINE, "300");
     let answer = system.send(request).await;
     assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT);
     assert_eq!(system.plain_runs(), 1);
@@ -265,8 +266,7 @@
     assert_eq!((first.len(), second.len()), (2, 3));
     assert!(first.iter().all(|it| it["key"] == "aa11" && it["inputs"].is_null()));
     assert!(second.iter().all(|it| it["inputs"].as_array().unwrap().len() == 2));
-    let inputs =
-        system.engines[0].runs()[0].headers["holdpoint-inputs"].to_str().unwrap().to_owned();
+    let inputs = system.engines[0].runs()[0].headers[names::INPUTS].to_str().unwrap().to_owned();
     assert_eq!(inputs.split(',').count(), 3);
     until(|| system.encoder.freed().len() == 5).await;
 }
