--- a/crates/holdpoint-core/tests/laws.rs
+++ b/crates/holdpoint-core/tests/laws.rs
@@ -34,15 +34,21 @@
         .collect()
 }
 
-const ROUTES: [Route; 5] =
-    [Route::Random, Route::RoundRobin, Route::LeastLoaded, Route::TwoChoices, Route::Predicted];
+const ROUTES: [Route; 6] = [
+    Route::Random,
+    Route::RoundRobin,
+    Route::LeastLoaded,
+    Route::TwoChoices,
+    Route::Predicted,
+    Route::Affinity,
+];
 
 proptest! {
     #![proptest_config(config())]
 
     #[test]
     fn no_route_gives_work_to_a_leaving_target_or_over_the_cap(
-        route in 0..5_usize, steps in prop::collection::vec((0..4_u8, 0..8_usize), 1..200)
+        route in 0..6_usize, steps in prop::collection::vec((0..4_u8, 0..8_usize), 1..200)
     ) {
         let policy = holdpoint_schema::resources::Policy { route: ROUTES[route], ..default_policy() };
         let mut router = Router::new("i", "d", policy.clone());
@@ -345,3 +351,37 @@
     let interval = wilson(50, 100);
     assert!(interval.low < 0.5 && 0.5 < interval.high);
 }
+
+#[test]
+fn instances_that_share_a_prefix_meet_at_one_target_until_it_is_busy() {
+    let policy = holdpoint_schema::resources::Policy {
+        route: Route::Affinity,
+        subset: 100,
+        ..default_policy()
+    };
+    let choose = |salt: &str, busy: &[String]| {
+        let mut router = Router::new(salt, "d", policy.clone());
+        router.set_members(&members(12));
+        for (index, target) in busy.iter().enumerate() {
+            for _ in 0..40 {
+                let call = Call {
+                    work: 9000.0,
+                    prefix_work: 0.0,
+                    prefix: None,
+                    tried: &[],
+                    cap: u32::MAX,
+                };
+                router.sent(index as u64, target, &call);
+            }
+            router.report(1, target, Load { running: 40, waiting: 400 });
+        }
+        let call =
+            Call { work: 9000.0, prefix_work: 6000.0, prefix: Some(77), tried: &[], cap: u32::MAX };
+        router.choose(2, &policy, &call, &mut ChaCha8Rng::seed_from_u64(1)).unwrap().address
+    };
+    let first = choose("a", &[]);
+    for salt in ["b", "c", "d"] {
+        assert_eq!(choose(salt, &[]), first);
+    }
+    assert_ne!(choose("a", &[first.clone()]), first);
+}
