--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -8,7 +8,7 @@
 use holdpoint_adapter::headers::{Added, CallerHead};
 use holdpoint_core::{
     directory::TargetInstance,
-    ids::Name,
+    ids::{Millis, Name},
     ingress::{IngressRoute, Repeat, Shape, Version},
     ledger::Ledger,
     route::{Call, End, NoTarget},
@@ -61,6 +61,7 @@
     sends: u32,
     first_ms: u64,
     stages_ms: u64,
+    longest_gap_ms: u64,
 }
 
 /// The parts that a context is made of.
@@ -169,6 +170,26 @@
         self.end.lock().first_ms = self.arrived.elapsed().as_millis() as u64;
     }
 
+    /// Time from a send to the first event that so many of a hundred streams of the route keep, in
+    /// milliseconds; `None` where too few were measured.
+    pub(crate) fn first_event_ms(&self, percent: u32) -> Option<Millis> {
+        let times = self.shared.first_times.of(&self.route.name, Default::default);
+        let found = times.lock().quantile(f64::from(percent) / 100.0);
+        found
+    }
+
+    /// Takes in the time from a send to the first event.
+    pub(crate) fn first_event_took(&self, ms: Millis) {
+        let times = self.shared.first_times.of(&self.route.name, Default::default);
+        times.lock().record(self.shared.clock.now(), ms);
+    }
+
+    /// Notes a pause between two events that were passed on.
+    pub(crate) fn note_gap(&self, gap: Duration) {
+        let mut end = self.end.lock();
+        end.longest_gap_ms = end.longest_gap_ms.max(gap.as_millis() as u64);
+    }
+
     /// Notes how the request ends; the last note counts.
     pub(crate) fn note_end(&self, status: u16, cause: &'static str) {
         let mut end = self.end.lock();
@@ -190,7 +211,7 @@
         let ms = self.arrived.elapsed().as_millis() as u64;
         let detail = format!(
             "id={} route={} version={} service={} target={} sends={} status={} cause={cause} \
-             stages_ms={} first_ms={} ms={ms} aim_ms={}",
+             stages_ms={} first_ms={} gap_ms={} ms={ms} aim_ms={}",
             self.request.id,
             self.route.name,
             self.version,
@@ -200,6 +221,7 @@
             end.status,
             end.stages_ms,
             end.first_ms,
+            end.longest_gap_ms,
             self.route.target_ms,
         );
         emit(events::REQUEST_ENDED, &self.shared.settings.instance, &detail);
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -11,6 +11,7 @@
 use arc_swap::ArcSwap;
 use bytes::Bytes;
 use holdpoint_core::{
+    deadline::Times,
     directory::{Change, Directory, TargetInstance},
     ids::Millis,
     ingress::{Configuration, newer},
@@ -26,7 +27,7 @@
         batches::Batches, connections::Connections, frees::Frees, peers::Peers, pools::Pools,
     },
     metrics::Metrics,
-    shared::InFlight,
+    shared::{InFlight, Lazy},
 };
 
 /// How long a read of the store counts as fresh when a peer asks for what was read.
@@ -47,6 +48,8 @@
     pub(crate) closing: watch::Sender<bool>,
     /// Whether a planned stop has begun.
     pub(crate) is_leaving: AtomicBool,
+    /// Times from the send of a stream to its first event, by route.
+    pub(crate) first_times: Lazy<Mutex<Times>>,
     /// Raised whenever the store was silent, so that waiting reads begin anew.
     pub(crate) store_lost: Notify,
     configuration: ArcSwap<Configuration>,
@@ -72,6 +75,7 @@
             in_flight: Arc::default(),
             closing: watch::channel(false).0,
             is_leaving: AtomicBool::new(false),
+            first_times: Lazy::default(),
             store_lost: Notify::new(),
             configuration: ArcSwap::default(),
             configuration_bytes: Mutex::default(),
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -36,6 +36,8 @@
 const MOVE_PAUSE: Duration = Duration::from_millis(15);
 /// How often the inputs of a stage are made anew.
 const INPUT_REMAKES: u32 = 2;
+/// Part of the streams, in a hundred, that the stages leave time enough for.
+const FIRST_EVENT_PERCENT: u32 = 85;
 /// Usual time from a model server's taking a request to its first event, until measured.
 const FIRST_EVENT_MS: Millis = 300;
 /// Usual time of a stage, until its service's configuration is known.
@@ -249,7 +251,7 @@
     round: u32,
 ) -> PieceAsk {
     let step = &ctx.route.stages[stage];
-    let first_ms = ctx.pool.times.lock().quantile(0.5).unwrap_or(FIRST_EVENT_MS);
+    let first_ms = ctx.first_event_ms(FIRST_EVENT_PERCENT).unwrap_or(FIRST_EVENT_MS);
     let after_ms = ms_after(ctx, graph, stage) + first_ms;
     let spent = ctx.arrived.elapsed().as_millis() as i64;
     // As long as nothing has been made for the request, giving it up costs nobody anything.
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -179,7 +179,7 @@
     let sent = tokio::time::timeout(limit, send_stream(ctx, target, last_event, inputs)).await;
     let ended = sent.unwrap_or(Ended::Silent);
     match &ended {
-        Ended::Open(it) => ctx.pool.times.lock().record(ctx.shared.clock.now(), it.first_ms),
+        Ended::Open(it) => ctx.first_event_took(it.first_ms),
         Ended::Failed(..) => end_send(ctx, target, End::Failed, "target-failed"),
         Ended::NotSent => {
             begun.never_sent();
@@ -361,10 +361,14 @@
     if is_ended {
         return keep(ctx, connection, &head);
     }
+    let mut last = Instant::now();
     loop {
         let next = tokio::time::timeout(gap, next_events(&mut body, &mut splitter)).await;
         match next {
             Ok(Next::Events(events)) => {
+                let now = Instant::now();
+                ctx.note_gap(now - last);
+                last = now;
                 if !pass_events(events, last_id, sender).await {
                     return Passed::CallerGone;
                 }
@@ -411,7 +415,7 @@
     if !ctx.is_repeatable() || !attempts.may_repeat(ctx) {
         return left;
     }
-    let usual = ctx.pool.times.lock().quantile(0.95).unwrap_or(0);
+    let usual = ctx.first_event_ms(95).unwrap_or(0);
     let usual = Duration::from_millis(FIRST_PATIENCE_OF_USUAL * usual);
     ctx.target_time().mul_f64(FIRST_PATIENCE).max(usual).min(left)
 }
