Prompts are placed by one instance for all, by what each engine still has to read

Six instances chose by affinity without knowing of each other's prompts. Change: the instance that rendezvous hashing picks for a service places its prompts; the router keeps, for each engine, the time until which it reads, and adds it to what it predicts. Placing here goes on where the peer does not answer within 60 ms.

--- a/crates/holdpoint-core/src/route.rs
+++ b/crates/holdpoint-core/src/route.rs
@@ -31,6 +31,10 @@
 /// How far the first and the second target for a prefix are trusted to hold it.
 const FIRST_TRUST: f64 = 0.9;
 const SECOND_TRUST: f64 = 0.2;
+/// Weight of the time for which a target still reads prompts.
+const READ_WEIGHT: f64 = 1.5;
+/// Longest time to read one unit of work, in milliseconds, as long as little was measured.
+const LONGEST_READ_PACE: f64 = 0.05;
 /// Longest ejection as a multiple of the first one.
 const EJECT_DOUBLINGS: u32 = 5;
 
@@ -137,6 +141,8 @@
     ejections: u32,
     ejected_until: Millis,
     prefixes: HashMap<u64, Millis>,
+    /// When it will have read the prompts placed there, in milliseconds.
+    reads_until: f64,
 }
 
 /// Routes the calls of one instance to one pool.
@@ -275,6 +281,23 @@
         }
     }
 
+    /// Counts a prompt as placed at a target, by whichever instance: the target is to hold its
+    /// prefix, and reads it before what comes later.
+    pub fn placed(&mut self, now: Millis, address: &str, call: &Call<'_>) {
+        let Some(prefix) = call.prefix else { return };
+        let pace = self.mean_pace().min(LONGEST_READ_PACE);
+        let Some(target) = self.target(address) else { return };
+        let unread = call.work - call.prefix_work * prefix_trust(target, call, now);
+        target.reads_until = target.reads_until.max(now as f64) + unread * pace;
+        remember(target, prefix, now);
+    }
+
+    /// Targets that get no calls for a while.
+    pub fn ejected(&self, now: Millis) -> Vec<String> {
+        let is_ejected = |it: &&Target| now < it.ejected_until;
+        self.targets.iter().filter(is_ejected).map(|it| it.address.clone()).collect()
+    }
+
     /// Counts a call as ended. A failure in a row of failures may eject the target.
     pub fn ended(&mut self, now: Millis, address: &str, work: f64, end: End) {
         let (eject_failures, eject_ms) = (self.policy.eject_failures, self.policy.eject_ms);
@@ -441,8 +464,13 @@
         let wait = ahead * mean_work * pace / slots.max(1.0);
         let saved = call.prefix_work * trust;
         let run = (call.work - saved) * pace * (1.0 + BATCH_COST * load);
+        // What is being read holds up both this call and, step by step, all that run there.
+        let reads = match call.prefix {
+            Some(_) => READ_WEIGHT * (target.reads_until - now as f64).max(0.0),
+            None => 0.0,
+        };
         let far = if target.domain == self.domain { 0.0 } else { FAR_MS };
-        run + wait + far
+        run + wait + reads + far
     }
 
     /// Calls of other instances at a target: what it reported, fading with the age of the report
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -19,6 +19,7 @@
     events::{self, emit},
     ingress::{
         connections::Care,
+        peers::PromptAsk,
         pools::Pool,
         send::{CallerRequest, left},
         shared::IngressShared,
@@ -271,45 +272,66 @@
     }
 
     /// Chooses the target of the next send and counts the send.
-    pub(crate) fn next(&mut self, ctx: &Context) -> Result<TargetInstance, NoSend> {
+    pub(crate) async fn next(&mut self, ctx: &Context) -> Result<TargetInstance, NoSend> {
         if ctx.left().is_zero() {
             return Err(NoSend::Time);
         }
         if !self.may_repeat(ctx) {
             return Err(NoSend::Attempts);
         }
+        let (target, reason) = self.choose(ctx).await?;
         let now = ctx.shared.clock.now();
+        if self.sends != 0 && !ctx.pool.spend(now, &ctx.shared.pools.terms()) {
+            return Err(NoSend::Budget);
+        }
+        self.sends += 1;
+        ctx.pool.sent(now, &target.id, &ctx.call(&[]));
+        ctx.note_send(&target.id);
+        let detail =
+            format!("id={} target={} send={} {reason}", ctx.request.id, target.id, self.sends);
+        emit(events::SENT, &ctx.shared.settings.instance, &detail);
+        self.tried.push(target.id.clone());
+        Ok(target)
+    }
+
+    /// Chooses a target, with the reason for the log. Prompts are placed by one instance for all,
+    /// since an engine that reads a long prompt holds up all that run there, whoever sent them.
+    async fn choose(&mut self, ctx: &Context) -> Result<(TargetInstance, String), NoSend> {
+        if let Some(it) = self.choose_at_peer(ctx).await {
+            return Ok(it);
+        }
         loop {
-            let choice = ctx.pool.choose(now, &ctx.call(&self.tried));
+            let call = ctx.call(&self.tried);
+            let choice = ctx.pool.place(ctx.shared.clock.now(), &call);
             let choice = choice.map_err(|it| match it {
                 NoTarget::Empty | NoTarget::Tried | NoTarget::Full => NoSend::NoTarget,
             })?;
-            let Some(target) = ctx.shared.staying_target(&choice.address) else {
-                self.tried.push(choice.address);
-                continue;
-            };
-            if self.sends != 0 && !ctx.pool.spend(now, &ctx.shared.pools.terms()) {
-                return Err(NoSend::Budget);
+            if let Some(target) = ctx.shared.staying_target(&choice.address) {
+                let reason = format!(
+                    "compared={} ejected={} predicted_ms={:.0} prefix={}",
+                    choice.reason.compared,
+                    choice.reason.ejected,
+                    choice.reason.predicted,
+                    choice.reason.prefix_hit
+                );
+                return Ok((target, reason));
             }
-            self.sends += 1;
-            ctx.pool.sent(now, &target.id, &ctx.call(&[]));
-            ctx.note_send(&target.id);
-            let detail = format!(
-                "id={} target={} send={} compared={} ejected={} predicted_ms={:.0} prefix={}",
-                ctx.request.id,
-                target.id,
-                self.sends,
-                choice.reason.compared,
-                choice.reason.ejected,
-                choice.reason.predicted,
-                choice.reason.prefix_hit
-            );
-            emit(events::SENT, &ctx.shared.settings.instance, &detail);
-            self.tried.push(target.id.clone());
-            return Ok(target);
+            self.tried.push(choice.address);
         }
     }
 
+    async fn choose_at_peer(&self, ctx: &Context) -> Option<(TargetInstance, String)> {
+        let call = ctx.call(&self.tried);
+        let prefix = call.prefix?;
+        let address = ctx.shared.peers.batcher_of(&ctx.service)?;
+        let mut avoided = ctx.pool.ejected(ctx.shared.clock.now());
+        avoided.extend(self.tried.iter().cloned());
+        let ask = PromptAsk { work: call.work, prefix_work: call.prefix_work, prefix, avoided };
+        let chosen = ctx.shared.peers.place(&ctx.shared, &address, &ctx.service, ask).await?;
+        let target = ctx.shared.staying_target(&chosen)?;
+        Some((target, format!("placed_by={address}")))
+    }
+
     /// Takes back a send of which no byte has left.
     pub(crate) fn take_back(&mut self) {
         self.sends = self.sends.saturating_sub(1);
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -13,9 +13,10 @@
 use bytes::Bytes;
 use futures::{StreamExt, future::BoxFuture};
 use holdpoint_core::{
-    directory::TargetInstance,
+    directory::{TargetId, TargetInstance},
     ids::Name,
     ingress::Version,
+    route::Call,
     stage_graph::NoResult,
     subset::{owner, weight},
 };
@@ -53,6 +54,8 @@
 const PING: Duration = Duration::from_millis(250);
 /// How long it may take to answer.
 const PING_LIMIT: Duration = Duration::from_millis(350);
+/// How long a peer may take to choose a target; after that it is chosen here.
+const PLACE_LIMIT: Duration = Duration::from_millis(60);
 /// How long a peer that was silent is passed over; doubled each time.
 const SUSPECT: Duration = Duration::from_millis(1500);
 /// Longest time that a peer is passed over.
@@ -71,11 +74,26 @@
     pub(crate) peers: Vec<(Name, String)>,
 }
 
+/// A prompt for which an instance asks for a target.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct PromptAsk {
+    /// Work, in tokens.
+    pub(crate) work: f64,
+    /// Part of the work that a cached prefix saves.
+    pub(crate) prefix_work: f64,
+    /// Hash of the prefix.
+    pub(crate) prefix: u64,
+    /// Targets that the instance does not want.
+    pub(crate) avoided: Vec<TargetId>,
+}
+
 /// What ingress instances ask of each other.
 #[tarpc::service]
 pub(crate) trait IngressPeers {
     /// Makes pieces of a service's stage.
     async fn make(service: Name, asks: Vec<PieceAsk>) -> Vec<PieceResult>;
+    /// Chooses the target of a service that reads a prompt.
+    async fn place(service: Name, prompt: PromptAsk) -> Option<TargetId>;
     /// Gives up results of a service's stage.
     async fn give_up(service: Name, handles: Vec<String>);
     /// Says that the instance is there, and which configuration it has. The asker at this address
@@ -209,6 +227,21 @@
         }
     }
 
+    /// Asks a peer for the target that reads a prompt; `None` where it does not answer at once.
+    pub(crate) async fn place(
+        &self,
+        shared: &Arc<IngressShared>,
+        address: &str,
+        service: &str,
+        prompt: PromptAsk,
+    ) -> Option<TargetId> {
+        let asked = async {
+            let (client, _) = self.link(shared, address).await.ok()?;
+            client.place(context_for(PLACE_LIMIT), service.to_owned(), prompt).await.ok()?
+        };
+        tokio::time::timeout(PLACE_LIMIT, asked).await.ok()?
+    }
+
     /// Has a peer give up results.
     pub(crate) async fn give_up(
         &self,
@@ -375,6 +408,23 @@
         self.shared.batches.make(&self.shared, &service, asks).await
     }
 
+    async fn place(
+        self,
+        _: context::Context,
+        service: Name,
+        prompt: PromptAsk,
+    ) -> Option<TargetId> {
+        let call = Call {
+            work: prompt.work,
+            prefix_work: prompt.prefix_work,
+            prefix: Some(prompt.prefix),
+            tried: &prompt.avoided,
+            cap: u32::MAX,
+        };
+        let placed = self.shared.pools.of(&service).place(self.shared.clock.now(), &call);
+        placed.ok().map(|it| it.address)
+    }
+
     async fn give_up(self, _: context::Context, service: Name, handles: Vec<String>) {
         tell_makers(&self.shared, &service, handles);
     }
--- a/crates/holdpointd/src/ingress/pools.rs
+++ b/crates/holdpointd/src/ingress/pools.rs
@@ -11,7 +11,7 @@
 use holdpoint_core::{
     budget::{SharedBudget, Terms},
     deadline::Times,
-    directory::Directory,
+    directory::{Directory, TargetId},
     ids::{Millis, Name},
     route::{Call, Choice, End, Load, Member, NoTarget, Router},
 };
@@ -141,6 +141,19 @@
         self.router.lock().choose(now, &self.policy, call, &mut rand::rng())
     }
 
+    /// Chooses a target for a prompt of any instance and counts the prompt as placed there.
+    pub(crate) fn place(&self, now: Millis, call: &Call<'_>) -> Result<Choice, NoTarget> {
+        let mut router = self.router.lock();
+        let choice = router.choose(now, &self.policy, call, &mut rand::rng())?;
+        router.placed(now, &choice.address, call);
+        Ok(choice)
+    }
+
+    /// Targets that get no calls of this instance for a while.
+    pub(crate) fn ejected(&self, now: Millis) -> Vec<TargetId> {
+        self.router.lock().ejected(now)
+    }
+
     /// Counts a call as sent.
     pub(crate) fn sent(&self, now: Millis, target: &str, call: &Call<'_>) {
         self.router.lock().sent(now, target, call);
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -125,7 +125,7 @@
     let mut remakes = 0;
     let mut last_failure = None;
     let cause = loop {
-        let target = match attempts.next(ctx) {
+        let target = match attempts.next(ctx).await {
             Ok(it) => it,
             Err(it) => break it,
         };
--- a/crates/holdpointd/src/ingress/whole.rs
+++ b/crates/holdpointd/src/ingress/whole.rs
@@ -44,7 +44,7 @@
     let mut attempts = Attempts::default();
     let mut last_failure = None;
     let cause = loop {
-        let target = match attempts.next(ctx) {
+        let target = match attempts.next(ctx).await {
             Ok(it) => it,
             Err(it) => break it,
         };
