A stream that goes on elsewhere is not refused for its target time; stage times fade

Change: nothing that was sent once is refused or given up by its target time; a remembered stage time loses half its weight in 0.7 s. Both tests failed first.

--- a/crates/holdpoint-core/src/deadline.rs
+++ b/crates/holdpoint-core/src/deadline.rs
@@ -11,6 +11,40 @@
 /// Longest time measured, in milliseconds.
 const LONGEST_MS: u64 = 600_000;
 
+/// Weight of the newest measurement in a [`RecentTime`]. Bursts last for seconds, and so does what
+/// is remembered.
+const NEWEST: f64 = 0.2;
+/// Age at which what a [`RecentTime`] remembers has lost half its weight, in milliseconds.
+const TRUST_MS: f64 = 700.0;
+
+/// A time as it was of late; it fades into the usual one when nothing is measured any more.
+///
+/// Without that, a long time that leads to refusals would stay for good: what is refused is not
+/// measured.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RecentTime {
+    ms: f64,
+    measured: Millis,
+}
+
+impl RecentTime {
+    /// Records a time.
+    pub fn record(&mut self, now: Millis, ms: Millis) {
+        let seen = ms as f64;
+        self.ms = if self.measured == 0 { seen } else { self.ms + NEWEST * (seen - self.ms) };
+        self.measured = now;
+    }
+
+    /// The time of late, where it usually is `usual`, in milliseconds.
+    pub fn get(&self, now: Millis, usual: Millis) -> Millis {
+        if self.measured == 0 {
+            return usual;
+        }
+        let trust = 0.5_f64.powf(now.saturating_sub(self.measured) as f64 / TRUST_MS);
+        (trust * self.ms + (1.0 - trust) * usual as f64) as Millis
+    }
+}
+
 /// Times of the last ten to twenty seconds, in milliseconds.
 #[derive(Clone, Debug)]
 pub struct Times {
--- a/crates/holdpoint-core/tests/ingress.rs
+++ b/crates/holdpoint-core/tests/ingress.rs
@@ -2,6 +2,7 @@
 
 use holdpoint_core::{
     budget::{SharedBudget, Terms},
+    deadline::RecentTime,
     directory::{Change, Directory, TargetInstance},
     event_split::EventSplitter,
     ingress::{CallerLimits, Configuration, Denied, IngressRoute, Repeat, Shape, Tenancy, newer},
@@ -200,3 +201,12 @@
     assert_eq!(prompt(vec![part(9, 10)]).affinity(), None);
     assert_eq!(prompt(Vec::new()).shared_tokens(), 0);
 }
+
+#[test]
+fn a_long_time_is_forgotten_when_nothing_is_measured_any_more() {
+    let mut time = RecentTime::default();
+    assert_eq!(time.get(1000, 300), 300);
+    (0..40).for_each(|it| time.record(1000 + it, 4000));
+    assert!((3900..=4000).contains(&time.get(1040, 300)));
+    assert!(time.get(9000, 300) < 310, "or what it had refused would be refused for good");
+}
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -166,6 +166,11 @@
         self.end.lock().stages_ms = begun.elapsed().as_millis() as u64;
     }
 
+    /// Whether it was sent to a target already.
+    pub(crate) fn was_sent(&self) -> bool {
+        self.end.lock().sends != 0
+    }
+
     /// Notes that a target began to answer.
     pub(crate) fn note_first(&self) {
         self.end.lock().first_ms = self.arrived.elapsed().as_millis() as u64;
--- a/crates/holdpointd/src/ingress/pools.rs
+++ b/crates/holdpointd/src/ingress/pools.rs
@@ -10,7 +10,7 @@
 
 use holdpoint_core::{
     budget::{SharedBudget, Terms},
-    deadline::Times,
+    deadline::{RecentTime, Times},
     directory::{Directory, TargetId},
     ids::{Millis, Name},
     route::{Call, Choice, End, Load, Member, NoTarget, Router},
@@ -30,10 +30,6 @@
 /// Age at which a load report has lost half its weight, in milliseconds.
 const REPORT_TRUST_MS: u64 = 400;
 
-/// Weight of the newest measurement of a stage's time. Bursts last for seconds, and so does what is
-/// remembered.
-const NEWEST_STAGE: f64 = 0.2;
-
 /// One service as an instance sees it.
 #[derive(Debug)]
 pub(crate) struct Pool {
@@ -41,8 +37,8 @@
     budget: Mutex<SharedBudget>,
     /// Time to the first part of an answer, in milliseconds.
     pub(crate) times: Mutex<Times>,
-    /// Time of a stage here of late, in milliseconds; 0 until measured.
-    stage_ms: Mutex<f64>,
+    /// Time of a stage here of late.
+    stage_time: Mutex<RecentTime>,
     policy: Policy,
 }
 
@@ -131,7 +127,7 @@
             router: Mutex::new(Router::new(salt, domain, policy.clone())),
             budget: Mutex::default(),
             times: Mutex::default(),
-            stage_ms: Mutex::default(),
+            stage_time: Mutex::default(),
             policy,
         }
     }
@@ -172,15 +168,13 @@
     }
 
     /// Takes in how long a stage took.
-    pub(crate) fn stage_took(&self, ms: Millis) {
-        let mut recent = self.stage_ms.lock();
-        *recent =
-            if *recent == 0.0 { ms as f64 } else { *recent + NEWEST_STAGE * (ms as f64 - *recent) };
+    pub(crate) fn stage_took(&self, now: Millis, ms: Millis) {
+        self.stage_time.lock().record(now, ms);
     }
 
-    /// How long stages took of late, in milliseconds; `None` until measured.
-    pub(crate) fn recent_stage_ms(&self) -> Option<Millis> {
-        Some(*self.stage_ms.lock() as Millis).filter(|it| *it != 0)
+    /// How long stages took of late, in milliseconds, where one takes `stated` without a queue.
+    pub(crate) fn recent_stage_ms(&self, now: Millis, stated: Millis) -> Millis {
+        self.stage_time.lock().get(now, stated)
     }
 
     /// Counts a request for the service.
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -191,7 +191,7 @@
         }
     }
     let ms = begun.elapsed().as_millis() as Millis;
-    ctx.shared.pools.of(service).stage_took(ms);
+    ctx.shared.pools.of(service).stage_took(ctx.shared.clock.now(), ms);
     Ok(handles.into_iter().flatten().collect())
 }
 
@@ -255,11 +255,14 @@
     let after_ms = ms_after(ctx, graph, stage) + first_ms;
     let spent = ctx.arrived.elapsed().as_millis() as i64;
     // As long as nothing has been made for the request, giving it up costs nobody anything.
-    let is_first = graph.needs(stage).next().is_none() && round == 0;
+    let is_first = graph.needs(stage).next().is_none() && round == 0 && !ctx.was_sent();
     let left_ms = ctx.left().as_millis() as Millis;
     let limit_ms = (ctx.until - ctx.arrived).as_millis() as i64;
-    let held_part = if is_first { HELD_PART } else { HELD_PART_BEGUN };
-    let give_up_in_ms = (limit_ms as f64 * held_part) as i64 - spent;
+    let give_up_in_ms = match (is_first, ctx.was_sent()) {
+        (true, _) => (limit_ms as f64 * HELD_PART) as i64 - spent,
+        (false, false) => (limit_ms as f64 * HELD_PART_BEGUN) as i64 - spent,
+        (false, true) => left_ms as i64,
+    };
     PieceAsk {
         work: PieceWork { request: ctx.request.id.clone(), stage, piece, source },
         due_in_ms: ctx.route.target_ms as i64 - after_ms as i64 - spent,
@@ -275,8 +278,8 @@
 
 /// Time that a stage at a service usually takes, in milliseconds.
 fn usual_ms(ctx: &Context, service: &str) -> Millis {
-    let recent = ctx.shared.pools.of(service).recent_stage_ms();
-    recent.unwrap_or_else(|| stage_ms(ctx, service))
+    let stated = stage_ms(ctx, service);
+    ctx.shared.pools.of(service).recent_stage_ms(ctx.shared.clock.now(), stated)
 }
 
 /// Time that the stages after a stage usually take, along the longest chain, in milliseconds.
--- a/crates/holdpointd/tests/ingress.rs
+++ b/crates/holdpointd/tests/ingress.rs
@@ -271,6 +271,29 @@
     until(|| system.encoder.freed().len() == 5).await;
 }
 
+/// Seen on pcfo scale-1: a stream broke off, and its stages, asked for anew, were refused as too
+/// late for an answer that had long begun.
+#[tokio::test]
+async fn a_stream_that_goes_on_elsewhere_is_not_refused_for_its_target_time() {
+    let system = start(&[], &[Behaviour::BreakAfter(1200)]).await;
+    let mut configuration = sample_configuration(2);
+    configuration["routes"][6]["timeout-ms"] = json!(60_000);
+    system.store.put_configuration(&configuration);
+    until(|| system.instance.version() == 2).await;
+    let request = CallerRequest::new("r-1", "/staged/")
+        .with_pieces("1,1")
+        .with_header(names::DEADLINE, "60000");
+    let running = tokio::spawn(call(system.callers(), request));
+    until(|| system.engine_runs() == 1).await;
+    // The other engine joins while the first one, which will break off, is at work.
+    let other = Target::start("i-engine-1", "engine", Behaviour::Events(1210)).await;
+    system.store.put_target(&other, false);
+    let answer = running.await.unwrap().unwrap();
+    assert!(answer.is_whole);
+    assert_eq!(answer.body, story(0, 1210));
+    assert_eq!(other.runs().len(), 1);
+}
+
 #[tokio::test]
 async fn pieces_of_several_requests_share_a_call() {
     let system = start(&[], &[Behaviour::Events(3)]).await;
