--- a/crates/holdpoint-schema/src/check.rs
+++ b/crates/holdpoint-schema/src/check.rs
@@ -57,8 +57,7 @@
 
 fn validator(part: Part) -> &'static Validator {
     // Each part is compiled when first asked for: a daemon uses one or two of them.
-    static VALIDATORS: [OnceLock<Validator>; PARTS.len()] =
-        [const { OnceLock::new() }; PARTS.len()];
+    static VALIDATORS: [OnceLock<Validator>; PARTS] = [const { OnceLock::new() }; PARTS];
     VALIDATORS[part as usize].get_or_init(|| compiled(part))
 }
 
