--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -180,8 +180,7 @@
     /// milliseconds; `None` where too few were measured.
     pub(crate) fn first_event_ms(&self, percent: u32) -> Option<Millis> {
         let times = self.shared.first_times.of(&self.route.name, Default::default);
-        let found = times.lock().quantile(f64::from(percent) / 100.0);
-        found
+        times.lock().quantile(f64::from(percent) / 100.0)
     }
 
     /// Takes in the time from a send to the first event.
