--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::HashMap,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -11,7 +14,7 @@
     batcher::{Batcher, Call, CallEnd, Sizes, Ticket, Waiting},
     directory::{Directory, TargetId},
     ids::{Millis, Name},
-    ingress::{Service, Version},
+    ingress::Service,
     stage_graph::{NoResult, PieceWork},
 };
 use parking_lot::Mutex;
@@ -84,15 +87,13 @@
     services: Mutex<HashMap<Name, ServiceBatches>>,
     /// Targets by service, as last told.
     targets: Mutex<HashMap<Name, Vec<Known>>>,
-    version: Mutex<Version>,
-    next_ticket: std::sync::atomic::AtomicU64,
+    next_ticket: AtomicU64,
 }
 
 impl Batches {
     /// Takes in the services' sizes from the configuration in force.
     pub(crate) fn configure(&self, shared: &IngressShared) {
         let configuration = shared.configuration();
-        *self.version.lock() = configuration.version;
         let mut services = self.services.lock();
         for (name, of_service) in services.iter_mut() {
             if let Some(sizes) = configuration.services.get(name).and_then(|it| sizes(it)) {
@@ -154,48 +155,26 @@
             ServiceBatches { batcher, pending: HashMap::new(), is_owner: false }
         });
         let now = shared.clock.now();
-        if let Some(first) = asks.first().filter(|it| it.is_refusable) {
-            let due = now.saturating_add_signed(first.due_in_ms);
-            let expected = of_service.batcher.expected_ms(now, due, asks.len());
-            if due < now + expected {
-                let detail = format!(
-                    "id={} service={service} expected_ms={expected} due_in_ms={} waiting={}",
-                    first.work.request,
-                    first.due_in_ms,
-                    of_service.batcher.waiting()
-                );
-                emit(events::STAGE_REFUSED, &shared.settings.instance, &detail);
-                return Err(NoResult::Overload(expected));
-            }
-        }
+        refuse_late(shared, service, &of_service.batcher, now, &asks)?;
         let offered = Instant::now();
-        let group = self.next_ticket.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let group = self.ticket();
         let mut replies = Vec::with_capacity(asks.len());
         for ask in asks {
-            let ticket = self.next_ticket.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+            let ticket = self.ticket();
             let (reply, answer) = oneshot::channel();
             replies.push(answer);
-            let waiting = Waiting {
-                ticket,
-                group,
-                due: now.saturating_add_signed(ask.due_in_ms),
-                deadline: now + ask.left_ms,
-                rank: ask.rank,
-                bytes: ask.bytes,
-                domain: ask.domain,
-                near_bytes: ask.near_bytes,
-                give_up: now.saturating_add_signed(ask.give_up_in_ms),
-                ..Waiting::default()
-            };
-            of_service.batcher.offer(now, waiting);
+            of_service.batcher.offer(now, waiting(&ask, ticket, group, now));
             let deadline = offered + Duration::from_millis(ask.left_ms);
-            of_service
-                .pending
-                .insert(ticket, Pending { work: ask.work, deadline, offered, returns: 0, reply });
+            let pending = Pending { work: ask.work, deadline, offered, returns: 0, reply };
+            of_service.pending.insert(ticket, pending);
         }
         Ok(replies)
     }
 
+    fn ticket(&self) -> Ticket {
+        self.next_ticket.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// Takes in that results were given up at their makers.
     pub(crate) fn given_up(&self, service: &str, handles: &[String]) {
         if let Some(it) = self.services.lock().get_mut(service) {
@@ -274,6 +253,46 @@
     }
 }
 
+/// Refuses pieces of a request that has cost nothing yet and would be late.
+fn refuse_late(
+    shared: &IngressShared,
+    service: &str,
+    batcher: &Batcher,
+    now: Millis,
+    asks: &[PieceAsk],
+) -> Result<(), NoResult> {
+    let Some(first) = asks.first().filter(|it| it.is_refusable) else { return Ok(()) };
+    let due = now.saturating_add_signed(first.due_in_ms);
+    let expected = batcher.expected_ms(now, due, asks.len());
+    if now + expected <= due {
+        return Ok(());
+    }
+    let detail = format!(
+        "id={} service={service} expected_ms={expected} due_in_ms={} waiting={}",
+        first.work.request,
+        first.due_in_ms,
+        batcher.waiting()
+    );
+    emit(events::STAGE_REFUSED, &shared.settings.instance, &detail);
+    Err(NoResult::Overload(expected))
+}
+
+/// A piece as its batcher sees it.
+fn waiting(ask: &PieceAsk, ticket: Ticket, group: u64, now: Millis) -> Waiting {
+    Waiting {
+        ticket,
+        group,
+        due: now.saturating_add_signed(ask.due_in_ms),
+        deadline: now + ask.left_ms,
+        rank: ask.rank,
+        bytes: ask.bytes,
+        domain: ask.domain.clone(),
+        near_bytes: ask.near_bytes,
+        give_up: now.saturating_add_signed(ask.give_up_in_ms),
+        ..Waiting::default()
+    }
+}
+
 /// Starts calls for all that waits where a target has become free with time.
 pub(crate) fn pump_all(shared: &Arc<IngressShared>) {
     shared.batches.hand_over(shared);
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -19,7 +19,7 @@
     events::{self, emit},
     ingress::{
         connections::Care,
-        peers::PromptAsk,
+        peer_service::PromptAsk,
         pools::Pool,
         send::{CallerRequest, left},
         shared::IngressShared,
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -11,6 +11,7 @@
 mod context;
 mod frees;
 mod front;
+mod peer_service;
 mod peers;
 mod pools;
 mod request;
@@ -60,14 +61,13 @@
         let callers = bind(&mut listen.callers)?;
         let readiness = bind(&mut listen.readiness)?;
         let peers = bind(&mut listen.peers)?;
-        let metrics =
-            if listen.metrics.is_empty() { None } else { Some(bind(&mut listen.metrics)?) };
+        let metrics = bind_metrics(&settings.instance, listen);
         let listen = settings.listen.clone();
         let shared = Arc::new(IngressShared::new(settings));
         tokio::spawn(watch::follow_configuration(shared.clone()));
         tokio::spawn(watch::follow_targets(shared.clone()));
         tokio::spawn(watch::follow_peers(shared.clone()));
-        tokio::spawn(peers::serve(shared.clone(), peers));
+        tokio::spawn(peer_service::serve(shared.clone(), peers));
         tokio::spawn(front::readiness(shared.clone(), readiness));
         tokio::spawn(front::callers(shared.clone(), callers));
         if let Some(it) = metrics {
@@ -142,6 +142,15 @@
     }
 }
 
+/// Binds the metrics' address, if there is one. An instance serves its callers without it too.
+fn bind_metrics(instance: &str, listen: &mut Listen) -> Option<tokio::net::TcpListener> {
+    if listen.metrics.is_empty() {
+        return None;
+    }
+    let bound = bind(&mut listen.metrics);
+    bound.inspect_err(|it| emit(events::BAD_ADDRESS, instance, &format!("{it:?}"))).ok()
+}
+
 /// Binds an address and puts the one that was bound in its place.
 fn bind(address: &mut String) -> Result<tokio::net::TcpListener, Report<StartError>> {
     let listener = TcpListener::bind(address.as_str())
--- /dev/null
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -0,0 +1,152 @@
+//! RPC between ingress instances: its messages, and the side that answers.
+
+use std::sync::Arc;
+
+use futures::StreamExt;
+use holdpoint_core::{
+    directory::{TargetId, TargetInstance},
+    ids::Name,
+    ingress::Version,
+    route::Call,
+};
+use serde::{Deserialize, Serialize};
+use tarpc::{
+    context,
+    serde_transport::{Transport, new as transport},
+    server::{BaseChannel, Channel},
+    tokio_util::codec::LengthDelimitedCodec,
+};
+use tokio::net::TcpListener;
+use tokio_serde::formats::Cbor;
+
+use crate::ingress::{
+    batches::{PieceAsk, PieceResult},
+    connections::guard,
+    frees::tell_makers,
+    peers::catch_up,
+    shared::IngressShared,
+};
+
+/// Largest message between peers, in bytes.
+const MAX_FRAME: usize = 16 << 20;
+
+/// What an instance knows, for one that the store does not answer.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct PeerState {
+    /// The configuration in force, where it is later than the one that the asker has.
+    pub(crate) configuration: Option<Vec<u8>>,
+    /// All target instances.
+    pub(crate) targets: Vec<TargetInstance>,
+    /// Whether the list of targets was read from the store just now.
+    pub(crate) is_fresh: bool,
+    /// Peers by name.
+    pub(crate) peers: Vec<(Name, String)>,
+}
+
+/// A prompt for which an instance asks for a target.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct PromptAsk {
+    /// Work, in tokens.
+    pub(crate) work: f64,
+    /// Part of the work that a cached prefix saves.
+    pub(crate) prefix_work: f64,
+    /// Hash of the prefix.
+    pub(crate) prefix: u64,
+    /// Targets that the instance does not want.
+    pub(crate) avoided: Vec<TargetId>,
+}
+
+/// What ingress instances ask of each other.
+#[tarpc::service]
+pub(crate) trait IngressPeers {
+    /// Makes pieces of a service's stage.
+    async fn make(service: Name, asks: Vec<PieceAsk>) -> Vec<PieceResult>;
+    /// Chooses the target of a service that reads a prompt.
+    async fn place(service: Name, prompt: PromptAsk) -> Option<TargetId>;
+    /// Gives up results of a service's stage.
+    async fn give_up(service: Name, handles: Vec<String>);
+    /// Says that the instance is there, and which configuration it has. The asker at this address
+    /// has the configuration of this version.
+    async fn ping(known: Version, address: String) -> Version;
+    /// Tells what the instance knows; the asker has a configuration of this version.
+    async fn state(known: Version) -> PeerState;
+}
+
+/// Serves peers until the task is dropped.
+pub(crate) async fn serve(shared: Arc<IngressShared>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        if guard(&stream).is_err() {
+            continue;
+        }
+        let io: Transport<_, _, _, _> = transport(codec().new_framed(stream), Cbor::default());
+        let server = PeerServer { shared: shared.clone() };
+        let channel = BaseChannel::with_defaults(io);
+        tokio::spawn(channel.execute(server.serve()).for_each(|it| {
+            tokio::spawn(it);
+            std::future::ready(())
+        }));
+    }
+}
+
+#[derive(Clone)]
+struct PeerServer {
+    shared: Arc<IngressShared>,
+}
+
+impl IngressPeers for PeerServer {
+    async fn make(
+        self,
+        _: context::Context,
+        service: Name,
+        asks: Vec<PieceAsk>,
+    ) -> Vec<PieceResult> {
+        self.shared.batches.make(&self.shared, &service, asks).await
+    }
+
+    async fn place(
+        self,
+        _: context::Context,
+        service: Name,
+        prompt: PromptAsk,
+    ) -> Option<TargetId> {
+        let call = Call {
+            work: prompt.work,
+            prefix_work: prompt.prefix_work,
+            prefix: Some(prompt.prefix),
+            tried: &prompt.avoided,
+            cap: u32::MAX,
+        };
+        let placed = self.shared.pools.of(&service).place(self.shared.clock.now(), &call);
+        placed.ok().map(|it| it.address)
+    }
+
+    async fn give_up(self, _: context::Context, service: Name, handles: Vec<String>) {
+        tell_makers(&self.shared, &service, handles);
+    }
+
+    async fn ping(self, _: context::Context, known: Version, address: String) -> Version {
+        let in_force = self.shared.configuration().version;
+        if in_force < known {
+            tokio::spawn(catch_up(self.shared, address));
+        }
+        in_force
+    }
+
+    async fn state(self, _: context::Context, known: Version) -> PeerState {
+        let is_later = known < self.shared.configuration().version;
+        PeerState {
+            configuration: is_later.then(|| self.shared.configuration_bytes().to_vec()),
+            targets: self.shared.targets(),
+            is_fresh: self.shared.is_fresh(),
+            peers: self.shared.peers.all(),
+        }
+    }
+}
+
+/// Frames of a connection between peers.
+pub(crate) fn codec() -> tarpc::tokio_util::codec::length_delimited::Builder {
+    let mut builder = LengthDelimitedCodec::builder();
+    builder.max_frame_length(MAX_FRAME);
+    builder
+}
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -1,5 +1,6 @@
-//! RPC between ingress instances: pieces for the instance that batches them, and state for one
-//! that the store does not answer.
+//! The peers of an instance: who they are, which of them answer, and what they are asked: pieces
+//! from the one that batches them, targets from the one that places prompts, state while the store
+//! does not answer.
 
 use std::{
     collections::HashMap,
@@ -11,29 +12,22 @@
 };
 
 use bytes::Bytes;
-use futures::{StreamExt, future::BoxFuture};
+use futures::future::BoxFuture;
 use holdpoint_core::{
-    directory::{TargetId, TargetInstance},
+    directory::TargetId,
     ids::Name,
     ingress::Version,
-    route::Call,
     stage_graph::NoResult,
     subset::{owner, weight},
 };
 use holdpoint_schema::ingress::{Batching, IngressSettings};
 use parking_lot::Mutex;
-use serde::{Deserialize, Serialize};
 use tarpc::{
     client::{self, RpcError},
     context,
-    serde_transport::{Transport, new as transport},
-    server::{BaseChannel, Channel},
-    tokio_util::codec::LengthDelimitedCodec,
-};
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::Notify,
+    serde_transport::new as transport,
 };
+use tokio::{net::TcpStream, sync::Notify};
 use tokio_serde::formats::Cbor;
 
 use crate::{
@@ -41,13 +35,11 @@
     ingress::{
         batches::{PieceAsk, PieceResult},
         connections::guard,
-        frees::tell_makers,
+        peer_service::{IngressPeersClient, PeerState, PromptAsk, codec},
         shared::IngressShared,
     },
 };
 
-/// Largest message between peers, in bytes.
-const MAX_FRAME: usize = 16 << 20;
 /// How long a connection to a peer may take to be made.
 const CONNECT: Duration = Duration::from_millis(300);
 /// How often a peer that works for this instance is asked whether it is there.
@@ -61,48 +53,6 @@
 /// Longest time that a peer is passed over.
 const LONGEST_SUSPECT: Duration = Duration::from_secs(12);
 
-/// What an instance knows, for one that the store does not answer.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub(crate) struct PeerState {
-    /// The configuration in force, where it is later than the one that the asker has.
-    pub(crate) configuration: Option<Vec<u8>>,
-    /// All target instances.
-    pub(crate) targets: Vec<TargetInstance>,
-    /// Whether the list of targets was read from the store just now.
-    pub(crate) is_fresh: bool,
-    /// Peers by name.
-    pub(crate) peers: Vec<(Name, String)>,
-}
-
-/// A prompt for which an instance asks for a target.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct PromptAsk {
-    /// Work, in tokens.
-    pub(crate) work: f64,
-    /// Part of the work that a cached prefix saves.
-    pub(crate) prefix_work: f64,
-    /// Hash of the prefix.
-    pub(crate) prefix: u64,
-    /// Targets that the instance does not want.
-    pub(crate) avoided: Vec<TargetId>,
-}
-
-/// What ingress instances ask of each other.
-#[tarpc::service]
-pub(crate) trait IngressPeers {
-    /// Makes pieces of a service's stage.
-    async fn make(service: Name, asks: Vec<PieceAsk>) -> Vec<PieceResult>;
-    /// Chooses the target of a service that reads a prompt.
-    async fn place(service: Name, prompt: PromptAsk) -> Option<TargetId>;
-    /// Gives up results of a service's stage.
-    async fn give_up(service: Name, handles: Vec<String>);
-    /// Says that the instance is there, and which configuration it has. The asker at this address
-    /// has the configuration of this version.
-    async fn ping(known: Version, address: String) -> Version;
-    /// Tells what the instance knows; the asker has a configuration of this version.
-    async fn state(known: Version) -> PeerState;
-}
-
 /// No answer from a peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct PeerSilent;
@@ -366,7 +316,7 @@
 
 /// Takes over the configuration of a peer that has a later one, as where the store's answer was
 /// lost on its way here.
-fn catch_up(shared: Arc<IngressShared>, address: String) -> BoxFuture<'static, ()> {
+pub(crate) fn catch_up(shared: Arc<IngressShared>, address: String) -> BoxFuture<'static, ()> {
     Box::pin(async move {
         let known = shared.configuration().version;
         let state = shared.peers.state(&shared, &address, known, PING_LIMIT).await;
@@ -376,78 +326,6 @@
     })
 }
 
-/// Serves peers until the task is dropped.
-pub(crate) async fn serve(shared: Arc<IngressShared>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else { continue };
-        if guard(&stream).is_err() {
-            continue;
-        }
-        let io: Transport<_, _, _, _> = transport(codec().new_framed(stream), Cbor::default());
-        let server = PeerServer { shared: shared.clone() };
-        let channel = BaseChannel::with_defaults(io);
-        tokio::spawn(channel.execute(server.serve()).for_each(|it| {
-            tokio::spawn(it);
-            std::future::ready(())
-        }));
-    }
-}
-
-#[derive(Clone)]
-struct PeerServer {
-    shared: Arc<IngressShared>,
-}
-
-impl IngressPeers for PeerServer {
-    async fn make(
-        self,
-        _: context::Context,
-        service: Name,
-        asks: Vec<PieceAsk>,
-    ) -> Vec<PieceResult> {
-        self.shared.batches.make(&self.shared, &service, asks).await
-    }
-
-    async fn place(
-        self,
-        _: context::Context,
-        service: Name,
-        prompt: PromptAsk,
-    ) -> Option<TargetId> {
-        let call = Call {
-            work: prompt.work,
-            prefix_work: prompt.prefix_work,
-            prefix: Some(prompt.prefix),
-            tried: &prompt.avoided,
-            cap: u32::MAX,
-        };
-        let placed = self.shared.pools.of(&service).place(self.shared.clock.now(), &call);
-        placed.ok().map(|it| it.address)
-    }
-
-    async fn give_up(self, _: context::Context, service: Name, handles: Vec<String>) {
-        tell_makers(&self.shared, &service, handles);
-    }
-
-    async fn ping(self, _: context::Context, known: Version, address: String) -> Version {
-        let in_force = self.shared.configuration().version;
-        if in_force < known {
-            tokio::spawn(catch_up(self.shared, address));
-        }
-        in_force
-    }
-
-    async fn state(self, _: context::Context, known: Version) -> PeerState {
-        let is_later = known < self.shared.configuration().version;
-        PeerState {
-            configuration: is_later.then(|| self.shared.configuration_bytes().to_vec()),
-            targets: self.shared.targets(),
-            is_fresh: self.shared.is_fresh(),
-            peers: self.shared.peers.all(),
-        }
-    }
-}
-
 /// Has pieces made by the instance that batches them, or here if none can be reached.
 pub(crate) async fn make_anywhere(
     shared: &Arc<IngressShared>,
@@ -476,9 +354,3 @@
     context.deadline = Instant::now() + limit;
     context
 }
-
-fn codec() -> tarpc::tokio_util::codec::length_delimited::Builder {
-    let mut builder = LengthDelimitedCodec::builder();
-    builder.max_frame_length(MAX_FRAME);
-    builder
-}
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -40,6 +40,8 @@
 /// A stream goes on elsewhere after so many times the longest timely pause. Engines pause while
 /// they read the prompts of others, so a shorter silence says nothing.
 const GAP_PATIENCE: f64 = 2.0;
+/// Shortest pause after which a stream goes on elsewhere.
+const LEAST_GAP: Duration = Duration::from_millis(800);
 /// When a refused request may come back.
 const COME_BACK: Duration = Duration::from_millis(500);
 /// How often inputs that are gone are made anew for the model server.
@@ -424,7 +426,7 @@
 fn gap_patience(ctx: &Context, attempts: &Attempts) -> Duration {
     match ctx.route.shape {
         Shape::Events { gap_ms } if ctx.is_repeatable() && attempts.may_repeat(ctx) => {
-            Duration::from_millis(gap_ms).mul_f64(GAP_PATIENCE)
+            Duration::from_millis(gap_ms).mul_f64(GAP_PATIENCE).max(LEAST_GAP)
         }
         _ => ctx.left(),
     }
