A test waits until its targets have stopped listening

The stand-in's stop only asks its task to end; until the runtime comes to that, the port is open. The product was right to say that the outcome is not known. Change: stopped() waits for the port to close, and the test waits for it. Its assertions stay.

--- a/crates/holdpoint-emulator/tests/failures.rs
+++ b/crates/holdpoint-emulator/tests/failures.rs
@@ -76,7 +76,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_hold_whose_targets_refuse_connections_is_not_run_and_the_key_is_free() {
     let world = World::start(&Plan::new(2)).await;
-    world.pool("till-stock").iter().for_each(|it| it.stop());
+    for target in world.pool("till-stock") {
+        target.stop();
+        target.stopped().await;
+    }
     let request = hold("refused", 4000);
     let told = ask(&world, 0, &request).await;
     assert!(told.is_not_run(), "{told:?}");
--- a/crates/holdpoint-standin/src/serve.rs
+++ b/crates/holdpoint-standin/src/serve.rs
@@ -1,10 +1,13 @@
 //! Serves a router on a port of the system's choosing.
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use axum::Router;
 use tokio::{net::TcpListener, task::JoinHandle};
 
+/// Pause between two looks at whether a server has stopped.
+const POLL: Duration = Duration::from_millis(1);
+
 /// A server that stops when dropped.
 #[derive(Debug)]
 pub struct Server {
@@ -28,10 +31,18 @@
         &self.address
     }
 
-    /// Stops listening; connections to it are refused from now on.
+    /// Stops listening, as soon as the runtime comes to it.
     pub fn stop(&self) {
         self.task.abort();
     }
+
+    /// Waits until it has stopped listening: from then on connections to it are refused. Before
+    /// that, one may still be taken and be reset.
+    pub async fn stopped(&self) {
+        while !self.task.is_finished() {
+            tokio::time::sleep(POLL).await;
+        }
+    }
 }
 
 impl Drop for Server {
--- a/crates/holdpoint-standin/src/target.rs
+++ b/crates/holdpoint-standin/src/target.rs
@@ -182,11 +182,16 @@
         self.inner.orders.lock().refused
     }
 
-    /// Stops listening: connections to it are refused from now on.
+    /// Stops listening, as soon as the runtime comes to it.
     pub fn stop(&self) {
         self.server.stop();
     }
 
+    /// Waits until it has stopped listening: from then on connections to it are refused.
+    pub async fn stopped(&self) {
+        self.server.stopped().await;
+    }
+
     /// Its entry in the platform's list.
     pub fn listed(&self) -> ListedTarget {
         ListedTarget {
