A large configuration is read from the store by each, and by one catch-up at a time

A configuration of 1,564 routes (319 KB) went from peer to peer: each of 74 instances has a link to the batchers, each ping over it (4 a second) that met a later version fetched the whole of it, 2 bytes to each byte in CBOR's list form, over links of 10 Mbit/s. Peers took each other for silent (E607: 4,683 times) and asked the next ones. The store's own answer was given up after 0.6 s, although it needs that long on such a link. Ruled out: the readers' long reads (all 74 instances knew the version at some moment, the late ones had restarted).

Change: peers send a configuration of 32 KB or less; for a larger one they tell its version, and each reads it from the store, or from the peer where the store does not answer. One catch-up at a time. Bytes are sent as bytes. The limit of a call to the store holds for each part of its body.

Tests: a_large_configuration_comes_from_the_store_to_each, and from a peer where the store does not answer.

--- a/crates/holdpoint-core/src/batcher.rs
+++ b/crates/holdpoint-core/src/batcher.rs
@@ -87,6 +87,8 @@
     pub pieces: Vec<Waiting>,
     /// Pieces that wait still.
     pub left: usize,
+    /// Room taken at the target, these pieces included, in bytes.
+    pub used_bytes: u64,
 }
 
 /// How a call ended.
@@ -273,7 +275,8 @@
         let chosen = self.targets.get_mut(&target)?;
         chosen.calls += 1;
         chosen.used_bytes += pieces.iter().map(|it| it.bytes).sum::<u64>();
-        Some(Call { target, pieces, left: self.waiting.len() })
+        let used_bytes = chosen.used_bytes;
+        Some(Call { target, pieces, left: self.waiting.len(), used_bytes })
     }
 
     /// Ends a call. `results` has the handle of each piece's result, in their order; those of a
--- a/crates/holdpoint-core/src/directory.rs
+++ b/crates/holdpoint-core/src/directory.rs
@@ -64,7 +64,7 @@
 impl Directory {
     /// Takes in an entry.
     pub fn put(&mut self, entry: TargetInstance) -> Change {
-        self.lapsed.remove(&entry.id);
+        let is_back = self.lapsed.remove(&entry.id).is_some();
         let is_leaving = entry.is_leaving || self.leaving.contains(&entry.id);
         let entry = TargetInstance { is_leaving, ..entry };
         let known = self.instances.get(&entry.id);
@@ -74,7 +74,7 @@
         let change = match known {
             None => Change::Joined,
             Some(it) if is_leaving && !it.is_leaving => Change::Leaving,
-            Some(it) if is_same(it, &entry) => Change::Nothing,
+            Some(it) if is_same(it, &entry) && !is_back => Change::Nothing,
             Some(_) => Change::Altered,
         };
         if is_leaving {
@@ -102,6 +102,11 @@
         }
     }
 
+    /// Instances whose entries lapsed. Whether they are well is not known.
+    pub fn lapsed(&self) -> impl Iterator<Item = &TargetId> {
+        self.lapsed.keys()
+    }
+
     /// Removes the instances whose entries lapsed and did not come back in time.
     pub fn expire(&mut self, now: Millis) -> Vec<TargetId> {
         let over: Vec<TargetId> =
@@ -139,11 +144,11 @@
         self.instances.keys().filter(|it| !named.contains(it.as_str())).cloned().collect()
     }
 
-    /// Hash of all that is known, their sequences left aside: two directories with the same one
+    /// Hash of all that is listed, their sequences left aside: two directories with the same one
     /// agree.
     pub fn digest(&self) -> u64 {
         let mut hasher = Xxh3::new();
-        for it in self.instances.values() {
+        for it in self.listed() {
             let TargetInstance { id, service, address, domain, slots, is_leaving, sequence: _ } =
                 it;
             (id, service, address, domain, slots, is_leaving).hash(&mut hasher);
@@ -151,6 +156,11 @@
         hasher.finish()
     }
 
+    /// All instances but those whose entries lapsed.
+    pub fn listed(&self) -> impl Iterator<Item = &TargetInstance> {
+        self.instances.values().filter(|it| !self.lapsed.contains_key(&it.id))
+    }
+
     /// An instance by its id.
     pub fn get(&self, id: &str) -> Option<&TargetInstance> {
         self.instances.get(id)
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -366,10 +366,11 @@
     let no_room = results.iter().filter(|it| **it == Err(NoResult::NoRoom)).count();
     let detail = format!(
         "service={service} target={} pieces={} made={made} no_room={no_room} left={} \
-         waited_ms={waited} ms={ms} end={end}",
+         used_kb={} waited_ms={waited} ms={ms} end={end}",
         call.target,
         pieces.len(),
-        call.left
+        call.left,
+        call.used_bytes / 1000
     );
     emit(events::BATCH, &shared.settings.instance, &detail);
     shared.metrics.batches.add(1, &[label("end", end)]);
--- a/crates/holdpointd/src/ingress/follow.rs
+++ b/crates/holdpointd/src/ingress/follow.rs
@@ -11,6 +11,7 @@
 };
 
 use bytes::Bytes;
+use futures::future::BoxFuture;
 use holdpoint_core::{
     change_log::Revision,
     directory::{TargetId, TargetInstance},
@@ -22,7 +23,7 @@
 
 use crate::{
     events::{self, emit},
-    ingress::{peers::Peer, shared::IngressShared},
+    ingress::{peers::Peer, shared::IngressShared, watch},
 };
 
 /// How long an answer waits for something new.
@@ -33,6 +34,10 @@
 const REVIEW: Duration = Duration::from_millis(250);
 /// Pause between two questions, in which news gather.
 const GATHER: Duration = Duration::from_millis(20);
+/// Size above which a configuration is large, in bytes.
+const LARGE_CONFIGURATION: usize = 32 << 10;
+/// How long a peer may take to send a large configuration.
+const LARGE_LIMIT: Duration = Duration::from_millis(3000);
 /// Most others that are asked in one round.
 const MOST_ASKED: usize = 3;
 
@@ -56,6 +61,8 @@
     revision: Revision,
     /// Hash of the targets that the asker knows.
     digest: u64,
+    /// Version of the configuration that was told of last, if not sent with it.
+    version: Version,
 }
 
 /// What an asker knows.
@@ -67,12 +74,16 @@
     wait_ms: Millis,
     /// Where it follows from; absent where it wants no more than a later configuration.
     place: Option<Place>,
+    /// Whether it wants a large configuration too. A reader's link would not carry one to all who
+    /// follow it, so they read it from the store where they can.
+    wants_large: bool,
 }
 
 impl Known {
     /// What an asker knows who wants no more than a later configuration.
-    pub(crate) fn configuration_only(shared: &IngressShared) -> Known {
-        Known { version: shared.configuration().version, wait_ms: 0, place: None }
+    fn configuration_only(shared: &IngressShared, wants_large: bool) -> Known {
+        let version = shared.configuration().version;
+        Known { version, wait_ms: 0, place: None, wants_large }
     }
 }
 
@@ -85,8 +96,10 @@
     revision: Revision,
     /// How long ago the store was read; none where that is too long ago.
     age_ms: Option<Millis>,
-    /// The configuration in force, where it is later than the asker's.
-    pub(crate) configuration: Option<Vec<u8>>,
+    /// Version of the configuration in force.
+    version: Version,
+    /// That configuration, where it is later than the asker's and the asker wants it.
+    configuration: Option<Bytes>,
     /// What else is new, where that was asked for.
     content: Option<Content>,
 }
@@ -99,12 +112,22 @@
     /// All that is known.
     All {
         /// Target instances; none where the asker's are the same.
-        targets: Option<Vec<TargetInstance>>,
+        targets: Option<TargetList>,
         /// Peers.
         peers: Vec<(Name, Peer)>,
     },
 }
 
+/// All target instances that an instance knows.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct TargetList {
+    /// Those in the store's list.
+    pub(crate) listed: Vec<TargetInstance>,
+    /// Those whose entry may have lapsed while the store was away. They may have left as well, so
+    /// whoever has heard that they are gone does not take them back.
+    pub(crate) lapsed: Vec<TargetId>,
+}
+
 /// Answers one who follows this instance.
 pub(crate) async fn answer(shared: &IngressShared, known: Known) -> Update {
     let mut has_news = shared.has_news.subscribe();
@@ -117,13 +140,16 @@
     let content = known.place.map(|place| match news.filter(|_| place.life == shared.life) {
         Some(it) => Content::News(it),
         None => Content::All {
-            targets: (shared.digest() != place.digest).then(|| shared.targets()),
+            targets: (shared.digest() != place.digest).then(|| shared.target_list()),
             peers: shared.instances(),
         },
     });
-    let is_later = known.version < shared.configuration().version;
-    let configuration = is_later.then(|| shared.configuration_bytes().to_vec());
-    Update { life: shared.life, revision, age_ms: shared.fresh_age(), configuration, content }
+    let version = shared.configuration().version;
+    let configuration = (known.version < version)
+        .then(|| shared.configuration_bytes())
+        .filter(|it| known.wants_large || it.len() <= LARGE_CONFIGURATION);
+    let age_ms = shared.fresh_age();
+    Update { life: shared.life, revision, age_ms, version, configuration, content }
 }
 
 /// Whether there is something new to tell already.
@@ -172,15 +198,20 @@
     }
     for address in sources.into_iter().take(MOST_ASKED) {
         let known = Known {
-            version: shared.configuration().version,
+            version: shared.configuration().version.max(place.version),
             wait_ms: WAIT.as_millis() as Millis,
             place: Some(Place { digest: shared.digest(), ..*place }),
+            wants_large: false,
         };
         let answer = shared.peers.follow(shared, &address, known, WAIT + LIMIT).await;
         let Ok(update) = answer else { continue };
-        let told = Place { life: update.life, revision: update.revision, digest: 0 };
-        if take_in(shared, update) {
-            *place = told;
+        let Update { life, revision, version, .. } = update;
+        let is_fresh = take_in(shared, update);
+        if shared.configuration().version < version {
+            tokio::spawn(catch_up(shared.clone(), address));
+        }
+        if is_fresh {
+            *place = Place { life, revision, digest: 0, version };
             return true;
         }
     }
@@ -190,7 +221,7 @@
 /// Takes in what another instance tells; whether it has read the store of late.
 fn take_in(shared: &IngressShared, update: Update) -> bool {
     if let Some(it) = update.configuration {
-        shared.offer_configuration(&Bytes::from(it), "peer");
+        shared.offer_configuration(&it, "peer");
     }
     let is_fresh = update.age_ms.is_some();
     match update.content {
@@ -198,7 +229,7 @@
         Some(Content::News(news)) => take_news(shared, news),
         Some(Content::All { targets, peers }) => {
             take_peers(shared, peers, is_fresh);
-            take_targets(shared, targets.unwrap_or_default(), is_fresh);
+            targets.into_iter().for_each(|it| take_targets(shared, it, is_fresh));
         }
     }
     if let Some(it) = update.age_ms {
@@ -207,6 +238,37 @@
     is_fresh
 }
 
+/// Takes over a later configuration that a peer has: a small one from the peer, a large one from
+/// the store, or from the peer where the store does not answer. One at a time.
+pub(crate) fn catch_up(shared: Arc<IngressShared>, address: String) -> BoxFuture<'static, ()> {
+    Box::pin(async move {
+        let Ok(_one) = shared.catching_up.try_lock() else { return };
+        let version = ask_configuration(&shared, &address, false, LIMIT).await;
+        if version <= shared.configuration().version {
+            return;
+        }
+        watch::read_configuration(&shared).await;
+        if shared.configuration().version < version {
+            ask_configuration(&shared, &address, true, LARGE_LIMIT).await;
+        }
+    })
+}
+
+/// Asks a peer for a later configuration and takes it in; returns the version that the peer has.
+async fn ask_configuration(
+    shared: &Arc<IngressShared>,
+    address: &str,
+    wants_large: bool,
+    limit: Duration,
+) -> Version {
+    let known = Known::configuration_only(shared, wants_large);
+    let Ok(update) = shared.peers.follow(shared, address, known, limit).await else { return 0 };
+    if let Some(it) = update.configuration {
+        shared.offer_configuration(&it, "peer");
+    }
+    update.version
+}
+
 fn take_news(shared: &IngressShared, news: Vec<News>) {
     let mut targets = Vec::new();
     for it in news {
@@ -244,21 +306,20 @@
     peers.into_iter().for_each(|(name, peer)| shared.set_peer(&name, Some(peer)));
 }
 
-fn take_targets(shared: &IngressShared, targets: Vec<TargetInstance>, is_fresh: bool) {
-    if targets.is_empty() {
-        return;
-    }
+/// Takes in all targets that another instance knows; what it read too long ago is better than
+/// nothing only.
+fn take_targets(shared: &IngressShared, list: TargetList, is_fresh: bool) {
     shared.change_directory(|directory| {
         let mut changed = Vec::new();
-        if is_fresh {
-            for id in directory.unnamed(&targets) {
-                shared.remove_target(directory, &id, "peer");
+        if !is_fresh && !directory.is_empty() {
+            return changed;
+        }
+        for id in directory.unnamed(&list.listed) {
+            if !list.lapsed.contains(&id) && shared.remove_target(directory, &id, "peer") {
                 changed.push(id);
             }
-        } else if !directory.is_empty() {
-            return changed;
         }
-        for it in targets {
+        for it in list.listed {
             let id = it.id.clone();
             if shared.put_target(directory, it, "peer") {
                 changed.push(id);
--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -17,9 +17,8 @@
 use crate::ingress::{
     batches::{PieceAsk, PieceResult},
     connections::guard,
-    follow::{self, Known, Update},
+    follow::{self, Known, Update, catch_up},
     frees::tell_makers,
-    peers::catch_up,
     shared::IngressShared,
 };
 
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -11,8 +11,6 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
-use futures::future::BoxFuture;
 use holdpoint_core::{
     directory::TargetId,
     ids::Name,
@@ -36,7 +34,7 @@
     ingress::{
         batches::{PieceAsk, PieceResult},
         connections::guard,
-        follow::{Known, Update},
+        follow::{Known, Update, catch_up},
         peer_service::{IngressPeersClient, PromptAsk, codec},
         shared::IngressShared,
     },
@@ -352,18 +350,6 @@
     }
 }
 
-/// Takes over the configuration of a peer that has a later one, as where the store's answer was
-/// lost on its way here.
-pub(crate) fn catch_up(shared: Arc<IngressShared>, address: String) -> BoxFuture<'static, ()> {
-    Box::pin(async move {
-        let known = Known::configuration_only(&shared);
-        let update = shared.peers.follow(&shared, &address, known, PING_LIMIT).await;
-        if let Some(it) = update.ok().and_then(|it| it.configuration) {
-            shared.offer_configuration(&Bytes::from(it), "peer");
-        }
-    })
-}
-
 /// Has pieces made by the instance that batches them, or here if none can be reached.
 pub(crate) async fn make_anywhere(
     shared: &Arc<IngressShared>,
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -27,7 +27,7 @@
     ingress::{
         batches::Batches,
         connections::Connections,
-        follow::News,
+        follow::{News, TargetList},
         frees::Frees,
         peers::{Peer, Peers},
         pools::Pools,
@@ -64,6 +64,8 @@
     pub(crate) reading: watch::Sender<bool>,
     /// Whether the store was silent when it was last asked.
     pub(crate) is_store_silent: AtomicBool,
+    /// Held while a later configuration that a peer has is taken over.
+    pub(crate) catching_up: tokio::sync::Mutex<()>,
     /// Identifies this life of the process among those of all instances.
     pub(crate) life: u64,
     /// Sent whenever there is something new for those who follow this instance.
@@ -96,6 +98,7 @@
             store_lost: Notify::new(),
             reading: watch::channel(true).0,
             is_store_silent: AtomicBool::new(false),
+            catching_up: tokio::sync::Mutex::default(),
             life: rand::random(),
             has_news: watch::channel(()).0,
             news: Mutex::new(ChangeLog::new(NEWS_KEPT)),
@@ -132,10 +135,11 @@
             return;
         }
         let detail = format!(
-            "version={} before={} routes={} source={source}",
+            "version={} before={} routes={} bytes={} source={source}",
             found.version,
             in_force.version,
-            found.route_count()
+            found.route_count(),
+            value.len()
         );
         emit(events::CONFIGURED, &self.settings.instance, &detail);
         *self.configuration_bytes.lock() = value.clone();
@@ -257,11 +261,20 @@
         self.directory.lock().all().find(|it| it.address == address).cloned()
     }
 
-    /// All target instances, for a peer.
+    /// All target instances, leaving ones included.
     pub(crate) fn targets(&self) -> Vec<TargetInstance> {
         self.directory.lock().all().cloned().collect()
     }
 
+    /// The list of target instances, for a peer.
+    pub(crate) fn target_list(&self) -> TargetList {
+        let directory = self.directory.lock();
+        TargetList {
+            listed: directory.listed().cloned().collect(),
+            lapsed: directory.lapsed().cloned().collect(),
+        }
+    }
+
     /// Counts a read of the list of targets, made so long ago.
     pub(crate) fn targets_were_read(&self, age_ms: Millis) {
         let read = self.clock.now().saturating_sub(age_ms);
--- a/crates/holdpointd/src/ingress/store.rs
+++ b/crates/holdpointd/src/ingress/store.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use holdpoint_adapter::store::{
     KeyedRecord, ReadPage, append_body, append_path, newest_path, parse_newest, parse_read,
     read_path,
 };
 use http::{HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1::SendRequest;
+use hyper::{body::Incoming, client::conn::http1::SendRequest};
 use tokio::task::AbortHandle;
 
 use crate::ingress::connections::connect;
@@ -109,7 +109,7 @@
         let limit = wait + timeout;
         // After a call without a whole answer the connection is of no further use.
         let mut connection = self.connection.take();
-        let answered = tokio::time::timeout(limit, async {
+        let answering = async {
             if connection.as_ref().is_none_or(|it| !it.0.is_ready()) {
                 let made = tokio::time::timeout(timeout, connect(&self.address)).await;
                 let (sender, task) = made.map_err(|_| StoreError::Silent)?.map_err(silent)?;
@@ -117,13 +117,11 @@
             }
             let (sender, _) = connection.as_mut().ok_or(StoreError::Silent)?;
             let request = request(&self.address, method, path, body)?;
-            let answer = sender.send_request(request).await.map_err(silent)?;
-            let status = answer.status();
-            let body = answer.into_body().collect().await.map_err(silent)?.to_bytes();
-            Ok((status, body))
-        })
-        .await;
-        let (status, body) = answered.map_err(silent)??;
+            sender.send_request(request).await.map_err(silent)
+        };
+        let answer = tokio::time::timeout(limit, answering).await.map_err(silent)??;
+        let status = answer.status();
+        let body = whole_body(answer.into_body(), timeout).await?;
         self.connection = connection;
         match status {
             StatusCode::OK => Ok(body),
@@ -133,6 +131,19 @@
     }
 }
 
+/// Reads a body to its end. A large one takes its time on a narrow link, so the limit holds for each
+/// part of it.
+async fn whole_body(mut body: Incoming, limit: Duration) -> Result<Bytes, StoreError> {
+    let mut whole = BytesMut::new();
+    loop {
+        let frame = tokio::time::timeout(limit, body.frame()).await.map_err(silent)?;
+        let Some(frame) = frame else { return Ok(whole.freeze()) };
+        if let Some(part) = frame.map_err(silent)?.data_ref() {
+            whole.extend_from_slice(part);
+        }
+    }
+}
+
 fn silent<E>(_: E) -> StoreError {
     StoreError::Silent
 }
--- a/crates/holdpointd/src/ingress/watch.rs
+++ b/crates/holdpointd/src/ingress/watch.rs
@@ -38,12 +38,24 @@
 
 /// Keeps the configuration up to date.
 pub(crate) async fn follow_configuration(shared: Arc<IngressShared>) {
-    let take = |record: &KeyedRecord| {
+    let take = |records: &[KeyedRecord], _: bool| take_configuration(&shared, records);
+    follow(&shared, OPERATORS_TOPIC, CONFIGURATION_WAIT, take).await;
+}
+
+/// Reads the newest configuration once.
+pub(crate) async fn read_configuration(shared: &IngressShared) {
+    // Without an answer, whoever asked for it goes on without.
+    if let Ok((records, _)) = client(shared).newest(OPERATORS_TOPIC).await {
+        take_configuration(shared, &records);
+    }
+}
+
+fn take_configuration(shared: &IngressShared, records: &[KeyedRecord]) {
+    for record in records {
         if let (CONFIGURATION_KEY, Some(value)) = (record.key.as_str(), &record.value) {
             shared.offer_configuration(value, "store");
         }
-    };
-    follow(&shared, OPERATORS_TOPIC, CONFIGURATION_WAIT, take).await;
+    }
 }
 
 /// Writes this instance's own entry and keeps the list of peers up to date.
@@ -56,7 +68,14 @@
         sleep(PAUSE * 4).await;
     }
     drop(client);
-    let take = |record: &KeyedRecord| shared.set_peer(&record.key, parse_peer(record));
+    let take = |records: &[KeyedRecord], is_whole: bool| {
+        if is_whole {
+            let is_named = |name: &str| records.iter().any(|it| it.key == name);
+            let known = shared.peers.all().into_iter();
+            known.filter(|it| !is_named(&it.0)).for_each(|it| shared.set_peer(&it.0, None));
+        }
+        records.iter().for_each(|it| shared.set_peer(&it.key, parse_peer(it)));
+    };
     follow(&shared, INSTANCES_TOPIC, PEERS_WAIT, take).await;
 }
 
@@ -96,10 +115,10 @@
             }
             Err(it) => {
                 note_store(&shared, Some(it));
-                lapse.is_away = true;
-                if it == StoreError::Gone {
-                    offset = None;
-                }
+                lapse.is_away |= it != StoreError::Gone;
+                // What happened meanwhile is history: read in its order, it would bring back for a
+                // moment what others have told to be gone.
+                offset = None;
                 shared.store_lost.notify_waiters();
                 sleep(pause(&shared)).await;
             }
@@ -143,8 +162,14 @@
     if is_reader { PAUSE } else { STANDBY_PAUSE }
 }
 
-/// Follows a topic whose records rarely change, for good.
-async fn follow(shared: &IngressShared, topic: &str, wait: Duration, take: impl Fn(&KeyedRecord)) {
+/// Follows a topic whose records rarely change, for good. `take` gets records, and whether they are
+/// the newest of all keys.
+async fn follow(
+    shared: &IngressShared,
+    topic: &str,
+    wait: Duration,
+    take: impl Fn(&[KeyedRecord], bool),
+) {
     let mut client = client(shared);
     let mut reading = shared.reading.subscribe();
     let mut offset: Option<u64> = None;
@@ -167,14 +192,12 @@
         };
         match outcome {
             Ok((records, next)) => {
-                records.iter().for_each(&take);
+                take(&records, offset.is_none());
                 offset = Some(next);
             }
-            Err(it) => {
+            Err(_) => {
                 client.reset();
-                if matches!(it, StoreError::Gone | StoreError::BadAnswer) {
-                    offset = None;
-                }
+                offset = None;
                 sleep(pause(shared)).await;
             }
         }
--- a/crates/holdpointd/tests/readers.rs
+++ b/crates/holdpointd/tests/readers.rs
@@ -3,7 +3,9 @@
 
 mod support;
 
-use holdpoint_adapter_standin::{Behaviour, Gate, Outage, Target, sample_configuration};
+use holdpoint_adapter_standin::{
+    Behaviour, Gate, Outage, Target, large_configuration, sample_configuration,
+};
 use holdpointd::ingress::Ingress;
 
 use crate::support::{PATIENCE, System, start, start_instance, until};
@@ -139,3 +141,53 @@
     assert_eq!(system.ask("r-1", "/safe/").await.status, http::StatusCode::OK);
     assert_eq!(joined.runs().len(), 1);
 }
+
+/// Seen on pcfo grown, hunt a2d2-3: 1,564 routes sent from peer to peer filled the links; peers
+/// took each other for silent, and each asked the next one.
+#[tokio::test]
+async fn a_large_configuration_comes_from_the_store_to_each() {
+    let fleet = Fleet::start().await;
+    let readers = fleet.settle().await;
+    let before = fleet.counts();
+    fleet.system.store.put_configuration(&large_configuration(4));
+    fleet.all_know(4, 2).await;
+    for (index, (now, then)) in fleet.counts().iter().zip(before).enumerate() {
+        assert!(readers.contains(&index) || then < *now, "instance {index} has read it");
+    }
+}
+
+#[tokio::test]
+async fn where_the_store_does_not_answer_a_large_configuration_comes_from_a_peer() {
+    let fleet = Fleet::start().await;
+    fleet.settle().await;
+    for (_, gate) in &fleet.instances[1..] {
+        gate.set_outage(Outage::Busy);
+    }
+    fleet.system.store.put_configuration(&large_configuration(4));
+    fleet.all_know(4, 2).await;
+}
+
+/// Seen on armor grown trouble-1, seed 390649907891: a reader that had been cut off read on from
+/// where it had been, met the old entry of a target that was gone, and told its followers.
+#[tokio::test]
+async fn a_reader_that_was_cut_off_does_not_bring_back_who_has_left() {
+    let system = start(&[Behaviour::Answer], &[]).await;
+    let gate = system.store.open_gate().await;
+    let other = start_instance("b", &gate);
+    let all_count =
+        |count| system.instance.target_count() == count && other.target_count() == count;
+    until(|| other.is_ready() && other.peer_count() == 1 && all_count(2)).await;
+    gate.set_outage(Outage::Busy);
+    let joined = Target::start("i-joined", "plain", Behaviour::Answer).await;
+    system.store.put_target(&joined, false);
+    until(|| all_count(3)).await;
+    system.store.drop_target("i-joined");
+    until(|| all_count(2)).await;
+    let before = gate.call_count();
+    gate.set_outage(Outage::None);
+    until(|| {
+        assert!(all_count(2), "the one that has left is not taken back");
+        before + 12 < gate.call_count()
+    })
+    .await;
+}
