holdpoint soak: real processes under random faults from outside

A seed gives processes, callers and faults, in series and overlapping: planned stops, kills, pauses, reloads; links to the store and to targets that are late, reset, cut one way or silent; the store away, silent or without its history; targets that decline, fail, cut, hang, cross answers or break off; targets replaced; configurations. Callers keep connections in use until the process is gone. Promises are judged from what callers and targets saw, with ids and times.

Not covered: steps of the time of day, cuts between peers.

--- /dev/null
+++ b/crates/holdpoint-soak/src/fleet.rs
@@ -0,0 +1,310 @@
+//! The processes of a soak, with the stand-ins that they work with.
+
+use std::{
+    fmt, io,
+    path::{Path, PathBuf},
+    process::Stdio,
+    sync::{Arc, atomic::Ordering},
+    time::{Duration, Instant},
+};
+
+use holdpoint_adapter_standin::{
+    Behaviour, CallerRequest, Store, Target, call, sample_configuration,
+};
+use parking_lot::Mutex;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::json;
+use tokio::{
+    io::{AsyncBufReadExt, BufReader},
+    process::{Child, Command},
+};
+
+use crate::{
+    Millis,
+    callers::{self, Attempt, Callers, Outcome},
+    faults,
+    plan::{ENCODERS, Plan, TARGETS},
+    proxy::Proxy,
+    verdict::{EVENTS, Finding, Kills, Promise, Verdict, judge},
+};
+
+/// Pause between the end of a process and its next start.
+const RESTART: Duration = Duration::from_millis(100);
+/// How long processes may take to serve everything again after the last fault.
+const RECOVERY: Duration = Duration::from_secs(20);
+/// Mark before the address in the line that a process writes at its start.
+const ADDRESS_MARK: &str = "callers=";
+
+/// The daemon cannot be started.
+#[derive(Debug)]
+pub struct CannotStart {
+    /// Path of the program.
+    pub program: PathBuf,
+    /// Why.
+    pub cause: io::Error,
+}
+
+impl fmt::Display for CannotStart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.program.display(), self.cause)
+    }
+}
+
+impl std::error::Error for CannotStart {}
+
+/// Time since the start of a soak.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Clock(Instant);
+
+impl Clock {
+    pub(crate) fn now(self) -> Millis {
+        self.0.elapsed().as_millis() as Millis
+    }
+}
+
+/// A target behind a proxy of its own.
+pub(crate) struct ProxiedTarget {
+    pub(crate) target: Target,
+    pub(crate) proxy: Proxy,
+}
+
+/// All that faults strike.
+pub(crate) struct Fleet {
+    pub(crate) clock: Clock,
+    pub(crate) store: Store,
+    /// Way of each process to the store.
+    pub(crate) store_links: Vec<Proxy>,
+    /// Plain targets, model targets, encoders, in this order.
+    pub(crate) targets: Vec<ProxiedTarget>,
+    /// Targets that have joined for those that left.
+    pub(crate) joined: Mutex<Vec<Target>>,
+    pub(crate) version: Mutex<u64>,
+    pub(crate) kills: Mutex<Kills>,
+    /// Ids of the processes that run.
+    pids: Vec<Mutex<Option<Pid>>>,
+    settings: Vec<PathBuf>,
+    callers: Arc<Callers>,
+}
+
+impl Fleet {
+    async fn start(plan: &Plan, folder: &Path) -> io::Result<Fleet> {
+        let store = Store::start().await;
+        store.put_configuration(&sample_configuration(1));
+        let mut targets = Vec::new();
+        for index in 0..2 * TARGETS + ENCODERS {
+            targets.push(start_target(&store, index).await);
+        }
+        let mut store_links = Vec::new();
+        let mut settings = Vec::new();
+        for index in 0..plan.processes {
+            let link = Proxy::start(store.gate.address).await;
+            settings.push(write_settings(folder, index, &link)?);
+            store_links.push(link);
+        }
+        let clock = Clock(Instant::now());
+        let callers = Callers {
+            seed: plan.seed,
+            clock,
+            addresses: (0..plan.processes).map(|_| Mutex::default()).collect(),
+            attempts: Mutex::default(),
+            is_over: false.into(),
+        };
+        Ok(Fleet {
+            clock,
+            store,
+            store_links,
+            targets,
+            joined: Mutex::default(),
+            version: Mutex::new(1),
+            kills: Mutex::default(),
+            pids: (0..plan.processes).map(|_| Mutex::default()).collect(),
+            settings,
+            callers: Arc::new(callers),
+        })
+    }
+
+    /// Sends a signal to a process, if it runs.
+    pub(crate) fn signal(&self, process: usize, signal: Signal) {
+        if let Some(pid) = *self.pids[process].lock() {
+            if signal == Signal::KILL {
+                self.kills.lock().entry(process).or_default().push(self.clock.now());
+            }
+            // A process that has just ended needs no signal.
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Writes a configuration that adds a key of its own.
+    pub(crate) fn configure(&self) {
+        let mut version = self.version.lock();
+        *version += 1;
+        let mut configuration = sample_configuration(*version);
+        configuration["tenants"][0]["api-keys"] = json!(["key-1", key(*version)]);
+        self.store.put_configuration(&configuration);
+    }
+}
+
+fn key(version: u64) -> String {
+    format!("key-of-{version}")
+}
+
+async fn start_target(store: &Store, index: usize) -> ProxiedTarget {
+    let (service, behaviour) = match index / TARGETS {
+        0 => ("plain", Behaviour::Answer),
+        1 => ("engine", Behaviour::Events(EVENTS)),
+        _ => ("encode", Behaviour::Answer),
+    };
+    let target = Target::start(&format!("i-{service}-{index}"), service, behaviour).await;
+    let proxy = Proxy::start(target.address).await;
+    let target = target.with_address(proxy.address);
+    store.put_target(&target, false);
+    ProxiedTarget { target, proxy }
+}
+
+fn write_settings(folder: &Path, index: usize, store: &Proxy) -> io::Result<PathBuf> {
+    let any = "127.0.0.1:0";
+    let settings = json!({
+        "instance": format!("p{index}"), "domain": format!("z{}", index % 3),
+        "listen": { "callers": any, "readiness": any, "peers": any, "metrics": any },
+        "store": { "address": store.address.to_string(), "poll_ms": 100, "timeout_ms": 300 },
+        "timing": { "linger_ms": 300, "grace_s": 6.0 },
+        "retries": { "ratio": 0.2, "window_s": 10.0, "slack": 200.0 },
+    });
+    let path = folder.join(format!("p{index}.json"));
+    std::fs::write(&path, settings.to_string())?;
+    Ok(path)
+}
+
+/// Plays a plan with processes of `daemon`, and judges it.
+pub async fn run(plan: &Plan, daemon: &Path) -> Result<Verdict, CannotStart> {
+    let cannot_start = |cause| CannotStart { program: daemon.to_owned(), cause };
+    let folder =
+        std::env::temp_dir().join(format!("holdpoint-soak-{}-{}", std::process::id(), plan.seed));
+    std::fs::create_dir_all(&folder).map_err(cannot_start)?;
+    let fleet = Arc::new(Fleet::start(plan, &folder).await.map_err(cannot_start)?);
+    let mut processes = Vec::new();
+    for index in 0..plan.processes {
+        let child = start_process(&fleet, daemon, index).map_err(cannot_start)?;
+        processes.push(tokio::spawn(supervise(fleet.clone(), daemon.to_owned(), index, child)));
+    }
+    let mut findings = recover(&fleet).await;
+    let sending: Vec<_> =
+        (0..plan.callers).map(|it| tokio::spawn(callers::run(fleet.callers.clone(), it))).collect();
+    faults::play(&fleet, plan).await;
+    findings.extend(recover(&fleet).await);
+    fleet.callers.is_over.store(true, Ordering::Release);
+    for it in sending {
+        // A caller that failed has no more to tell.
+        drop(it.await);
+    }
+    processes.iter().for_each(tokio::task::JoinHandle::abort);
+    let verdict = conclude(plan, &fleet, findings);
+    // What is left of a folder in the place for temporary files harms nobody.
+    drop(std::fs::remove_dir_all(&folder));
+    Ok(verdict)
+}
+
+fn conclude(plan: &Plan, fleet: &Fleet, mut findings: Vec<Finding>) -> Verdict {
+    let attempts: Vec<Attempt> = std::mem::take(&mut *fleet.callers.attempts.lock());
+    let joined = fleet.joined.lock().clone();
+    let targets = fleet.targets.iter().map(|it| &it.target).chain(&joined);
+    let runs: Vec<_> = targets
+        .map(|it| {
+            let of_soak = it.runs().into_iter().filter(|run| !run.request.starts_with(PROBE));
+            (it.id.clone(), of_soak.collect())
+        })
+        .collect();
+    findings.extend(judge(&attempts, &runs, &fleet.kills.lock()));
+    let status = |it: &Attempt| match &it.outcome {
+        Outcome::Answer { status, is_whole: true, .. } => *status,
+        _ => 0,
+    };
+    Verdict {
+        seed: plan.seed,
+        size: (plan.processes, plan.callers),
+        faults: plan.faults.len(),
+        requests: attempts.len(),
+        answered: attempts.iter().filter(|it| status(it) == 200).count(),
+        refused: attempts.iter().filter(|it| status(it) == 503).count(),
+        findings,
+    }
+}
+
+fn start_process(fleet: &Fleet, daemon: &Path, index: usize) -> io::Result<Child> {
+    let child = Command::new(daemon)
+        .args(["--ingress", "--log-level", "info", "--settings"])
+        .arg(&fleet.settings[index])
+        .stderr(Stdio::piped())
+        .kill_on_drop(true)
+        .spawn()?;
+    let pid = child.id().and_then(|it| Pid::from_raw(it as i32));
+    *fleet.pids[index].lock() = pid;
+    Ok(child)
+}
+
+/// Reads what a process writes until it ends, then starts it again, for good.
+async fn supervise(fleet: Arc<Fleet>, daemon: PathBuf, index: usize, mut child: Child) {
+    loop {
+        if let Some(lines) = child.stderr.take() {
+            let mut lines = BufReader::new(lines).lines();
+            while let Ok(Some(line)) = lines.next_line().await {
+                let address = line.split_once(ADDRESS_MARK).filter(|_| line.contains("E100"));
+                if let Some(it) = address.and_then(|it| it.1.trim().parse().ok()) {
+                    *fleet.callers.addresses[index].lock() = Some(it);
+                }
+            }
+        }
+        *fleet.callers.addresses[index].lock() = None;
+        // Its id may be given to another process from now on.
+        *fleet.pids[index].lock() = None;
+        drop(child.wait().await);
+        tokio::time::sleep(RESTART).await;
+        match start_process(&fleet, &daemon, index) {
+            Ok(it) => child = it,
+            Err(_) => return,
+        }
+    }
+}
+
+/// Start of the ids of requests that ask whether a process has recovered.
+const PROBE: &str = "probe-";
+
+/// Waits until each process serves with the newest configuration; names those that do not.
+async fn recover(fleet: &Fleet) -> Vec<Finding> {
+    let begun = fleet.clock.now();
+    let mut findings = Vec::new();
+    for process in 0..fleet.pids.len() {
+        let recovered = tokio::time::timeout(RECOVERY, until_serving(fleet, process)).await;
+        if recovered.is_err() {
+            let id = format!("p{process}");
+            let version = *fleet.version.lock();
+            let seen = format!("does not serve with configuration {version}");
+            findings.push(Finding { promise: Promise::Recovered, id, at: begun, seen });
+        }
+    }
+    findings
+}
+
+async fn until_serving(fleet: &Fleet, process: usize) {
+    let mut count = 0;
+    loop {
+        count += 1;
+        let key = match *fleet.version.lock() {
+            1 => "key-1".to_owned(),
+            version => key(version),
+        };
+        let request = |path: &str| {
+            let id = format!("{PROBE}{process}-{}-{count}", fleet.clock.now());
+            CallerRequest::new(&id, path).with_header("authorization", &format!("Bearer {key}"))
+        };
+        let address = *fleet.callers.addresses[process].lock();
+        if let Some(it) = address {
+            let plain = call(it, request("/safe/")).await;
+            let staged = call(it, request("/staged/").with_pieces("1,1")).await;
+            if [plain, staged].into_iter().all(|it| it.is_some_and(|it| it.status == 200)) {
+                return;
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
--- /dev/null
+++ b/crates/holdpoint-soak/tests/judge.rs
@@ -0,0 +1,89 @@
+//! The judge notices each breach, and takes what is allowed for no breach.
+
+use bytes::Bytes;
+use holdpoint_adapter_standin::Run;
+use holdpoint_soak::{Attempt, Kills, Millis, Outcome, Plan, Promise, Route, judge};
+
+fn attempt(route: Route, outcome: Outcome) -> Attempt {
+    Attempt { id: "r-1".to_owned(), route, process: 0, sent: 100, ended: 200, outcome }
+}
+
+fn answer(status: u16, signer: Option<&str>, body: impl Into<Bytes>) -> Outcome {
+    let signature = signer.map(|it| format!("stamp-{it}-r-1"));
+    Outcome::Answer { status, signature, body: body.into(), is_whole: true }
+}
+
+fn run(of: &Attempt) -> Run {
+    Run {
+        request: of.id.clone(),
+        line: of.line(),
+        headers: Default::default(),
+        body: Bytes::from(of.id.clone()),
+    }
+}
+
+/// Breaches of one attempt that ran at each of `targets`.
+fn breaches(attempt: &Attempt, targets: &[&str], kills: &[Millis]) -> Vec<Promise> {
+    let runs: Vec<_> = targets.iter().map(|it| ((*it).to_owned(), vec![run(attempt)])).collect();
+    let kills = Kills::from([(0, kills.to_vec())]);
+    judge(std::slice::from_ref(attempt), &runs, &kills).iter().map(|it| it.promise).collect()
+}
+
+#[test]
+fn what_may_run_once_runs_at_most_once() {
+    let once = attempt(Route::Unsafe, answer(200, Some("a"), "r-1"));
+    assert_eq!(breaches(&once, &["a"], &[]), []);
+    assert_eq!(breaches(&once, &["a", "b"], &[]), [Promise::Once]);
+    let repeatable = attempt(Route::Safe, answer(200, Some("a"), "r-1"));
+    assert_eq!(breaches(&repeatable, &["a", "b"], &[]), []);
+}
+
+#[test]
+fn what_is_reported_as_not_run_has_not_run() {
+    let refused = attempt(Route::Once, answer(503, None, ""));
+    assert_eq!(breaches(&refused, &[], &[]), []);
+    assert_eq!(breaches(&refused, &["a"], &[]), [Promise::NotRun]);
+    let failed = attempt(Route::Once, answer(502, None, ""));
+    assert_eq!(breaches(&failed, &["a"], &[]), []);
+}
+
+#[test]
+fn an_answer_is_that_of_a_target_that_ran_the_request() {
+    let of = |signer, body: &'static str| attempt(Route::Safe, answer(200, signer, body));
+    assert_eq!(breaches(&of(Some("b"), "r-1"), &["a"], &[]), [Promise::Whole]);
+    assert_eq!(breaches(&of(None, "r-1"), &["a"], &[]), [Promise::Whole]);
+    assert_eq!(breaches(&of(Some("a"), "r-2"), &["a"], &[]), [Promise::Whole]);
+    let torn = attempt(Route::Story, answer(200, Some("a"), "id: 0\ndata: part 0\n\n"));
+    assert_eq!(breaches(&torn, &["a"], &[]), [Promise::Whole]);
+    let whole = attempt(Route::Story, answer(200, Some("a"), torn.expected()));
+    assert_eq!(breaches(&whole, &["a", "b"], &[]), []);
+}
+
+#[test]
+fn what_ran_is_answered_unless_its_process_was_killed() {
+    let closed = attempt(Route::Unsafe, Outcome::Closed);
+    assert_eq!(breaches(&closed, &[], &[]), []);
+    assert_eq!(breaches(&closed, &["a"], &[]), [Promise::Answered]);
+    assert_eq!(breaches(&closed, &["a"], &[90]), [Promise::Answered]);
+    assert_eq!(breaches(&closed, &["a"], &[150]), []);
+}
+
+#[test]
+fn no_target_runs_what_nobody_sent() {
+    let sent = attempt(Route::Unsafe, Outcome::Left);
+    let mut other = run(&sent);
+    other.request = "r-2".to_owned();
+    let mut changed = run(&sent);
+    changed.line = "POST /safe/".to_owned();
+    let runs = [("a".to_owned(), vec![other]), ("b".to_owned(), vec![changed])];
+    let found = judge(&[sent], &runs, &Kills::default());
+    assert_eq!(found.iter().map(|it| it.promise).collect::<Vec<_>>(), [Promise::Asked; 2]);
+}
+
+#[test]
+fn a_seed_gives_one_plan() {
+    let length = std::time::Duration::from_secs(5);
+    assert_eq!(Plan::draw(7, length), Plan::draw(7, length));
+    assert_ne!(Plan::draw(7, length).faults, Plan::draw(8, length).faults);
+    assert_eq!(Plan::draw(10, length).processes, 16);
+}
--- a/crates/holdpoint/src/cli.rs
+++ b/crates/holdpoint/src/cli.rs
@@ -47,7 +47,7 @@
                 .help("Log of instances in this process: off, error, warn, info, debug"),
         )
         .subcommands([get(), apply(), delete(), watch(), status(), change(), report()])
-        .subcommands([check_settings(), explain(), demo(), bench(), completion_command()])
+        .subcommands([check_settings(), explain(), demo(), soak(), bench(), completion_command()])
 }
 
 fn explain() -> Command {
@@ -63,6 +63,21 @@
         )
 }
 
+fn soak() -> Command {
+    Command::new("soak")
+        .about("Strike real processes with random faults and check what callers and targets see")
+        .arg(number("seed", "1", "First seed"))
+        .arg(number("count", "1", "Seeds, one after the other"))
+        .arg(number("seconds", "6", "How long faults are made for each seed"))
+        .arg(
+            Arg::new("daemon")
+                .long("daemon")
+                .value_name("PROGRAM")
+                .value_parser(value_parser!(PathBuf))
+                .help("The daemon; holdpointd beside this program where absent"),
+        )
+}
+
 /// Writes the completion of a shell to standard output.
 pub(crate) fn completion(matches: &ArgMatches) {
     let shell: Shell = *matches.get_one("shell").expect("the argument is required");
--- a/crates/holdpoint/src/failure.rs
+++ b/crates/holdpoint/src/failure.rs
@@ -4,6 +4,7 @@
 
 use holdpoint_emulator::plot::PlotError;
 use holdpoint_platform::operators::ApiError;
+use holdpoint_soak::CannotStart;
 use serde_json::Value;
 
 /// Why a command failed.
@@ -23,6 +24,8 @@
     Broken(u64),
     /// An experiment did not meet what it must show.
     NotMet(String),
+    /// The daemon of a soak cannot be started.
+    Soak(CannotStart),
     /// A plot cannot be drawn or written.
     Plot(PlotError),
 }
@@ -31,7 +34,7 @@
     /// Exit code; the operators' page lists them.
     pub(crate) fn exit_code(&self) -> ExitCode {
         ExitCode::from(match self {
-            Failure::Runtime | Failure::Plot(_) => 1,
+            Failure::Runtime | Failure::Soak(_) | Failure::Plot(_) => 1,
             Failure::File(_) => 2,
             Failure::Api(ApiError::Refused(..)) => 3,
             Failure::Api(ApiError::Call(_)) => 4,
@@ -64,6 +67,7 @@
             Failure::NotInForce(it) => write!(f, "{it}"),
             Failure::Broken(n) => write!(f, "{n} promises broke"),
             Failure::NotMet(it) => write!(f, "not met: {it}"),
+            Failure::Soak(it) => write!(f, "the daemon cannot be started: {it}"),
             Failure::Plot(it) => write!(f, "the plot cannot be drawn: {it}"),
         }
     }
--- a/crates/holdpoint/src/main.rs
+++ b/crates/holdpoint/src/main.rs
@@ -8,6 +8,7 @@
 mod failure;
 mod judge;
 mod output;
+mod soak;
 
 use std::{alloc::System, process::ExitCode};
 
@@ -52,6 +53,7 @@
         }
         Some(("explain", it)) => explain::run(it),
         Some(("demo", it)) => demo::run(it).await,
+        Some(("soak", it)) => soak::run(it).await,
         Some(("bench", it)) => bench::run(it).await,
         Some((name, it)) => api::run(name, it, matches).await,
         None => Ok(()),
--- /dev/null
+++ b/crates/holdpoint/src/soak.rs
@@ -0,0 +1,32 @@
+//! `holdpoint soak`: random faults on real processes.
+
+use std::{path::PathBuf, time::Duration};
+
+use clap::ArgMatches;
+use holdpoint_soak::Plan;
+
+use crate::failure::Failure;
+
+/// Name of the daemon's program.
+const DAEMON: &str = "holdpointd";
+
+/// Plays each seed and prints its verdict; fails if a promise was broken under any of them.
+pub(crate) async fn run(matches: &ArgMatches) -> Result<(), Failure> {
+    let number = |name: &str| *matches.get_one::<u64>(name).expect("the argument has a default");
+    let length = Duration::from_secs(number("seconds"));
+    let daemon = matches.get_one::<PathBuf>("daemon").cloned();
+    let daemon = daemon.unwrap_or_else(beside_this_program);
+    let mut broken = 0;
+    for seed in (number("seed")..).take(number("count") as usize) {
+        let plan = Plan::draw(seed, length);
+        let verdict = holdpoint_soak::run(&plan, &daemon).await.map_err(Failure::Soak)?;
+        println!("{verdict}");
+        broken += verdict.findings.len() as u64;
+    }
+    if broken == 0 { Ok(()) } else { Err(Failure::Broken(broken)) }
+}
+
+fn beside_this_program() -> PathBuf {
+    let own = std::env::current_exe().unwrap_or_default();
+    own.with_file_name(DAEMON)
+}
--- /dev/null
+++ b/crates/holdpointd/tests/soak.rs
@@ -0,0 +1,18 @@
+//! A short soak with seeds of its own: real processes, real faults. `holdpoint soak` plays more.
+
+use std::{path::Path, time::Duration};
+
+use holdpoint_soak::{Plan, run};
+
+/// Seeds that every run of the tests plays.
+const SEEDS: [u64; 2] = [3, 4];
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn promises_hold_under_faults() {
+    for seed in SEEDS {
+        let plan = Plan::draw(seed, Duration::from_secs(3));
+        let verdict = run(&plan, Path::new(env!("CARGO_BIN_EXE_holdpointd"))).await.unwrap();
+        assert!(verdict.is_kept(), "{verdict}");
+        assert!(0 < verdict.answered);
+    }
+}
