After a restart of all only the readers read the store; lists of targets in groups

At its start each instance read everything by itself: 300 times 0.9 MB, where the store gives 80 MB a second to all; a call that took more than 0.6 s was given up and begun anew.

Change: an instance reads the peers first, which tell it whether it is a reader; if not, it waits up to 2 s for the readers before it reads by itself. The list of targets is told in groups (what they have in common once), made once for all who ask, about a quarter of the bytes; what was read too long ago is told only to those who know nothing. No ping is judged while a large answer is under way on its connection.

--- /dev/null
+++ b/crates/holdpointd/src/ingress/attempts.rs
@@ -0,0 +1,131 @@
+//! The sends made for one request: which target each goes to, and whether one more is allowed.
+
+use holdpoint_core::{
+    directory::TargetInstance,
+    route::{End, NoTarget},
+};
+
+use crate::{
+    events::{self, emit},
+    ingress::{context::Context, peer_service::PromptAsk},
+    metrics::label,
+};
+
+/// The sends made for one request, within its attempts and the retry budget.
+#[derive(Debug, Default)]
+pub(crate) struct Attempts {
+    tried: Vec<String>,
+    sends: u32,
+}
+
+/// Why no further send is made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoSend {
+    /// No target is left.
+    NoTarget,
+    /// The route's attempts are used up.
+    Attempts,
+    /// The retry budget is used up.
+    Budget,
+    /// The time is over.
+    Time,
+}
+
+impl NoSend {
+    /// Name in the log.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            NoSend::NoTarget => "no-target",
+            NoSend::Attempts => "attempts-used",
+            NoSend::Budget => "retry-budget",
+            NoSend::Time => "time-over",
+        }
+    }
+}
+
+impl Attempts {
+    /// Whether one more send would be within the route's attempts.
+    pub(crate) fn may_repeat(&self, ctx: &Context) -> bool {
+        self.sends < ctx.route.attempts
+    }
+
+    /// Chooses the target of the next send and counts the send.
+    pub(crate) async fn next(&mut self, ctx: &Context) -> Result<TargetInstance, NoSend> {
+        if ctx.left().is_zero() {
+            return Err(NoSend::Time);
+        }
+        if !self.may_repeat(ctx) {
+            return Err(NoSend::Attempts);
+        }
+        let (target, reason) = self.choose(ctx).await?;
+        let now = ctx.shared.clock.now();
+        if self.sends != 0 && !ctx.pool.spend(now, &ctx.shared.pools.terms()) {
+            return Err(NoSend::Budget);
+        }
+        self.sends += 1;
+        ctx.pool.sent(now, &target.id, &ctx.call(&[]));
+        ctx.note_send(&target.id);
+        let detail =
+            format!("id={} target={} send={} {reason}", ctx.request.id, target.id, self.sends);
+        emit(events::SENT, &ctx.shared.settings.instance, &detail);
+        self.tried.push(target.id.clone());
+        Ok(target)
+    }
+
+    /// Chooses a target, with the reason for the log. Prompts are placed by one instance for all,
+    /// since an engine that reads a long prompt holds up all that run there, whoever sent them.
+    async fn choose(&mut self, ctx: &Context) -> Result<(TargetInstance, String), NoSend> {
+        let chosen = self.choose_at_peer(ctx).await;
+        let place = if chosen.is_some() { "peer" } else { "here" };
+        ctx.shared.metrics.placements.add(1, &[label("by", place)]);
+        if let Some(it) = chosen {
+            return Ok(it);
+        }
+        loop {
+            let call = ctx.call(&self.tried);
+            let choice = ctx.pool.place(ctx.shared.clock.now(), &call);
+            let choice = choice.map_err(|it| match it {
+                NoTarget::Empty | NoTarget::Tried | NoTarget::Full => NoSend::NoTarget,
+            })?;
+            if let Some(target) = ctx.shared.staying_target(&choice.address) {
+                let reason = format!(
+                    "compared={} ejected={} predicted_ms={:.0} prefix={}",
+                    choice.reason.compared,
+                    choice.reason.ejected,
+                    choice.reason.predicted,
+                    choice.reason.prefix_hit
+                );
+                return Ok((target, reason));
+            }
+            self.tried.push(choice.address);
+        }
+    }
+
+    async fn choose_at_peer(&self, ctx: &Context) -> Option<(TargetInstance, String)> {
+        let call = ctx.call(&self.tried);
+        let prefix = call.prefix?;
+        let address = ctx.shared.peers.batcher_of(&ctx.service)?;
+        let mut avoided = ctx.pool.ejected(ctx.shared.clock.now());
+        avoided.extend(self.tried.iter().cloned());
+        let ask = PromptAsk { work: call.work, prefix_work: call.prefix_work, prefix, avoided };
+        let chosen = ctx.shared.peers.place(&ctx.shared, &address, &ctx.service, ask).await?;
+        let target = ctx.shared.staying_target(&chosen)?;
+        Some((target, format!("placed_by={address}")))
+    }
+
+    /// Takes back a send of which no byte has left.
+    pub(crate) fn take_back(&mut self) {
+        self.sends = self.sends.saturating_sub(1);
+    }
+}
+
+/// Ends a send in the books of its pool, with a line in the log unless it went well.
+pub(crate) fn end_send(ctx: &Context, target: &TargetInstance, end: End, cause: &'static str) {
+    ctx.pool.ended(ctx.shared.clock.now(), &target.id, ctx.call(&[]).work, end);
+    let labels = [label("service", ctx.service.as_str()), label("end", cause)];
+    ctx.shared.metrics.attempts.add(1, &labels);
+    if !matches!(end, End::Whole(_)) {
+        let detail = format!("id={} target={} cause={cause}", ctx.request.id, target.id);
+        emit(events::SEND_FAILED, &ctx.shared.settings.instance, &detail);
+    }
+}
--- a/crates/holdpointd/src/ingress/follow.rs
+++ b/crates/holdpointd/src/ingress/follow.rs
@@ -7,163 +7,48 @@
 
 use std::{
     sync::{Arc, atomic::Ordering},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
-use bytes::Bytes;
 use futures::future::BoxFuture;
 use holdpoint_core::{
-    change_log::Revision,
-    directory::{TargetId, TargetInstance},
     ids::{Millis, Name},
     ingress::Version,
 };
-use serde::{Deserialize, Serialize};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::{
     events::{self, emit},
-    ingress::{peers::Peer, shared::IngressShared, watch},
+    ingress::{
+        news::{Content, Known, News, Place, TargetList, Update, WAIT},
+        peers::Peer,
+        shared::IngressShared,
+        watch,
+    },
 };
 
-/// How long an answer waits for something new.
-const WAIT: Duration = Duration::from_millis(400);
 /// How long an answer may take beyond that.
 const LIMIT: Duration = Duration::from_millis(350);
 /// How often an instance that reads the store looks whether it still has to.
 const REVIEW: Duration = Duration::from_millis(250);
 /// Pause between two questions, in which news gather.
 const GATHER: Duration = Duration::from_millis(20);
-/// Size above which a configuration is large, in bytes.
-const LARGE_CONFIGURATION: usize = 32 << 10;
+/// How long an answer may take that may hold all that is known.
+const WHOLE_LIMIT: Duration = Duration::from_millis(3000);
+/// How long after its start an instance waits for those who read the store: after a restart of all
+/// they have not read it yet either, and it would not bear all who read everything at once.
+const START_PATIENCE: Duration = Duration::from_millis(2000);
 /// How long a peer may take to send a large configuration.
 const LARGE_LIMIT: Duration = Duration::from_millis(3000);
 /// Most others that are asked in one round.
 const MOST_ASKED: usize = 3;
 
-/// Something that is new at an instance.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) enum News {
-    /// A target instance joined or changed.
-    Target(TargetInstance),
-    /// A target instance is gone.
-    TargetGone(TargetId),
-    /// A peer joined or started anew, or has left.
-    Peer(Name, Option<Peer>),
-}
-
-/// How far an asker has followed another instance.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Place {
-    /// Life of the other instance; 0 where none was followed.
-    life: u64,
-    /// How far its news were taken in.
-    revision: Revision,
-    /// Hash of the targets that the asker knows.
-    digest: u64,
-    /// Version of the configuration that was told of last, if not sent with it.
-    version: Version,
-}
-
-/// What an asker knows.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct Known {
-    /// Version of the configuration that it has.
-    version: Version,
-    /// How long an answer may wait for something new, in milliseconds.
-    wait_ms: Millis,
-    /// Where it follows from; absent where it wants no more than a later configuration.
-    place: Option<Place>,
-    /// Whether it wants a large configuration too. A reader's link would not carry one to all who
-    /// follow it, so they read it from the store where they can.
-    wants_large: bool,
-}
-
-impl Known {
-    /// What an asker knows who wants no more than a later configuration.
-    fn configuration_only(shared: &IngressShared, wants_large: bool) -> Known {
-        let version = shared.configuration().version;
-        Known { version, wait_ms: 0, place: None, wants_large }
-    }
-}
-
-/// What is new to an asker.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct Update {
-    /// Life of the instance that answers.
-    life: u64,
-    /// How far the asker has followed it now.
-    revision: Revision,
-    /// How long ago the store was read; none where that is too long ago.
-    age_ms: Option<Millis>,
-    /// Version of the configuration in force.
-    version: Version,
-    /// That configuration, where it is later than the asker's and the asker wants it.
-    configuration: Option<Bytes>,
-    /// What else is new, where that was asked for.
-    content: Option<Content>,
-}
-
-/// What is new of targets and peers.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) enum Content {
-    /// What happened since the asker last heard.
-    News(Vec<News>),
-    /// All that is known.
-    All {
-        /// Target instances; none where the asker's are the same.
-        targets: Option<TargetList>,
-        /// Peers.
-        peers: Vec<(Name, Peer)>,
-    },
-}
-
-/// All target instances that an instance knows.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub(crate) struct TargetList {
-    /// Those in the store's list.
-    pub(crate) listed: Vec<TargetInstance>,
-    /// Those whose entry may have lapsed while the store was away. They may have left as well, so
-    /// whoever has heard that they are gone does not take them back.
-    pub(crate) lapsed: Vec<TargetId>,
-}
-
-/// Answers one who follows this instance.
-pub(crate) async fn answer(shared: &IngressShared, known: Known) -> Update {
-    let mut has_news = shared.has_news.subscribe();
-    if !is_behind(shared, &known) && shared.fresh_age().is_some() {
-        let wait = Duration::from_millis(known.wait_ms).min(WAIT);
-        // Where the wait is over without news, the answer tells that there are none.
-        let _ = timeout(wait, has_news.changed()).await;
-    }
-    let (news, revision) = shared.news_since(known.place.map_or(0, |it| it.revision));
-    let content = known.place.map(|place| match news.filter(|_| place.life == shared.life) {
-        Some(it) => Content::News(it),
-        None => Content::All {
-            targets: (shared.digest() != place.digest).then(|| shared.target_list()),
-            peers: shared.instances(),
-        },
-    });
-    let version = shared.configuration().version;
-    let configuration = (known.version < version)
-        .then(|| shared.configuration_bytes())
-        .filter(|it| known.wants_large || it.len() <= LARGE_CONFIGURATION);
-    let age_ms = shared.fresh_age();
-    Update { life: shared.life, revision, age_ms, version, configuration, content }
-}
-
-/// Whether there is something new to tell already.
-fn is_behind(shared: &IngressShared, known: &Known) -> bool {
-    let is_same = |it: Place| {
-        let (news, _) = shared.news_since(it.revision);
-        it.life == shared.life && news.is_some_and(|it| it.is_empty())
-    };
-    known.version < shared.configuration().version || !known.place.is_some_and(is_same)
-}
-
 /// Follows others, or has the store read, until the task is dropped.
 pub(crate) async fn run(shared: Arc<IngressShared>) {
     let mut place = Place::default();
+    // Who reads the store is known once the peers are.
+    let _ = shared.peers_known.subscribe().wait_for(|it| *it).await;
+    let begun = Instant::now();
     loop {
         let (readers, is_reader) = shared.peers.readers();
         if is_reader && !shared.is_store_silent.load(Ordering::Acquire) {
@@ -180,7 +65,8 @@
         }
         let is_told = follow_one(&shared, &mut place, readers).await;
         let cause = if is_told { "told" } else { "nobody-has-read" };
-        set_reading(&shared, is_reader || !is_told, cause);
+        let is_patient = begun.elapsed() < START_PATIENCE && !shared.peers.all().is_empty();
+        set_reading(&shared, is_reader || !(is_told || is_patient), cause);
         sleep(if is_told && !is_reader { GATHER } else { REVIEW }).await;
     }
 }
@@ -203,7 +89,8 @@
             place: Some(Place { digest: shared.digest(), ..*place }),
             wants_large: false,
         };
-        let answer = shared.peers.follow(shared, &address, known, WAIT + LIMIT).await;
+        let limit = if *place == Place::default() { WHOLE_LIMIT } else { WAIT + LIMIT };
+        let answer = shared.peers.follow(shared, &address, known, limit).await;
         let Ok(update) = answer else { continue };
         let Update { life, revision, version, .. } = update;
         let is_fresh = take_in(shared, update);
@@ -229,7 +116,8 @@
         Some(Content::News(news)) => take_news(shared, news),
         Some(Content::All { targets, peers }) => {
             take_peers(shared, peers, is_fresh);
-            targets.into_iter().for_each(|it| take_targets(shared, it, is_fresh));
+            let list = targets.and_then(|it| serde_json::from_slice(&it).ok());
+            list.into_iter().for_each(|it| take_targets(shared, it, is_fresh));
         }
     }
     if let Some(it) = update.age_ms {
@@ -309,17 +197,18 @@
 /// Takes in all targets that another instance knows; what it read too long ago is better than
 /// nothing only.
 fn take_targets(shared: &IngressShared, list: TargetList, is_fresh: bool) {
+    let (listed, lapsed) = list.into_targets();
     shared.change_directory(|directory| {
         let mut changed = Vec::new();
         if !is_fresh && !directory.is_empty() {
             return changed;
         }
-        for id in directory.unnamed(&list.listed) {
-            if !list.lapsed.contains(&id) && shared.remove_target(directory, &id, "peer") {
+        for id in directory.unnamed(&listed) {
+            if !lapsed.contains(&id) && shared.remove_target(directory, &id, "peer") {
                 changed.push(id);
             }
         }
-        for it in list.listed {
+        for it in listed {
             let id = it.id.clone();
             if shared.put_target(directory, it, "peer") {
                 changed.push(id);
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -6,12 +6,14 @@
 //! platform is in `holdpoint-adapter`.
 
 mod answer;
+mod attempts;
 mod batches;
 mod connections;
 mod context;
 mod follow;
 mod frees;
 mod front;
+mod news;
 mod peer_service;
 mod peers;
 mod pools;
--- /dev/null
+++ b/crates/holdpointd/src/ingress/news.rs
@@ -0,0 +1,196 @@
+//! What instances tell each other of what they know, and the side that tells.
+//!
+//! An asker says how far it has followed this instance; the answer has what happened since, or all
+//! that is known where that is not kept any more or another instance was followed before.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use bytes::Bytes;
+use holdpoint_core::{
+    change_log::Revision,
+    directory::{Directory, TargetId, TargetInstance},
+    ids::{Millis, Name},
+    ingress::Version,
+};
+use serde::{Deserialize, Serialize};
+use tokio::time::timeout;
+
+use crate::ingress::{peers::Peer, shared::IngressShared};
+
+/// How long an answer waits for something new.
+pub(crate) const WAIT: Duration = Duration::from_millis(400);
+/// Size above which a configuration is large, in bytes.
+const LARGE_CONFIGURATION: usize = 32 << 10;
+
+/// Something that is new at an instance.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum News {
+    /// A target instance joined or changed.
+    Target(TargetInstance),
+    /// A target instance is gone.
+    TargetGone(TargetId),
+    /// A peer joined or started anew, or has left.
+    Peer(Name, Option<Peer>),
+}
+
+/// How far an asker has followed another instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Place {
+    /// Life of the other instance; 0 where none was followed.
+    pub(crate) life: u64,
+    /// How far its news were taken in.
+    pub(crate) revision: Revision,
+    /// Hash of the targets that the asker knows.
+    pub(crate) digest: u64,
+    /// Version of the configuration that was told of last, if not sent with it.
+    pub(crate) version: Version,
+}
+
+/// What an asker knows.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Known {
+    /// Version of the configuration that it has.
+    pub(crate) version: Version,
+    /// How long an answer may wait for something new, in milliseconds.
+    pub(crate) wait_ms: Millis,
+    /// Where it follows from; absent where it wants no more than a later configuration.
+    pub(crate) place: Option<Place>,
+    /// Whether it wants a large configuration too. A reader's link would not carry one to all who
+    /// follow it, so they read it from the store where they can.
+    pub(crate) wants_large: bool,
+}
+
+impl Known {
+    /// What an asker knows who wants no more than a later configuration.
+    pub(crate) fn configuration_only(shared: &IngressShared, wants_large: bool) -> Known {
+        let version = shared.configuration().version;
+        Known { version, wait_ms: 0, place: None, wants_large }
+    }
+}
+
+/// What is new to an asker.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Update {
+    /// Life of the instance that answers.
+    pub(crate) life: u64,
+    /// How far the asker has followed it now.
+    pub(crate) revision: Revision,
+    /// How long ago the store was read; none where that is too long ago.
+    pub(crate) age_ms: Option<Millis>,
+    /// Version of the configuration in force.
+    pub(crate) version: Version,
+    /// That configuration, where it is later than the asker's and the asker wants it.
+    pub(crate) configuration: Option<Bytes>,
+    /// What else is new, where that was asked for.
+    pub(crate) content: Option<Content>,
+}
+
+/// What is new of targets and peers.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum Content {
+    /// What happened since the asker last heard.
+    News(Vec<News>),
+    /// All that is known.
+    All {
+        /// The [`TargetList`] as JSON, which is made once for all who ask; none where the asker's
+        /// targets are the same.
+        targets: Option<Bytes>,
+        /// Peers.
+        peers: Vec<(Name, Peer)>,
+    },
+}
+
+/// All target instances that an instance knows. There may be thousands, and many who ask at once
+/// after a restart of all, so what they have in common is said once.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct TargetList {
+    /// Those in the store's list.
+    listed: Vec<TargetGroup>,
+    /// Those whose entry may have lapsed while the store was away. They may have left as well, so
+    /// whoever has heard that they are gone does not take them back.
+    lapsed: Vec<TargetId>,
+}
+
+/// Target instances that have all but their names in common.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct TargetGroup {
+    service: Name,
+    domain: Name,
+    slots: u32,
+    is_leaving: bool,
+    /// Id, address and sequence of each.
+    members: Vec<(TargetId, String, u64)>,
+}
+
+impl TargetList {
+    /// Makes the list of a directory.
+    pub(crate) fn new(directory: &Directory) -> TargetList {
+        let mut groups: BTreeMap<(&str, &str, u32, bool), Vec<_>> = BTreeMap::new();
+        for it in directory.listed() {
+            let common = (it.service.as_str(), it.domain.as_str(), it.slots, it.is_leaving);
+            let member = (it.id.clone(), it.address.clone(), it.sequence);
+            groups.entry(common).or_default().push(member);
+        }
+        let group = |((service, domain, slots, is_leaving), members): ((&str, &str, _, _), _)| {
+            let (service, domain) = (service.to_owned(), domain.to_owned());
+            TargetGroup { service, domain, slots, is_leaving, members }
+        };
+        TargetList {
+            listed: groups.into_iter().map(group).collect(),
+            lapsed: directory.lapsed().cloned().collect(),
+        }
+    }
+
+    pub(crate) fn into_targets(self) -> (Vec<TargetInstance>, Vec<TargetId>) {
+        let targets = self.listed.into_iter().flat_map(|group| {
+            let TargetGroup { service, domain, slots, is_leaving, members } = group;
+            members.into_iter().map(move |(id, address, sequence)| TargetInstance {
+                id,
+                service: service.clone(),
+                address,
+                domain: domain.clone(),
+                slots,
+                is_leaving,
+                sequence,
+            })
+        });
+        (targets.collect(), self.lapsed)
+    }
+}
+
+/// Answers one who follows this instance.
+pub(crate) async fn answer(shared: &IngressShared, known: Known) -> Update {
+    let mut has_news = shared.has_news.subscribe();
+    if !is_behind(shared, &known) && shared.fresh_age().is_some() {
+        let wait = Duration::from_millis(known.wait_ms).min(WAIT);
+        // Where the wait is over without news, the answer tells that there are none.
+        let _ = timeout(wait, has_news.changed()).await;
+    }
+    let (news, revision) = shared.news_since(known.place.map_or(0, |it| it.revision));
+    let is_fresh = shared.fresh_age().is_some();
+    let content = known.place.map(|place| match news.filter(|_| place.life == shared.life) {
+        Some(it) => Content::News(it),
+        None => {
+            // What was read too long ago helps only those who know nothing.
+            let is_wanted = is_fresh || place.digest == Directory::default().digest();
+            let is_other = is_wanted && shared.digest() != place.digest;
+            let targets = is_other.then(|| shared.target_list());
+            Content::All { targets, peers: shared.instances() }
+        }
+    });
+    let version = shared.configuration().version;
+    let configuration = (known.version < version)
+        .then(|| shared.configuration_bytes())
+        .filter(|it| known.wants_large || it.len() <= LARGE_CONFIGURATION);
+    let age_ms = shared.fresh_age();
+    Update { life: shared.life, revision, age_ms, version, configuration, content }
+}
+
+/// Whether there is something new to tell already.
+fn is_behind(shared: &IngressShared, known: &Known) -> bool {
+    let is_same = |it: Place| {
+        let (news, _) = shared.news_since(it.revision);
+        it.life == shared.life && news.is_some_and(|it| it.is_empty())
+    };
+    known.version < shared.configuration().version || !known.place.is_some_and(is_same)
+}
--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -17,8 +17,9 @@
 use crate::ingress::{
     batches::{PieceAsk, PieceResult},
     connections::guard,
-    follow::{self, Known, Update, catch_up},
+    follow::catch_up,
     frees::tell_makers,
+    news::{self, Known, Update},
     shared::IngressShared,
 };
 
@@ -116,7 +117,7 @@
     }
 
     async fn follow(self, _: context::Context, known: Known) -> Update {
-        follow::answer(&self.shared, known).await
+        news::answer(&self.shared, known).await
     }
 }
 
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -6,7 +6,7 @@
     collections::HashMap,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -34,7 +34,8 @@
     ingress::{
         batches::{PieceAsk, PieceResult},
         connections::guard,
-        follow::{Known, Update, catch_up},
+        follow::catch_up,
+        news::{Known, Update},
         peer_service::{IngressPeersClient, PromptAsk, codec},
         shared::IngressShared,
     },
@@ -46,6 +47,8 @@
 const PING: Duration = Duration::from_millis(250);
 /// How long it may take to answer.
 const PING_LIMIT: Duration = Duration::from_millis(350);
+/// An answer that may take so long may be large.
+const LARGE_LIMIT: Duration = Duration::from_millis(1000);
 /// How long a peer may take to choose a target; after that it is chosen here.
 const PLACE_LIMIT: Duration = Duration::from_millis(60);
 /// How long a peer that was silent is passed over; doubled each time.
@@ -61,6 +64,24 @@
     client: IngressPeersClient,
     /// Raised when the peer is found to be silent.
     lost: Arc<Notify>,
+    /// Answers under way that may be large, and hold up others on the same connection.
+    large: Arc<AtomicUsize>,
+}
+
+/// Counts an answer that may be large, until it is dropped.
+struct Large(Arc<AtomicUsize>);
+
+impl Large {
+    fn new(count: Arc<AtomicUsize>) -> Large {
+        count.fetch_add(1, Ordering::AcqRel);
+        Large(count)
+    }
+}
+
+impl Drop for Large {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -245,6 +266,8 @@
         limit: Duration,
     ) -> Result<Update, PeerSilent> {
         let (client, lost) = self.link(shared, address).await?;
+        let large = self.links.lock().get(address).map(|it| it.large.clone());
+        let _large = large.filter(|_| LARGE_LIMIT <= limit).map(Large::new);
         let call = tokio::time::timeout(limit, client.follow(context_for(limit), known));
         tokio::select! {
             it = call => it.map_err(|_| PeerSilent)?.map_err(|_| PeerSilent),
@@ -312,9 +335,11 @@
         let io = transport(codec().new_framed(stream), Cbor::default());
         let client = IngressPeersClient::new(client::Config::default(), io).spawn();
         let lost = Arc::new(Notify::new());
-        let link = Link { client: client.clone(), lost: lost.clone() };
+        let large = Arc::new(AtomicUsize::new(0));
+        let link = Link { client: client.clone(), lost: lost.clone(), large: large.clone() };
         self.links.lock().insert(address.to_owned(), link);
-        tokio::spawn(watch(shared.clone(), address.to_owned(), client.clone(), lost.clone()));
+        let watched = (client.clone(), lost.clone());
+        tokio::spawn(watch(shared.clone(), address.to_owned(), watched, large));
         Ok((client, lost))
     }
 
@@ -327,11 +352,15 @@
 async fn watch(
     shared: Arc<IngressShared>,
     address: String,
-    client: IngressPeersClient,
-    lost: Arc<Notify>,
+    (client, lost): (IngressPeersClient, Arc<Notify>),
+    large: Arc<AtomicUsize>,
 ) {
     loop {
         tokio::time::sleep(PING).await;
+        if large.load(Ordering::Acquire) != 0 {
+            // An answer to a ping would stand behind it; whoever waits for it has a limit.
+            continue;
+        }
         let known = shared.configuration().version;
         let own_address = shared.settings.listen.peers.clone();
         let ping = client.ping(context_for(PING_LIMIT), known, own_address);
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -27,8 +27,8 @@
     ingress::{
         batches::Batches,
         connections::Connections,
-        follow::{News, TargetList},
         frees::Frees,
+        news::{News, TargetList},
         peers::{Peer, Peers},
         pools::Pools,
     },
@@ -71,6 +71,10 @@
     /// Sent whenever there is something new for those who follow this instance.
     pub(crate) has_news: watch::Sender<()>,
     news: Mutex<ChangeLog<News>>,
+    /// The list of targets for peers, with the state of the news and lapses that it was made of.
+    target_list: Mutex<Option<((Revision, usize), Bytes)>>,
+    /// Becomes true once the peers were read from the store, or could not be read.
+    pub(crate) peers_known: watch::Sender<bool>,
     configuration: ArcSwap<Configuration>,
     /// The configuration in force as it was read, for peers.
     configuration_bytes: Mutex<Bytes>,
@@ -96,12 +100,14 @@
             is_leaving: AtomicBool::new(false),
             first_times: Lazy::default(),
             store_lost: Notify::new(),
-            reading: watch::channel(true).0,
+            reading: watch::channel(false).0,
             is_store_silent: AtomicBool::new(false),
             catching_up: tokio::sync::Mutex::default(),
             life: rand::random(),
             has_news: watch::channel(()).0,
             news: Mutex::new(ChangeLog::new(NEWS_KEPT)),
+            target_list: Mutex::default(),
+            peers_known: watch::channel(false).0,
             configuration: ArcSwap::default(),
             configuration_bytes: Mutex::default(),
             directory: Mutex::default(),
@@ -266,12 +272,19 @@
         self.directory.lock().all().cloned().collect()
     }
 
-    /// The list of target instances, for a peer.
-    pub(crate) fn target_list(&self) -> TargetList {
+    /// The list of target instances for peers, as JSON; made anew when something has changed.
+    pub(crate) fn target_list(&self) -> Bytes {
         let directory = self.directory.lock();
-        TargetList {
-            listed: directory.listed().cloned().collect(),
-            lapsed: directory.lapsed().cloned().collect(),
+        let state = (self.news.lock().end(), directory.lapsed().count());
+        let mut made = self.target_list.lock();
+        match &*made {
+            Some((of, list)) if *of == state => list.clone(),
+            _ => {
+                let list = serde_json::to_vec(&TargetList::new(&directory)).unwrap_or_default();
+                let list = Bytes::from(list);
+                *made = Some((state, list.clone()));
+                list
+            }
         }
     }
 
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -23,9 +23,10 @@
 use crate::{
     events::{self, emit},
     ingress::{
-        answer::{Answer, BrokenOff, Failure, failure, passed_on, refusal, streamed},
+        answer::{Answer, BrokenOff, passed_on, streamed},
+        attempts::{Attempts, NoSend, end_send},
         connections::Connection,
-        context::{Attempts, Context, NoSend, end_send},
+        context::Context,
         send::{Sent, send},
         stages::{self, Results},
     },
@@ -100,23 +101,11 @@
             ctx.note_end(parts.status.as_u16(), "target-failed");
             passed_on(&parts, body)
         }
-        Err(NotOpen::NoSend(cause)) => give_up(&ctx, cause, COME_BACK),
-        Err(NotOpen::Overload(it)) => give_up(&ctx, "overload", it.max(COME_BACK)),
+        Err(NotOpen::NoSend(cause)) => ctx.give_up(cause, COME_BACK),
+        Err(NotOpen::Overload(it)) => ctx.give_up("overload", it.max(COME_BACK)),
     }
 }
 
-/// The system's own final answer: a refusal where nothing has run, else a failure.
-fn give_up(ctx: &Context, cause: &'static str, retry_after: Duration) -> Answer {
-    let id = Some(ctx.request.id.as_str());
-    let answer = match ctx.ledger.close() {
-        Ok(proof) => refusal(proof, id, retry_after),
-        Err(_) if ctx.left().is_zero() => failure(Failure::TimeOver, id),
-        Err(_) => failure(Failure::Broken, id),
-    };
-    ctx.note_end(answer.status().as_u16(), cause);
-    answer
-}
-
 /// Makes the stages' results and sends the request until a stream begins.
 async fn open(
     ctx: &Context,
--- a/crates/holdpointd/src/ingress/watch.rs
+++ b/crates/holdpointd/src/ingress/watch.rs
@@ -65,20 +65,29 @@
     let entry = format!("{} {}", own.address, own.life);
     while client.append(INSTANCES_TOPIC, &shared.settings.instance, entry.as_bytes()).await.is_err()
     {
+        // Without the store, its seeds are all that this instance can ask.
+        shared.peers_known.send_replace(true);
         sleep(PAUSE * 4).await;
     }
+    if let Ok((records, _)) = client.newest(INSTANCES_TOPIC).await {
+        take_peers(&shared, &records, true);
+    }
     drop(client);
-    let take = |records: &[KeyedRecord], is_whole: bool| {
-        if is_whole {
-            let is_named = |name: &str| records.iter().any(|it| it.key == name);
-            let known = shared.peers.all().into_iter();
-            known.filter(|it| !is_named(&it.0)).for_each(|it| shared.set_peer(&it.0, None));
-        }
-        records.iter().for_each(|it| shared.set_peer(&it.key, parse_peer(it)));
-    };
+    shared.peers_known.send_replace(true);
+    let take = |records: &[KeyedRecord], is_whole: bool| take_peers(&shared, records, is_whole);
     follow(&shared, INSTANCES_TOPIC, PEERS_WAIT, take).await;
 }
 
+/// Takes in entries of peers; where they are all that there are, the others have left.
+fn take_peers(shared: &IngressShared, records: &[KeyedRecord], is_whole: bool) {
+    if is_whole {
+        let is_named = |name: &str| records.iter().any(|it| it.key == name);
+        let known = shared.peers.all().into_iter();
+        known.filter(|it| !is_named(&it.0)).for_each(|it| shared.set_peer(&it.0, None));
+    }
+    records.iter().for_each(|it| shared.set_peer(&it.key, parse_peer(it)));
+}
+
 /// Reads a peer's entry: its address, and after a blank the life of its process.
 fn parse_peer(record: &KeyedRecord) -> Option<Peer> {
     let entry = std::str::from_utf8(record.value.as_ref()?).ok()?;
--- a/crates/holdpointd/src/ingress/whole.rs
+++ b/crates/holdpointd/src/ingress/whole.rs
@@ -7,8 +7,9 @@
 use http::response::Parts;
 
 use crate::ingress::{
-    answer::{Answer, Failure, failure, passed_on, refusal},
-    context::{Attempts, Context, NoSend, end_send},
+    answer::{Answer, passed_on},
+    attempts::{Attempts, NoSend, end_send},
+    context::Context,
     send::{Sent, send, whole_body},
     stages,
 };
@@ -38,7 +39,7 @@
     } else {
         match tokio::time::timeout(ctx.left(), stages::make_all(ctx, "")).await {
             Ok(Ok(it)) => it.inputs,
-            _ => return give_up(ctx, "stages"),
+            _ => return ctx.give_up("stages", COME_BACK),
         }
     };
     let mut attempts = Attempts::default();
@@ -70,22 +71,10 @@
             ctx.note_end(head.status.as_u16(), "target-failed");
             passed_on(&head, body)
         }
-        None => give_up(ctx, cause.name()),
+        None => ctx.give_up(cause.name(), COME_BACK),
     }
 }
 
-/// The system's own final answer: a refusal where nothing has run, else a failure.
-fn give_up(ctx: &Context, cause: &'static str) -> Answer {
-    let id = Some(ctx.request.id.as_str());
-    let answer = match ctx.ledger.close() {
-        Ok(proof) => refusal(proof, id, COME_BACK),
-        Err(_) if ctx.left().is_zero() => failure(Failure::TimeOver, id),
-        Err(_) => failure(Failure::Broken, id),
-    };
-    ctx.note_end(answer.status().as_u16(), cause);
-    answer
-}
-
 async fn attempt(
     ctx: &Context,
     attempts: &Attempts,
