Policies and trials on the platform: declared in the store, judged on live requests

Cause: the users ask that operators go on declaring policies and trials there, and that these are judged on live traffic; on the platform the ingress had one built-in policy and no trials.

Change: resources of the product's own schema under `policies/NAME` and `trials/NAME` in a keyed topic of our own, followed by the readers and told to the others. A trial divides the requests of a route by their ids; the arm's policy routes them, wherever the prompt is placed. `holdpoint declare` writes and drops them, after checking all; `holdpoint report arms` sums the instances' counters and judges.

Decisions without a trial are unchanged.

Not built: admission and batching as policies; cost in engine time (it is wall time by stage and target).

--- a/crates/holdpoint-core/src/lib.rs
+++ b/crates/holdpoint-core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod deadline;
 pub mod directory;
 pub mod event_split;
+pub mod experiments;
 pub mod fold;
 pub mod ids;
 pub mod ingress;
--- a/crates/holdpoint-core/tests/ingress.rs
+++ b/crates/holdpoint-core/tests/ingress.rs
@@ -8,6 +8,7 @@
     deadline::RecentTime,
     directory::{Change, Directory, TargetInstance},
     event_split::EventSplitter,
+    experiments::Experiments,
     ingress::{CallerLimits, Configuration, Denied, IngressRoute, Repeat, Shape, Tenancy, newer},
     ledger::Ledger,
     prompt::{Part, Prompt},
@@ -278,3 +279,27 @@
     other.leave("i");
     assert_ne!(one.digest(), other.digest());
 }
+
+#[test]
+fn a_request_falls_to_one_arm_of_the_trial_on_its_route() {
+    let mut experiments = Experiments::default();
+    let trial = br#"{ "pipeline": "safe", "arms": [
+        { "name": "one", "policy": "p" }, { "name": "two", "policy": "q", "weight": 3 } ] }"#;
+    experiments.set("trials/t", Some(trial)).unwrap();
+    experiments.set("policies/p", Some(br#"{ "route": "random" }"#)).unwrap();
+    assert_eq!(experiments.arm_for("other", "r-1"), None);
+    let arms: Vec<_> =
+        (0..400).filter_map(|it| experiments.arm_for("safe", &format!("r-{it}"))).collect();
+    assert_eq!(arms.len(), 400);
+    assert_eq!(experiments.arm_for("safe", "r-7").as_ref(), Some(&arms[7]));
+    let ones = arms.iter().filter(|it| it.arm == "one").count();
+    assert!((60..140).contains(&ones), "{ones} of 400 have a weight of one in four");
+    assert!(experiments.policy("p").is_some());
+    assert!(experiments.policy("q").is_none());
+    // What cannot be read changes nothing.
+    assert!(experiments.set("policies/p", Some(br#"{ "route": "sideways" }"#)).is_err());
+    assert!(experiments.set("pools/p", Some(b"{}")).is_err());
+    assert!(experiments.policy("p").is_some());
+    experiments.set("trials/t", None).unwrap();
+    assert_eq!(experiments.arm_for("safe", "r-7"), None);
+}
--- a/crates/holdpoint/src/api.rs
+++ b/crates/holdpoint/src/api.rs
@@ -19,6 +19,7 @@
 use serde_json::Value;
 
 use crate::{
+    experiments,
     failure::Failure,
     output::{Form, print},
 };
@@ -34,7 +35,10 @@
         "watch" => watch(&client, own).await,
         "status" => status(&client, form).await,
         "change" => change(&client, own, form).await,
-        "report" => report(&client, own, form).await,
+        "report" => match own.subcommand() {
+            Some(("arms", it)) => experiments::arms(it, form).await,
+            _ => report(&client, own, form).await,
+        },
         _ => Ok(()),
     }
 }
@@ -99,15 +103,19 @@
     Ok(())
 }
 
-async fn apply(client: &OperatorClient, matches: &ArgMatches) -> Result<(), Failure> {
-    let path: &PathBuf = matches.get_one("file").expect("the argument is required");
+/// Reads a file of resources and names every fault in it.
+pub(crate) fn read_resources(path: &Path) -> Result<ResourceFile, Failure> {
     let value = read_jsonc(path).map_err(|it| file_failure(path, it.current_context()))?;
     let found = faults(Part::ResourceFile, &value);
     if !found.is_empty() {
         return Err(file_failure(path, &settings::FileError::Faults(found)));
     }
-    let file: ResourceFile =
-        serde_json::from_value(value).map_err(|it| Failure::File(it.to_string()))?;
+    serde_json::from_value(value).map_err(|it| Failure::File(it.to_string()))
+}
+
+async fn apply(client: &OperatorClient, matches: &ArgMatches) -> Result<(), Failure> {
+    let path: &PathBuf = matches.get_one("file").expect("the argument is required");
+    let file = read_resources(path)?;
     for resource in file.resources {
         let (kind, name) = (resource.kind.to_string(), resource.name);
         let spec = Value::Object(resource.spec);
--- a/crates/holdpoint/src/cli.rs
+++ b/crates/holdpoint/src/cli.rs
@@ -47,7 +47,44 @@
                 .help("Log of instances in this process: off, error, warn, info, debug"),
         )
         .subcommands([get(), apply(), delete(), watch(), status(), change(), report()])
-        .subcommands([check_settings(), explain(), demo(), soak(), bench(), completion_command()])
+        .subcommands([
+            check_settings(),
+            declare(),
+            explain(),
+            demo(),
+            soak(),
+            bench(),
+            completion_command(),
+        ])
+}
+
+fn store() -> Arg {
+    Arg::new("store")
+        .long("store")
+        .required(true)
+        .value_name("ADDRESS")
+        .help("Address of the platform's store")
+}
+
+fn declare() -> Command {
+    Command::new("declare")
+        .about("Declare policies and trials for the platform's ingress, in the platform's store")
+        .arg(store())
+        .arg(
+            Arg::new("file")
+                .short('f')
+                .long("file")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Resources of the kinds policies and trials"),
+        )
+        .arg(
+            Arg::new("drop")
+                .long("drop")
+                .value_name("KIND/NAME")
+                .conflicts_with("file")
+                .help("Drop this resource instead"),
+        )
 }
 
 fn explain() -> Command {
@@ -162,6 +199,20 @@
         .about("Reports over all instances")
         .subcommand_required(true)
         .subcommand(Command::new("burn").about("Service-level burn by pipeline").arg(plot()))
+        .subcommand(
+            Command::new("arms")
+                .about("Attainment and cost of a trial's arms on the platform's ingress")
+                .arg(Arg::new("name").required(true))
+                .arg(store())
+                .arg(
+                    Arg::new("metrics")
+                        .long("metrics")
+                        .required(true)
+                        .num_args(1..)
+                        .value_name("ADDRESS")
+                        .help("Metrics' addresses of the instances"),
+                ),
+        )
         .subcommand(
             Command::new("trial")
                 .about("Attainment and cost of a trial's arms")
--- /dev/null
+++ b/crates/holdpoint/src/experiments.rs
@@ -0,0 +1,172 @@
+//! Policies and trials on the users' platform: declared in its store, judged from the metrics of all
+//! instances.
+
+use std::{collections::BTreeMap, path::PathBuf, time::Duration};
+
+use clap::ArgMatches;
+use holdpoint_adapter::store::{
+    RESOURCES_TOPIC, append_body, append_path, newest_path, parse_newest,
+};
+use holdpoint_core::{
+    experiments::Experiments,
+    trial::{ArmStats, judge},
+};
+use holdpoint_platform::{Http, operators::ApiError};
+use holdpoint_schema::resources::{ResourceFile, Trial};
+use hyper::Method;
+use serde_json::{Value, json};
+
+use crate::{
+    api::read_resources,
+    failure::Failure,
+    output::{Form, print},
+};
+
+/// How long one call may take.
+const LIMIT: Duration = Duration::from_secs(5);
+/// Counter of a trial's requests, as the metrics show it.
+const REQUESTS: &str = "holdpoint_trial_requests_total";
+/// Counter of what they cost.
+const COST: &str = "holdpoint_trial_cost_ms_total";
+
+/// Writes the policies and trials of a file to the store, or drops one resource.
+pub(crate) async fn declare(matches: &ArgMatches) -> Result<(), Failure> {
+    let store: &String = matches.get_one("store").expect("the argument is required");
+    if let Some(key) = matches.get_one::<String>("drop") {
+        Experiments::default().set(key, None).map_err(|it| Failure::File(it.to_string()))?;
+        append(store, key, &[]).await?;
+        println!("{key}: dropped");
+        return Ok(());
+    }
+    let Some(path) = matches.get_one::<PathBuf>("file") else {
+        return Err(Failure::File("either --file or --drop is needed".to_owned()));
+    };
+    let ResourceFile { resources, .. } = read_resources(path)?;
+    let records: Vec<(String, Vec<u8>)> = resources
+        .into_iter()
+        .map(|it| (format!("{}/{}", it.kind, it.name), json!(it.spec).to_string().into_bytes()))
+        .collect();
+    // All are checked before the first is written.
+    for (key, value) in &records {
+        let checked = Experiments::default().set(key, Some(value));
+        checked.map_err(|it| Failure::File(format!("{key}: {it}")))?;
+    }
+    for (key, value) in &records {
+        append(store, key, value).await?;
+        println!("{key}: declared");
+    }
+    Ok(())
+}
+
+/// Prints what the arms of a trial attained and cost, summed over instances, and the verdict.
+pub(crate) async fn arms(matches: &ArgMatches, form: Form) -> Result<(), Failure> {
+    let name: &String = matches.get_one("name").expect("the argument is required");
+    let store: &String = matches.get_one("store").expect("the argument is required");
+    let trial = read_trial(store, name).await?;
+    let mut arms: BTreeMap<String, ArmStats> =
+        trial.arms.iter().map(|it| (it.name.clone(), ArmStats::default())).collect();
+    for address in matches.get_many::<String>("metrics").into_iter().flatten() {
+        let page = get(address, "/metrics").await?;
+        add_metrics(&mut arms, name, &String::from_utf8_lossy(&page));
+    }
+    let verdict = judge(&trial, &arms);
+    let row = |(arm, it): (&String, &ArmStats)| {
+        let share = it.attainment();
+        vec![
+            arm.clone(),
+            it.requests.to_string(),
+            format!("{:.4} ({:.4} to {:.4})", share.mid, share.low, share.high),
+            format!("{:.1}", it.mean_cost()),
+        ]
+    };
+    let rows = arms.iter().map(row).collect();
+    let report = json!({ "trial": name, "arms": arms, "verdict": verdict });
+    print(form, &report, &["ARM", "REQUESTS", "ATTAINED", "MS A REQUEST"], rows);
+    if form == Form::Table {
+        println!("verdict: {}", report["verdict"]);
+    }
+    Ok(())
+}
+
+async fn read_trial(store: &str, name: &str) -> Result<Trial, Failure> {
+    let mut after: Option<String> = None;
+    loop {
+        let body = get(store, &newest_path(RESOURCES_TOPIC, after.as_deref())).await?;
+        let page = parse_newest(&body).map_err(|it| Failure::File(it.to_string()))?;
+        let wanted = format!("trials/{name}");
+        let found = page.records.iter().find(|it| it.key == wanted).and_then(|it| it.value.clone());
+        if let Some(it) = found {
+            return serde_json::from_slice(&it).map_err(|it| Failure::File(it.to_string()));
+        }
+        after = page.records.last().map(|it| it.key.clone());
+        if !page.has_more || after.is_none() {
+            return Err(Failure::Api(ApiError::Refused(404, Value::Null)));
+        }
+    }
+}
+
+async fn get(address: &str, path: &str) -> Result<Vec<u8>, Failure> {
+    let called = Http::new().call(Method::GET, address, path, &[], Vec::new(), LIMIT).await;
+    let reply = called.map_err(|it| Failure::Api(ApiError::Call(it)))?;
+    if reply.status.is_success() {
+        return Ok(reply.body.to_vec());
+    }
+    Err(Failure::Api(ApiError::Refused(reply.status.as_u16(), Value::Null)))
+}
+
+async fn append(store: &str, key: &str, value: &[u8]) -> Result<(), Failure> {
+    let (path, body) = (append_path(RESOURCES_TOPIC), append_body(key, value));
+    let called = Http::new().call(Method::POST, store, &path, &[], body, LIMIT).await;
+    let reply = called.map_err(|it| Failure::Api(ApiError::Call(it)))?;
+    if reply.status.is_success() {
+        return Ok(());
+    }
+    Err(Failure::Api(ApiError::Refused(reply.status.as_u16(), Value::Null)))
+}
+
+/// Adds the counters of one instance's metrics to the arms of a trial.
+fn add_metrics(arms: &mut BTreeMap<String, ArmStats>, trial: &str, page: &str) {
+    for counter in page.lines().filter_map(Counter::parse) {
+        let Some(arm) = counter.label("arm").filter(|_| counter.label("trial") == Some(trial))
+        else {
+            continue;
+        };
+        let Some(stats) = arms.get_mut(arm) else { continue };
+        match counter.name {
+            REQUESTS => {
+                let is_attained = counter.label("attained") == Some("true");
+                stats.requests += counter.value;
+                stats.attained += if is_attained { counter.value } else { 0 };
+            }
+            COST => {
+                let stage = counter.label("stage").unwrap_or_default().to_owned();
+                *stats.cost.entry(stage).or_default() += counter.value;
+            }
+            _ => (),
+        }
+    }
+}
+
+/// A counter in the Prometheus text form.
+struct Counter<'a> {
+    name: &'a str,
+    labels: Vec<(&'a str, &'a str)>,
+    value: u64,
+}
+
+impl<'a> Counter<'a> {
+    fn parse(line: &'a str) -> Option<Counter<'a>> {
+        let (name, rest) = line.split_once('{')?;
+        let (labels, value) = rest.rsplit_once("} ")?;
+        let label = |it: &'a str| {
+            let (name, value) = it.split_once("=\"")?;
+            Some((name, value.strip_suffix('"')?))
+        };
+        let labels = labels.split(',').filter_map(label).collect();
+        Some(Counter { name, labels, value: value.trim().parse::<f64>().ok()? as u64 })
+    }
+
+    fn label(&self, name: &str) -> Option<&'a str> {
+        self.labels.iter().find(|it| it.0 == name).map(|it| it.1)
+    }
+}
--- a/crates/holdpoint/src/main.rs
+++ b/crates/holdpoint/src/main.rs
@@ -4,6 +4,7 @@
 mod bench;
 mod cli;
 mod demo;
+mod experiments;
 mod explain;
 mod failure;
 mod judge;
@@ -51,6 +52,7 @@
             cli::completion(it);
             Ok(())
         }
+        Some(("declare", it)) => experiments::declare(it).await,
         Some(("explain", it)) => explain::run(it),
         Some(("demo", it)) => demo::run(it).await,
         Some(("soak", it)) => soak::run(it).await,
--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -96,6 +96,10 @@
     READING = 609 Info "store reading changed";
     /// A target's entry lapsed while the store was away.
     TARGET_LAPSED = 610 Info "target entry lapsed";
+    /// An operator declared a policy or a trial, or dropped it.
+    DECLARED = 611 Info "resource declared";
+    /// A resource that an operator declared cannot be read.
+    BAD_RESOURCE = 612 Error "resource cannot be read";
     /// A request was sent to a target.
     SENT = 700 Info "sent to a target";
     /// A send ended without a whole answer.
--- a/crates/holdpointd/src/ingress/attempts.rs
+++ b/crates/holdpointd/src/ingress/attempts.rs
@@ -83,7 +83,8 @@
         }
         loop {
             let call = ctx.call(&self.tried);
-            let choice = ctx.pool.place(ctx.shared.clock.now(), &call);
+            let policy = ctx.policy();
+            let choice = ctx.pool.place(ctx.shared.clock.now(), policy.as_deref(), &call);
             let choice = choice.map_err(|it| match it {
                 NoTarget::Empty | NoTarget::Tried | NoTarget::Full => NoSend::NoTarget,
             })?;
@@ -107,7 +108,9 @@
         let address = ctx.shared.peers.batcher_of(&ctx.service)?;
         let mut avoided = ctx.pool.ejected(ctx.shared.clock.now());
         avoided.extend(self.tried.iter().cloned());
-        let ask = PromptAsk { work: call.work, prefix_work: call.prefix_work, prefix, avoided };
+        let policy = ctx.arm.as_ref().map(|it| it.policy.clone());
+        let (work, prefix_work) = (call.work, call.prefix_work);
+        let ask = PromptAsk { work, prefix_work, prefix, avoided, policy };
         let chosen = ctx.shared.peers.place(&ctx.shared, &address, &ctx.service, ask).await?;
         let target = ctx.shared.staying_target(&chosen)?;
         Some((target, format!("placed_by={address}")))
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -8,11 +8,13 @@
 use holdpoint_adapter::headers::{Added, CallerHead};
 use holdpoint_core::{
     directory::TargetInstance,
+    experiments::ChosenArm,
     ids::{Millis, Name},
     ingress::{IngressRoute, Repeat, Shape, Version},
     ledger::Ledger,
     route::Call,
 };
+use holdpoint_schema::resources::Policy;
 use parking_lot::Mutex;
 
 use crate::{
@@ -49,6 +51,8 @@
     /// When the request gets its final answer at the latest.
     pub(crate) until: Instant,
     pub(crate) ledger: Ledger,
+    /// Arm of the trial that it falls to, if there is one on its route.
+    pub(crate) arm: Option<ChosenArm>,
     end: Mutex<EndLine>,
     _working: Working,
 }
@@ -84,6 +88,7 @@
         let limit = parts.route.time_limit(parts.head.patience);
         let pool = shared.pools.of(&parts.service);
         pool.request(shared.clock.now(), &shared.pools.terms());
+        let arm = shared.experiments.now().arm_for(&parts.route.name, &parts.request.id);
         Context {
             shared,
             request: parts.request,
@@ -97,6 +102,7 @@
             arrived: parts.arrived,
             until: parts.arrived + limit,
             ledger: Ledger::new(),
+            arm,
             end: Mutex::default(),
             _working: parts.working,
         }
@@ -123,6 +129,12 @@
         self.head.patience.is_some_and(|it| it < timeout.mul_f64(FIRST_ASK))
     }
 
+    /// Policy of its trial's arm; none where the built-in one routes it.
+    pub(crate) fn policy(&self) -> Option<Arc<Policy>> {
+        let arm = self.arm.as_ref()?;
+        self.shared.experiments.now().policy(&arm.policy)
+    }
+
     /// How carefully connections are chosen for it.
     pub(crate) fn care(&self) -> Care {
         if self.is_repeatable() { Care::Usual } else { Care::Once }
@@ -214,6 +226,25 @@
         answer
     }
 
+    /// Counts the request for its trial's arm: whether it was answered whole and in time, and what
+    /// it cost in milliseconds, its stages and its target apart.
+    fn count_for_arm(&self, arm: &ChosenArm, end: &EndLine, ms: u64) {
+        let first = if end.first_ms == 0 { ms } else { end.first_ms };
+        let attained = end.cause == "answered" && first <= self.route.target_ms;
+        let of_arm = || {
+            let name = |name, value: &str| label(name, value.to_owned());
+            vec![name("trial", &arm.trial), name("arm", &arm.arm)]
+        };
+        let mut labels = of_arm();
+        labels.push(label("attained", attained.to_string()));
+        self.shared.metrics.trial_requests.add(1, &labels);
+        for (stage, spent) in [("stages", end.stages_ms), ("target", ms - end.stages_ms.min(ms))] {
+            let mut labels = of_arm();
+            labels.push(label("stage", stage));
+            self.shared.metrics.trial_cost.add(spent, &labels);
+        }
+    }
+
     /// Notes a send to a target.
     pub(crate) fn note_send(&self, target: &str) {
         let mut end = self.end.lock();
@@ -243,6 +274,9 @@
             self.route.target_ms,
         );
         emit(events::REQUEST_ENDED, &self.shared.settings.instance, &detail);
+        if let Some(it) = &self.arm {
+            self.count_for_arm(it, &end, ms);
+        }
         let labels = [label("route", self.route.name.as_str()), label("outcome", cause)];
         self.shared.metrics.requests.add(1, &labels);
         let first = if end.first_ms == 0 { ms } else { end.first_ms };
--- a/crates/holdpointd/src/ingress/follow.rs
+++ b/crates/holdpointd/src/ingress/follow.rs
@@ -10,6 +10,7 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use futures::future::BoxFuture;
 use holdpoint_core::{
     ids::{Millis, Name},
@@ -114,7 +115,8 @@
     match update.content {
         None => (),
         Some(Content::News(news)) => take_news(shared, news),
-        Some(Content::All { targets, peers }) => {
+        Some(Content::All { targets, peers, resources }) => {
+            take_resources(shared, resources, is_fresh);
             take_peers(shared, peers, is_fresh);
             let list = targets.and_then(|it| serde_json::from_slice(&it).ok());
             list.into_iter().for_each(|it| take_targets(shared, it, is_fresh));
@@ -164,6 +166,7 @@
             News::Target(it) => targets.push(Ok(it)),
             News::TargetGone(it) => targets.push(Err(it)),
             News::Peer(name, peer) => shared.set_peer(&name, peer),
+            News::Resource(key, value) => shared.set_resource(&key, value),
         }
     }
     shared.change_directory(|directory| {
@@ -194,6 +197,16 @@
     peers.into_iter().for_each(|(name, peer)| shared.set_peer(&name, Some(peer)));
 }
 
+/// Takes in all resources that another one knows, as with peers.
+fn take_resources(shared: &IngressShared, resources: Vec<(String, Bytes)>, is_fresh: bool) {
+    if is_fresh {
+        let is_named = |key: &str| resources.iter().any(|it| it.0 == key);
+        let known = shared.experiments.all().into_iter();
+        known.filter(|it| !is_named(&it.0)).for_each(|it| shared.set_resource(&it.0, None));
+    }
+    resources.into_iter().for_each(|(key, value)| shared.set_resource(&key, Some(value)));
+}
+
 /// Takes in all targets that another instance knows; what it read too long ago is better than
 /// nothing only.
 fn take_targets(shared: &IngressShared, list: TargetList, is_fresh: bool) {
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -10,6 +10,7 @@
 mod batches;
 mod connections;
 mod context;
+mod declared;
 mod follow;
 mod frees;
 mod front;
@@ -69,6 +70,7 @@
         let shared = Arc::new(IngressShared::new(settings));
         tokio::spawn(watch::follow_configuration(shared.clone()));
         tokio::spawn(watch::follow_targets(shared.clone()));
+        tokio::spawn(watch::follow_resources(shared.clone()));
         tokio::spawn(watch::follow_peers(shared.clone()));
         tokio::spawn(follow::run(shared.clone()));
         tokio::spawn(peer_service::serve(shared.clone(), peers));
--- a/crates/holdpointd/src/ingress/news.rs
+++ b/crates/holdpointd/src/ingress/news.rs
@@ -31,6 +31,8 @@
     TargetGone(TargetId),
     /// A peer joined or started anew, or has left.
     Peer(Name, Option<Peer>),
+    /// An operator declared a resource, or dropped it.
+    Resource(String, Option<Bytes>),
 }
 
 /// How far an asker has followed another instance.
@@ -97,6 +99,9 @@
         targets: Option<Bytes>,
         /// Peers.
         peers: Vec<(Name, Peer)>,
+        /// Resources that operators declared, by key.
+        #[serde(default)]
+        resources: Vec<(String, Bytes)>,
     },
 }
 
@@ -175,7 +180,8 @@
             let is_wanted = is_fresh || place.digest == Directory::default().digest();
             let is_other = is_wanted && shared.digest() != place.digest;
             let targets = is_other.then(|| shared.target_list());
-            Content::All { targets, peers: shared.instances() }
+            let resources = shared.experiments.all();
+            Content::All { targets, peers: shared.instances(), resources }
         }
     });
     let version = shared.configuration().version;
--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -37,6 +37,9 @@
     pub(crate) prefix: u64,
     /// Targets that the instance does not want.
     pub(crate) avoided: Vec<TargetId>,
+    /// Name of the policy of a trial's arm, if the request falls to one.
+    #[serde(default)]
+    pub(crate) policy: Option<Name>,
 }
 
 /// What ingress instances ask of each other.
@@ -100,7 +103,9 @@
             tried: &prompt.avoided,
             cap: u32::MAX,
         };
-        let placed = self.shared.pools.of(&service).place(self.shared.clock.now(), &call);
+        let policy = prompt.policy.and_then(|it| self.shared.experiments.now().policy(&it));
+        let pool = self.shared.pools.of(&service);
+        let placed = pool.place(self.shared.clock.now(), policy.as_deref(), &call);
         placed.ok().map(|it| it.address)
     }
 
--- a/crates/holdpointd/src/ingress/pools.rs
+++ b/crates/holdpointd/src/ingress/pools.rs
@@ -138,9 +138,16 @@
     }
 
     /// Chooses a target for a prompt of any instance and counts the prompt as placed there.
-    pub(crate) fn place(&self, now: Millis, call: &Call<'_>) -> Result<Choice, NoTarget> {
+    /// `policy` is that of a trial's arm, if the request falls to one.
+    pub(crate) fn place(
+        &self,
+        now: Millis,
+        policy: Option<&Policy>,
+        call: &Call<'_>,
+    ) -> Result<Choice, NoTarget> {
         let mut router = self.router.lock();
-        let choice = router.choose(now, &self.policy, call, &mut rand::rng())?;
+        let policy = policy.unwrap_or(&self.policy);
+        let choice = router.choose(now, policy, call, &mut rand::rng())?;
         router.placed(now, &choice.address, call);
         Ok(choice)
     }
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -27,6 +27,7 @@
     ingress::{
         batches::Batches,
         connections::Connections,
+        declared::Declared,
         frees::Frees,
         news::{News, TargetList},
         peers::{Peer, Peers},
@@ -51,6 +52,8 @@
     pub(crate) batches: Batches,
     pub(crate) frees: Frees,
     pub(crate) peers: Peers,
+    /// Policies and trials that operators declared.
+    pub(crate) experiments: Declared,
     pub(crate) in_flight: Arc<InFlight>,
     /// Becomes true when callers' connections are to be closed.
     pub(crate) closing: watch::Sender<bool>,
@@ -95,6 +98,7 @@
             batches: Batches::default(),
             frees: Frees::default(),
             peers: Peers::new(&settings),
+            experiments: Declared::default(),
             in_flight: Arc::default(),
             closing: watch::channel(false).0,
             is_leaving: AtomicBool::new(false),
@@ -218,6 +222,22 @@
         self.tell(std::iter::once(News::Peer(name.to_owned(), peer)));
     }
 
+    /// Takes in a resource that an operator declared, or that it was dropped.
+    pub(crate) fn set_resource(&self, key: &str, value: Option<Bytes>) {
+        match self.experiments.set(key, value.clone()) {
+            Ok(false) => (),
+            Ok(true) => {
+                let detail = format!("key={key} is_dropped={}", value.is_none());
+                emit(events::DECLARED, &self.settings.instance, &detail);
+                self.tell(std::iter::once(News::Resource(key.to_owned(), value)));
+            }
+            Err(it) => {
+                let detail = format!("key={key} cause=\"{it}\"");
+                emit(events::BAD_RESOURCE, &self.settings.instance, &detail);
+            }
+        }
+    }
+
     /// All instances, for a peer: the peers that are known, and this one unless it is leaving.
     pub(crate) fn instances(&self) -> Vec<(Name, Peer)> {
         let mut instances = self.peers.all();
--- a/crates/holdpointd/src/ingress/watch.rs
+++ b/crates/holdpointd/src/ingress/watch.rs
@@ -8,7 +8,10 @@
 
 use holdpoint_adapter::{
     instances,
-    store::{CONFIGURATION_KEY, INSTANCES_TOPIC, KeyedRecord, OPERATORS_TOPIC, TARGETS_TOPIC},
+    store::{
+        CONFIGURATION_KEY, INSTANCES_TOPIC, KeyedRecord, OPERATORS_TOPIC, RESOURCES_TOPIC,
+        TARGETS_TOPIC,
+    },
 };
 use holdpoint_core::{
     directory::{Change, Directory, TargetId},
@@ -95,6 +98,19 @@
     Some(Peer { address: address.to_owned(), life: life.to_owned() })
 }
 
+/// Keeps the policies and trials that operators declare up to date.
+pub(crate) async fn follow_resources(shared: Arc<IngressShared>) {
+    let take = |records: &[KeyedRecord], is_whole: bool| {
+        if is_whole {
+            let is_named = |key: &str| records.iter().any(|it| it.key == key);
+            let known = shared.experiments.all().into_iter();
+            known.filter(|it| !is_named(&it.0)).for_each(|it| shared.set_resource(&it.0, None));
+        }
+        records.iter().for_each(|it| shared.set_resource(&it.key, it.value.clone()));
+    };
+    follow(&shared, RESOURCES_TOPIC, PEERS_WAIT, take).await;
+}
+
 /// Drops this instance's own entry.
 pub(crate) async fn leave_peers(shared: &IngressShared) {
     let mut client = client(shared);
--- a/crates/holdpointd/src/metrics.rs
+++ b/crates/holdpointd/src/metrics.rs
@@ -26,6 +26,10 @@
     pub batches: Counter<u64>,
     /// Prompts by where their target was chosen.
     pub placements: Counter<u64>,
+    /// Requests that fell to an arm of a trial, by whether they attained their aim.
+    pub trial_requests: Counter<u64>,
+    /// Milliseconds that those requests cost, by stage.
+    pub trial_cost: Counter<u64>,
     /// Pieces in those calls, by end.
     pub pieces: Counter<u64>,
     /// Repeated chunks dropped.
@@ -67,6 +71,8 @@
             attempts: counter("holdpoint_attempts", "Attempts by pool and end"),
             batches: counter("holdpoint_batches", "Calls for results of stages by end"),
             placements: counter("holdpoint_placements", "Prompts by where they were placed"),
+            trial_requests: counter("holdpoint_trial_requests", "Requests by trial and arm"),
+            trial_cost: counter("holdpoint_trial_cost_ms", "Milliseconds by trial, arm and stage"),
             pieces: counter("holdpoint_pieces", "Pieces in calls for results of stages by end"),
             dropped_chunks: counter("holdpoint_dropped_chunks", "Repeated chunks dropped"),
             crossed: counter("holdpoint_crossed", "Answers of other attempts dropped"),
