The instance that batches a service is one of the strongest

Cause: on cuenca grown 6 instances have half a core and 200 Mbit/s, 55 have 0.12 of a core and 10 Mbit/s. One of the small ones batched city-notify: its calls took 137 to 181 ms longer than stated in the burst, alike at all targets, which stand idle for that time. Change: each instance states processor share and link of its own machine in its entry; shared work goes to those that come within half of the best (core capacity). Nothing changes where all are alike.

--- a/crates/holdpoint-core/src/lib.rs
+++ b/crates/holdpoint-core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod batcher;
 pub mod budget;
 pub mod burn;
+pub mod capacity;
 pub mod catalog;
 pub mod change_log;
 pub mod claims;
--- a/crates/holdpoint-core/tests/ingress.rs
+++ b/crates/holdpoint-core/tests/ingress.rs
@@ -4,6 +4,7 @@
 
 use holdpoint_core::{
     budget::{SharedBudget, Terms},
+    capacity::{Capacity, strong},
     change_log::ChangeLog,
     deadline::RecentTime,
     directory::{Change, Directory, TargetInstance},
@@ -303,3 +304,16 @@
     experiments.set("trials/t", None).unwrap();
     assert_eq!(experiments.arm_for("safe", "r-7"), None);
 }
+
+#[test]
+fn shared_work_goes_to_those_near_the_strongest() {
+    let of = |millicores, link_mbps| Capacity { millicores, link_mbps };
+    let members = [("a", of(120, 10)), ("b", of(500, 200)), ("c", of(120, 200)), ("d", of(400, 150))];
+    assert_eq!(strong(&members), ["b", "d"]);
+    // The best processor and the best link are at different instances.
+    assert_eq!(strong(&[("a", of(500, 10)), ("b", of(100, 200)), ("c", of(20, 10))]), ["b"]);
+    // One that states nothing is passed over; where nobody does, all are alike.
+    assert_eq!(strong(&[("a", of(0, 0)), ("b", of(250, 1000))]), ["b"]);
+    assert_eq!(strong(&[("a", of(0, 0)), ("b", of(0, 0))]), ["a", "b"]);
+    assert!(strong(&[]).is_empty());
+}
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -12,6 +12,7 @@
 };
 
 use holdpoint_core::{
+    capacity::{Capacity, strong},
     directory::TargetId,
     ids::Name,
     readers::{order_for, readers},
@@ -97,11 +98,15 @@
     pub(crate) address: String,
     /// Identifies one life of its process.
     pub(crate) life: String,
+    /// What it may use of its machine.
+    #[serde(default)]
+    pub(crate) capacity: Capacity,
 }
 
 /// The peers of an instance.
 pub(crate) struct Peers {
     own_name: Name,
+    own_capacity: Capacity,
     batching: Batching,
     seeds: Vec<String>,
     known: Mutex<HashMap<Name, Peer>>,
@@ -119,6 +124,7 @@
         let is_other = |it: &&String| **it != settings.listen.peers;
         Peers {
             own_name: settings.instance.clone(),
+            own_capacity: own_capacity(settings),
             batching: settings.decisions.batching,
             seeds: settings.seeds.iter().filter(is_other).cloned().collect(),
             known: Mutex::default(),
@@ -199,7 +205,9 @@
             return None;
         }
         let known = self.known.lock();
-        let chosen = owner(service, self.live(&known))?;
+        let capacity = |name: &str| known.get(name).map_or(self.own_capacity, |it| it.capacity);
+        let live: Vec<_> = self.live(&known).map(|it| (it, capacity(it))).collect();
+        let chosen = owner(service, strong(&live).into_iter())?;
         known.get(chosen).map(|it| it.address.clone())
     }
 
@@ -402,6 +410,15 @@
     shared.batches.make(shared, service, asks).await
 }
 
+/// What this instance may use of its machine, as its settings state it.
+pub(crate) fn own_capacity(settings: &IngressSettings) -> Capacity {
+    let machine = &settings.machine;
+    Capacity {
+        millicores: (1000.0 * machine.cpu_share * machine.cpu_cores) as u32,
+        link_mbps: machine.link_mbps as u32,
+    }
+}
+
 fn context_for(limit: Duration) -> context::Context {
     let mut context = context::current();
     context.deadline = Instant::now() + limit;
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -30,7 +30,7 @@
         declared::Declared,
         frees::Frees,
         news::{News, TargetList},
-        peers::{Peer, Peers},
+        peers::{Peer, Peers, own_capacity},
         pools::Pools,
     },
     metrics::Metrics,
@@ -249,7 +249,11 @@
 
     /// This instance as a peer of others.
     pub(crate) fn own_peer(&self) -> Peer {
-        Peer { address: self.settings.listen.peers.clone(), life: format!("{:x}", self.life) }
+        Peer {
+            address: self.settings.listen.peers.clone(),
+            life: format!("{:x}", self.life),
+            capacity: own_capacity(&self.settings),
+        }
     }
 
     /// Hash of all target instances that are known.
--- a/crates/holdpointd/src/ingress/watch.rs
+++ b/crates/holdpointd/src/ingress/watch.rs
@@ -14,6 +14,7 @@
     },
 };
 use holdpoint_core::{
+    capacity::Capacity,
     directory::{Change, Directory, TargetId},
     ids::Millis,
 };
@@ -65,7 +66,7 @@
 pub(crate) async fn follow_peers(shared: Arc<IngressShared>) {
     let mut client = client(&shared);
     let own = shared.own_peer();
-    let entry = format!("{} {}", own.address, own.life);
+    let entry = peer_entry(&own);
     while client.append(INSTANCES_TOPIC, &shared.settings.instance, entry.as_bytes()).await.is_err()
     {
         // Without the store, its seeds are all that this instance can ask.
@@ -91,11 +92,23 @@
     records.iter().for_each(|it| shared.set_peer(&it.key, parse_peer(it)));
 }
 
-/// Reads a peer's entry: its address, and after a blank the life of its process.
+/// An instance's entry: its address, the life of its process, its processor in thousandths of a
+/// core and its link in Mbit/s, with blanks between.
+fn peer_entry(peer: &Peer) -> String {
+    let Capacity { millicores, link_mbps } = peer.capacity;
+    format!("{} {} {millicores} {link_mbps}", peer.address, peer.life)
+}
+
+/// Reads a peer's entry. One of an earlier version ends after the life of the process.
 fn parse_peer(record: &KeyedRecord) -> Option<Peer> {
     let entry = std::str::from_utf8(record.value.as_ref()?).ok()?;
-    let (address, life) = entry.split_once(' ').unwrap_or((entry, ""));
-    Some(Peer { address: address.to_owned(), life: life.to_owned() })
+    let mut fields = entry.split(' ');
+    let address = fields.next()?.to_owned();
+    let life = fields.next().unwrap_or_default().to_owned();
+    // What is not stated counts as nothing, so that those who state more are preferred.
+    let mut figure = || fields.next().and_then(|it| it.parse().ok()).unwrap_or(0);
+    let capacity = Capacity { millicores: figure(), link_mbps: figure() };
+    Some(Peer { address, life, capacity })
 }
 
 /// Keeps the policies and trials that operators declare up to date.
