Results of the last stages are given up once the engine has fetched them

Cause: on cuenca the first stage had all of its 18 MB taken and made 5 to 6 of 8 pieces a call while others waited 0.5 to 1.8 s. A result of the last stage kept its room until the first event, 150 to 400 ms after the engine had fetched it. Change: 80 ms after the send the results are given up, unless calls waited at that engine when it last told its load. One that asks for them later declines, and they are made anew, as before. The test the_last_results_are_given_up_while_the_prompt_is_read waited in vain before.

--- a/crates/holdpoint-core/src/route.rs
+++ b/crates/holdpoint-core/src/route.rs
@@ -128,6 +128,8 @@
     at: Millis,
     /// Calls of other instances that ran or waited there.
     others: f64,
+    /// Whether calls waited there.
+    has_queue: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -338,11 +340,18 @@
         let is_queued = Signal::Clear < Signal::of_load(load.running, load.waiting);
         target.slots = if is_queued { running } else { target.slots.max(running + 1.0) };
         let all = running + f64::from(load.waiting);
-        target.report = Some(Report { at, others: (all - f64::from(target.in_flight)).max(0.0) });
+        let others = (all - f64::from(target.in_flight)).max(0.0);
+        target.report = Some(Report { at, others, has_queue: load.waiting != 0 });
         let reported = self.targets.iter().filter_map(|it| it.report.as_ref());
         self.mean_others = mean(reported.map(|it| it.others)).unwrap_or(0.0);
     }
 
+    /// Whether calls waited at a target when it last reported.
+    pub fn has_queue(&self, address: &str) -> bool {
+        let target = self.targets.iter().find(|it| it.address == address);
+        target.and_then(|it| it.report.as_ref()).is_some_and(|it| it.has_queue)
+    }
+
     fn target(&mut self, address: &str) -> Option<&mut Target> {
         self.targets.iter_mut().find(|it| it.address == address)
     }
--- a/crates/holdpoint-core/tests/ingress.rs
+++ b/crates/holdpoint-core/tests/ingress.rs
@@ -308,7 +308,8 @@
 #[test]
 fn shared_work_goes_to_those_near_the_strongest() {
     let of = |millicores, link_mbps| Capacity { millicores, link_mbps };
-    let members = [("a", of(120, 10)), ("b", of(500, 200)), ("c", of(120, 200)), ("d", of(400, 150))];
+    let members =
+        [("a", of(120, 10)), ("b", of(500, 200)), ("c", of(120, 200)), ("d", of(400, 150))];
     assert_eq!(strong(&members), ["b", "d"]);
     // The best processor and the best link are at different instances.
     assert_eq!(strong(&[("a", of(500, 10)), ("b", of(100, 200)), ("c", of(20, 10))]), ["b"]);
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -26,14 +26,13 @@
     ingress::{
         send::{left, own_call},
         shared::IngressShared,
+        stages::FETCHED,
     },
     metrics::label,
 };
 
 /// How often a piece goes back to the queue for want of room.
 const RETURNS: u32 = 20;
-/// Time after which a call's target has fetched the inputs of its pieces.
-const FETCHED: Duration = Duration::from_millis(80);
 /// Shortest time that a call to a target is given, in milliseconds.
 const LEAST_CALL_MS: Millis = 400;
 
--- a/crates/holdpointd/src/ingress/pools.rs
+++ b/crates/holdpointd/src/ingress/pools.rs
@@ -174,6 +174,11 @@
         }
     }
 
+    /// Whether calls waited at a target when it last told its load.
+    pub(crate) fn has_queue(&self, target: &str) -> bool {
+        self.router.lock().has_queue(target)
+    }
+
     /// Takes in how long a stage took.
     pub(crate) fn stage_took(&self, now: Millis, ms: Millis) {
         self.stage_time.lock().record(now, ms);
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -34,6 +34,9 @@
 const ROOM_PAUSE: Duration = Duration::from_millis(120);
 /// Pause before a piece is asked for at another instance, which may not know of it yet.
 const MOVE_PAUSE: Duration = Duration::from_millis(15);
+/// Time after which a target that has begun with its inputs has fetched them: links carry the
+/// largest in a few milliseconds, the rest is the way there and the target's turn.
+pub(crate) const FETCHED: Duration = Duration::from_millis(80);
 /// How often the inputs of a stage are made anew.
 const INPUT_REMAKES: u32 = 2;
 /// Part of the streams, in a hundred, that the stages leave time enough for.
@@ -82,7 +85,16 @@
     /// Handles for the request's own service.
     pub(crate) inputs: Vec<String>,
     /// Keeps them until they are no longer needed.
-    _held: Held,
+    held: Held,
+}
+
+impl Results {
+    /// Gives the results up. A target that asks for them later declines, and they are made anew.
+    pub(crate) fn release(&mut self) {
+        let handles = std::mem::take(&mut self.inputs);
+        self.held.give_up(&handles);
+        self.inputs = handles;
+    }
 }
 
 type StageOutcome = (usize, Result<Vec<String>, NoResult>);
@@ -92,14 +104,14 @@
     let graph = StageGraph::new(&ctx.route.stages, &ctx.head.pieces);
     let mut held = Held::new(&ctx.shared);
     if graph.is_empty() {
-        return Ok(Results { inputs: Vec::new(), _held: held });
+        return Ok(Results { inputs: Vec::new(), held });
     }
     let begun = Instant::now();
     let made = make_graph(ctx, &graph, domain, &mut held).await;
     ctx.note_stages(begun);
     let results = made?;
     let inputs = graph.last().filter_map(|it| results[it].clone()).flatten().collect();
-    Ok(Results { inputs, _held: held })
+    Ok(Results { inputs, held })
 }
 
 async fn make_graph(
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -28,7 +28,7 @@
         connections::Connection,
         context::Context,
         send::{Sent, send},
-        stages::{self, Results},
+        stages::{self, FETCHED, Results},
     },
 };
 
@@ -120,7 +120,7 @@
             Ok(it) => it,
             Err(it) => break it,
         };
-        match attempt(ctx, attempts, &target, last_event, &results.inputs).await {
+        match attempt(ctx, attempts, &target, last_event, &mut results).await {
             Ended::Open(it) => return Ok(it),
             Ended::Failed(parts, body) => {
                 last_failure = Some((parts, body));
@@ -163,11 +163,11 @@
     attempts: &Attempts,
     target: &TargetInstance,
     last_event: Option<&str>,
-    inputs: &[String],
+    results: &mut Results,
 ) -> Ended {
     let Some(begun) = ctx.ledger.begin() else { return Ended::Broken };
     let limit = first_patience(ctx, attempts);
-    let sent = tokio::time::timeout(limit, send_stream(ctx, target, last_event, inputs)).await;
+    let sent = tokio::time::timeout(limit, send_inputs(ctx, target, last_event, results)).await;
     let ended = sent.unwrap_or(Ended::Silent);
     match &ended {
         Ended::Open(it) => ctx.first_event_took(it.first_ms),
@@ -190,6 +190,29 @@
     ended
 }
 
+/// Sends the request, and gives its inputs up once the target has fetched them, which it does before
+/// it reads the prompt. Their makers have room again while the prompt is read.
+async fn send_inputs(
+    ctx: &Context,
+    target: &TargetInstance,
+    last_event: Option<&str>,
+    results: &mut Results,
+) -> Ended {
+    let inputs = results.inputs.clone();
+    let sending = send_stream(ctx, target, last_event, &inputs);
+    tokio::pin!(sending);
+    if inputs.is_empty() || ctx.pool.has_queue(&target.id) {
+        return sending.await;
+    }
+    tokio::select! {
+        it = &mut sending => it,
+        () = tokio::time::sleep(FETCHED) => {
+            results.release();
+            sending.await
+        }
+    }
+}
+
 /// Sends the request and waits for the first whole event.
 async fn send_stream(
     ctx: &Context,
--- a/crates/holdpointd/tests/ingress.rs
+++ b/crates/holdpointd/tests/ingress.rs
@@ -6,6 +6,7 @@
 
 use holdpoint_adapter_standin::{
     Behaviour, CallerRequest, Gate, Outage, Store, Target, call, names, sample_configuration,
+    set_times,
 };
 use holdpointd::ingress::Ingress;
 use http::{Method, StatusCode};
@@ -205,6 +206,23 @@
     until(|| 5 <= system.encoder.freed().len()).await;
 }
 
+#[tokio::test]
+async fn the_last_results_are_given_up_while_the_prompt_is_read() {
+    let system = start(&[], &[Behaviour::RunAndHang]).await;
+    let mut configuration = sample_configuration(2);
+    set_times(&mut configuration, 6, 60_000);
+    system.store.put_configuration(&configuration);
+    until(|| system.instance.version() == 2).await;
+    let request = CallerRequest::new("r-1", "/staged/")
+        .with_pieces("1,2")
+        .with_header(names::DEADLINE, "60000");
+    let running = tokio::spawn(call(system.callers(), request));
+    until(|| system.engine_runs() == 1).await;
+    until(|| system.encoder.freed().len() == 3).await;
+    assert!(!running.is_finished());
+    running.abort();
+}
+
 /// Seen on pcfo scale-1: a stream broke off, and its stages, asked for anew, were refused as too
 /// late for an answer that had long begun.
 #[tokio::test]
