Inputs stay until a target has fetched them; what was given up is made anew with what needs it

Three faults: while two instances batch one service their calls stand in the targets' queues, and inputs were given up 80 ms after the send; where a group was divided over calls, the timer of the first call counted for the last; a stage whose inputs were gone was asked for with inputs known to be given up. Change: a target that tells calls of others in its load, or lacks inputs, counts as shared for 2 s, and its calls keep their inputs to the end; each call counts its own pieces as fetched; all stages whose results are no longer held are made anew at once.

--- a/crates/holdpoint-core/src/batcher.rs
+++ b/crates/holdpoint-core/src/batcher.rs
@@ -34,6 +34,9 @@
 /// How long a target counts as full that had no room although the account said so, in
 /// milliseconds.
 const UNKNOWN_ROOM_MS: Millis = 300;
+/// How long a target counts as called by other instances too, after a sign of it, in milliseconds:
+/// views of who batches a service differ for about as long as a silent peer is passed over.
+const SHARED_MS: Millis = 2000;
 /// Part of what the targets' next calls take, above which a service is behind: calls wait to be
 /// worth their time, and slow targets are used too.
 const BEHIND: f64 = 0.33;
@@ -89,6 +92,8 @@
     pub left: usize,
     /// Room taken at the target, these pieces included, in bytes.
     pub used_bytes: u64,
+    /// Whether other instances were seen to call the target of late, so that the call may wait there.
+    pub is_shared: bool,
 }
 
 /// How a call ended.
@@ -132,6 +137,8 @@
     used_bytes: u64,
     /// When its last call ended.
     idle_since: Millis,
+    /// Until when it counts as called by other instances too.
+    shared_until: Millis,
 }
 
 #[derive(Clone, Debug)]
@@ -276,7 +283,8 @@
         chosen.calls += 1;
         chosen.used_bytes += pieces.iter().map(|it| it.bytes).sum::<u64>();
         let used_bytes = chosen.used_bytes;
-        Some(Call { target, pieces, left: self.waiting.len(), used_bytes })
+        let is_shared = now < chosen.shared_until;
+        Some(Call { target, pieces, left: self.waiting.len(), used_bytes, is_shared })
     }
 
     /// Ends a call. `results` has the handle of each piece's result, in their order; those of a
@@ -313,6 +321,22 @@
         }
     }
 
+    /// Takes in the calls that a target worked on or had in its queue as it answered a call of this
+    /// instance, that one left out.
+    pub fn told_load(&mut self, now: Millis, target: &str, calls: u32) {
+        let own = self.targets.get(target).map_or(0, |it| it.calls.saturating_sub(1));
+        if own < calls {
+            self.share(now, target);
+        }
+    }
+
+    /// Takes in that another instance calls a target too.
+    pub fn share(&mut self, now: Millis, target: &str) {
+        if let Some(it) = self.targets.get_mut(target) {
+            it.shared_until = now + SHARED_MS;
+        }
+    }
+
     /// Takes in that a target had no room for a piece, although it should have had.
     pub fn no_room(&mut self, now: Millis, target: &str) {
         let Some(found) = self.targets.get_mut(target) else { return };
--- a/crates/holdpoint-core/src/stage_graph.rs
+++ b/crates/holdpoint-core/src/stage_graph.rs
@@ -89,6 +89,19 @@
         (0..self.len()).filter(|it| self.pieces[*it] != 0 && !self.is_needed(*it))
     }
 
+    /// Stages to make anew where the inputs of a stage are gone: those that it needs, and before them
+    /// those whose results are no longer held, since they were given up once they had been used.
+    pub fn lost_before(&self, stage: usize, is_held: impl Fn(usize) -> bool) -> Vec<usize> {
+        let mut lost: Vec<usize> = self.needs(stage).collect();
+        let mut next = 0;
+        while next < lost.len() {
+            let before: Vec<usize> = self.needs(lost[next]).filter(|it| !is_held(*it)).collect();
+            lost.extend(before.into_iter().filter(|it| !lost.contains(it)).collect::<Vec<_>>());
+            next += 1;
+        }
+        lost
+    }
+
     /// Stages that need a stage's results.
     pub fn after(&self, stage: usize) -> impl Iterator<Item = usize> {
         (0..self.len()).filter(move |it| self.pieces[*it] != 0 && self.after[*it].contains(&stage))
--- a/crates/holdpoint-core/tests/batcher.rs
+++ b/crates/holdpoint-core/tests/batcher.rs
@@ -2,7 +2,11 @@
 
 use std::collections::{HashMap, HashSet};
 
-use holdpoint_core::batcher::{Batcher, Call, CallEnd, Sizes, Waiting};
+use holdpoint_core::{
+    batcher::{Batcher, Call, CallEnd, Sizes, Waiting},
+    ingress::StageStep,
+    stage_graph::StageGraph,
+};
 use proptest::prelude::*;
 
 const SIZES: Sizes = Sizes {
@@ -282,3 +286,31 @@
     assert_eq!(batcher.next(1400), None);
     assert!(batcher.next(1600).is_some());
 }
+
+/// Seen on cuenca trouble-3: two instances batched one service for a while. The calls of one stood in
+/// the targets' queues behind the other's, and their inputs were given up before they were fetched.
+#[test]
+fn a_target_that_another_instance_calls_too_is_told_apart() {
+    let mut batcher = batcher(&[("t-0", "a")]);
+    let mut call_at = |now: u64, told: u32| {
+        batcher.offer(now, piece(now, now, now + 900));
+        let call = batcher.next(now).unwrap();
+        batcher.told_load(now + 220, "t-0", told);
+        batcher.ended(now + 220, &call, CallEnd::Answered(220), &[None]);
+        call.is_shared
+    };
+    assert!(!call_at(1000, 0));
+    assert!(!call_at(1300, 1), "only what the answer before said is known");
+    assert!(call_at(1600, 0));
+    assert!(!call_at(4000, 0), "two seconds without a sign");
+}
+
+#[test]
+fn what_was_given_up_is_made_anew_with_the_stage_that_needs_it() {
+    let after =
+        |stages: &[usize]| StageStep { service: String::new(), after: stages.to_vec(), bytes: 0 };
+    let graph = StageGraph::new(&[after(&[]), after(&[0]), after(&[1])], &[1, 1, 1]);
+    assert_eq!(graph.lost_before(2, |_| true), [1]);
+    assert_eq!(graph.lost_before(2, |it| it != 0), [1, 0]);
+    assert_eq!(graph.lost_before(1, |_| false), [0]);
+}
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -15,6 +15,7 @@
     directory::{Directory, TargetId},
     ids::{Millis, Name},
     ingress::Service,
+    route::Load,
     stage_graph::{NoResult, PieceWork},
 };
 use parking_lot::Mutex;
@@ -79,8 +80,8 @@
 /// Inputs of pieces that were asked for together.
 #[derive(Debug)]
 struct GroupInputs {
-    /// Pieces that were not sent to a target yet.
-    unsent: AtomicUsize,
+    /// Pieces whose target has not fetched its inputs yet.
+    unfetched: AtomicUsize,
     used_up: Mutex<Vec<(Name, String)>>,
 }
 
@@ -88,14 +89,14 @@
     fn new(asks: &mut [PieceAsk]) -> GroupInputs {
         let used_up = asks.first_mut().map(|it| std::mem::take(&mut it.used_up));
         GroupInputs {
-            unsent: AtomicUsize::new(asks.len()),
+            unfetched: AtomicUsize::new(asks.len()),
             used_up: Mutex::new(used_up.unwrap_or_default()),
         }
     }
 
-    /// Gives up the inputs if every piece has them.
-    fn give_up(&self, shared: &IngressShared) {
-        if self.unsent.load(Ordering::Acquire) != 0 {
+    /// Counts a piece whose target has its inputs, and gives the inputs up if it was the last one.
+    fn fetched(&self, shared: &IngressShared) {
+        if self.unfetched.fetch_sub(1, Ordering::AcqRel) != 1 {
             return;
         }
         let used_up = std::mem::take(&mut *self.used_up.lock());
@@ -232,9 +233,6 @@
         let call = batcher.next(now)?;
         let pieces: Vec<Pending> =
             call.pieces.iter().filter_map(|it| pending.remove(&it.ticket)).collect();
-        for piece in &pieces {
-            piece.inputs.unsent.fetch_sub(1, Ordering::AcqRel);
-        }
         let patience = batcher.patience_ms(&call.target, call.pieces.len());
         Some((call, pieces, patience))
     }
@@ -256,13 +254,23 @@
         if results.contains(&Err(NoResult::NoRoom)) {
             it.batcher.no_room(now, &call.target);
         }
+        if results.contains(&Err(NoResult::InputGone)) {
+            it.batcher.share(now, &call.target);
+        }
+    }
+
+    /// Takes in the load that a target told with the answer to a call.
+    fn told_load(&self, now: Millis, service: &str, target: &str, load: Load) {
+        if let Some(it) = self.services.lock().get_mut(service) {
+            it.batcher.told_load(now, target, load.running + load.waiting);
+        }
     }
 
     /// Gives a piece back to the queue that was not made.
     fn again(&self, now: Millis, service: &str, waiting: Waiting, pending: Pending) {
         let mut services = self.services.lock();
         let Some(of_service) = services.get_mut(service) else { return };
-        pending.inputs.unsent.fetch_add(1, Ordering::AcqRel);
+        pending.inputs.unfetched.fetch_add(1, Ordering::AcqRel);
         of_service.pending.insert(waiting.ticket, pending);
         of_service.batcher.offer(now, waiting);
     }
@@ -356,7 +364,7 @@
     patience: Millis,
 ) {
     let begun = Instant::now();
-    let outcome = ask_and_give_up(&shared, &call, &pieces, patience).await;
+    let outcome = ask_and_give_up(&shared, &service, &call, &pieces, patience).await;
     let ms = begun.elapsed().as_millis() as Millis;
     let (results, end, text) = match outcome {
         Ok(it) => (it, CallEnd::Answered(ms), "answered"),
@@ -374,18 +382,21 @@
     pump(&shared, &service);
 }
 
-/// Makes a call, and gives up the inputs of its pieces as soon as its target has them.
+/// Makes a call, and gives up the inputs of its pieces as soon as its target has them. Where other
+/// instances call the target too, the call may wait there for its turn, and its inputs are not
+/// fetched before that.
 async fn ask_and_give_up(
     shared: &IngressShared,
+    service: &str,
     call: &Call,
     pieces: &[Pending],
     patience: Millis,
 ) -> Result<Vec<PieceResult>, CallEnd> {
-    let asking = ask_target(shared, call, pieces, patience);
+    let asking = ask_target(shared, service, call, pieces, patience);
     tokio::pin!(asking);
     let outcome = tokio::select! {
         it = &mut asking => it,
-        () = sleep(FETCHED) => {
+        () = sleep(FETCHED), if !call.is_shared => {
             give_up_inputs(shared, pieces);
             return asking.await;
         }
@@ -399,7 +410,7 @@
 /// Gives up the inputs of pieces whose target has fetched them, as it does first of all. Their makers
 /// have room again so much earlier. Should a call fail after that, the inputs are made anew.
 fn give_up_inputs(shared: &IngressShared, pieces: &[Pending]) {
-    pieces.iter().for_each(|it| it.inputs.give_up(shared));
+    pieces.iter().for_each(|it| it.inputs.fetched(shared));
 }
 
 /// Hands a result to whoever asked for it; a piece that found no room goes back to the queue.
@@ -447,6 +458,7 @@
 
 async fn ask_target(
     shared: &IngressShared,
+    service: &str,
     call: &Call,
     pieces: &[Pending],
     patience: Millis,
@@ -457,6 +469,9 @@
     let limit = Duration::from_millis(patience.max(LEAST_CALL_MS));
     let answer = own_call(shared, &target, wire::RUN_PATH, body, limit).await;
     let (status, head, body) = answer.map_err(|_| CallEnd::Failed)?;
+    if let Some(load) = head.load {
+        shared.batches.told_load(shared.clock.now(), service, &call.target, load);
+    }
     if head.is_misdirected {
         shared.target_leaves(&target.id, "misdirected");
         return Err(CallEnd::Full);
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -63,6 +63,11 @@
         handles.iter().for_each(|it| drop(self.handles.remove(it)));
     }
 
+    /// Whether results are there and were not given up.
+    fn has(&self, handles: Option<&[String]>) -> bool {
+        handles.is_some_and(|it| it.iter().all(|it| self.handles.contains_key(it)))
+    }
+
     fn give_up(&mut self, handles: &[String]) {
         for handle in handles {
             if let Some(service) = self.handles.remove(handle) {
@@ -149,9 +154,10 @@
             Err(NoResult::InputGone) if remakes < INPUT_REMAKES => {
                 remakes += 1;
                 is_begun[stage] = false;
-                for needed in graph.needs(stage) {
-                    results[needed] = None;
-                    is_begun[needed] = false;
+                let is_held = |it: usize| held.has(results[it].as_deref());
+                for lost in graph.lost_before(stage, is_held) {
+                    held.give_up(results[lost].take().as_deref().unwrap_or_default());
+                    is_begun[lost] = false;
                 }
             }
             Err(it) => return Err(it),
