A slow stage target gets the time that it needs, and only what can wait

Calls of 40 pieces there were given up after 1,050 ms and made again, one after the other (13.1, 13.4, 14.7, 15.0 s ...): what a call that is not answered says of its target's pace was not learned. Change: a call that is not answered in time raises the target's slowness, so that the next one is waited for; a piece goes to a slow target only where it is in time there or late anyway; a slow target is tried again after it has rested for 2 s, so that its pace can be measured anew. The test a_slow_target_gets_the_time_... fails without it.

--- a/crates/holdpoint-core/src/batcher.rs
+++ b/crates/holdpoint-core/src/batcher.rs
@@ -25,6 +25,13 @@
 const NEWEST: f64 = 0.3;
 /// A target that is so many times slower than the fastest gets work only when others are behind.
 const SLOW: f64 = 2.0;
+/// How many times longer than it was waited for a call is taken to last that was not answered.
+const SILENT_SLOWNESS: f64 = 1.5;
+/// Slowness above which a target counts as gone rather than slow; the users' targets slow down by up
+/// to five times.
+const MOST_SLOWNESS: f64 = 8.0;
+/// How long a slow target rests before a call is tried there again, in milliseconds.
+const SLOW_REST_MS: Millis = 2000;
 /// Moved bytes below which it does not matter where a piece is made.
 const NEAR_BYTES: u64 = 200_000;
 /// A piece waits for a target in its failure domain until its due time is this near, in
@@ -103,8 +110,10 @@
     Answered(Millis),
     /// The target was full and has done nothing.
     Full,
-    /// The target failed or gave no answer.
+    /// The target failed.
     Failed,
+    /// The target gave no answer within this time, in milliseconds.
+    Silent(Millis),
 }
 
 /// Sizes of a service's calls.
@@ -313,7 +322,12 @@
                 target.failures = 0;
             }
             CallEnd::Full => target.suspect_until = now + FULL_MS,
-            CallEnd::Failed => {
+            CallEnd::Failed | CallEnd::Silent(_) => {
+                if let CallEnd::Silent(ms) = end {
+                    // It may be slow and not gone: the next call gets the time that it needs.
+                    let least = SILENT_SLOWNESS * ms as f64 / stated.max(1.0);
+                    target.slowness = target.slowness.max(least).min(MOST_SLOWNESS);
+                }
                 let span = SUSPECT_MS << target.failures.min(4);
                 target.suspect_until = now + span.min(LONGEST_SUSPECT_MS);
                 target.failures += 1;
@@ -436,6 +450,14 @@
 
     /// Whether a piece may be made at a target, or waits for one where its result is needed.
     fn may_go(&self, now: Millis, piece: &Waiting, target: &Target) -> bool {
+        if SLOW <= target.slowness {
+            // Only what will be in time there, or nowhere.
+            let ms = (self.sizes.call_ms + self.sizes.piece_ms) * target.slowness;
+            let is_late = piece.due < now + (self.sizes.call_ms + self.sizes.piece_ms) as Millis;
+            if !is_late && piece.due < now + ms as Millis {
+                return false;
+            }
+        }
         let is_anywhere = piece.near_bytes < NEAR_BYTES || piece.domain.is_empty();
         if is_anywhere || piece.domain == target.domain || self.is_behind(FAR_BEHIND) {
             return true;
@@ -469,7 +491,10 @@
         let is_behind = self.is_behind(BEHIND);
         staying()
             .filter(|it| it.1.suspect_until <= now && it.1.calls < calls)
-            .filter(|it| is_behind || it.1.slowness < SLOW * fastest.max(1.0))
+            .filter(|it| {
+                let is_slow = SLOW * fastest.max(1.0) <= it.1.slowness;
+                is_behind || !is_slow || it.1.idle_since + SLOW_REST_MS <= now
+            })
             .map(|it| it.0.clone())
             .collect()
     }
--- a/crates/holdpoint-core/tests/batcher.rs
+++ b/crates/holdpoint-core/tests/batcher.rs
@@ -314,3 +314,31 @@
     assert_eq!(graph.lost_before(2, |it| it != 0), [1, 0]);
     assert_eq!(graph.lost_before(1, |_| false), [0]);
 }
+
+/// Seen on cuenca trouble-2: calls of 40 pieces at a target that was five times slower were given up
+/// and made again, one after the other, for as long as it was slow.
+#[test]
+fn a_slow_target_gets_the_time_that_it_needs_and_only_what_can_wait() {
+    let mut batcher = batcher(&[("t-0", "a"), ("t-1", "a")]);
+    let mut silent = 0;
+    for turn in 0..4 {
+        let now = 10_000 * (turn + 1);
+        for ticket in 0..12 {
+            batcher.offer(now, piece(now + ticket, ticket / 6, now + 9000));
+        }
+        for call in [batcher.next(now).unwrap(), batcher.next(now).unwrap()] {
+            let patience = batcher.patience_ms(&call.target, call.pieces.len());
+            let takes = if call.target == "t-0" { 1600 } else { 320 };
+            silent += u32::from(patience < takes);
+            let end = match patience < takes {
+                true => CallEnd::Silent(patience),
+                false => CallEnd::Answered(takes),
+            };
+            batcher.ended(now + takes, &call, end, &[None; 6]);
+        }
+    }
+    assert!(silent <= 2, "{silent} calls were given up at a target that is only slow");
+    batcher.offer(60_000, piece(1, 1, 60_600));
+    let call = batcher.next(60_000).unwrap();
+    assert_eq!(call.target, "t-1", "it would be late at the slow one");
+}
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -369,6 +369,7 @@
     let (results, end, text) = match outcome {
         Ok(it) => (it, CallEnd::Answered(ms), "answered"),
         Err(CallEnd::Full) => (Vec::new(), CallEnd::Full, "full"),
+        Err(_) if patience.max(LEAST_CALL_MS) <= ms => (Vec::new(), CallEnd::Silent(ms), "silent"),
         Err(_) => (Vec::new(), CallEnd::Failed, "failed"),
     };
     log_call(&shared, &service, &call, &pieces, &results, (begun, ms, text));
