Only pieces in time teach how much longer pieces wait than predicted

Cause: requests are refused by the wait predicted for their first stage, times what pieces of late calls waited over their own prediction. Late pieces stand aside for others, and their seconds of waiting raised that factor to its bound: requests were refused that would have been in time. Change: late pieces do not count. The line of a batch tells its most pieces, room and stated time. The test the_wait_of_what_is_late_... fails without it.

--- a/crates/holdpoint-core/src/batcher.rs
+++ b/crates/holdpoint-core/src/batcher.rs
@@ -99,6 +99,8 @@
     pub left: usize,
     /// Room taken at the target, these pieces included, in bytes.
     pub used_bytes: u64,
+    /// Sizes that it was made by.
+    pub sizes: Sizes,
     /// Whether other instances were seen to call the target of late, so that the call may wait there.
     pub is_shared: bool,
 }
@@ -169,6 +171,13 @@
     lag: f64,
 }
 
+impl Sizes {
+    /// Time of a call with so many pieces at a target of the usual speed, in milliseconds.
+    pub fn stated_ms(&self, pieces: usize) -> f64 {
+        self.call_ms + self.piece_ms * pieces as f64
+    }
+}
+
 impl Batcher {
     /// Makes a batcher with no targets yet.
     pub fn new(sizes: Sizes) -> Batcher {
@@ -248,7 +257,9 @@
 
     /// Learns how much longer pieces wait than predicted, from those of a call.
     fn learn_lag(&mut self, now: Millis, pieces: &[Waiting]) {
-        for piece in pieces {
+        let call_ms = self.sizes.stated_ms(1) as Millis;
+        // What is late has stood aside for others; its wait says nothing of theirs.
+        for piece in pieces.iter().filter(|it| now + call_ms <= it.due) {
             let waited = now.saturating_sub(piece.offered) as f64;
             let seen = (waited / piece.predicted_wait.max(20.0)).clamp(LAG_BOUNDS.0, LAG_BOUNDS.1);
             self.lag += NEWEST_LAG * (seen - self.lag);
@@ -258,7 +269,7 @@
     /// Removes and returns the pieces that can no longer be made in time for their deadline, or
     /// whose request is to be given up.
     pub fn expire(&mut self, now: Millis) -> Vec<Ticket> {
-        let least = (self.sizes.call_ms + self.sizes.piece_ms) as Millis;
+        let least = self.sizes.stated_ms(1) as Millis;
         let is_late = |it: &Waiting| it.due < now + least;
         let is_over = |it: &Waiting| it.deadline < now + least || (is_late(it) && it.give_up < now);
         let over = self.waiting.iter().filter(|it| is_over(it)).map(|it| it.ticket).collect();
@@ -293,13 +304,14 @@
         chosen.used_bytes += pieces.iter().map(|it| it.bytes).sum::<u64>();
         let used_bytes = chosen.used_bytes;
         let is_shared = now < chosen.shared_until;
-        Some(Call { target, pieces, left: self.waiting.len(), used_bytes, is_shared })
+        let (left, sizes) = (self.waiting.len(), self.sizes);
+        Some(Call { target, pieces, left, used_bytes, sizes, is_shared })
     }
 
     /// Ends a call. `results` has the handle of each piece's result, in their order; those of a
     /// call that did not answer are all absent.
     pub fn ended(&mut self, now: Millis, call: &Call, end: CallEnd, results: &[Option<&str>]) {
-        let stated = self.sizes.call_ms + self.sizes.piece_ms * call.pieces.len() as f64;
+        let stated = self.sizes.stated_ms(call.pieces.len());
         let mut freed = 0;
         for (index, piece) in call.pieces.iter().enumerate() {
             match results.get(index).copied().flatten() {
@@ -373,7 +385,7 @@
 
     /// Longest time that a call of so many pieces at a target is waited for, in milliseconds.
     pub fn patience_ms(&self, target: &str, pieces: usize) -> Millis {
-        let stated = self.sizes.call_ms + self.sizes.piece_ms * pieces as f64;
+        let stated = self.sizes.stated_ms(pieces);
         let slowness = self.targets.get(target).map_or(1.0, |it| it.slowness.max(1.0));
         (stated * (1.0 + slowness) + 300.0) as Millis
     }
@@ -386,7 +398,7 @@
 
     /// Orders what waits: the nearest due time first, then what is late anyway, by rank.
     fn order(&mut self, now: Millis) {
-        let call_ms = (self.sizes.call_ms + self.sizes.piece_ms) as Millis;
+        let call_ms = self.sizes.stated_ms(1) as Millis;
         self.waiting.sort_by_key(|it| {
             let is_late = it.due < now + call_ms;
             (is_late, if is_late { it.rank } else { 0 }, it.due, it.group, it.ticket)
@@ -452,9 +464,9 @@
     fn may_go(&self, now: Millis, piece: &Waiting, target: &Target) -> bool {
         if SLOW <= target.slowness {
             // Only what will be in time there, or nowhere.
-            let ms = (self.sizes.call_ms + self.sizes.piece_ms) * target.slowness;
-            let is_late = piece.due < now + (self.sizes.call_ms + self.sizes.piece_ms) as Millis;
-            if !is_late && piece.due < now + ms as Millis {
+            let usual = self.sizes.stated_ms(1);
+            let is_late = piece.due < now + usual as Millis;
+            if !is_late && piece.due < now + (usual * target.slowness) as Millis {
                 return false;
             }
         }
@@ -462,7 +474,7 @@
         if is_anywhere || piece.domain == target.domain || self.is_behind(FAR_BEHIND) {
             return true;
         }
-        let call_ms = (self.sizes.call_ms + self.sizes.piece_ms) as Millis;
+        let call_ms = self.sizes.stated_ms(1) as Millis;
         let is_urgent = piece.due < now + call_ms + NEAR_SLACK_MS;
         let is_near =
             |it: &Target| it.domain == piece.domain && !it.is_leaving && it.suspect_until <= now;
--- a/crates/holdpoint-core/tests/batcher.rs
+++ b/crates/holdpoint-core/tests/batcher.rs
@@ -342,3 +342,25 @@
     let call = batcher.next(60_000).unwrap();
     assert_eq!(call.target, "t-1", "it would be late at the slow one");
 }
+
+#[test]
+fn the_wait_of_what_is_late_says_nothing_of_what_is_in_time() {
+    let mut batcher = batcher(&[("t-0", "a")]);
+    let expected = |batcher: &Batcher, now| batcher.expected_ms(now, now + 2000, 1);
+    batcher.offer(0, piece(1, 1, 5000));
+    let first = batcher.next(0).unwrap();
+    let before = expected(&batcher, 0);
+    let late: Vec<u64> = (0..40).collect();
+    late.iter().for_each(|it| batcher.offer(0, piece(100 + it, 100 + it, 50)));
+    batcher.ended(3000, &first, CallEnd::Answered(220), &[None]);
+    let mut now = 3000;
+    while let Some(call) = batcher.next(now) {
+        now += 300;
+        batcher.ended(now, &call, CallEnd::Answered(300), &[None; 6]);
+    }
+    batcher.offer(now, piece(3, 3, now + 5000));
+    let busy = batcher.next(now).unwrap();
+    batcher.offer(now, piece(4, 4, now + 5000));
+    assert_eq!(expected(&batcher, now), before, "late pieces raised what is expected");
+    batcher.ended(now, &busy, CallEnd::Answered(220), &[None]);
+}
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -445,12 +445,16 @@
     let made = results.iter().filter(|it| it.is_ok()).count();
     let no_room = results.iter().filter(|it| **it == Err(NoResult::NoRoom)).count();
     let detail = format!(
-        "service={service} target={} pieces={} made={made} no_room={no_room} left={} \
-         used_kb={} waited_ms={waited} ms={ms} end={end}",
+        "service={service} target={} pieces={} most={} made={made} no_room={no_room} left={} \
+         used_kb={} room_kb={} waited_ms={waited} ms={ms} stated_ms={:.0} shared={} end={end}",
         call.target,
         pieces.len(),
+        call.sizes.pieces,
         call.left,
-        call.used_bytes / 1000
+        call.used_bytes / 1000,
+        call.sizes.room_bytes / 1000,
+        call.sizes.stated_ms(pieces.len()),
+        call.is_shared,
     );
     emit(events::BATCH, &shared.settings.instance, &detail);
     shared.metrics.batches.add(1, &[label("end", end)]);
