--- a/crates/holdpoint-core/src/batcher.rs
+++ b/crates/holdpoint-core/src/batcher.rs
@@ -24,7 +24,7 @@
 /// Weight of the newest measurement of a target's slowness.
 const NEWEST: f64 = 0.3;
 /// A target that is so many times slower than the fastest gets work only while there is a
-/// backlog. Targets differ in speed by less; those that are slow by a fault, by three times and more.
+/// backlog. Not measured by itself.
 const SLOW: f64 = 2.0;
 /// How many times longer than it was waited for a call is taken to last that was not answered.
 const SILENT_SLOWNESS: f64 = 1.5;
