A call that was declined does not keep its pieces' inputs for good

Pieces of a declined call go back to the queue, which counted their inputs as unfetched once more although they had never been fetched: the count did not come to zero, and the results kept their room until their time was over, 4 s. Change: each piece knows whether its target has fetched its inputs; only such a piece counts again. Test: inputs_are_given_up_once_though_a_call_was_declined_before waited in vain before.

--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     sync::{
         Arc,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -74,6 +74,8 @@
     /// How often it went back to the queue.
     returns: u32,
     inputs: Arc<GroupInputs>,
+    /// Whether the target of its call has fetched its inputs.
+    is_fetched: AtomicBool,
     reply: oneshot::Sender<PieceResult>,
 }
 
@@ -201,7 +203,15 @@
             of_service.batcher.offer(now, waiting(&ask, ticket, group, now));
             let deadline = offered + Duration::from_millis(ask.left_ms);
             let inputs = inputs.clone();
-            let pending = Pending { work: ask.work, deadline, offered, returns: 0, inputs, reply };
+            let pending = Pending {
+                work: ask.work,
+                deadline,
+                offered,
+                returns: 0,
+                inputs,
+                is_fetched: AtomicBool::new(false),
+                reply,
+            };
             of_service.pending.insert(ticket, pending);
         }
         Ok(replies)
@@ -270,7 +280,9 @@
     fn again(&self, now: Millis, service: &str, waiting: Waiting, pending: Pending) {
         let mut services = self.services.lock();
         let Some(of_service) = services.get_mut(service) else { return };
-        pending.inputs.unfetched.fetch_add(1, Ordering::AcqRel);
+        if pending.is_fetched.swap(false, Ordering::AcqRel) {
+            pending.inputs.unfetched.fetch_add(1, Ordering::AcqRel);
+        }
         of_service.pending.insert(waiting.ticket, pending);
         of_service.batcher.offer(now, waiting);
     }
@@ -411,7 +423,11 @@
 /// Gives up the inputs of pieces whose target has fetched them, as it does first of all. Their makers
 /// have room again so much earlier. Should a call fail after that, the inputs are made anew.
 fn release_inputs(shared: &IngressShared, pieces: &[Pending]) {
-    pieces.iter().for_each(|it| it.inputs.fetched(shared));
+    for piece in pieces {
+        if !piece.is_fetched.swap(true, Ordering::AcqRel) {
+            piece.inputs.fetched(shared);
+        }
+    }
 }
 
 /// Hands a result to whoever asked for it; a piece that found no room goes back to the queue.
--- a/crates/holdpointd/tests/ingress.rs
+++ b/crates/holdpointd/tests/ingress.rs
@@ -206,6 +206,20 @@
     until(|| 5 <= system.encoder.freed().len()).await;
 }
 
+#[tokio::test]
+async fn inputs_are_given_up_once_though_a_call_was_declined_before() {
+    let system = start(&[], &[Behaviour::Events(3)]).await;
+    system.encoder.set_behaviour(Behaviour::DeclinePieces);
+    let asked = system.send(CallerRequest::new("r-1", "/staged/").with_pieces("2,3"));
+    let meanwhile = async {
+        until(|| 0 < system.encoder.declined()).await;
+        system.encoder.set_behaviour(Behaviour::Answer);
+    };
+    let (answer, ()) = tokio::join!(asked, meanwhile);
+    assert_eq!(answer.body, story(0, 3));
+    until(|| system.encoder.freed().len() == 5).await;
+}
+
 #[tokio::test]
 async fn the_last_results_are_given_up_while_the_prompt_is_read() {
     let system = start(&[], &[Behaviour::RunAndHang]).await;
