One test of lateness, one reader of logs, one time of a call

Whether a piece is late stood four times in the batcher, the time of a call three times, the reading of log files twice. No behaviour changes; the tests are those of before.

--- a/crates/holdpoint-core/src/batcher.rs
+++ b/crates/holdpoint-core/src/batcher.rs
@@ -173,6 +173,16 @@
 }
 
 impl Sizes {
+    /// Most pieces in one call; one where the configuration says none.
+    fn most(&self) -> usize {
+        self.pieces.max(1) as usize
+    }
+
+    /// Whether a piece would be late even if a call of its own began now.
+    fn is_late(&self, now: Millis, piece: &Waiting) -> bool {
+        piece.due < now + self.stated_ms(1) as Millis
+    }
+
     /// Time of a call with so many pieces at a target of the usual speed, in milliseconds.
     pub fn stated_ms(&self, pieces: usize) -> f64 {
         self.call_ms + self.piece_ms * pieces as f64
@@ -237,8 +247,7 @@
     /// Time in which so many more pieces would be made that are due at a time, in milliseconds:
     /// after the call that ends next, after those that are due before them, in a call of their own.
     pub fn expected_ms(&self, now: Millis, due: Millis, pieces: usize) -> Millis {
-        let most = f64::from(self.sizes.pieces.max(1));
-        let own_call = self.sizes.call_ms + self.sizes.piece_ms * (pieces as f64).min(most);
+        let own_call = self.sizes.stated_ms(pieces.min(self.sizes.most()));
         (self.lag * self.predicted_wait(now, due) + own_call) as Millis
     }
 
@@ -250,17 +259,16 @@
         if is_free && self.waiting.is_empty() {
             return 0.0;
         }
-        let most = f64::from(self.sizes.pieces.max(1));
+        let most = self.sizes.most();
         let ahead = self.waiting.iter().filter(|it| now <= it.due && it.due <= due).count() as f64;
-        let gap = (self.sizes.call_ms + self.sizes.piece_ms * most) / targets;
-        gap + ahead / most * gap
+        let gap = self.sizes.stated_ms(most) / targets;
+        gap + ahead / most as f64 * gap
     }
 
     /// Learns how much longer pieces wait than predicted, from those of a call.
     fn learn_lag(&mut self, now: Millis, pieces: &[Waiting]) {
-        let call_ms = self.sizes.stated_ms(1) as Millis;
         // What is late has stood aside for others; its wait says nothing of theirs.
-        for piece in pieces.iter().filter(|it| now + call_ms <= it.due) {
+        for piece in pieces.iter().filter(|it| !self.sizes.is_late(now, it)) {
             let waited = now.saturating_sub(piece.offered) as f64;
             let seen = (waited / piece.predicted_wait.max(20.0)).clamp(LAG_BOUNDS.0, LAG_BOUNDS.1);
             self.lag += NEWEST_LAG * (seen - self.lag);
@@ -271,9 +279,8 @@
     /// whose request is to be given up.
     pub fn expire(&mut self, now: Millis) -> Vec<Ticket> {
         let least = self.sizes.stated_ms(1) as Millis;
-        let is_late = |it: &Waiting| it.due < now + least;
-        let is_over =
-            |it: &Waiting| it.deadline < now + least || (is_late(it) && it.abandon_at < now);
+        let is_abandoned = |it: &Waiting| self.sizes.is_late(now, it) && it.abandon_at < now;
+        let is_over = |it: &Waiting| it.deadline < now + least || is_abandoned(it);
         let over = self.waiting.iter().filter(|it| is_over(it)).map(|it| it.ticket).collect();
         self.waiting.retain(|it| !is_over(it));
         over
@@ -400,9 +407,9 @@
 
     /// Orders what waits: the nearest due time first, then what is late anyway, by rank.
     fn order(&mut self, now: Millis) {
-        let call_ms = self.sizes.stated_ms(1) as Millis;
+        let sizes = self.sizes;
         self.waiting.sort_by_key(|it| {
-            let is_late = it.due < now + call_ms;
+            let is_late = sizes.is_late(now, it);
             (is_late, if is_late { it.rank } else { 0 }, it.due, it.group, it.ticket)
         });
     }
@@ -430,7 +437,7 @@
     }
 
     fn pack_into(&self, now: Millis, target: &Target, mut room: u64) -> Vec<usize> {
-        let most = self.sizes.pieces.max(1) as usize;
+        let most = self.sizes.most();
         let mut indices = Vec::new();
         let mut from = 0;
         while from < self.waiting.len() && indices.len() < most {
@@ -466,9 +473,8 @@
     fn may_go(&self, now: Millis, piece: &Waiting, target: &Target) -> bool {
         if SLOW <= target.slowness {
             // Only what will be in time there, or nowhere.
-            let usual = self.sizes.stated_ms(1);
-            let is_late = piece.due < now + usual as Millis;
-            if !is_late && piece.due < now + (usual * target.slowness) as Millis {
+            let slow_ms = (self.sizes.stated_ms(1) * target.slowness) as Millis;
+            if !self.sizes.is_late(now, piece) && piece.due < now + slow_ms {
                 return false;
             }
         }
--- a/crates/holdpoint-core/src/stage_graph.rs
+++ b/crates/holdpoint-core/src/stage_graph.rs
@@ -95,8 +95,9 @@
         let mut lost: Vec<usize> = self.needs(stage).collect();
         let mut next = 0;
         while next < lost.len() {
-            let before: Vec<usize> = self.needs(lost[next]).filter(|it| !is_held(*it)).collect();
-            lost.extend(before.into_iter().filter(|it| !lost.contains(it)).collect::<Vec<_>>());
+            let is_new = |it: &usize| !is_held(*it) && !lost.contains(it);
+            let before: Vec<usize> = self.needs(lost[next]).filter(is_new).collect();
+            lost.extend(before);
             next += 1;
         }
         lost
--- a/crates/holdpoint/src/explain.rs
+++ b/crates/holdpoint/src/explain.rs
@@ -44,11 +44,7 @@
         let read = io::stdin().read_to_string(&mut text);
         read.map_err(|it| Failure::File(format!("standard input: {it}")))?;
     }
-    for file in files {
-        let read = fs::read(file);
-        let bytes = read.map_err(|it| Failure::File(format!("{}: {it}", file.display())))?;
-        text.push_str(&String::from_utf8_lossy(&bytes));
-    }
+    text.push_str(&read_logs(files)?);
     let story = story(&text, id);
     if story.is_empty() {
         return Err(Failure::File(format!("no line of the logs names the request {id}")));
@@ -58,6 +54,19 @@
     Ok(())
 }
 
+/// Reads logs one after the other; bytes that are no text are replaced.
+pub(crate) fn read_logs<'a>(
+    files: impl IntoIterator<Item = &'a PathBuf>,
+) -> Result<String, Failure> {
+    let mut text = String::new();
+    for file in files {
+        let read = fs::read(file);
+        let bytes = read.map_err(|it| Failure::File(format!("{}: {it}", file.display())))?;
+        text.push_str(&String::from_utf8_lossy(&bytes));
+    }
+    Ok(text)
+}
+
 /// The lines that name a request, each with its meaning, and the cause of its end in words.
 fn story(text: &str, id: &str) -> String {
     let name = format!("id={id}");
--- a/crates/holdpoint/src/losses.rs
+++ b/crates/holdpoint/src/losses.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    fs,
     path::PathBuf,
 };
 
@@ -12,6 +11,7 @@
 use serde::Serialize;
 
 use crate::{
+    explain::read_logs,
     failure::Failure,
     output::{Form, table},
 };
@@ -93,13 +93,7 @@
 pub(crate) fn run(matches: &ArgMatches, form: Form) -> Result<(), Failure> {
     let files = matches.get_many::<PathBuf>("files").into_iter().flatten();
     let span: u64 = *matches.get_one("span").expect("the argument has a default");
-    let mut text = String::new();
-    for file in files {
-        let read = fs::read(file);
-        let bytes = read.map_err(|it| Failure::File(format!("{}: {it}", file.display())))?;
-        text.push_str(&String::from_utf8_lossy(&bytes));
-    }
-    let report = losses(&text, span.max(1));
+    let report = losses(&read_logs(files)?, span.max(1));
     if let Some(path) = matches.get_one::<PathBuf>("plot") {
         let texts = Texts { title: "Requests not in time", x: "seconds", y: "requests" };
         let drawn = lines(path, texts, &series(&report.losses));
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -98,9 +98,7 @@
 impl Results {
     /// Gives the results up. A target that asks for them later declines, and they are made anew.
     pub(crate) fn release(&mut self) {
-        let handles = std::mem::take(&mut self.inputs);
-        self.held.release(&handles);
-        self.inputs = handles;
+        self.held.release(&self.inputs);
     }
 }
 
