--- a/crates/holdpointd/src/ingress/follow.rs
+++ b/crates/holdpointd/src/ingress/follow.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use holdpoint_core::{
+    directory::TargetId,
     ids::{Millis, Name},
     ingress::Version,
 };
@@ -73,17 +74,8 @@
 }
 
 /// Asks others in turn until one has read the store of late, and takes in what they tell.
-async fn follow_one(
-    shared: &Arc<IngressShared>,
-    place: &mut Place,
-    mut sources: Vec<String>,
-) -> bool {
-    for address in shared.peers.to_ask() {
-        if !sources.contains(&address) {
-            sources.push(address);
-        }
-    }
-    for address in sources.into_iter().take(MOST_ASKED) {
+async fn follow_one(shared: &Arc<IngressShared>, place: &mut Place, readers: Vec<String>) -> bool {
+    for address in sources(shared, readers) {
         let known = Known {
             version: shared.configuration().version.max(place.version),
             wait_ms: WAIT.as_millis() as Millis,
@@ -106,6 +98,57 @@
     false
 }
 
+/// Addresses to ask in one round: readers first.
+fn sources(shared: &IngressShared, mut readers: Vec<String>) -> impl Iterator<Item = String> {
+    for address in shared.peers.to_ask() {
+        if !readers.contains(&address) {
+            readers.push(address);
+        }
+    }
+    readers.into_iter().take(MOST_ASKED)
+}
+
+/// Finds out whether targets whose entries lapsed have left, until the task is dropped.
+///
+/// An instance that was cut off by itself cannot tell; one that has read the store all the while can,
+/// and without its word the targets would get requests for [`watch::LAPSE_MS`] after they have left.
+pub(crate) async fn settle_lapses(shared: Arc<IngressShared>) {
+    loop {
+        shared.lapses_found.notified().await;
+        while !shared.lapses().0.is_empty() {
+            ask_about_lapses(&shared).await;
+            sleep(REVIEW).await;
+        }
+    }
+}
+
+/// Asks others until one has read the store all the while, and takes in which targets it knows to be
+/// gone.
+async fn ask_about_lapses(shared: &Arc<IngressShared>) {
+    let (readers, _) = shared.peers.readers();
+    let (lapsed, span_ms) = shared.lapses();
+    let version = shared.configuration().version;
+    for address in sources(shared, readers) {
+        let known =
+            Known { version, wait_ms: 0, place: Some(Place::default()), wants_large: false };
+        let Ok(update) = shared.peers.follow(shared, &address, known, LIMIT).await else {
+            continue;
+        };
+        if update.steady_ms.is_none_or(|it| it < span_ms) {
+            continue;
+        }
+        let Some(Content::All { targets: Some(list), .. }) = update.content else { continue };
+        let Ok(list) = serde_json::from_slice::<TargetList>(&list) else { continue };
+        shared.change_directory(|directory| {
+            let left = |id: &TargetId| !list.knows(id);
+            let mut gone: Vec<TargetId> = lapsed.into_iter().filter(left).collect();
+            gone.retain(|id| shared.remove_target(directory, id, "peer-steady"));
+            gone
+        });
+        return;
+    }
+}
+
 /// Takes in what another instance tells; whether it has read the store of late.
 fn take_in(shared: &IngressShared, update: Update) -> bool {
     if let Some(it) = update.configuration {
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -73,6 +73,7 @@
         tokio::spawn(watch::follow_resources(shared.clone()));
         tokio::spawn(watch::follow_peers(shared.clone()));
         tokio::spawn(follow::run(shared.clone()));
+        tokio::spawn(follow::settle_lapses(shared.clone()));
         tokio::spawn(peer_service::serve(shared.clone(), peers));
         tokio::spawn(front::readiness(shared.clone(), readiness));
         tokio::spawn(front::callers(shared.clone(), callers));
--- a/crates/holdpointd/src/ingress/news.rs
+++ b/crates/holdpointd/src/ingress/news.rs
@@ -79,6 +79,10 @@
     pub(crate) revision: Revision,
     /// How long ago the store was read; none where that is too long ago.
     pub(crate) age_ms: Option<Millis>,
+    /// For how long the instance that answers has read the store by itself without a failure; none
+    /// where it does not.
+    #[serde(default)]
+    pub(crate) steady_ms: Option<Millis>,
     /// Version of the configuration in force.
     pub(crate) version: Version,
     /// That configuration, where it is later than the asker's and the asker wants it.
@@ -146,6 +150,12 @@
         }
     }
 
+    /// Whether a target is in the list, or its entry may have lapsed.
+    pub(crate) fn knows(&self, id: &str) -> bool {
+        let is_listed = |it: &TargetGroup| it.members.iter().any(|it| it.0 == id);
+        self.listed.iter().any(is_listed) || self.lapsed.iter().any(|it| it == id)
+    }
+
     pub(crate) fn into_targets(self) -> (Vec<TargetInstance>, Vec<TargetId>) {
         let targets = self.listed.into_iter().flat_map(|group| {
             let TargetGroup { service, domain, slots, is_leaving, members } = group;
@@ -189,7 +199,8 @@
         .then(|| shared.configuration_bytes())
         .filter(|it| known.wants_large || it.len() <= LARGE_CONFIGURATION);
     let age_ms = shared.fresh_age();
-    Update { life: shared.life, revision, age_ms, version, configuration, content }
+    let steady_ms = shared.steady_ms();
+    Update { life: shared.life, revision, age_ms, steady_ms, version, configuration, content }
 }
 
 /// Whether there is something new to tell already.
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -84,6 +84,13 @@
     directory: Mutex<Directory>,
     /// When the list of targets was last read from the store, in milliseconds; 0 is never.
     targets_read: AtomicU64,
+    /// Since when this instance's reads of the list have not failed, in milliseconds; 0 where the
+    /// last one did.
+    steady_since: AtomicU64,
+    /// Raised whenever entries were found to have lapsed.
+    pub(crate) lapses_found: Notify,
+    /// When the list was read before entries were found to have lapsed, in milliseconds.
+    lapses_since: AtomicU64,
 }
 
 impl IngressShared {
@@ -116,6 +123,9 @@
             configuration_bytes: Mutex::default(),
             directory: Mutex::default(),
             targets_read: AtomicU64::new(0),
+            steady_since: AtomicU64::new(0),
+            lapses_found: Notify::new(),
+            lapses_since: AtomicU64::new(0),
             settings,
         }
     }
@@ -318,6 +328,37 @@
         self.targets_read.fetch_max(read, Ordering::AcqRel);
     }
 
+    /// Counts a read of the list by this instance itself, begun at a time, or one that failed.
+    pub(crate) fn note_own_read(&self, begun: Option<Millis>) {
+        match begun {
+            Some(it) if self.steady_since.load(Ordering::Acquire) == 0 => {
+                self.steady_since.store(it.max(1), Ordering::Release);
+            }
+            Some(_) => (),
+            None => self.steady_since.store(0, Ordering::Release),
+        }
+    }
+
+    /// For how long this instance's reads of the list have not failed, in milliseconds.
+    pub(crate) fn steady_ms(&self) -> Option<Millis> {
+        let since = self.steady_since.load(Ordering::Acquire);
+        (since != 0).then(|| self.clock.now().saturating_sub(since))
+    }
+
+    /// Takes in that entries are missing that may have lapsed since the list was last read.
+    pub(crate) fn note_lapses(&self) {
+        let read = self.targets_read.load(Ordering::Acquire);
+        self.lapses_since.store(read, Ordering::Release);
+        self.lapses_found.notify_one();
+    }
+
+    /// Targets whose entries may have lapsed, and the span in which they did, in milliseconds.
+    pub(crate) fn lapses(&self) -> (Vec<TargetId>, Millis) {
+        let lapsed = self.directory.lock().lapsed().cloned().collect();
+        let since = self.lapses_since.load(Ordering::Acquire);
+        (lapsed, self.clock.now().saturating_sub(since))
+    }
+
     /// How long ago the list of targets was read from the store, by this instance or the one that
     /// it follows, in milliseconds; `None` where that is too long ago to rely on it.
     pub(crate) fn fresh_age(&self) -> Option<Millis> {
--- a/crates/holdpointd/src/ingress/watch.rs
+++ b/crates/holdpointd/src/ingress/watch.rs
@@ -38,7 +38,7 @@
 /// The same of an instance that reads only since it found no other that does.
 const STANDBY_PAUSE: Duration = Duration::from_millis(1000);
 /// How long after the store's return an entry that lapsed may take to be written anew.
-const LAPSE_MS: Millis = 2000;
+pub(crate) const LAPSE_MS: Millis = 2000;
 
 /// Keeps the configuration up to date.
 pub(crate) async fn follow_configuration(shared: Arc<IngressShared>) {
@@ -141,18 +141,22 @@
         if !*reading.borrow() {
             (offset, lapse) = (None, Lapse::default());
             client.reset();
+            shared.note_own_read(None);
             raised(&mut reading).await;
         }
+        let begun = shared.clock.now();
         match read_targets(&shared, &mut client, offset, &lapse).await {
             Ok(next) => {
                 offset = next;
                 shared.targets_were_read(0);
+                shared.note_own_read(Some(begun));
                 note_store(&shared, None);
                 lapse.store_answered(&shared);
                 sleep(Duration::from_millis(shared.settings.store.poll_ms)).await;
             }
             Err(it) => {
                 note_store(&shared, Some(it));
+                shared.note_own_read(None);
                 lapse.is_away |= it != StoreError::Gone;
                 // What happened meanwhile is history: read in its order, it would bring back for a
                 // moment what others have told to be gone.
@@ -315,6 +319,9 @@
     if until <= now {
         return shared.remove_target(directory, id, "gone").then(|| id.to_owned());
     }
+    if directory.lapsed().next().is_none() {
+        shared.note_lapses();
+    }
     let change = directory.lapse(id, until);
     let detail = format!("target={id} kept_ms={} change={change:?}", until - now);
     emit(events::TARGET_LAPSED, &shared.settings.instance, &detail);
--- a/crates/holdpointd/tests/readers.rs
+++ b/crates/holdpointd/tests/readers.rs
@@ -6,6 +6,7 @@
 use holdpoint_adapter_standin::{
     Behaviour, Gate, Outage, Target, large_configuration, sample_configuration,
 };
+use holdpoint_standin::relay::Relay;
 use holdpointd::ingress::Ingress;
 
 use crate::support::{PATIENCE, System, start, start_instance, until};
@@ -191,3 +192,31 @@
     })
     .await;
 }
+
+/// An instance that was cut off from the store and its peers finds an entry missing as it comes back.
+/// It cannot know whether the entry lapsed while the store was away; a peer that has read the store
+/// all the while does.
+#[tokio::test]
+async fn an_instance_that_was_cut_off_by_itself_learns_at_once_who_has_left() {
+    let system = start(&[Behaviour::Answer], &[]).await;
+    let relay = Relay::start().await;
+    relay.lead_to(&system.instance.listen().peers);
+    system.store.put_instance("a", &format!("{} 1 1000 1000", relay.address()));
+    let gate = system.store.open_gate().await;
+    let other = start_instance("b", &gate);
+    until(|| other.is_ready() && other.peer_count() == 1 && other.target_count() == 2).await;
+    relay.lose(true, true);
+    gate.set_outage(Outage::Busy);
+    let before = gate.call_count();
+    until(|| before + 4 < gate.call_count()).await;
+    system.store.drop_target("i-plain-0");
+    let joined = Target::start("i-joined", "plain", Behaviour::Answer).await;
+    system.store.put_target(&joined, false);
+    relay.lose(false, false);
+    gate.set_outage(Outage::None);
+    // The new one is known only once the list was read in which the other is missing.
+    until(|| other.target_count() == 3).await;
+    // What is not read any more cannot tell that the entry stays away.
+    gate.set_outage(Outage::Busy);
+    until(|| other.target_count() == 2).await;
+}
