Many changes of targets or peers are one line in the log

Change: what one read or message changed is written together: a line each up to three, else one line with counts and the ids that left (E613, E614). The two ways to take in a list of peers are one.

--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -100,6 +100,10 @@
     DECLARED = 611 Info "resource declared";
     /// A resource that an operator declared cannot be read.
     BAD_RESOURCE = 612 Error "resource cannot be read";
+    /// Many target instances joined, changed or left at once.
+    TARGETS_CHANGED = 613 Info "targets changed";
+    /// Many peers joined, moved or left at once.
+    PEERS_CHANGED = 614 Info "peers changed";
     /// A request was sent to a target.
     SENT = 700 Info "sent to a target";
     /// A send ended without a whole answer.
--- a/crates/holdpointd/src/ingress/follow.rs
+++ b/crates/holdpointd/src/ingress/follow.rs
@@ -12,18 +12,13 @@
 
 use bytes::Bytes;
 use futures::future::BoxFuture;
-use holdpoint_core::{
-    directory::TargetId,
-    ids::{Millis, Name},
-    ingress::Version,
-};
+use holdpoint_core::{ids::Millis, ingress::Version};
 use tokio::time::sleep;
 
 use crate::{
     events::{self, emit},
     ingress::{
         news::{Content, Known, News, Place, TargetList, Update, WAIT},
-        peers::Peer,
         shared::IngressShared,
         watch,
     },
@@ -139,11 +134,9 @@
         }
         let Some(Content::All { targets: Some(list), .. }) = update.content else { continue };
         let Ok(list) = serde_json::from_slice::<TargetList>(&list) else { continue };
-        shared.change_directory(|directory| {
-            let left = |id: &TargetId| !list.knows(id);
-            let mut gone: Vec<TargetId> = lapsed.into_iter().filter(left).collect();
-            gone.retain(|id| shared.remove_target(directory, id, "peer-steady"));
-            gone
+        shared.change_directory(|directory, changes| {
+            let left = lapsed.into_iter().filter(|id| !list.knows(id));
+            left.for_each(|id| changes.remove(directory, id, "peer-steady"));
         });
         return;
     }
@@ -160,7 +153,10 @@
         Some(Content::News(news)) => take_news(shared, news),
         Some(Content::All { targets, peers, resources }) => {
             take_resources(shared, resources, is_fresh);
-            take_peers(shared, peers, is_fresh);
+            // Only one who has read the store of late knows that a peer which it does not name has
+            // left.
+            let peers = peers.into_iter().map(|(name, peer)| (name, Some(peer)));
+            shared.set_peers(peers.collect(), is_fresh);
             let list = targets.and_then(|it| serde_json::from_slice(&it).ok());
             list.into_iter().for_each(|it| take_targets(shared, it, is_fresh));
         }
@@ -203,43 +199,26 @@
 }
 
 fn take_news(shared: &IngressShared, news: Vec<News>) {
-    let mut targets = Vec::new();
+    let (mut targets, mut peers) = (Vec::new(), Vec::new());
     for it in news {
         match it {
             News::Target(it) => targets.push(Ok(it)),
             News::TargetGone(it) => targets.push(Err(it)),
-            News::Peer(name, peer) => shared.set_peer(&name, peer),
+            News::Peer(name, peer) => peers.push((name, peer)),
             News::Resource(key, value) => shared.set_resource(&key, value),
         }
     }
-    shared.change_directory(|directory| {
-        let mut changed = Vec::new();
+    shared.set_peers(peers, false);
+    shared.change_directory(|directory, changes| {
         for it in targets {
-            let id = it.as_ref().map_or_else(|id| id.clone(), |it| it.id.clone());
-            let is_new = match it {
-                Ok(it) => shared.put_target(directory, it, "peer"),
-                Err(it) => shared.remove_target(directory, &it, "peer"),
-            };
-            if is_new {
-                changed.push(id);
+            match it {
+                Ok(it) => changes.put(directory, it, "peer"),
+                Err(it) => changes.remove(directory, it, "peer"),
             }
         }
-        changed
     });
 }
 
-/// Takes in all peers that another one knows. Only one who has read the store of late knows that a
-/// peer which it does not name has left.
-fn take_peers(shared: &IngressShared, peers: Vec<(Name, Peer)>, is_fresh: bool) {
-    if is_fresh {
-        let is_named = |name: &str| peers.iter().any(|it| it.0 == name);
-        let known = shared.peers.all();
-        let gone = known.into_iter().filter(|it| !is_named(&it.0));
-        gone.for_each(|it| shared.set_peer(&it.0, None));
-    }
-    peers.into_iter().for_each(|(name, peer)| shared.set_peer(&name, Some(peer)));
-}
-
 /// Takes in all resources that another one knows, as with peers.
 fn take_resources(shared: &IngressShared, resources: Vec<(String, Bytes)>, is_fresh: bool) {
     if is_fresh {
@@ -254,23 +233,15 @@
 /// nothing only.
 fn take_targets(shared: &IngressShared, list: TargetList, is_fresh: bool) {
     let (listed, lapsed) = list.into_targets();
-    shared.change_directory(|directory| {
-        let mut changed = Vec::new();
+    shared.change_directory(|directory, changes| {
         if !is_fresh && !directory.is_empty() {
-            return changed;
-        }
-        for id in directory.unnamed(&listed) {
-            if !lapsed.contains(&id) && shared.remove_target(directory, &id, "peer") {
-                changed.push(id);
-            }
+            return;
         }
-        for it in listed {
-            let id = it.id.clone();
-            if shared.put_target(directory, it, "peer") {
-                changed.push(id);
-            }
+        let unnamed = directory.unnamed(&listed).into_iter();
+        for id in unnamed.filter(|it| !lapsed.contains(it)) {
+            changes.remove(directory, id, "peer");
         }
-        changed
+        listed.into_iter().for_each(|it| changes.put(directory, it, "peer"));
     });
 }
 
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -8,6 +8,7 @@
 mod answer;
 mod attempts;
 mod batches;
+mod changes;
 mod connections;
 mod context;
 mod declared;
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -1,6 +1,7 @@
 //! What the tasks of one ingress instance share.
 
 use std::{
+    collections::HashSet,
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -13,7 +14,7 @@
 use holdpoint_core::{
     change_log::{ChangeLog, Revision},
     deadline::Times,
-    directory::{Change, Directory, TargetId, TargetInstance},
+    directory::{Directory, TargetId, TargetInstance},
     ids::{Millis, Name},
     ingress::{Configuration, newer},
 };
@@ -26,6 +27,7 @@
     events::{self, emit},
     ingress::{
         batches::Batches,
+        changes::{PeerChanges, TargetChanges},
         connections::Connections,
         declared::Declared,
         news::{News, TargetList},
@@ -168,17 +170,18 @@
         self.has_news.send_replace(());
     }
 
-    /// Changes the directory, and takes the change in wherever it counts. `change` returns the ids
-    /// of the targets that it has changed.
-    pub(crate) fn change_directory(&self, change: impl FnOnce(&mut Directory) -> Vec<TargetId>) {
+    /// Changes the directory, and takes the changes in wherever they count.
+    pub(crate) fn change_directory(&self, change: impl FnOnce(&mut Directory, &mut TargetChanges)) {
         let mut directory = self.directory.lock();
-        let changed = change(&mut directory);
-        if changed.is_empty() {
+        let mut changes = TargetChanges::default();
+        change(&mut directory, &mut changes);
+        if changes.is_empty() {
             return;
         }
-        self.tell(changed.into_iter().map(|id| match directory.get(&id) {
+        changes.log(&self.settings.instance, &directory);
+        self.tell(changes.ids().map(|id| match directory.get(id) {
             Some(it) => News::Target(it.clone()),
-            None => News::TargetGone(id),
+            None => News::TargetGone(id.clone()),
         }));
         self.pools.set_targets(&directory);
         self.batches.set_targets(&directory);
@@ -200,36 +203,27 @@
         (news.since(from), news.end())
     }
 
-    /// Takes in one entry of a target instance; whether that changed anything.
-    pub(crate) fn put_target(
-        &self,
-        directory: &mut Directory,
-        entry: TargetInstance,
-        sign: &str,
-    ) -> bool {
-        let (id, service) = (entry.id.clone(), entry.service.clone());
-        let change = directory.put(entry);
-        self.log_target(&id, &service, change, sign);
-        change != Change::Nothing
-    }
-
-    /// Takes in that a target instance is gone; whether it was known.
-    pub(crate) fn remove_target(&self, directory: &mut Directory, id: &str, sign: &str) -> bool {
-        let change = directory.remove(id);
-        self.log_target(id, "", change, sign);
-        change != Change::Nothing
-    }
-
-    /// Takes in a peer, or that it has left.
-    pub(crate) fn set_peer(&self, name: &str, peer: Option<Peer>) {
-        if !self.peers.set(name, peer.clone()) {
+    /// Takes in entries of peers; one without a peer has left. Where they are all that there are, so
+    /// have the peers that they do not name.
+    pub(crate) fn set_peers(&self, mut entries: Vec<(Name, Option<Peer>)>, is_whole: bool) {
+        if is_whole {
+            let named: HashSet<&str> = entries.iter().map(|it| it.0.as_str()).collect();
+            let known = self.peers.all().into_iter().map(|it| it.0);
+            let left: Vec<Name> = known.filter(|it| !named.contains(it.as_str())).collect();
+            entries.extend(left.into_iter().map(|it| (it, None)));
+        }
+        entries.retain(|(name, peer)| self.peers.set(name, peer.clone()));
+        let mut changes = PeerChanges::default();
+        for (name, peer) in &entries {
+            changes.note(name, peer.as_ref().map(|it| it.address.clone()));
+        }
+        if changes.is_empty() {
             return;
         }
-        self.pools.set_instances(self.peers.instance_count());
-        let address = peer.as_ref().map_or("none", |it| it.address.as_str());
-        let detail = format!("peer={name} address={address}");
-        emit(events::PEER_CHANGED, &self.settings.instance, &detail);
-        self.tell(std::iter::once(News::Peer(name.to_owned(), peer)));
+        let known = self.peers.instance_count();
+        self.pools.set_instances(known);
+        changes.log(&self.settings.instance, known);
+        self.tell(entries.into_iter().map(|(name, peer)| News::Peer(name, peer)));
     }
 
     /// Takes in a resource that an operator declared, or that it was dropped.
@@ -272,25 +266,13 @@
     }
 
     /// Takes in a sign that a target instance is leaving, seen in an answer of its own.
-    pub(crate) fn target_leaves(&self, id: &str, sign: &str) {
-        self.change_directory(|it| {
-            let change = it.leave(id);
-            self.log_target(id, "", change, sign);
-            if change == Change::Nothing { Vec::new() } else { vec![id.to_owned()] }
+    pub(crate) fn target_leaves(&self, id: &str, sign: &'static str) {
+        self.change_directory(|directory, changes| {
+            let change = directory.leave(id);
+            changes.note(id.to_owned(), change, sign);
         });
     }
 
-    /// Writes what changed about a target instance to the log.
-    pub(crate) fn log_target(&self, id: &str, service: &str, change: Change, sign: &str) {
-        let event = match change {
-            Change::Nothing => return,
-            Change::Leaving => events::TARGET_LEAVING,
-            Change::Joined | Change::Altered => events::TARGET_CHANGED,
-        };
-        let detail = format!("target={id} service={service} change={change:?} sign={sign}");
-        emit(event, &self.settings.instance, &detail);
-    }
-
     /// A target instance that is known and not leaving.
     pub(crate) fn staying_target(&self, id: &str) -> Option<TargetInstance> {
         self.directory.lock().get(id).filter(|it| !it.is_leaving).cloned()
--- a/crates/holdpointd/src/ingress/watch.rs
+++ b/crates/holdpointd/src/ingress/watch.rs
@@ -23,6 +23,7 @@
 use crate::{
     events::{self, emit},
     ingress::{
+        changes::TargetChanges,
         peers::Peer,
         shared::IngressShared,
         store::{StoreClient, StoreError},
@@ -84,12 +85,8 @@
 
 /// Takes in entries of peers; where they are all that there are, the others have left.
 fn take_peers(shared: &IngressShared, records: &[KeyedRecord], is_whole: bool) {
-    if is_whole {
-        let is_named = |name: &str| records.iter().any(|it| it.key == name);
-        let known = shared.peers.all().into_iter();
-        known.filter(|it| !is_named(&it.0)).for_each(|it| shared.set_peer(&it.0, None));
-    }
-    records.iter().for_each(|it| shared.set_peer(&it.key, parse_peer(it)));
+    let entries = records.iter().map(|it| (it.key.clone(), parse_peer(it)));
+    shared.set_peers(entries.collect(), is_whole);
 }
 
 /// An instance's entry: its address, the life of its process, its processor in thousandths of a
@@ -265,45 +262,37 @@
         let (records, end) = client.newest(TARGETS_TOPIC).await?;
         let entries: Vec<_> =
             records.iter().filter_map(|it| instances::parse(it).ok().flatten()).collect();
-        shared.change_directory(|directory| {
-            let mut changed = Vec::new();
+        shared.change_directory(|directory, changes| {
             for id in directory.unnamed(&entries) {
-                changed.extend(take_gone(shared, directory, &id, lapse));
-            }
-            for it in entries {
-                let id = it.id.clone();
-                changed.extend(shared.put_target(directory, it, "store").then_some(id));
+                take_gone(shared, directory, changes, id, lapse);
             }
-            changed.extend(expire(shared, directory));
-            changed
+            entries.into_iter().for_each(|it| changes.put(directory, it, "store"));
+            expire(shared, directory, changes);
         });
         return Ok(Some(end));
     };
     let page = client.read(TARGETS_TOPIC, from, Duration::ZERO).await?;
-    shared.change_directory(|directory| {
-        let records = page.records.iter();
-        let mut changed: Vec<TargetId> =
-            records.filter_map(|it| take_target(shared, directory, it, lapse)).collect();
-        changed.extend(expire(shared, directory));
-        changed
+    shared.change_directory(|directory, changes| {
+        page.records.iter().for_each(|it| take_target(shared, directory, changes, it, lapse));
+        expire(shared, directory, changes);
     });
     Ok(Some(page.next))
 }
 
-/// Takes in one record of the list; returns the target's id where that changed anything.
+/// Takes in one record of the list.
 fn take_target(
     shared: &IngressShared,
     directory: &mut Directory,
+    changes: &mut TargetChanges,
     record: &KeyedRecord,
     lapse: &Lapse,
-) -> Option<TargetId> {
+) {
     match instances::parse(record) {
-        Ok(Some(entry)) => shared.put_target(directory, entry, "store").then(|| record.key.clone()),
-        Ok(None) => take_gone(shared, directory, &record.key, lapse),
+        Ok(Some(entry)) => changes.put(directory, entry, "store"),
+        Ok(None) => take_gone(shared, directory, changes, record.key.clone(), lapse),
         Err(it) => {
             let detail = format!("target={} cause=\"{it}\"", record.key);
             emit(events::BAD_ENTRY, &shared.settings.instance, &detail);
-            None
         }
     }
 }
@@ -311,28 +300,29 @@
 fn take_gone(
     shared: &IngressShared,
     directory: &mut Directory,
-    id: &str,
+    changes: &mut TargetChanges,
+    id: TargetId,
     lapse: &Lapse,
-) -> Option<TargetId> {
+) {
     let now = shared.clock.now();
     let until = if lapse.is_away { now + LAPSE_MS } else { lapse.until };
     if until <= now {
-        return shared.remove_target(directory, id, "gone").then(|| id.to_owned());
+        return changes.remove(directory, id, "gone");
     }
     if directory.lapsed().next().is_none() {
         shared.note_lapses();
     }
-    let change = directory.lapse(id, until);
+    let change = directory.lapse(&id, until);
     let detail = format!("target={id} kept_ms={} change={change:?}", until - now);
     emit(events::TARGET_LAPSED, &shared.settings.instance, &detail);
-    (change != Change::Nothing).then(|| id.to_owned())
+    changes.note(id, change, "lapsed");
 }
 
 /// Removes the targets whose entries lapsed and did not come back.
-fn expire(shared: &IngressShared, directory: &mut Directory) -> Vec<TargetId> {
-    let gone = directory.expire(shared.clock.now());
-    gone.iter().for_each(|it| shared.log_target(it, "", Change::Leaving, "lapsed"));
-    gone
+fn expire(shared: &IngressShared, directory: &mut Directory, changes: &mut TargetChanges) {
+    for id in directory.expire(shared.clock.now()) {
+        changes.note(id, Change::Leaving, "lapsed");
+    }
 }
 
 fn client(shared: &IngressShared) -> StoreClient {
