Requests are admitted for their whole time or refused at once

Change: a piece that cannot be in time gets a later due time in place of the end of the queue, so what was admitted is made. Pieces whose deadline the estimate rules out are dropped at that moment, with their group. Admission asks whether a request will be in time, or late with certainty, returns as others; what has work done for it is not refused. A caller's time counts from its first try. Refused requests get return times one after the other. Pieces go before their inputs expire. HELD_PART, HELD_PART_BEGUN and FIRST_ASK are gone.

--- a/crates/holdpoint-core/src/batcher.rs
+++ b/crates/holdpoint-core/src/batcher.rs
@@ -2,13 +2,16 @@
 //!
 //! A call costs a fixed time plus a little for each piece, and a target works on few calls at
 //! once. So a target is given as many calls as it works on and no more: while one runs, pieces
-//! gather here, where they can still be ordered. Pieces that can be in time go first, the nearest
-//! due time before others; those that are late anyway follow by rank. A large result is made in
+//! gather here, where they can still be ordered: the nearest due time goes first. A piece that cannot
+//! be in time any more is due at its request's time limit instead; so it lets those go first that can
+//! be in time, and is made before its request ends. Pieces that the estimate says will not be made by
+//! then are dropped at once, and a request is admitted only where all its stages are expected to be
+//! made in time, or late with certainty. A large result is made in
 //! the failure domain where it is needed, as long as its due time leaves room to wait for a target
 //! there. The room that results take at each target is kept account of, from the call that makes
 //! them until they are given up or their time is over.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use crate::{directory::TargetId, ids::Millis};
 
@@ -59,6 +62,11 @@
 const LAG_BOUNDS: (f64, f64) = (1.0, 6.0);
 /// Weight of the newest measurement of that.
 const NEWEST_LAG: f64 = 0.1;
+/// Time over which offers are counted, in milliseconds: a few calls, so that a surge is noticed while
+/// it grows and forgotten soon after its end.
+const RATE_MS: f64 = 1000.0;
+/// Least part of the targets' time that is taken to be left for late pieces.
+const LEAST_SPARE: f64 = 0.05;
 
 /// A piece that waits.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -70,7 +78,7 @@
     pub group: u64,
     /// Time by which its result should be there, for the request to be in time.
     pub due: Millis,
-    /// Time after which its result helps nobody.
+    /// Time by which its result must be there, for the request to be served at all.
     pub deadline: Millis,
     /// Rank of its request; 0 goes first.
     pub rank: u32,
@@ -80,9 +88,8 @@
     pub domain: String,
     /// Bytes that are moved between failure domains if it is made in another one.
     pub near_bytes: u64,
-    /// Time after which its request is given up if it is late, so that its caller hears of it while
-    /// there is time to ask again.
-    pub abandon_at: Millis,
+    /// When the results that it is made from expire at their makers; never where it has none.
+    pub inputs_until: Option<Millis>,
     /// When it was offered; set by the batcher.
     pub offered: Millis,
     /// Wait predicted then, in milliseconds; set by the batcher.
@@ -170,6 +177,28 @@
     kept: HashMap<String, Kept>,
     /// How many times longer pieces wait than predicted.
     lag: f64,
+    /// Pieces that are offered.
+    offered: Rate,
+    /// From when on the next refused request may come back.
+    next_return: Millis,
+}
+
+/// Events a millisecond of late, older ones counted less and less.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rate {
+    per_ms: f64,
+    counted: Millis,
+}
+
+impl Rate {
+    fn at(&self, now: Millis) -> f64 {
+        self.per_ms * (-(now.saturating_sub(self.counted) as f64) / RATE_MS).exp()
+    }
+
+    fn count(&mut self, now: Millis) {
+        self.per_ms = self.at(now) + 1.0 / RATE_MS;
+        self.counted = now;
+    }
 }
 
 impl Sizes {
@@ -198,6 +227,8 @@
             targets: BTreeMap::new(),
             kept: HashMap::new(),
             lag: 1.0,
+            offered: Rate::default(),
+            next_return: 0,
         }
     }
 
@@ -221,6 +252,7 @@
     /// Offers a piece.
     pub fn offer(&mut self, now: Millis, piece: Waiting) {
         let predicted_wait = self.predicted_wait(now, piece.due);
+        self.offered.count(now);
         self.waiting.push(Waiting { offered: now, predicted_wait, ..piece });
     }
 
@@ -251,18 +283,58 @@
         (self.lag * self.predicted_wait(now, due) + own_call) as Millis
     }
 
+    /// Whether so many more pieces can be made by their due time, or by their deadline although all
+    /// that is offered meanwhile goes first. An error is the time in which they would be made.
+    pub fn admit(
+        &self,
+        now: Millis,
+        due: Millis,
+        deadline: Millis,
+        pieces: usize,
+    ) -> Result<(), Millis> {
+        let expected = self.expected_ms(now, due, pieces);
+        if now + expected <= due {
+            return Ok(());
+        }
+        let spare = 1.0 - self.offered.at(now) * self.piece_gap(now);
+        let late = self.expected_ms(now, deadline, pieces) as f64 / spare.max(LEAST_SPARE);
+        if now + late as Millis <= deadline { Ok(()) } else { Err(expected) }
+    }
+
+    /// When a request that was refused may come back, in milliseconds: once there is room for its
+    /// pieces, and after those that were refused before it.
+    pub fn return_ms(&mut self, now: Millis, due: Millis, pieces: usize) -> Millis {
+        let excess = (now + self.expected_ms(now, due, pieces)).saturating_sub(due.max(now));
+        let at = self.next_return.max(now + excess);
+        self.next_return = at + (pieces as f64 * self.piece_gap(now)) as Millis;
+        at - now
+    }
+
+    /// Time in which the targets make one piece where calls are full, in milliseconds.
+    fn piece_gap(&self, now: Millis) -> f64 {
+        let usable = |it: &&Target| !it.is_leaving && it.suspect_until <= now;
+        let targets = self.targets.values().filter(usable).count().max(1) as f64;
+        let most = self.sizes.most();
+        self.sizes.stated_ms(most) / most as f64 / targets
+    }
+
+    /// Time that decides when a piece has its turn: its due time, as long as it can be in time, then
+    /// its deadline; earlier where its inputs expire before.
+    fn turn(&self, now: Millis, piece: &Waiting) -> Millis {
+        let due = if self.sizes.is_late(now, piece) { piece.deadline } else { piece.due };
+        let call_ms = self.sizes.stated_ms(1) as Millis;
+        piece.inputs_until.map_or(due, |it| due.min(it + call_ms))
+    }
+
     /// Wait of one more piece, as far as the targets' stated times explain it, in milliseconds.
     fn predicted_wait(&self, now: Millis, due: Millis) -> f64 {
         let usable = |it: &&Target| !it.is_leaving && it.suspect_until <= now;
-        let targets = self.targets.values().filter(usable).count().max(1) as f64;
         let is_free = self.targets.values().filter(usable).any(|it| it.calls < self.sizes.calls);
         if is_free && self.waiting.is_empty() {
             return 0.0;
         }
-        let most = self.sizes.most();
-        let ahead = self.waiting.iter().filter(|it| now <= it.due && it.due <= due).count() as f64;
-        let gap = self.sizes.stated_ms(most) / targets;
-        gap + ahead / most as f64 * gap
+        let ahead = self.waiting.iter().filter(|it| self.turn(now, it) <= due).count();
+        (self.sizes.most() + ahead) as f64 * self.piece_gap(now)
     }
 
     /// Learns how much longer pieces wait than predicted, from those of a call.
@@ -275,15 +347,25 @@
         }
     }
 
-    /// Removes and returns the pieces that can no longer be made in time for their deadline, or
-    /// whose request is to be given up.
+    /// Removes and returns the pieces that will not be made by their deadline, with all that wait of
+    /// their groups: even if the targets make all that goes before them at the stated pace.
     pub fn expire(&mut self, now: Millis) -> Vec<Ticket> {
-        let least = self.sizes.stated_ms(1) as Millis;
-        let is_abandoned = |it: &Waiting| self.sizes.is_late(now, it) && it.abandon_at < now;
-        let is_over = |it: &Waiting| it.deadline < now + least || is_abandoned(it);
-        let over = self.waiting.iter().filter(|it| is_over(it)).map(|it| it.ticket).collect();
-        self.waiting.retain(|it| !is_over(it));
-        over
+        self.order(now);
+        let own_call = self.sizes.stated_ms(1);
+        let gap = self.piece_gap(now);
+        let mut over = HashSet::new();
+        let mut ahead = 0;
+        for piece in &self.waiting {
+            let made = now + (ahead as f64 * gap + own_call) as Millis;
+            if piece.deadline < made {
+                over.insert(piece.group);
+            } else if !over.contains(&piece.group) {
+                ahead += 1;
+            }
+        }
+        let (over, kept) = self.waiting.drain(..).partition(|it| over.contains(&it.group));
+        self.waiting = kept;
+        over.into_iter().map(|it: Waiting| it.ticket).collect()
     }
 
     /// Returns a call to make now, if there is one. [`Batcher::ended`] must follow.
@@ -405,13 +487,11 @@
         over.iter().for_each(|it| self.released(it));
     }
 
-    /// Orders what waits: the nearest due time first, then what is late anyway, by rank.
+    /// Orders what waits: the nearest turn first.
     fn order(&mut self, now: Millis) {
-        let sizes = self.sizes;
-        self.waiting.sort_by_key(|it| {
-            let is_late = sizes.is_late(now, it);
-            (is_late, if is_late { it.rank } else { 0 }, it.due, it.group, it.ticket)
-        });
+        let mut waiting = std::mem::take(&mut self.waiting);
+        waiting.sort_by_key(|it| (self.turn(now, it), it.rank, it.group, it.ticket));
+        self.waiting = waiting;
     }
 
     /// Whether more waits than a part of what the targets' next calls take.
--- a/crates/holdpoint-core/src/stage_graph.rs
+++ b/crates/holdpoint-core/src/stage_graph.rs
@@ -41,7 +41,7 @@
     Unreachable,
     /// Another instance batches the service's pieces now.
     Moved,
-    /// It would take so many milliseconds, too long for its request to be in time.
+    /// It would be too late for its request, which may come back after so many milliseconds.
     Overload(Millis),
 }
 
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -9,6 +9,7 @@
     time::{Duration, Instant},
 };
 
+use futures::{StreamExt, stream::FuturesUnordered};
 use holdpoint_adapter::stages as wire;
 use holdpoint_core::{
     batcher::{Batcher, Call, CallEnd, Sizes, Ticket, Waiting},
@@ -44,7 +45,7 @@
     pub(crate) work: PieceWork,
     /// Milliseconds until its result should be there; negative where that is over.
     pub(crate) due_in_ms: i64,
-    /// Milliseconds until its result helps nobody.
+    /// Milliseconds until its request ends.
     pub(crate) left_ms: Millis,
     /// Rank of its request; 0 goes first.
     pub(crate) rank: u32,
@@ -54,10 +55,16 @@
     pub(crate) domain: String,
     /// Bytes that are moved between failure domains if it is made in another one.
     pub(crate) near_bytes: u64,
-    /// Milliseconds until its request is given up; negative where that is over.
-    pub(crate) give_up_in_ms: i64,
-    /// Whether it is refused at once where it would not be there in time.
+    /// Milliseconds until its result must be there, for the request to be served at all; negative
+    /// where that is over. Peers of earlier versions know it by another name.
+    #[serde(rename = "give_up_in_ms")]
+    pub(crate) deadline_in_ms: i64,
+    /// Whether it is refused at once where it would not be there in time: nothing has been made for
+    /// its request.
     pub(crate) is_refusable: bool,
+    /// Milliseconds until the results that it is made from expire.
+    #[serde(default)]
+    pub(crate) inputs_for_ms: Option<Millis>,
     /// Inputs that nobody needs any more once all pieces asked for together have them, with the
     /// service that keeps each; stands at the first of these pieces.
     #[serde(default)]
@@ -166,11 +173,7 @@
             Err(it) => return vec![Err(it); count],
         };
         pump(shared, service);
-        let mut results = Vec::with_capacity(count);
-        for reply in replies {
-            results.push(reply.await.unwrap_or(Err(NoResult::Failed)));
-        }
-        results
+        gather(replies).await
     }
 
     fn offer(
@@ -191,7 +194,7 @@
             ServiceBatches { batcher, pending: HashMap::new(), is_owner: false }
         });
         let now = shared.clock.now();
-        refuse_late(shared, service, &of_service.batcher, now, &asks)?;
+        admit(shared, service, &mut of_service.batcher, now, &asks)?;
         let offered = Instant::now();
         let group = self.ticket();
         let inputs = Arc::new(GroupInputs::new(&mut asks));
@@ -313,28 +316,45 @@
     }
 }
 
-/// Refuses pieces of a request that has cost nothing yet and would be late.
-fn refuse_late(
+/// Gathers the results of pieces that were asked for together. Once one of them is too late, none of
+/// the others is of use, and they are not waited for.
+async fn gather(replies: Vec<oneshot::Receiver<PieceResult>>) -> Vec<PieceResult> {
+    let mut results = vec![Err(NoResult::Late); replies.len()];
+    let indexed = replies.into_iter().enumerate();
+    let mut waiting: FuturesUnordered<_> =
+        indexed.map(|(index, reply)| async move { (index, reply.await) }).collect();
+    while let Some((index, reply)) = waiting.next().await {
+        results[index] = reply.unwrap_or(Err(NoResult::Failed));
+        if results[index] == Err(NoResult::Late) {
+            break;
+        }
+    }
+    results
+}
+
+/// Refuses pieces of a request that has cost nothing yet and would be too late.
+fn admit(
     shared: &IngressShared,
     service: &str,
-    batcher: &Batcher,
+    batcher: &mut Batcher,
     now: Millis,
     asks: &[PieceAsk],
 ) -> Result<(), NoResult> {
     let Some(first) = asks.first().filter(|it| it.is_refusable) else { return Ok(()) };
     let due = now.saturating_add_signed(first.due_in_ms);
-    let expected = batcher.expected_ms(now, due, asks.len());
-    if now + expected <= due {
-        return Ok(());
-    }
+    let deadline = now.saturating_add_signed(first.deadline_in_ms);
+    let Err(expected) = batcher.admit(now, due, deadline, asks.len()) else { return Ok(()) };
+    let return_ms = batcher.return_ms(now, due, asks.len());
     let detail = format!(
-        "id={} service={service} expected_ms={expected} due_in_ms={} waiting={}",
+        "id={} service={service} expected_ms={expected} due_in_ms={} deadline_in_ms={} waiting={} \
+         return_ms={return_ms}",
         first.work.request,
         first.due_in_ms,
+        first.deadline_in_ms,
         batcher.waiting()
     );
     emit(events::STAGE_REFUSED, &shared.settings.instance, &detail);
-    Err(NoResult::Overload(expected))
+    Err(NoResult::Overload(return_ms))
 }
 
 /// A piece as its batcher sees it.
@@ -343,12 +363,12 @@
         ticket,
         group,
         due: now.saturating_add_signed(ask.due_in_ms),
-        deadline: now + ask.left_ms,
+        deadline: now.saturating_add_signed(ask.deadline_in_ms),
         rank: ask.rank,
         bytes: ask.bytes,
         domain: ask.domain.clone(),
         near_bytes: ask.near_bytes,
-        abandon_at: now.saturating_add_signed(ask.give_up_in_ms),
+        inputs_until: ask.inputs_for_ms.map(|it| now + it),
         ..Waiting::default()
     }
 }
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -1,7 +1,10 @@
 //! One request on its way: what is known of it, the sends made for it, how it ended.
 
 use std::{
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -33,8 +36,12 @@
 /// Work of a generation before its first token, in tokens read.
 const GENERATION_BASE: f64 = 2000.0;
 
-/// Part of a route's time that a caller who asks for the first time waits at least.
-const FIRST_ASK: f64 = 0.97;
+/// A caller whose patience is below this part of what is usual on its route is taken to have asked
+/// before: the rest is how long ago. Patience is measured with an error of one in a hundred.
+const SAME_PATIENCE: f64 = 0.97;
+/// Part of a route's callers, most of whom ask for the first time, that bring no more than the usual
+/// patience.
+const USUAL_PATIENCE: f64 = 0.9;
 
 /// One request on its way.
 pub(crate) struct Context {
@@ -48,9 +55,13 @@
     pub(crate) rank: u32,
     pub(crate) version: Version,
     pub(crate) arrived: Instant,
+    /// How long before that its caller has likely asked for the first time.
+    pub(crate) asked_before: Duration,
     /// When the request gets its final answer at the latest.
     pub(crate) until: Instant,
     pub(crate) ledger: Ledger,
+    /// Whether work was done for it.
+    has_begun: AtomicBool,
     /// Arm of the trial that it falls to, if there is one on its route.
     pub(crate) arm: Option<ChosenArm>,
     end: Mutex<EndLine>,
@@ -86,6 +97,7 @@
     /// Makes the context of a request that was read and found to be allowed.
     pub(crate) fn new(shared: Arc<IngressShared>, parts: Parts) -> Context {
         let limit = parts.route.time_limit(parts.head.patience);
+        let asked_before = asked_before(&shared, &parts);
         let pool = shared.pools.of(&parts.service);
         pool.request(shared.clock.now(), &shared.pools.terms());
         let arm = shared.experiments.now().arm_for(&parts.route.name, &parts.request.id);
@@ -100,8 +112,10 @@
             rank: parts.rank,
             version: parts.version,
             arrived: parts.arrived,
+            asked_before,
             until: parts.arrived + limit,
             ledger: Ledger::new(),
+            has_begun: AtomicBool::new(false),
             arm,
             end: Mutex::default(),
             _working: parts.working,
@@ -123,10 +137,14 @@
         self.route.repeat == Repeat::Free
     }
 
-    /// Whether its caller has likely asked before: it waits for less than the route allows.
-    pub(crate) fn has_asked_before(&self) -> bool {
-        let timeout = Duration::from_millis(self.route.timeout_ms);
-        self.head.patience.is_some_and(|it| it < timeout.mul_f64(FIRST_ASK))
+    /// Notes that results of a stage were made for it.
+    pub(crate) fn begin_stages(&self) {
+        self.has_begun.store(true, Ordering::Release);
+    }
+
+    /// Whether work was done for it, which a refusal would throw away.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.has_begun.load(Ordering::Acquire) || self.was_sent()
     }
 
     /// Policy of its trial's arm; none where the built-in one routes it.
@@ -253,6 +271,19 @@
     }
 }
 
+/// How long ago the caller of a request has likely asked for the first time. Service is counted from
+/// there, and the patience that a caller brings shrinks by as much.
+fn asked_before(shared: &IngressShared, parts: &Parts) -> Duration {
+    let Some(patience) = parts.head.patience else { return Duration::ZERO };
+    let patiences = shared.patiences.of(&parts.route.name, Default::default);
+    let mut patiences = patiences.lock();
+    let usual = patiences.quantile(USUAL_PATIENCE).unwrap_or(parts.route.timeout_ms);
+    patiences.record(shared.clock.now(), patience.as_millis() as Millis);
+    let usual = Duration::from_millis(usual.min(parts.route.timeout_ms));
+    let is_first = usual.mul_f64(SAME_PATIENCE) <= patience;
+    if is_first { Duration::ZERO } else { usual - patience }
+}
+
 impl Drop for Context {
     fn drop(&mut self) {
         let end = self.end.lock().clone();
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -63,6 +63,8 @@
     pub(crate) is_leaving: AtomicBool,
     /// Times from the send of a stream to its first event, by route.
     pub(crate) first_times: Lazy<Mutex<Times>>,
+    /// Patience that callers bring, by route.
+    pub(crate) patiences: Lazy<Mutex<Times>>,
     /// Raised whenever the store was silent, so that waiting reads begin anew.
     pub(crate) store_lost: Notify,
     /// Whether this instance reads the store by itself, or follows another that does.
@@ -112,6 +114,7 @@
             closing: watch::channel(false).0,
             is_leaving: AtomicBool::new(false),
             first_times: Lazy::default(),
+            patiences: Lazy::default(),
             store_lost: Notify::new(),
             reading: watch::channel(false).0,
             is_store_silent: AtomicBool::new(false),
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -19,16 +19,11 @@
         batches::{PieceAsk, PieceResult},
         context::Context,
         peers::make_anywhere,
+        send::left,
         shared::IngressShared,
     },
 };
 
-/// Part of the time that a request has, after which it is abandoned if it is late and nothing was
-/// made for it yet: below half, so that its caller has time to ask again, and the system that long to
-/// serve it late. 0.8 for callers who ask again measured the same (docs/DECIDING.md).
-const HELD_PART: f64 = 0.4;
-/// The same where stages before have been made, whose work would be lost; below half all the same.
-const HELD_PART_BEGUN: f64 = 0.48;
 /// How often one piece is made anew.
 const REMAKES: u32 = 4;
 /// Pause before a piece is made anew that found no room.
@@ -66,8 +61,8 @@
     }
 
     /// Whether results are there and were not given up.
-    fn has(&self, handles: Option<&[String]>) -> bool {
-        handles.is_some_and(|it| it.iter().all(|it| self.handles.contains_key(it)))
+    fn has(&self, made: &Made) -> bool {
+        made.handles.iter().all(|it| self.handles.contains_key(it))
     }
 
     fn release(&mut self, handles: &[String]) {
@@ -102,7 +97,15 @@
     }
 }
 
-type StageOutcome = (usize, Result<Vec<String>, NoResult>);
+/// Results of one stage.
+#[derive(Clone, Debug)]
+struct Made {
+    handles: Vec<String>,
+    /// When they expire at their makers.
+    until: Instant,
+}
+
+type StageOutcome = (usize, Result<Made, NoResult>);
 
 /// Makes all results; they are needed in `domain`.
 pub(crate) async fn make_all(ctx: &Context, domain: &str) -> Result<Results, NoResult> {
@@ -115,7 +118,8 @@
     let made = make_graph(ctx, &graph, domain, &mut held).await;
     ctx.note_stages(begun);
     let results = made?;
-    let inputs = graph.last().filter_map(|it| results[it].clone()).flatten().collect();
+    let last = graph.last().filter_map(|it| results[it].as_ref());
+    let inputs = last.flat_map(|it| it.handles.clone()).collect();
     Ok(Results { inputs, held })
 }
 
@@ -124,8 +128,8 @@
     graph: &StageGraph,
     domain: &str,
     held: &mut Held,
-) -> Result<Vec<Option<Vec<String>>>, NoResult> {
-    let mut results: Vec<Option<Vec<String>>> = vec![None; graph.len()];
+) -> Result<Vec<Option<Made>>, NoResult> {
+    let mut results: Vec<Option<Made>> = vec![None; graph.len()];
     let mut is_begun: Vec<bool> = (0..graph.len()).map(|it| graph.pieces(it) == 0).collect();
     let mut running: FuturesUnordered<BoxFuture<'_, StageOutcome>> = FuturesUnordered::new();
     let mut remakes = 0;
@@ -135,28 +139,27 @@
                 continue;
             }
             *is_begun = true;
-            let inputs =
-                graph.needs(stage).filter_map(|it| results[it].clone()).flatten().collect();
+            let inputs = graph.needs(stage).filter_map(|it| results[it].clone()).collect();
             let made = make_stage(ctx, graph, stage, inputs, domain);
             running.push(Box::pin(async move { (stage, made.await) }));
         }
         let Some((stage, outcome)) = running.next().await else { return Ok(results) };
         match outcome {
-            Ok(handles) => {
+            Ok(made) => {
                 let service = &ctx.route.stages[stage].service;
-                held.handles.extend(handles.iter().map(|it| (it.clone(), service.clone())));
-                results[stage] = Some(handles);
+                held.handles.extend(made.handles.iter().map(|it| (it.clone(), service.clone())));
+                results[stage] = Some(made);
                 for needed in graph.needs(stage).filter(|it| is_used_by_one(graph, *it)) {
-                    held.forget(results[needed].as_deref().unwrap_or_default());
+                    held.forget(handles(&results[needed]));
                 }
                 release_used(graph, &results, held);
             }
             Err(NoResult::InputGone) if remakes < INPUT_REMAKES => {
                 remakes += 1;
                 is_begun[stage] = false;
-                let is_held = |it: usize| held.has(results[it].as_deref());
+                let is_held = |it: usize| results[it].as_ref().is_some_and(|it| held.has(it));
                 for lost in graph.lost_before(stage, is_held) {
-                    held.release(results[lost].take().as_deref().unwrap_or_default());
+                    held.release(handles(&results[lost].take()));
                     is_begun[lost] = false;
                 }
             }
@@ -165,6 +168,10 @@
     }
 }
 
+fn handles(made: &Option<Made>) -> &[String] {
+    made.as_ref().map_or(&[], |it| &it.handles)
+}
+
 /// Whether only one stage needs the results of a stage, so that they may be given up by whoever
 /// makes the pieces of that one.
 fn is_used_by_one(graph: &StageGraph, stage: usize) -> bool {
@@ -172,14 +179,14 @@
 }
 
 /// Gives up the results of stages that every stage after them has used.
-fn release_used(graph: &StageGraph, results: &[Option<Vec<String>>], held: &mut Held) {
-    for (stage, handles) in results.iter().enumerate() {
-        let Some(handles) = handles else { continue };
+fn release_used(graph: &StageGraph, results: &[Option<Made>], held: &mut Held) {
+    for (stage, made) in results.iter().enumerate() {
+        let Some(made) = made else { continue };
         let is_pending = (0..graph.len())
             .filter(|it| graph.pieces(*it) != 0 && graph.needs(*it).any(|it| it == stage))
             .any(|it| results[it].is_none());
         if graph.is_needed(stage) && !is_pending {
-            held.release(handles);
+            held.release(&made.handles);
         }
     }
 }
@@ -188,10 +195,12 @@
     ctx: &Context,
     graph: &StageGraph,
     stage: usize,
-    inputs: Vec<String>,
+    inputs: Vec<Made>,
     domain: &str,
-) -> Result<Vec<String>, NoResult> {
+) -> Result<Made, NoResult> {
     let begun = Instant::now();
+    let inputs_until = inputs.iter().map(|it| it.until).min();
+    let inputs: Vec<String> = inputs.into_iter().flat_map(|it| it.handles).collect();
     let near = near(ctx, graph, stage, &inputs, domain);
     let source = if inputs.is_empty() {
         PieceSource::Key(ctx.head.piece_key.clone().unwrap_or_default())
@@ -201,15 +210,23 @@
     let count = graph.pieces(stage);
     let service = &ctx.route.stages[stage].service;
     let mut handles: Vec<Option<String>> = vec![None; count as usize];
+    let mut until = None;
     for round in 0..=REMAKES {
         let missing: Vec<u32> = (0..count).filter(|it| handles[*it as usize].is_none()).collect();
-        let ask = |piece: &u32| ask(ctx, graph, stage, *piece, source.clone(), &near, round);
+        let ask = |piece: &u32| {
+            let ask = ask(ctx, graph, stage, *piece, source.clone(), &near);
+            PieceAsk { inputs_for_ms: inputs_until.map(|it| left(it).as_millis() as Millis), ..ask }
+        };
         let mut asks: Vec<PieceAsk> = missing.iter().map(ask).collect();
         if let (Some(first), PieceSource::Inputs(inputs)) = (asks.first_mut(), &source) {
             first.used_up = used_up(ctx, graph, stage, inputs);
         }
         let made = make_anywhere(&ctx.shared, service, asks, ctx.left()).await;
         let failure = take_in(&mut handles, &missing, made);
+        if handles.iter().any(Option::is_some) {
+            ctx.begin_stages();
+            until.get_or_insert_with(|| Instant::now() + keep(ctx, service));
+        }
         let Some(cause) = failure else { break };
         let detail = format!("id={} stage={stage} round={round} cause={cause:?}", ctx.request.id);
         emit(events::STAGE_FAILED, &ctx.shared.settings.instance, &detail);
@@ -227,7 +244,15 @@
     }
     let ms = begun.elapsed().as_millis() as Millis;
     ctx.shared.pools.of(service).stage_took(ctx.shared.clock.now(), ms);
-    Ok(handles.into_iter().flatten().collect())
+    let handles = handles.into_iter().flatten().collect();
+    Ok(Made { handles, until: until.unwrap_or(begun) })
+}
+
+/// How long a service's targets keep results.
+fn keep(ctx: &Context, service: &str) -> Duration {
+    let configuration = ctx.shared.configuration();
+    let limits = configuration.services.get(service).and_then(|it| it.batches.as_ref());
+    Duration::from_millis(limits.map_or(0, |it| it.keep_ms))
 }
 
 /// Inputs of a stage that no other stage needs, with the services that keep them.
@@ -302,21 +327,12 @@
     piece: u32,
     source: PieceSource,
     (domain, near_bytes): &(String, u64),
-    round: u32,
 ) -> PieceAsk {
     let step = &ctx.route.stages[stage];
     let first_ms = ctx.first_event_ms(FIRST_EVENT_PERCENT).unwrap_or(FIRST_EVENT_MS);
     let after_ms = ms_after(ctx, graph, stage) + first_ms;
-    let spent = ctx.arrived.elapsed().as_millis() as i64;
-    // As long as nothing has been made for the request, giving it up costs nobody anything.
-    let is_first = graph.needs(stage).next().is_none() && round == 0 && !ctx.was_sent();
+    let spent = (ctx.arrived.elapsed() + ctx.asked_before).as_millis() as i64;
     let left_ms = ctx.left().as_millis() as Millis;
-    let limit_ms = (ctx.until - ctx.arrived).as_millis() as i64;
-    let give_up_in_ms = match (is_first, ctx.was_sent()) {
-        (true, _) => (limit_ms as f64 * HELD_PART) as i64 - spent,
-        (false, false) => (limit_ms as f64 * HELD_PART_BEGUN) as i64 - spent,
-        (false, true) => left_ms as i64,
-    };
     PieceAsk {
         work: PieceWork { request: ctx.request.id.clone(), stage, piece, source },
         due_in_ms: ctx.route.target_ms as i64 - after_ms as i64 - spent,
@@ -325,8 +341,9 @@
         bytes: step.bytes,
         domain: domain.clone(),
         near_bytes: *near_bytes,
-        give_up_in_ms,
-        is_refusable: is_first && !ctx.has_asked_before(),
+        deadline_in_ms: left_ms as i64 - after_ms as i64,
+        is_refusable: !ctx.has_begun(),
+        inputs_for_ms: None,
         used_up: Vec::new(),
     }
 }
