A stream must begin before its caller leaves it as silent

Change: the platform's sentence is decoded into `silence_ms`; pieces have their deadline by it. The test fails before (no answer in 20 s).

--- a/crates/holdpoint-core/src/ingress.rs
+++ b/crates/holdpoint-core/src/ingress.rs
@@ -32,6 +32,8 @@
     Events {
         /// Longest pause between events, in milliseconds.
         gap_ms: u64,
+        /// Longest silence that callers bear, before the first event too, in milliseconds.
+        silence_ms: u64,
     },
 }
 
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -127,6 +127,21 @@
         left(self.until)
     }
 
+    /// Time left until the answer must have begun: callers leave a stream that stays silent before its
+    /// time is over.
+    pub(crate) fn left_to_begin(&self) -> Duration {
+        match self.route.shape {
+            Shape::Events { silence_ms, .. } if !self.has_answered() => {
+                self.left().min(left(self.arrived + Duration::from_millis(silence_ms)))
+            }
+            _ => self.left(),
+        }
+    }
+
+    fn has_answered(&self) -> bool {
+        self.end.lock().first_ms != 0
+    }
+
     /// Time within which an answer earns its full worth.
     pub(crate) fn target_time(&self) -> Duration {
         Duration::from_millis(self.route.target_ms)
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -221,7 +221,7 @@
         if let (Some(first), PieceSource::Inputs(inputs)) = (asks.first_mut(), &source) {
             first.used_up = used_up(ctx, graph, stage, inputs);
         }
-        let made = make_anywhere(&ctx.shared, service, asks, ctx.left()).await;
+        let made = make_anywhere(&ctx.shared, service, asks, ctx.left_to_begin()).await;
         let failure = take_in(&mut handles, &missing, made);
         if handles.iter().any(Option::is_some) {
             ctx.begin_stages();
@@ -232,7 +232,7 @@
         emit(events::STAGE_FAILED, &ctx.shared.settings.instance, &detail);
         let is_final = round == REMAKES
             || matches!(cause, NoResult::InputGone | NoResult::Late | NoResult::Overload(_));
-        if is_final || ctx.left().is_zero() {
+        if is_final || ctx.left_to_begin().is_zero() {
             release_all(ctx, stage, handles);
             return Err(cause);
         }
@@ -332,7 +332,7 @@
     let first_ms = ctx.first_event_ms(FIRST_EVENT_PERCENT).unwrap_or(FIRST_EVENT_MS);
     let after_ms = ms_after(ctx, graph, stage) + first_ms;
     let spent = (ctx.arrived.elapsed() + ctx.asked_before).as_millis() as i64;
-    let left_ms = ctx.left().as_millis() as Millis;
+    let left_ms = ctx.left_to_begin().as_millis() as Millis;
     PieceAsk {
         work: PieceWork { request: ctx.request.id.clone(), stage, piece, source },
         due_in_ms: ctx.route.target_ms as i64 - after_ms as i64 - spent,
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -437,7 +437,7 @@
 /// How long the next event is waited for.
 fn gap_patience(ctx: &Context, attempts: &Attempts) -> Duration {
     match ctx.route.shape {
-        Shape::Events { gap_ms } if ctx.is_repeatable() && attempts.may_repeat(ctx) => {
+        Shape::Events { gap_ms, .. } if ctx.is_repeatable() && attempts.may_repeat(ctx) => {
             Duration::from_millis(gap_ms).mul_f64(GAP_PATIENCE).max(LEAST_GAP)
         }
         _ => ctx.left(),
--- a/crates/holdpointd/tests/ingress.rs
+++ b/crates/holdpointd/tests/ingress.rs
@@ -6,7 +6,7 @@
 
 use holdpoint_adapter_standin::{
     Behaviour, CallerRequest, Gate, Outage, Store, Target, call, names, sample_configuration,
-    set_times,
+    set_pace, set_times,
 };
 use holdpointd::ingress::Ingress;
 use http::{Method, StatusCode};
@@ -260,6 +260,28 @@
     assert_eq!(other.runs().len(), 1);
 }
 
+/// Callers leave a stream that stays silent long before its time is over; until then they are told
+/// that it has not run.
+#[tokio::test]
+async fn a_request_whose_stages_cannot_be_made_is_refused_before_its_caller_leaves() {
+    let system = start(&[], &[Behaviour::Events(3)]).await;
+    let mut configuration = sample_configuration(2);
+    configuration["routes"][6]["timeout-ms"] = json!(60_000);
+    set_pace(&mut configuration, 6, 500, 100);
+    system.store.put_configuration(&configuration);
+    until(|| system.instance.version() == 2).await;
+    system.store.drop_target("i-encode");
+    until(|| system.instance.target_count() == 1).await;
+    let request = CallerRequest::new("r-1", "/staged/")
+        .with_pieces("1,1")
+        .with_header(names::DEADLINE, "60000");
+    let asked = tokio::time::timeout(PATIENCE, call(system.callers(), request));
+    let answer = asked.await.expect("it is answered long before its time is over").unwrap();
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(!header(&answer, "retry-after").is_empty());
+    assert_eq!(system.engine_runs(), 0);
+}
+
 #[tokio::test]
 async fn pieces_of_several_requests_share_a_call() {
     let system = start(&[], &[Behaviour::Events(3)]).await;
