The instance that batches a service tells how long its stages take

Cause: each instance estimated the stages to come from what it had itself seen of late, pieces that had stood aside as late included; at hundreds of instances it sees too few. Requests with 4 s left were taken for hopeless. Change: answers to the question whether a peer is there carry the stage times of the services it batches (a call of its own; peers of earlier versions are asked as before).

--- a/crates/holdpoint-core/src/batcher.rs
+++ b/crates/holdpoint-core/src/batcher.rs
@@ -177,6 +177,8 @@
     kept: HashMap<String, Kept>,
     /// How many times longer pieces wait than predicted.
     lag: f64,
+    /// Time from the offer of a piece in time to its due time, in milliseconds.
+    usual_slack: f64,
     /// Pieces that are offered.
     offered: Rate,
     /// From when on the next refused request may come back.
@@ -227,6 +229,7 @@
             targets: BTreeMap::new(),
             kept: HashMap::new(),
             lag: 1.0,
+            usual_slack: 0.0,
             offered: Rate::default(),
             next_return: 0,
         }
@@ -252,6 +255,9 @@
     /// Offers a piece.
     pub fn offer(&mut self, now: Millis, piece: Waiting) {
         let predicted_wait = self.predicted_wait(now, piece.due);
+        if !self.sizes.is_late(now, &piece) {
+            self.usual_slack += NEWEST_LAG * ((piece.due - now) as f64 - self.usual_slack);
+        }
         self.offered.count(now);
         self.waiting.push(Waiting { offered: now, predicted_wait, ..piece });
     }
@@ -283,6 +289,11 @@
         (self.lag * self.predicted_wait(now, due) + own_call) as Millis
     }
 
+    /// Time in which a piece would be made that has as much time as is usual here, in milliseconds.
+    pub fn usual_ms(&self, now: Millis) -> Millis {
+        self.expected_ms(now, now + self.usual_slack as Millis, 1)
+    }
+
     /// Whether so many more pieces can be made by their due time, or by their deadline although all
     /// that is offered meanwhile goes first. An error is the time in which they would be made.
     pub fn admit(
--- a/crates/holdpoint-core/src/deadline.rs
+++ b/crates/holdpoint-core/src/deadline.rs
@@ -13,7 +13,7 @@
 
 /// Weight of the newest measurement in a [`RecentTime`]. Bursts last for seconds, and so does what
 /// is remembered.
-const NEWEST: f64 = 0.2;
+const NEWEST: f64 = 0.5;
 /// Age at which what a [`RecentTime`] remembers has lost half its weight, in milliseconds.
 const TRUST_MS: f64 = 700.0;
 
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -224,6 +224,13 @@
         self.next_ticket.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// How long stages take at the services that this instance batches.
+    pub(crate) fn stage_times(&self, now: Millis) -> Vec<(Name, Millis)> {
+        let services = self.services.lock();
+        let owned = services.iter().filter(|it| it.1.is_owner);
+        owned.map(|(name, it)| (name.clone(), it.batcher.usual_ms(now))).collect()
+    }
+
     /// Takes in that results were given up at their makers.
     pub(crate) fn released(&self, service: &str, handles: &[String]) {
         if let Some(it) = self.services.lock().get_mut(service) {
@@ -376,6 +383,7 @@
 /// Starts calls for all that waits where a target has become free with time.
 pub(crate) fn pump_all(shared: &Arc<IngressShared>) {
     shared.batches.hand_over(shared);
+    shared.take_stage_times(shared.batches.stage_times(shared.clock.now()));
     for service in shared.batches.services_with_work() {
         pump(shared, &service);
     }
--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -3,7 +3,12 @@
 use std::sync::Arc;
 
 use futures::StreamExt;
-use holdpoint_core::{directory::TargetId, ids::Name, ingress::Version, route::Call};
+use holdpoint_core::{
+    directory::TargetId,
+    ids::{Millis, Name},
+    ingress::Version,
+    route::Call,
+};
 use serde::{Deserialize, Serialize};
 use tarpc::{
     context,
@@ -26,6 +31,19 @@
 /// Largest message between peers, in bytes.
 const MAX_FRAME: usize = 16 << 20;
 
+/// Version of the protocol that this instance speaks: from 1 on, [`IngressPeers::check`] is known.
+pub(crate) const PROTOCOL: u32 = 1;
+
+/// What an instance tells of itself whenever it is asked whether it is there.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct Standing {
+    /// Version of the configuration that it has in force.
+    pub(crate) version: Version,
+    /// Services that it batches, with the time that a stage takes there, in milliseconds.
+    #[serde(default)]
+    pub(crate) stage_times: Vec<(Name, Millis)>,
+}
+
 /// A prompt for which an instance asks for a target.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct PromptAsk {
@@ -54,6 +72,8 @@
     /// Says that the instance is there, and which configuration it has. The asker at this address
     /// has the configuration of this version.
     async fn ping(known: Version, address: String) -> Version;
+    /// The same as `ping`, with more in the answer.
+    async fn check(known: Version, address: String) -> Standing;
     /// Tells what is new to an asker who knows so much; waits for a while until something is.
     async fn follow(known: Known) -> Update;
 }
@@ -121,6 +141,11 @@
         in_force
     }
 
+    async fn check(self, context: context::Context, known: Version, address: String) -> Standing {
+        let stage_times = self.shared.batches.stage_times(self.shared.clock.now());
+        Standing { version: self.ping(context, known, address).await, stage_times }
+    }
+
     async fn follow(self, _: context::Context, known: Known) -> Update {
         news::answer(&self.shared, known).await
     }
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -37,7 +37,7 @@
         connections::guard,
         follow::catch_up,
         news::{Known, Update},
-        peer_service::{IngressPeersClient, PromptAsk, codec},
+        peer_service::{IngressPeersClient, PromptAsk, Standing, codec},
         shared::IngressShared,
     },
 };
@@ -101,6 +101,9 @@
     /// What it may use of its machine.
     #[serde(default)]
     pub(crate) capacity: Capacity,
+    /// Version of the protocol that it speaks.
+    #[serde(default)]
+    pub(crate) protocol: u32,
 }
 
 /// The peers of an instance.
@@ -318,6 +321,12 @@
         emit(events::PEER_SILENT, &shared.settings.instance, &detail);
     }
 
+    /// Version of the protocol that the peer at an address speaks; 0 where it is not known.
+    fn protocol_of(&self, address: &str) -> u32 {
+        let known = self.known.lock();
+        known.values().find(|it| it.address == address).map_or(0, |it| it.protocol)
+    }
+
     fn trust(&self, address: &str) {
         self.suspects.lock().remove(address);
     }
@@ -371,11 +380,21 @@
         }
         let known = shared.configuration().version;
         let own_address = shared.settings.listen.peers.clone();
-        let ping = client.ping(context_for(PING_LIMIT), known, own_address);
-        match tokio::time::timeout(PING_LIMIT, ping).await {
+        let checked = async {
+            match shared.peers.protocol_of(&address) {
+                0 => {
+                    let version = client.ping(context_for(PING_LIMIT), known, own_address).await?;
+                    Ok(Standing { version, ..Standing::default() })
+                }
+                _ => client.check(context_for(PING_LIMIT), known, own_address).await,
+            }
+        };
+        match tokio::time::timeout(PING_LIMIT, checked).await {
             Ok(Ok(theirs)) => {
+                let theirs: Standing = theirs;
                 shared.peers.trust(&address);
-                if known < theirs {
+                shared.take_stage_times(theirs.stage_times);
+                if known < theirs.version {
                     drop(tokio::spawn(catch_up(shared.clone(), address.clone())));
                 }
             }
--- a/crates/holdpointd/src/ingress/pools.rs
+++ b/crates/holdpointd/src/ingress/pools.rs
@@ -37,7 +37,7 @@
     budget: Mutex<SharedBudget>,
     /// Time to the first part of an answer, in milliseconds.
     pub(crate) times: Mutex<Times>,
-    /// Time of a stage here of late.
+    /// Time of a stage here, as the instance that batches it has told of late.
     stage_time: Mutex<RecentTime>,
     policy: Policy,
 }
@@ -179,13 +179,13 @@
         self.router.lock().has_queue(target)
     }
 
-    /// Takes in how long a stage took.
-    pub(crate) fn stage_took(&self, now: Millis, ms: Millis) {
+    /// Takes in how long a stage takes, as the instance that batches it expects.
+    pub(crate) fn stage_takes(&self, now: Millis, ms: Millis) {
         self.stage_time.lock().record(now, ms);
     }
 
-    /// How long stages took of late, in milliseconds, where one takes `stated` without a queue.
-    pub(crate) fn recent_stage_ms(&self, now: Millis, stated: Millis) -> Millis {
+    /// How long a stage takes, in milliseconds, where it is `stated` without a queue.
+    pub(crate) fn stage_ms(&self, now: Millis, stated: Millis) -> Millis {
         self.stage_time.lock().get(now, stated)
     }
 
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -31,6 +31,7 @@
         connections::Connections,
         declared::Declared,
         news::{News, TargetList},
+        peer_service::PROTOCOL,
         peers::{Peer, Peers, own_capacity},
         pools::Pools,
         releases::Releases,
@@ -229,6 +230,12 @@
         self.tell(entries.into_iter().map(|(name, peer)| News::Peer(name, peer)));
     }
 
+    /// Takes in how long stages take at services, as the instances that batch them tell.
+    pub(crate) fn take_stage_times(&self, times: Vec<(Name, Millis)>) {
+        let now = self.clock.now();
+        times.iter().for_each(|(service, ms)| self.pools.of(service).stage_takes(now, *ms));
+    }
+
     /// Takes in a resource that an operator declared, or that it was dropped.
     pub(crate) fn set_resource(&self, key: &str, value: Option<Bytes>) {
         match self.experiments.set(key, value.clone()) {
@@ -260,6 +267,7 @@
             address: self.settings.listen.peers.clone(),
             life: format!("{:x}", self.life),
             capacity: own_capacity(&self.settings),
+            protocol: PROTOCOL,
         }
     }
 
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -198,7 +198,6 @@
     inputs: Vec<Made>,
     domain: &str,
 ) -> Result<Made, NoResult> {
-    let begun = Instant::now();
     let inputs_until = inputs.iter().map(|it| it.until).min();
     let inputs: Vec<String> = inputs.into_iter().flat_map(|it| it.handles).collect();
     let near = near(ctx, graph, stage, &inputs, domain);
@@ -242,10 +241,8 @@
             _ => (),
         }
     }
-    let ms = begun.elapsed().as_millis() as Millis;
-    ctx.shared.pools.of(service).stage_took(ctx.shared.clock.now(), ms);
     let handles = handles.into_iter().flatten().collect();
-    Ok(Made { handles, until: until.unwrap_or(begun) })
+    Ok(Made { handles, until: until.unwrap_or_else(Instant::now) })
 }
 
 /// How long a service's targets keep results.
@@ -351,7 +348,7 @@
 /// Time that a stage at a service usually takes, in milliseconds.
 fn usual_ms(ctx: &Context, service: &str) -> Millis {
     let stated = stage_ms(ctx, service);
-    ctx.shared.pools.of(service).recent_stage_ms(ctx.shared.clock.now(), stated)
+    ctx.shared.pools.of(service).stage_ms(ctx.shared.clock.now(), stated)
 }
 
 /// Time that the stages after a stage usually take, along the longest chain, in milliseconds.
--- a/crates/holdpointd/src/ingress/watch.rs
+++ b/crates/holdpointd/src/ingress/watch.rs
@@ -90,10 +90,10 @@
 }
 
 /// An instance's entry: its address, the life of its process, its processor in thousandths of a
-/// core and its link in Mbit/s, with blanks between.
+/// core, its link in Mbit/s and the protocol it speaks, with blanks between.
 fn peer_entry(peer: &Peer) -> String {
     let Capacity { millicores, link_mbps } = peer.capacity;
-    format!("{} {} {millicores} {link_mbps}", peer.address, peer.life)
+    format!("{} {} {millicores} {link_mbps} {}", peer.address, peer.life, peer.protocol)
 }
 
 /// Reads a peer's entry. One of an earlier version ends after the life of the process.
@@ -105,7 +105,7 @@
     // What is not stated counts as nothing, so that those who state more are preferred.
     let mut figure = || fields.next().and_then(|it| it.parse().ok()).unwrap_or(0);
     let capacity = Capacity { millicores: figure(), link_mbps: figure() };
-    Some(Peer { address, life, capacity })
+    Some(Peer { address, life, capacity, protocol: figure() })
 }
 
 /// Keeps the policies and trials that operators declare up to date.
