--- a/crates/holdpoint-core/src/batcher.rs
+++ b/crates/holdpoint-core/src/batcher.rs
@@ -3,8 +3,8 @@
 //! A call costs a fixed time plus a little for each piece, and a target works on few calls at
 //! once. So a target is given as many calls as it works on and no more: while one runs, pieces
 //! gather here, where they can still be ordered: the nearest due time goes first. A piece that cannot
-//! be in time any more is due at its request's time limit instead; so it lets those go first that can
-//! be in time, and is made before its request ends. Pieces that the estimate says will not be made by
+//! be in time any more has a later due time instead; so it lets those go first that can be in time, and
+//! is made before its request ends. Pieces that the estimate says will not be made by
 //! then are dropped at once, and a request is admitted only where all its stages are expected to be
 //! made in time, or late with certainty. A large result is made in
 //! the failure domain where it is needed, as long as its due time leaves room to wait for a target
@@ -80,6 +80,9 @@
     pub due: Millis,
     /// Time by which its result must be there, for the request to be served at all.
     pub deadline: Millis,
+    /// Time by which it is made once it cannot be in time any more. Before its deadline, so that the
+    /// stages after it, and whatever goes wrong there, have a part of the time that is left.
+    pub late_due: Millis,
     /// Rank of its request; 0 goes first.
     pub rank: u32,
     /// Room that its result takes, in bytes.
@@ -294,13 +297,13 @@
         self.expected_ms(now, now + self.usual_slack as Millis, 1)
     }
 
-    /// Whether so many more pieces can be made by their due time, or by their deadline although all
-    /// that is offered meanwhile goes first. An error is the time in which they would be made.
+    /// Whether so many more pieces can be made by their due time, or by their late one although all that
+    /// is offered meanwhile goes first. An error is the time in which they would be made.
     pub fn admit(
         &self,
         now: Millis,
         due: Millis,
-        deadline: Millis,
+        late_due: Millis,
         pieces: usize,
     ) -> Result<(), Millis> {
         let expected = self.expected_ms(now, due, pieces);
@@ -308,8 +311,8 @@
             return Ok(());
         }
         let spare = 1.0 - self.offered.at(now) * self.piece_gap(now);
-        let late = self.expected_ms(now, deadline, pieces) as f64 / spare.max(LEAST_SPARE);
-        if now + late as Millis <= deadline { Ok(()) } else { Err(expected) }
+        let late = self.expected_ms(now, late_due, pieces) as f64 / spare.max(LEAST_SPARE);
+        if now + late as Millis <= late_due { Ok(()) } else { Err(expected) }
     }
 
     /// When a request that was refused may come back, in milliseconds: once there is room for its
@@ -330,9 +333,9 @@
     }
 
     /// Time that decides when a piece has its turn: its due time, as long as it can be in time, then
-    /// its deadline; earlier where its inputs expire before.
+    /// its late one; earlier where its inputs expire before.
     fn turn(&self, now: Millis, piece: &Waiting) -> Millis {
-        let due = if self.sizes.is_late(now, piece) { piece.deadline } else { piece.due };
+        let due = if self.sizes.is_late(now, piece) { piece.late_due } else { piece.due };
         let call_ms = self.sizes.stated_ms(1) as Millis;
         piece.inputs_until.map_or(due, |it| due.min(it + call_ms))
     }
--- a/crates/holdpoint-core/tests/batcher.rs
+++ b/crates/holdpoint-core/tests/batcher.rs
@@ -113,6 +113,7 @@
                 group,
                 due: self.now + due,
                 deadline: self.now + due + 4000,
+                late_due: self.now + due + 2000,
                 rank: (bytes % 3) as u32,
                 bytes,
                 domain: if near { "a".to_owned() } else { String::new() },
@@ -280,8 +281,8 @@
 }
 
 #[test]
-fn a_late_piece_has_its_turn_before_its_deadline_and_before_its_inputs_expire() {
-    let late = |ticket| Waiting { deadline: 4000, ..piece(ticket, ticket, 1100) };
+fn a_late_piece_has_its_turn_by_its_late_due_time_and_before_its_inputs_expire() {
+    let late = |ticket| Waiting { late_due: 4000, ..piece(ticket, ticket, 1100) };
     let mut batcher = batcher(&[("t", "a")]);
     batcher.offer(1000, late(1));
     batcher.offer(1000, piece(2, 2, 3900));
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -59,6 +59,9 @@
     /// where that is over. Peers of earlier versions know it by another name.
     #[serde(rename = "give_up_in_ms")]
     pub(crate) deadline_in_ms: i64,
+    /// Milliseconds until it is made once it cannot be in time any more.
+    #[serde(default)]
+    pub(crate) late_due_in_ms: i64,
     /// Whether it is refused at once where it would not be there in time: nothing has been made for
     /// its request.
     pub(crate) is_refusable: bool,
@@ -349,15 +352,15 @@
 ) -> Result<(), NoResult> {
     let Some(first) = asks.first().filter(|it| it.is_refusable) else { return Ok(()) };
     let due = now.saturating_add_signed(first.due_in_ms);
-    let deadline = now.saturating_add_signed(first.deadline_in_ms);
-    let Err(expected) = batcher.admit(now, due, deadline, asks.len()) else { return Ok(()) };
+    let late_due = now.saturating_add_signed(first.late_due_in_ms);
+    let Err(expected) = batcher.admit(now, due, late_due, asks.len()) else { return Ok(()) };
     let return_ms = batcher.return_ms(now, due, asks.len());
     let detail = format!(
-        "id={} service={service} expected_ms={expected} due_in_ms={} deadline_in_ms={} waiting={} \
+        "id={} service={service} expected_ms={expected} due_in_ms={} late_due_in_ms={} waiting={} \
          return_ms={return_ms}",
         first.work.request,
         first.due_in_ms,
-        first.deadline_in_ms,
+        first.late_due_in_ms,
         batcher.waiting()
     );
     emit(events::STAGE_REFUSED, &shared.settings.instance, &detail);
@@ -371,6 +374,7 @@
         group,
         due: now.saturating_add_signed(ask.due_in_ms),
         deadline: now.saturating_add_signed(ask.deadline_in_ms),
+        late_due: now.saturating_add_signed(ask.late_due_in_ms),
         rank: ask.rank,
         bytes: ask.bytes,
         domain: ask.domain.clone(),
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -330,6 +330,7 @@
     let after_ms = ms_after(ctx, graph, stage) + first_ms;
     let spent = (ctx.arrived.elapsed() + ctx.asked_before).as_millis() as i64;
     let left_ms = ctx.left_to_begin().as_millis() as Millis;
+    let slack_ms = left_ms as i64 - after_ms as i64;
     PieceAsk {
         work: PieceWork { request: ctx.request.id.clone(), stage, piece, source },
         due_in_ms: ctx.route.target_ms as i64 - after_ms as i64 - spent,
@@ -338,7 +339,8 @@
         bytes: step.bytes,
         domain: domain.clone(),
         near_bytes: *near_bytes,
-        deadline_in_ms: left_ms as i64 - after_ms as i64,
+        deadline_in_ms: slack_ms,
+        late_due_in_ms: slack_ms / (1 + stages_after(graph, stage)) as i64,
         is_refusable: !ctx.has_begun(),
         inputs_for_ms: None,
         used_up: Vec::new(),
@@ -359,6 +361,11 @@
     later.max().unwrap_or(0)
 }
 
+/// Number of steps after a stage along the longest chain, the request's own service included.
+fn stages_after(graph: &StageGraph, stage: usize) -> usize {
+    1 + graph.after(stage).map(|it| stages_after(graph, it)).max().unwrap_or(0)
+}
+
 fn stage_ms(ctx: &Context, service: &str) -> Millis {
     let configuration = ctx.shared.configuration();
     let limits = configuration.services.get(service).and_then(|it| it.batches.as_ref());
