A planned stop answers what it cannot finish

Cause: what still waited at the end of the grace was cut without an answer. Change: 0.3 s before that, each request without an answer gets its final one: not run where so. Figures: the test fails before (the stop ends with one request cut).

--- a/crates/holdpointd/src/ingress/attempts.rs
+++ b/crates/holdpointd/src/ingress/attempts.rs
@@ -29,6 +29,8 @@
     Budget,
     /// The time is over.
     Time,
+    /// The instance is about to end.
+    Stopping,
 }
 
 impl NoSend {
@@ -39,6 +41,7 @@
             NoSend::Attempts => "attempts-used",
             NoSend::Budget => "retry-budget",
             NoSend::Time => "time-over",
+            NoSend::Stopping => "stopping",
         }
     }
 }
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -51,6 +51,9 @@
 const SWEEP: Duration = Duration::from_millis(1000);
 /// How long before the forced end a planned stop gives up on what is still in flight.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// How long before that what has no answer yet gets its final one, so that no caller's connection is
+/// closed without.
+const LAST_ANSWERS: Duration = Duration::from_millis(300);
 /// How long callers' connections may take to close once nothing is in flight.
 const CLOSE: Duration = Duration::from_millis(150);
 
@@ -107,6 +110,11 @@
         self.shared.peers.all().len()
     }
 
+    /// Number of requests in flight.
+    pub fn in_flight(&self) -> usize {
+        self.shared.in_flight.count()
+    }
+
     /// Number of target instances that it knows and that are not leaving.
     pub fn target_count(&self) -> usize {
         self.shared.targets().iter().filter(|it| !it.is_leaving).count()
@@ -130,7 +138,7 @@
         sleep(Duration::from_millis(timing.linger_ms).min(grace)).await;
         shared.closing.send_replace(true);
         let rest = grace.saturating_sub(begun.elapsed());
-        let is_drained = timeout(rest, shared.in_flight.idle()).await.is_ok();
+        let is_drained = drain(shared, rest).await;
         sleep(CLOSE).await;
         left.abort();
         let detail = format!("in_flight={}", shared.in_flight.count());
@@ -139,6 +147,17 @@
     }
 }
 
+/// Waits until nothing is in flight, for so long at most; whether that came about. What has no answer
+/// shortly before gets its final one.
+async fn drain(shared: &IngressShared, rest: Duration) -> bool {
+    let is_drained = timeout(rest.saturating_sub(LAST_ANSWERS), shared.in_flight.idle()).await;
+    if is_drained.is_ok() {
+        return true;
+    }
+    shared.answer_now.send_replace(true);
+    timeout(LAST_ANSWERS, shared.in_flight.idle()).await.is_ok()
+}
+
 async fn tick(shared: Arc<IngressShared>) {
     let mut pump = interval(PUMP);
     let mut sweep = interval(SWEEP);
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -60,6 +60,8 @@
     pub(crate) in_flight: Arc<InFlight>,
     /// Becomes true when callers' connections are to be closed.
     pub(crate) closing: watch::Sender<bool>,
+    /// Becomes true when a planned stop is about to end and all that waits gets its final answer.
+    pub(crate) answer_now: watch::Sender<bool>,
     /// Whether a planned stop has begun.
     pub(crate) is_leaving: AtomicBool,
     /// Times from the send of a stream to its first event, by route.
@@ -113,6 +115,7 @@
             experiments: Declared::default(),
             in_flight: Arc::default(),
             closing: watch::channel(false).0,
+            answer_now: watch::channel(false).0,
             is_leaving: AtomicBool::new(false),
             first_times: Lazy::default(),
             patiences: Lazy::default(),
@@ -360,6 +363,13 @@
         (read != 0 && age < FRESH.as_millis() as Millis).then_some(age)
     }
 
+    /// Waits until all that has no answer yet gets its final one.
+    pub(crate) async fn stop_nears(&self) {
+        let mut answer_now = self.answer_now.subscribe();
+        // The sender lives as long as the instance.
+        let _ = answer_now.wait_for(|it| *it).await;
+    }
+
     /// Whether the balancer may send callers here.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_leaving.load(Ordering::Acquire)
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -86,8 +86,12 @@
 /// Serves a request.
 pub(crate) async fn serve(ctx: Context) -> Answer {
     let mut attempts = Attempts::default();
-    let opened = tokio::time::timeout(ctx.left(), open(&ctx, &mut attempts, None)).await;
-    match opened.unwrap_or(Err(NotOpen::NoSend(NoSend::Time.name()))) {
+    let opened = tokio::select! {
+        it = open(&ctx, &mut attempts, None) => it,
+        () = tokio::time::sleep(ctx.left()) => Err(NotOpen::NoSend(NoSend::Time.name())),
+        () = ctx.shared.stop_nears() => Err(NotOpen::NoSend(NoSend::Stopping.name())),
+    };
+    match opened {
         Ok(it) => {
             ctx.note_first();
             // Until its end the stream counts as left by its caller.
--- a/crates/holdpointd/src/ingress/whole.rs
+++ b/crates/holdpointd/src/ingress/whole.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use holdpoint_core::{directory::TargetInstance, ids::Millis, route::End};
+use holdpoint_core::{directory::TargetInstance, ids::Millis, route::End, stage_graph::NoResult};
 use http::response::Parts;
 
 use crate::ingress::{
@@ -34,11 +34,21 @@
 
 /// Serves a request.
 pub(crate) async fn serve(ctx: &Context) -> Answer {
+    tokio::select! {
+        it = answer(ctx) => it,
+        () = ctx.shared.stop_nears() => ctx.give_up(NoSend::Stopping.name(), COME_BACK),
+    }
+}
+
+async fn answer(ctx: &Context) -> Answer {
     let inputs = if ctx.route.stages.is_empty() {
         Vec::new()
     } else {
         match tokio::time::timeout(ctx.left(), stages::make_all(ctx, "")).await {
             Ok(Ok(it)) => it.inputs,
+            Ok(Err(NoResult::Overload(ms))) => {
+                return ctx.give_up("overload", Duration::from_millis(ms).max(COME_BACK));
+            }
             _ => return ctx.give_up("stages", COME_BACK),
         }
     };
--- a/crates/holdpointd/tests/ingress.rs
+++ b/crates/holdpointd/tests/ingress.rs
@@ -477,6 +477,26 @@
     );
 }
 
+/// A request that still waits when an instance stops gets an answer, not a closed connection.
+#[tokio::test]
+async fn a_planned_stop_answers_what_it_cannot_finish() {
+    let system = start(&[], &[Behaviour::Events(3)]).await;
+    let mut configuration = sample_configuration(2);
+    set_times(&mut configuration, 6, 60_000);
+    system.store.put_configuration(&configuration);
+    until(|| system.instance.version() == 2).await;
+    system.store.drop_target("i-encode");
+    until(|| system.instance.target_count() == 1).await;
+    let request = CallerRequest::new("r-1", "/staged/")
+        .with_pieces("1,1")
+        .with_header(names::DEADLINE, "60000");
+    let running = tokio::spawn(call(system.callers(), request));
+    until(|| system.instance.in_flight() == 1).await;
+    assert_eq!(stop(system.instance).await, holdpointd::Ended::Drained);
+    let answer = running.await.unwrap().expect("there is an answer");
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+}
+
 #[tokio::test]
 async fn a_caller_who_leaves_ends_the_work_at_the_target() {
     let system = start(&[], &[Behaviour::Events(100_000)]).await;
