Three readers whatever the size; relays pass on what they read

Cause: one reader for each 24 instances, 13 at 295, each with its own polls of the store. Change: three read; the others of the former readers follow them and are followed. Changes of peers gather for 0.3 s between two reads. Names: sources are readers and relays.

--- a/crates/holdpoint-core/tests/ingress.rs
+++ b/crates/holdpoint-core/tests/ingress.rs
@@ -13,7 +13,7 @@
     ingress::{CallerLimits, Configuration, Denied, IngressRoute, Repeat, Shape, Tenancy, newer},
     ledger::Ledger,
     prompt::{Part, Prompt},
-    readers::{order_for, readers},
+    readers::{order_for, readers, sources},
 };
 use proptest::prelude::*;
 
@@ -221,15 +221,20 @@
 fn all_who_know_the_same_members_choose_the_same_readers() {
     let names: Vec<String> = (0..74).map(|it| format!("n-{it}")).collect();
     let members: Vec<&str> = names.iter().map(String::as_str).collect();
-    let chosen = readers(&members);
+    let chosen = sources(&members);
     assert_eq!(chosen.len(), 4, "one for each 24");
     let shuffled: Vec<&str> = members.iter().rev().copied().collect();
-    assert!(readers(&shuffled).iter().all(|it| chosen.contains(it)));
-    assert_eq!(readers(&members[..2]).len(), 2);
+    assert!(sources(&shuffled).iter().all(|it| chosen.contains(it)));
+    assert_eq!(readers(&members).len(), 3, "however many there are");
+    assert!(readers(&members).iter().all(|it| chosen.contains(it)));
+    assert!(readers(&shuffled).iter().all(|it| readers(&members).contains(it)));
+    assert_eq!((readers(&members[..2]).len(), sources(&members[..2]).len()), (2, 2));
     // Without one of them, the others stay.
     let rest: Vec<&str> = members.iter().copied().filter(|it| *it != chosen[0]).collect();
-    let after = readers(&rest);
+    let after = sources(&rest);
     assert!(chosen[1..].iter().all(|it| after.contains(it)));
+    let mut read = readers(&members).into_iter().filter(|it| *it != chosen[0]);
+    assert!(read.all(|it| readers(&rest).contains(&it)));
     assert!(!order_for(chosen[1], &chosen).contains(&chosen[1]));
     let firsts: HashSet<&str> =
         members.iter().filter_map(|it| order_for(it, &chosen).first().copied()).collect();
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -387,7 +387,7 @@
 /// Starts calls for all that waits where a target has become free with time.
 pub(crate) fn pump_all(shared: &Arc<IngressShared>) {
     shared.batches.hand_over(shared);
-    shared.take_stage_times(shared.batches.stage_times(shared.clock.now()));
+    shared.take_stage_times(&shared.batches.stage_times(shared.clock.now()));
     for service in shared.batches.services_with_work() {
         pump(shared, &service);
     }
--- a/crates/holdpointd/src/ingress/follow.rs
+++ b/crates/holdpointd/src/ingress/follow.rs
@@ -19,6 +19,7 @@
     events::{self, emit},
     ingress::{
         news::{Content, Known, News, Place, TargetList, Update, WAIT},
+        peers::Sources,
         shared::IngressShared,
         watch,
     },
@@ -26,6 +27,9 @@
 
 /// How long an answer may take beyond that.
 const LIMIT: Duration = Duration::from_millis(350);
+/// How long an answer to a relay waits for something new. What it tells is as old as that when the next
+/// one asks, and must still count as fresh there.
+const RELAY_WAIT: Duration = Duration::from_millis(150);
 /// How often an instance that reads the store looks whether it still has to.
 const REVIEW: Duration = Duration::from_millis(250);
 /// Pause between two questions, in which news gather.
@@ -47,10 +51,11 @@
     let _ = shared.peers_known.subscribe().wait_for(|it| *it).await;
     let begun = Instant::now();
     loop {
-        let (readers, is_reader) = shared.peers.readers();
+        let sources = shared.peers.sources();
+        let is_reader = sources.is_reader;
         if is_reader && !*shared.is_store_silent.borrow() {
             set_reading(&shared, true, "reader");
-            if let Some(it) = readers.first() {
+            if let Some(it) = sources.asked.first() {
                 shared.peers.watch(&shared, it).await;
             }
             sleep(REVIEW).await;
@@ -60,7 +65,7 @@
             // What was read here meanwhile is no part of what the other one counts as told.
             place = Place::default();
         }
-        let is_told = follow_one(&shared, &mut place, readers).await;
+        let is_told = follow_one(&shared, &mut place, sources).await;
         let cause = if is_told { "told" } else { "nobody-has-read" };
         let is_patient = begun.elapsed() < START_PATIENCE && !shared.peers.all().is_empty();
         set_reading(&shared, is_reader || !(is_told || is_patient), cause);
@@ -69,15 +74,20 @@
 }
 
 /// Asks others in turn until one has read the store of late, and takes in what they tell.
-async fn follow_one(shared: &Arc<IngressShared>, place: &mut Place, readers: Vec<String>) -> bool {
-    for address in sources(shared, readers) {
+async fn follow_one(
+    shared: &Arc<IngressShared>,
+    place: &mut Place,
+    Sources { asked, is_relay, .. }: Sources,
+) -> bool {
+    let wait = if is_relay { RELAY_WAIT } else { WAIT };
+    for address in one_round(shared, asked) {
         let known = Known {
             version: shared.configuration().version.max(place.version),
-            wait_ms: WAIT.as_millis() as Millis,
+            wait_ms: wait.as_millis() as Millis,
             place: Some(Place { digest: shared.digest(), ..*place }),
             wants_large: false,
         };
-        let limit = if *place == Place::default() { WHOLE_LIMIT } else { WAIT + LIMIT };
+        let limit = if *place == Place::default() { WHOLE_LIMIT } else { wait + LIMIT };
         let answer = shared.peers.follow(shared, &address, known, limit).await;
         let Ok(update) = answer else { continue };
         let Update { life, revision, version, .. } = update;
@@ -93,14 +103,14 @@
     false
 }
 
-/// Addresses to ask in one round: readers first.
-fn sources(shared: &IngressShared, mut readers: Vec<String>) -> impl Iterator<Item = String> {
+/// Addresses to ask in one round: `preferred` ones first.
+fn one_round(shared: &IngressShared, mut preferred: Vec<String>) -> impl Iterator<Item = String> {
     for address in shared.peers.to_ask() {
-        if !readers.contains(&address) {
-            readers.push(address);
+        if !preferred.contains(&address) {
+            preferred.push(address);
         }
     }
-    readers.into_iter().take(MOST_ASKED)
+    preferred.into_iter().take(MOST_ASKED)
 }
 
 /// Finds out whether targets whose entries lapsed have left, until the task is dropped.
@@ -120,10 +130,10 @@
 /// Asks others until one has read the store all the while, and takes in which targets it knows to be
 /// gone.
 async fn ask_about_lapses(shared: &Arc<IngressShared>) {
-    let (readers, _) = shared.peers.readers();
+    let Sources { readers, .. } = shared.peers.sources();
     let (lapsed, span_ms) = shared.lapses();
     let version = shared.configuration().version;
-    for address in sources(shared, readers) {
+    for address in one_round(shared, readers) {
         let known =
             Known { version, wait_ms: 0, place: Some(Place::default()), wants_large: false };
         let Ok(update) = shared.peers.follow(shared, &address, known, LIMIT).await else {
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -15,7 +15,7 @@
     capacity::{Capacity, strong},
     directory::TargetId,
     ids::Name,
-    readers::{order_for, readers},
+    readers::{order_for, readers, sources},
     stage_graph::NoResult,
     subset::{owner, weight},
 };
@@ -91,6 +91,19 @@
     times: u32,
 }
 
+/// Peers that know what the store says, in the order in which this instance asks them.
+#[derive(Clone, Debug)]
+pub(crate) struct Sources {
+    /// Whether this instance reads the store for others.
+    pub(crate) is_reader: bool,
+    /// Whether it passes on to others what readers tell.
+    pub(crate) is_relay: bool,
+    /// Addresses of those that it follows.
+    pub(crate) asked: Vec<String>,
+    /// Addresses of those that read the store.
+    pub(crate) readers: Vec<String>,
+}
+
 /// A peer, as its entry in the store describes it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Peer {
@@ -169,19 +182,26 @@
         self.known.lock().len() + 1
     }
 
-    /// The readers of the store in the order in which this instance asks them, and whether it is
-    /// one of them itself.
-    pub(crate) fn readers(&self) -> (Vec<String>, bool) {
+    /// Whom this instance asks for what the store says: the readers if it is a source itself, else
+    /// any of the sources.
+    pub(crate) fn sources(&self) -> Sources {
         let known = self.known.lock();
         let mut names: Vec<&str> = self.live(&known).collect();
         names.sort_unstable();
-        let readers = readers(&names);
-        let is_reader = readers.contains(&self.own_name.as_str());
-        let others = order_for(&self.own_name, &readers);
-        (
-            others.iter().filter_map(|it| known.get(*it)).map(|it| it.address.clone()).collect(),
+        let (readers, sources) = (readers(&names), sources(&names));
+        let own = self.own_name.as_str();
+        let (is_reader, is_source) = (readers.contains(&own), sources.contains(&own));
+        let asked = if is_source { &readers } else { &sources };
+        let addresses = |names: &[&str]| {
+            let others = order_for(own, names).into_iter().filter_map(|it| known.get(it));
+            others.map(|it| it.address.clone()).collect()
+        };
+        Sources {
             is_reader,
-        )
+            is_relay: is_source && !is_reader,
+            asked: addresses(asked),
+            readers: addresses(&readers),
+        }
     }
 
     /// Addresses of all peers and seeds, those that answer first.
@@ -393,7 +413,7 @@
             Ok(Ok(theirs)) => {
                 let theirs: Standing = theirs;
                 shared.peers.trust(&address);
-                shared.take_stage_times(theirs.stage_times);
+                shared.take_stage_times(&theirs.stage_times);
                 if known < theirs.version {
                     drop(tokio::spawn(catch_up(shared.clone(), address.clone())));
                 }
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -234,7 +234,7 @@
     }
 
     /// Takes in how long stages take at services, as the instances that batch them tell.
-    pub(crate) fn take_stage_times(&self, times: Vec<(Name, Millis)>) {
+    pub(crate) fn take_stage_times(&self, times: &[(Name, Millis)]) {
         let now = self.clock.now();
         times.iter().for_each(|(service, ms)| self.pools.of(service).stage_takes(now, *ms));
     }
--- a/crates/holdpointd/src/ingress/watch.rs
+++ b/crates/holdpointd/src/ingress/watch.rs
@@ -31,6 +31,9 @@
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(2500);
 /// How long a read waits for a change among the peers.
 const PEERS_WAIT: Duration = Duration::from_millis(15_000);
+/// How long changes of peers gather between two reads: each start of an instance is one, and after a
+/// restart of all, each of hundreds would be a read by each reader.
+const PEERS_GATHER: Duration = Duration::from_millis(300);
 /// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(250);
 /// The same of an instance that reads only since it found no other that does.
@@ -45,7 +48,7 @@
 /// Keeps the configuration up to date.
 pub(crate) async fn follow_configuration(shared: Arc<IngressShared>) {
     let take = |records: &[KeyedRecord], _: bool| take_configuration(&shared, records);
-    follow(&shared, OPERATORS_TOPIC, CONFIGURATION_WAIT, take).await;
+    follow(&shared, OPERATORS_TOPIC, (CONFIGURATION_WAIT, Duration::ZERO), take).await;
 }
 
 /// Reads the newest configuration once.
@@ -81,7 +84,7 @@
     drop(client);
     shared.peers_known.send_replace(true);
     let take = |records: &[KeyedRecord], is_whole: bool| take_peers(&shared, records, is_whole);
-    follow(&shared, INSTANCES_TOPIC, PEERS_WAIT, take).await;
+    follow(&shared, INSTANCES_TOPIC, (PEERS_WAIT, PEERS_GATHER), take).await;
 }
 
 /// Takes in entries of peers; where they are all that there are, the others have left.
@@ -119,7 +122,7 @@
         }
         records.iter().for_each(|it| shared.set_resource(&it.key, it.value.clone()));
     };
-    follow(&shared, RESOURCES_TOPIC, PEERS_WAIT, take).await;
+    follow(&shared, RESOURCES_TOPIC, (PEERS_WAIT, PEERS_GATHER), take).await;
 }
 
 /// Drops this instance's own entry.
@@ -202,8 +205,7 @@
 /// Pause after so many calls that failed in a row and one more. Readers notice the store's return for
 /// all, so the others, who read by themselves only since no reader was served, ask less and less.
 fn pause(shared: &IngressShared, failures: u32) -> Duration {
-    let (_, is_reader) = shared.peers.readers();
-    if is_reader {
+    if shared.peers.sources().is_reader {
         return PAUSE;
     }
     let jitter = rand::random_range(JITTER);
@@ -220,12 +222,13 @@
     let _ = silent.wait_for(|it| !*it).await;
 }
 
-/// Follows a topic whose records rarely change, for good. `take` gets records, and whether they are
-/// the newest of all keys.
+/// Follows a topic whose records rarely change, for good: a read waits for a record for the first of two
+/// times, and in the second one records gather before the next read. `take` gets records, and whether
+/// they are the newest of all keys.
 async fn follow(
     shared: &IngressShared,
     topic: &str,
-    wait: Duration,
+    (wait, gather): (Duration, Duration),
     take: impl Fn(&[KeyedRecord], bool),
 ) {
     let mut client = client(shared);
@@ -252,6 +255,7 @@
             Ok((records, next)) => {
                 take(&records, offset.is_none());
                 offset = Some(next);
+                sleep(gather).await;
             }
             Err(_) => {
                 client.reset();
