--- a/crates/holdpoint-core/benches/decisions.rs
+++ b/crates/holdpoint-core/benches/decisions.rs
@@ -1,10 +1,12 @@
-//! Cost of one decision: routing over pools of three sizes, admission among many organisations.
+//! Cost of one decision: routing over pools of three sizes, admission among many organisations, a call
+//! made of the pieces that wait.
 
 use std::hint::black_box;
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use holdpoint_core::{
     admit::{Ask, Gate, Offer, Signal},
+    batcher::{Batcher, CallEnd, Sizes, Waiting},
     catalog::default_policy,
     route::{Call, Member, Router},
 };
@@ -13,6 +15,11 @@
 
 const TARGETS: [usize; 3] = [12, 600, 4800];
 const ORGANISATIONS: [usize; 2] = [5, 25_000];
+const WAITING: [u64; 3] = [2_500, 5_000, 10_000];
+const TARGET_NAMES: [&str; 20] = [
+    "a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m", "n", "o", "p", "q", "r", "s",
+    "t",
+];
 
 fn routing(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("route");
@@ -52,5 +59,49 @@
     group.finish();
 }
 
-criterion_group!(benches, routing, admission);
+/// One turn of the batcher with so many pieces waiting: a group of three is offered, what is over is
+/// dropped, and a call is made and ended. With 20 targets.
+fn batching(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("batch");
+    for waiting in WAITING {
+        let mut batcher = loaded_batcher(waiting);
+        let mut ticket = waiting;
+        group.bench_function(BenchmarkId::from_parameter(waiting), |bencher| {
+            bencher.iter(|| {
+                for _ in 0..3 {
+                    ticket += 1;
+                    batcher.offer(1000, piece(ticket, ticket / 3));
+                }
+                black_box(batcher.expire(1000));
+                let call = batcher.next(1000).expect("targets are free and pieces wait");
+                batcher.ended(1000, &call, CallEnd::Answered(370), &[]);
+                call.pieces.into_iter().skip(3).for_each(|it| batcher.offer(1000, it));
+            });
+        });
+    }
+    group.finish();
+}
+
+fn loaded_batcher(waiting: u64) -> Batcher {
+    let mut batcher = Batcher::new(Sizes {
+        calls: 1,
+        pieces: 46,
+        call_ms: 200.0,
+        piece_ms: 3.7,
+        room_bytes: 0,
+        keep_ms: 4000,
+    });
+    batcher.set_targets(TARGET_NAMES.iter().map(|it| (*it, "d", false)));
+    (0..waiting).for_each(|it| batcher.offer(1000, piece(it, it / 3)));
+    batcher
+}
+
+fn piece(ticket: u64, group: u64) -> Waiting {
+    let due = 2000 + group % 3000;
+    let (deadline, late_due) = (1_000_000, 1_000_000);
+    let inputs_until = Some(5000);
+    Waiting { ticket, group, due, deadline, late_due, inputs_until, ..Waiting::default() }
+}
+
+criterion_group!(benches, routing, admission, batching);
 criterion_main!(benches);
--- a/crates/holdpoint-core/src/batcher.rs
+++ b/crates/holdpoint-core/src/batcher.rs
@@ -97,6 +97,8 @@
     pub offered: Millis,
     /// Wait predicted then, in milliseconds; set by the batcher.
     pub predicted_wait: f64,
+    /// Time that decides when it has its turn; set by the batcher.
+    pub turn: Millis,
 }
 
 /// A call to make.
@@ -257,12 +259,16 @@
 
     /// Offers a piece.
     pub fn offer(&mut self, now: Millis, piece: Waiting) {
-        let predicted_wait = self.predicted_wait(now, piece.due);
+        // Pieces of one group are offered one after the other, and wait for the same time.
+        let same = self.waiting.last().filter(|it| it.group == piece.group && it.offered == now);
+        let predicted_wait =
+            same.map_or_else(|| self.predicted_wait(now, piece.due), |it| it.predicted_wait);
         if !self.sizes.is_late(now, &piece) {
             self.usual_slack += NEWEST_LAG * ((piece.due - now) as f64 - self.usual_slack);
         }
         self.offered.count(now);
-        self.waiting.push(Waiting { offered: now, predicted_wait, ..piece });
+        let turn = self.turn(now, &piece);
+        self.waiting.push(Waiting { offered: now, predicted_wait, turn, ..piece });
     }
 
     /// Takes back all pieces that wait, for another instance to make.
@@ -347,7 +353,7 @@
         if is_free && self.waiting.is_empty() {
             return 0.0;
         }
-        let ahead = self.waiting.iter().filter(|it| self.turn(now, it) <= due).count();
+        let ahead = self.waiting.iter().filter(|it| it.turn <= due).count();
         (self.sizes.most() + ahead) as f64 * self.piece_gap(now)
     }
 
@@ -377,6 +383,9 @@
                 ahead += 1;
             }
         }
+        if over.is_empty() {
+            return Vec::new();
+        }
         let (over, kept) = self.waiting.drain(..).partition(|it| over.contains(&it.group));
         self.waiting = kept;
         over.into_iter().map(|it: Waiting| it.ticket).collect()
@@ -398,11 +407,7 @@
         if indices.is_empty() {
             return None;
         }
-        let mut pieces = Vec::with_capacity(indices.len());
-        for index in indices.into_iter().rev() {
-            pieces.push(self.waiting.remove(index));
-        }
-        pieces.reverse();
+        let pieces = self.take(&indices);
         self.learn_lag(now, &pieces);
         let chosen = self.targets.get_mut(&target)?;
         chosen.calls += 1;
@@ -413,6 +418,18 @@
         Some(Call { target, pieces, left, used_bytes, sizes, is_shared })
     }
 
+    /// Takes the pieces at some indices, which rise, in one pass over those that wait.
+    fn take(&mut self, indices: &[usize]) -> Vec<Waiting> {
+        let mut next = indices.iter().copied().peekable();
+        let mut index = 0;
+        let taken = self.waiting.extract_if(.., |_| {
+            let is_taken = next.next_if_eq(&index).is_some();
+            index += 1;
+            is_taken
+        });
+        taken.collect()
+    }
+
     /// Ends a call. `results` has the handle of each piece's result, in their order; those of a
     /// call that did not answer are all absent.
     pub fn ended(&mut self, now: Millis, call: &Call, end: CallEnd, results: &[Option<&str>]) {
@@ -504,7 +521,12 @@
     /// Orders what waits: the nearest turn first.
     fn order(&mut self, now: Millis) {
         let mut waiting = std::mem::take(&mut self.waiting);
-        waiting.sort_by_key(|it| (self.turn(now, it), it.rank, it.group, it.ticket));
+        waiting.iter_mut().for_each(|it| it.turn = self.turn(now, it));
+        let key = |it: &Waiting| (it.turn, it.rank, it.group, it.ticket);
+        // Little changes from one call to the next.
+        if !waiting.is_sorted_by_key(key) {
+            waiting.sort_by_key(key);
+        }
         self.waiting = waiting;
     }
 
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -133,6 +133,8 @@
     services: Mutex<HashMap<Name, ServiceBatches>>,
     /// Targets by service, as last told.
     targets: Mutex<HashMap<Name, Vec<Known>>>,
+    /// Times of stages at the services that this instance batches, in milliseconds.
+    stage_times: Mutex<Vec<(Name, Millis)>>,
     next_ticket: AtomicU64,
 }
 
@@ -228,10 +230,8 @@
     }
 
     /// How long stages take at the services that this instance batches.
-    pub(crate) fn stage_times(&self, now: Millis) -> Vec<(Name, Millis)> {
-        let services = self.services.lock();
-        let owned = services.iter().filter(|it| it.1.is_owner);
-        owned.map(|(name, it)| (name.clone(), it.batcher.usual_ms(now))).collect()
+    pub(crate) fn stage_times(&self) -> Vec<(Name, Millis)> {
+        self.stage_times.lock().clone()
     }
 
     /// Takes in that results were given up at their makers.
@@ -241,18 +241,39 @@
         }
     }
 
-    /// Takes the next call of a service, with its pieces.
-    fn next(&self, shared: &IngressShared, service: &str) -> Option<(Call, Vec<Pending>, Millis)> {
-        let now = shared.clock.now();
+    /// Drops the pieces of a service that will not be made in time for their requests.
+    fn expire(&self, now: Millis, service: &str) {
         let mut services = self.services.lock();
-        let ServiceBatches { batcher, pending, .. } = services.get_mut(service)?;
-        batcher.retain(|it| pending.get(&it).is_some_and(|it| !it.reply.is_closed()));
-        pending.retain(|_, it| !it.reply.is_closed());
+        let Some(ServiceBatches { batcher, pending, .. }) = services.get_mut(service) else {
+            return;
+        };
         for ticket in batcher.expire(now) {
             if let Some(it) = pending.remove(&ticket) {
                 drop(it.reply.send(Err(NoResult::Late)));
             }
         }
+    }
+
+    /// Forgets the pieces that nobody waits for any more, and measures how long stages take. Both look
+    /// at all that waits: done with each call, they take most of a processor in a surge.
+    fn review(&self, now: Millis) {
+        let mut services = self.services.lock();
+        let mut times = Vec::new();
+        for (name, ServiceBatches { batcher, pending, is_owner }) in services.iter_mut() {
+            pending.retain(|_, it| !it.reply.is_closed());
+            batcher.retain(|it| pending.contains_key(&it));
+            if *is_owner {
+                times.push((name.clone(), batcher.usual_ms(now)));
+            }
+        }
+        *self.stage_times.lock() = times;
+    }
+
+    /// Takes the next call of a service, with its pieces.
+    fn next(&self, shared: &IngressShared, service: &str) -> Option<(Call, Vec<Pending>, Millis)> {
+        let now = shared.clock.now();
+        let mut services = self.services.lock();
+        let ServiceBatches { batcher, pending, .. } = services.get_mut(service)?;
         let call = batcher.next(now)?;
         let pieces: Vec<Pending> =
             call.pieces.iter().filter_map(|it| pending.remove(&it.ticket)).collect();
@@ -387,7 +408,8 @@
 /// Starts calls for all that waits where a target has become free with time.
 pub(crate) fn pump_all(shared: &Arc<IngressShared>) {
     shared.batches.hand_over(shared);
-    shared.take_stage_times(&shared.batches.stage_times(shared.clock.now()));
+    shared.batches.review(shared.clock.now());
+    shared.take_stage_times(&shared.batches.stage_times());
     for service in shared.batches.services_with_work() {
         pump(shared, &service);
     }
@@ -395,6 +417,7 @@
 
 /// Starts as many calls of a service as its targets take.
 pub(crate) fn pump(shared: &Arc<IngressShared>, service: &str) {
+    shared.batches.expire(shared.clock.now(), service);
     while let Some((call, pieces, patience)) = shared.batches.next(shared, service) {
         tokio::spawn(run(shared.clone(), service.to_owned(), call, pieces, patience));
     }
--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -142,7 +142,7 @@
     }
 
     async fn check(self, context: context::Context, known: Version, address: String) -> Standing {
-        let stage_times = self.shared.batches.stage_times(self.shared.clock.now());
+        let stage_times = self.shared.batches.stage_times();
         Standing { version: self.ping(context, known, address).await, stage_times }
     }
 
