Whoever paused reading the store reads everything anew

Cause: an instance that stopped reading for a moment, while it gathered changes, read on from its old offset. Three readers and the pause for gathering made it likely; it was possible before. Change: any change of whether it reads, seen late or not, makes it begin with a whole read.

--- a/crates/holdpointd/src/ingress/watch.rs
+++ b/crates/holdpointd/src/ingress/watch.rs
@@ -140,7 +140,7 @@
     let mut lapse = Lapse::default();
     let mut failures = 0;
     loop {
-        if !*reading.borrow() {
+        if has_paused(&mut reading) {
             (offset, lapse, failures) = (None, Lapse::default(), 0);
             client.reset();
             shared.note_own_read(None);
@@ -235,7 +235,7 @@
     let mut reading = shared.reading.subscribe();
     let mut offset: Option<u64> = None;
     loop {
-        if !*reading.borrow() {
+        if has_paused(&mut reading) {
             offset = None;
             client.reset();
             raised(&mut reading).await;
@@ -269,6 +269,14 @@
     }
 }
 
+/// Whether this instance does not read the store, or has not for a moment: what it was told by others
+/// meanwhile may be older than what it had read, so it has to read everything anew.
+fn has_paused(reading: &mut watch::Receiver<bool>) -> bool {
+    // The sender lives as long as the instance.
+    let has_changed = reading.has_changed().unwrap_or(false);
+    !*reading.borrow_and_update() || has_changed
+}
+
 async fn raised(reading: &mut watch::Receiver<bool>) {
     // The sender lives as long as the instance.
     let _ = reading.wait_for(|it| *it).await;
