--- a/crates/holdpoint-core/src/deadline.rs
+++ b/crates/holdpoint-core/src/deadline.rs
@@ -35,6 +35,11 @@
         self.measured = now;
     }
 
+    /// How long ago a time was recorded, in milliseconds; none where there was none.
+    pub fn age(&self, now: Millis) -> Option<Millis> {
+        (self.measured != 0).then(|| now.saturating_sub(self.measured))
+    }
+
     /// The time of late, where it usually is `usual`, in milliseconds.
     pub fn get(&self, now: Millis, usual: Millis) -> Millis {
         if self.measured == 0 {
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -321,13 +321,16 @@
         of_service.batcher.offer(now, waiting);
     }
 
-    /// Hands what waits over where another instance has become the one that batches a service.
+    /// Hands what waits over where another instance is the one that batches a service: at once where
+    /// that was this one until now, else as soon as the other one tells that it does.
     fn hand_over(&self, shared: &IngressShared) {
         let mut services = self.services.lock();
         for (name, of_service) in services.iter_mut() {
             let is_owner = shared.peers.batcher_of(name).is_none();
             let was_owner = std::mem::replace(&mut of_service.is_owner, is_owner);
-            if is_owner || !was_owner {
+            let is_told = || shared.pools.of(name).has_told(shared.clock.now());
+            let is_idle = of_service.batcher.waiting() == 0;
+            if is_owner || is_idle || !(was_owner || is_told()) {
                 continue;
             }
             let tickets = of_service.batcher.hand_over();
--- a/crates/holdpointd/src/ingress/pools.rs
+++ b/crates/holdpointd/src/ingress/pools.rs
@@ -27,6 +27,9 @@
 const EJECT_MS: u64 = 1500;
 /// Part of a pool that is never taken out.
 const EJECT_FLOOR: f64 = 0.3;
+/// Age up to which an instance's word that it batches a service counts, in milliseconds: it is told
+/// every 250 ms.
+const TOLD_MS: Millis = 600;
 /// Age at which a load report has lost half its weight, in milliseconds.
 const REPORT_TRUST_MS: u64 = 400;
 
@@ -184,6 +187,11 @@
         self.stage_time.lock().record(now, ms);
     }
 
+    /// Whether an instance has told of late that it batches the service.
+    pub(crate) fn has_told(&self, now: Millis) -> bool {
+        self.stage_time.lock().age(now).is_some_and(|it| it < TOLD_MS)
+    }
+
     /// How long a stage takes, in milliseconds, where it is `stated` without a queue.
     pub(crate) fn stage_ms(&self, now: Millis, stated: Millis) -> Millis {
         self.stage_time.lock().get(now, stated)
