Requests that come while an instance starts wait for its configuration

Change: until 2 s after its start, an instance lets requests wait until it knows configuration and targets; after that it refuses at once as before.

--- a/crates/holdpointd/src/ingress/request.rs
+++ b/crates/holdpointd/src/ingress/request.rs
@@ -73,6 +73,12 @@
         failure(it, id)
     };
     let body = read_body(&configuration, &head, body).await.map_err(deny)?;
+    if !shared.has_started() {
+        // After a restart of all, callers come before any instance is ready; a refusal would use up
+        // their second try as well.
+        shared.started().await;
+    }
+    let configuration = shared.configuration();
     if configuration.version == 0 {
         let proof = Ledger::new().close().map_err(|_| deny(Failure::Broken))?;
         return Err(refusal(proof, head.request_id.as_deref(), NOT_CONFIGURED));
@@ -80,8 +86,6 @@
     let Some(id) = head.request_id.clone() else { return Err(deny(Failure::BadRequest)) };
     let host = parts.headers.get(header::HOST).and_then(|it| it.to_str().ok());
     let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
-    // What denies a request is looked up in the configuration of this moment.
-    let configuration = shared.configuration();
     let route = configuration.route(host, parts.uri.path()).map_err(|it| deny(denial(it)))?;
     let organisation =
         configuration.organisation(route, head.key.as_deref()).map_err(|it| deny(denial(it)))?;
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -6,7 +6,7 @@
         Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use arc_swap::ArcSwap;
@@ -42,6 +42,9 @@
 
 /// How long a read of the store counts as fresh when a peer asks for what was read.
 const FRESH: Duration = Duration::from_millis(1500);
+/// Time after its start by which an instance knows configuration and targets: 1.7 s for the slowest of
+/// 295 that started together, the others before.
+const START: Duration = Duration::from_millis(2000);
 /// Changes of targets and peers that are kept for those who follow this instance.
 const NEWS_KEPT: usize = 1024;
 
@@ -49,6 +52,7 @@
 pub(crate) struct IngressShared {
     pub(crate) settings: IngressSettings,
     pub(crate) clock: Clock,
+    begun: Instant,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) connections: Connections,
     pub(crate) pools: Pools,
@@ -106,6 +110,7 @@
         let connect = Duration::from_millis(settings.timing.connect_ms);
         IngressShared {
             clock: Clock::new(),
+            begun: Instant::now(),
             metrics: Arc::new(Metrics::new()),
             connections: Connections::new(connect),
             pools: Pools::new(&settings),
@@ -382,10 +387,23 @@
         let _ = answer_now.wait_for(|it| *it).await;
     }
 
+    /// Waits until there are a configuration and targets, as long as the start of this instance is not
+    /// overdue.
+    pub(crate) async fn started(&self) {
+        let mut has_news = self.has_news.subscribe();
+        let is_started = async { while !self.has_started() && has_news.changed().await.is_ok() {} };
+        let left = START.saturating_sub(self.begun.elapsed());
+        // Whoever waited finds out by itself whether it may go on.
+        let _ = tokio::time::timeout(left, is_started).await;
+    }
+
     /// Whether the balancer may send callers here.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_leaving.load(Ordering::Acquire)
-            && self.configuration.load().version != 0
-            && !self.directory.lock().is_empty()
+        !self.is_leaving.load(Ordering::Acquire) && self.has_started()
+    }
+
+    /// Whether a configuration and targets are known.
+    pub(crate) fn has_started(&self) -> bool {
+        self.configuration.load().version != 0 && !self.directory.lock().is_empty()
     }
 }
--- a/crates/holdpointd/tests/ingress.rs
+++ b/crates/holdpointd/tests/ingress.rs
@@ -332,6 +332,21 @@
     assert!(answer.headers.contains_key("retry-after"));
 }
 
+/// After a restart of all, callers come before an instance knows anything.
+#[tokio::test]
+async fn a_request_that_comes_while_an_instance_starts_is_served_once_it_has_started() {
+    let store = Store::start().await;
+    let target = Target::start("i-plain-0", "plain", Behaviour::Answer).await;
+    let instance = start_instance("a", &store.gate);
+    let callers = instance.listen().callers.parse().unwrap();
+    let asked = tokio::spawn(call(callers, CallerRequest::new("r-1", "/safe/")));
+    until(|| instance.in_flight() == 1).await;
+    store.put_configuration(&sample_configuration(1));
+    store.put_target(&target, false);
+    assert_eq!(asked.await.unwrap().unwrap().status, StatusCode::OK);
+    assert_eq!(target.runs().len(), 1);
+}
+
 #[tokio::test]
 async fn a_leaving_target_gets_nothing_more_by_any_sign() {
     let system = start(&[Behaviour::Answer, Behaviour::Answer], &[]).await;
