Pieces and their calls are a module of their own

Types of pieces, calls and sizes go to `pieces`, the rate of offers to `deadline`, beside the other times of late. Nothing else changes.

--- a/crates/holdpoint-core/benches/decisions.rs
+++ b/crates/holdpoint-core/benches/decisions.rs
@@ -6,8 +6,9 @@
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use holdpoint_core::{
     admit::{Ask, Gate, Offer, Signal},
-    batcher::{Batcher, CallEnd, Sizes, Waiting},
+    batcher::Batcher,
     catalog::default_policy,
+    pieces::{CallEnd, Sizes, Waiting},
     route::{Call, Member, Router},
 };
 use rand::SeedableRng;
--- a/crates/holdpoint-core/src/batcher.rs
+++ b/crates/holdpoint-core/src/batcher.rs
@@ -13,10 +13,12 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
-use crate::{directory::TargetId, ids::Millis};
-
-/// Identifies a piece that was offered.
-pub type Ticket = u64;
+use crate::{
+    deadline::RecentRate,
+    directory::TargetId,
+    ids::Millis,
+    pieces::{Call, CallEnd, Sizes, Ticket, Waiting},
+};
 
 /// How long a target that failed gets no calls, in milliseconds; doubled with each failure.
 const SUSPECT_MS: Millis = 500;
@@ -62,92 +64,9 @@
 const LAG_BOUNDS: (f64, f64) = (1.0, 6.0);
 /// Weight of the newest measurement of that.
 const NEWEST_LAG: f64 = 0.1;
-/// Time over which offers are counted, in milliseconds: a few calls, so that a surge is noticed while
-/// it grows and forgotten soon after its end.
-const RATE_MS: f64 = 1000.0;
 /// Least part of the targets' time that is taken to be left for late pieces.
 const LEAST_SPARE: f64 = 0.05;
 
-/// A piece that waits.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Waiting {
-    /// Ticket.
-    pub ticket: Ticket,
-    /// Pieces of one group are wanted together: a result of one is of no use, and only takes room,
-    /// until all are made.
-    pub group: u64,
-    /// Time by which its result should be there, for the request to be in time.
-    pub due: Millis,
-    /// Time by which its result must be there, for the request to be served at all.
-    pub deadline: Millis,
-    /// Time by which it is made once it cannot be in time any more. Before its deadline, so that the
-    /// stages after it, and whatever goes wrong there, have a part of the time that is left.
-    pub late_due: Millis,
-    /// Rank of its request; 0 goes first.
-    pub rank: u32,
-    /// Room that its result takes, in bytes.
-    pub bytes: u64,
-    /// Failure domain that most of its inputs come from or its result goes to; any where empty.
-    pub domain: String,
-    /// Bytes that are moved between failure domains if it is made in another one.
-    pub near_bytes: u64,
-    /// When the results that it is made from expire at their makers; never where it has none.
-    pub inputs_until: Option<Millis>,
-    /// When it was offered; set by the batcher.
-    pub offered: Millis,
-    /// Wait predicted then, in milliseconds; set by the batcher.
-    pub predicted_wait: f64,
-    /// Time that decides when it has its turn; set by the batcher.
-    pub turn: Millis,
-}
-
-/// A call to make.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Call {
-    /// Target to call.
-    pub target: TargetId,
-    /// Pieces in it.
-    pub pieces: Vec<Waiting>,
-    /// Pieces that wait still.
-    pub left: usize,
-    /// Room taken at the target, these pieces included, in bytes.
-    pub used_bytes: u64,
-    /// Sizes that it was made by.
-    pub sizes: Sizes,
-    /// Whether other instances were seen to call the target of late, so that the call may wait there.
-    pub is_shared: bool,
-}
-
-/// How a call ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CallEnd {
-    /// With an answer after this time, in milliseconds.
-    Answered(Millis),
-    /// The target was full and has done nothing.
-    Full,
-    /// The target failed.
-    Failed,
-    /// The target gave no answer within this time, in milliseconds.
-    Silent(Millis),
-}
-
-/// Sizes of a service's calls.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Sizes {
-    /// Calls at one target at once.
-    pub calls: u32,
-    /// Most pieces in one call.
-    pub pieces: u32,
-    /// Time of a call without its pieces, in milliseconds.
-    pub call_ms: f64,
-    /// Time of each piece, in milliseconds.
-    pub piece_ms: f64,
-    /// Room for results at one target, in bytes; 0 where it is not bounded.
-    pub room_bytes: u64,
-    /// How long a result is kept, in milliseconds.
-    pub keep_ms: Millis,
-}
-
 #[derive(Clone, Debug, Default)]
 struct Target {
     domain: String,
@@ -185,46 +104,11 @@
     /// Time from the offer of a piece in time to its due time, in milliseconds.
     usual_slack: f64,
     /// Pieces that are offered.
-    offered: Rate,
+    offered: RecentRate,
     /// From when on the next refused request may come back.
     next_return: Millis,
 }
 
-/// Events a millisecond of late, older ones counted less and less.
-#[derive(Clone, Copy, Debug, Default)]
-struct Rate {
-    per_ms: f64,
-    counted: Millis,
-}
-
-impl Rate {
-    fn at(&self, now: Millis) -> f64 {
-        self.per_ms * (-(now.saturating_sub(self.counted) as f64) / RATE_MS).exp()
-    }
-
-    fn count(&mut self, now: Millis) {
-        self.per_ms = self.at(now) + 1.0 / RATE_MS;
-        self.counted = now;
-    }
-}
-
-impl Sizes {
-    /// Most pieces in one call; one where the configuration says none.
-    fn most(&self) -> usize {
-        self.pieces.max(1) as usize
-    }
-
-    /// Whether a piece would be late even if a call of its own began now.
-    fn is_late(&self, now: Millis, piece: &Waiting) -> bool {
-        piece.due < now + self.stated_ms(1) as Millis
-    }
-
-    /// Time of a call with so many pieces at a target of the usual speed, in milliseconds.
-    pub fn stated_ms(&self, pieces: usize) -> f64 {
-        self.call_ms + self.piece_ms * pieces as f64
-    }
-}
-
 impl Batcher {
     /// Makes a batcher with no targets yet.
     pub fn new(sizes: Sizes) -> Batcher {
@@ -235,7 +119,7 @@
             kept: HashMap::new(),
             lag: 1.0,
             usual_slack: 0.0,
-            offered: Rate::default(),
+            offered: RecentRate::default(),
             next_return: 0,
         }
     }
--- a/crates/holdpoint-core/src/deadline.rs
+++ b/crates/holdpoint-core/src/deadline.rs
@@ -11,6 +11,9 @@
 /// Longest time measured, in milliseconds.
 const LONGEST_MS: u64 = 600_000;
 
+/// Time over which a [`RecentRate`] counts, in milliseconds: a few calls, so that a surge is noticed while
+/// it grows and forgotten soon after its end.
+const RATE_MS: f64 = 1000.0;
 /// Weight of the newest measurement in a [`RecentTime`]. Bursts last for seconds, and so does what
 /// is remembered.
 const NEWEST: f64 = 0.5;
@@ -50,6 +53,26 @@
     }
 }
 
+/// How often something happens of late; older events count less and less.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RecentRate {
+    per_ms: f64,
+    counted: Millis,
+}
+
+impl RecentRate {
+    /// Events a millisecond.
+    pub fn at(&self, now: Millis) -> f64 {
+        self.per_ms * (-(now.saturating_sub(self.counted) as f64) / RATE_MS).exp()
+    }
+
+    /// Counts an event.
+    pub fn count(&mut self, now: Millis) {
+        self.per_ms = self.at(now) + 1.0 / RATE_MS;
+        self.counted = now;
+    }
+}
+
 /// Times of the last ten to twenty seconds, in milliseconds.
 #[derive(Clone, Debug)]
 pub struct Times {
--- a/crates/holdpoint-core/src/lib.rs
+++ b/crates/holdpoint-core/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod ledger;
 pub mod lifecycle;
 pub mod membership;
+pub mod pieces;
 pub mod pipeline;
 pub mod placement;
 pub mod prelude;
--- a/crates/holdpoint-core/tests/batcher.rs
+++ b/crates/holdpoint-core/tests/batcher.rs
@@ -3,8 +3,9 @@
 use std::collections::{HashMap, HashSet};
 
 use holdpoint_core::{
-    batcher::{Batcher, Call, CallEnd, Sizes, Waiting},
+    batcher::Batcher,
     ingress::StageStep,
+    pieces::{Call, CallEnd, Sizes, Waiting},
     stage_graph::StageGraph,
 };
 use proptest::prelude::*;
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -12,10 +12,11 @@
 use futures::{StreamExt, stream::FuturesUnordered};
 use holdpoint_adapter::stages as wire;
 use holdpoint_core::{
-    batcher::{Batcher, Call, CallEnd, Sizes, Ticket, Waiting},
+    batcher::Batcher,
     directory::{Directory, TargetId},
     ids::{Millis, Name},
     ingress::Service,
+    pieces::{Call, CallEnd, Sizes, Ticket, Waiting},
     route::Load,
     stage_graph::{NoResult, PieceWork},
 };
