Bounds on what peers tell of stage times, comments with figures

A told stage time is believed up to 60 s; a piece of an earlier version without a late due time has its deadline. A request that three tests built is built once.

--- a/crates/holdpoint-core/src/batcher.rs
+++ b/crates/holdpoint-core/src/batcher.rs
@@ -4,9 +4,9 @@
 //! once. So a target is given as many calls as it works on and no more: while one runs, pieces
 //! gather here, where they can still be ordered: the nearest due time goes first. A piece that cannot
 //! be in time any more has a later due time instead; so it lets those go first that can be in time, and
-//! is made before its request ends. Pieces that the estimate says will not be made by
-//! then are dropped at once, and a request is admitted only where all its stages are expected to be
-//! made in time, or late with certainty. A large result is made in
+//! is made before its request ends. Pieces that will not be made by then even at the stated pace are
+//! dropped at once. A request is admitted only where it is expected to be in time with all its stages, or
+//! late although all that is offered meanwhile goes first. A large result is made in
 //! the failure domain where it is needed, as long as its due time leaves room to wait for a target
 //! there. The room that results take at each target is kept account of, from the call that makes
 //! them until they are given up or their time is over.
@@ -51,14 +51,15 @@
 /// views of who batches a service differ for about as long as a silent peer is passed over.
 const SHARED_MS: Millis = 2000;
 /// Part of what the targets' next calls take, above which a service has a backlog: calls wait to be
-/// worth their time, and slow targets are used too. Measured with `GATHER_MS`: armor 0.547 to 0.733.
+/// worth their time, and slow targets are used too.
 const BACKLOG: f64 = 0.33;
 /// The same above which pieces are made wherever a target is free.
 const LONG_BACKLOG: f64 = 0.6;
 /// A call of less than one in so many of its most pieces is small.
 const SMALL_CALL: usize = 2;
 /// How long a target of a service with a backlog waits for room for more than a small call, in
-/// milliseconds.
+/// milliseconds. At 0, 85.4 in place of 85.2 % of the requests of 15 plays were in time, which is within
+/// the noise.
 const GATHER_MS: Millis = 80;
 /// Bounds of how much longer pieces wait than predicted.
 const LAG_BOUNDS: (f64, f64) = (1.0, 6.0);
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -60,9 +60,10 @@
     /// where that is over. Peers of earlier versions know it by another name.
     #[serde(rename = "give_up_in_ms")]
     pub(crate) deadline_in_ms: i64,
-    /// Milliseconds until it is made once it cannot be in time any more.
+    /// Milliseconds until it is made once it cannot be in time any more; peers of earlier versions name
+    /// none, and then its deadline counts.
     #[serde(default)]
-    pub(crate) late_due_in_ms: i64,
+    pub(crate) late_due_in_ms: Option<i64>,
     /// Whether it is refused at once where it would not be there in time: nothing has been made for
     /// its request.
     pub(crate) is_refusable: bool,
@@ -377,7 +378,7 @@
 ) -> Result<(), NoResult> {
     let Some(first) = asks.first().filter(|it| it.is_refusable) else { return Ok(()) };
     let due = now.saturating_add_signed(first.due_in_ms);
-    let late_due = now.saturating_add_signed(first.late_due_in_ms);
+    let late_due = now.saturating_add_signed(late_due_in_ms(first));
     let Err(expected) = batcher.admit(now, due, late_due, asks.len()) else { return Ok(()) };
     let return_ms = batcher.return_ms(now, due, asks.len());
     let detail = format!(
@@ -385,13 +386,17 @@
          return_ms={return_ms}",
         first.work.request,
         first.due_in_ms,
-        first.late_due_in_ms,
+        late_due_in_ms(first),
         batcher.waiting()
     );
     emit(events::STAGE_REFUSED, &shared.settings.instance, &detail);
     Err(NoResult::Overload(return_ms))
 }
 
+fn late_due_in_ms(ask: &PieceAsk) -> i64 {
+    ask.late_due_in_ms.unwrap_or(ask.deadline_in_ms)
+}
+
 /// A piece as its batcher sees it.
 fn waiting(ask: &PieceAsk, ticket: Ticket, group: u64, now: Millis) -> Waiting {
     Waiting {
@@ -399,7 +404,7 @@
         group,
         due: now.saturating_add_signed(ask.due_in_ms),
         deadline: now.saturating_add_signed(ask.deadline_in_ms),
-        late_due: now.saturating_add_signed(ask.late_due_in_ms),
+        late_due: now.saturating_add_signed(late_due_in_ms(ask)),
         rank: ask.rank,
         bytes: ask.bytes,
         domain: ask.domain.clone(),
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -42,9 +42,12 @@
 
 /// How long a read of the store counts as fresh when a peer asks for what was read.
 const FRESH: Duration = Duration::from_millis(1500);
-/// Time after its start by which an instance knows configuration and targets: 1.7 s for the slowest of
-/// 295 that started together, the others before.
+/// Time after its start by which an instance knows configuration and targets: 1.7 s for 99 in 100 of 295
+/// that started together, by their logs.
 const START: Duration = Duration::from_millis(2000);
+/// Longest time that a peer is believed a stage to take, in milliseconds: as long as the longest time
+/// limit of a route that states none.
+const LONGEST_STAGE_MS: Millis = 60_000;
 /// Changes of targets and peers that are kept for those who follow this instance.
 const NEWS_KEPT: usize = 1024;
 
@@ -241,7 +244,9 @@
     /// Takes in how long stages take at services, as the instances that batch them tell.
     pub(crate) fn take_stage_times(&self, times: &[(Name, Millis)]) {
         let now = self.clock.now();
-        times.iter().for_each(|(service, ms)| self.pools.of(service).stage_takes(now, *ms));
+        for (service, ms) in times {
+            self.pools.of(service).stage_takes(now, (*ms).min(LONGEST_STAGE_MS));
+        }
     }
 
     /// Takes in a resource that an operator declared, or that it was dropped.
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -35,8 +35,8 @@
 pub(crate) const FETCHED: Duration = Duration::from_millis(80);
 /// How often the inputs of a stage are made anew.
 const INPUT_REMAKES: u32 = 2;
-/// Part of the streams, in a hundred, that the stages leave time enough for. Measured against the
-/// mean: armor 0.748 to 0.766 without, 0.774 to 0.831 with.
+/// Part of the streams, in a hundred, that the stages leave time enough for. At 50, 85.5 in place of 85.2 %
+/// of the requests of 15 plays were in time, which is within the noise.
 const FIRST_EVENT_PERCENT: u32 = 85;
 /// Usual time from a model server's taking a request to its first event, until measured.
 const FIRST_EVENT_MS: Millis = 300;
@@ -340,7 +340,7 @@
         domain: domain.clone(),
         near_bytes: *near_bytes,
         deadline_in_ms: slack_ms,
-        late_due_in_ms: slack_ms / (1 + stages_after(graph, stage)) as i64,
+        late_due_in_ms: Some(slack_ms / (1 + stages_after(graph, stage)) as i64),
         is_refusable: !ctx.has_begun(),
         inputs_for_ms: None,
         used_up: Vec::new(),
--- a/crates/holdpointd/src/ingress/watch.rs
+++ b/crates/holdpointd/src/ingress/watch.rs
@@ -213,8 +213,8 @@
 }
 
 /// Waits after a read of a topic that failed: for a pause, and until the list of targets can be read
-/// again. One topic is enough to notice the store's return; asking for all four, 295 instances made
-/// 9,000 calls in an outage of 8 s.
+/// again. One topic is enough to notice the store's return: 295 instances made 5,972 calls in place of
+/// 13,191 in 48 s with an outage of 8 s, counted at the store, the doubled pause included.
 async fn store_answers(shared: &IngressShared) {
     let mut silent = shared.is_store_silent.subscribe();
     sleep(PAUSE).await;
--- a/crates/holdpointd/tests/ingress.rs
+++ b/crates/holdpointd/tests/ingress.rs
@@ -237,6 +237,11 @@
     running.abort();
 }
 
+/// A request with two stages whose caller waits for a minute.
+fn patient_request() -> CallerRequest {
+    CallerRequest::new("r-1", "/staged/").with_pieces("1,1").with_header(names::DEADLINE, "60000")
+}
+
 /// Seen on pcfo scale-1: a stream broke off, and its stages, asked for anew, were refused as too
 /// late for an answer that had long begun.
 #[tokio::test]
@@ -246,9 +251,7 @@
     configuration["routes"][6]["timeout-ms"] = json!(60_000);
     system.store.put_configuration(&configuration);
     until(|| system.instance.version() == 2).await;
-    let request = CallerRequest::new("r-1", "/staged/")
-        .with_pieces("1,1")
-        .with_header(names::DEADLINE, "60000");
+    let request = patient_request();
     let running = tokio::spawn(call(system.callers(), request));
     until(|| system.engine_runs() == 1).await;
     // The other engine joins while the first one, which will break off, is at work.
@@ -272,9 +275,7 @@
     until(|| system.instance.version() == 2).await;
     system.store.drop_target("i-encode");
     until(|| system.instance.target_count() == 1).await;
-    let request = CallerRequest::new("r-1", "/staged/")
-        .with_pieces("1,1")
-        .with_header(names::DEADLINE, "60000");
+    let request = patient_request();
     let asked = tokio::time::timeout(PATIENCE, call(system.callers(), request));
     let answer = asked.await.expect("it is answered long before its time is over").unwrap();
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
@@ -502,9 +503,7 @@
     until(|| system.instance.version() == 2).await;
     system.store.drop_target("i-encode");
     until(|| system.instance.target_count() == 1).await;
-    let request = CallerRequest::new("r-1", "/staged/")
-        .with_pieces("1,1")
-        .with_header(names::DEADLINE, "60000");
+    let request = patient_request();
     let running = tokio::spawn(call(system.callers(), request));
     until(|| system.instance.in_flight() == 1).await;
     assert_eq!(stop(system.instance).await, holdpointd::Ended::Drained);
