--- a/crates/holdpoint-core/benches/decisions.rs
+++ b/crates/holdpoint-core/benches/decisions.rs
@@ -8,6 +8,7 @@
     admit::{Ask, Gate, Offer, Signal},
     batcher::Batcher,
     catalog::default_policy,
+    cold::Share,
     pieces::{CallEnd, Sizes, Waiting},
     route::{Call, Member, Router},
 };
@@ -26,13 +27,25 @@
     let mut group = criterion.benchmark_group("route");
     for targets in TARGETS {
         let members: Vec<Member> = (0..targets)
-            .map(|it| Member { address: format!("t{it}"), domain: "d".into(), leaving: false })
+            .map(|it| Member {
+                address: format!("t{it}"),
+                domain: "d".into(),
+                leaving: false,
+                held: false,
+            })
             .collect();
         let policy = default_policy();
         let mut router = Router::new("entry-1", "d", policy.clone());
         router.set_members(&members);
         let mut rng = ChaCha8Rng::seed_from_u64(1);
-        let call = Call { work: 20.0, prefix_work: 4.0, prefix: Some(7), tried: &[], cap: 64 };
+        let call = Call {
+            work: 20.0,
+            prefix_work: 4.0,
+            prefix: Some(7),
+            tried: &[],
+            cap: 64,
+            share: Share::Whole,
+        };
         group.bench_function(BenchmarkId::from_parameter(targets), |bencher| {
             bencher.iter(|| black_box(router.choose(1, &policy, &call, &mut rng)));
         });
--- a/crates/holdpoint-core/src/directory.rs
+++ b/crates/holdpoint-core/src/directory.rs
@@ -16,6 +16,12 @@
 
 use crate::ids::{Millis, Name};
 
+/// Longest time that a target is believed to be cold, in milliseconds; what says more is absurd.
+const LONGEST_COLD_MS: Millis = 60_000;
+/// Difference up to which two words of how long a target is cold count as the same, in milliseconds:
+/// entries are as old as the time between two of them.
+const SAME_COLD_MS: Millis = 1500;
+
 /// Identifies one start of one target instance.
 pub type TargetId = String;
 
@@ -36,6 +42,9 @@
     pub is_leaving: bool,
     /// Rises with each entry of this id.
     pub sequence: u64,
+    /// How much longer it is cold, in milliseconds, where it tells that.
+    #[serde(default)]
+    pub cold_left_ms: Option<Millis>,
 }
 
 /// What an entry changed.
@@ -59,11 +68,28 @@
     leaving: HashSet<TargetId>,
     /// Instances whose entry is gone although they may be well, and until when they are kept.
     lapsed: BTreeMap<TargetId, Millis>,
+    /// Targets that are cold.
+    cold: BTreeMap<TargetId, Cold>,
+}
+
+/// Until when a target is cold, in milliseconds.
+#[derive(Clone, Copy, Debug, Default)]
+struct Cold {
+    /// As its newest entry says.
+    told: Millis,
+    /// As this system takes it to be, whatever entries say that may be older.
+    held: Millis,
+}
+
+impl Cold {
+    fn until(self) -> Millis {
+        self.told.max(self.held)
+    }
 }
 
 impl Directory {
     /// Takes in an entry.
-    pub fn put(&mut self, entry: TargetInstance) -> Change {
+    pub fn put(&mut self, now: Millis, entry: TargetInstance) -> Change {
         let is_back = self.lapsed.remove(&entry.id).is_some();
         let is_leaving = entry.is_leaving || self.leaving.contains(&entry.id);
         let entry = TargetInstance { is_leaving, ..entry };
@@ -71,10 +97,12 @@
         if known.is_some_and(|it| entry.sequence < it.sequence) {
             return Change::Nothing;
         }
+        let has_cooled = self.tell_cold(now, &entry.id, entry.cold_left_ms);
+        let known = self.instances.get(&entry.id);
         let change = match known {
             None => Change::Joined,
             Some(it) if is_leaving && !it.is_leaving => Change::Leaving,
-            Some(it) if is_same(it, &entry) && !is_back => Change::Nothing,
+            Some(it) if is_same(it, &entry) && !is_back && !has_cooled => Change::Nothing,
             Some(_) => Change::Altered,
         };
         if is_leaving {
@@ -87,6 +115,7 @@
     /// Takes in that an entry is gone.
     pub fn remove(&mut self, id: &str) -> Change {
         self.lapsed.remove(id);
+        self.cold.remove(id);
         if self.instances.remove(id).is_some() { Change::Leaving } else { Change::Nothing }
     }
 
@@ -128,13 +157,50 @@
         Change::Leaving
     }
 
+    /// Takes in how much longer a target says that it is cold; whether that differs from what was known.
+    fn tell_cold(&mut self, now: Millis, id: &str, left: Option<Millis>) -> bool {
+        let Some(left) = left else { return false };
+        let before = self.cold_left(now, id);
+        let left = left.min(LONGEST_COLD_MS);
+        if left == 0 && before == 0 {
+            return false;
+        }
+        let cold = self.cold.entry(id.to_owned()).or_default();
+        cold.told = now + left;
+        SAME_COLD_MS < self.cold_left(now, id).abs_diff(before)
+    }
+
+    /// Takes a target to be cold for so long, although its entries say nothing of it, or may be older
+    /// than the reason for it.
+    pub fn hold_cold(&mut self, now: Millis, id: &str, ms: Millis) {
+        if self.instances.contains_key(id) && 0 < ms {
+            let cold = self.cold.entry(id.to_owned()).or_default();
+            cold.held = cold.held.max(now + ms.min(LONGEST_COLD_MS));
+        }
+    }
+
+    /// How much longer a target is cold, in milliseconds.
+    pub fn cold_left(&self, now: Millis, id: &str) -> Millis {
+        self.cold.get(id).map_or(0, |it| it.until().saturating_sub(now))
+    }
+
+    /// Until when a target is cold, in milliseconds; 0 where it never was.
+    pub fn cold_until(&self, id: &str) -> Millis {
+        self.cold.get(id).map_or(0, |it| it.until())
+    }
+
+    /// Targets that are cold, and for how much longer in milliseconds.
+    pub fn cold(&self, now: Millis) -> impl Iterator<Item = (&TargetId, Millis)> {
+        self.cold.keys().map(move |id| (id, self.cold_left(now, id))).filter(|it| it.1 != 0)
+    }
+
     /// Takes in a whole list, read at once: what it does not name is gone.
-    pub fn replace(&mut self, entries: Vec<TargetInstance>) {
+    pub fn replace(&mut self, now: Millis, entries: Vec<TargetInstance>) {
         for id in self.unnamed(&entries) {
             self.remove(&id);
         }
         for entry in entries {
-            self.put(entry);
+            self.put(now, entry);
         }
     }
 
@@ -149,8 +215,7 @@
     pub fn digest(&self) -> u64 {
         let mut hasher = Xxh3::new();
         for it in self.listed() {
-            let TargetInstance { id, service, address, domain, slots, is_leaving, sequence: _ } =
-                it;
+            let TargetInstance { id, service, address, domain, slots, is_leaving, .. } = it;
             (id, service, address, domain, slots, is_leaving).hash(&mut hasher);
         }
         hasher.finish()
@@ -188,5 +253,6 @@
 }
 
 fn is_same(known: &TargetInstance, entry: &TargetInstance) -> bool {
-    TargetInstance { sequence: known.sequence, ..entry.clone() } == *known
+    let TargetInstance { sequence, cold_left_ms, .. } = *known;
+    TargetInstance { sequence, cold_left_ms, ..entry.clone() } == *known
 }
--- a/crates/holdpoint-core/src/ingress.rs
+++ b/crates/holdpoint-core/src/ingress.rs
@@ -107,6 +107,15 @@
     pub keep_ms: u64,
 }
 
+/// What the targets of a service carry as long as they are cold.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ColdLimits {
+    /// Requests a second to one target.
+    pub per_s: f64,
+    /// How long a target is cold after its start, in milliseconds.
+    pub start_ms: u64,
+}
+
 /// A service.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
@@ -114,6 +123,8 @@
     pub name: Name,
     /// Connections that each target takes from all callers together.
     pub max_connections: u32,
+    /// Set where its cold targets carry less than others.
+    pub cold: Option<ColdLimits>,
     /// Set where its targets are engines.
     pub engine: Option<EngineLimits>,
     /// Set where its targets make results of stages.
--- a/crates/holdpoint-core/src/route.rs
+++ b/crates/holdpoint-core/src/route.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     admit::Signal,
+    cold::{Credits, Share},
     ids::Millis,
     subset::{subset, weight},
 };
@@ -43,7 +44,7 @@
 const EJECT_DOUBLINGS: u32 = 5;
 
 /// A target as the pool and the instance list give it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Member {
     /// IP number and port.
     pub address: String,
@@ -51,6 +52,9 @@
     pub domain: String,
     /// Whether any sign says that it is leaving.
     pub leaving: bool,
+    /// Whether it gets no calls although it stays, since its failure domain is evacuated. What was
+    /// learned of it is kept.
+    pub held: bool,
 }
 
 /// Load as a target reports it.
@@ -75,6 +79,8 @@
     pub tried: &'a [String],
     /// Calls in flight to one target that this instance allows itself.
     pub cap: u32,
+    /// Part of what a cold target carries that this decision may draw on.
+    pub share: Share,
 }
 
 /// Why a target was chosen.
@@ -110,6 +116,10 @@
     Tried,
     /// Every target has as many calls in flight as it may.
     Full,
+    /// Every target is held back, since its failure domain is evacuated.
+    Evacuated,
+    /// Every target is cold and carries no more for so many milliseconds.
+    Cold(Millis),
 }
 
 /// How a call at a target ended.
@@ -149,6 +159,8 @@
     prefixes: HashMap<u64, Millis>,
     /// When it will have read the prompts placed there, in milliseconds.
     reads_until: f64,
+    /// What it carries as long as it is cold.
+    credits: Credits,
 }
 
 /// Routes the calls of one instance to one pool.
@@ -159,6 +171,10 @@
     policy: Policy,
     known: Vec<Member>,
     targets: Vec<Target>,
+    /// What was learned of the targets that are held back.
+    held: HashMap<String, Target>,
+    /// Calls a second that a cold target carries; 0 where that is not bounded.
+    cold_per_s: f64,
     /// Mean over all targets of what others had there when they last reported.
     mean_others: f64,
     turn: usize,
@@ -173,6 +189,8 @@
             policy,
             known: Vec::new(),
             targets: Vec::new(),
+            held: HashMap::new(),
+            cold_per_s: 0.0,
             mean_others: 0.0,
             turn: 0,
         }
@@ -191,17 +209,23 @@
         self.policy = policy;
     }
 
-    /// Takes in the pool's targets. Those that leave get no more calls from now on.
+    /// Takes in how many calls a second a cold target carries; 0 where that is not bounded.
+    pub fn set_cold_rate(&mut self, per_s: f64) {
+        self.cold_per_s = per_s;
+    }
+
+    /// Takes in the pool's targets. Those that leave or are held back get no more calls from now on.
     pub fn set_members(&mut self, members: &[Member]) {
         if self.known == members {
             return;
         }
         self.known = members.to_vec();
-        let staying: Vec<&Member> = members.iter().filter(|it| !it.leaving).collect();
+        let staying: Vec<&Member> = members.iter().filter(|it| !it.leaving && !it.held).collect();
         let addresses = staying.iter().map(|it| it.address.as_str());
         let chosen = subset(&self.salt, addresses, self.policy.subset as usize);
         let mut old: HashMap<String, Target> =
             self.targets.drain(..).map(|it| (it.address.clone(), it)).collect();
+        old.extend(self.held.drain());
         self.targets = chosen
             .into_iter()
             .map(|index| {
@@ -214,6 +238,25 @@
                 old.remove(&member.address).unwrap_or_else(fresh)
             })
             .collect();
+        let held = members.iter().filter(|it| it.held && !it.leaving);
+        self.held = held.filter_map(|it| old.remove_entry(&it.address)).collect();
+    }
+
+    /// Takes in until when a target is cold, in milliseconds.
+    pub fn set_cold(&mut self, now: Millis, address: &str, until: Millis) {
+        // Instances begin with different parts of a call, so that their first ones do not come together.
+        let filled = weight(&self.salt, address) as f64 / u64::MAX as f64;
+        if let Some(it) = self.target(address) {
+            it.credits.set_cold(now, until, filled);
+        }
+    }
+
+    /// Counts a call against what the target carries as long as it is cold.
+    pub fn spend_cold(&mut self, now: Millis, address: &str, share: Share) {
+        let per_s = self.cold_per_s;
+        if let Some(it) = self.target(address) {
+            it.credits.spend(now, per_s, share);
+        }
     }
 
     /// Stops giving work to a target at once; the next list of members confirms or corrects it.
@@ -250,7 +293,8 @@
         rng: &mut impl Rng,
     ) -> Result<Choice, NoTarget> {
         if self.targets.is_empty() {
-            return Err(NoTarget::Empty);
+            let is_held = self.known.iter().any(|it| it.held && !it.leaving);
+            return Err(if is_held { NoTarget::Evacuated } else { NoTarget::Empty });
         }
         let (candidates, ejected) = self.candidates(now, policy, call)?;
         let route = policy.route;
@@ -374,6 +418,13 @@
         if open.is_empty() {
             return Err(NoTarget::Full);
         }
+        let cold_ms =
+            |it: &usize| self.targets[*it].credits.wait_ms(now, self.cold_per_s, call.share);
+        let soonest = open.iter().map(cold_ms).min().unwrap_or(0);
+        if 0 < soonest {
+            return Err(NoTarget::Cold(soonest));
+        }
+        let open: Vec<usize> = open.into_iter().filter(|it| cold_ms(it) == 0).collect();
         let (mut fit, mut ejected): (Vec<usize>, Vec<usize>) =
             open.into_iter().partition(|it| self.targets[*it].ejected_until <= now);
         let floor = (self.targets.len() as f64 * policy.eject_floor).ceil() as usize;
--- a/crates/holdpoint-core/tests/ingress.rs
+++ b/crates/holdpoint-core/tests/ingress.rs
@@ -87,17 +87,18 @@
         slots: 1,
         is_leaving,
         sequence,
+        cold_left_ms: None,
     }
 }
 
 #[test]
 fn a_beat_changes_nothing_and_an_old_entry_is_passed_over() {
     let mut directory = Directory::default();
-    assert_eq!(directory.put(entry(2, false)), Change::Joined);
-    assert_eq!(directory.put(entry(3, false)), Change::Nothing);
-    assert_eq!(directory.put(TargetInstance { slots: 4, ..entry(1, false) }), Change::Nothing);
+    assert_eq!(directory.put(0, entry(2, false)), Change::Joined);
+    assert_eq!(directory.put(0, entry(3, false)), Change::Nothing);
+    assert_eq!(directory.put(0, TargetInstance { slots: 4, ..entry(1, false) }), Change::Nothing);
     assert_eq!(directory.get("i").unwrap().slots, 1);
-    assert_eq!(directory.put(TargetInstance { slots: 4, ..entry(4, false) }), Change::Altered);
+    assert_eq!(directory.put(0, TargetInstance { slots: 4, ..entry(4, false) }), Change::Altered);
 }
 
 proptest! {
@@ -109,10 +110,10 @@
         for (sequence, is_leaving) in entries {
             has_left |= is_leaving && newest <= sequence;
             newest = newest.max(sequence);
-            directory.put(entry(sequence, is_leaving));
+            directory.put(0, entry(sequence, is_leaving));
             prop_assert_eq!(directory.get("i").unwrap().is_leaving, has_left);
         }
-        directory.replace(vec![entry(100, false)]);
+        directory.replace(0, vec![entry(100, false)]);
         prop_assert_eq!(directory.get("i").unwrap().is_leaving, has_left);
     }
 
@@ -263,14 +264,14 @@
         directory.all().map(|it| it.id.clone()).collect::<Vec<_>>().join(" ")
     };
     for id in ["a", "b", "c"] {
-        directory.put(named(id, 1));
+        directory.put(0, named(id, 1));
     }
     directory.leave("c");
     for id in ["a", "b", "c"] {
         directory.lapse(id, 100);
     }
     assert_eq!(whole(&directory), "a b", "who was leaving is gone at once");
-    directory.put(named("a", 2));
+    directory.put(0, named("a", 2));
     assert_eq!(directory.expire(99), Vec::<String>::new());
     assert_eq!(directory.expire(100), vec!["b".to_owned()]);
     assert_eq!(whole(&directory), "a");
@@ -279,8 +280,8 @@
 #[test]
 fn directories_that_agree_have_one_digest() {
     let (mut one, mut other) = (Directory::default(), Directory::default());
-    one.put(entry(1, false));
-    other.put(entry(7, false));
+    one.put(0, entry(1, false));
+    other.put(0, entry(7, false));
     assert_eq!(one.digest(), other.digest(), "sequences do not count");
     other.leave("i");
     assert_ne!(one.digest(), other.digest());
--- a/crates/holdpoint-core/tests/laws.rs
+++ b/crates/holdpoint-core/tests/laws.rs
@@ -6,6 +6,7 @@
     admit::{Ask, Gate, Offer, Signal},
     assemble::{Assembler, Progress},
     catalog::default_policy,
+    cold::Share,
     deadline::{Budget, Times, budget},
     ids::AttemptId,
     ledger::Ledger,
@@ -30,7 +31,12 @@
 
 fn members(n: usize) -> Vec<Member> {
     (0..n)
-        .map(|it| Member { address: format!("t{it}"), domain: "d".into(), leaving: false })
+        .map(|it| Member {
+            address: format!("t{it}"),
+            domain: "d".into(),
+            leaving: false,
+            held: false,
+        })
         .collect()
 }
 
@@ -56,7 +62,7 @@
         router.set_members(&all);
         let mut rng = ChaCha8Rng::seed_from_u64(1);
         let mut in_flight = [0_u32; 8];
-        let call = Call { work: 1.0, prefix_work: 0.5, prefix: Some(3), tried: &[], cap: 2 };
+        let call = Call { work: 1.0, prefix_work: 0.5, prefix: Some(3), tried: &[], cap: 2, share: Share::Whole };
         for (now, (kind, target)) in (0..).zip(steps) {
             match kind {
                 0 | 1 => match router.choose(now, &policy, &call, &mut rng) {
@@ -280,7 +286,14 @@
     let mut router = Router::new("i", "d", policy.clone());
     router.set_members(&members(4));
     let mut rng = ChaCha8Rng::seed_from_u64(1);
-    let call = Call { work: 1.0, prefix_work: 0.0, prefix: None, tried: &[], cap: 100 };
+    let call = Call {
+        work: 1.0,
+        prefix_work: 0.0,
+        prefix: None,
+        tried: &[],
+        cap: 100,
+        share: Share::Whole,
+    };
     for target in ["t0", "t1", "t2"] {
         for _ in 0..3 {
             router.ended(10, target, 1.0, End::Failed);
@@ -370,13 +383,20 @@
                     prefix: None,
                     tried: &[],
                     cap: u32::MAX,
+                    share: Share::Whole,
                 };
                 router.sent(index as u64, target, &call);
             }
             router.report(1, target, Load { running: 40, waiting: 400 });
         }
-        let call =
-            Call { work: 9000.0, prefix_work: 6000.0, prefix: Some(77), tried: &[], cap: u32::MAX };
+        let call = Call {
+            work: 9000.0,
+            prefix_work: 6000.0,
+            prefix: Some(77),
+            tried: &[],
+            cap: u32::MAX,
+            share: Share::Whole,
+        };
         router.choose(2, &policy, &call, &mut ChaCha8Rng::seed_from_u64(1)).unwrap().address
     };
     let first = choose("a", &[]);
@@ -397,8 +417,14 @@
     router.set_members(&members(6));
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     let mut place = |now: u64, prefix: u64| {
-        let call =
-            Call { work: 9000.0, prefix_work: 0.0, prefix: Some(prefix), tried: &[], cap: 9999 };
+        let call = Call {
+            work: 9000.0,
+            prefix_work: 0.0,
+            prefix: Some(prefix),
+            tried: &[],
+            cap: 9999,
+            share: Share::Whole,
+        };
         let address = router.choose(now, &policy, &call, &mut rng).unwrap().address;
         router.placed(now, &address, &call);
         address
@@ -419,8 +445,14 @@
     let mut router = Router::new("i", "d", policy.clone());
     router.set_members(&members(12));
     let mut rng = ChaCha8Rng::seed_from_u64(1);
-    let call =
-        Call { work: 11_000.0, prefix_work: 6300.0, prefix: Some(7), tried: &[], cap: u32::MAX };
+    let call = Call {
+        work: 11_000.0,
+        prefix_work: 6300.0,
+        prefix: Some(7),
+        tried: &[],
+        cap: u32::MAX,
+        share: Share::Whole,
+    };
     for member in members(12) {
         let other = Call { prefix: None, ..call };
         router.sent(1, &member.address, &other);
--- a/crates/holdpoint-emulator/src/capacity.rs
+++ b/crates/holdpoint-emulator/src/capacity.rs
@@ -6,6 +6,7 @@
     admit::{Ask, Gate, Offer, Signal},
     catalog::{Catalog, default_policy},
     claims::{ClaimTable, Claimant},
+    cold::Share,
     fold::{Effect, State},
     ids::sha256_hex,
     membership::View,
@@ -183,6 +184,7 @@
             address: format!("10.{}.{}.{}:8000", it >> 16, (it >> 8) & 255, it & 255),
             domain: format!("domain-{}", it % 4),
             leaving: false,
+            held: false,
         })
         .collect()
 }
@@ -213,8 +215,14 @@
             let mut router = router(&pool(n));
             let policy = default_policy();
             let mut rng = ChaCha8Rng::seed_from_u64(1);
-            let call =
-                Call { work: 1.0, prefix_work: 0.1, prefix: Some(7), tried: &[], cap: 10_000 };
+            let call = Call {
+                work: 1.0,
+                prefix_work: 0.1,
+                prefix: Some(7),
+                tried: &[],
+                cap: 10_000,
+                share: Share::Whole,
+            };
             micros(|| {
                 for now in 0..CALLS as u64 {
                     if let Ok(it) = router.choose(now, &policy, &call, &mut rng) {
--- a/crates/holdpoint-emulator/src/policies/run.rs
+++ b/crates/holdpoint-emulator/src/policies/run.rs
@@ -7,6 +7,7 @@
 
 use holdpoint_core::{
     admit::{Ask, Gate, Offer, Signal, Ticket},
+    cold::Share,
     deadline::{Budget, Times, budget},
     retry::RetryBudget,
     route::{Call, End, Load, Member, Router},
@@ -440,12 +441,17 @@
         prefix: Some(request.arrival.prefix),
         tried: &request.tried,
         cap: 256,
+        share: Share::Whole,
     }
 }
 
 fn instance(setup: &Setup, index: usize, policy: &Policy) -> Instance {
-    let member =
-        |it: usize| Member { address: address(it), domain: format!("d{}", it % 4), leaving: false };
+    let member = |it: usize| Member {
+        address: address(it),
+        domain: format!("d{}", it % 4),
+        leaving: false,
+        held: false,
+    };
     let members: Vec<Member> = (0..setup.user.engines).map(member).collect();
     let mut router = Router::new(&format!("i{index}"), &format!("d{}", index % 4), policy.clone());
     router.set_members(&members);
--- a/crates/holdpointd/src/control/publish.rs
+++ b/crates/holdpointd/src/control/publish.rs
@@ -50,7 +50,7 @@
                 }
                 let leaving = self.view.leaving_at(&target.address).is_some();
                 let (address, domain) = (target.address.clone(), target.domain.clone());
-                members.push(Member { address, domain, leaving });
+                members.push(Member { address, domain, leaving, held: false });
             }
             pools.insert(name.clone(), Arc::new(members));
         }
@@ -63,6 +63,7 @@
             address: target.address.clone(),
             domain: target.domain.clone(),
             leaving: is_known || target.state == ListState::Leaving,
+            held: false,
         }
     }
 
--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -104,6 +104,10 @@
     TARGETS_CHANGED = 613 Info "targets changed";
     /// Many peers joined, moved or left at once.
     PEERS_CHANGED = 614 Info "peers changed";
+    /// A failure domain was evacuated or restored.
+    DOMAIN_CHANGED = 615 Info "failure domain evacuated or restored";
+    /// Pieces were refused, since every target that makes them stands in an evacuated failure domain.
+    PIECES_EVACUATED = 709 Info "pieces have no target left";
     /// A request was sent to a target.
     SENT = 700 Info "sent to a target";
     /// A send ended without a whole answer.
--- a/crates/holdpointd/src/ingress/attempts.rs
+++ b/crates/holdpointd/src/ingress/attempts.rs
@@ -1,8 +1,10 @@
 //! The sends made for one request: which target each goes to, and whether one more is allowed.
 
+use std::time::Duration;
+
 use holdpoint_core::{
     directory::TargetInstance,
-    route::{End, NoTarget},
+    route::{Call, End, NoTarget},
 };
 
 use crate::{
@@ -31,6 +33,10 @@
     Time,
     /// The instance is about to end.
     Stopping,
+    /// Every target stands in an evacuated failure domain.
+    Evacuated,
+    /// Every target is cold and carries no more for now.
+    Cold,
 }
 
 impl NoSend {
@@ -42,6 +48,8 @@
             NoSend::Budget => "retry-budget",
             NoSend::Time => "time-over",
             NoSend::Stopping => "stopping",
+            NoSend::Evacuated => "evacuated",
+            NoSend::Cold => "cold",
         }
     }
 }
@@ -85,13 +93,22 @@
             return Ok(it);
         }
         loop {
-            let call = ctx.call(&self.tried);
+            let decides = ctx.decides();
+            let call = Call { share: ctx.shared.pools.share(decides), ..ctx.call(&self.tried) };
             let policy = ctx.policy();
-            let choice = ctx.pool.place(ctx.shared.clock.now(), policy.as_deref(), &call);
-            let choice = choice.map_err(|it| match it {
-                NoTarget::Empty | NoTarget::Tried | NoTarget::Full => NoSend::NoTarget,
-            })?;
-            if let Some(target) = ctx.shared.staying_target(&choice.address) {
+            let choice = match ctx.pool.place(ctx.shared.clock.now(), policy.as_deref(), &call) {
+                Ok(it) => it,
+                Err(NoTarget::Cold(ms)) if ctx.may_wait_for(ms) => {
+                    tokio::time::sleep(Duration::from_millis(ms)).await;
+                    continue;
+                }
+                Err(NoTarget::Cold(_)) => return Err(NoSend::Cold),
+                Err(NoTarget::Evacuated) => return Err(NoSend::Evacuated),
+                Err(NoTarget::Empty | NoTarget::Tried | NoTarget::Full) => {
+                    return Err(NoSend::NoTarget);
+                }
+            };
+            if let Some(target) = ctx.shared.open_target(&choice.address) {
                 let reason = format!(
                     "compared={} ejected={} predicted_ms={:.0} prefix={}",
                     choice.reason.compared,
@@ -115,7 +132,7 @@
         let (work, prefix_work) = (call.work, call.prefix_work);
         let ask = PromptAsk { work, prefix_work, prefix, avoided, policy };
         let chosen = ctx.shared.peers.place(&ctx.shared, &address, &ctx.service, ask).await?;
-        let target = ctx.shared.staying_target(&chosen)?;
+        let target = ctx.shared.open_target(&chosen)?;
         Some((target, format!("placed_by={address}")))
     }
 
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -14,6 +14,7 @@
 use holdpoint_core::{
     batcher::Batcher,
     directory::{Directory, TargetId},
+    evacuation::Evacuations,
     ids::{Millis, Name},
     ingress::Service,
     pieces::{Call, CallEnd, Sizes, Ticket, Waiting},
@@ -36,6 +37,9 @@
 
 /// How often a piece goes back to the queue for want of room.
 const RETURNS: u32 = 20;
+/// When a request may come back whose pieces have no target, since all stand in evacuated failure
+/// domains, in milliseconds. When an operator restores one is not known.
+const EVACUATED_RETURN_MS: Millis = 1000;
 /// Shortest time that a call to a target is given, in milliseconds.
 const LEAST_CALL_MS: Millis = 400;
 
@@ -118,15 +122,59 @@
     }
 }
 
-/// A target as the batchers know it: id, failure domain, whether it is leaving.
+/// A target as the batchers know it: id, failure domain, whether it gets no more calls.
 type Known = (TargetId, String, bool);
 
+/// The targets of one service.
+#[derive(Clone, Debug, Default)]
+struct Targets {
+    known: Vec<Known>,
+    /// Whether one is only kept from work by the evacuation of its failure domain.
+    is_held: bool,
+}
+
+impl Targets {
+    /// Whether none is left, since all that stay stand in evacuated failure domains.
+    fn is_evacuated(&self) -> bool {
+        self.is_held && self.known.iter().all(|it| it.2)
+    }
+}
+
 /// The batcher of one service on this instance.
 struct ServiceBatches {
     batcher: Batcher,
     pending: HashMap<Ticket, Pending>,
     /// Whether this instance was the one that batches the service when last looked at.
     is_owner: bool,
+    /// Whether all its targets stand in evacuated failure domains.
+    is_evacuated: bool,
+}
+
+impl ServiceBatches {
+    fn new(sizes: Sizes) -> ServiceBatches {
+        ServiceBatches {
+            batcher: Batcher::new(sizes),
+            pending: HashMap::new(),
+            is_owner: false,
+            is_evacuated: false,
+        }
+    }
+
+    /// Takes in the service's targets. Where none is left, what waits is refused at once.
+    fn set_targets(&mut self, targets: &Targets) {
+        let known = targets.known.iter();
+        self.batcher.set_targets(known.map(|it| (it.0.as_str(), it.1.as_str(), it.2)));
+        self.is_evacuated = targets.is_evacuated();
+        if !self.is_evacuated {
+            return;
+        }
+        for ticket in self.batcher.hand_over() {
+            if let Some(it) = self.pending.remove(&ticket) {
+                // Its request may have ended meanwhile.
+                drop(it.reply.send(Err(NoResult::Overload(EVACUATED_RETURN_MS))));
+            }
+        }
+    }
 }
 
 /// The batchers of all services on this instance.
@@ -134,7 +182,7 @@
 pub(crate) struct Batches {
     services: Mutex<HashMap<Name, ServiceBatches>>,
     /// Targets by service, as last told.
-    targets: Mutex<HashMap<Name, Vec<Known>>>,
+    targets: Mutex<HashMap<Name, Targets>>,
     /// Times of stages at the services that this instance batches, in milliseconds.
     stage_times: Mutex<Vec<(Name, Millis)>>,
     next_ticket: AtomicU64,
@@ -153,16 +201,18 @@
     }
 
     /// Takes in the targets of all services.
-    pub(crate) fn set_targets(&self, directory: &Directory) {
-        let mut targets: HashMap<Name, Vec<Known>> = HashMap::new();
+    pub(crate) fn set_targets(&self, directory: &Directory, evacuations: &Evacuations) {
+        let mut targets: HashMap<Name, Targets> = HashMap::new();
         for it in directory.all() {
             let of_service = targets.entry(it.service.clone()).or_default();
-            of_service.push((it.id.clone(), it.domain.clone(), it.is_leaving));
+            let is_held = evacuations.is_evacuated(&it.domain) && !it.is_leaving;
+            of_service.is_held |= is_held;
+            of_service.known.push((it.id.clone(), it.domain.clone(), it.is_leaving || is_held));
         }
+        let none = Targets::default();
         let mut services = self.services.lock();
         for (name, of_service) in services.iter_mut() {
-            let its = targets.get(name).map_or(&[][..], Vec::as_slice);
-            of_service.batcher.set_targets(borrowed(its));
+            of_service.set_targets(targets.get(name).unwrap_or(&none));
         }
         *self.targets.lock() = targets;
     }
@@ -194,13 +244,19 @@
         let sizes = sizes.ok_or(NoResult::Unreachable)?;
         let mut services = self.services.lock();
         let of_service = services.entry(service.to_owned()).or_insert_with(|| {
-            let mut batcher = Batcher::new(sizes);
+            let mut of_service = ServiceBatches::new(sizes);
             if let Some(its) = self.targets.lock().get(service) {
-                batcher.set_targets(borrowed(its));
+                of_service.set_targets(its);
             }
-            ServiceBatches { batcher, pending: HashMap::new(), is_owner: false }
+            of_service
         });
         let now = shared.clock.now();
+        if of_service.is_evacuated {
+            let request = asks.first().map_or("none", |it| it.work.request.as_str());
+            let detail = format!("id={request} service={service} return_ms={EVACUATED_RETURN_MS}");
+            emit(events::PIECES_EVACUATED, &shared.settings.instance, &detail);
+            return Err(NoResult::Overload(EVACUATED_RETURN_MS));
+        }
         admit(shared, service, &mut of_service.batcher, now, &asks)?;
         let offered = Instant::now();
         let group = self.ticket();
@@ -261,7 +317,7 @@
     fn review(&self, now: Millis) {
         let mut services = self.services.lock();
         let mut times = Vec::new();
-        for (name, ServiceBatches { batcher, pending, is_owner }) in services.iter_mut() {
+        for (name, ServiceBatches { batcher, pending, is_owner, .. }) in services.iter_mut() {
             pending.retain(|_, it| !it.reply.is_closed());
             batcher.retain(|it| pending.contains_key(&it));
             if *is_owner {
@@ -330,7 +386,7 @@
         for (name, of_service) in services.iter_mut() {
             let is_owner = shared.peers.batcher_of(name).is_none();
             let was_owner = std::mem::replace(&mut of_service.is_owner, is_owner);
-            let is_told = || shared.pools.of(name).has_told(shared.clock.now());
+            let is_told = || shared.pools.of(shared.clock.now(), name).has_told(shared.clock.now());
             let is_idle = of_service.batcher.waiting() == 0;
             if is_owner || is_idle || !(was_owner || is_told()) {
                 continue;
@@ -548,7 +604,7 @@
     pieces: &[Pending],
     patience: Millis,
 ) -> Result<Vec<PieceResult>, CallEnd> {
-    let target = shared.staying_target(&call.target).ok_or(CallEnd::Full)?;
+    let target = shared.open_target(&call.target).ok_or(CallEnd::Full)?;
     let body =
         wire::run_body(pieces.iter().map(|it| (&it.work, left(it.deadline).as_millis() as Millis)));
     let limit = Duration::from_millis(patience.max(LEAST_CALL_MS));
@@ -582,7 +638,3 @@
         keep_ms: limits.keep_ms,
     })
 }
-
-fn borrowed(targets: &[Known]) -> impl Iterator<Item = (&str, &str, bool)> + use<'_> {
-    targets.iter().map(|it| (it.0.as_str(), it.1.as_str(), it.2))
-}
--- a/crates/holdpointd/src/ingress/changes.rs
+++ b/crates/holdpointd/src/ingress/changes.rs
@@ -3,7 +3,10 @@
 //! are many. After a restart of all instances, lines for each target and peer at each instance would
 //! be two thirds of the log (229,182 of 340,641 lines counted at 295 instances and 287 targets).
 
-use holdpoint_core::directory::{Change, Directory, TargetId, TargetInstance};
+use holdpoint_core::{
+    directory::{Change, Directory, TargetId, TargetInstance},
+    ids::Millis,
+};
 
 use crate::events::{self, emit};
 
@@ -23,11 +26,12 @@
     pub(crate) fn put(
         &mut self,
         directory: &mut Directory,
+        now: Millis,
         entry: TargetInstance,
         sign: &'static str,
     ) {
         let id = entry.id.clone();
-        let change = directory.put(entry);
+        let change = directory.put(now, entry);
         self.note(id, change, sign);
     }
 
@@ -49,6 +53,11 @@
         self.changes.is_empty()
     }
 
+    /// Ids of the targets that have joined.
+    pub(crate) fn joined(&self) -> impl Iterator<Item = &TargetId> {
+        self.changes.iter().filter(|it| it.1 == Change::Joined).map(|it| &it.0)
+    }
+
     /// Ids of the targets that have changed.
     pub(crate) fn ids(&self) -> impl Iterator<Item = &TargetId> {
         self.changes.iter().map(|it| &it.0)
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -10,6 +10,7 @@
 
 use holdpoint_adapter::headers::{Added, CallerHead};
 use holdpoint_core::{
+    cold::Share,
     directory::TargetInstance,
     experiments::ChosenArm,
     ids::{Millis, Name},
@@ -98,7 +99,7 @@
     pub(crate) fn new(shared: Arc<IngressShared>, parts: Parts) -> Context {
         let limit = parts.route.time_limit(parts.head.patience);
         let asked_before = asked_before(&shared, &parts);
-        let pool = shared.pools.of(&parts.service);
+        let pool = shared.pools.of(shared.clock.now(), &parts.service);
         pool.request(shared.clock.now(), &shared.pools.terms());
         let arm = shared.experiments.now().arm_for(&parts.route.name, &parts.request.id);
         Context {
@@ -203,9 +204,22 @@
             prefix: prompt.affinity(),
             tried,
             cap: u32::MAX,
+            share: Share::Whole,
         }
     }
 
+    /// Whether this instance places the prompts of the service for all.
+    pub(crate) fn decides(&self) -> bool {
+        self.head.prompt.affinity().is_some()
+            && self.shared.peers.batcher_of(&self.service).is_none()
+    }
+
+    /// Whether it may still be served in time after a wait for a target that carries one more.
+    pub(crate) fn may_wait_for(&self, ms: Millis) -> bool {
+        let waited = self.arrived.elapsed() + self.asked_before + Duration::from_millis(ms);
+        waited < self.target_time() && waited < self.left()
+    }
+
     /// Notes how long the stages took.
     pub(crate) fn note_stages(&self, begun: Instant) {
         self.end.lock().stages_ms = begun.elapsed().as_millis() as u64;
--- a/crates/holdpointd/src/ingress/follow.rs
+++ b/crates/holdpointd/src/ingress/follow.rs
@@ -18,6 +18,7 @@
 use crate::{
     events::{self, emit},
     ingress::{
+        domains,
         news::{Content, Known, News, Place, TargetList, Update, WAIT},
         peers::Sources,
         shared::IngressShared,
@@ -86,6 +87,7 @@
             wait_ms: wait.as_millis() as Millis,
             place: Some(Place { digest: shared.digest(), ..*place }),
             wants_large: false,
+            orders: Some(shared.domains.horizon()),
         };
         let limit = if *place == Place::default() { WHOLE_LIMIT } else { wait + LIMIT };
         let answer = shared.peers.follow(shared, &address, known, limit).await;
@@ -132,10 +134,9 @@
 async fn ask_about_lapses(shared: &Arc<IngressShared>) {
     let Sources { readers, .. } = shared.peers.sources();
     let (lapsed, span_ms) = shared.lapses();
-    let version = shared.configuration().version;
     for address in one_round(shared, readers) {
         let known =
-            Known { version, wait_ms: 0, place: Some(Place::default()), wants_large: false };
+            Known { place: Some(Place::default()), ..Known::configuration_only(shared, false) };
         let Ok(update) = shared.peers.follow(shared, &address, known, LIMIT).await else {
             continue;
         };
@@ -153,7 +154,11 @@
 }
 
 /// Takes in what another instance tells; whether it has read the store of late.
-fn take_in(shared: &IngressShared, update: Update) -> bool {
+fn take_in(shared: &Arc<IngressShared>, update: Update) -> bool {
+    // Before what makes an instance ready: one that starts gives an evacuated domain no work.
+    if let Some(it) = update.evacuations {
+        domains::take_over(shared, it, "peer");
+    }
     if let Some(it) = update.configuration {
         shared.offer_configuration(&it, "peer");
     }
@@ -202,6 +207,9 @@
 ) -> Version {
     let known = Known::configuration_only(shared, wants_large);
     let Ok(update) = shared.peers.follow(shared, address, known, limit).await else { return 0 };
+    if let Some(it) = update.evacuations {
+        domains::take_over(shared, it, "peer");
+    }
     if let Some(it) = update.configuration {
         shared.offer_configuration(&it, "peer");
     }
@@ -219,10 +227,11 @@
         }
     }
     shared.set_peers(peers, false);
+    let now = shared.clock.now();
     shared.change_directory(|directory, changes| {
         for it in targets {
             match it {
-                Ok(it) => changes.put(directory, it, "peer"),
+                Ok(it) => changes.put(directory, now, it, "peer"),
                 Err(it) => changes.remove(directory, it, "peer"),
             }
         }
@@ -243,6 +252,7 @@
 /// nothing only.
 fn take_targets(shared: &IngressShared, list: TargetList, is_fresh: bool) {
     let (listed, lapsed) = list.into_targets();
+    let now = shared.clock.now();
     shared.change_directory(|directory, changes| {
         if !is_fresh && !directory.is_empty() {
             return;
@@ -251,7 +261,7 @@
         for id in unnamed.filter(|it| !lapsed.contains(it)) {
             changes.remove(directory, id, "peer");
         }
-        listed.into_iter().for_each(|it| changes.put(directory, it, "peer"));
+        listed.into_iter().for_each(|it| changes.put(directory, now, it, "peer"));
     });
 }
 
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -12,6 +12,7 @@
 mod connections;
 mod context;
 mod declared;
+mod domains;
 mod follow;
 mod front;
 mod news;
@@ -35,7 +36,7 @@
 };
 
 use error_stack::{Report, ResultExt};
-use holdpoint_core::ingress::Version;
+use holdpoint_core::{directory::TargetInstance, ids::Name, ingress::Version};
 use holdpoint_schema::ingress::{IngressSettings, Listen};
 use tokio::time::{interval, sleep, timeout};
 
@@ -120,6 +121,17 @@
         self.shared.targets().iter().filter(|it| !it.is_leaving).count()
     }
 
+    /// Number of target instances that may get new work.
+    pub fn open_count(&self) -> usize {
+        let is_open = |it: &TargetInstance| !self.shared.domains.is_evacuated(&it.domain);
+        self.shared.targets().iter().filter(|it| !it.is_leaving && is_open(it)).count()
+    }
+
+    /// Failure domains that are evacuated, whether targets are known there or not.
+    pub fn evacuated(&self) -> Vec<Name> {
+        self.shared.domains.state().domains().cloned().collect()
+    }
+
     /// Stops as planned: not ready at once, new work while the balancer notices, then the end of
     /// all that is in flight, within the grace that the platform gives.
     pub async fn stop(self) -> Ended {
--- a/crates/holdpointd/src/ingress/news.rs
+++ b/crates/holdpointd/src/ingress/news.rs
@@ -3,12 +3,16 @@
 //! An asker says how far it has followed this instance; the answer has what happened since, or all
 //! that is known where that is not kept any more or another instance was followed before.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use holdpoint_core::{
     change_log::Revision,
     directory::{Directory, TargetId, TargetInstance},
+    evacuation::{Evacuations, Horizon},
     ids::{Millis, Name},
     ingress::Version,
 };
@@ -60,13 +64,17 @@
     /// Whether it wants a large configuration too. A reader's link would not carry one to all who
     /// follow it, so they read it from the store where they can.
     pub(crate) wants_large: bool,
+    /// How far it knows the log of orders for failure domains; peers of earlier versions know none.
+    #[serde(default)]
+    pub(crate) orders: Option<Horizon>,
 }
 
 impl Known {
     /// What an asker knows who wants no more than a later configuration.
     pub(crate) fn configuration_only(shared: &IngressShared, wants_large: bool) -> Known {
         let version = shared.configuration().version;
-        Known { version, wait_ms: 0, place: None, wants_large }
+        let orders = Some(shared.domains.horizon());
+        Known { version, wait_ms: 0, place: None, wants_large, orders }
     }
 }
 
@@ -87,6 +95,9 @@
     pub(crate) version: Version,
     /// That configuration, where it is later than the asker's and the asker wants it.
     pub(crate) configuration: Option<Bytes>,
+    /// The failure domains that are evacuated, where more is known than the asker knows.
+    #[serde(default)]
+    pub(crate) evacuations: Option<Evacuations>,
     /// What else is new, where that was asked for.
     pub(crate) content: Option<Content>,
 }
@@ -118,6 +129,9 @@
     /// Those whose entry may have lapsed while the store was away. They may have left as well, so
     /// whoever has heard that they are gone does not take them back.
     lapsed: Vec<TargetId>,
+    /// Those that are cold, and for how much longer in milliseconds.
+    #[serde(default)]
+    cold: Vec<(TargetId, Millis)>,
 }
 
 /// Target instances that have all but their names in common.
@@ -133,7 +147,7 @@
 
 impl TargetList {
     /// Makes the list of a directory.
-    pub(crate) fn new(directory: &Directory) -> TargetList {
+    pub(crate) fn new(now: Millis, directory: &Directory) -> TargetList {
         let mut groups: BTreeMap<(&str, &str, u32, bool), Vec<_>> = BTreeMap::new();
         for it in directory.listed() {
             let common = (it.service.as_str(), it.domain.as_str(), it.slots, it.is_leaving);
@@ -147,6 +161,7 @@
         TargetList {
             listed: groups.into_iter().map(group).collect(),
             lapsed: directory.lapsed().cloned().collect(),
+            cold: directory.cold(now).map(|(id, left)| (id.clone(), left)).collect(),
         }
     }
 
@@ -157,9 +172,12 @@
     }
 
     pub(crate) fn into_targets(self) -> (Vec<TargetInstance>, Vec<TargetId>) {
+        let cold: HashMap<TargetId, Millis> = self.cold.into_iter().collect();
+        let cold = &cold;
         let targets = self.listed.into_iter().flat_map(|group| {
             let TargetGroup { service, domain, slots, is_leaving, members } = group;
             members.into_iter().map(move |(id, address, sequence)| TargetInstance {
+                cold_left_ms: cold.get(&id).copied(),
                 id,
                 service: service.clone(),
                 address,
@@ -203,7 +221,17 @@
         .filter(|it| known.wants_large || it.len() <= LARGE_CONFIGURATION);
     let age_ms = shared.fresh_age();
     let steady_ms = shared.steady_ms();
-    Update { life: shared.life, revision, age_ms, steady_ms, version, configuration, content }
+    let evacuations = knows_less(shared, &known).then(|| shared.domains.state());
+    Update {
+        life: shared.life,
+        revision,
+        age_ms,
+        steady_ms,
+        version,
+        configuration,
+        evacuations,
+        content,
+    }
 }
 
 /// Whether there is something new to tell already.
@@ -212,5 +240,12 @@
         let (news, _) = shared.news_since(it.revision);
         it.life == shared.life && news.is_some_and(|it| it.is_empty())
     };
-    known.version < shared.configuration().version || !known.place.is_some_and(is_same)
+    known.version < shared.configuration().version
+        || knows_less(shared, known)
+        || !known.place.is_some_and(is_same)
+}
+
+/// Whether an asker knows less of the orders for failure domains.
+fn knows_less(shared: &IngressShared, known: &Known) -> bool {
+    known.orders.is_some_and(|it| it < shared.domains.horizon())
 }
--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -4,6 +4,7 @@
 
 use futures::StreamExt;
 use holdpoint_core::{
+    cold::Share,
     directory::TargetId,
     ids::{Millis, Name},
     ingress::Version,
@@ -122,10 +123,11 @@
             prefix: Some(prompt.prefix),
             tried: &prompt.avoided,
             cap: u32::MAX,
+            share: Share::Whole,
         };
         let policy = prompt.policy.and_then(|it| self.shared.experiments.now().policy(&it));
-        let pool = self.shared.pools.of(&service);
-        let placed = pool.place(self.shared.clock.now(), policy.as_deref(), &call);
+        let now = self.shared.clock.now();
+        let placed = self.shared.pools.of(now, &service).place(now, policy.as_deref(), &call);
         placed.ok().map(|it| it.address)
     }
 
--- a/crates/holdpointd/src/ingress/pools.rs
+++ b/crates/holdpointd/src/ingress/pools.rs
@@ -10,9 +10,12 @@
 
 use holdpoint_core::{
     budget::{SharedBudget, Terms},
+    cold::Share,
     deadline::{RecentTime, Times},
     directory::{Directory, TargetId},
+    evacuation::Evacuations,
     ids::{Millis, Name},
+    ingress::Configuration,
     route::{Call, Choice, End, Load, Member, NoTarget, Router},
 };
 use holdpoint_schema::{
@@ -45,11 +48,28 @@
     policy: Policy,
 }
 
+/// The targets of one service.
+#[derive(Debug, Default)]
+struct Targets {
+    members: Vec<Member>,
+    /// Those that are cold, and until when in milliseconds.
+    cold: Vec<(TargetId, Millis)>,
+}
+
+impl Targets {
+    fn set_in(&self, now: Millis, router: &mut Router) {
+        router.set_members(&self.members);
+        self.cold.iter().for_each(|(id, until)| router.set_cold(now, id, *until));
+    }
+}
+
 /// All services that were asked for.
 #[derive(Debug)]
 pub(crate) struct Pools {
     pools: RwLock<HashMap<Name, Arc<Pool>>>,
-    members: Mutex<HashMap<Name, Vec<Member>>>,
+    members: Mutex<HashMap<Name, Targets>>,
+    /// Calls a second that a cold target carries, by service.
+    cold_rates: Mutex<HashMap<Name, f64>>,
     salt: String,
     domain: String,
     ratio: f64,
@@ -64,6 +84,7 @@
         Pools {
             pools: RwLock::default(),
             members: Mutex::default(),
+            cold_rates: Mutex::default(),
             salt: settings.instance.clone(),
             domain: settings.domain.clone(),
             ratio: settings.retries.ratio,
@@ -84,36 +105,68 @@
         Terms { ratio: self.ratio, window_ms: self.window_ms, slack: self.slack, instances }
     }
 
+    /// Takes in what the targets of each service carry as long as they are cold.
+    pub(crate) fn configure(&self, configuration: &Configuration) {
+        let services = configuration.services.values();
+        let rates = services.filter_map(|it| Some((it.name.clone(), it.cold?.per_s))).collect();
+        for (name, pool) in self.pools.read().iter() {
+            pool.router.lock().set_cold_rate(rate_of(&rates, name));
+        }
+        *self.cold_rates.lock() = rates;
+    }
+
     /// Takes in the targets of all services.
-    pub(crate) fn set_targets(&self, directory: &Directory) {
-        let mut members: HashMap<Name, Vec<Member>> = HashMap::new();
+    pub(crate) fn set_targets(
+        &self,
+        now: Millis,
+        directory: &Directory,
+        evacuations: &Evacuations,
+    ) {
+        let mut targets: HashMap<Name, Targets> = HashMap::new();
         for it in directory.all() {
-            members.entry(it.service.clone()).or_default().push(Member {
+            let of_service = targets.entry(it.service.clone()).or_default();
+            of_service.members.push(Member {
                 address: it.id.clone(),
                 domain: it.domain.clone(),
                 leaving: it.is_leaving,
+                held: evacuations.is_evacuated(&it.domain),
             });
+            let until = directory.cold_until(&it.id);
+            if now < until {
+                of_service.cold.push((it.id.clone(), until));
+            }
         }
+        let none = Targets::default();
         for (name, pool) in self.pools.read().iter() {
-            let of_service = members.get(name).map_or(&[][..], Vec::as_slice);
-            pool.router.lock().set_members(of_service);
+            targets.get(name).unwrap_or(&none).set_in(now, &mut pool.router.lock());
         }
-        *self.members.lock() = members;
+        *self.members.lock() = targets;
+    }
+
+    /// The part of a cold target's rate that a decision of this instance may draw on, where `decides` says
+    /// whether it places all prompts of the service.
+    pub(crate) fn share(&self, decides: bool) -> Share {
+        if decides { Share::Whole } else { Share::Of(self.instances.load(Ordering::Acquire)) }
     }
 
     /// The pool of a service.
-    pub(crate) fn of(&self, service: &str) -> Arc<Pool> {
+    pub(crate) fn of(&self, now: Millis, service: &str) -> Arc<Pool> {
         if let Some(it) = self.pools.read().get(service) {
             return it.clone();
         }
         let pool = Pool::new(&self.salt, &self.domain);
         if let Some(it) = self.members.lock().get(service) {
-            pool.router.lock().set_members(it);
+            it.set_in(now, &mut pool.router.lock());
         }
+        pool.router.lock().set_cold_rate(rate_of(&self.cold_rates.lock(), service));
         self.pools.write().entry(service.to_owned()).or_insert_with(|| Arc::new(pool)).clone()
     }
 }
 
+fn rate_of(rates: &HashMap<Name, f64>, service: &str) -> f64 {
+    rates.get(service).copied().unwrap_or(0.0)
+}
+
 impl Pool {
     fn new(salt: &str, domain: &str) -> Pool {
         let policy = Policy {
@@ -135,7 +188,7 @@
         }
     }
 
-    /// Chooses a target.
+    /// Chooses a target; it may still be another one once the call is made.
     pub(crate) fn choose(&self, now: Millis, call: &Call<'_>) -> Result<Choice, NoTarget> {
         self.router.lock().choose(now, &self.policy, call, &mut rand::rng())
     }
@@ -152,6 +205,7 @@
         let policy = policy.unwrap_or(&self.policy);
         let choice = router.choose(now, policy, call, &mut rand::rng())?;
         router.placed(now, &choice.address, call);
+        router.spend_cold(now, &choice.address, call.share);
         Ok(choice)
     }
 
--- a/crates/holdpointd/src/ingress/send.rs
+++ b/crates/holdpointd/src/ingress/send.rs
@@ -55,6 +55,10 @@
         return Sent::Nothing;
     };
     let Some(outgoing) = outgoing(request, added) else { return Sent::Nothing };
+    if shared.open_target(&target.id).is_none() {
+        // It began to leave, or its failure domain was evacuated, while the connection was made.
+        return Sent::Nothing;
+    }
     let response = match connection.sender.try_send_request(outgoing).await {
         Ok(it) => it,
         Err(it) if it.message().is_some() => return Sent::Nothing,
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -30,6 +30,7 @@
         changes::{PeerChanges, TargetChanges},
         connections::Connections,
         declared::Declared,
+        domains::Domains,
         news::{News, TargetList},
         peer_service::PROTOCOL,
         peers::{Peer, Peers, own_capacity},
@@ -51,6 +52,10 @@
 /// Changes of targets and peers that are kept for those who follow this instance.
 const NEWS_KEPT: usize = 1024;
 
+/// What a list of targets was made of: the position in the news, the number of lapsed entries and, if
+/// targets are cold, the second.
+type ListState = (Revision, usize, Millis);
+
 /// What the tasks of one ingress instance share.
 pub(crate) struct IngressShared {
     pub(crate) settings: IngressSettings,
@@ -62,6 +67,8 @@
     pub(crate) batches: Batches,
     pub(crate) releases: Releases,
     pub(crate) peers: Peers,
+    /// Failure domains that are evacuated.
+    pub(crate) domains: Domains,
     /// Policies and trials that operators declared.
     pub(crate) experiments: Declared,
     pub(crate) in_flight: Arc<InFlight>,
@@ -88,8 +95,8 @@
     /// Sent whenever there is something new for those who follow this instance.
     pub(crate) has_news: watch::Sender<()>,
     news: Mutex<ChangeLog<News>>,
-    /// The list of targets for peers, with the state of the news and lapses that it was made of.
-    target_list: Mutex<Option<((Revision, usize), Bytes)>>,
+    /// The list of targets for peers, with what it was made of.
+    target_list: Mutex<Option<(ListState, Bytes)>>,
     /// Becomes true once the peers were read from the store, or could not be read.
     pub(crate) peers_known: watch::Sender<bool>,
     configuration: ArcSwap<Configuration>,
@@ -120,6 +127,7 @@
             batches: Batches::default(),
             releases: Releases::default(),
             peers: Peers::new(&settings),
+            domains: Domains::default(),
             experiments: Declared::default(),
             in_flight: Arc::default(),
             closing: watch::channel(false).0,
@@ -181,6 +189,7 @@
         emit(events::CONFIGURED, &self.settings.instance, &detail);
         *self.configuration_bytes.lock() = value.clone();
         self.configuration.store(Arc::new(found));
+        self.pools.configure(&self.configuration());
         self.batches.configure(self);
         self.has_news.send_replace(());
     }
@@ -194,15 +203,55 @@
             return;
         }
         changes.log(&self.settings.instance, &directory);
+        let now = self.clock.now();
+        self.hold_joined(now, &mut directory, &changes);
         self.tell(changes.ids().map(|id| match directory.get(id) {
-            Some(it) => News::Target(it.clone()),
+            Some(it) => {
+                let cold_left_ms = Some(directory.cold_left(now, id));
+                News::Target(TargetInstance { cold_left_ms, ..it.clone() })
+            }
             None => News::TargetGone(id.clone()),
         }));
-        self.pools.set_targets(&directory);
-        self.batches.set_targets(&directory);
+        self.apply(&directory);
         self.connections.retain(|it| directory.get(it).is_some());
     }
 
+    /// Takes targets to be cold that have started since the list was first read, and do not tell
+    /// whether they are.
+    fn hold_joined(&self, now: Millis, directory: &mut Directory, changes: &TargetChanges) {
+        if self.targets_read.load(Ordering::Acquire) == 0 {
+            return;
+        }
+        let configuration = self.configuration();
+        for id in changes.joined() {
+            let Some(it) = directory.get(id).filter(|it| it.cold_left_ms.is_none()) else {
+                continue;
+            };
+            let cold = configuration.services.get(&it.service).and_then(|it| it.cold);
+            if let Some(it) = cold {
+                directory.hold_cold(now, id, it.start_ms);
+            }
+        }
+    }
+
+    /// Takes targets to be cold for so many milliseconds each.
+    pub(crate) fn hold_cold<'a>(&self, targets: impl Iterator<Item = (&'a str, Millis)>) {
+        let now = self.clock.now();
+        let mut directory = self.directory.lock();
+        targets.for_each(|(id, ms)| directory.hold_cold(now, id, ms));
+    }
+
+    /// Puts the directory and the evacuated domains in force wherever they count.
+    pub(crate) fn apply_directory(&self) {
+        self.apply(&self.directory.lock());
+    }
+
+    fn apply(&self, directory: &Directory) {
+        let evacuations = self.domains.state();
+        self.pools.set_targets(self.clock.now(), directory, &evacuations);
+        self.batches.set_targets(directory, &evacuations);
+    }
+
     /// Tells those who follow this instance what is new.
     fn tell(&self, news: impl Iterator<Item = News>) {
         let mut kept = self.news.lock();
@@ -245,7 +294,7 @@
     pub(crate) fn take_stage_times(&self, times: &[(Name, Millis)]) {
         let now = self.clock.now();
         for (service, ms) in times {
-            self.pools.of(service).stage_takes(now, (*ms).min(LONGEST_STAGE_MS));
+            self.pools.of(now, service).stage_takes(now, (*ms).min(LONGEST_STAGE_MS));
         }
     }
 
@@ -297,9 +346,11 @@
         });
     }
 
-    /// A target instance that is known and not leaving.
-    pub(crate) fn staying_target(&self, id: &str) -> Option<TargetInstance> {
-        self.directory.lock().get(id).filter(|it| !it.is_leaving).cloned()
+    /// A target instance that is known and may get new work: it is not leaving, and its failure domain
+    /// is not evacuated.
+    pub(crate) fn open_target(&self, id: &str) -> Option<TargetInstance> {
+        let found = self.directory.lock().get(id).filter(|it| !it.is_leaving).cloned();
+        found.filter(|it| !self.domains.is_evacuated(&it.domain))
     }
 
     /// The target instance at an address that makes results of stages, leaving or not.
@@ -315,12 +366,16 @@
     /// The list of target instances for peers, as JSON; made anew when something has changed.
     pub(crate) fn target_list(&self) -> Bytes {
         let directory = self.directory.lock();
-        let state = (self.news.lock().end(), directory.lapsed().count());
+        let now = self.clock.now();
+        // How much longer targets are cold is told to the second.
+        let second = directory.cold(now).next().map_or(0, |_| now / 1000);
+        let state = (self.news.lock().end(), directory.lapsed().count(), second);
         let mut made = self.target_list.lock();
         match &*made {
             Some((of, list)) if *of == state => list.clone(),
             _ => {
-                let list = serde_json::to_vec(&TargetList::new(&directory)).unwrap_or_default();
+                let list =
+                    serde_json::to_vec(&TargetList::new(now, &directory)).unwrap_or_default();
                 let list = Bytes::from(list);
                 *made = Some((state, list.clone()));
                 list
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -350,7 +350,7 @@
 /// Time that a stage at a service usually takes, in milliseconds.
 fn usual_ms(ctx: &Context, service: &str) -> Millis {
     let stated = stage_ms(ctx, service);
-    ctx.shared.pools.of(service).stage_ms(ctx.shared.clock.now(), stated)
+    ctx.shared.pools.of(ctx.shared.clock.now(), service).stage_ms(ctx.shared.clock.now(), stated)
 }
 
 /// Time that the stages after a stage usually take, along the longest chain, in milliseconds.
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -12,7 +12,7 @@
     event_split::{EventSplitter, WholeEvent},
     ids::Millis,
     ingress::Shape,
-    route::End,
+    route::{End, NoTarget},
     stage_graph::NoResult,
 };
 use http::{StatusCode, response::Parts};
@@ -151,9 +151,14 @@
 
 async fn stage_results(ctx: &Context) -> Result<Results, NotOpen> {
     let now = ctx.shared.clock.now();
-    let likely = ctx.pool.choose(now, &ctx.call(&[])).ok();
+    let likely = ctx.pool.choose(now, &ctx.call(&[]));
+    if likely == Err(NoTarget::Evacuated) {
+        // Its stages would be made for nothing.
+        return Err(NotOpen::NoSend(NoSend::Evacuated.name()));
+    }
     let domain = likely
-        .and_then(|it| ctx.shared.staying_target(&it.address))
+        .ok()
+        .and_then(|it| ctx.shared.open_target(&it.address))
         .map_or(String::new(), |it| it.domain);
     stages::make_all(ctx, &domain).await.map_err(|it| match it {
         NoResult::Overload(ms) => NotOpen::Overload(Duration::from_millis(ms)),
--- a/crates/holdpointd/src/ingress/watch.rs
+++ b/crates/holdpointd/src/ingress/watch.rs
@@ -7,12 +7,13 @@
     instances,
     store::{
         CONFIGURATION_KEY, INSTANCES_TOPIC, KeyedRecord, OPERATORS_TOPIC, RESOURCES_TOPIC,
-        TARGETS_TOPIC,
+        TARGETS_TOPIC, evacuated_domain,
     },
 };
 use holdpoint_core::{
     capacity::Capacity,
     directory::{Change, Directory, TargetId},
+    evacuation::{Evacuations, Order},
     ids::Millis,
 };
 use tokio::{sync::watch, time::sleep};
@@ -21,6 +22,7 @@
     events::{self, emit},
     ingress::{
         changes::TargetChanges,
+        domains,
         peers::Peer,
         shared::IngressShared,
         store::{StoreClient, StoreError},
@@ -45,28 +47,52 @@
 /// How long after the store's return an entry that lapsed may take to be written anew.
 pub(crate) const LAPSE_MS: Millis = 2000;
 
-/// Keeps the configuration up to date.
+/// Records of a topic that were read at once.
+struct Read<'a> {
+    records: &'a [KeyedRecord],
+    /// Offset at which reading goes on.
+    next: u64,
+    /// Whether they are the newest of all keys, rather than what followed the last read.
+    is_whole: bool,
+}
+
+/// Keeps the configuration and the evacuated failure domains up to date.
 pub(crate) async fn follow_configuration(shared: Arc<IngressShared>) {
-    let take = |records: &[KeyedRecord], _: bool| take_configuration(&shared, records);
+    let take = |read: &Read<'_>| take_orders(&shared, read);
     follow(&shared, OPERATORS_TOPIC, (CONFIGURATION_WAIT, Duration::ZERO), take).await;
 }
 
 /// Reads the newest configuration once.
-pub(crate) async fn read_configuration(shared: &IngressShared) {
+pub(crate) async fn read_configuration(shared: &Arc<IngressShared>) {
     // Without an answer, whoever asked for it goes on without.
-    if let Ok((records, _)) = client(shared).newest(OPERATORS_TOPIC).await {
-        take_configuration(shared, &records);
+    if let Ok((records, next)) = client(shared).newest(OPERATORS_TOPIC).await {
+        take_orders(shared, &Read { records: &records, next, is_whole: true });
     }
 }
 
-fn take_configuration(shared: &IngressShared, records: &[KeyedRecord]) {
-    for record in records {
+/// Takes in what operators wrote: the failure domains that are evacuated, then the configuration, which
+/// makes an instance ready.
+fn take_orders(shared: &Arc<IngressShared>, read: &Read<'_>) {
+    let orders: Vec<Order> = read.records.iter().filter_map(order).collect();
+    let newer = if read.is_whole {
+        Evacuations::new(read.next, orders)
+    } else {
+        shared.domains.state().followed_by(read.next, &orders)
+    };
+    domains::take_over(shared, newer, "store");
+    for record in read.records {
         if let (CONFIGURATION_KEY, Some(value)) = (record.key.as_str(), &record.value) {
             shared.offer_configuration(value, "store");
         }
     }
 }
 
+/// The order for a failure domain that a record holds, if it is one.
+fn order(record: &KeyedRecord) -> Option<Order> {
+    let domain = evacuated_domain(&record.key)?.to_owned();
+    Some(Order { offset: record.offset, domain, is_evacuated: record.value.is_some() })
+}
+
 /// Writes this instance's own entry and keeps the list of peers up to date.
 pub(crate) async fn follow_peers(shared: Arc<IngressShared>) {
     let mut client = client(&shared);
@@ -83,7 +109,7 @@
     }
     drop(client);
     shared.peers_known.send_replace(true);
-    let take = |records: &[KeyedRecord], is_whole: bool| take_peers(&shared, records, is_whole);
+    let take = |read: &Read<'_>| take_peers(&shared, read.records, read.is_whole);
     follow(&shared, INSTANCES_TOPIC, (PEERS_WAIT, PEERS_GATHER), take).await;
 }
 
@@ -114,13 +140,13 @@
 
 /// Keeps the policies and trials that operators declare up to date.
 pub(crate) async fn follow_resources(shared: Arc<IngressShared>) {
-    let take = |records: &[KeyedRecord], is_whole: bool| {
-        if is_whole {
-            let is_named = |key: &str| records.iter().any(|it| it.key == key);
+    let take = |read: &Read<'_>| {
+        if read.is_whole {
+            let is_named = |key: &str| read.records.iter().any(|it| it.key == key);
             let known = shared.experiments.all().into_iter();
             known.filter(|it| !is_named(&it.0)).for_each(|it| shared.set_resource(&it.0, None));
         }
-        records.iter().for_each(|it| shared.set_resource(&it.key, it.value.clone()));
+        read.records.iter().for_each(|it| shared.set_resource(&it.key, it.value.clone()));
     };
     follow(&shared, RESOURCES_TOPIC, (PEERS_WAIT, PEERS_GATHER), take).await;
 }
@@ -223,13 +249,12 @@
 }
 
 /// Follows a topic whose records rarely change, for good: a read waits for a record for the first of two
-/// times, and in the second one records gather before the next read. `take` gets records, and whether
-/// they are the newest of all keys.
+/// times, and in the second one records gather before the next read.
 async fn follow(
-    shared: &IngressShared,
+    shared: &Arc<IngressShared>,
     topic: &str,
     (wait, gather): (Duration, Duration),
-    take: impl Fn(&[KeyedRecord], bool),
+    take: impl Fn(&Read<'_>),
 ) {
     let mut client = client(shared);
     let mut reading = shared.reading.subscribe();
@@ -253,7 +278,7 @@
         };
         match outcome {
             Ok((records, next)) => {
-                take(&records, offset.is_none());
+                take(&Read { records: &records, next, is_whole: offset.is_none() });
                 offset = Some(next);
                 sleep(gather).await;
             }
@@ -294,13 +319,14 @@
 ) -> Result<Option<u64>, StoreError> {
     let Some(from) = offset else {
         let (records, end) = client.newest(TARGETS_TOPIC).await?;
+        let now = shared.clock.now();
         let entries: Vec<_> =
             records.iter().filter_map(|it| instances::parse(it).ok().flatten()).collect();
         shared.change_directory(|directory, changes| {
             for id in directory.unnamed(&entries) {
                 take_gone(shared, directory, changes, id, lapse);
             }
-            entries.into_iter().for_each(|it| changes.put(directory, it, "store"));
+            entries.into_iter().for_each(|it| changes.put(directory, now, it, "store"));
             expire(shared, directory, changes);
         });
         return Ok(Some(end));
@@ -322,7 +348,7 @@
     lapse: &Lapse,
 ) {
     match instances::parse(record) {
-        Ok(Some(entry)) => changes.put(directory, entry, "store"),
+        Ok(Some(entry)) => changes.put(directory, shared.clock.now(), entry, "store"),
         Ok(None) => take_gone(shared, directory, changes, record.key.clone(), lapse),
         Err(it) => {
             let detail = format!("target={} cause=\"{it}\"", record.key);
--- a/crates/holdpointd/src/metrics.rs
+++ b/crates/holdpointd/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram, Meter, MeterProvider},
+    metrics::{Counter, Histogram, Meter, MeterProvider, UpDownCounter},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
@@ -48,6 +48,8 @@
     pub heartbeats: Counter<u64>,
     /// Changes, by verdict.
     pub changes: Counter<u64>,
+    /// Failure domains that are evacuated.
+    pub evacuated_domains: UpDownCounter<i64>,
 }
 
 impl Metrics {
@@ -82,6 +84,10 @@
             peer_bytes: counter("holdpoint_peer_bytes", "Bytes to and from peers"),
             heartbeats: counter("holdpoint_heartbeats", "Heartbeats by result"),
             changes: counter("holdpoint_changes", "Changes by verdict"),
+            evacuated_domains: meter
+                .i64_up_down_counter("holdpoint_evacuated_domains")
+                .with_description("Failure domains that are evacuated")
+                .build(),
             registry,
             _provider: provider,
         }
--- a/crates/holdpointd/src/traffic/stage.rs
+++ b/crates/holdpointd/src/traffic/stage.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use holdpoint_core::{
+    cold::Share,
     deadline::{Budget, budget},
     ids::{AttemptId, Millis},
     ledger::Begun,
@@ -227,6 +228,7 @@
             prefix: self.prefix,
             tried,
             cap: self.pool.concurrency,
+            share: Share::Whole,
         }
     }
 
--- a/crates/holdpointd/tests/support/mod.rs
+++ b/crates/holdpointd/tests/support/mod.rs
@@ -24,8 +24,13 @@
 }
 
 pub fn start_instance(name: &str, gate: &Gate) -> Ingress {
+    start_with_seeds(name, gate, &[])
+}
+
+/// Starts an instance that knows the addresses of some peers from its settings.
+pub fn start_with_seeds(name: &str, gate: &Gate, seeds: &[String]) -> Ingress {
     let settings = json!({
-        "instance": name, "domain": "z1",
+        "instance": name, "domain": "z1", "seeds": seeds,
         "listen": { "callers": "127.0.0.1:0", "readiness": "127.0.0.1:0", "peers": "127.0.0.1:0",
             "metrics": "127.0.0.1:0" },
         "store": { "address": gate.address.to_string(), "poll_ms": 50, "timeout_ms": 300 },
