Inputs that are gone are no sign that another instance calls a target

Cause: a call counts as made at a target that other instances call too for 2 s after any of its pieces lacked an input; its inputs are then kept until its end. Inputs also go with a target that crashed and with time in a queue.

Change: only the load that the target itself tells is a sign. Test failed first (inputs lost once, the next request's inputs were kept until the end of the call).

--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -356,9 +356,6 @@
         if results.contains(&Err(NoResult::NoRoom)) {
             it.batcher.no_room(now, &call.target);
         }
-        if results.contains(&Err(NoResult::InputGone)) {
-            it.batcher.share(now, &call.target);
-        }
     }
 
     /// Takes in the load that a target told with the answer to a call.
--- a/crates/holdpointd/tests/ingress.rs
+++ b/crates/holdpointd/tests/ingress.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::{future::Future, time::Duration};
+use std::{collections::HashSet, future::Future, time::Duration};
 
 use holdpoint_adapter_standin::{
     Behaviour, CallerRequest, Gate, Outage, Store, Target, call, names, sample_configuration,
@@ -206,6 +206,28 @@
     until(|| 5 <= system.encoder.freed().len()).await;
 }
 
+/// Inputs go with the target that made them, as well as where two instances batch one service. Taken for
+/// a sign of the second, they were kept until the ends of calls, and their makers had room for half.
+#[tokio::test]
+async fn inputs_that_were_lost_do_not_keep_later_ones_from_being_given_up() {
+    let system = start(&[], &[Behaviour::Events(3)]).await;
+    system.encoder.set_behaviour(Behaviour::LosePieces);
+    let lost = system.send(CallerRequest::new("r-1", "/staged/").with_pieces("2,3")).await;
+    assert_eq!(lost.status, StatusCode::SERVICE_UNAVAILABLE);
+    let made = system.encoder.batches().concat().len();
+    let freed = || system.encoder.freed().into_iter().collect::<HashSet<_>>().len();
+    until(|| freed() == made).await;
+    system.encoder.set_behaviour(Behaviour::HoldPieces);
+    let asked = system.send(CallerRequest::new("r-2", "/staged/").with_pieces("2,3"));
+    let meanwhile = async {
+        until(|| freed() == made + 2).await;
+        assert_eq!(system.encoder.batches().concat().len(), made + 2, "the next stage is at work");
+        system.encoder.set_behaviour(Behaviour::Answer);
+    };
+    let (answer, ()) = tokio::join!(asked, meanwhile);
+    assert_eq!(answer.body, story(0, 3));
+}
+
 #[tokio::test]
 async fn inputs_are_given_up_once_though_a_call_was_declined_before() {
     let system = start(&[], &[Behaviour::Events(3)]).await;
