holdpoint domains: failure domains listed, evacuated and restored from the command line

Cause: operators had no command for orders that the instances now follow. Tests: listed, evacuated and restored against a running instance; bad names (exit 2), a silent store (4). Left out: waiting until all instances have an order in force.

--- a/crates/holdpoint/src/api.rs
+++ b/crates/holdpoint/src/api.rs
@@ -77,7 +77,7 @@
     OperatorClient::new(Http::new(), &text("instance"), &token)
 }
 
-fn form(matches: &ArgMatches) -> Form {
+pub(crate) fn form(matches: &ArgMatches) -> Form {
     match matches.get_one::<String>("output").map(String::as_str) {
         Some("json") => Form::Json,
         _ => Form::Table,
--- a/crates/holdpoint/src/cli.rs
+++ b/crates/holdpoint/src/cli.rs
@@ -50,6 +50,7 @@
         .subcommands([
             check_settings(),
             declare(),
+            domains(),
             explain(),
             demo(),
             soak(),
@@ -87,6 +88,17 @@
         )
 }
 
+fn domains() -> Command {
+    let name = || Arg::new("name").required(true).value_name("NAME").help("Failure domain");
+    Command::new("domains")
+        .about(
+            "List failure domains on the platform with their targets, or evacuate or restore one",
+        )
+        .arg(store())
+        .subcommand(Command::new("evacuate").about("Give its targets no new work").arg(name()))
+        .subcommand(Command::new("restore").about("Give its targets work again").arg(name()))
+}
+
 fn explain() -> Command {
     Command::new("explain")
         .about("Tells the story of one request from the logs of all instances")
--- a/crates/holdpoint/src/experiments.rs
+++ b/crates/holdpoint/src/experiments.rs
@@ -1,29 +1,25 @@
 //! Policies and trials on the users' platform: declared in its store, judged from the metrics of all
 //! instances.
 
-use std::{collections::BTreeMap, path::PathBuf, time::Duration};
+use std::{collections::BTreeMap, path::PathBuf};
 
 use clap::ArgMatches;
-use holdpoint_adapter::store::{
-    RESOURCES_TOPIC, append_body, append_path, newest_path, parse_newest,
-};
+use holdpoint_adapter::store::RESOURCES_TOPIC;
 use holdpoint_core::{
     experiments::Experiments,
     trial::{ArmStats, judge},
 };
-use holdpoint_platform::{Http, operators::ApiError};
+use holdpoint_platform::operators::ApiError;
 use holdpoint_schema::resources::{ResourceFile, Trial};
-use hyper::Method;
 use serde_json::{Value, json};
 
 use crate::{
     api::read_resources,
     failure::Failure,
     output::{Form, print},
+    store::{append, get, newest},
 };
 
-/// How long one call may take.
-const LIMIT: Duration = Duration::from_secs(5);
 /// Counter of a trial's requests, as the metrics show it.
 const REQUESTS: &str = "holdpoint_trial_requests_total";
 /// Counter of what they cost.
@@ -34,7 +30,7 @@
     let store: &String = matches.get_one("store").expect("the argument is required");
     if let Some(key) = matches.get_one::<String>("drop") {
         Experiments::default().set(key, None).map_err(|it| Failure::File(it.to_string()))?;
-        append(store, key, &[]).await?;
+        append(store, RESOURCES_TOPIC, key, &[]).await?;
         println!("{key}: dropped");
         return Ok(());
     }
@@ -52,7 +48,7 @@
         checked.map_err(|it| Failure::File(format!("{key}: {it}")))?;
     }
     for (key, value) in &records {
-        append(store, key, value).await?;
+        append(store, RESOURCES_TOPIC, key, value).await?;
         println!("{key}: declared");
     }
     Ok(())
@@ -89,39 +85,11 @@
 }
 
 async fn read_trial(store: &str, name: &str) -> Result<Trial, Failure> {
-    let mut after: Option<String> = None;
-    loop {
-        let body = get(store, &newest_path(RESOURCES_TOPIC, after.as_deref())).await?;
-        let page = parse_newest(&body).map_err(|it| Failure::File(it.to_string()))?;
-        let wanted = format!("trials/{name}");
-        let found = page.records.iter().find(|it| it.key == wanted).and_then(|it| it.value.clone());
-        if let Some(it) = found {
-            return serde_json::from_slice(&it).map_err(|it| Failure::File(it.to_string()));
-        }
-        after = page.records.last().map(|it| it.key.clone());
-        if !page.has_more || after.is_none() {
-            return Err(Failure::Api(ApiError::Refused(404, Value::Null)));
-        }
-    }
-}
-
-async fn get(address: &str, path: &str) -> Result<Vec<u8>, Failure> {
-    let called = Http::new().call(Method::GET, address, path, &[], Vec::new(), LIMIT).await;
-    let reply = called.map_err(|it| Failure::Api(ApiError::Call(it)))?;
-    if reply.status.is_success() {
-        return Ok(reply.body.to_vec());
-    }
-    Err(Failure::Api(ApiError::Refused(reply.status.as_u16(), Value::Null)))
-}
-
-async fn append(store: &str, key: &str, value: &[u8]) -> Result<(), Failure> {
-    let (path, body) = (append_path(RESOURCES_TOPIC), append_body(key, value));
-    let called = Http::new().call(Method::POST, store, &path, &[], body, LIMIT).await;
-    let reply = called.map_err(|it| Failure::Api(ApiError::Call(it)))?;
-    if reply.status.is_success() {
-        return Ok(());
-    }
-    Err(Failure::Api(ApiError::Refused(reply.status.as_u16(), Value::Null)))
+    let wanted = format!("trials/{name}");
+    let records = newest(store, RESOURCES_TOPIC).await?;
+    let found = records.into_iter().find(|it| it.key == wanted).and_then(|it| it.value);
+    let found = found.ok_or(Failure::Api(ApiError::Refused(404, Value::Null)))?;
+    serde_json::from_slice(&found).map_err(|it| Failure::File(it.to_string()))
 }
 
 /// Adds the counters of one instance's metrics to the arms of a trial.
--- a/crates/holdpoint/src/main.rs
+++ b/crates/holdpoint/src/main.rs
@@ -4,6 +4,7 @@
 mod bench;
 mod cli;
 mod demo;
+mod domains;
 mod experiments;
 mod explain;
 mod failure;
@@ -11,6 +12,7 @@
 mod losses;
 mod output;
 mod soak;
+mod store;
 
 use std::{alloc::System, process::ExitCode};
 
@@ -54,6 +56,7 @@
             Ok(())
         }
         Some(("declare", it)) => experiments::declare(it).await,
+        Some(("domains", it)) => domains::run(it, api::form(matches)).await,
         Some(("explain", it)) => explain::run(it),
         Some(("demo", it)) => demo::run(it).await,
         Some(("soak", it)) => soak::run(it).await,
