--- a/crates/holdpoint-soak/src/faults.rs
+++ b/crates/holdpoint-soak/src/faults.rs
@@ -7,11 +7,14 @@
 use tokio::{task::JoinSet, time::sleep};
 
 use crate::{
-    fleet::Fleet,
-    plan::{Fault, Kind, Plan, TARGETS, TargetFault, Way},
+    fleet::{Fleet, domain_name, domain_of},
+    plan::{DOMAINS, Fault, Kind, Plan, TARGETS, TargetFault, Way},
     verdict::EVENTS,
 };
 
+/// How long a target that joins is cold, in milliseconds.
+const COLD_MS: u64 = 1000;
+
 /// Plays all faults, then ends whatever still lasts.
 pub(crate) async fn play(fleet: &Arc<Fleet>, plan: &Plan) {
     let begun = fleet.clock.now();
@@ -50,6 +53,11 @@
             fleet.targets[target].target.set_behaviour(usual(target));
         }
         Kind::TargetLeaves(target) => replace(&fleet, target).await,
+        Kind::Evacuate(domain) => {
+            fleet.store.evacuate(&domain_name(domain));
+            sleep(lasts).await;
+            fleet.store.restore(&domain_name(domain));
+        }
         Kind::Configure => fleet.configure(),
     }
 }
@@ -66,13 +74,15 @@
     let count = fleet.joined.lock().len();
     let id = format!("i-joined-{target}-{count}-{}", fleet.clock.now());
     let joined = Target::start(&id, &leaving.service, usual(target)).await;
-    fleet.store.put_target(&joined, false);
+    // It comes cold, as after a start.
+    fleet.store.put_target_in(&joined, &domain_of(target), COLD_MS);
     fleet.joined.lock().push(joined);
     fleet.store.put_target(leaving, true);
 }
 
 fn end_all(fleet: &Fleet) {
     fleet.store.gate.set_outage(Outage::None);
+    (0..DOMAINS).for_each(|it| fleet.store.restore(&domain_name(it)));
     fleet.store_links.iter().for_each(|it| it.set(None));
     for (index, it) in fleet.targets.iter().enumerate() {
         it.proxy.set(None);
--- a/crates/holdpoint-soak/src/fleet.rs
+++ b/crates/holdpoint-soak/src/fleet.rs
@@ -23,7 +23,7 @@
     Millis,
     callers::{self, Attempt, Callers, Outcome},
     faults,
-    plan::{ENCODERS, Plan, TARGETS},
+    plan::{DOMAINS, ENCODERS, Plan, TARGETS},
     proxy::Proxy,
     verdict::{EVENTS, Finding, Kills, Promise, Verdict, judge},
 };
@@ -89,7 +89,7 @@
 impl Fleet {
     async fn start(plan: &Plan, folder: &Path) -> io::Result<Fleet> {
         let store = Store::start().await;
-        store.put_configuration(&sample_configuration(1));
+        store.put_configuration(&configuration(1));
         let mut targets = Vec::new();
         for index in 0..2 * TARGETS + ENCODERS {
             targets.push(start_target(&store, index).await);
@@ -138,16 +138,36 @@
     pub(crate) fn configure(&self) {
         let mut version = self.version.lock();
         *version += 1;
-        let mut configuration = sample_configuration(*version);
+        let mut configuration = configuration(*version);
         configuration["tenants"][0]["api-keys"] = json!(["key-1", key(*version)]);
         self.store.put_configuration(&configuration);
     }
 }
 
+/// The sample, with targets that carry a few requests a second while they are cold.
+fn configuration(version: u64) -> serde_json::Value {
+    let mut configuration = sample_configuration(version);
+    for service in 0..2 {
+        configuration["services"][service]["cold-start-s"] = json!(1.0);
+        configuration["services"][service]["cold-per-s"] = json!(50.0);
+    }
+    configuration
+}
+
 fn key(version: u64) -> String {
     format!("key-of-{version}")
 }
 
+/// Name of a failure domain.
+pub(crate) fn domain_name(domain: usize) -> String {
+    format!("z{domain}")
+}
+
+/// Name of the failure domain of a target.
+pub(crate) fn domain_of(target: usize) -> String {
+    domain_name(target % DOMAINS)
+}
+
 async fn start_target(store: &Store, index: usize) -> ProxiedTarget {
     let (service, behaviour) = match index / TARGETS {
         0 => ("plain", Behaviour::Answer),
@@ -157,14 +177,14 @@
     let target = Target::start(&format!("i-{service}-{index}"), service, behaviour).await;
     let proxy = Proxy::start(target.address).await;
     let target = target.with_address(proxy.address);
-    store.put_target(&target, false);
+    store.put_target_in(&target, &domain_of(index), 0);
     ProxiedTarget { target, proxy }
 }
 
 fn write_settings(folder: &Path, index: usize, store: &Proxy) -> io::Result<PathBuf> {
     let any = "127.0.0.1:0";
     let settings = json!({
-        "instance": format!("p{index}"), "domain": format!("z{}", index % 3),
+        "instance": format!("p{index}"), "domain": domain_name(index % DOMAINS),
         "listen": { "callers": any, "readiness": any, "peers": any, "metrics": any },
         "store": { "address": store.address.to_string(), "poll_ms": 100, "timeout_ms": 300 },
         "timing": { "linger_ms": 300, "grace_s": 6.0 },
--- a/crates/holdpoint-soak/src/plan.rs
+++ b/crates/holdpoint-soak/src/plan.rs
@@ -11,6 +11,8 @@
 pub(crate) const TARGETS: usize = 3;
 /// Targets that make results of stages.
 pub(crate) const ENCODERS: usize = 2;
+/// Failure domains.
+pub(crate) const DOMAINS: usize = 3;
 /// Mean time between two faults or series of faults, in milliseconds.
 const FAULT_EVERY: Millis = 250;
 /// Longest time that a fault lasts, in milliseconds.
@@ -76,6 +78,8 @@
     Target(usize, TargetFault),
     /// A target says that it leaves, and is back under the same id never again.
     TargetLeaves(usize),
+    /// The operator evacuates a failure domain, and restores it.
+    Evacuate(usize),
     /// The operator writes a configuration.
     Configure,
 }
@@ -141,7 +145,7 @@
 fn kind(rng: &mut impl Rng, processes: usize) -> Kind {
     let process = rng.random_range(0..processes);
     let target = rng.random_range(0..2 * TARGETS);
-    match rng.random_range(0..20) {
+    match rng.random_range(0..22) {
         0..=2 => Kind::Stop(process),
         3 | 4 => Kind::Kill(process),
         5 | 6 => Kind::Pause(process),
@@ -152,6 +156,7 @@
         13 => Kind::StoreForgets,
         14..=16 => Kind::Target(target, target_fault(rng)),
         17 => Kind::TargetLeaves(target),
+        18 | 19 => Kind::Evacuate(rng.random_range(0..DOMAINS)),
         _ => Kind::Configure,
     }
 }
