--- /dev/null
+++ b/crates/holdpoint-core/src/choice.rs
@@ -0,0 +1,95 @@
+//! What routing is asked and what it answers: targets as their pool gives them, calls, decisions.
+
+use holdpoint_schema::resources::Route;
+
+use crate::{cold::Share, ids::Millis};
+
+/// A target as the pool and the instance list give it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Member {
+    /// IP number and port.
+    pub address: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Whether any sign says that it is leaving.
+    pub leaving: bool,
+    /// Whether it gets no calls although it stays, since its failure domain is evacuated. What was
+    /// learned of it is kept.
+    pub held: bool,
+}
+
+/// Load as a target reports it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Calls that it runs.
+    pub running: u32,
+    /// Calls that wait in its queue.
+    pub waiting: u32,
+}
+
+/// A call to route.
+#[derive(Clone, Copy, Debug)]
+pub struct Call<'a> {
+    /// Work expected, in any unit that is the same for all calls of the pool.
+    pub work: f64,
+    /// Part of the work that a cached prefix saves.
+    pub prefix_work: f64,
+    /// Hash of the prompt's prefix, where the target caches prefixes.
+    pub prefix: Option<u64>,
+    /// Targets already tried for this call.
+    pub tried: &'a [String],
+    /// Calls in flight to one target that this instance allows itself.
+    pub cap: u32,
+    /// Part of what a cold target carries that this decision may draw on.
+    pub share: Share,
+}
+
+/// Why a target was chosen.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Reason {
+    /// Route that chose it.
+    pub route: Route,
+    /// Targets that were compared.
+    pub compared: usize,
+    /// Targets that were left out as ejected.
+    pub ejected: usize,
+    /// Predicted time of the call at the target, in milliseconds; 0 for routes that predict none.
+    pub predicted: f64,
+    /// Whether the prompt's prefix was expected in the target's cache.
+    pub prefix_hit: bool,
+}
+
+/// A decision.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// Address of the target.
+    pub address: String,
+    /// Why.
+    pub reason: Reason,
+}
+
+/// Why no target can be chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoTarget {
+    /// The pool has no target that is not leaving.
+    Empty,
+    /// Every target was tried for this call.
+    Tried,
+    /// Every target has as many calls in flight as it may.
+    Full,
+    /// Every target is held back, since its failure domain is evacuated.
+    Evacuated,
+    /// Every target is cold and carries no more for so many milliseconds.
+    Cold(Millis),
+}
+
+/// How a call at a target ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum End {
+    /// A whole answer after this time, in milliseconds.
+    Whole(Millis),
+    /// A failure of the target.
+    Failed,
+    /// Given up here, for no fault of the target.
+    Dropped,
+}
--- a/crates/holdpoint-core/src/lib.rs
+++ b/crates/holdpoint-core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod capacity;
 pub mod catalog;
 pub mod change_log;
+pub mod choice;
 pub mod claims;
 pub mod cold;
 pub mod deadline;
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -22,12 +22,12 @@
     stage_graph::{NoResult, PieceWork},
 };
 use parking_lot::Mutex;
-use serde::{Deserialize, Serialize};
 use tokio::{sync::oneshot, time::sleep};
 
 use crate::{
     events::{self, emit},
     ingress::{
+        piece_ask::{PieceAsk, PieceResult},
         send::{left, own_call},
         shared::IngressShared,
         stages::FETCHED,
@@ -43,46 +43,6 @@
 /// Shortest time that a call to a target is given, in milliseconds.
 const LEAST_CALL_MS: Millis = 400;
 
-/// A piece that an instance asks for. Times are spans, since clocks differ.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct PieceAsk {
-    /// What to make.
-    pub(crate) work: PieceWork,
-    /// Milliseconds until its result should be there; negative where that is over.
-    pub(crate) due_in_ms: i64,
-    /// Milliseconds until its request ends.
-    pub(crate) left_ms: Millis,
-    /// Rank of its request; 0 goes first.
-    pub(crate) rank: u32,
-    /// Room that its result takes, in bytes.
-    pub(crate) bytes: u64,
-    /// Failure domain that most of its inputs come from or its result goes to.
-    pub(crate) domain: String,
-    /// Bytes that are moved between failure domains if it is made in another one.
-    pub(crate) near_bytes: u64,
-    /// Milliseconds until its result must be there, for the request to be served at all; negative
-    /// where that is over. Peers of earlier versions know it by another name.
-    #[serde(rename = "give_up_in_ms")]
-    pub(crate) deadline_in_ms: i64,
-    /// Milliseconds until it is made once it cannot be in time any more; peers of earlier versions name
-    /// none, and then its deadline counts.
-    #[serde(default)]
-    pub(crate) late_due_in_ms: Option<i64>,
-    /// Whether it is refused at once where it would not be there in time: nothing has been made for
-    /// its request.
-    pub(crate) is_refusable: bool,
-    /// Milliseconds until the results that it is made from expire.
-    #[serde(default)]
-    pub(crate) inputs_for_ms: Option<Millis>,
-    /// Inputs that nobody needs any more once all pieces asked for together have them, with the
-    /// service that keeps each; stands at the first of these pieces.
-    #[serde(default)]
-    pub(crate) used_up: Vec<(Name, String)>,
-}
-
-/// A result's handle, or why there is none.
-pub(crate) type PieceResult = Result<String, NoResult>;
-
 struct Pending {
     work: PieceWork,
     deadline: Instant,
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -18,6 +18,7 @@
 mod news;
 mod peer_service;
 mod peers;
+mod piece_ask;
 mod pools;
 mod releases;
 mod request;
--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -21,10 +21,10 @@
 use tokio_serde::formats::Cbor;
 
 use crate::ingress::{
-    batches::{PieceAsk, PieceResult},
     connections::guard,
     follow::catch_up,
     news::{self, Known, Update},
+    piece_ask::{PieceAsk, PieceResult},
     releases::tell_makers,
     shared::IngressShared,
 };
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -33,11 +33,11 @@
 use crate::{
     events::{self, emit},
     ingress::{
-        batches::{PieceAsk, PieceResult},
         connections::guard,
         follow::catch_up,
         news::{Known, Update},
         peer_service::{IngressPeersClient, PromptAsk, Standing, codec},
+        piece_ask::{PieceAsk, PieceResult},
         shared::IngressShared,
     },
 };
--- /dev/null
+++ b/crates/holdpointd/src/ingress/piece_ask.rs
@@ -0,0 +1,47 @@
+//! What an instance asks of the one that batches a service, and what it gets.
+
+use holdpoint_core::{
+    ids::{Millis, Name},
+    stage_graph::{NoResult, PieceWork},
+};
+use serde::{Deserialize, Serialize};
+
+/// A piece that an instance asks for. Times are spans, since clocks differ.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct PieceAsk {
+    /// What to make.
+    pub(crate) work: PieceWork,
+    /// Milliseconds until its result should be there; negative where that is over.
+    pub(crate) due_in_ms: i64,
+    /// Milliseconds until its request ends.
+    pub(crate) left_ms: Millis,
+    /// Rank of its request; 0 goes first.
+    pub(crate) rank: u32,
+    /// Room that its result takes, in bytes.
+    pub(crate) bytes: u64,
+    /// Failure domain that most of its inputs come from or its result goes to.
+    pub(crate) domain: String,
+    /// Bytes that are moved between failure domains if it is made in another one.
+    pub(crate) near_bytes: u64,
+    /// Milliseconds until its result must be there, for the request to be served at all; negative
+    /// where that is over. Peers of earlier versions know it by another name.
+    #[serde(rename = "give_up_in_ms")]
+    pub(crate) deadline_in_ms: i64,
+    /// Milliseconds until it is made once it cannot be in time any more; peers of earlier versions name
+    /// none, and then its deadline counts.
+    #[serde(default)]
+    pub(crate) late_due_in_ms: Option<i64>,
+    /// Whether it is refused at once where it would not be there in time: nothing has been made for
+    /// its request.
+    pub(crate) is_refusable: bool,
+    /// Milliseconds until the results that it is made from expire.
+    #[serde(default)]
+    pub(crate) inputs_for_ms: Option<Millis>,
+    /// Inputs that nobody needs any more once all pieces asked for together have them, with the
+    /// service that keeps each; stands at the first of these pieces.
+    #[serde(default)]
+    pub(crate) used_up: Vec<(Name, String)>,
+}
+
+/// A result's handle, or why there is none.
+pub(crate) type PieceResult = Result<String, NoResult>;
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -16,9 +16,9 @@
 use crate::{
     events::{self, emit},
     ingress::{
-        batches::{PieceAsk, PieceResult},
         context::Context,
         peers::make_anywhere,
+        piece_ask::{PieceAsk, PieceResult},
         send::left,
         shared::IngressShared,
     },
