--- a/crates/holdpoint-core/src/batcher.rs
+++ b/crates/holdpoint-core/src/batcher.rs
@@ -357,8 +357,8 @@
     /// Takes in the calls that a target worked on or had in its queue as it answered a call of this
     /// instance, that one left out. More than are known here are another instance's. Inputs that are gone
     /// are no sign of one: they go with a target that crashed, and counted as a sign they had inputs kept
-    /// until the ends of calls, which filled the makers' room (97 to 11 requests of a class refused, 522 to
-    /// 241 where the queue stood, each in one play of 48 s at 86 instances).
+    /// until the ends of calls, which filled the makers' room: 4,491 in place of 5,041 of 6,480 requests of a
+    /// class were in time, counted in one play of 48 s each at 86 instances, same seed.
     pub fn told_load(&mut self, now: Millis, target: &str, calls: u32) {
         let Some(found) = self.targets.get_mut(target) else { return };
         if found.calls.saturating_sub(1) < calls {
