Regions of failure domains in the settings, and who is near

Cause: the product knows failure domains only; the settings of the platform tell the region of each. Change: settings region and regions (schema, template), core topology, an instance's entry tells its failure domain. Tests: topology laws; holdpointd's tests pass with entries of five and six fields.

--- a/crates/holdpoint-core/src/lib.rs
+++ b/crates/holdpoint-core/src/lib.rs
@@ -49,4 +49,5 @@
 pub mod stage_graph;
 pub mod subset;
 pub mod token;
+pub mod topology;
 pub mod trial;
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -117,6 +117,9 @@
     /// Version of the protocol that it speaks.
     #[serde(default)]
     pub(crate) protocol: u32,
+    /// Failure domain that it stands in; empty where it does not tell.
+    #[serde(default)]
+    pub(crate) domain: Name,
 }
 
 /// The peers of an instance.
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -17,6 +17,7 @@
     directory::{Directory, TargetId, TargetInstance},
     ids::{Millis, Name},
     ingress::{Configuration, newer},
+    topology::Topology,
 };
 use holdpoint_platform::Clock;
 use holdpoint_schema::ingress::IngressSettings;
@@ -59,6 +60,7 @@
 /// What the tasks of one ingress instance share.
 pub(crate) struct IngressShared {
     pub(crate) settings: IngressSettings,
+    pub(crate) topology: Topology,
     pub(crate) clock: Clock,
     begun: Instant,
     pub(crate) metrics: Arc<Metrics>,
@@ -120,6 +122,7 @@
         let connect = Duration::from_millis(settings.timing.connect_ms);
         IngressShared {
             clock: Clock::new(),
+            topology: Topology::new(&settings.region, settings.regions.clone()),
             begun: Instant::now(),
             metrics: Arc::new(Metrics::new()),
             connections: Connections::new(connect),
@@ -330,6 +333,7 @@
             life: format!("{:x}", self.life),
             capacity: own_capacity(&self.settings),
             protocol: PROTOCOL,
+            domain: self.settings.domain.clone(),
         }
     }
 
--- a/crates/holdpointd/src/ingress/watch.rs
+++ b/crates/holdpointd/src/ingress/watch.rs
@@ -120,10 +120,11 @@
 }
 
 /// An instance's entry: its address, the life of its process, its processor in thousandths of a
-/// core, its link in Mbit/s and the protocol it speaks, with blanks between.
+/// core, its link in Mbit/s, the protocol it speaks and its failure domain, with blanks between.
 fn peer_entry(peer: &Peer) -> String {
     let Capacity { millicores, link_mbps } = peer.capacity;
-    format!("{} {} {millicores} {link_mbps} {}", peer.address, peer.life, peer.protocol)
+    let Peer { address, life, protocol, domain, .. } = peer;
+    format!("{address} {life} {millicores} {link_mbps} {protocol} {domain}")
 }
 
 /// Reads a peer's entry. One of an earlier version ends after the life of the process.
@@ -135,7 +136,9 @@
     // What is not stated counts as nothing, so that those who state more are preferred.
     let mut figure = || fields.next().and_then(|it| it.parse().ok()).unwrap_or(0);
     let capacity = Capacity { millicores: figure(), link_mbps: figure() };
-    Some(Peer { address, life, capacity, protocol: figure() })
+    let protocol = figure();
+    let domain = fields.next().unwrap_or_default().to_owned();
+    Some(Peer { address, life, capacity, protocol, domain })
 }
 
 /// Keeps the policies and trials that operators declare up to date.
