Who reads the store and who follows whom takes regions into account

Cause: at 300 instances in two regions (2,900 targets, link of 60 Mbit/s) followers chose sources wherever hashing put them; 8,097 lines of peers that don't answer, 3,216 changes of who reads the store from 14 s before to 17 s after the first request, targets known by half of the far region after 3.9 s, by all after 8.7 s. Change: readers::plan, a pure function of the live members with region, capacity and round trip to the store: readers near the store, one head and a standby in a far region, all others within their region; sources are strong instances; a follower's patience has a moment of its own. With one region the roles stay but for the weak sources.

--- a/crates/holdpoint-core/src/capacity.rs
+++ b/crates/holdpoint-core/src/capacity.rs
@@ -12,7 +12,7 @@
 const STRONG_PART: f64 = 0.5;
 
 /// What an instance may use of its machine; 0 where it is not known.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Capacity {
     /// Processor, in thousandths of a core.
     pub millicores: u32,
--- a/crates/holdpoint-core/src/readers.rs
+++ b/crates/holdpoint-core/src/readers.rs
@@ -5,15 +5,138 @@
 //! hundreds, so relays stand between: they follow a reader, and the others follow any of the sources,
 //! which are the readers and the relays. All who know the same members choose the same ones, without
 //! a message; where their views differ, more instances read for a while.
+//!
+//! Regions are joined by thin links, so state crosses such a link once a region: a region far from the
+//! store has no readers but a head, which follows a reader, and a standby, which follows the head and
+//! asks a reader only where the head does not answer. All others stay within their region.
+
+use std::collections::{BTreeMap, BTreeSet};
 
-use crate::subset::{subset, weight};
+use crate::{
+    capacity::{Capacity, strong},
+    ids::Millis,
+    subset::{subset, weight},
+};
 
 /// Readers: two may be lost at once and one is left.
 const READERS: usize = 3;
+/// Instances of a far region that may ask across the link: the head and its standby.
+const HEADS: usize = 2;
 /// Instances to each source, as far as there are enough of them.
 const FOLLOWERS: usize = 24;
-/// Key under which both are chosen.
+/// Key under which all of them are chosen.
 const KEY: &str = "reader";
+/// A region whose shortest round trip to the store is longer than the shortest of all by more than this
+/// stands far from it, in milliseconds: two failure domains of a region are a few milliseconds apart, two
+/// regions some tens.
+const FAR_MS: Millis = 15;
+/// Longest time after which a follower reads the store by itself when nobody whom it asks has read it, in
+/// milliseconds: well within the bounds on a change of the configuration, which are 3 s and more.
+const LONGEST_PATIENCE_MS: Millis = 1500;
+/// Part of that time for each instance of the region, in milliseconds: a strong reader takes in 3,000
+/// targets in some 100 ms, and a followers' turn to ask comes once in 250 ms.
+const PATIENCE_MS: Millis = 5;
+
+/// An instance, as far as it counts for who reads the store and who follows whom.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Member<'a> {
+    /// Name.
+    pub name: &'a str,
+    /// Region that it stands in; empty where that is not known.
+    pub region: &'a str,
+    /// What it may use of its machine.
+    pub capacity: Capacity,
+    /// Round trip to the store in milliseconds, as it has measured it.
+    pub store_ms: Option<Millis>,
+}
+
+/// What an instance does for the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Reads the store.
+    Reader,
+    /// Passes on to others what it is told.
+    Relay,
+    /// Asks for itself only.
+    Follower,
+}
+
+/// Whom an instance follows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Plan<'a> {
+    /// What it does for the others.
+    pub role: Role,
+    /// Those that it follows, in the order in which it asks them.
+    pub asked: Vec<&'a str>,
+    /// Those that read the store, in the order in which it asks them.
+    pub readers: Vec<&'a str>,
+    /// How long it waits, where nobody whom it asks has read the store, before it reads by itself.
+    pub patience_ms: Millis,
+}
+
+/// Whom an instance follows among members, of which it is one unless it is leaving.
+pub fn plan<'a>(own: &str, own_region: &str, members: &[Member<'a>]) -> Plan<'a> {
+    let near_store = regions_near_store(members);
+    let of_region = |region: &str| -> Vec<Member<'a>> {
+        members.iter().filter(|it| it.region == region).copied().collect()
+    };
+    let all_readers = near_store.iter().flat_map(|it| readers(&candidates(&of_region(it))));
+    let all_readers: Vec<&str> = all_readers.collect();
+    let near = of_region(own_region);
+    let candidates = candidates(&near);
+    let sources = chosen(&candidates, source_count(near.len()));
+    let readers = order_for(own, &all_readers);
+    let (role, asked) = if near_store.contains(own_region) {
+        let near_readers = self::readers(&candidates);
+        match () {
+            () if near_readers.contains(&own) => (Role::Reader, order_for(own, &near_readers)),
+            () if sources.contains(&own) => (Role::Relay, order_for(own, &near_readers)),
+            () => (Role::Follower, order_for(own, &sources)),
+        }
+    } else {
+        let heads = heads(&candidates);
+        match heads.iter().position(|it| *it == own) {
+            // The head asks across the link; the standby does so only where the head is silent.
+            Some(rank) => (Role::Relay, [&heads[..rank], &readers[..]].concat()),
+            None if sources.contains(&own) => (Role::Relay, heads),
+            None => (Role::Follower, order_for(own, &sources)),
+        }
+    };
+    let patience_ms = if role == Role::Follower { patience(own, near.len()) } else { 0 };
+    Plan { role, asked, readers, patience_ms }
+}
+
+/// Regions that stand about as near to the store as any. A region without a measured instance counts as
+/// near, since nobody could be told to follow across the link then.
+fn regions_near_store<'a>(members: &[Member<'a>]) -> BTreeSet<&'a str> {
+    let mut shortest: BTreeMap<&str, Option<Millis>> = BTreeMap::new();
+    for it in members {
+        let of_region = shortest.entry(it.region).or_default();
+        *of_region = [*of_region, it.store_ms].into_iter().flatten().min();
+    }
+    let best = shortest.values().flatten().min().copied().unwrap_or(0);
+    let is_near = |it: Option<Millis>| it.is_none_or(|it| it <= best + FAR_MS);
+    shortest.into_iter().filter(|it| is_near(it.1)).map(|it| it.0).collect()
+}
+
+/// Members that may be sources: the strong ones, since a weak one's link of 10 Mbit/s carries the list of
+/// 3,000 targets to 24 followers in a second or more. All where few are strong.
+fn candidates<'a>(members: &[Member<'a>]) -> Vec<&'a str> {
+    let capacities: Vec<_> = members.iter().map(|it| (it.name, it.capacity)).collect();
+    let strong = strong(&capacities);
+    if READERS <= strong.len() { strong } else { capacities.into_iter().map(|it| it.0).collect() }
+}
+
+fn source_count(members: usize) -> usize {
+    members.div_ceil(FOLLOWERS).max(READERS)
+}
+
+/// When a follower loses its patience: each has a moment of its own, so that those who read by themselves
+/// do not fill the links together, and the later ones find an earlier one that has read.
+fn patience(own: &str, members: usize) -> Millis {
+    let span = LONGEST_PATIENCE_MS.min(PATIENCE_MS * members as Millis);
+    weight("patience", own) % span.max(1)
+}
 
 /// Members that read the store, in the order of `members`.
 pub fn readers<'a>(members: &[&'a str]) -> Vec<&'a str> {
@@ -22,7 +145,14 @@
 
 /// Members that the others follow, readers included, in the order of `members`.
 pub fn sources<'a>(members: &[&'a str]) -> Vec<&'a str> {
-    chosen(members, members.len().div_ceil(FOLLOWERS).max(READERS))
+    chosen(members, source_count(members.len()))
+}
+
+/// The head of a region that is far from the store, and its standby.
+fn heads<'a>(members: &[&'a str]) -> Vec<&'a str> {
+    let mut heads = chosen(members, HEADS);
+    heads.sort_by_key(|it| std::cmp::Reverse(weight(KEY, it)));
+    heads
 }
 
 fn chosen<'a>(members: &[&'a str], count: usize) -> Vec<&'a str> {
