State crosses a thin link once a region; whole lists packed; links made one a peer; no denial unconfirmed

Cause, from logs of 300 instances and 2,900 targets in two regions: a circle. 300 lists of peers (40 kB each) fill the link for 0.8 s at the start; 22 far instances whose first call to the store failed knew no peers, took themselves for readers and read the whole list of targets across the link (70 in all); lists of 114 kB went to each follower by itself, some from links of 10 Mbit/s; connections to peers were made one at a time for the whole instance, 300 ms each when they failed; whoever waited was taken for silent, views differed, and whoever was told by nobody read everything by itself. Change: - roles by region (readers::plan); an instance measures its connection to the store and tells it in its entry; - nobody that knows no peers counts itself among the readers for its first 2 s; far instances learn the peers from a seed, if one knows them within 0 to 600 ms; - Content::Packed: lists as compressed JSON (worked out on made-up names: 2,920 targets 114 to 43 kB, 300 peers 50 to 6 kB), each only if the asker's hash differs; an answer tells whether the teller knows the peers (one that had just started made a follower drop 296); - links and suspicion in links.rs: one connection at a time for each peer, limits with the measured distance; - a denial (401, 404) only if the configuration was confirmed within the last second or by one check that all waiting requests share; else 503.

--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -106,6 +106,8 @@
     PEERS_CHANGED = 614 Info "peers changed";
     /// A failure domain was evacuated or restored.
     DOMAIN_CHANGED = 615 Info "failure domain evacuated or restored";
+    /// A list that a peer sent cannot be read.
+    BAD_LIST = 620 Error "list of a peer cannot be read";
     /// Pieces were refused, since every target that makes them stands in an evacuated failure domain.
     PIECES_EVACUATED = 709 Info "pieces have no target left";
     /// A request was sent to a target.
--- a/crates/holdpointd/src/ingress/follow.rs
+++ b/crates/holdpointd/src/ingress/follow.rs
@@ -12,7 +12,12 @@
 
 use bytes::Bytes;
 use futures::future::BoxFuture;
-use holdpoint_core::{ids::Millis, ingress::Version};
+use holdpoint_core::{
+    ids::{Millis, Name},
+    ingress::Version,
+    readers::order_for,
+};
+use serde::de::DeserializeOwned;
 use tokio::time::sleep;
 
 use crate::{
@@ -20,7 +25,8 @@
     ingress::{
         domains,
         news::{Content, Known, News, Place, TargetList, Update, WAIT},
-        peers::Sources,
+        packed::{Unreadable, peers_digest, unpack},
+        peers::{Peer, Sources},
         shared::IngressShared,
         watch,
     },
@@ -42,6 +48,13 @@
 const START_PATIENCE: Duration = Duration::from_millis(2000);
 /// How long a peer may take to send a large configuration.
 const LARGE_LIMIT: Duration = Duration::from_millis(3000);
+/// Round trip to the store from which an instance counts itself as far from it, in milliseconds: failure
+/// domains of a region are a few milliseconds apart.
+const FAR_STORE_MS: Millis = 15;
+/// How long an instance that is far from the store waits for seeds to know the peers, at most.
+const SEED_WAIT: Duration = Duration::from_millis(600);
+/// Pause between two questions to the seeds.
+const SEED_PAUSE: Duration = Duration::from_millis(100);
 /// Most others that are asked in one round.
 const MOST_ASKED: usize = 3;
 
@@ -50,10 +63,16 @@
     let mut place = Place::default();
     // Who reads the store is known once the peers are.
     let _ = shared.peers_known.subscribe().wait_for(|it| *it).await;
-    let begun = Instant::now();
+    // Nobody has told anything yet; those who read the store are given time to do so.
+    let mut told = Instant::now() + START_PATIENCE;
     loop {
-        let sources = shared.peers.sources();
-        let is_reader = sources.is_reader;
+        let sources = shared.peers.sources(&shared.topology);
+        let patience = sources.patience;
+        // Whoever knows no peers would count itself among the readers, with all others that do not:
+        // after a restart of all, 22 instances of a far region read the whole list of targets so, and
+        // filled the link to the store for seconds.
+        let knows_peers = shared.peers.were_read() || told < Instant::now();
+        let is_reader = sources.is_reader && knows_peers;
         if is_reader && !*shared.is_store_silent.borrow() {
             set_reading(&shared, true, "reader");
             if let Some(it) = sources.asked.first() {
@@ -68,12 +87,54 @@
         }
         let is_told = follow_one(&shared, &mut place, sources).await;
         let cause = if is_told { "told" } else { "nobody-has-read" };
-        let is_patient = begun.elapsed() < START_PATIENCE && !shared.peers.all().is_empty();
+        let now = Instant::now();
+        if is_told {
+            told = told.max(now);
+        }
+        let is_patient = now < told + patience && !(knows_peers && shared.peers.all().is_empty());
         set_reading(&shared, is_reader || !(is_told || is_patient), cause);
         sleep(if is_told && !is_reader { GATHER } else { REVIEW }).await;
     }
 }
 
+/// Learns the peers from a seed, where the store is far away; whether that came about.
+///
+/// The list of 300 peers is 40 kB, and all instances of a region want it at the same moment after a
+/// restart: more than a link of 60 Mbit/s carries in half a second, while other calls to the store wait
+/// behind it. So the seeds read it, and the others after a while of their own.
+pub(crate) async fn learn_peers(shared: &Arc<IngressShared>) -> bool {
+    let is_far = shared.peers.store_ms().is_some_and(|it| FAR_STORE_MS < it);
+    if !is_far || shared.peers.is_seed() || shared.peers.seeds().is_empty() {
+        return false;
+    }
+    let seeds: Vec<&str> = shared.peers.seeds().iter().map(String::as_str).collect();
+    let until = Instant::now() + SEED_WAIT.mul_f64(rand::random_range(0.0..1.0));
+    loop {
+        for seed in order_for(&shared.settings.instance, &seeds) {
+            if learn_from(shared, seed).await {
+                return true;
+            }
+        }
+        if until < Instant::now() {
+            return false;
+        }
+        sleep(SEED_PAUSE).await;
+    }
+}
+
+/// Learns the peers from one seed, which knows some only once it has read them or was told.
+async fn learn_from(shared: &Arc<IngressShared>, seed: &str) -> bool {
+    let known = Known {
+        place: Some(Place { digest: shared.digest(), ..Place::default() }),
+        peers_digest: Some(peers_digest(&shared.instances())),
+        ..Known::configuration_only(shared, false)
+    };
+    let answer = shared.peers.follow(shared, seed, known, WHOLE_LIMIT).await;
+    let Ok(update) = answer else { return false };
+    take_in(shared, update);
+    shared.peers.were_read()
+}
+
 /// Asks others in turn until one has read the store of late, and takes in what they tell.
 async fn follow_one(
     shared: &Arc<IngressShared>,
@@ -88,6 +149,7 @@
             place: Some(Place { digest: shared.digest(), ..*place }),
             wants_large: false,
             orders: Some(shared.domains.horizon()),
+            peers_digest: Some(peers_digest(&shared.instances())),
         };
         let limit = if *place == Place::default() { WHOLE_LIMIT } else { wait + LIMIT };
         let answer = shared.peers.follow(shared, &address, known, limit).await;
@@ -107,7 +169,7 @@
 
 /// Addresses to ask in one round: `preferred` ones first.
 fn one_round(shared: &IngressShared, mut preferred: Vec<String>) -> impl Iterator<Item = String> {
-    for address in shared.peers.to_ask() {
+    for address in shared.peers.to_ask(&shared.topology) {
         if !preferred.contains(&address) {
             preferred.push(address);
         }
@@ -132,19 +194,26 @@
 /// Asks others until one has read the store all the while, and takes in which targets it knows to be
 /// gone.
 async fn ask_about_lapses(shared: &Arc<IngressShared>) {
-    let Sources { readers, .. } = shared.peers.sources();
+    let Sources { readers, .. } = shared.peers.sources(&shared.topology);
     let (lapsed, span_ms) = shared.lapses();
     for address in one_round(shared, readers) {
-        let known =
-            Known { place: Some(Place::default()), ..Known::configuration_only(shared, false) };
+        let known = Known {
+            place: Some(Place::default()),
+            peers_digest: Some(peers_digest(&shared.instances())),
+            ..Known::configuration_only(shared, false)
+        };
         let Ok(update) = shared.peers.follow(shared, &address, known, LIMIT).await else {
             continue;
         };
         if update.steady_ms.is_none_or(|it| it < span_ms) {
             continue;
         }
-        let Some(Content::All { targets: Some(list), .. }) = update.content else { continue };
-        let Ok(list) = serde_json::from_slice::<TargetList>(&list) else { continue };
+        let list = match update.content {
+            Some(Content::All { targets: Some(it), .. }) => serde_json::from_slice(&it).ok(),
+            Some(Content::Packed { targets: Some(it), .. }) => unpacked(shared, &it),
+            _ => continue,
+        };
+        let Some(list): Option<TargetList> = list else { continue };
         shared.change_directory(|directory, changes| {
             let left = lapsed.into_iter().filter(|id| !list.knows(id));
             left.for_each(|id| changes.remove(directory, id, "peer-steady"));
@@ -163,25 +232,53 @@
         shared.offer_configuration(&it, "peer");
     }
     let is_fresh = update.age_ms.is_some();
+    // Only one who has read the store of late knows that a peer which it does not name has left; and one
+    // that has started just now has read the targets before the peers, perhaps.
+    let is_whole = is_fresh && update.knows_peers.unwrap_or(true);
+    if update.knows_peers == Some(true) && matches!(update.content, Some(Content::Packed { .. })) {
+        shared.peers.note_read();
+    }
     match update.content {
         None => (),
         Some(Content::News(news)) => take_news(shared, news),
         Some(Content::All { targets, peers, resources }) => {
             take_resources(shared, resources, is_fresh);
-            // Only one who has read the store of late knows that a peer which it does not name has
-            // left.
             let peers = peers.into_iter().map(|(name, peer)| (name, Some(peer)));
-            shared.set_peers(peers.collect(), is_fresh);
+            shared.set_peers(peers.collect(), is_whole);
             let list = targets.and_then(|it| serde_json::from_slice(&it).ok());
             list.into_iter().for_each(|it| take_targets(shared, it, is_fresh));
         }
+        Some(Content::Packed { targets, peers, resources }) => {
+            take_resources(shared, resources, is_fresh);
+            let peers: Option<Vec<(Name, Peer)>> = peers.and_then(|it| unpacked(shared, &it));
+            if let Some(it) = peers {
+                let it = it.into_iter().map(|(name, peer)| (name, Some(peer)));
+                shared.set_peers(it.collect(), is_whole);
+            }
+            if let Some(it) = targets.and_then(|it| unpacked(shared, &it)) {
+                take_targets(shared, it, is_fresh);
+            }
+        }
     }
     if let Some(it) = update.age_ms {
         shared.targets_were_read(it);
+        if update.version <= shared.configuration().version {
+            shared.confirmation.note(shared.clock.now().saturating_sub(it));
+        }
     }
     is_fresh
 }
 
+/// Reads a packed list; one that cannot be read is left aside.
+fn unpacked<T: DeserializeOwned>(shared: &IngressShared, packed: &[u8]) -> Option<T> {
+    let read = unpack(packed);
+    let note = |it: &Unreadable| {
+        let detail = format!("bytes={} cause=\"{it}\"", packed.len());
+        emit(events::BAD_LIST, &shared.settings.instance, &detail);
+    };
+    read.inspect_err(note).ok()
+}
+
 /// Takes over a later configuration that a peer has: a small one from the peer, a large one from
 /// the store, or from the peer where the store does not answer. One at a time.
 pub(crate) fn catch_up(shared: Arc<IngressShared>, address: String) -> BoxFuture<'static, ()> {
@@ -198,6 +295,26 @@
     })
 }
 
+/// Asks others whether there is a later configuration, and takes it in; whether one that has read the
+/// store of late told that there is none, or what it is.
+pub(crate) async fn confirm_configuration(shared: &Arc<IngressShared>) -> bool {
+    let Sources { asked, .. } = shared.peers.sources(&shared.topology);
+    for address in asked.into_iter().take(MOST_ASKED - 1) {
+        let known = Known::configuration_only(shared, false);
+        let Ok(update) = shared.peers.follow(shared, &address, known, LIMIT).await else {
+            continue;
+        };
+        let (is_fresh, version) = (update.age_ms.is_some(), update.version);
+        if let Some(it) = update.configuration {
+            shared.offer_configuration(&it, "peer");
+        }
+        if is_fresh && version <= shared.configuration().version {
+            return true;
+        }
+    }
+    false
+}
+
 /// Asks a peer for a later configuration and takes it in; returns the version that the peer has.
 async fn ask_configuration(
     shared: &Arc<IngressShared>,
--- a/crates/holdpointd/src/ingress/news.rs
+++ b/crates/holdpointd/src/ingress/news.rs
@@ -67,6 +67,10 @@
     /// How far it knows the log of orders for failure domains; peers of earlier versions know none.
     #[serde(default)]
     pub(crate) orders: Option<Horizon>,
+    /// Hash of the peers that it knows, if it reads [`Content::Packed`]; peers of earlier versions do
+    /// not.
+    #[serde(default)]
+    pub(crate) peers_digest: Option<u64>,
 }
 
 impl Known {
@@ -74,7 +78,7 @@
     pub(crate) fn configuration_only(shared: &IngressShared, wants_large: bool) -> Known {
         let version = shared.configuration().version;
         let orders = Some(shared.domains.horizon());
-        Known { version, wait_ms: 0, place: None, wants_large, orders }
+        Known { version, wait_ms: 0, place: None, wants_large, orders, peers_digest: None }
     }
 }
 
@@ -98,6 +102,10 @@
     /// The failure domains that are evacuated, where more is known than the asker knows.
     #[serde(default)]
     pub(crate) evacuations: Option<Evacuations>,
+    /// Whether the instance that answers knows the peers as the store has them, rather than a few that it
+    /// has met; peers of earlier versions do not tell.
+    #[serde(default)]
+    pub(crate) knows_peers: Option<bool>,
     /// What else is new, where that was asked for.
     pub(crate) content: Option<Content>,
 }
@@ -118,6 +126,15 @@
         #[serde(default)]
         resources: Vec<(String, Bytes)>,
     },
+    /// All that is known, for those who read it so: without what they have, and compressed.
+    Packed {
+        /// The packed [`TargetList`]; none where the asker's targets are the same.
+        targets: Option<Bytes>,
+        /// The packed names and entries of all instances; none where the asker's peers are the same.
+        peers: Option<Bytes>,
+        /// Resources that operators declared, by key.
+        resources: Vec<(String, Bytes)>,
+    },
 }
 
 /// All target instances that an instance knows. There may be thousands, and many who ask at once
@@ -206,14 +223,7 @@
     let is_fresh = shared.fresh_age().is_some();
     let content = known.place.map(|place| match news.filter(|_| place.life == shared.life) {
         Some(it) => Content::News(it),
-        None => {
-            // What was read too long ago helps only those who know nothing.
-            let is_wanted = is_fresh || place.digest == Directory::default().digest();
-            let is_other = is_wanted && shared.digest() != place.digest;
-            let targets = is_other.then(|| shared.target_list());
-            let resources = shared.experiments.all();
-            Content::All { targets, peers: shared.instances(), resources }
-        }
+        None => all_known(shared, place.digest, known.peers_digest, is_fresh),
     });
     let version = shared.configuration().version;
     let configuration = (known.version < version)
@@ -230,10 +240,35 @@
         version,
         configuration,
         evacuations,
+        knows_peers: Some(shared.peers.were_read()),
         content,
     }
 }
 
+/// All that this instance knows and an asker does not, by the hashes of what it knows.
+fn all_known(
+    shared: &IngressShared,
+    targets_digest: u64,
+    peers_digest: Option<u64>,
+    is_fresh: bool,
+) -> Content {
+    // What was read too long ago helps only those who know nothing.
+    let is_wanted = is_fresh || targets_digest == Directory::default().digest();
+    let is_other = is_wanted && shared.digest() != targets_digest;
+    let resources = shared.experiments.all();
+    match peers_digest {
+        None => {
+            let targets = is_other.then(|| shared.target_list());
+            Content::All { targets, peers: shared.instances(), resources }
+        }
+        Some(digest) => {
+            let targets = is_other.then(|| shared.packed.targets(shared));
+            let peers = shared.packed.peers(shared, digest);
+            Content::Packed { targets, peers, resources }
+        }
+    }
+}
+
 /// Whether there is something new to tell already.
 fn is_behind(shared: &IngressShared, known: &Known) -> bool {
     let is_same = |it: Place| {
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -1,12 +1,12 @@
-//! The peers of an instance: who they are, which of them answer, and what they are asked: pieces
-//! from the one that batches them, targets from the one that places prompts, state while the store
-//! does not answer.
+//! The peers of an instance: who they are, and what they are asked: pieces from the one that batches
+//! them, targets from the one that places prompts, state while the store does not answer.
+//! [`super::links`] knows which of them answer.
 
 use std::{
     collections::HashMap,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -14,82 +14,31 @@
 use holdpoint_core::{
     capacity::{Capacity, strong},
     directory::TargetId,
-    ids::Name,
-    readers::{order_for, readers, sources},
+    ids::{Millis, Name},
+    readers::{Member, Role, plan},
     stage_graph::NoResult,
     subset::{owner, weight},
+    topology::Topology,
 };
 use holdpoint_schema::ingress::{Batching, IngressSettings};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
-use tarpc::{
-    client::{self, RpcError},
-    context,
-    serde_transport::new as transport,
-};
-use tokio::{net::TcpStream, sync::Notify};
-use tokio_serde::formats::Cbor;
-
-use crate::{
-    events::{self, emit},
-    ingress::{
-        connections::guard,
-        follow::catch_up,
-        news::{Known, Update},
-        peer_service::{IngressPeersClient, PromptAsk, Standing, codec},
-        piece_ask::{PieceAsk, PieceResult},
-        shared::IngressShared,
-    },
+use tarpc::client::RpcError;
+
+use crate::ingress::{
+    links::{Links, PeerSilent, context_for},
+    news::{Known, Update},
+    peer_service::PromptAsk,
+    piece_ask::{PieceAsk, PieceResult},
+    shared::IngressShared,
 };
 
-/// How long a connection to a peer may take to be made.
-const CONNECT: Duration = Duration::from_millis(300);
-/// How often a peer that works for this instance is asked whether it is there.
-const PING: Duration = Duration::from_millis(250);
-/// How long it may take to answer.
-const PING_LIMIT: Duration = Duration::from_millis(350);
 /// An answer that may take so long may be large.
 const LARGE_LIMIT: Duration = Duration::from_millis(1000);
 /// How long a peer may take to choose a target; after that it is chosen here.
 const PLACE_LIMIT: Duration = Duration::from_millis(60);
-/// How long a peer that was silent is passed over; doubled each time.
-const SUSPECT: Duration = Duration::from_millis(1500);
-/// Longest time that a peer is passed over.
-const LONGEST_SUSPECT: Duration = Duration::from_secs(12);
-
-/// No answer from a peer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct PeerSilent;
-
-struct Link {
-    client: IngressPeersClient,
-    /// Raised when the peer is found to be silent.
-    lost: Arc<Notify>,
-    /// Answers under way that may be large, and hold up others on the same connection.
-    large: Arc<AtomicUsize>,
-}
-
-/// Counts an answer that may be large, until it is dropped.
-struct Large(Arc<AtomicUsize>);
-
-impl Large {
-    fn new(count: Arc<AtomicUsize>) -> Large {
-        count.fetch_add(1, Ordering::AcqRel);
-        Large(count)
-    }
-}
-
-impl Drop for Large {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Suspicion {
-    until: Instant,
-    times: u32,
-}
+/// How long a peer may take to release results.
+const RELEASE_LIMIT: Duration = Duration::from_millis(350);
 
 /// Peers that know what the store says, in the order in which this instance asks them.
 #[derive(Clone, Debug)]
@@ -102,10 +51,12 @@
     pub(crate) asked: Vec<String>,
     /// Addresses of those that read the store.
     pub(crate) readers: Vec<String>,
+    /// How long this instance waits, where none of them has read it, before it reads by itself.
+    pub(crate) patience: Duration,
 }
 
 /// A peer, as its entry in the store describes it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub(crate) struct Peer {
     /// IP number and port of its RPC.
     pub(crate) address: String,
@@ -120,6 +71,35 @@
     /// Failure domain that it stands in; empty where it does not tell.
     #[serde(default)]
     pub(crate) domain: Name,
+    /// Its round trip to the store in milliseconds, as it measured it at its start.
+    #[serde(default)]
+    pub(crate) store_ms: Option<Millis>,
+}
+
+impl Peer {
+    /// Its entry in the store: its address, the life of its process, its processor in thousandths of a
+    /// core, its link in Mbit/s, the protocol it speaks, its failure domain and its round trip to the
+    /// store in milliseconds, with blanks between.
+    pub(crate) fn entry(&self) -> String {
+        let Peer { address, life, capacity, protocol, domain, store_ms } = self;
+        let Capacity { millicores, link_mbps } = capacity;
+        let store_ms = store_ms.unwrap_or(0);
+        format!("{address} {life} {millicores} {link_mbps} {protocol} {domain} {store_ms}")
+    }
+
+    /// Reads an entry. Those of earlier versions end after the life of the process or later.
+    pub(crate) fn parse(entry: &[u8]) -> Option<Peer> {
+        let mut fields = std::str::from_utf8(entry).ok()?.split(' ');
+        let address = fields.next()?.to_owned();
+        let life = fields.next().unwrap_or_default().to_owned();
+        // What is not stated counts as nothing, so that those who state more are preferred.
+        let mut figure = || fields.next().and_then(|it| it.parse().ok()).unwrap_or(0);
+        let capacity = Capacity { millicores: figure(), link_mbps: figure() };
+        let protocol = figure();
+        let domain = fields.next().unwrap_or_default().to_owned();
+        let store_ms = fields.next().and_then(|it| it.parse().ok()).filter(|it| *it != 0);
+        Some(Peer { address, life, capacity, protocol, domain, store_ms })
+    }
 }
 
 /// The peers of an instance.
@@ -128,11 +108,13 @@
     own_capacity: Capacity,
     batching: Batching,
     seeds: Vec<String>,
+    is_seed: bool,
     known: Mutex<HashMap<Name, Peer>>,
-    links: Mutex<HashMap<String, Link>>,
-    /// Held while a connection to a peer is made, so that there is one to each.
-    connecting: tokio::sync::Mutex<()>,
-    suspects: Mutex<HashMap<String, Suspicion>>,
+    pub(crate) links: Links,
+    /// Round trip of this instance to the store, in milliseconds; 0 where it was not measured.
+    own_store_ms: AtomicU64,
+    /// Whether the peers were read from the store, or told by one who knows them.
+    were_read: AtomicBool,
     /// Whether this instance is about to stop and batches for nobody any more.
     is_leaving: AtomicBool,
 }
@@ -145,11 +127,12 @@
             own_name: settings.instance.clone(),
             own_capacity: own_capacity(settings),
             batching: settings.decisions.batching,
+            is_seed: settings.seeds.contains(&settings.listen.peers),
             seeds: settings.seeds.iter().filter(is_other).cloned().collect(),
             known: Mutex::default(),
-            links: Mutex::default(),
-            connecting: tokio::sync::Mutex::default(),
-            suspects: Mutex::default(),
+            links: Links::default(),
+            own_store_ms: AtomicU64::new(0),
+            were_read: AtomicBool::new(false),
             is_leaving: AtomicBool::new(false),
         }
     }
@@ -170,7 +153,7 @@
             return false;
         }
         // Whoever was silent at this address has started anew.
-        self.suspects.lock().remove(&peer.address);
+        self.links.trust(&peer.address);
         known.insert(name.to_owned(), peer);
         true
     }
@@ -185,42 +168,89 @@
         self.known.lock().len() + 1
     }
 
-    /// Whom this instance asks for what the store says: the readers if it is a source itself, else
-    /// any of the sources.
-    pub(crate) fn sources(&self) -> Sources {
+    /// Takes in that the peers are known as the store has them.
+    pub(crate) fn note_read(&self) {
+        self.were_read.store(true, Ordering::Release);
+    }
+
+    /// Whether the peers are known as the store has them, or had them at some time.
+    pub(crate) fn were_read(&self) -> bool {
+        self.were_read.load(Ordering::Acquire)
+    }
+
+    /// Addresses of seeds, this instance left out.
+    pub(crate) fn seeds(&self) -> &[String] {
+        &self.seeds
+    }
+
+    /// Whether others have this instance's address as a seed, as far as it can tell from its own.
+    pub(crate) fn is_seed(&self) -> bool {
+        self.is_seed
+    }
+
+    /// Takes in the round trip of this instance to the store.
+    pub(crate) fn note_store_trip(&self, ms: Millis) {
+        self.own_store_ms.store(ms, Ordering::Release);
+    }
+
+    /// Round trip of this instance to the store, in milliseconds.
+    pub(crate) fn store_ms(&self) -> Option<Millis> {
+        Some(self.own_store_ms.load(Ordering::Acquire)).filter(|it| *it != 0)
+    }
+
+    /// Whom this instance asks for what the store says.
+    pub(crate) fn sources(&self, topology: &Topology) -> Sources {
         let known = self.known.lock();
-        let mut names: Vec<&str> = self.live(&known).collect();
-        names.sort_unstable();
-        let (readers, sources) = (readers(&names), sources(&names));
         let own = self.own_name.as_str();
-        let (is_reader, is_source) = (readers.contains(&own), sources.contains(&own));
-        let asked = if is_source { &readers } else { &sources };
+        let region_of = |domain: &str| topology.region_of(domain).unwrap_or_default();
+        let (is_split, own_region) = (topology.is_split(), topology.own_region());
+        let own_region = if is_split { own_region } else { "" };
+        let member = |name| match known.get(name) {
+            None => Member {
+                name,
+                region: own_region,
+                capacity: self.own_capacity,
+                store_ms: self.store_ms(),
+            },
+            Some(it) => Member {
+                name,
+                region: if is_split { region_of(&it.domain) } else { "" },
+                capacity: it.capacity,
+                store_ms: it.store_ms,
+            },
+        };
+        let mut members: Vec<Member<'_>> = self.live(&known).map(member).collect();
+        members.sort_unstable_by_key(|it| it.name);
+        let plan = plan(own, own_region, &members);
         let addresses = |names: &[&str]| {
-            let others = order_for(own, names).into_iter().filter_map(|it| known.get(it));
-            others.map(|it| it.address.clone()).collect()
+            names.iter().filter_map(|it| known.get(*it)).map(|it| it.address.clone()).collect()
         };
         Sources {
-            is_reader,
-            is_relay: is_source && !is_reader,
-            asked: addresses(asked),
-            readers: addresses(&readers),
+            is_reader: plan.role == Role::Reader,
+            is_relay: plan.role == Role::Relay,
+            asked: addresses(&plan.asked),
+            readers: addresses(&plan.readers),
+            patience: Duration::from_millis(plan.patience_ms),
         }
     }
 
-    /// Addresses of all peers and seeds, those that answer first.
-    pub(crate) fn to_ask(&self) -> Vec<String> {
-        let mut addresses: Vec<String> =
-            self.known.lock().values().map(|it| it.address.clone()).collect();
-        addresses.extend(self.seeds.iter().cloned());
-        addresses.sort();
-        addresses.dedup();
-        addresses.sort_by_key(|it| (self.is_suspect(it), weight(&self.own_name, it)));
-        addresses
+    /// Addresses of all peers and seeds: those that answer first, and of these the near ones.
+    pub(crate) fn to_ask(&self, topology: &Topology) -> Vec<String> {
+        let mut is_far: HashMap<String, bool> =
+            self.seeds.iter().map(|it| (it.clone(), true)).collect();
+        let known = self.known.lock();
+        is_far.extend(known.values().map(|it| (it.address.clone(), !topology.is_near(&it.domain))));
+        drop(known);
+        let mut addresses: Vec<(String, bool)> = is_far.into_iter().collect();
+        addresses.sort_by_cached_key(|(address, is_far)| {
+            (self.links.is_suspect(address), *is_far, weight(&self.own_name, address))
+        });
+        addresses.into_iter().map(|it| it.0).collect()
     }
 
     /// Names of the instances that work for others, this one included unless it is leaving.
     fn live<'a>(&'a self, known: &'a HashMap<Name, Peer>) -> impl Iterator<Item = &'a str> {
-        let others = known.iter().filter(|it| !self.is_suspect(&it.1.address));
+        let others = known.iter().filter(|it| !self.links.is_suspect(&it.1.address));
         let own = Some(self.own_name.as_str()).filter(|_| !self.is_leaving.load(Ordering::Acquire));
         others.map(|it| it.0.as_str()).chain(own)
     }
@@ -246,17 +276,17 @@
         asks: Vec<PieceAsk>,
         limit: Duration,
     ) -> Result<Vec<PieceResult>, PeerSilent> {
-        let (client, lost) = self.link(shared, address).await?;
-        let call = client.make(context_for(limit), service.to_owned(), asks);
+        let link = self.links.get(shared, address).await?;
+        let call = link.client.make(context_for(limit), service.to_owned(), asks);
         let answer = tokio::select! {
             it = tokio::time::timeout(limit, call) => it,
-            () = lost.notified() => return Err(PeerSilent),
+            () = link.lost.notified() => return Err(PeerSilent),
         };
         match answer {
             Ok(Ok(it)) => Ok(it),
             Ok(Err(RpcError::DeadlineExceeded)) | Err(_) => Ok(Vec::new()),
             Ok(Err(_)) => {
-                self.lose(shared, address, &lost, "broken");
+                self.links.lose(shared, address, &link.lost, "broken");
                 Err(PeerSilent)
             }
         }
@@ -271,8 +301,8 @@
         prompt: PromptAsk,
     ) -> Option<TargetId> {
         let asked = async {
-            let (client, _) = self.link(shared, address).await.ok()?;
-            client.place(context_for(PLACE_LIMIT), service.to_owned(), prompt).await.ok()?
+            let link = self.links.get(shared, address).await.ok()?;
+            link.client.place(context_for(PLACE_LIMIT), service.to_owned(), prompt).await.ok()?
         };
         tokio::time::timeout(PLACE_LIMIT, asked).await.ok()?
     }
@@ -285,13 +315,14 @@
         service: &str,
         handles: Vec<String>,
     ) -> Result<(), PeerSilent> {
-        let (client, _) = self.link(shared, address).await?;
-        let told = client.give_up(context_for(PING_LIMIT), service.to_owned(), handles);
-        let told = tokio::time::timeout(PING_LIMIT, told).await;
+        let link = self.links.get(shared, address).await?;
+        let limit = self.links.with_distance(address, RELEASE_LIMIT);
+        let told = link.client.give_up(context_for(limit), service.to_owned(), handles);
+        let told = tokio::time::timeout(limit, told).await;
         told.map_err(|_| PeerSilent)?.map_err(|_| PeerSilent)
     }
 
-    /// Asks a peer what is new; the answer may take `limit`.
+    /// Asks a peer what is new; the answer may take `limit`, its distance left aside.
     pub(crate) async fn follow(
         &self,
         shared: &Arc<IngressShared>,
@@ -299,134 +330,27 @@
         known: Known,
         limit: Duration,
     ) -> Result<Update, PeerSilent> {
-        let (client, lost) = self.link(shared, address).await?;
-        let large = self.links.lock().get(address).map(|it| it.large.clone());
-        let _large = large.filter(|_| LARGE_LIMIT <= limit).map(Large::new);
-        let call = tokio::time::timeout(limit, client.follow(context_for(limit), known));
+        let link = self.links.get(shared, address).await?;
+        let _large = (LARGE_LIMIT <= limit).then(|| link.expect_large());
+        let limit = self.links.with_distance(address, limit);
+        let call = tokio::time::timeout(limit, link.client.follow(context_for(limit), known));
         tokio::select! {
             it = call => it.map_err(|_| PeerSilent)?.map_err(|_| PeerSilent),
-            () = lost.notified() => Err(PeerSilent),
+            () = link.lost.notified() => Err(PeerSilent),
         }
     }
 
     /// Keeps a connection to a peer, over which the two tell each other of later configurations.
     pub(crate) async fn watch(&self, shared: &Arc<IngressShared>, address: &str) {
         // A peer that cannot be reached is passed over for a while.
-        drop(self.link(shared, address).await);
-    }
-
-    fn is_suspect(&self, address: &str) -> bool {
-        self.suspects.lock().get(address).is_some_and(|it| Instant::now() < it.until)
-    }
-
-    /// Takes in that a peer was silent on a connection, unless that is no longer the one in use.
-    fn lose(&self, shared: &IngressShared, address: &str, lost: &Arc<Notify>, cause: &str) {
-        let mut links = self.links.lock();
-        if links.get(address).is_some_and(|it| Arc::ptr_eq(&it.lost, lost)) {
-            links.remove(address);
-            drop(links);
-            self.suspect(shared, address, cause);
-        }
-        lost.notify_waiters();
-    }
-
-    fn suspect(&self, shared: &IngressShared, address: &str, cause: &str) {
-        let now = Instant::now();
-        let mut suspects = self.suspects.lock();
-        let before = suspects.get(address).copied();
-        if before.is_some_and(|it| now < it.until) {
-            return;
-        }
-        let times = before.map_or(0, |it| it.times + 1);
-        let span = (SUSPECT * 2_u32.pow(times.min(4))).min(LONGEST_SUSPECT);
-        suspects.insert(address.to_owned(), Suspicion { until: now + span, times });
-        let detail = format!("peer={address} cause={cause} for_ms={}", span.as_millis());
-        emit(events::PEER_SILENT, &shared.settings.instance, &detail);
+        drop(self.links.get(shared, address).await);
     }
 
     /// Version of the protocol that the peer at an address speaks; 0 where it is not known.
-    fn protocol_of(&self, address: &str) -> u32 {
+    pub(crate) fn protocol_of(&self, address: &str) -> u32 {
         let known = self.known.lock();
         known.values().find(|it| it.address == address).map_or(0, |it| it.protocol)
     }
-
-    fn trust(&self, address: &str) {
-        self.suspects.lock().remove(address);
-    }
-
-    async fn link(
-        &self,
-        shared: &Arc<IngressShared>,
-        address: &str,
-    ) -> Result<(IngressPeersClient, Arc<Notify>), PeerSilent> {
-        if let Some(it) = self.found_link(address) {
-            return Ok(it);
-        }
-        let _one = self.connecting.lock().await;
-        if let Some(it) = self.found_link(address) {
-            return Ok(it);
-        }
-        let connected = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await;
-        let Ok(Ok(stream)) = connected else {
-            self.suspect(shared, address, "unreachable");
-            return Err(PeerSilent);
-        };
-        guard(&stream).map_err(|_| PeerSilent)?;
-        let io = transport(codec().new_framed(stream), Cbor::default());
-        let client = IngressPeersClient::new(client::Config::default(), io).spawn();
-        let lost = Arc::new(Notify::new());
-        let large = Arc::new(AtomicUsize::new(0));
-        let link = Link { client: client.clone(), lost: lost.clone(), large: large.clone() };
-        self.links.lock().insert(address.to_owned(), link);
-        let watched = (client.clone(), lost.clone());
-        tokio::spawn(watch(shared.clone(), address.to_owned(), watched, large));
-        Ok((client, lost))
-    }
-
-    fn found_link(&self, address: &str) -> Option<(IngressPeersClient, Arc<Notify>)> {
-        self.links.lock().get(address).map(|it| (it.client.clone(), it.lost.clone()))
-    }
-}
-
-/// Asks a peer again and again whether it is there, until it is not.
-async fn watch(
-    shared: Arc<IngressShared>,
-    address: String,
-    (client, lost): (IngressPeersClient, Arc<Notify>),
-    large: Arc<AtomicUsize>,
-) {
-    loop {
-        tokio::time::sleep(PING).await;
-        if large.load(Ordering::Acquire) != 0 {
-            // An answer to a ping would stand behind it; whoever waits for it has a limit.
-            continue;
-        }
-        let known = shared.configuration().version;
-        let own_address = shared.settings.listen.peers.clone();
-        let checked = async {
-            match shared.peers.protocol_of(&address) {
-                0 => {
-                    let version = client.ping(context_for(PING_LIMIT), known, own_address).await?;
-                    Ok(Standing { version, ..Standing::default() })
-                }
-                _ => client.check(context_for(PING_LIMIT), known, own_address).await,
-            }
-        };
-        match tokio::time::timeout(PING_LIMIT, checked).await {
-            Ok(Ok(theirs)) => {
-                let theirs: Standing = theirs;
-                shared.peers.trust(&address);
-                shared.take_stage_times(&theirs.stage_times);
-                if known < theirs.version {
-                    drop(tokio::spawn(catch_up(shared.clone(), address.clone())));
-                }
-            }
-            _ => {
-                shared.peers.lose(&shared, &address, &lost, "silent");
-                return;
-            }
-        }
-    }
 }
 
 /// Has pieces made by the instance that batches them, or here if none can be reached.
@@ -460,9 +384,3 @@
         link_mbps: machine.link_mbps as u32,
     }
 }
-
-fn context_for(limit: Duration) -> context::Context {
-    let mut context = context::current();
-    context.deadline = Instant::now() + limit;
-    context
-}
--- a/crates/holdpointd/src/ingress/request.rs
+++ b/crates/holdpointd/src/ingress/request.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use holdpoint_adapter::headers::{self, CallerHead};
 use holdpoint_core::{
-    ingress::{Configuration, Denied, Shape},
+    ingress::{Configuration, Denied, IngressRoute, Shape, Tenancy},
     ledger::Ledger,
 };
 use http::{HeaderValue, Request, header};
@@ -20,6 +20,7 @@
     events::{self, emit},
     ingress::{
         answer::{Answer, Failure, failure, refusal},
+        confirm::confirm,
         context::{Context, Parts},
         send::CallerRequest,
         shared::IngressShared,
@@ -67,7 +68,7 @@
             "id={} cause={it:?} path={} version={}",
             id.unwrap_or("none"),
             parts.uri.path(),
-            configuration.version
+            shared.configuration().version
         );
         emit(events::REQUEST_DENIED, &shared.settings.instance, &detail);
         failure(it, id)
@@ -86,9 +87,15 @@
     let Some(id) = head.request_id.clone() else { return Err(deny(Failure::BadRequest)) };
     let host = parts.headers.get(header::HOST).and_then(|it| it.to_str().ok());
     let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
-    let route = configuration.route(host, parts.uri.path()).map_err(|it| deny(denial(it)))?;
-    let organisation =
-        configuration.organisation(route, head.key.as_deref()).map_err(|it| deny(denial(it)))?;
+    let path = parts.uri.path();
+    if allowed(&configuration, host, path, &head).is_err() && !confirm(shared).await {
+        // A denial is for good, and this instance may have missed what allows the request.
+        let proof = Ledger::new().close().map_err(|_| deny(Failure::Broken))?;
+        return Err(refusal(proof, Some(&id), NOT_CONFIGURED));
+    }
+    let configuration = shared.configuration();
+    let (route, organisation) =
+        allowed(&configuration, host, path, &head).map_err(|it| deny(denial(it)))?;
     let service = route.service_of(&id).ok_or_else(|| deny(Failure::NoRoute))?.to_owned();
     let parts = Parts {
         request: CallerRequest {
@@ -110,6 +117,18 @@
     Ok(Context::new(shared.clone(), parts))
 }
 
+/// The route of a request, and the organisation that its key belongs to.
+fn allowed<'a>(
+    configuration: &'a Configuration,
+    host: &str,
+    path: &str,
+    head: &CallerHead,
+) -> Result<(&'a Arc<IngressRoute>, Option<&'a Arc<Tenancy>>), Denied> {
+    let route = configuration.route(host, path)?;
+    let organisation = configuration.organisation(route, head.key.as_deref())?;
+    Ok((route, organisation))
+}
+
 fn denial(denied: Denied) -> Failure {
     match denied {
         Denied::NoRoute => Failure::NoRoute,
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -29,10 +29,12 @@
     ingress::{
         batches::Batches,
         changes::{PeerChanges, TargetChanges},
+        confirm::Confirmation,
         connections::Connections,
         declared::Declared,
         domains::Domains,
         news::{News, TargetList},
+        packed::Packed,
         peer_service::PROTOCOL,
         peers::{Peer, Peers, own_capacity},
         pools::Pools,
@@ -55,7 +57,7 @@
 
 /// What a list of targets was made of: the position in the news, the number of lapsed entries and, if
 /// targets are cold, the second.
-type ListState = (Revision, usize, Millis);
+pub(crate) type ListState = (Revision, usize, Millis);
 
 /// What the tasks of one ingress instance share.
 pub(crate) struct IngressShared {
@@ -97,8 +99,10 @@
     /// Sent whenever there is something new for those who follow this instance.
     pub(crate) has_news: watch::Sender<()>,
     news: Mutex<ChangeLog<News>>,
-    /// The list of targets for peers, with what it was made of.
-    target_list: Mutex<Option<(ListState, Bytes)>>,
+    /// When the configuration in force was last known to be the newest.
+    pub(crate) confirmation: Confirmation,
+    /// Whole lists as they are sent to peers.
+    pub(crate) packed: Packed,
     /// Becomes true once the peers were read from the store, or could not be read.
     pub(crate) peers_known: watch::Sender<bool>,
     configuration: ArcSwap<Configuration>,
@@ -145,7 +149,8 @@
             life: rand::random(),
             has_news: watch::channel(()).0,
             news: Mutex::new(ChangeLog::new(NEWS_KEPT)),
-            target_list: Mutex::default(),
+            confirmation: Confirmation::default(),
+            packed: Packed::default(),
             peers_known: watch::channel(false).0,
             configuration: ArcSwap::default(),
             configuration_bytes: Mutex::default(),
@@ -334,6 +339,7 @@
             capacity: own_capacity(&self.settings),
             protocol: PROTOCOL,
             domain: self.settings.domain.clone(),
+            store_ms: self.peers.store_ms(),
         }
     }
 
@@ -369,20 +375,25 @@
 
     /// The list of target instances for peers, as JSON; made anew when something has changed.
     pub(crate) fn target_list(&self) -> Bytes {
+        self.target_list_with_state().1
+    }
+
+    /// The same, with what it was made of.
+    pub(crate) fn target_list_with_state(&self) -> (ListState, Bytes) {
         let directory = self.directory.lock();
         let now = self.clock.now();
         // How much longer targets are cold is told to the second.
         let second = directory.cold(now).next().map_or(0, |_| now / 1000);
         let state = (self.news.lock().end(), directory.lapsed().count(), second);
-        let mut made = self.target_list.lock();
+        let mut made = self.packed.plain.lock();
         match &*made {
-            Some((of, list)) if *of == state => list.clone(),
+            Some((of, list)) if *of == state => (state, list.clone()),
             _ => {
                 let list =
                     serde_json::to_vec(&TargetList::new(now, &directory)).unwrap_or_default();
                 let list = Bytes::from(list);
                 *made = Some((state, list.clone()));
-                list
+                (state, list)
             }
         }
     }
--- a/crates/holdpointd/src/ingress/store.rs
+++ b/crates/holdpointd/src/ingress/store.rs
@@ -1,6 +1,6 @@
 //! A client of the platform's store: one connection, made anew whenever a call fails.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use holdpoint_adapter::store::{
@@ -54,6 +54,15 @@
         self.connection = None;
     }
 
+    /// Connects anew, and tells how long that took: a round trip, as far as the network is concerned.
+    pub(crate) async fn measure(&mut self) -> Result<Duration, StoreError> {
+        let begun = Instant::now();
+        let made = tokio::time::timeout(self.timeout, connect(&self.address)).await;
+        let (sender, task) = made.map_err(silent)?.map_err(silent)?;
+        self.connection = Some((sender, Guard(task)));
+        Ok(begun.elapsed())
+    }
+
     /// Reads the newest records of a topic and the offset at which reading goes on.
     pub(crate) async fn newest(
         &mut self,
--- a/crates/holdpointd/src/ingress/watch.rs
+++ b/crates/holdpointd/src/ingress/watch.rs
@@ -11,7 +11,6 @@
     },
 };
 use holdpoint_core::{
-    capacity::Capacity,
     directory::{Change, Directory, TargetId},
     evacuation::{Evacuations, Order},
     ids::Millis,
@@ -22,7 +21,8 @@
     events::{self, emit},
     ingress::{
         changes::TargetChanges,
-        domains,
+        domains, follow,
+        links::whole_millis,
         peers::Peer,
         shared::IngressShared,
         store::{StoreClient, StoreError},
@@ -59,14 +59,16 @@
 /// Keeps the configuration and the evacuated failure domains up to date.
 pub(crate) async fn follow_configuration(shared: Arc<IngressShared>) {
     let take = |read: &Read<'_>| take_orders(&shared, read);
-    follow(&shared, OPERATORS_TOPIC, (CONFIGURATION_WAIT, Duration::ZERO), take).await;
+    follow_topic(&shared, OPERATORS_TOPIC, (CONFIGURATION_WAIT, Duration::ZERO), take).await;
 }
 
 /// Reads the newest configuration once.
 pub(crate) async fn read_configuration(shared: &Arc<IngressShared>) {
+    let begun = shared.clock.now();
     // Without an answer, whoever asked for it goes on without.
     if let Ok((records, next)) = client(shared).newest(OPERATORS_TOPIC).await {
         take_orders(shared, &Read { records: &records, next, is_whole: true });
+        shared.confirmation.note(begun);
     }
 }
 
@@ -96,51 +98,38 @@
 /// Writes this instance's own entry and keeps the list of peers up to date.
 pub(crate) async fn follow_peers(shared: Arc<IngressShared>) {
     let mut client = client(&shared);
-    let own = shared.own_peer();
-    let entry = peer_entry(&own);
-    while client.append(INSTANCES_TOPIC, &shared.settings.instance, entry.as_bytes()).await.is_err()
-    {
+    while append_entry(&shared, &mut client).await.is_err() {
         // Without the store, its seeds are all that this instance can ask.
         shared.peers_known.send_replace(true);
         sleep(PAUSE * 4).await;
     }
-    if let Ok((records, _)) = client.newest(INSTANCES_TOPIC).await {
+    if !follow::learn_peers(&shared).await
+        && let Ok((records, _)) = client.newest(INSTANCES_TOPIC).await
+    {
         take_peers(&shared, &records, true);
+        shared.peers.note_read();
     }
     drop(client);
     shared.peers_known.send_replace(true);
     let take = |read: &Read<'_>| take_peers(&shared, read.records, read.is_whole);
-    follow(&shared, INSTANCES_TOPIC, (PEERS_WAIT, PEERS_GATHER), take).await;
+    follow_topic(&shared, INSTANCES_TOPIC, (PEERS_WAIT, PEERS_GATHER), take).await;
+}
+
+/// Writes this instance's own entry, which tells how far away the store is.
+async fn append_entry(shared: &IngressShared, client: &mut StoreClient) -> Result<(), StoreError> {
+    let trip = client.measure().await?;
+    shared.peers.note_store_trip(whole_millis(trip));
+    let entry = shared.own_peer().entry();
+    client.append(INSTANCES_TOPIC, &shared.settings.instance, entry.as_bytes()).await
 }
 
 /// Takes in entries of peers; where they are all that there are, the others have left.
 fn take_peers(shared: &IngressShared, records: &[KeyedRecord], is_whole: bool) {
-    let entries = records.iter().map(|it| (it.key.clone(), parse_peer(it)));
+    let entries =
+        records.iter().map(|it| (it.key.clone(), it.value.as_deref().and_then(Peer::parse)));
     shared.set_peers(entries.collect(), is_whole);
 }
 
-/// An instance's entry: its address, the life of its process, its processor in thousandths of a
-/// core, its link in Mbit/s, the protocol it speaks and its failure domain, with blanks between.
-fn peer_entry(peer: &Peer) -> String {
-    let Capacity { millicores, link_mbps } = peer.capacity;
-    let Peer { address, life, protocol, domain, .. } = peer;
-    format!("{address} {life} {millicores} {link_mbps} {protocol} {domain}")
-}
-
-/// Reads a peer's entry. One of an earlier version ends after the life of the process.
-fn parse_peer(record: &KeyedRecord) -> Option<Peer> {
-    let entry = std::str::from_utf8(record.value.as_ref()?).ok()?;
-    let mut fields = entry.split(' ');
-    let address = fields.next()?.to_owned();
-    let life = fields.next().unwrap_or_default().to_owned();
-    // What is not stated counts as nothing, so that those who state more are preferred.
-    let mut figure = || fields.next().and_then(|it| it.parse().ok()).unwrap_or(0);
-    let capacity = Capacity { millicores: figure(), link_mbps: figure() };
-    let protocol = figure();
-    let domain = fields.next().unwrap_or_default().to_owned();
-    Some(Peer { address, life, capacity, protocol, domain })
-}
-
 /// Keeps the policies and trials that operators declare up to date.
 pub(crate) async fn follow_resources(shared: Arc<IngressShared>) {
     let take = |read: &Read<'_>| {
@@ -151,7 +140,7 @@
         }
         read.records.iter().for_each(|it| shared.set_resource(&it.key, it.value.clone()));
     };
-    follow(&shared, RESOURCES_TOPIC, (PEERS_WAIT, PEERS_GATHER), take).await;
+    follow_topic(&shared, RESOURCES_TOPIC, (PEERS_WAIT, PEERS_GATHER), take).await;
 }
 
 /// Drops this instance's own entry.
@@ -234,7 +223,7 @@
 /// Pause after so many calls that failed in a row and one more. Readers notice the store's return for
 /// all, so the others, who read by themselves only since no reader was served, ask less and less.
 fn pause(shared: &IngressShared, failures: u32) -> Duration {
-    if shared.peers.sources().is_reader {
+    if shared.peers.sources(&shared.topology).is_reader {
         return PAUSE;
     }
     let jitter = rand::random_range(JITTER);
@@ -253,7 +242,7 @@
 
 /// Follows a topic whose records rarely change, for good: a read waits for a record for the first of two
 /// times, and in the second one records gather before the next read.
-async fn follow(
+async fn follow_topic(
     shared: &Arc<IngressShared>,
     topic: &str,
     (wait, gather): (Duration, Duration),
--- /dev/null
+++ b/crates/holdpointd/tests/denials.rs
@@ -0,0 +1,77 @@
+//! Requests that the known configuration does not allow.
+
+mod support;
+
+use futures::future::join_all;
+use holdpoint_adapter_standin::{Behaviour, Outage, sample_configuration};
+use http::StatusCode;
+use serde_json::json;
+
+use crate::support::{PATIENCE, System, start, start_instance, until};
+
+/// Asks for a route that does not exist until the answer is the expected one.
+async fn until_answered(system: &System, expected: StatusCode) {
+    let asked = async {
+        let mut turn = 0;
+        while system.ask(&format!("r-{turn}"), "/nowhere/").await.status != expected {
+            turn += 1;
+        }
+    };
+    tokio::time::timeout(PATIENCE, asked).await.expect("the answer comes in time");
+}
+
+/// A denial is for good. An instance that hears from nobody may have missed the configuration that
+/// allows the request, so it refuses for now.
+#[tokio::test]
+async fn an_instance_that_hears_from_nobody_denies_nothing() {
+    let system = start(&[Behaviour::Answer], &[]).await;
+    until_answered(&system, StatusCode::NOT_FOUND).await;
+    system.store.gate.set_outage(Outage::Busy);
+    until_answered(&system, StatusCode::SERVICE_UNAVAILABLE).await;
+    assert_eq!(system.ask("r-known", "/safe/").await.status, StatusCode::OK);
+    system.store.gate.set_outage(Outage::None);
+    until_answered(&system, StatusCode::NOT_FOUND).await;
+}
+
+#[tokio::test]
+async fn requests_that_wait_share_one_question() {
+    let system = start(&[Behaviour::Answer], &[]).await;
+    system.store.gate.set_outage(Outage::Busy);
+    until_answered(&system, StatusCode::SERVICE_UNAVAILABLE).await;
+    let before = system.store.gate.call_count();
+    let ids: Vec<String> = (0..200).map(|it| format!("shared-{it}")).collect();
+    let answers = join_all(ids.iter().map(|it| system.ask(it, "/nowhere/"))).await;
+    assert!(answers.iter().all(|it| it.status == StatusCode::SERVICE_UNAVAILABLE));
+    let calls = system.store.gate.call_count() - before;
+    // The reads that go on anyhow are among them.
+    assert!(calls < 50, "{calls} calls to the store for 200 requests");
+}
+
+/// The instance is turned away by the store; a peer is not.
+#[tokio::test]
+async fn an_instance_that_the_store_turns_away_asks_a_peer_and_denies() {
+    let system = start(&[Behaviour::Answer], &[]).await;
+    let gate = system.store.open_gate().await;
+    let other = start_instance("b", &gate);
+    until(|| other.is_ready() && other.peer_count() == 1 && system.instance.peer_count() == 1)
+        .await;
+    system.store.gate.set_outage(Outage::Busy);
+    let mut emptied = sample_configuration(7);
+    emptied["routes"] = json!([]);
+    system.store.put_configuration(&emptied);
+    until(|| system.instance.version() == 7).await;
+    until_answered(&system, StatusCode::NOT_FOUND).await;
+}
+
+#[tokio::test]
+async fn an_instance_without_a_configuration_denies_nothing() {
+    let system = start(&[Behaviour::Answer], &[]).await;
+    let gate = system.store.open_gate().await;
+    gate.set_outage(Outage::Busy);
+    let alone = start_instance("alone", &gate);
+    let address = alone.listen().callers.parse().unwrap();
+    let request = holdpoint_adapter_standin::CallerRequest::new("r-1", "/nowhere/");
+    let answer = holdpoint_adapter_standin::call(address, request).await.unwrap();
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    drop(system);
+}
