--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -106,6 +106,9 @@
     PEERS_CHANGED = 614 Info "peers changed";
     /// A failure domain was evacuated or restored.
     DOMAIN_CHANGED = 615 Info "failure domain evacuated or restored";
+    /// Nobody could be asked whether the configuration in force is the newest, so requests that it does
+    /// not allow are refused rather than denied.
+    UNCONFIRMED = 621 Warn "configuration not confirmed";
     /// A list that a peer sent cannot be read.
     BAD_LIST = 620 Error "list of a peer cannot be read";
     /// Pieces were refused, since every target that makes them stands in an evacuated failure domain.
--- a/crates/holdpointd/src/ingress/confirm.rs
+++ b/crates/holdpointd/src/ingress/confirm.rs
@@ -14,7 +14,10 @@
 
 use holdpoint_core::ids::Millis;
 
-use crate::ingress::{follow, shared::IngressShared, watch};
+use crate::{
+    events::{self, emit},
+    ingress::{follow, shared::IngressShared, watch},
+};
 
 /// How long a confirmation counts, in milliseconds: followers are told every 400 ms, so that a usual
 /// denial costs no call.
@@ -74,4 +77,8 @@
         return;
     }
     watch::read_configuration(shared).await;
+    if !shared.confirmation.is_since(begun.max(1)) {
+        let detail = format!("version={}", shared.configuration().version);
+        emit(events::UNCONFIRMED, &shared.settings.instance, &detail);
+    }
 }
