--- a/crates/holdpointd/src/ingress/follow.rs
+++ b/crates/holdpointd/src/ingress/follow.rs
@@ -18,7 +18,7 @@
     readers::order_for,
 };
 use serde::de::DeserializeOwned;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     events::{self, emit},
@@ -53,6 +53,8 @@
 const FAR_STORE_MS: Millis = 15;
 /// How long an instance that is far from the store waits for seeds to know the peers, at most.
 const SEED_WAIT: Duration = Duration::from_millis(600);
+/// Part of that time that each instance waits, so that those without a seed do not read together.
+const SEED_JITTER: std::ops::Range<f64> = 0.25..1.0;
 /// Pause between two questions to the seeds.
 const SEED_PAUSE: Duration = Duration::from_millis(100);
 /// Most others that are asked in one round.
@@ -108,18 +110,19 @@
         return false;
     }
     let seeds: Vec<&str> = shared.peers.seeds().iter().map(String::as_str).collect();
-    let until = Instant::now() + SEED_WAIT.mul_f64(rand::random_range(0.0..1.0));
-    loop {
-        for seed in order_for(&shared.settings.instance, &seeds) {
-            if learn_from(shared, seed).await {
-                return true;
+    let learned = async {
+        loop {
+            for seed in order_for(&shared.settings.instance, &seeds) {
+                if learn_from(shared, seed).await {
+                    return;
+                }
             }
+            sleep(SEED_PAUSE).await;
         }
-        if until < Instant::now() {
-            return false;
-        }
-        sleep(SEED_PAUSE).await;
-    }
+    };
+    let wait = SEED_WAIT.mul_f64(rand::random_range(SEED_JITTER));
+    // Seeds that are down themselves take their time to be found so.
+    timeout(wait, learned).await.is_ok()
 }
 
 /// Learns the peers from one seed, which knows some only once it has read them or was told.
