Answers with all that is known are sent one after the other

Cause: 300 instances with 10 Mbit/s, all killed at once: a source answered its 24 followers together, 0.8 s of its link, in which no ping came through; 250 lines of sources taken for silent within 2 s, whose followers asked the next one for the same list; targets known everywhere 3.2 s after the start. Change: Packed::turn, a turn as long as the answer takes at 0.7 of the own link. Tests: holdpointd's pass.

--- a/crates/holdpointd/src/ingress/news.rs
+++ b/crates/holdpointd/src/ingress/news.rs
@@ -19,7 +19,10 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
-use crate::ingress::{peers::Peer, shared::IngressShared};
+use crate::ingress::{
+    peers::{Peer, own_capacity},
+    shared::IngressShared,
+};
 
 /// How long an answer waits for something new.
 pub(crate) const WAIT: Duration = Duration::from_millis(400);
@@ -142,6 +145,18 @@
     },
 }
 
+impl Content {
+    /// Size of the packed lists in it, in bytes.
+    fn packed_bytes(&self) -> usize {
+        match self {
+            Content::Packed { targets, peers, .. } => {
+                [targets, peers].into_iter().flatten().map(Bytes::len).sum()
+            }
+            Content::News(_) | Content::PackedNews(_) | Content::All { .. } => 0,
+        }
+    }
+}
+
 /// All target instances that an instance knows. There may be thousands, and many who ask at once
 /// after a restart of all, so what they have in common is said once.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -224,6 +239,7 @@
         // Where the wait is over without news, the answer tells that there are none.
         let _ = timeout(wait, has_news.changed()).await;
     }
+    let turn = if wants_all(shared, &known) { Some(shared.packed.turn().await) } else { None };
     let (news, revision) = shared.news_since(known.place.map_or(0, |it| it.revision));
     let is_fresh = shared.fresh_age().is_some();
     let content = known.place.map(|place| match news.filter(|_| place.life == shared.life) {
@@ -233,6 +249,10 @@
         Some(it) => Content::News(it),
         None => all_known(shared, place.digest, known.peers_digest, is_fresh),
     });
+    if let Some(it) = turn {
+        let bytes = content.as_ref().map_or(0, Content::packed_bytes);
+        it.end(bytes, f64::from(own_capacity(&shared.settings).link_mbps));
+    }
     let version = shared.configuration().version;
     let configuration = (known.version < version)
         .then(|| shared.configuration_bytes())
@@ -253,6 +273,12 @@
     }
 }
 
+/// Whether an asker gets all that is known, since the news that it has missed are not kept.
+fn wants_all(shared: &IngressShared, known: &Known) -> bool {
+    let is_kept = |it: Place| it.life == shared.life && shared.news_since(it.revision).0.is_some();
+    known.place.is_some_and(|it| !is_kept(it))
+}
+
 /// All that this instance knows and an asker does not, by the hashes of what it knows.
 fn all_known(
     shared: &IngressShared,
--- a/crates/holdpointd/src/ingress/packed.rs
+++ b/crates/holdpointd/src/ingress/packed.rs
@@ -8,6 +8,7 @@
     fmt,
     hash::{Hash, Hasher},
     io::{Read, Write},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -15,6 +16,7 @@
 use holdpoint_core::{change_log::Revision, ids::Name};
 use parking_lot::Mutex;
 use serde::{Serialize, de::DeserializeOwned};
+use tokio::time::{Instant, sleep_until};
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::ingress::{
@@ -27,6 +29,9 @@
 /// is not read, so that a few bytes cannot fill the memory.
 const LARGEST: u64 = 16 << 20;
 
+/// Part of the own link that lists may take; the rest is for pings, news and callers.
+const LINK_PART: f64 = 0.7;
+
 /// Why a packed list cannot be read.
 #[derive(Debug)]
 pub(crate) enum Unreadable {
@@ -53,11 +58,38 @@
     targets: Mutex<Option<(ListState, Bytes)>>,
     /// The news between two positions.
     news: Mutex<Option<((Revision, Revision), Bytes)>>,
+    /// From when on the next answer with all that is known may be sent.
+    next_turn: tokio::sync::Mutex<Option<Instant>>,
     /// The hash of the peers and, once somebody asked for them, the peers.
     peers: Mutex<Option<(u64, Bytes)>>,
 }
 
+/// The turn of an answer with all that is known; the next one waits until it is dropped, and for as long
+/// as this one takes to be sent.
+pub(crate) struct Turn<'a>(tokio::sync::MutexGuard<'a, Option<Instant>>);
+
+impl Turn<'_> {
+    /// Ends the turn with an answer of so many bytes, sent over a link of so many Mbit/s; 0 is not known.
+    pub(crate) fn end(mut self, bytes: usize, link_mbps: f64) {
+        if 0.0 < link_mbps {
+            let micros = 8.0 * bytes as f64 / (LINK_PART * link_mbps);
+            *self.0 = Some(Instant::now() + Duration::from_micros(micros as u64));
+        }
+    }
+}
+
 impl Packed {
+    /// Waits for the turn of an answer with all that is known. They are sent one after the other: 24 lists
+    /// at once are a second of a link of 10 Mbit/s, in which no ping is answered, so that followers would
+    /// take the instance for silent and ask the next one for the same list.
+    pub(crate) async fn turn(&self) -> Turn<'_> {
+        let next = self.next_turn.lock().await;
+        if let Some(it) = *next {
+            sleep_until(it).await;
+        }
+        Turn(next)
+    }
+
     /// The list of target instances.
     pub(crate) fn targets(&self, shared: &IngressShared) -> Bytes {
         let (state, list) = shared.target_list_with_state();
