Prompts are read near the results that they need

Change: what an engine would fetch from other domains counts in its predicted time, at the same price as tokens that are read again; the placing instance is told where the results lie. The lines of sends (E700) and calls (E702) and a metric tell the bytes moved.

--- a/crates/holdpoint-core/src/choice.rs
+++ b/crates/holdpoint-core/src/choice.rs
@@ -2,7 +2,10 @@
 
 use holdpoint_schema::resources::Route;
 
-use crate::{cold::Share, ids::Millis};
+use crate::{
+    cold::Share,
+    ids::{Millis, Name},
+};
 
 /// A target as the pool and the instance list give it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -42,6 +45,15 @@
     pub cap: u32,
     /// Part of what a cold target carries that this decision may draw on.
     pub share: Share,
+    /// Bytes that the target fetches before it begins, by the failure domain that they lie in.
+    pub inputs: &'a [(Name, u64)],
+}
+
+impl Call<'_> {
+    /// Bytes that come from other failure domains where a target of `domain` serves the call.
+    pub fn moved_bytes(&self, domain: &str) -> u64 {
+        self.inputs.iter().filter(|it| it.0 != domain).map(|it| it.1).sum()
+    }
 }
 
 /// Why a target was chosen.
--- a/crates/holdpoint-core/src/route.rs
+++ b/crates/holdpoint-core/src/route.rs
@@ -41,6 +41,10 @@
 /// is taken from all that run at the target and is paid for. Large enough beside the one above that a
 /// prefix stays at a target that reads one other prompt; at 4, 6 to 14 % more tokens were read again.
 const REREAD_WEIGHT: f64 = 8.0;
+/// What a megabyte of inputs that comes from another failure domain counts, in milliseconds: it is paid
+/// for like some 200 tokens that are read again, at the weight above.
+const MOVED_WEIGHT: f64 = 33.0;
+const BYTES_IN_MB: f64 = 1e6;
 /// Longest time to read one unit of work, in milliseconds, as long as little was measured.
 const LONGEST_READ_PACE: f64 = 0.05;
 /// Longest ejection as a multiple of the first one.
@@ -450,7 +454,8 @@
             None => 0.0,
         };
         let far = if target.domain == self.domain { 0.0 } else { FAR_MS };
-        run + wait + reads + far
+        let moved = MOVED_WEIGHT * call.moved_bytes(&target.domain) as f64 / BYTES_IN_MB;
+        run + wait + reads + far + moved
     }
 
     /// Calls of other instances at a target: what it reported, fading with the age of the report
--- a/crates/holdpointd/src/ingress/attempts.rs
+++ b/crates/holdpointd/src/ingress/attempts.rs
@@ -4,6 +4,7 @@
 
 use holdpoint_core::{
     directory::TargetInstance,
+    ids::Name,
     route::{Call, End, NoTarget},
 };
 
@@ -60,15 +61,20 @@
         self.sends < ctx.route.attempts
     }
 
-    /// Chooses the target of the next send and counts the send.
-    pub(crate) async fn next(&mut self, ctx: &Context) -> Result<TargetInstance, NoSend> {
+    /// Chooses the target of the next send and counts the send. `inputs` are the bytes that the target
+    /// fetches, by the failure domain that they lie in.
+    pub(crate) async fn next(
+        &mut self,
+        ctx: &Context,
+        inputs: &[(Name, u64)],
+    ) -> Result<TargetInstance, NoSend> {
         if ctx.left().is_zero() {
             return Err(NoSend::Time);
         }
         if !self.may_repeat(ctx) {
             return Err(NoSend::Attempts);
         }
-        let (target, reason) = self.choose(ctx).await?;
+        let (target, reason) = self.choose(ctx, inputs).await?;
         let now = ctx.shared.clock.now();
         if self.sends != 0 && !ctx.pool.spend(now, &ctx.shared.pools.terms()) {
             return Err(NoSend::Budget);
@@ -76,8 +82,15 @@
         self.sends += 1;
         ctx.pool.sent(now, &target.id, &ctx.call(&[]));
         ctx.note_send(&target.id);
-        let detail =
-            format!("id={} target={} send={} {reason}", ctx.request.id, target.id, self.sends);
+        let moved = Call { inputs, ..ctx.call(&[]) }.moved_bytes(&target.domain);
+        let detail = format!(
+            "id={} target={} send={} moved_kb={} {reason}",
+            ctx.request.id,
+            target.id,
+            self.sends,
+            moved / 1000
+        );
+        ctx.shared.metrics.moved_bytes.add(moved, &[label("to", "engine")]);
         emit(events::SENT, &ctx.shared.settings.instance, &detail);
         self.tried.push(target.id.clone());
         Ok(target)
@@ -85,8 +98,12 @@
 
     /// Chooses a target, with the reason for the log. Prompts are placed by one instance for all,
     /// since an engine that reads a long prompt holds up all that run there, whoever sent them.
-    async fn choose(&mut self, ctx: &Context) -> Result<(TargetInstance, String), NoSend> {
-        let chosen = self.choose_at_peer(ctx).await;
+    async fn choose(
+        &mut self,
+        ctx: &Context,
+        inputs: &[(Name, u64)],
+    ) -> Result<(TargetInstance, String), NoSend> {
+        let chosen = self.choose_at_peer(ctx, inputs).await;
         let place = if chosen.is_some() { "peer" } else { "here" };
         ctx.shared.metrics.placements.add(1, &[label("by", place)]);
         if let Some(it) = chosen {
@@ -94,7 +111,8 @@
         }
         loop {
             let decides = ctx.decides();
-            let call = Call { share: ctx.shared.pools.share(decides), ..ctx.call(&self.tried) };
+            let share = ctx.shared.pools.share(decides);
+            let call = Call { share, inputs, ..ctx.call(&self.tried) };
             let policy = ctx.policy();
             let choice = match ctx.pool.place(ctx.shared.clock.now(), policy.as_deref(), &call) {
                 Ok(it) => it,
@@ -122,7 +140,11 @@
         }
     }
 
-    async fn choose_at_peer(&self, ctx: &Context) -> Option<(TargetInstance, String)> {
+    async fn choose_at_peer(
+        &self,
+        ctx: &Context,
+        inputs: &[(Name, u64)],
+    ) -> Option<(TargetInstance, String)> {
         let call = ctx.call(&self.tried);
         let prefix = call.prefix?;
         let address = ctx.shared.peers.batcher_of(&ctx.service)?;
@@ -130,7 +152,8 @@
         avoided.extend(self.tried.iter().cloned());
         let policy = ctx.arm.as_ref().map(|it| it.policy.clone());
         let (work, prefix_work) = (call.work, call.prefix_work);
-        let ask = PromptAsk { work, prefix_work, prefix, avoided, policy };
+        let inputs = inputs.to_vec();
+        let ask = PromptAsk { work, prefix_work, prefix, avoided, policy, inputs };
         let chosen = ctx.shared.peers.place(&ctx.shared, &address, &ctx.service, ask).await?;
         let target = ctx.shared.open_target(&chosen)?;
         Some((target, format!("placed_by={address}")))
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -537,21 +537,31 @@
     let waited = pieces.iter().map(|it| (begun - it.offered).as_millis()).max().unwrap_or(0);
     let made = results.iter().filter(|it| it.is_ok()).count();
     let no_room = results.iter().filter(|it| **it == Err(NoResult::NoRoom)).count();
+    let moved = moved_bytes(shared, call);
     let detail = format!(
         "service={service} target={} pieces={} most={} made={made} no_room={no_room} left={} \
-         used_kb={} room_kb={} waited_ms={waited} ms={ms} stated_ms={:.0} shared={} end={end}",
+         used_kb={} room_kb={} moved_kb={} waited_ms={waited} ms={ms} stated_ms={:.0} shared={} end={end}",
         call.target,
         pieces.len(),
         call.sizes.pieces,
         call.left,
         call.used_bytes / 1000,
         call.sizes.room_bytes / 1000,
+        moved / 1000,
         call.sizes.stated_ms(pieces.len()),
         call.is_shared,
     );
     emit(events::BATCH, &shared.settings.instance, &detail);
     shared.metrics.batches.add(1, &[label("end", end)]);
     shared.metrics.pieces.add(pieces.len() as u64, &[label("end", end)]);
+    shared.metrics.moved_bytes.add(moved, &[label("to", "stage")]);
+}
+
+/// Bytes that a call moves between failure domains.
+fn moved_bytes(shared: &IngressShared, call: &Call) -> u64 {
+    let domain = shared.open_target(&call.target).map(|it| it.domain);
+    let is_moved = |it: &&Waiting| !it.domain.is_empty() && Some(&it.domain) != domain.as_ref();
+    call.pieces.iter().filter(is_moved).map(|it| it.near_bytes).sum()
 }
 
 async fn ask_target(
--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -59,6 +59,9 @@
     /// Name of the policy of a trial's arm, if the request falls to one.
     #[serde(default)]
     pub(crate) policy: Option<Name>,
+    /// Bytes that the target fetches, by the failure domain that they lie in.
+    #[serde(default)]
+    pub(crate) inputs: Vec<(Name, u64)>,
 }
 
 /// What ingress instances ask of each other.
@@ -124,6 +127,7 @@
             tried: &prompt.avoided,
             cap: u32::MAX,
             share: Share::Whole,
+            inputs: &prompt.inputs,
         };
         let policy = prompt.policy.and_then(|it| self.shared.experiments.now().policy(&it));
         let now = self.shared.clock.now();
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -86,6 +86,8 @@
 pub(crate) struct Results {
     /// Handles for the request's own service.
     pub(crate) inputs: Vec<String>,
+    /// Their bytes by the failure domain that they lie in.
+    pub(crate) places: Vec<(Name, u64)>,
     /// Keeps them until they are no longer needed.
     held: Held,
 }
@@ -112,15 +114,20 @@
     let graph = StageGraph::new(&ctx.route.stages, &ctx.head.pieces);
     let mut held = Held::new(&ctx.shared);
     if graph.is_empty() {
-        return Ok(Results { inputs: Vec::new(), held });
+        return Ok(Results { inputs: Vec::new(), places: Vec::new(), held });
     }
     let begun = Instant::now();
     let made = make_graph(ctx, &graph, domain, &mut held).await;
     ctx.note_stages(begun);
     let results = made?;
-    let last = graph.last().filter_map(|it| results[it].as_ref());
-    let inputs = last.flat_map(|it| it.handles.clone()).collect();
-    Ok(Results { inputs, held })
+    let last = graph.last().filter_map(|it| Some((it, results[it].as_ref()?)));
+    let mut places = BTreeMap::new();
+    let mut inputs = Vec::new();
+    for (stage, made) in last {
+        add_places(ctx, &mut places, &made.handles, ctx.route.stages[stage].bytes);
+        inputs.extend(made.handles.iter().cloned());
+    }
+    Ok(Results { inputs, places: places.into_iter().collect(), held })
 }
 
 async fn make_graph(
@@ -286,15 +293,21 @@
         *bytes.entry(domain.to_owned()).or_default() += ctx.route.stages[stage].bytes;
     }
     let input_bytes = graph.needs(stage).map(|it| ctx.route.stages[it].bytes).max().unwrap_or(0);
-    for handle in inputs {
-        let maker = wire::maker(handle).and_then(|it| ctx.shared.target_at(it));
-        if let Some(it) = maker {
-            *bytes.entry(it.domain).or_default() += input_bytes;
-        }
-    }
+    add_places(ctx, &mut bytes, inputs, input_bytes);
     bytes.into_iter().max_by_key(|it| it.1).unwrap_or_default()
 }
 
+/// Adds the bytes of results to those of the failure domains that they lie in.
+fn add_places(
+    ctx: &Context,
+    places: &mut BTreeMap<Name, u64>,
+    handles: &[String],
+    bytes_each: u64,
+) {
+    let makers = handles.iter().filter_map(|it| ctx.shared.target_at(wire::maker(it)?));
+    makers.for_each(|it| *places.entry(it.domain).or_default() += bytes_each);
+}
+
 /// Takes in results; returns why one is missing, if one is.
 fn take_in(
     handles: &mut [Option<String>],
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -120,7 +120,7 @@
     let mut remakes = 0;
     let mut last_failure = None;
     let cause = loop {
-        let target = match attempts.next(ctx).await {
+        let target = match attempts.next(ctx, &results.places).await {
             Ok(it) => it,
             Err(it) => break it,
         };
--- a/crates/holdpointd/src/ingress/whole.rs
+++ b/crates/holdpointd/src/ingress/whole.rs
@@ -55,7 +55,7 @@
     let mut attempts = Attempts::default();
     let mut last_failure = None;
     let cause = loop {
-        let target = match attempts.next(ctx).await {
+        let target = match attempts.next(ctx, &[]).await {
             Ok(it) => it,
             Err(it) => break it,
         };
--- a/crates/holdpointd/src/metrics.rs
+++ b/crates/holdpointd/src/metrics.rs
@@ -26,6 +26,8 @@
     pub batches: Counter<u64>,
     /// Prompts by where their target was chosen.
     pub placements: Counter<u64>,
+    /// Bytes of results of stages that were fetched from other failure domains, by who fetched them.
+    pub moved_bytes: Counter<u64>,
     /// Requests that fell to an arm of a trial, by whether they attained their aim.
     pub trial_requests: Counter<u64>,
     /// Milliseconds that those requests cost, by stage.
@@ -73,6 +75,10 @@
             attempts: counter("holdpoint_attempts", "Attempts by pool and end"),
             batches: counter("holdpoint_batches", "Calls for results of stages by end"),
             placements: counter("holdpoint_placements", "Prompts by where they were placed"),
+            moved_bytes: counter(
+                "holdpoint_moved_bytes",
+                "Bytes of stage results fetched from other failure domains",
+            ),
             trial_requests: counter("holdpoint_trial_requests", "Requests by trial and arm"),
             trial_cost: counter("holdpoint_trial_cost_ms", "Milliseconds by trial, arm and stage"),
             pieces: counter("holdpoint_pieces", "Pieces in calls for results of stages by end"),
