A piece waits for a near target as long as that one is free in time

Cause: a piece with large inputs was made anywhere once its due time was within 300 ms of a call's time. Chains of three stages are nearly always that close, although one of seven near targets ends a call every 30 ms. Change: the batcher knows when each call is expected to end, an overdue one after as long again as it is overdue; a piece goes elsewhere only where the near targets would make it late.

--- a/crates/holdpoint-core/src/batcher.rs
+++ b/crates/holdpoint-core/src/batcher.rs
@@ -40,9 +40,9 @@
 const SLOW_REST_MS: Millis = 2000;
 /// Moved bytes below which it does not matter where a piece is made.
 const NEAR_BYTES: u64 = 200_000;
-/// A piece waits for a target in its failure domain until its due time is this near, in
-/// milliseconds.
-const NEAR_SLACK_MS: Millis = 300;
+/// A piece waits for a target in its failure domain as long as it is expected to be made there so much
+/// before its due time, in milliseconds: calls end about that much later than stated.
+const NEAR_MARGIN_MS: Millis = 50;
 
 /// How long a target counts as full that had no room although the account said so, in
 /// milliseconds.
@@ -81,6 +81,8 @@
     used_bytes: u64,
     /// When its last call ended.
     idle_since: Millis,
+    /// When the call that began last is expected to end.
+    busy_until: Millis,
     /// Until when it counts as called by other instances too.
     shared_until: Millis,
 }
@@ -297,6 +299,8 @@
         let chosen = self.targets.get_mut(&target)?;
         chosen.calls += 1;
         chosen.used_bytes += pieces.iter().map(|it| it.bytes).sum::<u64>();
+        let call_ms = self.sizes.stated_ms(pieces.len()) * chosen.slowness.max(1.0);
+        chosen.busy_until = now + call_ms as Millis;
         let used_bytes = chosen.used_bytes;
         let is_shared = now < chosen.shared_until;
         let (left, sizes) = (self.waiting.len(), self.sizes);
@@ -479,11 +483,21 @@
         if is_anywhere || piece.domain == target.domain || self.has_backlog(LONG_BACKLOG) {
             return true;
         }
-        let call_ms = self.sizes.stated_ms(1) as Millis;
-        let is_urgent = piece.due < now + call_ms + NEAR_SLACK_MS;
         let is_near =
-            |it: &Target| it.domain == piece.domain && !it.is_leaving && it.suspect_until <= now;
-        is_urgent || !self.targets.values().any(is_near)
+            |it: &&Target| it.domain == piece.domain && !it.is_leaving && it.suspect_until <= now;
+        let free_at = self.targets.values().filter(is_near).map(|it| self.free_at(now, it)).min();
+        let call_ms = self.sizes.stated_ms(1) as Millis;
+        free_at.is_none_or(|it| piece.due < it + call_ms + NEAR_MARGIN_MS)
+    }
+
+    /// When a target is expected to take its next call. One that is overdue is expected to take as long
+    /// again as it is overdue.
+    fn free_at(&self, now: Millis, target: &Target) -> Millis {
+        if target.calls < self.sizes.calls.max(1) {
+            return now;
+        }
+        let overdue = now.saturating_sub(target.busy_until);
+        target.busy_until.max(now) + overdue
     }
 
     /// How good a call would be: the most pieces, then the most large ones in their failure
--- a/crates/holdpoint-core/tests/batcher.rs
+++ b/crates/holdpoint-core/tests/batcher.rs
@@ -267,6 +267,26 @@
     assert_eq!(batcher.next(2600).unwrap().target, "far", "until its due time is near");
 }
 
+#[test]
+fn a_large_result_waits_for_a_near_target_that_is_free_in_time_however_soon_it_is_due() {
+    let mut batcher = batcher(&[("far", "b"), ("near", "a")]);
+    let large = |ticket, due| Waiting {
+        domain: "a".to_owned(),
+        near_bytes: 480_000,
+        ..piece(ticket, ticket, due)
+    };
+    batcher.offer(1000, large(1, 3000));
+    let call = batcher.next(1000).unwrap();
+    assert_eq!(call.target, "near", "its call takes 220 ms");
+    // Made there by 1,440 and elsewhere by 1,400: in time both, and only one moves its inputs.
+    batcher.offer(1180, large(2, 1500));
+    assert_eq!(batcher.next(1180), None);
+    batcher.ended(1220, &call, CallEnd::Answered(220), &[Some("h")]);
+    assert_eq!(batcher.next(1220).unwrap().target, "near");
+    batcher.offer(1230, large(3, 1660));
+    assert_eq!(batcher.next(1230).unwrap().target, "far", "the near one would be late");
+}
+
 #[test]
 fn a_late_piece_is_kept_until_its_deadline_is_ruled_out_and_dropped_at_that_moment() {
     let mut batcher = batcher(&[("t", "a")]);
