Queues of failure domains decide which pieces leave theirs

Change: core near: a piece leaves the domain of its inputs only where it would be late there and not elsewhere, or where the other queue is shorter by a call's time.

--- a/crates/holdpoint-core/src/batcher.rs
+++ b/crates/holdpoint-core/src/batcher.rs
@@ -17,6 +17,7 @@
     deadline::RecentRate,
     directory::TargetId,
     ids::Millis,
+    near::{NearPiece, NearQueues},
     pieces::{Call, CallEnd, Sizes, Ticket, Waiting},
 };
 
@@ -40,10 +41,6 @@
 const SLOW_REST_MS: Millis = 2000;
 /// Moved bytes below which it does not matter where a piece is made.
 const NEAR_BYTES: u64 = 200_000;
-/// A piece waits for a target in its failure domain as long as it is expected to be made there so much
-/// before its due time, in milliseconds: calls end about that much later than stated.
-const NEAR_MARGIN_MS: Millis = 50;
-
 /// How long a target counts as full that had no room although the account said so, in
 /// milliseconds.
 const UNKNOWN_ROOM_MS: Millis = 300;
@@ -53,8 +50,6 @@
 /// Part of what the targets' next calls take, above which a service has a backlog: calls wait to be
 /// worth their time, and slow targets are used too.
 const BACKLOG: f64 = 0.33;
-/// The same above which pieces are made wherever a target is free.
-const LONG_BACKLOG: f64 = 0.6;
 /// A call of less than one in so many of its most pieces is small.
 const SMALL_CALL: usize = 2;
 /// How long a target of a service with a backlog waits for room for more than a small call, in
@@ -289,7 +284,8 @@
             return None;
         }
         self.order(now);
-        let packed = free.into_iter().map(|it| (self.pack(now, &it), it));
+        let queues = self.near_queues(now);
+        let packed = free.into_iter().map(|it| (self.pack(now, &it, &queues), it));
         let (indices, target) = packed.max_by_key(|it| self.score(&it.0, &it.1))?;
         if indices.is_empty() {
             return None;
@@ -421,13 +417,13 @@
     }
 
     /// Indices of the pieces that a call at a target would take: whole groups, as far as they fit.
-    fn pack(&self, now: Millis, id: &str) -> Vec<usize> {
+    fn pack(&self, now: Millis, id: &str, queues: &NearQueues<'_>) -> Vec<usize> {
         let Some(target) = self.targets.get(id) else { return Vec::new() };
         let room = match self.sizes.room_bytes {
             0 => u64::MAX,
             it => it.saturating_sub(target.used_bytes),
         };
-        let indices = self.pack_into(now, target, room);
+        let indices = self.pack_into(now, target, room, queues);
         let is_small = indices.len() * SMALL_CALL < self.sizes.pieces as usize;
         let has_waited = target.idle_since + GATHER_MS <= now;
         if is_small && self.has_backlog(BACKLOG) && !has_waited {
@@ -437,16 +433,30 @@
         indices
     }
 
-    fn pack_into(&self, now: Millis, target: &Target, mut room: u64) -> Vec<usize> {
+    fn pack_into(
+        &self,
+        now: Millis,
+        target: &Target,
+        mut room: u64,
+        queues: &NearQueues<'_>,
+    ) -> Vec<usize> {
         let most = self.sizes.most();
         let mut indices = Vec::new();
+        // Pieces passed so far, by the failure domain of their inputs.
+        let mut passed: BTreeMap<&str, usize> = BTreeMap::new();
         let mut from = 0;
         while from < self.waiting.len() && indices.len() < most {
             let group = self.waiting[from].group;
             let same = self.waiting[from..].iter().take_while(|it| it.group == group).count();
             let pieces = &self.waiting[from..from + same];
             let bytes: u64 = pieces.iter().map(|it| it.bytes).sum();
-            let may_go = self.may_go(now, &pieces[0], target);
+            let mut may_go = self.may_go(now, &pieces[0], target);
+            if let Some(domain) = near_domain(&pieces[0]) {
+                let ahead = passed.entry(domain).or_default();
+                let piece = NearPiece { domain, due: pieces[0].turn, ahead: *ahead };
+                *ahead += same;
+                may_go &= domain == target.domain || queues.may_move(piece, &target.domain);
+            }
             if may_go && bytes <= room && indices.len() + same <= most {
                 room -= bytes;
                 indices.extend(from..from + same);
@@ -470,24 +480,18 @@
         self.sizes.pieces as usize <= 2 * pieces || is_large
     }
 
-    /// Whether a piece may be made at a target, or waits for one where its result is needed.
+    /// Whether a piece may be made at a target as slow as this one.
     fn may_go(&self, now: Millis, piece: &Waiting, target: &Target) -> bool {
-        if SLOW <= target.slowness {
-            // Only what will be in time there, or nowhere.
-            let slow_ms = (self.sizes.stated_ms(1) * target.slowness) as Millis;
-            if !self.sizes.is_late(now, piece) && piece.due < now + slow_ms {
-                return false;
-            }
-        }
-        let is_anywhere = piece.near_bytes < NEAR_BYTES || piece.domain.is_empty();
-        if is_anywhere || piece.domain == target.domain || self.has_backlog(LONG_BACKLOG) {
-            return true;
-        }
-        let is_near =
-            |it: &&Target| it.domain == piece.domain && !it.is_leaving && it.suspect_until <= now;
-        let free_at = self.targets.values().filter(is_near).map(|it| self.free_at(now, it)).min();
-        let call_ms = self.sizes.stated_ms(1) as Millis;
-        free_at.is_none_or(|it| piece.due < it + call_ms + NEAR_MARGIN_MS)
+        // Only what will be in time at a slow one, or nowhere.
+        let slow_ms = (self.sizes.stated_ms(1) * target.slowness) as Millis;
+        target.slowness < SLOW || self.sizes.is_late(now, piece) || now + slow_ms <= piece.due
+    }
+
+    /// What waits in each failure domain.
+    fn near_queues(&self, now: Millis) -> NearQueues<'_> {
+        let usable = self.targets.values().filter(|it| !it.is_leaving && it.suspect_until <= now);
+        let targets = usable.map(|it| (it.domain.as_str(), self.free_at(now, it)));
+        NearQueues::new(now, &self.sizes, targets, self.waiting.iter().filter_map(near_domain))
     }
 
     /// When a target is expected to take its next call. One that is overdue is expected to take as long
@@ -530,3 +534,8 @@
             .collect()
     }
 }
+
+/// Failure domain where a piece is best made; none where that does not matter.
+fn near_domain(piece: &Waiting) -> Option<&str> {
+    (NEAR_BYTES <= piece.near_bytes && !piece.domain.is_empty()).then_some(piece.domain.as_str())
+}
--- a/crates/holdpoint-core/src/lib.rs
+++ b/crates/holdpoint-core/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod ledger;
 pub mod lifecycle;
 pub mod membership;
+mod near;
 pub mod pieces;
 pub mod pipeline;
 pub mod placement;
