Each region batches and places for itself

One instance of the whole fleet batched each service and placed its prompts, so every piece and prompt of the other region paid the way there and back (three stages in a row of an aim of 1,500 ms), placements met their limit of 60 ms on the way, and results were made in whichever region had a free target.

- The owner of a service is chosen among the strong instances of a region; its batcher uses the targets of its own region as long as there are any, and so do the prompts that it places.
- A request has one region for its whole chain: the instance's own where it has usable targets of all services needed, else another one that has them and an instance that answers.
Where no region has all of them, each service is served from wherever it has targets, as before.
- Results are released at the batcher of their maker's region; stage times are believed from peers of the own region only.
- Calls without prompt or stages go by predicted time, to which the way to another region adds 60 ms; it is not learned as the far target's pace.
- A far owner gets 60 ms more to place a prompt.
- With one region nothing changes.

--- a/crates/holdpoint-core/src/lib.rs
+++ b/crates/holdpoint-core/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod prelude;
 pub mod prompt;
 pub mod readers;
+pub mod regions;
 pub mod retry;
 pub mod route;
 pub mod snapshot;
--- a/crates/holdpoint-core/src/route.rs
+++ b/crates/holdpoint-core/src/route.rs
@@ -16,6 +16,7 @@
     cold::{Credits, Share},
     ids::Millis,
     subset::{subset, weight},
+    topology::Topology,
 };
 
 /// Weight of the newest measurement of a target's speed.
@@ -59,6 +60,8 @@
 struct Target {
     address: String,
     domain: String,
+    /// Region that it stands in; empty where there is only one.
+    region: String,
     in_flight: u32,
     work: f64,
     report: Option<Report>,
@@ -91,6 +94,9 @@
     /// Mean over all targets of what others had there when they last reported.
     mean_others: f64,
     turn: usize,
+    topology: Topology,
+    /// What another region adds, there and back, in milliseconds.
+    far_region_ms: f64,
 }
 
 impl Router {
@@ -106,9 +112,18 @@
             cold_per_s: 0.0,
             mean_others: 0.0,
             turn: 0,
+            topology: Topology::default(),
+            far_region_ms: 0.0,
         }
     }
 
+    /// Has it know the regions, the others of which are so many milliseconds away, there and back.
+    pub fn with_topology(mut self, topology: Topology, far_region_ms: f64) -> Router {
+        self.topology = topology;
+        self.far_region_ms = far_region_ms;
+        self
+    }
+
     /// Policy in force.
     pub fn policy(&self) -> &Policy {
         &self.policy
@@ -146,6 +161,7 @@
                 let fresh = || Target {
                     address: member.address.clone(),
                     domain: member.domain.clone(),
+                    region: region(&self.topology, &member.domain),
                     ..Target::default()
                 };
                 old.remove(&member.address).unwrap_or_else(fresh)
@@ -204,12 +220,25 @@
         policy: &Policy,
         call: &Call<'_>,
         rng: &mut impl Rng,
+    ) -> Result<Choice, NoTarget> {
+        self.choose_in(now, policy, call, None, rng)
+    }
+
+    /// Chooses a target for a call as [`Router::choose`] does, in a region as long as a target is left
+    /// there.
+    pub fn choose_in(
+        &mut self,
+        now: Millis,
+        policy: &Policy,
+        call: &Call<'_>,
+        region: Option<&str>,
+        rng: &mut impl Rng,
     ) -> Result<Choice, NoTarget> {
         if self.targets.is_empty() {
             let is_held = self.known.iter().any(|it| it.held && !it.leaving);
             return Err(if is_held { NoTarget::Evacuated } else { NoTarget::Empty });
         }
-        let (candidates, ejected) = self.candidates(now, policy, call)?;
+        let (candidates, ejected) = self.candidates(now, policy, call, region)?;
         let route = policy.route;
         let (index, compared) = match route {
             Route::Random => (candidates[rng.random_range(0..candidates.len())], 1),
@@ -264,10 +293,13 @@
     /// Counts a call as ended. A failure in a row of failures may eject the target.
     pub fn ended(&mut self, now: Millis, address: &str, work: f64, end: End) {
         let (eject_failures, eject_ms) = (self.policy.eject_failures, self.policy.eject_ms);
+        let found = self.targets.iter().find(|it| it.address == address);
+        // The way to another region says nothing of the target's pace.
+        let way = found.filter(|it| self.is_far(it)).map_or(0.0, |_| self.far_region_ms) as Millis;
         let Some(target) = self.target(address) else { return };
         match end {
             End::Whole(ms) => {
-                learn_pace(target, work, ms);
+                learn_pace(target, work, ms.saturating_sub(way));
                 target.failures = 0;
                 target.ejections = 0;
             }
@@ -320,9 +352,11 @@
         now: Millis,
         policy: &Policy,
         call: &Call<'_>,
+        region: Option<&str>,
     ) -> Result<(Vec<usize>, usize), NoTarget> {
         let untried = |it: &usize| !call.tried.contains(&self.targets[*it].address);
         let all: Vec<usize> = (0..self.targets.len()).filter(untried).collect();
+        let (all, pool) = self.in_region(all, region);
         if all.is_empty() {
             return Err(NoTarget::Tried);
         }
@@ -340,7 +374,7 @@
         let open: Vec<usize> = open.into_iter().filter(|it| cold_ms(it) == 0).collect();
         let (mut fit, mut ejected): (Vec<usize>, Vec<usize>) =
             open.into_iter().partition(|it| self.targets[*it].ejected_until <= now);
-        let floor = (self.targets.len() as f64 * policy.eject_floor).ceil() as usize;
+        let floor = (pool as f64 * policy.eject_floor).ceil() as usize;
         ejected.sort_by_key(|it| std::cmp::Reverse(self.targets[*it].ejected_until));
         while fit.is_empty() || (fit.len() < floor && !ejected.is_empty()) {
             let Some(soonest) = ejected.pop() else { break };
@@ -349,6 +383,17 @@
         Ok((fit, ejected.len()))
     }
 
+    /// Those of some targets that stand in a region, and how many there are in all; every one where
+    /// none of them does.
+    fn in_region(&self, targets: Vec<usize>, region: Option<&str>) -> (Vec<usize>, usize) {
+        let is_there = |it: &Target| region.is_none_or(|region| it.region == region);
+        if !targets.iter().any(|it| is_there(&self.targets[*it])) {
+            return (targets, self.targets.len());
+        }
+        let there = targets.into_iter().filter(|it| is_there(&self.targets[*it])).collect();
+        (there, self.targets.iter().filter(|it| is_there(it)).count())
+    }
+
     fn least(&self, candidates: &[usize], rng: &mut impl Rng) -> usize {
         lowest(candidates, rng, |it| {
             let target = &self.targets[it];
@@ -449,8 +494,23 @@
             Some(_) => READ_WEIGHT * (target.reads_until - now as f64).max(0.0),
             None => 0.0,
         };
-        let far = if target.domain == self.domain { 0.0 } else { FAR_MS };
-        run + wait + reads + far
+        run + wait + reads + self.way_ms(target)
+    }
+
+    /// What the distance to a target adds, in milliseconds.
+    fn way_ms(&self, target: &Target) -> f64 {
+        if self.is_far(target) {
+            self.far_region_ms
+        } else if target.domain == self.domain {
+            0.0
+        } else {
+            FAR_MS
+        }
+    }
+
+    /// Whether a target stands in another region.
+    fn is_far(&self, target: &Target) -> bool {
+        self.topology.is_split() && target.region != self.topology.own_region()
     }
 
     /// Calls of other instances at a target: what it reported, fading with the age of the report
@@ -476,6 +536,12 @@
     }
 }
 
+/// Region of a failure domain; empty where there is only one, or it is not known.
+fn region(topology: &Topology, domain: &str) -> String {
+    let known = topology.region_of(domain).filter(|_| topology.is_split());
+    known.unwrap_or_default().to_owned()
+}
+
 fn mean(values: impl Iterator<Item = f64>) -> Option<f64> {
     let (n, sum) = values.fold((0_u32, 0.0), |(n, sum), it| (n + 1, sum + it));
     (0 < n).then(|| sum / f64::from(n))
--- a/crates/holdpoint-core/src/topology.rs
+++ b/crates/holdpoint-core/src/topology.rs
@@ -13,13 +13,16 @@
     own_region: Name,
     /// Region of each failure domain.
     regions: BTreeMap<Name, Name>,
+    is_split: bool,
 }
 
 impl Topology {
     /// Makes the topology of an instance in a region, empty where it stands in none. A domain that is
     /// not named in `regions` has no region.
     pub fn new(own_region: &str, regions: BTreeMap<Name, Name>) -> Topology {
-        Topology { own_region: own_region.to_owned(), regions }
+        let all: BTreeSet<&Name> = regions.values().collect();
+        let is_split = !own_region.is_empty() && 1 < all.len();
+        Topology { own_region: own_region.to_owned(), regions, is_split }
     }
 
     /// Region of the instance; empty where it stands in none.
@@ -34,8 +37,7 @@
 
     /// Whether there is more than one region, and the instance knows its own.
     pub fn is_split(&self) -> bool {
-        let regions: BTreeSet<&str> = self.regions.values().map(String::as_str).collect();
-        !self.own_region.is_empty() && 1 < regions.len()
+        self.is_split
     }
 
     /// Whether a failure domain is in the instance's region. All are where there is one region; a
--- a/crates/holdpointd/src/ingress/attempts.rs
+++ b/crates/holdpointd/src/ingress/attempts.rs
@@ -9,7 +9,12 @@
 
 use crate::{
     events::{self, emit},
-    ingress::{context::Context, peer_service::PromptAsk},
+    ingress::{
+        context::Context,
+        peer_service::PromptAsk,
+        peers::PLACE_LIMIT,
+        regions::{batcher_of, limit_for},
+    },
     metrics::label,
 };
 
@@ -96,7 +101,8 @@
             let decides = ctx.decides();
             let call = Call { share: ctx.shared.pools.share(decides), ..ctx.call(&self.tried) };
             let policy = ctx.policy();
-            let choice = match ctx.pool.place(ctx.shared.clock.now(), policy.as_deref(), &call) {
+            let now = ctx.shared.clock.now();
+            let choice = match ctx.pool.place(now, policy.as_deref(), &call, ctx.call_region()) {
                 Ok(it) => it,
                 Err(NoTarget::Cold(ms)) if ctx.may_wait_for(ms) => {
                     tokio::time::sleep(Duration::from_millis(ms)).await;
@@ -125,13 +131,15 @@
     async fn choose_at_peer(&self, ctx: &Context) -> Option<(TargetInstance, String)> {
         let call = ctx.call(&self.tried);
         let prefix = call.prefix?;
-        let address = ctx.shared.peers.batcher_of(&ctx.service)?;
+        let address = batcher_of(&ctx.shared, &ctx.region, &ctx.service)?;
         let mut avoided = ctx.pool.ejected(ctx.shared.clock.now());
         avoided.extend(self.tried.iter().cloned());
         let policy = ctx.arm.as_ref().map(|it| it.policy.clone());
         let (work, prefix_work) = (call.work, call.prefix_work);
         let ask = PromptAsk { work, prefix_work, prefix, avoided, policy };
-        let chosen = ctx.shared.peers.place(&ctx.shared, &address, &ctx.service, ask).await?;
+        let limit = limit_for(&ctx.shared, &ctx.region, PLACE_LIMIT);
+        let placed = ctx.shared.peers.place(&ctx.shared, &address, &ctx.service, ask, limit);
+        let chosen = placed.await?;
         let target = ctx.shared.open_target(&chosen)?;
         Some((target, format!("placed_by={address}")))
     }
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -1,7 +1,7 @@
 //! Makes pieces of stages in calls that carry the pieces of many requests.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
@@ -13,13 +13,14 @@
 use holdpoint_adapter::stages as wire;
 use holdpoint_core::{
     batcher::Batcher,
-    directory::{Directory, TargetId},
+    directory::{Directory, TargetId, TargetInstance},
     evacuation::Evacuations,
     ids::{Millis, Name},
     ingress::Service,
     pieces::{Call, CallEnd, Sizes, Ticket, Waiting},
     route::Load,
     stage_graph::{NoResult, PieceWork},
+    topology::Topology,
 };
 use parking_lot::Mutex;
 use tokio::{sync::oneshot, time::sleep};
@@ -28,6 +29,7 @@
     events::{self, emit},
     ingress::{
         piece_ask::{PieceAsk, PieceResult},
+        regions::own_batcher_of,
         send::{left, own_call},
         shared::IngressShared,
         stages::FETCHED,
@@ -160,14 +162,25 @@
         }
     }
 
-    /// Takes in the targets of all services.
-    pub(crate) fn set_targets(&self, directory: &Directory, evacuations: &Evacuations) {
+    /// Takes in the targets of all services. Those of other regions get no calls of this instance as
+    /// long as its own region has some that do.
+    pub(crate) fn set_targets(
+        &self,
+        directory: &Directory,
+        evacuations: &Evacuations,
+        topology: &Topology,
+    ) {
         let mut targets: HashMap<Name, Targets> = HashMap::new();
+        let is_open = |it: &TargetInstance| !it.is_leaving && !evacuations.is_evacuated(&it.domain);
+        let near = directory.all().filter(|it| is_open(it) && topology.is_near(&it.domain));
+        let near: HashSet<&str> = near.map(|it| it.service.as_str()).collect();
         for it in directory.all() {
             let of_service = targets.entry(it.service.clone()).or_default();
             let is_held = evacuations.is_evacuated(&it.domain) && !it.is_leaving;
             of_service.is_held |= is_held;
-            of_service.known.push((it.id.clone(), it.domain.clone(), it.is_leaving || is_held));
+            let is_far = !topology.is_near(&it.domain) && near.contains(it.service.as_str());
+            let gets_none = it.is_leaving || is_held || is_far;
+            of_service.known.push((it.id.clone(), it.domain.clone(), gets_none));
         }
         let none = Targets::default();
         let mut services = self.services.lock();
@@ -341,7 +354,7 @@
     fn hand_over(&self, shared: &IngressShared) {
         let mut services = self.services.lock();
         for (name, of_service) in services.iter_mut() {
-            let is_owner = shared.peers.batcher_of(name).is_none();
+            let is_owner = own_batcher_of(shared, name).is_none();
             let was_owner = std::mem::replace(&mut of_service.is_owner, is_owner);
             let is_told = || shared.pools.of(shared.clock.now(), name).has_told(shared.clock.now());
             let is_idle = of_service.batcher.waiting() == 0;
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -27,6 +27,7 @@
         answer::{Answer, Failure, failure, refusal},
         connections::Care,
         pools::Pool,
+        regions,
         send::{CallerRequest, left},
         shared::IngressShared,
     },
@@ -51,6 +52,8 @@
     pub(crate) head: CallerHead,
     pub(crate) route: Arc<IngressRoute>,
     pub(crate) service: Name,
+    /// Region whose targets make its stages and read its prompt.
+    pub(crate) region: Name,
     pub(crate) pool: Arc<Pool>,
     pub(crate) organisation: Option<Name>,
     pub(crate) rank: u32,
@@ -101,6 +104,7 @@
         let asked_before = asked_before(&shared, &parts);
         let pool = shared.pools.of(shared.clock.now(), &parts.service);
         pool.request(shared.clock.now(), &shared.pools.terms());
+        let region = regions::home(&shared, &parts.route, &parts.service);
         let arm = shared.experiments.now().arm_for(&parts.route.name, &parts.request.id);
         Context {
             shared,
@@ -108,6 +112,7 @@
             head: parts.head,
             route: parts.route,
             service: parts.service,
+            region,
             pool,
             organisation: parts.organisation,
             rank: parts.rank,
@@ -208,10 +213,17 @@
         }
     }
 
+    /// Region that its target is chosen in; any, by its distance, where there are neither results of
+    /// stages nor a prompt.
+    pub(crate) fn call_region(&self) -> Option<&str> {
+        let is_bound = !self.route.stages.is_empty() || self.head.prompt.affinity().is_some();
+        is_bound.then_some(self.region.as_str())
+    }
+
     /// Whether this instance places the prompts of the service for all.
     pub(crate) fn decides(&self) -> bool {
         self.head.prompt.affinity().is_some()
-            && self.shared.peers.batcher_of(&self.service).is_none()
+            && regions::batcher_of(&self.shared, &self.region, &self.service).is_none()
     }
 
     /// Whether it may still be served in time after a wait for a target that carries one more.
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -20,6 +20,7 @@
 mod peers;
 mod piece_ask;
 mod pools;
+mod regions;
 mod releases;
 mod request;
 mod send;
--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -127,7 +127,9 @@
         };
         let policy = prompt.policy.and_then(|it| self.shared.experiments.now().policy(&it));
         let now = self.shared.clock.now();
-        let placed = self.shared.pools.of(now, &service).place(now, policy.as_deref(), &call);
+        let pool = self.shared.pools.of(now, &service);
+        let region = Some(self.shared.topology.own_region());
+        let placed = pool.place(now, policy.as_deref(), &call, region);
         placed.ok().map(|it| it.address)
     }
 
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -18,6 +18,7 @@
     readers::{order_for, readers, sources},
     stage_graph::NoResult,
     subset::{owner, weight},
+    topology::Topology,
 };
 use holdpoint_schema::ingress::{Batching, IngressSettings};
 use parking_lot::Mutex;
@@ -38,6 +39,7 @@
         news::{Known, Update},
         peer_service::{IngressPeersClient, PromptAsk, Standing, codec},
         piece_ask::{PieceAsk, PieceResult},
+        regions::batcher_of,
         shared::IngressShared,
     },
 };
@@ -50,13 +52,22 @@
 const PING_LIMIT: Duration = Duration::from_millis(350);
 /// An answer that may take so long may be large.
 const LARGE_LIMIT: Duration = Duration::from_millis(1000);
-/// How long a peer may take to choose a target; after that it is chosen here.
-const PLACE_LIMIT: Duration = Duration::from_millis(60);
+/// How long a peer of the own region may take to choose a target; after that it is chosen here.
+pub(crate) const PLACE_LIMIT: Duration = Duration::from_millis(60);
 /// How long a peer that was silent is passed over; doubled each time.
 const SUSPECT: Duration = Duration::from_millis(1500);
 /// Longest time that a peer is passed over.
 const LONGEST_SUSPECT: Duration = Duration::from_secs(12);
 
+/// Among whom the owner of a service is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Owners<'a> {
+    /// All instances.
+    Any,
+    /// Those of a region.
+    Of(&'a str),
+}
+
 /// No answer from a peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct PeerSilent;
@@ -126,6 +137,7 @@
 pub(crate) struct Peers {
     own_name: Name,
     own_capacity: Capacity,
+    topology: Topology,
     batching: Batching,
     seeds: Vec<String>,
     known: Mutex<HashMap<Name, Peer>>,
@@ -144,6 +156,7 @@
         Peers {
             own_name: settings.instance.clone(),
             own_capacity: own_capacity(settings),
+            topology: Topology::new(&settings.region, settings.regions.clone()),
             batching: settings.decisions.batching,
             seeds: settings.seeds.iter().filter(is_other).cloned().collect(),
             known: Mutex::default(),
@@ -225,18 +238,46 @@
         others.map(|it| it.0.as_str()).chain(own)
     }
 
-    /// The peer that batches a service's pieces; `None` where this instance does.
-    pub(crate) fn batcher_of(&self, service: &str) -> Option<String> {
+    /// The peer that batches a service's pieces, and places its prompts, among some instances; `None`
+    /// where this instance does.
+    pub(crate) fn batcher_of(&self, owners: Owners<'_>, service: &str) -> Option<String> {
         if self.batching == Batching::Own {
             return None;
         }
         let known = self.known.lock();
         let capacity = |name: &str| known.get(name).map_or(self.own_capacity, |it| it.capacity);
-        let live: Vec<_> = self.live(&known).map(|it| (it, capacity(it))).collect();
+        let is_among = |name: &&str| match owners {
+            Owners::Any => true,
+            Owners::Of(region) => self.region_of(&known, name) == Some(region),
+        };
+        let among = self.live(&known).filter(is_among);
+        let live: Vec<_> = among.map(|it| (it, capacity(it))).collect();
         let chosen = owner(service, strong(&live).into_iter())?;
         known.get(chosen).map(|it| it.address.clone())
     }
 
+    /// Whether an instance that answers stands in a region.
+    pub(crate) fn has_live_in(&self, region: &str) -> bool {
+        let known = self.known.lock();
+        self.live(&known).any(|it| self.region_of(&known, it) == Some(region))
+    }
+
+    /// Region of an instance; `None` where it is not known.
+    fn region_of(&self, known: &HashMap<Name, Peer>, name: &str) -> Option<&str> {
+        match known.get(name) {
+            Some(it) => self.topology.region_of(&it.domain),
+            None => Some(self.topology.own_region()),
+        }
+    }
+
+    /// Whether a peer is known to stand in another region.
+    fn is_far(&self, address: &str) -> bool {
+        let known = self.known.lock();
+        let found = known.values().find(|it| it.address == address);
+        let domain = found.map(|it| it.domain.as_str()).filter(|it| !it.is_empty());
+        domain.is_some_and(|it| !self.topology.is_near(it))
+    }
+
     /// Has a peer make pieces. An error means that the peer is silent.
     pub(crate) async fn make(
         self: &Peers,
@@ -269,12 +310,13 @@
         address: &str,
         service: &str,
         prompt: PromptAsk,
+        limit: Duration,
     ) -> Option<TargetId> {
         let asked = async {
             let (client, _) = self.link(shared, address).await.ok()?;
-            client.place(context_for(PLACE_LIMIT), service.to_owned(), prompt).await.ok()?
+            client.place(context_for(limit), service.to_owned(), prompt).await.ok()?
         };
-        tokio::time::timeout(PLACE_LIMIT, asked).await.ok()?
+        tokio::time::timeout(limit, asked).await.ok()?
     }
 
     /// Has a peer give up results.
@@ -416,7 +458,9 @@
             Ok(Ok(theirs)) => {
                 let theirs: Standing = theirs;
                 shared.peers.trust(&address);
-                shared.take_stage_times(&theirs.stage_times);
+                if !shared.peers.is_far(&address) {
+                    shared.take_stage_times(&theirs.stage_times);
+                }
                 if known < theirs.version {
                     drop(tokio::spawn(catch_up(shared.clone(), address.clone())));
                 }
@@ -429,16 +473,17 @@
     }
 }
 
-/// Has pieces made by the instance that batches them, or here if none can be reached.
+/// Has pieces made by the instance that batches them in a region, or here if none can be reached.
 pub(crate) async fn make_anywhere(
     shared: &Arc<IngressShared>,
+    region: &str,
     service: &str,
     asks: Vec<PieceAsk>,
     limit: Duration,
 ) -> Vec<PieceResult> {
     let count = asks.len();
     let until = Instant::now() + limit;
-    while let Some(address) = shared.peers.batcher_of(service) {
+    while let Some(address) = batcher_of(shared, region, service) {
         let left = until.saturating_duration_since(Instant::now());
         let made = shared.peers.make(shared, &address, service, asks.clone(), left).await;
         let Ok(mut results) = made else { continue };
--- a/crates/holdpointd/src/ingress/pools.rs
+++ b/crates/holdpointd/src/ingress/pools.rs
@@ -17,6 +17,7 @@
     ids::{Millis, Name},
     ingress::Configuration,
     route::{Call, Choice, End, Load, Member, NoTarget, Router},
+    topology::Topology,
 };
 use holdpoint_schema::{
     ingress::IngressSettings,
@@ -24,6 +25,8 @@
 };
 use parking_lot::{Mutex, RwLock};
 
+use crate::ingress::regions::FAR_REGION_MS;
+
 /// Failures in a row that take a target out for a while.
 const EJECT_FAILURES: u32 = 2;
 /// How long that is at first, in milliseconds.
@@ -72,6 +75,7 @@
     cold_rates: Mutex<HashMap<Name, f64>>,
     salt: String,
     domain: String,
+    topology: Topology,
     ratio: f64,
     window_ms: Millis,
     slack: f64,
@@ -87,6 +91,7 @@
             cold_rates: Mutex::default(),
             salt: settings.instance.clone(),
             domain: settings.domain.clone(),
+            topology: Topology::new(&settings.region, settings.regions.clone()),
             ratio: settings.retries.ratio,
             window_ms: (settings.retries.window_s * 1000.0) as Millis,
             slack: settings.retries.slack,
@@ -154,7 +159,7 @@
         if let Some(it) = self.pools.read().get(service) {
             return it.clone();
         }
-        let pool = Pool::new(&self.salt, &self.domain);
+        let pool = Pool::new(&self.salt, &self.domain, &self.topology);
         if let Some(it) = self.members.lock().get(service) {
             it.set_in(now, &mut pool.router.lock());
         }
@@ -168,7 +173,7 @@
 }
 
 impl Pool {
-    fn new(salt: &str, domain: &str) -> Pool {
+    fn new(salt: &str, domain: &str, topology: &Topology) -> Pool {
         let policy = Policy {
             route: Route::Affinity,
             subset: u32::MAX,
@@ -179,8 +184,10 @@
             eject_floor: EJECT_FLOOR,
             retry_percent: 0,
         };
+        let router = Router::new(salt, domain, policy.clone())
+            .with_topology(topology.clone(), FAR_REGION_MS as f64);
         Pool {
-            router: Mutex::new(Router::new(salt, domain, policy.clone())),
+            router: Mutex::new(router),
             budget: Mutex::default(),
             times: Mutex::default(),
             stage_time: Mutex::default(),
@@ -189,21 +196,28 @@
     }
 
     /// Chooses a target; it may still be another one once the call is made.
-    pub(crate) fn choose(&self, now: Millis, call: &Call<'_>) -> Result<Choice, NoTarget> {
-        self.router.lock().choose(now, &self.policy, call, &mut rand::rng())
+    pub(crate) fn choose(
+        &self,
+        now: Millis,
+        call: &Call<'_>,
+        region: Option<&str>,
+    ) -> Result<Choice, NoTarget> {
+        self.router.lock().choose_in(now, &self.policy, call, region, &mut rand::rng())
     }
 
     /// Chooses a target for a prompt of any instance and counts the prompt as placed there.
-    /// `policy` is that of a trial's arm, if the request falls to one.
+    /// `policy` is that of a trial's arm, if the request falls to one; the target is one of `region`
+    /// as long as that has any.
     pub(crate) fn place(
         &self,
         now: Millis,
         policy: Option<&Policy>,
         call: &Call<'_>,
+        region: Option<&str>,
     ) -> Result<Choice, NoTarget> {
         let mut router = self.router.lock();
         let policy = policy.unwrap_or(&self.policy);
-        let choice = router.choose(now, policy, call, &mut rand::rng())?;
+        let choice = router.choose_in(now, policy, call, region, &mut rand::rng())?;
         router.placed(now, &choice.address, call);
         router.spend_cold(now, &choice.address, call.share);
         Ok(choice)
--- a/crates/holdpointd/src/ingress/releases.rs
+++ b/crates/holdpointd/src/ingress/releases.rs
@@ -9,7 +9,11 @@
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
-use crate::ingress::{send::own_call, shared::IngressShared};
+use crate::ingress::{
+    regions::{batcher_of, keeper_region},
+    send::own_call,
+    shared::IngressShared,
+};
 
 /// How long results are gathered before they are given up together.
 const GATHER: Duration = Duration::from_millis(8);
@@ -46,21 +50,35 @@
 
 fn flush(shared: &Arc<IngressShared>) {
     for (service, handles) in shared.releases.take() {
-        match shared.peers.batcher_of(&service) {
-            None => tell_makers(shared, &service, handles),
-            Some(address) => {
-                let shared = shared.clone();
-                tokio::spawn(async move {
-                    let told = shared.peers.give_up(&shared, &address, &service, handles.clone());
-                    if told.await.is_err() {
-                        tell_makers(&shared, &service, handles);
-                    }
-                });
-            }
+        for (region, handles) in by_region(shared, handles) {
+            give_up(shared, &region, service.clone(), handles);
         }
     }
 }
 
+/// Results by the region whose batcher keeps account of them.
+fn by_region(shared: &IngressShared, handles: Vec<String>) -> HashMap<Name, Vec<String>> {
+    let mut by_region: HashMap<Name, Vec<String>> = HashMap::new();
+    for handle in handles {
+        let region = keeper_region(shared, wire::maker(&handle));
+        by_region.entry(region).or_default().push(handle);
+    }
+    by_region
+}
+
+fn give_up(shared: &Arc<IngressShared>, region: &str, service: Name, handles: Vec<String>) {
+    let Some(address) = batcher_of(shared, region, &service) else {
+        return tell_makers(shared, &service, handles);
+    };
+    let shared = shared.clone();
+    tokio::spawn(async move {
+        let told = shared.peers.give_up(&shared, &address, &service, handles.clone());
+        if told.await.is_err() {
+            tell_makers(&shared, &service, handles);
+        }
+    });
+}
+
 /// Tells the makers of results that these are no longer needed, one call each.
 pub(crate) fn tell_makers(shared: &Arc<IngressShared>, service: &str, handles: Vec<String>) {
     let mut by_maker: HashMap<String, Vec<String>> = HashMap::new();
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -36,6 +36,7 @@
         peer_service::PROTOCOL,
         peers::{Peer, Peers, own_capacity},
         pools::Pools,
+        regions::Regions,
         releases::Releases,
     },
     metrics::Metrics,
@@ -69,6 +70,8 @@
     pub(crate) batches: Batches,
     pub(crate) releases: Releases,
     pub(crate) peers: Peers,
+    /// Targets by region.
+    pub(crate) regions: Regions,
     /// Failure domains that are evacuated.
     pub(crate) domains: Domains,
     /// Policies and trials that operators declared.
@@ -130,6 +133,7 @@
             batches: Batches::default(),
             releases: Releases::default(),
             peers: Peers::new(&settings),
+            regions: Regions::default(),
             domains: Domains::default(),
             experiments: Declared::default(),
             in_flight: Arc::default(),
@@ -252,7 +256,8 @@
     fn apply(&self, directory: &Directory) {
         let evacuations = self.domains.state();
         self.pools.set_targets(self.clock.now(), directory, &evacuations);
-        self.batches.set_targets(directory, &evacuations);
+        self.batches.set_targets(directory, &evacuations, &self.topology);
+        self.regions.set_targets(directory, &evacuations, &self.topology);
     }
 
     /// Tells those who follow this instance what is new.
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -220,7 +220,8 @@
         if let (Some(first), PieceSource::Inputs(inputs)) = (asks.first_mut(), &source) {
             first.used_up = used_up(ctx, graph, stage, inputs);
         }
-        let made = make_anywhere(&ctx.shared, service, asks, ctx.left_to_begin()).await;
+        let made = make_anywhere(&ctx.shared, &ctx.region, service, asks, ctx.left_to_begin());
+        let made = made.await;
         let failure = take_in(&mut handles, &missing, made);
         if handles.iter().any(Option::is_some) {
             ctx.begin_stages();
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -151,7 +151,7 @@
 
 async fn stage_results(ctx: &Context) -> Result<Results, NotOpen> {
     let now = ctx.shared.clock.now();
-    let likely = ctx.pool.choose(now, &ctx.call(&[]));
+    let likely = ctx.pool.choose(now, &ctx.call(&[]), ctx.call_region());
     if likely == Err(NoTarget::Evacuated) {
         // Its stages would be made for nothing.
         return Err(NotOpen::NoSend(NoSend::Evacuated.name()));
--- a/crates/holdpointd/tests/support/mod.rs
+++ b/crates/holdpointd/tests/support/mod.rs
@@ -9,7 +9,7 @@
     Behaviour, CallerAnswer, CallerRequest, Gate, Store, Target, call, sample_configuration,
 };
 use holdpointd::ingress::Ingress;
-use serde_json::json;
+use serde_json::{Value, json};
 
 /// How long a condition may take to hold; a test that works takes a fraction of it.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -29,15 +29,27 @@
 
 /// Starts an instance that knows the addresses of some peers from its settings.
 pub fn start_with_seeds(name: &str, gate: &Gate, seeds: &[String]) -> Ingress {
-    let settings = json!({
+    Ingress::start(serde_json::from_value(settings(name, gate, seeds)).unwrap()).unwrap()
+}
+
+/// Starts an instance in a region of two: `z1` is in the east, `z2` in the north.
+pub fn start_in(name: &str, region: &str, domain: &str, gate: &Gate) -> Ingress {
+    let mut settings = settings(name, gate, &[]);
+    settings["region"] = json!(region);
+    settings["domain"] = json!(domain);
+    settings["regions"] = json!({ "z1": "east", "z2": "north" });
+    Ingress::start(serde_json::from_value(settings).unwrap()).unwrap()
+}
+
+fn settings(name: &str, gate: &Gate, seeds: &[String]) -> Value {
+    json!({
         "instance": name, "domain": "z1", "seeds": seeds,
         "listen": { "callers": "127.0.0.1:0", "readiness": "127.0.0.1:0", "peers": "127.0.0.1:0",
             "metrics": "127.0.0.1:0" },
         "store": { "address": gate.address.to_string(), "poll_ms": 50, "timeout_ms": 300 },
         "timing": { "linger_ms": 100, "grace_s": 5.0 },
         "retries": { "ratio": 0.2, "window_s": 10.0, "slack": 60.0 },
-    });
-    Ingress::start(serde_json::from_value(settings).unwrap()).unwrap()
+    })
 }
 
 pub async fn until(condition: impl Fn() -> bool) {
