--- a/crates/holdpointd/src/ingress/attempts.rs
+++ b/crates/holdpointd/src/ingress/attempts.rs
@@ -10,7 +10,12 @@
 
 use crate::{
     events::{self, emit},
-    ingress::{context::Context, peer_service::PromptAsk},
+    ingress::{
+        context::Context,
+        peer_service::PromptAsk,
+        peers::PLACE_LIMIT,
+        regions::{batcher_of, limit_for},
+    },
     metrics::label,
 };
 
@@ -114,7 +119,8 @@
             let share = ctx.shared.pools.share(decides);
             let call = Call { share, inputs, ..ctx.call(&self.tried) };
             let policy = ctx.policy();
-            let choice = match ctx.pool.place(ctx.shared.clock.now(), policy.as_deref(), &call) {
+            let now = ctx.shared.clock.now();
+            let choice = match ctx.pool.place(now, policy.as_deref(), &call, ctx.call_region()) {
                 Ok(it) => it,
                 Err(NoTarget::Cold(ms)) if ctx.may_wait_for(ms) => {
                     tokio::time::sleep(Duration::from_millis(ms)).await;
@@ -147,14 +153,16 @@
     ) -> Option<(TargetInstance, String)> {
         let call = ctx.call(&self.tried);
         let prefix = call.prefix?;
-        let address = ctx.shared.peers.batcher_of(&ctx.service)?;
+        let address = batcher_of(&ctx.shared, &ctx.region, &ctx.service)?;
         let mut avoided = ctx.pool.ejected(ctx.shared.clock.now());
         avoided.extend(self.tried.iter().cloned());
         let policy = ctx.arm.as_ref().map(|it| it.policy.clone());
         let (work, prefix_work) = (call.work, call.prefix_work);
         let inputs = inputs.to_vec();
         let ask = PromptAsk { work, prefix_work, prefix, avoided, policy, inputs };
-        let chosen = ctx.shared.peers.place(&ctx.shared, &address, &ctx.service, ask).await?;
+        let limit = limit_for(&ctx.shared, &ctx.region, PLACE_LIMIT);
+        let placed = ctx.shared.peers.place(&ctx.shared, &address, &ctx.service, ask, limit);
+        let chosen = placed.await?;
         let target = ctx.shared.open_target(&chosen)?;
         Some((target, format!("placed_by={address}")))
     }
--- a/crates/holdpointd/src/ingress/links.rs
+++ b/crates/holdpointd/src/ingress/links.rs
@@ -212,7 +212,9 @@
             Ok(Ok(theirs)) => {
                 links.note_trip(&address, begun.elapsed());
                 links.trust(&address);
-                shared.take_stage_times(&theirs.stage_times);
+                if !shared.peers.is_far(&address) {
+                    shared.take_stage_times(&theirs.stage_times);
+                }
                 if known < theirs.version {
                     drop(tokio::spawn(catch_up(shared.clone(), address.clone())));
                 }
