--- a/crates/holdpoint-core/tests/regions.rs
+++ b/crates/holdpoint-core/tests/regions.rs
@@ -91,7 +91,15 @@
 
 fn prompt(tried: &[String]) -> Call<'_> {
     let share = Share::Whole;
-    Call { work: 5000.0, prefix_work: 3000.0, prefix: Some(3), tried, cap: u32::MAX, share }
+    Call {
+        work: 5000.0,
+        prefix_work: 3000.0,
+        prefix: Some(3),
+        tried,
+        cap: u32::MAX,
+        share,
+        inputs: &[],
+    }
 }
 
 fn plain() -> Call<'static> {
