--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -1,7 +1,7 @@
 //! Makes pieces of stages in calls that carry the pieces of many requests.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
@@ -13,13 +13,14 @@
 use holdpoint_adapter::stages as wire;
 use holdpoint_core::{
     batcher::Batcher,
-    directory::{Directory, TargetId},
+    directory::{Directory, TargetId, TargetInstance},
     evacuation::Evacuations,
     ids::{Millis, Name},
     ingress::Service,
     pieces::{Call, CallEnd, Sizes, Ticket, Waiting},
     route::Load,
     stage_graph::{NoResult, PieceWork},
+    topology::Topology,
 };
 use parking_lot::Mutex;
 use tokio::{sync::oneshot, time::sleep};
@@ -28,6 +29,7 @@
     events::{self, emit},
     ingress::{
         piece_ask::{PieceAsk, PieceResult},
+        regions::own_batcher_of,
         send::{left, own_call},
         shared::IngressShared,
         stages::FETCHED,
@@ -160,14 +162,25 @@
         }
     }
 
-    /// Takes in the targets of all services.
-    pub(crate) fn set_targets(&self, directory: &Directory, evacuations: &Evacuations) {
+    /// Takes in the targets of all services. Those of other regions get no calls of this instance as
+    /// long as its own region has some that do.
+    pub(crate) fn set_targets(
+        &self,
+        directory: &Directory,
+        evacuations: &Evacuations,
+        topology: &Topology,
+    ) {
         let mut targets: HashMap<Name, Targets> = HashMap::new();
+        let is_open = |it: &TargetInstance| !it.is_leaving && !evacuations.is_evacuated(&it.domain);
+        let near = directory.all().filter(|it| is_open(it) && topology.is_near(&it.domain));
+        let near: HashSet<&str> = near.map(|it| it.service.as_str()).collect();
         for it in directory.all() {
             let of_service = targets.entry(it.service.clone()).or_default();
             let is_held = evacuations.is_evacuated(&it.domain) && !it.is_leaving;
             of_service.is_held |= is_held;
-            of_service.known.push((it.id.clone(), it.domain.clone(), it.is_leaving || is_held));
+            let is_far = !topology.is_near(&it.domain) && near.contains(it.service.as_str());
+            let gets_none = it.is_leaving || is_held || is_far;
+            of_service.known.push((it.id.clone(), it.domain.clone(), gets_none));
         }
         let none = Targets::default();
         let mut services = self.services.lock();
@@ -341,7 +354,7 @@
     fn hand_over(&self, shared: &IngressShared) {
         let mut services = self.services.lock();
         for (name, of_service) in services.iter_mut() {
-            let is_owner = shared.peers.batcher_of(name).is_none();
+            let is_owner = own_batcher_of(shared, name).is_none();
             let was_owner = std::mem::replace(&mut of_service.is_owner, is_owner);
             let is_told = || shared.pools.of(shared.clock.now(), name).has_told(shared.clock.now());
             let is_idle = of_service.batcher.waiting() == 0;
@@ -537,21 +550,31 @@
     let waited = pieces.iter().map(|it| (begun - it.offered).as_millis()).max().unwrap_or(0);
     let made = results.iter().filter(|it| it.is_ok()).count();
     let no_room = results.iter().filter(|it| **it == Err(NoResult::NoRoom)).count();
+    let moved = moved_bytes(shared, call);
     let detail = format!(
         "service={service} target={} pieces={} most={} made={made} no_room={no_room} left={} \
-         used_kb={} room_kb={} waited_ms={waited} ms={ms} stated_ms={:.0} shared={} end={end}",
+         used_kb={} room_kb={} moved_kb={} waited_ms={waited} ms={ms} stated_ms={:.0} shared={} end={end}",
         call.target,
         pieces.len(),
         call.sizes.pieces,
         call.left,
         call.used_bytes / 1000,
         call.sizes.room_bytes / 1000,
+        moved / 1000,
         call.sizes.stated_ms(pieces.len()),
         call.is_shared,
     );
     emit(events::BATCH, &shared.settings.instance, &detail);
     shared.metrics.batches.add(1, &[label("end", end)]);
     shared.metrics.pieces.add(pieces.len() as u64, &[label("end", end)]);
+    shared.metrics.moved_bytes.add(moved, &[label("to", "stage")]);
+}
+
+/// Bytes that a call moves between failure domains.
+fn moved_bytes(shared: &IngressShared, call: &Call) -> u64 {
+    let domain = shared.open_target(&call.target).map(|it| it.domain);
+    let is_moved = |it: &&Waiting| !it.domain.is_empty() && Some(&it.domain) != domain.as_ref();
+    call.pieces.iter().filter(is_moved).map(|it| it.near_bytes).sum()
 }
 
 async fn ask_target(
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -30,16 +30,26 @@
     news::{Known, Update},
     peer_service::PromptAsk,
     piece_ask::{PieceAsk, PieceResult},
+    regions::batcher_of,
     shared::IngressShared,
 };
 
 /// An answer that may take so long may be large.
 const LARGE_LIMIT: Duration = Duration::from_millis(1000);
-/// How long a peer may take to choose a target; after that it is chosen here.
-const PLACE_LIMIT: Duration = Duration::from_millis(60);
+/// How long a peer of the own region may take to choose a target; after that it is chosen here.
+pub(crate) const PLACE_LIMIT: Duration = Duration::from_millis(60);
 /// How long a peer may take to release results.
 const RELEASE_LIMIT: Duration = Duration::from_millis(350);
 
+/// Among whom the owner of a service is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Owners<'a> {
+    /// All instances.
+    Any,
+    /// Those of a region.
+    Of(&'a str),
+}
+
 /// Peers that know what the store says, in the order in which this instance asks them.
 #[derive(Clone, Debug)]
 pub(crate) struct Sources {
@@ -106,6 +116,7 @@
 pub(crate) struct Peers {
     own_name: Name,
     own_capacity: Capacity,
+    topology: Topology,
     batching: Batching,
     seeds: Vec<String>,
     is_seed: bool,
@@ -126,6 +137,7 @@
         Peers {
             own_name: settings.instance.clone(),
             own_capacity: own_capacity(settings),
+            topology: Topology::new(&settings.region, settings.regions.clone()),
             batching: settings.decisions.batching,
             is_seed: settings.seeds.contains(&settings.listen.peers),
             seeds: settings.seeds.iter().filter(is_other).cloned().collect(),
@@ -255,18 +267,46 @@
         others.map(|it| it.0.as_str()).chain(own)
     }
 
-    /// The peer that batches a service's pieces; `None` where this instance does.
-    pub(crate) fn batcher_of(&self, service: &str) -> Option<String> {
+    /// The peer that batches a service's pieces, and places its prompts, among some instances; `None`
+    /// where this instance does.
+    pub(crate) fn batcher_of(&self, owners: Owners<'_>, service: &str) -> Option<String> {
         if self.batching == Batching::Own {
             return None;
         }
         let known = self.known.lock();
         let capacity = |name: &str| known.get(name).map_or(self.own_capacity, |it| it.capacity);
-        let live: Vec<_> = self.live(&known).map(|it| (it, capacity(it))).collect();
+        let is_among = |name: &&str| match owners {
+            Owners::Any => true,
+            Owners::Of(region) => self.region_of(&known, name) == Some(region),
+        };
+        let among = self.live(&known).filter(is_among);
+        let live: Vec<_> = among.map(|it| (it, capacity(it))).collect();
         let chosen = owner(service, strong(&live).into_iter())?;
         known.get(chosen).map(|it| it.address.clone())
     }
 
+    /// Whether an instance that answers stands in a region.
+    pub(crate) fn has_live_in(&self, region: &str) -> bool {
+        let known = self.known.lock();
+        self.live(&known).any(|it| self.region_of(&known, it) == Some(region))
+    }
+
+    /// Region of an instance; `None` where it is not known.
+    fn region_of(&self, known: &HashMap<Name, Peer>, name: &str) -> Option<&str> {
+        match known.get(name) {
+            Some(it) => self.topology.region_of(&it.domain),
+            None => Some(self.topology.own_region()),
+        }
+    }
+
+    /// Whether a peer is known to stand in another region.
+    pub(crate) fn is_far(&self, address: &str) -> bool {
+        let known = self.known.lock();
+        let found = known.values().find(|it| it.address == address);
+        let domain = found.map(|it| it.domain.as_str()).filter(|it| !it.is_empty());
+        domain.is_some_and(|it| !self.topology.is_near(it))
+    }
+
     /// Has a peer make pieces. An error means that the peer is silent.
     pub(crate) async fn make(
         self: &Peers,
@@ -299,12 +339,13 @@
         address: &str,
         service: &str,
         prompt: PromptAsk,
+        limit: Duration,
     ) -> Option<TargetId> {
         let asked = async {
             let link = self.links.get(shared, address).await.ok()?;
-            link.client.place(context_for(PLACE_LIMIT), service.to_owned(), prompt).await.ok()?
+            link.client.place(context_for(limit), service.to_owned(), prompt).await.ok()?
         };
-        tokio::time::timeout(PLACE_LIMIT, asked).await.ok()?
+        tokio::time::timeout(limit, asked).await.ok()?
     }
 
     /// Has a peer give up results.
@@ -353,16 +394,17 @@
     }
 }
 
-/// Has pieces made by the instance that batches them, or here if none can be reached.
+/// Has pieces made by the instance that batches them in a region, or here if none can be reached.
 pub(crate) async fn make_anywhere(
     shared: &Arc<IngressShared>,
+    region: &str,
     service: &str,
     asks: Vec<PieceAsk>,
     limit: Duration,
 ) -> Vec<PieceResult> {
     let count = asks.len();
     let until = Instant::now() + limit;
-    while let Some(address) = shared.peers.batcher_of(service) {
+    while let Some(address) = batcher_of(shared, region, service) {
         let left = until.saturating_duration_since(Instant::now());
         let made = shared.peers.make(shared, &address, service, asks.clone(), left).await;
         let Ok(mut results) = made else { continue };
