Relays have their lists before followers, and the turn of a list counts from the first one

Cause: 300 instances with 10 Mbit/s, all killed at once, lists sent one after the other: sources silent 250 to 15 lines within 1.5 s, but the head of the far region and relays waited behind 24 followers of their reader; targets known by half of the near region 2.2 s after the start, of the far one 3.25 s (3.8 and 4.3 s at the end). Change: an asker tells whether it is a relay; relays don't wait, though their time counts. Turns are reserved by the size of the list, before it is sent, so that the first askers after a restart are paced as well.

--- a/crates/holdpointd/src/ingress/follow.rs
+++ b/crates/holdpointd/src/ingress/follow.rs
@@ -148,6 +148,7 @@
             wants_large: false,
             orders: Some(shared.domains.horizon()),
             peers_digest: Some(peers_digest(&shared.instances())),
+            is_relay,
         };
         let limit = if *place == Place::default() { WHOLE_LIMIT } else { wait + LIMIT };
         let answer = shared.peers.follow(shared, &address, known, limit).await;
--- a/crates/holdpointd/src/ingress/news.rs
+++ b/crates/holdpointd/src/ingress/news.rs
@@ -77,6 +77,9 @@
     /// not.
     #[serde(default)]
     pub(crate) peers_digest: Option<u64>,
+    /// Whether it passes on to others what it is told.
+    #[serde(default)]
+    pub(crate) is_relay: bool,
 }
 
 impl Known {
@@ -84,7 +87,15 @@
     pub(crate) fn configuration_only(shared: &IngressShared, wants_large: bool) -> Known {
         let version = shared.configuration().version;
         let orders = Some(shared.domains.horizon());
-        Known { version, wait_ms: 0, place: None, wants_large, orders, peers_digest: None }
+        Known {
+            version,
+            wait_ms: 0,
+            place: None,
+            wants_large,
+            orders,
+            peers_digest: None,
+            is_relay: false,
+        }
     }
 }
 
@@ -145,18 +156,6 @@
     },
 }
 
-impl Content {
-    /// Size of the packed lists in it, in bytes.
-    fn packed_bytes(&self) -> usize {
-        match self {
-            Content::Packed { targets, peers, .. } => {
-                [targets, peers].into_iter().flatten().map(Bytes::len).sum()
-            }
-            Content::News(_) | Content::PackedNews(_) | Content::All { .. } => 0,
-        }
-    }
-}
-
 /// All target instances that an instance knows. There may be thousands, and many who ask at once
 /// after a restart of all, so what they have in common is said once.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -239,7 +238,11 @@
         // Where the wait is over without news, the answer tells that there are none.
         let _ = timeout(wait, has_news.changed()).await;
     }
-    let turn = if wants_all(shared, &known) { Some(shared.packed.turn().await) } else { None };
+    if known.place.is_some_and(|it| wants_targets(shared, &it)) {
+        let bytes = shared.packed.targets(shared).len();
+        let link_mbps = f64::from(own_capacity(&shared.settings).link_mbps);
+        shared.packed.turn(known.is_relay, bytes, link_mbps).await;
+    }
     let (news, revision) = shared.news_since(known.place.map_or(0, |it| it.revision));
     let is_fresh = shared.fresh_age().is_some();
     let content = known.place.map(|place| match news.filter(|_| place.life == shared.life) {
@@ -249,10 +252,6 @@
         Some(it) => Content::News(it),
         None => all_known(shared, place.digest, known.peers_digest, is_fresh),
     });
-    if let Some(it) = turn {
-        let bytes = content.as_ref().map_or(0, Content::packed_bytes);
-        it.end(bytes, f64::from(own_capacity(&shared.settings).link_mbps));
-    }
     let version = shared.configuration().version;
     let configuration = (known.version < version)
         .then(|| shared.configuration_bytes())
@@ -273,10 +272,11 @@
     }
 }
 
-/// Whether an asker gets all that is known, since the news that it has missed are not kept.
-fn wants_all(shared: &IngressShared, known: &Known) -> bool {
-    let is_kept = |it: Place| it.life == shared.life && shared.news_since(it.revision).0.is_some();
-    known.place.is_some_and(|it| !is_kept(it))
+/// Whether an asker gets the whole list of targets: the news that it has missed are not kept, and its
+/// targets are others.
+fn wants_targets(shared: &IngressShared, place: &Place) -> bool {
+    let is_kept = place.life == shared.life && shared.news_since(place.revision).0.is_some();
+    !is_kept && place.digest != shared.digest()
 }
 
 /// All that this instance knows and an asker does not, by the hashes of what it knows.
--- a/crates/holdpointd/src/ingress/packed.rs
+++ b/crates/holdpointd/src/ingress/packed.rs
@@ -58,36 +58,28 @@
     targets: Mutex<Option<(ListState, Bytes)>>,
     /// The news between two positions.
     news: Mutex<Option<((Revision, Revision), Bytes)>>,
-    /// From when on the next answer with all that is known may be sent.
-    next_turn: tokio::sync::Mutex<Option<Instant>>,
+    /// When the last answer with all that is known will have been sent.
+    free: Mutex<Option<Instant>>,
     /// The hash of the peers and, once somebody asked for them, the peers.
     peers: Mutex<Option<(u64, Bytes)>>,
 }
 
-/// The turn of an answer with all that is known; the next one waits until it is dropped, and for as long
-/// as this one takes to be sent.
-pub(crate) struct Turn<'a>(tokio::sync::MutexGuard<'a, Option<Instant>>);
-
-impl Turn<'_> {
-    /// Ends the turn with an answer of so many bytes, sent over a link of so many Mbit/s; 0 is not known.
-    pub(crate) fn end(mut self, bytes: usize, link_mbps: f64) {
-        if 0.0 < link_mbps {
-            let micros = 8.0 * bytes as f64 / (LINK_PART * link_mbps);
-            *self.0 = Some(Instant::now() + Duration::from_micros(micros as u64));
-        }
-    }
-}
-
 impl Packed {
-    /// Waits for the turn of an answer with all that is known. They are sent one after the other: 24 lists
+    /// Waits until an answer with all that is known may be sent. They are sent one after the other: 24 lists
     /// at once are a second of a link of 10 Mbit/s, in which no ping is answered, so that followers would
-    /// take the instance for silent and ask the next one for the same list.
-    pub(crate) async fn turn(&self) -> Turn<'_> {
-        let next = self.next_turn.lock().await;
-        if let Some(it) = *next {
-            sleep_until(it).await;
+    /// take the instance for silent and ask the next one for the same list. Relays, which are few and have
+    /// followers of their own, go before all others.
+    pub(crate) async fn turn(&self, is_relay: bool, bytes: usize, link_mbps: f64) {
+        let now = Instant::now();
+        let start = {
+            let mut free = self.free.lock();
+            let start = free.map_or(now, |it| it.max(now));
+            *free = Some(start + time_to_send(bytes, link_mbps));
+            start
+        };
+        if !is_relay {
+            sleep_until(start).await;
         }
-        Turn(next)
     }
 
     /// The list of target instances.
@@ -137,6 +129,15 @@
     }
 }
 
+/// Time that so many bytes take on the part of a link that lists may take; none where the link is not
+/// known.
+fn time_to_send(bytes: usize, link_mbps: f64) -> Duration {
+    if link_mbps <= 0.0 {
+        return Duration::ZERO;
+    }
+    Duration::from_micros((8.0 * bytes as f64 / (LINK_PART * link_mbps)) as u64)
+}
+
 /// Hash of instances, in whatever order.
 pub(crate) fn peers_digest(instances: &[(Name, Peer)]) -> u64 {
     let hash = |it: &(Name, Peer)| {
