Admit requests by what their whole chain of stages can carry

Cause: a request was admitted by the queue of its first stage; later stages were a usual time, blind to what was admitted and on its way. In a burst the second stage stood at 2,800 pieces and 1.5 s of wait while the first expected 185 ms, and late pieces, whose turn came by their late due time, made the next ones late. In calm the first event was reckoned with the 85th percentile of its time.

Change: batchers tell their load (capacity, queue, time of calls, bias and spread of their own foretelling) with each check. The batcher of the first stage keeps an account for each later service of what it has admitted since, drained at the told pace (core `promises`), and decides by the expected end of the whole chain with a margin by observed spread (core `admission`). What can be in time goes before what cannot. Due times use the live expectation and the middle first event with a part of the way to the 75th percentile. E707 names the stage whose queue refused. The batcher is split into modules.

--- /dev/null
+++ b/crates/holdpoint-core/src/batcher/estimate.rs
@@ -0,0 +1,208 @@
+//! When pieces will be made, and how well that was foretold.
+
+use super::{Batcher, targets::Target};
+use crate::{
+    ids::Millis,
+    pieces::{Call, Waiting},
+    promises::StageLoad,
+};
+
+/// Bounds of how much longer pieces wait than predicted.
+const LAG_BOUNDS: (f64, f64) = (1.0, 6.0);
+/// Weight of the newest measurement of that.
+const NEWEST_LAG: f64 = 0.1;
+/// Least part of the targets' time that is taken to be left for late pieces.
+const LEAST_SPARE: f64 = 0.05;
+/// Weight of the newest call in what is judged and measured of calls: some ten calls, which a service with
+/// a backlog makes within the time of one.
+const NEWEST_CALL: f64 = 0.1;
+
+/// How calls went of late, as their pieces saw it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Judge {
+    /// Sum of pieces times the time of their call, and of pieces, both fading.
+    piece_ms: f64,
+    pieces: f64,
+    /// Part of a call's most pieces that calls carry while there is a backlog.
+    fill: Option<f64>,
+    /// How much longer than foretold pieces took, in milliseconds.
+    bias_ms: f64,
+    /// Mean distance from that, in milliseconds.
+    spread_ms: f64,
+}
+
+impl Judge {
+    /// Takes in a call that was answered after `ms`. Returns what was foretold for its pieces and how long
+    /// they took, in the mean and in milliseconds, where any of them was not late.
+    fn answered(&mut self, now: Millis, call: &Call, ms: Millis) -> Option<(f64, f64)> {
+        let keep = 1.0 - NEWEST_CALL;
+        let pieces = call.pieces.len() as f64;
+        self.piece_ms = keep * self.piece_ms + pieces * ms as f64;
+        self.pieces = keep * self.pieces + pieces;
+        let most = call.sizes.most();
+        if most <= call.left {
+            let fill = pieces / most as f64;
+            let before = self.fill.unwrap_or(fill);
+            self.fill = Some(before + NEWEST_CALL * (fill - before));
+        }
+        let judged = || call.pieces.iter().filter_map(|it| Some((it, it.foretold_ms?)));
+        let count = judged().count() as f64;
+        if count == 0.0 {
+            return None;
+        }
+        let foretold = judged().map(|it| it.1).sum::<f64>() / count;
+        let took = judged().map(|it| now.saturating_sub(it.0.offered) as f64).sum::<f64>() / count;
+        let error = took - foretold;
+        // A piece is likelier to go with a large call than with a small one.
+        let newest = (count / self.pieces).min(1.0);
+        self.bias_ms += newest * (error - self.bias_ms);
+        self.spread_ms += newest * ((error - self.bias_ms).abs() - self.spread_ms);
+        Some((foretold, took))
+    }
+
+    /// Time of a piece's call, where the service has made none of late `otherwise`, in milliseconds.
+    fn call_ms(&self, otherwise: f64) -> f64 {
+        if self.pieces < 1.0 { otherwise } else { self.piece_ms / self.pieces }
+    }
+}
+
+impl Batcher {
+    /// Time in which so many more pieces would be made that are due at a time, in milliseconds:
+    /// after the call that ends next, after those that are due before them, in a call of their own.
+    pub fn expected_ms(&self, now: Millis, due: Millis, pieces: usize) -> Millis {
+        let own_call = self.sizes.stated_ms(pieces.min(self.sizes.most()));
+        (self.lag * self.predicted_wait(now, due) + own_call) as Millis
+    }
+
+    /// Time in which a piece would be made that has as much time as is usual here, in milliseconds.
+    pub fn usual_ms(&self, now: Millis) -> Millis {
+        let load = self.load(now);
+        load.expected_ms(load.waiting) as Millis
+    }
+
+    /// The load, as it is told to those who admit requests that come here later.
+    pub fn load(&self, now: Millis) -> StageLoad {
+        let late = self.waiting.iter().filter(|it| self.is_late(now, it)).count();
+        self.load_with(now, (self.waiting.len() - late) as f64, late as f64)
+    }
+
+    fn load_with(&self, now: Millis, waiting: f64, late: f64) -> StageLoad {
+        let most = self.sizes.most();
+        let full = self.judge.fill.map_or(most as f64, |it| it * most as f64).max(1.0);
+        let full_ms = self.sizes.call_ms + self.sizes.piece_ms * full;
+        let usable = || {
+            // One that was only full, or had no room for a while, has not lost its capacity.
+            let has_failed = move |it: &Target| it.failures != 0 && now < it.suspect_until;
+            let is_usable = move |it: &&Target| !it.is_leaving && !has_failed(it);
+            self.targets.values().filter(is_usable).map(|it| it.slowness.max(1.0))
+        };
+        let calls = f64::from(self.sizes.calls.max(1));
+        let per_ms = usable().map(|it| calls * full / (full_ms * it)).sum();
+        let slowness = usable().sum::<f64>() / usable().count().max(1) as f64;
+        let usual_call = self.sizes.stated_ms(most.div_ceil(2));
+        StageLoad {
+            per_ms,
+            waiting,
+            late,
+            call_ms: self.judge.call_ms(usual_call),
+            full_ms: full_ms * slowness.max(1.0),
+            most: full,
+            bias_ms: self.judge.bias_ms,
+            spread_ms: self.judge.spread_ms,
+        }
+    }
+
+    /// Time in which a piece that is offered now will be made, in milliseconds; `None` where it will be late
+    /// and stands aside for others.
+    pub(super) fn foretell(&self, now: Millis, piece: &Waiting) -> Option<f64> {
+        if self.is_late(now, piece) {
+            return None;
+        }
+        let ahead = self.ahead(now, piece.due) as f64;
+        Some(self.load_with(now, ahead, 0.0).reckoned_ms(ahead))
+    }
+
+    /// Time in which so many more pieces that are due at a time would be made, as pieces went of late, with how
+    /// far the truth may well be from that; in milliseconds.
+    pub(crate) fn likely_ms(&self, now: Millis, due: Millis, pieces: usize) -> (f64, f64) {
+        let ahead = self.ahead(now, due) as f64;
+        let load = self.load_with(now, ahead, 0.0);
+        (load.expected_ms(ahead + pieces as f64 / 2.0), load.spread_ms)
+    }
+
+    /// Takes in how long an answered call took; returns what was foretold for its pieces and how long they
+    /// took, in the mean and in milliseconds.
+    pub fn judge(&mut self, now: Millis, call: &Call, ms: Millis) -> Option<(f64, f64)> {
+        self.judge.answered(now, call, ms)
+    }
+
+    /// Part of the targets' time that is left by what is offered of late.
+    pub(crate) fn spare(&self, now: Millis) -> f64 {
+        (1.0 - self.offered.at(now) * self.piece_gap(now)).max(LEAST_SPARE)
+    }
+
+    /// Whether so many more pieces can be made by their due time, or by their late one although all that
+    /// is offered meanwhile goes first. An error is the time in which they would be made.
+    pub fn admit(
+        &self,
+        now: Millis,
+        due: Millis,
+        late_due: Millis,
+        pieces: usize,
+    ) -> Result<(), Millis> {
+        let expected = self.expected_ms(now, due, pieces);
+        if now + expected <= due {
+            return Ok(());
+        }
+        let late = self.expected_ms(now, late_due, pieces) as f64 / self.spare(now);
+        if now + late as Millis <= late_due { Ok(()) } else { Err(expected) }
+    }
+
+    /// When a request that was refused may come back, in milliseconds: once there is room for its
+    /// pieces, and after those that were refused before it.
+    pub fn return_ms(&mut self, now: Millis, due: Millis, pieces: usize) -> Millis {
+        let excess = (now + self.expected_ms(now, due, pieces)).saturating_sub(due.max(now));
+        let at = self.next_return.max(now + excess);
+        self.next_return = at + (pieces as f64 * self.piece_gap(now)) as Millis;
+        at - now
+    }
+
+    /// Time in which the targets make one piece where calls are full, in milliseconds.
+    pub(super) fn piece_gap(&self, now: Millis) -> f64 {
+        let usable = |it: &&Target| !it.is_leaving && it.suspect_until <= now;
+        let targets = self.targets.values().filter(usable).count().max(1) as f64;
+        let most = self.sizes.most();
+        self.sizes.stated_ms(most) / most as f64 / targets
+    }
+
+    /// Pieces that have their turn before one that is due at a time.
+    fn ahead(&self, now: Millis, due: Millis) -> usize {
+        let is_late = due < now + self.next_call_ms();
+        let is_ahead = |it: &&Waiting| match (self.is_late(now, it), is_late) {
+            (true, false) => false,
+            (false, true) => true,
+            _ => it.turn <= due,
+        };
+        self.waiting.iter().filter(is_ahead).count()
+    }
+
+    /// Wait of one more piece, as far as the targets' stated times explain it, in milliseconds.
+    pub(super) fn predicted_wait(&self, now: Millis, due: Millis) -> f64 {
+        let usable = |it: &&Target| !it.is_leaving && it.suspect_until <= now;
+        let is_free = self.targets.values().filter(usable).any(|it| it.calls < self.sizes.calls);
+        if is_free && self.waiting.is_empty() {
+            return 0.0;
+        }
+        (self.sizes.most() + self.ahead(now, due)) as f64 * self.piece_gap(now)
+    }
+
+    /// Learns how much longer pieces wait than predicted, from those of a call.
+    pub(super) fn learn_lag(&mut self, now: Millis, pieces: &[Waiting]) {
+        // What is late has stood aside for others; its wait says nothing of theirs.
+        for piece in pieces.iter().filter(|it| !self.sizes.is_late(now, it)) {
+            let waited = now.saturating_sub(piece.offered) as f64;
+            let seen = (waited / piece.predicted_wait.max(20.0)).clamp(LAG_BOUNDS.0, LAG_BOUNDS.1);
+            self.lag += NEWEST_LAG * (seen - self.lag);
+        }
+    }
+}
--- /dev/null
+++ b/crates/holdpoint-core/src/batcher/mod.rs
@@ -0,0 +1,153 @@
+//! Batches the pieces of a stage, from all requests, into calls at the targets of one service.
+//!
+//! A call costs a fixed time plus a little for each piece, and a target works on few calls at
+//! once. So a target is given as many calls as it works on and no more: while one runs, pieces
+//! gather here, where they can still be ordered: the nearest due time goes first. A piece that cannot
+//! be in time any more has a later due time instead; so it lets those go first that can be in time, and
+//! is made before its request ends. Pieces that will not be made by then even at the stated pace are
+//! dropped at once. A request is admitted only where it is expected to be in time with all its stages, or
+//! late although all that is offered meanwhile goes first. A large result is made in
+//! the failure domain where it is needed, as long as its due time leaves room to wait for a target
+//! there. The room that results take at each target is kept account of, from the call that makes
+//! them until they are given up or their time is over.
+
+mod estimate;
+mod pack;
+mod queue;
+mod targets;
+
+use std::collections::{BTreeMap, HashMap};
+
+use crate::{
+    deadline::RecentRate,
+    directory::TargetId,
+    ids::Millis,
+    pieces::{Call, Sizes, Ticket, Waiting},
+};
+
+use self::{
+    estimate::Judge,
+    targets::{Kept, Target},
+};
+
+/// Batches for one service.
+#[derive(Clone, Debug)]
+pub struct Batcher {
+    sizes: Sizes,
+    waiting: Vec<Waiting>,
+    targets: BTreeMap<TargetId, Target>,
+    /// Results that take room, by handle.
+    kept: HashMap<String, Kept>,
+    /// How many times longer pieces wait than predicted.
+    lag: f64,
+    /// How calls went of late.
+    judge: Judge,
+    /// Pieces that are offered.
+    offered: RecentRate,
+    /// From when on the next refused request may come back.
+    next_return: Millis,
+}
+
+impl Batcher {
+    /// Makes a batcher with no targets yet.
+    pub fn new(sizes: Sizes) -> Batcher {
+        Batcher {
+            sizes,
+            waiting: Vec::new(),
+            targets: BTreeMap::new(),
+            kept: HashMap::new(),
+            lag: 1.0,
+            judge: Judge::default(),
+            offered: RecentRate::default(),
+            next_return: 0,
+        }
+    }
+
+    /// Puts other sizes in force.
+    pub fn set_sizes(&mut self, sizes: Sizes) {
+        self.sizes = sizes;
+    }
+
+    /// Takes in the service's targets: id, failure domain and whether it is leaving.
+    pub fn set_targets<'a>(&mut self, targets: impl Iterator<Item = (&'a str, &'a str, bool)>) {
+        let mut old = std::mem::take(&mut self.targets);
+        for (id, domain, is_leaving) in targets {
+            let mut target =
+                old.remove(id).unwrap_or_else(|| Target { slowness: 1.0, ..Target::default() });
+            target.domain = domain.to_owned();
+            target.is_leaving = is_leaving;
+            self.targets.insert(id.to_owned(), target);
+        }
+    }
+
+    /// Offers a piece.
+    pub fn offer(&mut self, now: Millis, piece: Waiting) {
+        // Pieces of one group are offered one after the other, and wait for the same time.
+        let same = self.waiting.last().filter(|it| it.group == piece.group && it.offered == now);
+        let foretold = same.map(|it| (it.predicted_wait, it.foretold_ms));
+        let (predicted_wait, foretold_ms) = foretold
+            .unwrap_or_else(|| (self.predicted_wait(now, piece.due), self.foretell(now, &piece)));
+        self.offered.count(now);
+        let turn = self.turn(now, &piece);
+        self.waiting.push(Waiting { offered: now, predicted_wait, foretold_ms, turn, ..piece });
+    }
+
+    /// Takes back all pieces that wait, for another instance to make.
+    pub fn hand_over(&mut self) -> Vec<Ticket> {
+        self.waiting.drain(..).map(|it| it.ticket).collect()
+    }
+
+    /// Takes back the pieces that are no longer wanted.
+    pub fn retain(&mut self, is_wanted: impl Fn(Ticket) -> bool) {
+        self.waiting.retain(|it| is_wanted(it.ticket));
+    }
+
+    /// Pieces that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Targets that may be called now or soon.
+    pub fn usable(&self) -> usize {
+        self.targets.values().filter(|it| !it.is_leaving).count()
+    }
+
+    /// Returns a call to make now, if there is one. [`Batcher::ended`] must follow.
+    pub fn next(&mut self, now: Millis) -> Option<Call> {
+        self.forget_kept(now);
+        if self.waiting.is_empty() {
+            return None;
+        }
+        let free = self.free_targets(now);
+        if free.is_empty() {
+            return None;
+        }
+        self.order(now);
+        let packed = free.into_iter().map(|it| (self.pack(now, &it), it));
+        let (indices, target) = packed.max_by_key(|it| self.score(&it.0, &it.1))?;
+        if indices.is_empty() {
+            return None;
+        }
+        let pieces = self.take(&indices);
+        self.learn_lag(now, &pieces);
+        let chosen = self.targets.get_mut(&target)?;
+        chosen.calls += 1;
+        chosen.used_bytes += pieces.iter().map(|it| it.bytes).sum::<u64>();
+        let used_bytes = chosen.used_bytes;
+        let is_shared = now < chosen.shared_until;
+        let (left, sizes) = (self.waiting.len(), self.sizes);
+        Some(Call { target, pieces, left, used_bytes, sizes, is_shared })
+    }
+
+    /// Takes the pieces at some indices, which rise, in one pass over those that wait.
+    pub(super) fn take(&mut self, indices: &[usize]) -> Vec<Waiting> {
+        let mut next = indices.iter().copied().peekable();
+        let mut index = 0;
+        let taken = self.waiting.extract_if(.., |_| {
+            let is_taken = next.next_if_eq(&index).is_some();
+            index += 1;
+            is_taken
+        });
+        taken.collect()
+    }
+}
--- a/crates/holdpoint-core/src/lib.rs
+++ b/crates/holdpoint-core/src/lib.rs
@@ -14,6 +14,7 @@
 //! assert!(ledger.begin().is_none(), "a closed ledger lets nothing through");
 //! ```
 
+pub mod admission;
 pub mod admit;
 pub mod assemble;
 pub mod batch;
@@ -41,6 +42,7 @@
 pub mod pipeline;
 pub mod placement;
 pub mod prelude;
+pub mod promises;
 pub mod prompt;
 pub mod readers;
 pub mod retry;
--- a/crates/holdpoint-core/src/stage_graph.rs
+++ b/crates/holdpoint-core/src/stage_graph.rs
@@ -1,5 +1,7 @@
 //! The stages before a request's own service: which pieces are to be made, from what, and when.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{ids::Millis, ingress::StageStep};
@@ -103,6 +105,22 @@
         lost
     }
 
+    /// All stages that come after a stage, with the number of steps to each along the longest way.
+    pub fn ahead(&self, stage: usize) -> Vec<(usize, u32)> {
+        let mut depths: BTreeMap<usize, u32> = BTreeMap::new();
+        let mut next = vec![(stage, 0)];
+        while let Some((stage, depth)) = next.pop() {
+            for after in self.after(stage) {
+                let known = depths.entry(after).or_default();
+                if *known <= depth {
+                    *known = depth + 1;
+                    next.push((after, depth + 1));
+                }
+            }
+        }
+        depths.into_iter().collect()
+    }
+
     /// Stages that need a stage's results.
     pub fn after(&self, stage: usize) -> impl Iterator<Item = usize> {
         (0..self.len()).filter(move |it| self.pieces[*it] != 0 && self.after[*it].contains(&stage))
--- /dev/null
+++ b/crates/holdpoint-core/tests/support/mod.rs
@@ -0,0 +1,3 @@
+//! What several tests share.
+
+pub(crate) mod chain;
--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -120,6 +120,8 @@
     STAGE_REFUSED = 707 Info "stage refused";
     /// Pieces that waited were handed over to the instance that batches them now.
     HANDED_PIECES_OVER = 708 Info "pieces handed over";
+    /// What an instance tells of the load of a service makes no sense, and the one before counts.
+    LOAD_NOT_USED = 720 Warn "told load not used";
     /// A stream broke off at its target.
     STREAM_MOVED = 704 Info "stream broke off at its target";
     /// A request was denied before it had a route.
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -12,12 +12,14 @@
 use futures::{StreamExt, stream::FuturesUnordered};
 use holdpoint_adapter::stages as wire;
 use holdpoint_core::{
+    admission::{FirstAsk, Verdict, decide},
     batcher::Batcher,
     directory::{Directory, TargetId},
     evacuation::Evacuations,
     ids::{Millis, Name},
     ingress::Service,
     pieces::{Call, CallEnd, Sizes, Ticket, Waiting},
+    promises::{Promises, StageLoad},
     route::Load,
     stage_graph::{NoResult, PieceWork},
 };
@@ -137,14 +139,24 @@
     }
 }
 
+/// What an instance tells of the services that it batches.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct StageLoads {
+    /// Time that a stage takes there, in milliseconds.
+    pub(crate) times: Vec<(Name, Millis)>,
+    /// Their load.
+    pub(crate) loads: Vec<(Name, StageLoad)>,
+}
+
 /// The batchers of all services on this instance.
 #[derive(Default)]
 pub(crate) struct Batches {
     services: Mutex<HashMap<Name, ServiceBatches>>,
     /// Targets by service, as last told.
     targets: Mutex<HashMap<Name, Targets>>,
-    /// Times of stages at the services that this instance batches, in milliseconds.
-    stage_times: Mutex<Vec<(Name, Millis)>>,
+    loads: Mutex<StageLoads>,
+    /// What later stages are promised by requests admitted here.
+    promises: Mutex<Promises>,
     next_ticket: AtomicU64,
 }
 
@@ -217,7 +229,9 @@
             emit(events::PIECES_EVACUATED, &shared.settings.instance, &detail);
             return Err(NoResult::Overload(EVACUATED_RETURN_MS));
         }
-        admit(shared, service, &mut of_service.batcher, now, &asks)?;
+        let mut promises = self.promises.lock();
+        admit(shared, service, &mut of_service.batcher, &mut promises, now, &asks)?;
+        drop(promises);
         let offered = Instant::now();
         let group = self.ticket();
         let inputs = Arc::new(GroupInputs::new(&mut asks));
@@ -247,9 +261,20 @@
         self.next_ticket.fetch_add(1, Ordering::Relaxed)
     }
 
-    /// How long stages take at the services that this instance batches.
-    pub(crate) fn stage_times(&self) -> Vec<(Name, Millis)> {
-        self.stage_times.lock().clone()
+    /// How long stages take at the services that this instance batches, and their load.
+    pub(crate) fn stage_loads(&self) -> StageLoads {
+        self.loads.lock().clone()
+    }
+
+    /// Takes in the load of services that other instances or this one batch.
+    pub(crate) fn told(&self, shared: &IngressShared, now: Millis, loads: Vec<(Name, StageLoad)>) {
+        let mut promises = self.promises.lock();
+        for (service, load) in loads {
+            let detail = format!("service={service} load={load:?}");
+            if !promises.told(now, &service, load) {
+                emit(events::LOAD_NOT_USED, &shared.settings.instance, &detail);
+            }
+        }
     }
 
     /// Takes in that results were given up at their makers.
@@ -276,15 +301,16 @@
     /// at all that waits: done with each call, they take most of a processor in a surge.
     fn review(&self, now: Millis) {
         let mut services = self.services.lock();
-        let mut times = Vec::new();
+        let mut told = StageLoads::default();
         for (name, ServiceBatches { batcher, pending, is_owner, .. }) in services.iter_mut() {
             pending.retain(|_, it| !it.reply.is_closed());
             batcher.retain(|it| pending.contains_key(&it));
             if *is_owner {
-                times.push((name.clone(), batcher.usual_ms(now)));
+                told.times.push((name.clone(), batcher.usual_ms(now)));
+                told.loads.push((name.clone(), batcher.load(now)));
             }
         }
-        *self.stage_times.lock() = times;
+        *self.loads.lock() = told;
     }
 
     /// Takes the next call of a service, with its pieces.
@@ -312,6 +338,9 @@
             results.iter().map(|it| it.as_ref().ok().map(String::as_str)).collect();
         let mut services = self.services.lock();
         let Some(it) = services.get_mut(service) else { return };
+        if let CallEnd::Answered(ms) = end {
+            it.batcher.judge(now, call, ms);
+        }
         it.batcher.ended(now, call, end, &handles);
         if results.contains(&Err(NoResult::NoRoom)) {
             it.batcher.no_room(now, &call.target);
@@ -386,20 +415,35 @@
     shared: &IngressShared,
     service: &str,
     batcher: &mut Batcher,
+    promises: &mut Promises,
     now: Millis,
     asks: &[PieceAsk],
 ) -> Result<(), NoResult> {
     let Some(first) = asks.first().filter(|it| it.is_refusable) else { return Ok(()) };
-    let due = now.saturating_add_signed(first.due_in_ms);
-    let late_due = now.saturating_add_signed(late_due_in_ms(first));
-    let Err(expected) = batcher.admit(now, due, late_due, asks.len()) else { return Ok(()) };
-    let return_ms = batcher.return_ms(now, due, asks.len());
+    let at = |in_ms: i64| now.saturating_add_signed(in_ms);
+    let ask = FirstAsk {
+        due: at(first.due_in_ms),
+        late_due: at(late_due_in_ms(first)),
+        pieces: asks.len(),
+        ahead: first.chain.as_ref().map_or(&[], |it| &it.stages),
+        end: at(first.chain.as_ref().map_or(first.due_in_ms, |it| it.end_in_ms)),
+        deadline: at(first.chain.as_ref().map_or(late_due_in_ms(first), |it| it.deadline_in_ms)),
+    };
+    let Verdict::Refused { expected, by, excess } = decide(now, batcher, promises, &ask) else {
+        return Ok(());
+    };
+    let later = by.as_ref().and_then(|by| ask.ahead.iter().find(|it| it.service == *by));
+    let return_ms = match later {
+        Some(it) => promises.return_ms(now, &it.service, excess, it.pieces),
+        None => batcher.return_ms(now, ask.due, asks.len()),
+    };
     let detail = format!(
-        "id={} service={service} expected_ms={expected} due_in_ms={} late_due_in_ms={} waiting={} \
+        "id={} service={service} stage={} expected_ms={expected} due_in_ms={} end_in_ms={} waiting={} \
          return_ms={return_ms}",
         first.work.request,
+        by.as_deref().unwrap_or(service),
         first.due_in_ms,
-        late_due_in_ms(first),
+        ask.end.saturating_sub(now),
         batcher.waiting()
     );
     emit(events::STAGE_REFUSED, &shared.settings.instance, &detail);
@@ -431,7 +475,7 @@
 pub(crate) fn pump_all(shared: &Arc<IngressShared>) {
     shared.batches.hand_over(shared);
     shared.batches.review(shared.clock.now());
-    shared.take_stage_times(&shared.batches.stage_times());
+    shared.take_stage_loads(shared.batches.stage_loads());
     for service in shared.batches.services_with_work() {
         pump(shared, &service);
     }
--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -8,6 +8,7 @@
     directory::TargetId,
     ids::{Millis, Name},
     ingress::Version,
+    promises::StageLoad,
     route::Call,
 };
 use serde::{Deserialize, Serialize};
@@ -21,6 +22,7 @@
 use tokio_serde::formats::Cbor;
 
 use crate::ingress::{
+    batches::StageLoads,
     connections::guard,
     follow::catch_up,
     news::{self, Known, Update},
@@ -43,6 +45,9 @@
     /// Services that it batches, with the time that a stage takes there, in milliseconds.
     #[serde(default)]
     pub(crate) stage_times: Vec<(Name, Millis)>,
+    /// The load of the same services.
+    #[serde(default)]
+    pub(crate) stage_loads: Vec<(Name, StageLoad)>,
 }
 
 /// A prompt for which an instance asks for a target.
@@ -144,8 +149,9 @@
     }
 
     async fn check(self, context: context::Context, known: Version, address: String) -> Standing {
-        let stage_times = self.shared.batches.stage_times();
-        Standing { version: self.ping(context, known, address).await, stage_times }
+        let StageLoads { times, loads } = self.shared.batches.stage_loads();
+        let version = self.ping(context, known, address).await;
+        Standing { version, stage_times: times, stage_loads: loads }
     }
 
     async fn follow(self, _: context::Context, known: Known) -> Update {
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -33,6 +33,7 @@
 use crate::{
     events::{self, emit},
     ingress::{
+        batches::StageLoads,
         connections::guard,
         follow::catch_up,
         news::{Known, Update},
@@ -416,7 +417,8 @@
             Ok(Ok(theirs)) => {
                 let theirs: Standing = theirs;
                 shared.peers.trust(&address);
-                shared.take_stage_times(&theirs.stage_times);
+                let (times, loads) = (theirs.stage_times, theirs.stage_loads);
+                shared.take_stage_loads(StageLoads { times, loads });
                 if known < theirs.version {
                     drop(tokio::spawn(catch_up(shared.clone(), address.clone())));
                 }
--- a/crates/holdpointd/src/ingress/piece_ask.rs
+++ b/crates/holdpointd/src/ingress/piece_ask.rs
@@ -2,6 +2,7 @@
 
 use holdpoint_core::{
     ids::{Millis, Name},
+    promises::StageAhead,
     stage_graph::{NoResult, PieceWork},
 };
 use serde::{Deserialize, Serialize};
@@ -41,6 +42,21 @@
     /// service that keeps each; stands at the first of these pieces.
     #[serde(default)]
     pub(crate) used_up: Vec<(Name, String)>,
+    /// What comes after; stands at the first of the pieces that are asked for together, where they may be
+    /// refused. Peers of earlier versions tell nothing, and then only their own stage counts.
+    #[serde(default)]
+    pub(crate) chain: Option<ChainAhead>,
+}
+
+/// What comes after the stage that pieces are asked for.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct ChainAhead {
+    /// Stages after it.
+    pub(crate) stages: Vec<StageAhead>,
+    /// Milliseconds until the last one's results should be there; negative where that is over.
+    pub(crate) end_in_ms: i64,
+    /// Milliseconds until they must be there, for the request to be served at all.
+    pub(crate) deadline_in_ms: i64,
 }
 
 /// A result's handle, or why there is none.
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -27,7 +27,7 @@
 use crate::{
     events::{self, emit},
     ingress::{
-        batches::Batches,
+        batches::{Batches, StageLoads},
         changes::{PeerChanges, TargetChanges},
         connections::Connections,
         declared::Declared,
@@ -293,12 +293,13 @@
         self.tell(entries.into_iter().map(|(name, peer)| News::Peer(name, peer)));
     }
 
-    /// Takes in how long stages take at services, as the instances that batch them tell.
-    pub(crate) fn take_stage_times(&self, times: &[(Name, Millis)]) {
+    /// Takes in how long stages take at services, and their load, as the instances that batch them tell.
+    pub(crate) fn take_stage_loads(&self, told: StageLoads) {
         let now = self.clock.now();
-        for (service, ms) in times {
+        for (service, ms) in &told.times {
             self.pools.of(now, service).stage_takes(now, (*ms).min(LONGEST_STAGE_MS));
         }
+        self.batches.told(self, now, told.loads);
     }
 
     /// Takes in a resource that an operator declared, or that it was dropped.
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -10,6 +10,7 @@
 use holdpoint_adapter::stages as wire;
 use holdpoint_core::{
     ids::{Millis, Name},
+    promises::StageAhead,
     stage_graph::{NoResult, PieceSource, PieceWork, StageGraph},
 };
 
@@ -18,7 +19,7 @@
     ingress::{
         context::Context,
         peers::make_anywhere,
-        piece_ask::{PieceAsk, PieceResult},
+        piece_ask::{ChainAhead, PieceAsk, PieceResult},
         send::left,
         shared::IngressShared,
     },
@@ -35,9 +36,14 @@
 pub(crate) const FETCHED: Duration = Duration::from_millis(80);
 /// How often the inputs of a stage are made anew.
 const INPUT_REMAKES: u32 = 2;
-/// Part of the streams, in a hundred, that the stages leave time enough for. At 50, 85.1 in place of 85.0 %
-/// of the requests of 15 plays were in time, which is within the noise.
-const FIRST_EVENT_PERCENT: u32 = 85;
+/// Part of the streams, in a hundred, that the stages leave time enough for: the middle one, and so much of
+/// the way to the longer ones as [`FIRST_EVENT_MARGIN`] says.
+const FIRST_EVENT_PERCENT: u32 = 50;
+/// A quarter of the streams take longer than this one.
+const LONGER_FIRST_EVENT_PERCENT: u32 = 75;
+/// Part of the distance between the two that is left as a margin. The whole of it on top of the stages' own
+/// margin counted calls as late that were in time.
+const FIRST_EVENT_MARGIN: f64 = 0.5;
 /// Usual time from a model server's taking a request to its first event, until measured.
 const FIRST_EVENT_MS: Millis = 300;
 /// Usual time of a stage, until its service's configuration is known.
@@ -220,6 +226,9 @@
         if let (Some(first), PieceSource::Inputs(inputs)) = (asks.first_mut(), &source) {
             first.used_up = used_up(ctx, graph, stage, inputs);
         }
+        if let Some(first) = asks.first_mut().filter(|it| it.is_refusable) {
+            first.chain = Some(chain_ahead(ctx, graph, stage));
+        }
         let made = make_anywhere(&ctx.shared, service, asks, ctx.left_to_begin()).await;
         let failure = take_in(&mut handles, &missing, made);
         if handles.iter().any(Option::is_some) {
@@ -326,7 +335,7 @@
     (domain, near_bytes): &(String, u64),
 ) -> PieceAsk {
     let step = &ctx.route.stages[stage];
-    let first_ms = ctx.first_event_ms(FIRST_EVENT_PERCENT).unwrap_or(FIRST_EVENT_MS);
+    let first_ms = first_event_ms(ctx);
     let after_ms = ms_after(ctx, graph, stage) + first_ms;
     let spent = (ctx.arrived.elapsed() + ctx.asked_before).as_millis() as i64;
     let left_ms = ctx.left_to_begin().as_millis() as Millis;
@@ -344,6 +353,34 @@
         is_refusable: !ctx.has_begun(),
         inputs_for_ms: None,
         used_up: Vec::new(),
+        chain: None,
+    }
+}
+
+/// Time from the send to the first event that is left for it, in milliseconds.
+fn first_event_ms(ctx: &Context) -> Millis {
+    let middle = ctx.first_event_ms(FIRST_EVENT_PERCENT).unwrap_or(FIRST_EVENT_MS);
+    let longer = ctx.first_event_ms(LONGER_FIRST_EVENT_PERCENT).unwrap_or(middle);
+    middle + (FIRST_EVENT_MARGIN * longer.saturating_sub(middle) as f64) as Millis
+}
+
+/// What comes after a stage that is asked for first.
+fn chain_ahead(ctx: &Context, graph: &StageGraph, stage: usize) -> ChainAhead {
+    let stages = graph.ahead(stage).into_iter().map(|(it, depth)| {
+        let service = &ctx.route.stages[it].service;
+        StageAhead {
+            service: service.clone(),
+            pieces: graph.pieces(it),
+            depth,
+            usual_ms: usual_ms(ctx, service),
+        }
+    });
+    let first_ms = first_event_ms(ctx) as i64;
+    let spent = (ctx.arrived.elapsed() + ctx.asked_before).as_millis() as i64;
+    ChainAhead {
+        stages: stages.collect(),
+        end_in_ms: ctx.route.target_ms as i64 - first_ms - spent,
+        deadline_in_ms: ctx.left_to_begin().as_millis() as i64 - first_ms,
     }
 }
 
