--- a/crates/holdpoint-core/src/near.rs
+++ b/crates/holdpoint-core/src/batcher/near.rs
@@ -25,7 +25,7 @@
 
 /// What waits in each failure domain at a moment.
 #[derive(Clone, Debug)]
-pub(crate) struct NearQueues<'a> {
+pub(super) struct NearQueues<'a> {
     now: Millis,
     domains: BTreeMap<&'a str, Near>,
     /// Time in which one target makes one piece in a full call, in milliseconds.
@@ -38,17 +38,17 @@
 
 /// A piece with large inputs, and how many stand before it for the same failure domain.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct NearPiece<'a> {
-    pub(crate) domain: &'a str,
+pub(super) struct NearPiece<'a> {
+    pub(super) domain: &'a str,
     /// When it should be there, in time or, once that is over, late.
-    pub(crate) due: Millis,
-    pub(crate) ahead: usize,
+    pub(super) due: Millis,
+    pub(super) ahead: usize,
 }
 
 impl<'a> NearQueues<'a> {
     /// Makes the queues of the domains of `targets`, each given with the time when it is expected to
     /// take a call, and of the pieces that wait, by the domain of their inputs.
-    pub(crate) fn new(
+    pub(super) fn new(
         now: Millis,
         sizes: &Sizes,
         targets: impl Iterator<Item = (&'a str, Millis)>,
@@ -71,7 +71,7 @@
     }
 
     /// Whether a piece may be made by a free target of another domain than that of its inputs.
-    pub(crate) fn may_move(&self, piece: NearPiece<'_>, to: &str) -> bool {
+    pub(super) fn may_move(&self, piece: NearPiece<'_>, to: &str) -> bool {
         let Some(home) = self.domains.get(piece.domain) else { return true };
         let there = self.domains.get(to).copied().unwrap_or_default();
         let home_ms = self.wait_ms(home, piece.ahead);
