Queues of failure domains: a short list in place of a map

There are a handful of domains, and each piece that waits looks its own up. No behaviour changes; the tests of near results and of batching pass.

--- a/crates/holdpoint-core/src/batcher/near.rs
+++ b/crates/holdpoint-core/src/batcher/near.rs
@@ -5,8 +5,6 @@
 //! much shorter that the move saves the time of a call. So domains that are loaded alike exchange
 //! nothing, and one that has lost its targets is helped by the others.
 
-use std::collections::BTreeMap;
-
 use crate::{ids::Millis, pieces::Sizes};
 
 /// How much before its due time a piece is to be made at a near target, in milliseconds: calls end
@@ -23,11 +21,19 @@
     waiting: usize,
 }
 
+impl Near {
+    /// Adds a target that is expected to take a call at a time.
+    fn add(&mut self, free_at: Millis) {
+        self.targets += 1;
+        self.free_at = self.free_at.min(free_at);
+    }
+}
+
 /// What waits in each failure domain at a moment.
 #[derive(Clone, Debug)]
 pub(super) struct NearQueues<'a> {
     now: Millis,
-    domains: BTreeMap<&'a str, Near>,
+    domains: Vec<(&'a str, Near)>,
     /// Time in which one target makes one piece in a full call, in milliseconds.
     piece_ms: f64,
     /// Time of a full call, in milliseconds.
@@ -54,14 +60,15 @@
         targets: impl Iterator<Item = (&'a str, Millis)>,
         waiting: impl Iterator<Item = &'a str>,
     ) -> NearQueues<'a> {
-        let mut domains: BTreeMap<&str, Near> = BTreeMap::new();
+        let mut domains: Vec<(&str, Near)> = Vec::new();
         for (domain, free_at) in targets {
-            let near = domains.entry(domain).or_default();
-            near.free_at = if near.targets == 0 { free_at } else { near.free_at.min(free_at) };
-            near.targets += 1;
+            match domains.iter_mut().find(|it| it.0 == domain) {
+                Some((_, it)) => it.add(free_at),
+                None => domains.push((domain, Near { targets: 1, free_at, waiting: 0 })),
+            }
         }
         for domain in waiting {
-            if let Some(it) = domains.get_mut(domain) {
+            if let Some((_, it)) = domains.iter_mut().find(|it| it.0 == domain) {
                 it.waiting += 1;
             }
         }
@@ -72,15 +79,19 @@
 
     /// Whether a piece may be made by a free target of another domain than that of its inputs.
     pub(super) fn may_move(&self, piece: NearPiece<'_>, to: &str) -> bool {
-        let Some(home) = self.domains.get(piece.domain) else { return true };
-        let there = self.domains.get(to).copied().unwrap_or_default();
-        let home_ms = self.wait_ms(home, piece.ahead);
+        let Some(home) = self.of(piece.domain) else { return true };
+        let there = self.of(to).unwrap_or_default();
+        let home_ms = self.wait_ms(&home, piece.ahead);
         let there_ms = self.wait_ms(&there, there.waiting);
         let is_late = piece.due < self.now + home_ms as Millis + self.call_ms + MARGIN_MS;
         let is_saved = is_late && self.now + self.call_ms <= piece.due && there_ms < home_ms;
         is_saved || there_ms + self.full_ms < home_ms
     }
 
+    fn of(&self, domain: &str) -> Option<Near> {
+        self.domains.iter().find(|it| it.0 == domain).map(|it| it.1)
+    }
+
     /// Wait of a piece for a domain's targets, where so many stand before it, in milliseconds.
     fn wait_ms(&self, near: &Near, ahead: usize) -> f64 {
         let free_ms = near.free_at.saturating_sub(self.now) as f64;
