--- a/crates/holdpoint-core/src/lib.rs
+++ b/crates/holdpoint-core/src/lib.rs
@@ -14,6 +14,7 @@
 //! assert!(ledger.begin().is_none(), "a closed ledger lets nothing through");
 //! ```
 
+pub mod admission;
 pub mod admit;
 pub mod assemble;
 pub mod batch;
@@ -37,11 +38,11 @@
 pub mod ledger;
 pub mod lifecycle;
 pub mod membership;
-mod near;
 pub mod pieces;
 pub mod pipeline;
 pub mod placement;
 pub mod prelude;
+pub mod promises;
 pub mod prompt;
 pub mod readers;
 pub mod regions;
