Confinement to regions: a core type that a route and an organisation bind together

Cause: allowed-regions of routes and organisations were not read. Change: core confinement (regions, their bounds in a topology, owners among allowed instances); routing and batching take bounds; the configuration decodes the field. A domain of unknown region is outside. Laws over random topologies in crates/holdpoint-core/tests/confinement.rs.

--- a/crates/holdpoint-core/benches/decisions.rs
+++ b/crates/holdpoint-core/benches/decisions.rs
@@ -45,6 +45,7 @@
             tried: &[],
             cap: 64,
             share: Share::Whole,
+            within: None,
         };
         group.bench_function(BenchmarkId::from_parameter(targets), |bencher| {
             bencher.iter(|| black_box(router.choose(1, &policy, &call, &mut rng)));
--- a/crates/holdpoint-core/src/batcher.rs
+++ b/crates/holdpoint-core/src/batcher.rs
@@ -14,6 +14,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 use crate::{
+    confinement::{Bounds, is_within},
     deadline::RecentRate,
     directory::TargetId,
     ids::Millis,
@@ -158,7 +159,31 @@
 
     /// Takes back all pieces that wait, for another instance to make.
     pub fn hand_over(&mut self) -> Vec<Ticket> {
-        self.waiting.drain(..).map(|it| it.ticket).collect()
+        self.take_back(|_| true)
+    }
+
+    /// Takes back some of the pieces that wait.
+    pub fn take_back(&mut self, is_taken: impl Fn(&Waiting) -> bool) -> Vec<Ticket> {
+        self.waiting.extract_if(.., |it| is_taken(it)).map(|it| it.ticket).collect()
+    }
+
+    /// Whether a target stays that makes pieces with these bounds.
+    pub fn can_make(&self, within: Option<&Bounds>) -> bool {
+        self.targets.values().any(|it| !it.is_leaving && is_within(within, &it.domain))
+    }
+
+    /// Takes back the confined pieces whose regions have no target left.
+    pub fn take_stranded(&mut self) -> Vec<Ticket> {
+        if self.waiting.iter().all(|it| it.within.is_none()) {
+            return Vec::new();
+        }
+        let staying = self.targets.values().filter(|it| !it.is_leaving);
+        let domains: HashSet<&str> = staying.map(|it| it.domain.as_str()).collect();
+        let is_stranded = |it: &Waiting| !domains.iter().any(|domain| it.is_allowed(domain));
+        self.waiting
+            .extract_if(.., |it| it.within.is_some() && is_stranded(it))
+            .map(|it| it.ticket)
+            .collect()
     }
 
     /// Takes back the pieces that are no longer wanted.
@@ -468,6 +493,9 @@
 
     /// Whether a piece may be made at a target, or waits for one where its result is needed.
     fn may_go(&self, now: Millis, piece: &Waiting, target: &Target) -> bool {
+        if !piece.is_allowed(&target.domain) {
+            return false;
+        }
         if SLOW <= target.slowness {
             // Only what will be in time there, or nowhere.
             let slow_ms = (self.sizes.stated_ms(1) * target.slowness) as Millis;
@@ -476,7 +504,11 @@
             }
         }
         let is_anywhere = piece.near_bytes < NEAR_BYTES || piece.domain.is_empty();
-        if is_anywhere || piece.domain == target.domain || self.has_backlog(LONG_BACKLOG) {
+        if is_anywhere
+            || !piece.is_allowed(&piece.domain)
+            || piece.domain == target.domain
+            || self.has_backlog(LONG_BACKLOG)
+        {
             return true;
         }
         let call_ms = self.sizes.stated_ms(1) as Millis;
--- a/crates/holdpoint-core/src/choice.rs
+++ b/crates/holdpoint-core/src/choice.rs
@@ -2,7 +2,7 @@
 
 use holdpoint_schema::resources::Route;
 
-use crate::{cold::Share, ids::Millis};
+use crate::{cold::Share, confinement::Bounds, ids::Millis};
 
 /// A target as the pool and the instance list give it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -42,6 +42,8 @@
     pub cap: u32,
     /// Part of what a cold target carries that this decision may draw on.
     pub share: Share,
+    /// What its targets must be within, where its request is confined to regions.
+    pub within: Option<&'a Bounds>,
 }
 
 /// Why a target was chosen.
@@ -79,6 +81,8 @@
     Full,
     /// Every target is held back, since its failure domain is evacuated.
     Evacuated,
+    /// The call is confined to regions in which there is no target for it.
+    Confined,
     /// Every target is cold and carries no more for so many milliseconds.
     Cold(Millis),
 }
--- a/crates/holdpoint-core/src/ingress.rs
+++ b/crates/holdpoint-core/src/ingress.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::ids::Name;
+use crate::{confinement::Confinement, ids::Name};
 
 /// Version of a configuration; versions rise in uneven steps.
 pub type Version = u64;
@@ -77,6 +77,8 @@
     pub is_anonymous: bool,
     /// Whether requests about the same subject should meet at the same target.
     pub is_sticky: bool,
+    /// Regions in which its requests may be served.
+    pub confinement: Confinement,
 }
 
 /// What the engines of a service can do.
@@ -138,6 +140,8 @@
     pub name: Name,
     /// Rank that a route's rank yields to.
     pub rank: Option<u32>,
+    /// Regions in which its requests may be served.
+    pub confinement: Confinement,
 }
 
 /// What a caller may send, and how long it may take.
@@ -174,6 +178,8 @@
     /// Organisations by key.
     organisations: HashMap<String, Arc<Tenancy>>,
     has_organisations: bool,
+    /// Regions that routes and organisations name.
+    confinements: Vec<Confinement>,
 }
 
 /// Why a request has no route or no organisation.
@@ -194,6 +200,11 @@
         limits: CallerLimits,
         organisations: Option<Vec<(Tenancy, Vec<String>)>>,
     ) -> Configuration {
+        let of_organisations = organisations.iter().flatten().map(|it| &it.0.confinement);
+        let confinements = routes.iter().map(|it| &it.confinement).chain(of_organisations);
+        let mut confinements: Vec<Confinement> =
+            confinements.filter(|it| !it.is_free()).cloned().collect();
+        confinements.dedup();
         let mut by_host: HashMap<String, Vec<Arc<IngressRoute>>> = HashMap::new();
         for route in routes {
             by_host.entry(route.host.clone()).or_default().push(Arc::new(route));
@@ -214,6 +225,7 @@
             routes: by_host,
             organisations: keys,
             has_organisations,
+            confinements,
         }
     }
 
@@ -237,6 +249,11 @@
         found.map(Some).ok_or(Denied::BadKey)
     }
 
+    /// What routes and organisations are confined to; empty where none is.
+    pub fn confinements(&self) -> &[Confinement] {
+        &self.confinements
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
@@ -271,6 +288,11 @@
     pub fn rank_for(&self, tenancy: Option<&Tenancy>) -> u32 {
         tenancy.and_then(|it| it.rank).unwrap_or(self.rank)
     }
+
+    /// Regions in which a request of an organisation may be served: those that both allow.
+    pub fn confinement_for(&self, tenancy: Option<&Tenancy>) -> Confinement {
+        tenancy.map_or_else(|| self.confinement.clone(), |it| self.confinement.and(&it.confinement))
+    }
 }
 
 /// Whether a configuration that was found may replace the one in force: only a later version may.
--- a/crates/holdpoint-core/src/lib.rs
+++ b/crates/holdpoint-core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod choice;
 pub mod claims;
 pub mod cold;
+pub mod confinement;
 pub mod deadline;
 pub mod directory;
 pub mod evacuation;
--- a/crates/holdpoint-core/src/pieces.rs
+++ b/crates/holdpoint-core/src/pieces.rs
@@ -1,6 +1,10 @@
 //! Pieces of stages, the calls that carry them, and how large and long these are.
 
-use crate::{directory::TargetId, ids::Millis};
+use crate::{
+    confinement::{Within, is_within},
+    directory::TargetId,
+    ids::Millis,
+};
 
 /// Identifies a piece that was offered.
 pub type Ticket = u64;
@@ -30,6 +34,8 @@
     pub near_bytes: u64,
     /// When the results that it is made from expire at their makers; never where it has none.
     pub inputs_until: Option<Millis>,
+    /// What its target must be within, where its request is confined to regions.
+    pub within: Within,
     /// When it was offered; set by the batcher.
     pub offered: Millis,
     /// Wait predicted then, in milliseconds; set by the batcher.
@@ -38,6 +44,13 @@
     pub turn: Millis,
 }
 
+impl Waiting {
+    /// Whether it may be made in a failure domain.
+    pub(crate) fn is_allowed(&self, domain: &str) -> bool {
+        is_within(self.within.as_deref(), domain)
+    }
+}
+
 /// A call to make.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Call {
--- a/crates/holdpoint-core/src/route.rs
+++ b/crates/holdpoint-core/src/route.rs
@@ -14,6 +14,7 @@
 use crate::{
     admit::Signal,
     cold::{Credits, Share},
+    confinement::is_within,
     ids::Millis,
     subset::{subset, weight},
 };
@@ -321,8 +322,12 @@
         policy: &Policy,
         call: &Call<'_>,
     ) -> Result<(Vec<usize>, usize), NoTarget> {
+        let allowed = |it: &usize| is_within(call.within, &self.targets[*it].domain);
+        if !(0..self.targets.len()).any(|it| allowed(&it)) {
+            return Err(NoTarget::Confined);
+        }
         let untried = |it: &usize| !call.tried.contains(&self.targets[*it].address);
-        let all: Vec<usize> = (0..self.targets.len()).filter(untried).collect();
+        let all: Vec<usize> = (0..self.targets.len()).filter(allowed).filter(untried).collect();
         if all.is_empty() {
             return Err(NoTarget::Tried);
         }
--- a/crates/holdpoint-core/src/topology.rs
+++ b/crates/holdpoint-core/src/topology.rs
@@ -32,6 +32,12 @@
         self.regions.get(domain).map(String::as_str)
     }
 
+    /// The failure domains known to be in a region. An empty name is none.
+    pub fn domains_of<'a>(&'a self, region: &'a str) -> impl Iterator<Item = &'a Name> {
+        let is_there = move |it: &(&Name, &Name)| !region.is_empty() && it.1 == region;
+        self.regions.iter().filter(is_there).map(|it| it.0)
+    }
+
     /// Whether there is more than one region, and the instance knows its own.
     pub fn is_split(&self) -> bool {
         let regions: BTreeSet<&str> = self.regions.values().map(String::as_str).collect();
--- a/crates/holdpoint-core/tests/cold.rs
+++ b/crates/holdpoint-core/tests/cold.rs
@@ -41,7 +41,15 @@
 }
 
 fn call(share: Share) -> Call<'static> {
-    Call { work: 1.0, prefix_work: 0.0, prefix: None, tried: &[], cap: u32::MAX, share }
+    Call {
+        work: 1.0,
+        prefix_work: 0.0,
+        prefix: None,
+        tried: &[],
+        cap: u32::MAX,
+        share,
+        within: None,
+    }
 }
 
 /// Has a router choose, and counts the call.
--- /dev/null
+++ b/crates/holdpoint-core/tests/confinement.rs
@@ -0,0 +1,255 @@
+//! Confinement to regions: whatever the topology, nothing is placed, batched or handed to an instance
+//! outside the regions that both the route and the organisation allow.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use holdpoint_core::{
+    batcher::Batcher,
+    choice::{Call, Member, NoTarget},
+    cold::Share,
+    confinement::{Confinement, Within},
+    ids::Name,
+    ingress::{CallerLimits, Configuration, IngressRoute, Repeat, Shape, Tenancy},
+    pieces::{CallEnd, Sizes, Waiting},
+    route::Router,
+    topology::Topology,
+};
+use holdpoint_schema::resources::{Policy, Route};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const REGIONS: [&str; 4] = ["east", "north", "south", ""];
+const NAMED: [&str; 4] = ["east", "north", "south", "nobody-knows"];
+const SIZES: Sizes =
+    Sizes { calls: 2, pieces: 4, call_ms: 100.0, piece_ms: 1.0, room_bytes: 0, keep_ms: 1000 };
+
+/// Domains `d0` to `d5`; one without an entry has no region.
+fn topology() -> impl Strategy<Value = Topology> {
+    let regions = prop::collection::vec(prop::option::of(0..REGIONS.len()), 6);
+    (0..3_usize, regions).prop_map(|(own, regions)| {
+        let known = regions.iter().enumerate();
+        let known: BTreeMap<Name, Name> = known
+            .filter_map(|(at, it)| Some((format!("d{at}"), REGIONS[(*it)?].to_owned())))
+            .collect();
+        Topology::new(REGIONS[own], known)
+    })
+}
+
+fn confinement() -> impl Strategy<Value = Confinement> {
+    let named = prop::collection::btree_set(0..NAMED.len(), 0..4);
+    prop::option::of(named).prop_map(|it| match it {
+        Some(it) => Confinement::to(it.into_iter().map(|it| NAMED[it].to_owned())),
+        None => Confinement::default(),
+    })
+}
+
+fn domains() -> impl Iterator<Item = String> {
+    (0..7).map(|it| format!("d{it}"))
+}
+
+fn allows(confinement: &Confinement, topology: &Topology, domain: &str) -> bool {
+    confinement.bounds(topology).is_none_or(|it| it.allows(domain))
+}
+
+fn policy(route: Route) -> Policy {
+    Policy {
+        route,
+        subset: u32::MAX,
+        choices: 4,
+        report_trust_ms: 400,
+        eject_failures: 2,
+        eject_ms: 1500,
+        eject_floor: 0.3,
+        retry_percent: 0,
+    }
+}
+
+fn call<'a>(tried: &'a [String], within: &'a Within) -> Call<'a> {
+    let within = within.as_deref();
+    let (work, prefix_work, cap, share) = (9000.0, 6000.0, u32::MAX, Share::Whole);
+    Call { work, prefix_work, prefix: Some(7), tried, cap, share, within }
+}
+
+proptest! {
+    #[test]
+    fn a_domain_is_allowed_exactly_where_both_allow_its_region(
+        topology in topology(), route in confinement(), organisation in confinement(),
+    ) {
+        let both = route.and(&organisation);
+        prop_assert_eq!(&both, &organisation.and(&route));
+        for domain in domains() {
+            let expected = allows(&route, &topology, &domain) && allows(&organisation, &topology, &domain);
+            prop_assert_eq!(allows(&both, &topology, &domain), expected);
+            let is_unknown = topology.region_of(&domain).is_none_or(str::is_empty);
+            if is_unknown && !both.is_free() {
+                prop_assert!(!allows(&both, &topology, &domain), "unknown is outside");
+            }
+        }
+    }
+
+    #[test]
+    fn no_call_is_routed_outside_and_none_is_refused_that_has_a_target(
+        topology in topology(), confinement in confinement(), seed in any::<u64>(),
+        places in prop::collection::vec((0..7_usize, any::<bool>(), any::<bool>()), 1..12),
+        route in prop::sample::select(vec![
+            Route::Random, Route::RoundRobin, Route::LeastLoaded, Route::TwoChoices,
+            Route::Predicted, Route::Affinity,
+        ]),
+    ) {
+        let members: Vec<Member> = places.iter().enumerate().map(|(at, (domain, leaving, held))| Member {
+            address: format!("t{at}"),
+            domain: format!("d{domain}"),
+            leaving: *leaving,
+            held: *held,
+        }).collect();
+        let policy = policy(route);
+        let mut router = Router::new("i", "d0", policy.clone());
+        router.set_members(&members);
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let within = confinement.bounds(&topology);
+        let is_open = |it: &&Member| {
+            !it.leaving && !it.held && allows(&confinement, &topology, &it.domain)
+        };
+        let open: BTreeSet<&str> = members.iter().filter(is_open).map(|it| it.address.as_str()).collect();
+        let mut tried = Vec::new();
+        for now in 0..20 {
+            match router.choose(now, &policy, &call(&tried, &within), &mut rng) {
+                Ok(it) => {
+                    prop_assert!(open.contains(it.address.as_str()));
+                    router.sent(now, &it.address, &call(&tried, &within));
+                    tried.push(it.address);
+                }
+                Err(it) => {
+                    prop_assert_eq!(tried.len(), open.len(), "all that are open were tried");
+                    prop_assert_eq!(it == NoTarget::Tried, !open.is_empty());
+                    break;
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn no_piece_is_made_outside_and_all_are_made_that_have_a_target(
+        topology in topology(),
+        places in prop::collection::vec((0..7_usize, any::<bool>()), 1..8),
+        pieces in prop::collection::vec((confinement(), 0..7_usize, any::<bool>()), 1..40),
+    ) {
+        let mut batcher = Batcher::new(SIZES);
+        let targets: Vec<(String, String, bool)> = places.iter().enumerate()
+            .map(|(at, (domain, is_leaving))| (format!("t{at}"), format!("d{domain}"), *is_leaving))
+            .collect();
+        batcher.set_targets(targets.iter().map(|it| (it.0.as_str(), it.1.as_str(), it.2)));
+        let can = |it: &Confinement| {
+            targets.iter().any(|(_, domain, is_leaving)| !is_leaving && allows(it, &topology, domain))
+        };
+        for (ticket, (confinement, domain, is_large)) in pieces.iter().enumerate() {
+            let within = confinement.bounds(&topology);
+            prop_assert_eq!(batcher.can_make(within.as_deref()), can(confinement));
+            batcher.offer(1000, Waiting {
+                ticket: ticket as u64,
+                group: ticket as u64,
+                due: 2000,
+                deadline: 90_000,
+                late_due: 80_000,
+                domain: format!("d{domain}"),
+                near_bytes: if *is_large { 900_000 } else { 0 },
+                within,
+                ..Waiting::default()
+            });
+        }
+        let stranded = batcher.take_stranded();
+        for ticket in &stranded {
+            let confinement = &pieces[*ticket as usize].0;
+            prop_assert!(!confinement.is_free() && !can(confinement));
+        }
+        let mut now = 1000;
+        for _ in 0..200 {
+            while let Some(call) = batcher.next(now) {
+                let domain = targets.iter().find(|it| it.0 == call.target).map(|it| it.1.clone()).unwrap();
+                for piece in &call.pieces {
+                    prop_assert!(allows(&pieces[piece.ticket as usize].0, &topology, &domain));
+                }
+                now += 100;
+                batcher.ended(now, &call, CallEnd::Answered(100), &vec![None; call.pieces.len()]);
+            }
+            now += 100;
+        }
+        let unconfined_wait = if targets.iter().any(|it| !it.2) { 0 } else {
+            pieces.iter().filter(|it| it.0.is_free()).count()
+        };
+        prop_assert_eq!(batcher.waiting(), unconfined_wait, "nothing waits for ever");
+    }
+
+    #[test]
+    fn an_owner_is_in_an_allowed_region_and_near_where_one_is(
+        topology in topology(), confinement in confinement(),
+        places in prop::collection::vec(0..7_usize, 0..10),
+    ) {
+        let Some(bounds) = confinement.bounds(&topology) else { return Ok(()) };
+        let instances: Vec<(String, String)> =
+            places.iter().enumerate().map(|(at, it)| (format!("i{at}"), format!("d{it}"))).collect();
+        let named = || instances.iter().map(|it| (it.0.as_str(), it.1.as_str()));
+        let owners = bounds.owners(&topology, named());
+        let allowed: Vec<_> = named().filter(|it| bounds.allows(it.1)).collect();
+        prop_assert_eq!(owners.is_empty(), allowed.is_empty());
+        let has_near = allowed.iter().any(|it| topology.is_near(it.1));
+        for (name, domain) in allowed {
+            let expected = !has_near || topology.is_near(domain);
+            prop_assert_eq!(owners.contains(&name), expected);
+        }
+        for owner in owners {
+            prop_assert!(named().any(|it| it.0 == owner && bounds.allows(it.1)));
+        }
+    }
+}
+
+fn route(confinement: Confinement) -> IngressRoute {
+    IngressRoute {
+        name: "r".to_owned(),
+        host: "h".to_owned(),
+        prefix: "/".to_owned(),
+        services: vec![("s".to_owned(), 1)],
+        repeat: Repeat::Free,
+        shape: Shape::Whole,
+        timeout_ms: 1000,
+        target_ms: 500,
+        rank: 1,
+        attempts: 2,
+        stages: Vec::new(),
+        is_anonymous: false,
+        is_sticky: false,
+        confinement,
+    }
+}
+
+#[test]
+fn a_route_and_an_organisation_bind_together_and_free_ones_cost_nothing() {
+    let of = |names: &[&str]| Confinement::to(names.iter().map(|it| (*it).to_owned()));
+    let acme =
+        Tenancy { name: "acme".to_owned(), rank: None, confinement: of(&["north", "south"]) };
+    let confined = route(of(&["east", "north"]));
+    assert_eq!(confined.confinement_for(Some(&acme)), of(&["north"]));
+    assert_eq!(confined.confinement_for(None), of(&["east", "north"]));
+    assert_eq!(route(Confinement::default()).confinement_for(Some(&acme)), acme.confinement);
+    assert!(route(Confinement::default()).confinement_for(None).is_free());
+    let limits = CallerLimits::default();
+    let organisations = Some(vec![(acme, vec!["key".to_owned()])]);
+    let named = Configuration::new(1, vec![confined], Vec::new(), limits, organisations);
+    assert_eq!(named.confinements(), [of(&["east", "north"]), of(&["north", "south"])]);
+    let free = vec![route(Confinement::default())];
+    let none = Configuration::new(1, free, Vec::new(), limits, None);
+    assert!(none.confinements().is_empty());
+    assert!(none.confinements().iter().all(|it| it.bounds(&Topology::default()).is_none()));
+}
+
+#[test]
+fn regions_that_nobody_knows_are_named_and_allow_nothing() {
+    let topology = Topology::new("east", BTreeMap::from([("a".to_owned(), "east".to_owned())]));
+    let confinement = Confinement::to(["east", "moon", ""].map(str::to_owned));
+    assert_eq!(confinement.unknown(&topology).collect::<Vec<_>>(), ["", "moon"]);
+    let bounds = confinement.bounds(&topology).unwrap();
+    assert!(bounds.allows("a") && !bounds.allows(""));
+    let nowhere = Confinement::to([]).bounds(&topology).unwrap();
+    assert!(!nowhere.allows("a"), "an empty list allows none");
+}
--- a/crates/holdpoint-core/tests/ingress.rs
+++ b/crates/holdpoint-core/tests/ingress.rs
@@ -6,6 +6,7 @@
     budget::{SharedBudget, Terms},
     capacity::{Capacity, strong},
     change_log::ChangeLog,
+    confinement::Confinement,
     deadline::RecentTime,
     directory::{Change, Directory, TargetInstance},
     event_split::EventSplitter,
@@ -32,6 +33,7 @@
         stages: Vec::new(),
         is_anonymous: name == "open",
         is_sticky: false,
+        confinement: Confinement::default(),
     }
 }
 
@@ -41,7 +43,8 @@
         route("long", "a.example", "/x/y/", &[("s", 90), ("t", 10)]),
         route("open", "b.example", "/", &[("s", 1)]),
     ];
-    let acme = Tenancy { name: "acme".to_owned(), rank: Some(0) };
+    let acme =
+        Tenancy { name: "acme".to_owned(), rank: Some(0), confinement: Confinement::default() };
     let organisations = vec![(acme, vec!["k-1".to_owned(), "k-2".to_owned()])];
     Configuration::new(3, routes, Vec::new(), CallerLimits::default(), Some(organisations))
 }
--- a/crates/holdpoint-emulator/src/capacity.rs
+++ b/crates/holdpoint-emulator/src/capacity.rs
@@ -222,6 +222,7 @@
                 tried: &[],
                 cap: 10_000,
                 share: Share::Whole,
+                within: None,
             };
             micros(|| {
                 for now in 0..CALLS as u64 {
--- a/crates/holdpoint-emulator/src/policies/run.rs
+++ b/crates/holdpoint-emulator/src/policies/run.rs
@@ -442,6 +442,7 @@
         tried: &request.tried,
         cap: 256,
         share: Share::Whole,
+        within: None,
     }
 }
 
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -205,6 +205,7 @@
             tried,
             cap: u32::MAX,
             share: Share::Whole,
+            within: None,
         }
     }
 
--- a/crates/holdpointd/src/traffic/stage.rs
+++ b/crates/holdpointd/src/traffic/stage.rs
@@ -229,6 +229,7 @@
             tried,
             cap: self.pool.concurrency,
             share: Share::Whole,
+            within: None,
         }
     }
 
