--- a/crates/holdpoint-core/src/route.rs
+++ b/crates/holdpoint-core/src/route.rs
@@ -149,7 +149,8 @@
                     domain: member.domain.clone(),
                     ..Target::default()
                 };
-                old.remove(&member.address).unwrap_or_else(fresh)
+                let known = old.remove(&member.address).unwrap_or_else(fresh);
+                Target { domain: member.domain.clone(), ..known }
             })
             .collect();
         let held = members.iter().filter(|it| it.held && !it.leaving);
--- a/crates/holdpoint/src/explain.rs
+++ b/crates/holdpoint/src/explain.rs
@@ -11,7 +11,8 @@
 use crate::failure::Failure;
 
 /// What a numbered event says about a request, in words.
-const MEANINGS: [(&str, &str); 7] = [
+const MEANINGS: [(&str, &str); 8] = [
+    ("E640", "the regions that it is confined to have no target for it"),
     ("E700", "sent to a target"),
     ("E701", "that send ended without a whole answer"),
     ("E703", "results of a stage were missing"),
@@ -22,7 +23,11 @@
 ];
 
 /// What the cause of an end means.
-const CAUSES: [(&str, &str); 10] = [
+const CAUSES: [(&str, &str); 11] = [
+    (
+        "confined",
+        "its route or organisation allows only regions that cannot serve it: refused as not run",
+    ),
     ("answered", "the target's whole answer was passed on"),
     ("caller-gone", "its caller left first"),
     ("overload", "it would have been late: refused as not run, with a time to come back"),
--- a/crates/holdpoint/tests/cli.rs
+++ b/crates/holdpoint/tests/cli.rs
@@ -87,6 +87,8 @@
 #[test]
 fn explain_tells_one_request_from_the_logs_of_all_instances() {
     let log = "  1.2 a E700 a: sent to a target: id=r-1 target=t-1 send=1\n\
+               1.1 b E640 b: no target in the allowed regions: id=r-3 service=s regions=east\n\
+               1.4 b E706 b: request ended: id=r-3 status=503 cause=confined ms=1\n\
                1.1 b E707 b: stage refused: id=r-2 service=s expected_ms=350\n\
                1.3 a E706 a: request ended: id=r-1 status=502 cause=attempts-used ms=9\n";
     let run = |id: &str| {
@@ -103,6 +105,9 @@
     let told = String::from_utf8(run("r-1").stdout).unwrap();
     assert!(told.contains("target=t-1") && !told.contains("r-2"));
     assert!(told.contains("cause: the route allows no further target"));
+    let told = String::from_utf8(run("r-3").stdout).unwrap();
+    assert!(told.contains("regions=east"));
+    assert!(told.contains("cause: its route or organisation allows only regions that cannot"));
     assert_eq!(run("r-9").status.code(), Some(2));
 }
 
--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -106,6 +106,10 @@
     PEERS_CHANGED = 614 Info "peers changed";
     /// A failure domain was evacuated or restored.
     DOMAIN_CHANGED = 615 Info "failure domain evacuated or restored";
+    /// A confined request was refused, since its regions have no target for it.
+    CONFINED = 640 Info "no target in the allowed regions";
+    /// A region that a configuration names, or a target's failure domain, is in no known region.
+    REGION_UNKNOWN = 641 Warn "region not known";
     /// Pieces were refused, since every target that makes them stands in an evacuated failure domain.
     PIECES_EVACUATED = 709 Info "pieces have no target left";
     /// A request was sent to a target.
--- a/crates/holdpointd/src/ingress/attempts.rs
+++ b/crates/holdpointd/src/ingress/attempts.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use holdpoint_core::{
+    confinement::Confinement,
     directory::TargetInstance,
     route::{Call, End, NoTarget},
 };
@@ -37,6 +38,8 @@
     Evacuated,
     /// Every target is cold and carries no more for now.
     Cold,
+    /// No target is in the regions that the request is confined to.
+    Confined,
 }
 
 impl NoSend {
@@ -50,6 +53,7 @@
             NoSend::Stopping => "stopping",
             NoSend::Evacuated => "evacuated",
             NoSend::Cold => "cold",
+            NoSend::Confined => "confined",
         }
     }
 }
@@ -94,7 +98,9 @@
         }
         loop {
             let decides = ctx.decides();
-            let call = Call { share: ctx.shared.pools.share(decides), ..ctx.call(&self.tried) };
+            let within = ctx.within();
+            let share = ctx.shared.pools.share(decides);
+            let call = Call { share, within: within.as_deref(), ..ctx.call(&self.tried) };
             let policy = ctx.policy();
             let choice = match ctx.pool.place(ctx.shared.clock.now(), policy.as_deref(), &call) {
                 Ok(it) => it,
@@ -104,11 +110,12 @@
                 }
                 Err(NoTarget::Cold(_)) => return Err(NoSend::Cold),
                 Err(NoTarget::Evacuated) => return Err(NoSend::Evacuated),
+                Err(NoTarget::Confined) => return Err(NoSend::Confined),
                 Err(NoTarget::Empty | NoTarget::Tried | NoTarget::Full) => {
                     return Err(NoSend::NoTarget);
                 }
             };
-            if let Some(target) = ctx.shared.open_target(&choice.address) {
+            if let Some(target) = ctx.open_target(&choice.address) {
                 let reason = format!(
                     "compared={} ejected={} predicted_ms={:.0} prefix={}",
                     choice.reason.compared,
@@ -125,14 +132,17 @@
     async fn choose_at_peer(&self, ctx: &Context) -> Option<(TargetInstance, String)> {
         let call = ctx.call(&self.tried);
         let prefix = call.prefix?;
-        let address = ctx.shared.peers.batcher_of(&ctx.service)?;
+        let within = ctx.within();
+        let peers = &ctx.shared.peers;
+        let address = peers.owner_within(&ctx.service, &ctx.shared.topology, within.as_deref())?;
         let mut avoided = ctx.pool.ejected(ctx.shared.clock.now());
         avoided.extend(self.tried.iter().cloned());
         let policy = ctx.arm.as_ref().map(|it| it.policy.clone());
         let (work, prefix_work) = (call.work, call.prefix_work);
-        let ask = PromptAsk { work, prefix_work, prefix, avoided, policy };
-        let chosen = ctx.shared.peers.place(&ctx.shared, &address, &ctx.service, ask).await?;
-        let target = ctx.shared.open_target(&chosen)?;
+        let confinement = within.map_or_else(Confinement::default, |it| it.confinement());
+        let ask = PromptAsk { work, prefix_work, prefix, avoided, policy, confinement };
+        let chosen = peers.place(&ctx.shared, &address, &ctx.service, ask).await?;
+        let target = ctx.open_target(&chosen)?;
         Some((target, format!("placed_by={address}")))
     }
 
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -13,6 +13,7 @@
 use holdpoint_adapter::stages as wire;
 use holdpoint_core::{
     batcher::Batcher,
+    confinement::Within,
     directory::{Directory, TargetId},
     evacuation::Evacuations,
     ids::{Millis, Name},
@@ -27,6 +28,7 @@
 use crate::{
     events::{self, emit},
     ingress::{
+        confinement::{self, log_refused},
         piece_ask::{PieceAsk, PieceResult},
         send::{left, own_call},
         shared::IngressShared,
@@ -61,14 +63,17 @@
     /// Pieces whose target has not fetched its inputs yet.
     unfetched: AtomicUsize,
     used_up: Mutex<Vec<(Name, String)>>,
+    /// What their request is confined to.
+    within: Within,
 }
 
 impl GroupInputs {
-    fn new(asks: &mut [PieceAsk]) -> GroupInputs {
+    fn new(asks: &mut [PieceAsk], within: Within) -> GroupInputs {
         let used_up = asks.first_mut().map(|it| std::mem::take(&mut it.used_up));
         GroupInputs {
             unfetched: AtomicUsize::new(asks.len()),
             used_up: Mutex::new(used_up.unwrap_or_default()),
+            within,
         }
     }
 
@@ -78,7 +83,10 @@
             return;
         }
         let used_up = std::mem::take(&mut *self.used_up.lock());
-        used_up.into_iter().for_each(|(service, handle)| shared.releases.release(&service, handle));
+        let release = |(service, handle): (Name, String)| {
+            shared.releases.release(&service, &self.within, handle);
+        };
+        used_up.into_iter().for_each(release);
     }
 }
 
@@ -108,6 +116,8 @@
     is_owner: bool,
     /// Whether all its targets stand in evacuated failure domains.
     is_evacuated: bool,
+    /// Whether this instance was about to stop when last looked at.
+    was_leaving: bool,
 }
 
 impl ServiceBatches {
@@ -117,6 +127,7 @@
             pending: HashMap::new(),
             is_owner: false,
             is_evacuated: false,
+            was_leaving: false,
         }
     }
 
@@ -125,14 +136,18 @@
         let known = targets.known.iter();
         self.batcher.set_targets(known.map(|it| (it.0.as_str(), it.1.as_str(), it.2)));
         self.is_evacuated = targets.is_evacuated();
-        if !self.is_evacuated {
-            return;
+        if self.is_evacuated {
+            let tickets = self.batcher.hand_over();
+            self.answer(&tickets, NoResult::Overload(EVACUATED_RETURN_MS));
         }
-        for ticket in self.batcher.hand_over() {
-            if let Some(it) = self.pending.remove(&ticket) {
-                // Its request may have ended meanwhile.
-                drop(it.reply.send(Err(NoResult::Overload(EVACUATED_RETURN_MS))));
-            }
+        let stranded = self.batcher.take_stranded();
+        self.answer(&stranded, NoResult::Overload(confinement::RETURN_MS));
+    }
+
+    /// Answers pieces that wait no longer; a request may have ended meanwhile.
+    fn answer(&mut self, tickets: &[Ticket], why: NoResult) {
+        for it in tickets.iter().filter_map(|it| self.pending.remove(it)) {
+            drop(it.reply.send(Err(why)));
         }
     }
 }
@@ -217,16 +232,24 @@
             emit(events::PIECES_EVACUATED, &shared.settings.instance, &detail);
             return Err(NoResult::Overload(EVACUATED_RETURN_MS));
         }
+        let within = asks.first().and_then(|it| it.confinement.bounds(&shared.topology));
+        if let Some(it) = within.as_ref().filter(|it| !of_service.batcher.can_make(Some(it))) {
+            let request = asks.first().map_or("none", |it| it.work.request.as_str());
+            log_refused(shared, request, service, it);
+            return Err(NoResult::Overload(confinement::RETURN_MS));
+        }
         admit(shared, service, &mut of_service.batcher, now, &asks)?;
         let offered = Instant::now();
         let group = self.ticket();
-        let inputs = Arc::new(GroupInputs::new(&mut asks));
+        let inputs = Arc::new(GroupInputs::new(&mut asks, within));
         let mut replies = Vec::with_capacity(asks.len());
         for ask in asks {
             let ticket = self.ticket();
             let (reply, answer) = oneshot::channel();
             replies.push(answer);
-            of_service.batcher.offer(now, waiting(&ask, ticket, group, now));
+            let within = inputs.within.clone();
+            let piece = Waiting { within, ..waiting(&ask, ticket, group, now) };
+            of_service.batcher.offer(now, piece);
             let deadline = offered + Duration::from_millis(ask.left_ms);
             let inputs = inputs.clone();
             let pending = Pending {
@@ -344,18 +367,23 @@
             let is_owner = shared.peers.batcher_of(name).is_none();
             let was_owner = std::mem::replace(&mut of_service.is_owner, is_owner);
             let is_told = || shared.pools.of(shared.clock.now(), name).has_told(shared.clock.now());
-            let is_idle = of_service.batcher.waiting() == 0;
-            if is_owner || is_idle || !(was_owner || is_told()) {
+            let is_leaving = shared.peers.is_leaving();
+            let was_leaving = std::mem::replace(&mut of_service.was_leaving, is_leaving);
+            if of_service.batcher.waiting() == 0 {
+                continue;
+            }
+            let moves = !is_owner && (was_owner || is_told());
+            // Confined pieces have an owner of their own, which may be any allowed instance.
+            let confined_move = is_leaving && !was_leaving;
+            let tickets = of_service
+                .batcher
+                .take_back(|it| if it.within.is_some() { confined_move } else { moves });
+            if tickets.is_empty() {
                 continue;
             }
-            let tickets = of_service.batcher.hand_over();
             let detail = format!("service={name} pieces={}", tickets.len());
             emit(events::HANDED_PIECES_OVER, &shared.settings.instance, &detail);
-            for ticket in tickets {
-                if let Some(it) = of_service.pending.remove(&ticket) {
-                    drop(it.reply.send(Err(NoResult::Moved)));
-                }
-            }
+            of_service.answer(&tickets, NoResult::Moved);
         }
     }
 
@@ -522,7 +550,7 @@
     }
     if let Err(Ok(handle)) = piece.reply.send(result) {
         // Its request has ended meanwhile.
-        shared.releases.release(service, handle);
+        shared.releases.release(service, &waiting.within, handle);
     }
 }
 
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -25,6 +25,7 @@
     events::{self, emit},
     ingress::{
         answer::{Answer, Failure, failure, refusal},
+        confinement::RequestBounds,
         connections::Care,
         pools::Pool,
         send::{CallerRequest, left},
@@ -54,6 +55,8 @@
     pub(crate) pool: Arc<Pool>,
     pub(crate) organisation: Option<Name>,
     pub(crate) rank: u32,
+    /// What binds it to regions.
+    pub(crate) bounds: RequestBounds,
     pub(crate) version: Version,
     pub(crate) arrived: Instant,
     /// How long before that its caller has likely asked for the first time.
@@ -89,6 +92,7 @@
     pub(crate) service: Name,
     pub(crate) organisation: Option<Name>,
     pub(crate) rank: u32,
+    pub(crate) bounds: RequestBounds,
     pub(crate) version: Version,
     pub(crate) arrived: Instant,
     pub(crate) working: Working,
@@ -111,6 +115,7 @@
             pool,
             organisation: parts.organisation,
             rank: parts.rank,
+            bounds: parts.bounds,
             version: parts.version,
             arrived: parts.arrived,
             asked_before,
@@ -211,8 +216,10 @@
 
     /// Whether this instance places the prompts of the service for all.
     pub(crate) fn decides(&self) -> bool {
-        self.head.prompt.affinity().is_some()
-            && self.shared.peers.batcher_of(&self.service).is_none()
+        let within = self.within();
+        let topology = &self.shared.topology;
+        let owner = || self.shared.peers.owner_within(&self.service, topology, within.as_deref());
+        self.head.prompt.affinity().is_some() && owner().is_none()
     }
 
     /// Whether it may still be served in time after a wait for a target that carries one more.
--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -5,6 +5,7 @@
 use futures::StreamExt;
 use holdpoint_core::{
     cold::Share,
+    confinement::Confinement,
     directory::TargetId,
     ids::{Millis, Name},
     ingress::Version,
@@ -33,7 +34,9 @@
 const MAX_FRAME: usize = 16 << 20;
 
 /// Version of the protocol that this instance speaks: from 1 on, [`IngressPeers::check`] is known.
-pub(crate) const PROTOCOL: u32 = 1;
+pub(crate) const PROTOCOL: u32 = CONFINES;
+/// Version from which on an instance keeps confined work in its regions.
+pub(crate) const CONFINES: u32 = 2;
 
 /// What an instance tells of itself whenever it is asked whether it is there.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -59,6 +62,9 @@
     /// Name of the policy of a trial's arm, if the request falls to one.
     #[serde(default)]
     pub(crate) policy: Option<Name>,
+    /// Regions that its request is confined to.
+    #[serde(default, skip_serializing_if = "Confinement::is_free")]
+    pub(crate) confinement: Confinement,
 }
 
 /// What ingress instances ask of each other.
@@ -117,6 +123,7 @@
         service: Name,
         prompt: PromptAsk,
     ) -> Option<TargetId> {
+        let within = prompt.confinement.bounds(&self.shared.topology);
         let call = Call {
             work: prompt.work,
             prefix_work: prompt.prefix_work,
@@ -124,6 +131,7 @@
             tried: &prompt.avoided,
             cap: u32::MAX,
             share: Share::Whole,
+            within: within.as_deref(),
         };
         let policy = prompt.policy.and_then(|it| self.shared.experiments.now().policy(&it));
         let now = self.shared.clock.now();
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -13,11 +13,13 @@
 
 use holdpoint_core::{
     capacity::{Capacity, strong},
+    confinement::{Bounds, Within},
     directory::TargetId,
     ids::Name,
     readers::{order_for, readers, sources},
     stage_graph::NoResult,
     subset::{owner, weight},
+    topology::Topology,
 };
 use holdpoint_schema::ingress::{Batching, IngressSettings};
 use parking_lot::Mutex;
@@ -36,7 +38,7 @@
         connections::guard,
         follow::catch_up,
         news::{Known, Update},
-        peer_service::{IngressPeersClient, PromptAsk, Standing, codec},
+        peer_service::{CONFINES, IngressPeersClient, PromptAsk, Standing, codec},
         piece_ask::{PieceAsk, PieceResult},
         shared::IngressShared,
     },
@@ -125,6 +127,7 @@
 /// The peers of an instance.
 pub(crate) struct Peers {
     own_name: Name,
+    own_domain: Name,
     own_capacity: Capacity,
     batching: Batching,
     seeds: Vec<String>,
@@ -143,6 +146,7 @@
         let is_other = |it: &&String| **it != settings.listen.peers;
         Peers {
             own_name: settings.instance.clone(),
+            own_domain: settings.domain.clone(),
             own_capacity: own_capacity(settings),
             batching: settings.decisions.batching,
             seeds: settings.seeds.iter().filter(is_other).cloned().collect(),
@@ -237,6 +241,34 @@
         known.get(chosen).map(|it| it.address.clone())
     }
 
+    /// The peer that batches a service's pieces and places its prompts with some bounds; `None` where
+    /// this instance does, which no allowed one can be asked for.
+    pub(crate) fn owner_within(
+        &self,
+        service: &str,
+        topology: &Topology,
+        within: Option<&Bounds>,
+    ) -> Option<String> {
+        let Some(within) = within else { return self.batcher_of(service) };
+        if self.batching == Batching::Own {
+            return None;
+        }
+        let known = self.known.lock();
+        let confines = |it: &str| known.get(it).is_none_or(|it| CONFINES <= it.protocol);
+        let domain = |it: &str| known.get(it).map_or(&self.own_domain, |it| &it.domain).as_str();
+        let capacity = |it: &str| known.get(it).map_or(self.own_capacity, |it| it.capacity);
+        let live: Vec<&str> = self.live(&known).filter(|it| confines(it)).collect();
+        let allowed = within.owners(topology, live.iter().map(|it| (*it, domain(it))));
+        let allowed: Vec<_> = allowed.into_iter().map(|it| (it, capacity(it))).collect();
+        let chosen = owner(service, strong(&allowed).into_iter())?;
+        known.get(chosen).map(|it| it.address.clone())
+    }
+
+    /// Whether this instance is about to stop.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Acquire)
+    }
+
     /// Has a peer make pieces. An error means that the peer is silent.
     pub(crate) async fn make(
         self: &Peers,
@@ -434,11 +466,13 @@
     shared: &Arc<IngressShared>,
     service: &str,
     asks: Vec<PieceAsk>,
+    within: &Within,
     limit: Duration,
 ) -> Vec<PieceResult> {
     let count = asks.len();
     let until = Instant::now() + limit;
-    while let Some(address) = shared.peers.batcher_of(service) {
+    let owner = || shared.peers.owner_within(service, &shared.topology, within.as_deref());
+    while let Some(address) = owner() {
         let left = until.saturating_duration_since(Instant::now());
         let made = shared.peers.make(shared, &address, service, asks.clone(), left).await;
         let Ok(mut results) = made else { continue };
--- a/crates/holdpointd/src/ingress/piece_ask.rs
+++ b/crates/holdpointd/src/ingress/piece_ask.rs
@@ -1,6 +1,7 @@
 //! What an instance asks of the one that batches a service, and what it gets.
 
 use holdpoint_core::{
+    confinement::Confinement,
     ids::{Millis, Name},
     stage_graph::{NoResult, PieceWork},
 };
@@ -41,6 +42,9 @@
     /// service that keeps each; stands at the first of these pieces.
     #[serde(default)]
     pub(crate) used_up: Vec<(Name, String)>,
+    /// Regions that its request is confined to.
+    #[serde(default, skip_serializing_if = "Confinement::is_free")]
+    pub(crate) confinement: Confinement,
 }
 
 /// A result's handle, or why there is none.
--- a/crates/holdpointd/src/ingress/releases.rs
+++ b/crates/holdpointd/src/ingress/releases.rs
@@ -5,7 +5,7 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use holdpoint_adapter::stages as wire;
-use holdpoint_core::ids::Name;
+use holdpoint_core::{confinement::Within, ids::Name};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
@@ -16,21 +16,26 @@
 /// How long one call may take.
 const LIMIT: Duration = Duration::from_millis(500);
 
-/// Handles of results that nobody needs any more, by service.
+/// Handles of results that nobody needs any more, by service and what their requests are confined to,
+/// which tells the instance that keeps account of them.
+type Handles = HashMap<(Name, Within), Vec<String>>;
+
+/// Results that nobody needs any more.
 #[derive(Debug, Default)]
 pub(crate) struct Releases {
-    handles: Mutex<HashMap<Name, Vec<String>>>,
+    handles: Mutex<Handles>,
     gathered: Notify,
 }
 
 impl Releases {
-    /// Gives up a result.
-    pub(crate) fn release(&self, service: &str, handle: String) {
-        self.handles.lock().entry(service.to_owned()).or_default().push(handle);
+    /// Gives up a result of a request with these bounds.
+    pub(crate) fn release(&self, service: &str, within: &Within, handle: String) {
+        let key = (service.to_owned(), within.clone());
+        self.handles.lock().entry(key).or_default().push(handle);
         self.gathered.notify_one();
     }
 
-    fn take(&self) -> HashMap<Name, Vec<String>> {
+    fn take(&self) -> Handles {
         std::mem::take(&mut *self.handles.lock())
     }
 }
@@ -45,8 +50,8 @@
 }
 
 fn flush(shared: &Arc<IngressShared>) {
-    for (service, handles) in shared.releases.take() {
-        match shared.peers.batcher_of(&service) {
+    for ((service, within), handles) in shared.releases.take() {
+        match shared.peers.owner_within(&service, &shared.topology, within.as_deref()) {
             None => tell_makers(shared, &service, handles),
             Some(address) => {
                 let shared = shared.clone();
--- a/crates/holdpointd/src/ingress/request.rs
+++ b/crates/holdpointd/src/ingress/request.rs
@@ -20,6 +20,7 @@
     events::{self, emit},
     ingress::{
         answer::{Answer, Failure, failure, refusal},
+        confinement::RequestBounds,
         context::{Context, Parts},
         send::CallerRequest,
         shared::IngressShared,
@@ -84,30 +85,34 @@
         return Err(refusal(proof, head.request_id.as_deref(), NOT_CONFIGURED));
     }
     let Some(id) = head.request_id.clone() else { return Err(deny(Failure::BadRequest)) };
-    let host = parts.headers.get(header::HOST).and_then(|it| it.to_str().ok());
-    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
-    let route = configuration.route(host, parts.uri.path()).map_err(|it| deny(denial(it)))?;
+    let request = CallerRequest {
+        method: parts.method.clone(),
+        path: parts.uri.clone(),
+        headers: parts.headers.clone(),
+        body,
+        id,
+    };
+    let route = configuration.route(request.host(), parts.uri.path());
+    let route = route.map_err(|it| deny(denial(it)))?;
     let organisation =
         configuration.organisation(route, head.key.as_deref()).map_err(|it| deny(denial(it)))?;
-    let service = route.service_of(&id).ok_or_else(|| deny(Failure::NoRoute))?.to_owned();
+    let confinement = route.confinement_for(organisation.map(Arc::as_ref));
+    let within = confinement.bounds(&shared.topology);
+    let service = route.service_of(&request.id).ok_or_else(|| deny(Failure::NoRoute))?.to_owned();
     let parts = Parts {
-        request: CallerRequest {
-            method: parts.method.clone(),
-            path: parts.uri.clone(),
-            headers: parts.headers.clone(),
-            body,
-            id,
-        },
+        request,
         route: route.clone(),
         service,
         organisation: organisation.map(|it| it.name.clone()),
         rank: route.rank_for(organisation.map(Arc::as_ref)),
+        bounds: RequestBounds::new(configuration.version, within),
         version: configuration.version,
         arrived,
         working,
         head: head.clone(),
     };
-    Ok(Context::new(shared.clone(), parts))
+    let ctx = Context::new(shared.clone(), parts);
+    ctx.refuse_confined().map_or(Ok(ctx), Err)
 }
 
 fn denial(denied: Denied) -> Failure {
--- a/crates/holdpointd/src/ingress/send.rs
+++ b/crates/holdpointd/src/ingress/send.rs
@@ -11,6 +11,7 @@
 
 use crate::ingress::{
     connections::{Care, Connection},
+    context::Context,
     shared::IngressShared,
 };
 
@@ -44,19 +45,15 @@
 }
 
 /// Sends a request and waits for the head of its answer.
-pub(crate) async fn send(
-    shared: &IngressShared,
-    target: &TargetInstance,
-    request: &CallerRequest,
-    added: &Added<'_>,
-    care: Care,
-) -> Sent {
-    let Ok(mut connection) = shared.connections.take(target, care).await else {
+pub(crate) async fn send(ctx: &Context, target: &TargetInstance, added: &Added<'_>) -> Sent {
+    let Context { shared, request, .. } = ctx;
+    let Ok(mut connection) = shared.connections.take(target, ctx.care()).await else {
         return Sent::Nothing;
     };
     let Some(outgoing) = outgoing(request, added) else { return Sent::Nothing };
-    if shared.open_target(&target.id).is_none() {
-        // It began to leave, or its failure domain was evacuated, while the connection was made.
+    if ctx.open_target(&target.id).is_none() {
+        // It began to leave, or its failure domain was evacuated or is no longer allowed, while the
+        // connection was made.
         return Sent::Nothing;
     }
     let response = match connection.sender.try_send_request(outgoing).await {
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -29,6 +29,7 @@
     ingress::{
         batches::Batches,
         changes::{PeerChanges, TargetChanges},
+        confinement::Confinements,
         connections::Connections,
         declared::Declared,
         domains::Domains,
@@ -71,6 +72,8 @@
     pub(crate) peers: Peers,
     /// Failure domains that are evacuated.
     pub(crate) domains: Domains,
+    /// What is known of requests that are confined to regions.
+    pub(crate) confinements: Confinements,
     /// Policies and trials that operators declared.
     pub(crate) experiments: Declared,
     pub(crate) in_flight: Arc<InFlight>,
@@ -131,6 +134,7 @@
             releases: Releases::default(),
             peers: Peers::new(&settings),
             domains: Domains::default(),
+            confinements: Confinements::default(),
             experiments: Declared::default(),
             in_flight: Arc::default(),
             closing: watch::channel(false).0,
@@ -194,6 +198,7 @@
         self.configuration.store(Arc::new(found));
         self.pools.configure(&self.configuration());
         self.batches.configure(self);
+        self.confinements.configured(self, &in_force, &self.configuration());
         self.has_news.send_replace(());
     }
 
@@ -206,6 +211,8 @@
             return;
         }
         changes.log(&self.settings.instance, &directory);
+        let joined = changes.joined().filter_map(|it| directory.get(it));
+        joined.for_each(|it| self.confinements.check(self, &it.domain));
         let now = self.clock.now();
         self.hold_joined(now, &mut directory, &changes);
         self.tell(changes.ids().map(|id| match directory.get(id) {
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -1,14 +1,14 @@
 //! Makes the results of a request's stages, in the order of its graph.
 
 use std::{
-    collections::{BTreeMap, HashMap},
-    sync::Arc,
+    collections::BTreeMap,
     time::{Duration, Instant},
 };
 
 use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
 use holdpoint_adapter::stages as wire;
 use holdpoint_core::{
+    confinement::{Confinement, Within},
     ids::{Millis, Name},
     stage_graph::{NoResult, PieceSource, PieceWork, StageGraph},
 };
@@ -17,10 +17,10 @@
     events::{self, emit},
     ingress::{
         context::Context,
+        held::{Held, Results},
         peers::make_anywhere,
         piece_ask::{PieceAsk, PieceResult},
         send::left,
-        shared::IngressShared,
     },
 };
 
@@ -43,60 +43,6 @@
 /// Usual time of a stage, until its service's configuration is known.
 const STAGE_MS: Millis = 400;
 
-/// Results held for a request. Dropping them gives them up.
-pub(crate) struct Held {
-    shared: Arc<IngressShared>,
-    /// Services by handle.
-    handles: HashMap<String, Name>,
-}
-
-impl Held {
-    fn new(shared: &Arc<IngressShared>) -> Held {
-        Held { shared: shared.clone(), handles: HashMap::new() }
-    }
-
-    /// Forgets results that whoever made pieces from them has given up.
-    fn forget(&mut self, handles: &[String]) {
-        handles.iter().for_each(|it| drop(self.handles.remove(it)));
-    }
-
-    /// Whether results are there and were not given up.
-    fn has(&self, made: &Made) -> bool {
-        made.handles.iter().all(|it| self.handles.contains_key(it))
-    }
-
-    fn release(&mut self, handles: &[String]) {
-        for handle in handles {
-            if let Some(service) = self.handles.remove(handle) {
-                self.shared.releases.release(&service, handle.clone());
-            }
-        }
-    }
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        for (handle, service) in self.handles.drain() {
-            self.shared.releases.release(&service, handle);
-        }
-    }
-}
-
-/// Results of a request's last stages.
-pub(crate) struct Results {
-    /// Handles for the request's own service.
-    pub(crate) inputs: Vec<String>,
-    /// Keeps them until they are no longer needed.
-    held: Held,
-}
-
-impl Results {
-    /// Gives the results up. A target that asks for them later declines, and they are made anew.
-    pub(crate) fn release(&mut self) {
-        self.held.release(&self.inputs);
-    }
-}
-
 /// Results of one stage.
 #[derive(Clone, Debug)]
 struct Made {
@@ -110,9 +56,9 @@
 /// Makes all results; they are needed in `domain`.
 pub(crate) async fn make_all(ctx: &Context, domain: &str) -> Result<Results, NoResult> {
     let graph = StageGraph::new(&ctx.route.stages, &ctx.head.pieces);
-    let mut held = Held::new(&ctx.shared);
+    let mut held = Held::new(ctx);
     if graph.is_empty() {
-        return Ok(Results { inputs: Vec::new(), held });
+        return Ok(Results::new(Vec::new(), held));
     }
     let begun = Instant::now();
     let made = make_graph(ctx, &graph, domain, &mut held).await;
@@ -120,7 +66,7 @@
     let results = made?;
     let last = graph.last().filter_map(|it| results[it].as_ref());
     let inputs = last.flat_map(|it| it.handles.clone()).collect();
-    Ok(Results { inputs, held })
+    Ok(Results::new(inputs, held))
 }
 
 async fn make_graph(
@@ -146,8 +92,7 @@
         let Some((stage, outcome)) = running.next().await else { return Ok(results) };
         match outcome {
             Ok(made) => {
-                let service = &ctx.route.stages[stage].service;
-                held.handles.extend(made.handles.iter().map(|it| (it.clone(), service.clone())));
+                held.keep(&ctx.route.stages[stage].service, &made.handles);
                 results[stage] = Some(made);
                 for needed in graph.needs(stage).filter(|it| is_used_by_one(graph, *it)) {
                     held.forget(handles(&results[needed]));
@@ -157,7 +102,11 @@
             Err(NoResult::InputGone) if remakes < INPUT_REMAKES => {
                 remakes += 1;
                 is_begun[stage] = false;
-                let is_held = |it: usize| results[it].as_ref().is_some_and(|it| held.has(it));
+                for outside in held.confine(&ctx.within()) {
+                    forget_outside(&outside, &mut results, &mut is_begun);
+                }
+                let is_held =
+                    |it: usize| results[it].as_ref().is_some_and(|it| held.has(&it.handles));
                 for lost in graph.lost_before(stage, is_held) {
                     held.release(handles(&results[lost].take()));
                     is_begun[lost] = false;
@@ -168,6 +117,16 @@
     }
 }
 
+/// Has the stage of a result made anew that was given up as its request is confined otherwise now.
+fn forget_outside(outside: &str, results: &mut [Option<Made>], is_begun: &mut [bool]) {
+    for (made, is_begun) in results.iter_mut().zip(is_begun) {
+        if handles(made).iter().any(|it| it == outside) {
+            *made = None;
+            *is_begun = false;
+        }
+    }
+}
+
 fn handles(made: &Option<Made>) -> &[String] {
     made.as_ref().map_or(&[], |it| &it.handles)
 }
@@ -201,6 +160,7 @@
     let inputs_until = inputs.iter().map(|it| it.until).min();
     let inputs: Vec<String> = inputs.into_iter().flat_map(|it| it.handles).collect();
     let near = near(ctx, graph, stage, &inputs, domain);
+    let within = ctx.within();
     let source = if inputs.is_empty() {
         PieceSource::Key(ctx.head.piece_key.clone().unwrap_or_default())
     } else {
@@ -214,13 +174,22 @@
         let missing: Vec<u32> = (0..count).filter(|it| handles[*it as usize].is_none()).collect();
         let ask = |piece: &u32| {
             let ask = ask(ctx, graph, stage, *piece, source.clone(), &near);
-            PieceAsk { inputs_for_ms: inputs_until.map(|it| left(it).as_millis() as Millis), ..ask }
+            let inputs_for_ms = inputs_until.map(|it| left(it).as_millis() as Millis);
+            let confinement = confinement(&within);
+            PieceAsk { inputs_for_ms, confinement, ..ask }
         };
         let mut asks: Vec<PieceAsk> = missing.iter().map(ask).collect();
         if let (Some(first), PieceSource::Inputs(inputs)) = (asks.first_mut(), &source) {
             first.used_up = used_up(ctx, graph, stage, inputs);
         }
-        let made = make_anywhere(&ctx.shared, service, asks, ctx.left_to_begin()).await;
+        let made = tokio::select! {
+            it = make_anywhere(&ctx.shared, service, asks, &within, ctx.left_to_begin()) => it,
+            () = ctx.bounds_change(&within) => {
+                // What waits is withdrawn, and what is made is made anew within the new bounds.
+                release_all(ctx, stage, handles);
+                return Err(NoResult::InputGone);
+            }
+        };
         let failure = take_in(&mut handles, &missing, made);
         if handles.iter().any(Option::is_some) {
             ctx.begin_stages();
@@ -314,7 +283,12 @@
 
 fn release_all(ctx: &Context, stage: usize, handles: Vec<Option<String>>) {
     let service = &ctx.route.stages[stage].service;
-    handles.into_iter().flatten().for_each(|it| ctx.shared.releases.release(service, it));
+    let (releases, within) = (&ctx.shared.releases, ctx.within());
+    handles.into_iter().flatten().for_each(|it| releases.release(service, &within, it));
+}
+
+fn confinement(within: &Within) -> Confinement {
+    within.as_ref().map_or_else(Confinement::default, |it| it.confinement())
 }
 
 fn ask(
@@ -344,6 +318,7 @@
         is_refusable: !ctx.has_begun(),
         inputs_for_ms: None,
         used_up: Vec::new(),
+        confinement: Confinement::default(),
     }
 }
 
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -12,7 +12,7 @@
     event_split::{EventSplitter, WholeEvent},
     ids::Millis,
     ingress::Shape,
-    route::{End, NoTarget},
+    route::{Call, End, NoTarget},
     stage_graph::NoResult,
 };
 use http::{StatusCode, response::Parts};
@@ -27,8 +27,9 @@
         attempts::{Attempts, NoSend, end_send},
         connections::Connection,
         context::Context,
+        held::Results,
         send::{Sent, send},
-        stages::{self, FETCHED, Results},
+        stages::{self, FETCHED},
     },
 };
 
@@ -124,7 +125,13 @@
             Ok(it) => it,
             Err(it) => break it,
         };
-        match attempt(ctx, attempts, &target, last_event, &mut results).await {
+        let ended = if results.are_within(&ctx.within()) {
+            attempt(ctx, attempts, &target, last_event, &mut results).await
+        } else {
+            end_send(ctx, &target, End::Dropped, "bounds-changed");
+            Ended::InputsGone
+        };
+        match ended {
             Ended::Open(it) => return Ok(it),
             Ended::Failed(parts, body) => {
                 last_failure = Some((parts, body));
@@ -151,14 +158,17 @@
 
 async fn stage_results(ctx: &Context) -> Result<Results, NotOpen> {
     let now = ctx.shared.clock.now();
-    let likely = ctx.pool.choose(now, &ctx.call(&[]));
-    if likely == Err(NoTarget::Evacuated) {
-        // Its stages would be made for nothing.
-        return Err(NotOpen::NoSend(NoSend::Evacuated.name()));
+    let within = ctx.within();
+    let likely = ctx.pool.choose(now, &Call { within: within.as_deref(), ..ctx.call(&[]) });
+    // Its stages would be made for nothing.
+    match likely {
+        Err(NoTarget::Evacuated) => return Err(NotOpen::NoSend(NoSend::Evacuated.name())),
+        Err(NoTarget::Confined) => return Err(NotOpen::NoSend(NoSend::Confined.name())),
+        _ => (),
     }
     let domain = likely
         .ok()
-        .and_then(|it| ctx.shared.open_target(&it.address))
+        .and_then(|it| ctx.open_target(&it.address))
         .map_or(String::new(), |it| it.domain);
     stages::make_all(ctx, &domain).await.map_err(|it| match it {
         NoResult::Overload(ms) => NotOpen::Overload(Duration::from_millis(ms)),
@@ -231,7 +241,7 @@
 ) -> Ended {
     let started = Instant::now();
     let added = ctx.added(target, last_event, inputs);
-    let sent = send(&ctx.shared, target, &ctx.request, &added, ctx.care()).await;
+    let sent = send(ctx, target, &added).await;
     let (head, response, connection) = match sent {
         Sent::Nothing => return Ended::NotSent,
         Sent::Broken => return Ended::Broken,
--- a/crates/holdpointd/src/ingress/whole.rs
+++ b/crates/holdpointd/src/ingress/whole.rs
@@ -131,7 +131,7 @@
 
 async fn send_whole(ctx: &Context, target: &TargetInstance, inputs: &[String]) -> Ended {
     let added = ctx.added(target, None, inputs);
-    match send(&ctx.shared, target, &ctx.request, &added, ctx.care()).await {
+    match send(ctx, target, &added).await {
         Sent::Nothing => Ended::NotSent,
         Sent::Declined { head, .. } => {
             ctx.pool.report(ctx.shared.clock.now(), &target.id, head.load);
--- /dev/null
+++ b/crates/holdpointd/tests/confinement.rs
@@ -0,0 +1,273 @@
+//! Routes and organisations that are confined to regions: where their requests run, what becomes of
+//! those that no region serves, and how a change takes effect.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use holdpoint_adapter_standin::{
+    Behaviour, CallerRequest, Gate, Target, call, sample_configuration,
+};
+use holdpointd::ingress::Ingress;
+use http::StatusCode;
+use serde_json::{Value, json};
+
+use crate::support::{System, header, start_at, start_in, story, until};
+
+/// The sample with routes, by their index, and the organisation confined to regions.
+fn confined(version: u64, routes: &[(usize, &[&str])], organisation: Option<&[&str]>) -> Value {
+    let mut configuration = sample_configuration(version);
+    for (route, regions) in routes {
+        configuration["routes"][route]["allowed-regions"] = json!(regions);
+    }
+    if let Some(it) = organisation {
+        configuration["tenants"][0]["allowed-regions"] = json!(it);
+    }
+    configuration
+}
+
+const SAFE: usize = 0;
+const UNSAFE: usize = 2;
+const STORY: usize = 4;
+const STAGED: usize = 6;
+
+/// An instance in region east, which has the first target of each service; those after it are in north.
+async fn two_regions(plain: &[Behaviour], engines: &[Behaviour]) -> System {
+    let domain = |index| if index == 0 { "z1" } else { "z2" };
+    start_at(|gate| start_in("a", "z1", gate), domain, plain, engines).await
+}
+
+async fn configure(system: &System, configuration: Value) {
+    system.store.put_configuration(&configuration);
+    let version = configuration["version"].as_u64().unwrap();
+    until(|| system.instance.version() == version).await;
+}
+
+async fn encoder_in(system: &System, id: &str, domain: &str) -> Target {
+    let encoder = Target::start(id, "encode", Behaviour::Answer).await;
+    let before = system.instance.target_count();
+    system.store.put_target_in(&encoder, domain, 0);
+    until(|| system.instance.target_count() == before + 1).await;
+    encoder
+}
+
+/// What an instance has counted under a name with a label, which is part of the line.
+async fn counted(instance: &Ingress, name: &str, labelled: &str) -> f64 {
+    let address = instance.listen().metrics.parse().unwrap();
+    let request = CallerRequest::new("metrics", "/metrics").with_method(http::Method::GET);
+    let answer = call(address, request).await.expect("the metrics are shown");
+    let text = String::from_utf8(answer.body.to_vec()).unwrap();
+    let its = text.lines().filter(|it| it.starts_with(name) && it.contains(labelled));
+    its.filter_map(|it| it.rsplit(' ').next()?.parse::<f64>().ok()).sum()
+}
+
+#[tokio::test]
+async fn requests_run_only_in_allowed_regions_whatever_is_nearer() {
+    let system = two_regions(&[Behaviour::Answer; 3], &[Behaviour::Events(2); 3]).await;
+    let routes: [(usize, &[&str]); 3] =
+        [(SAFE, &["north"]), (UNSAFE, &["north", "south"]), (STORY, &["north"])];
+    configure(&system, confined(2, &routes, None)).await;
+    for id in 0..20 {
+        for path in ["/safe/", "/unsafe/"] {
+            let answer = system.ask(&format!("{path}{id}"), path).await;
+            assert_eq!(answer.status, StatusCode::OK);
+        }
+        let prompt =
+            CallerRequest::new(&format!("s-{id}"), "/story/").with_prompt("a1:1000,b2:100");
+        assert_eq!(system.send(prompt).await.status, StatusCode::OK);
+    }
+    assert_eq!((system.plain[0].runs().len(), system.engines[0].runs().len()), (0, 0));
+    assert_eq!((system.plain_runs(), system.engine_runs()), (40, 20));
+}
+
+#[tokio::test]
+async fn a_request_whose_regions_cannot_serve_it_is_refused_at_once_as_not_run() {
+    let system = two_regions(&[Behaviour::Answer; 2], &[Behaviour::Events(2); 2]).await;
+    // The route and the organisation bind together; a region that nobody knows has no targets; an
+    // empty list allows none.
+    let routes: [(usize, &[&str]); 3] = [(SAFE, &["north"]), (UNSAFE, &["moon"]), (STORY, &[])];
+    configure(&system, confined(2, &routes, Some(&["east"]))).await;
+    for path in ["/safe/", "/unsafe/", "/story/"] {
+        let begun = Instant::now();
+        let answer = system.ask(&format!("r-{path}"), path).await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{path}");
+        assert!(!header(&answer, "retry-after").is_empty());
+        assert!(begun.elapsed() < Duration::from_millis(1500), "well before its deadline");
+    }
+    assert_eq!(system.plain_runs() + system.engine_runs(), 0);
+    // A route that is not confined by itself is by its organisation; one without a key is not.
+    assert_eq!(system.ask("r-open", "/open/").await.status, StatusCode::OK);
+    assert_eq!(system.ask("r-once", "/once/").await.status, StatusCode::OK);
+    assert_eq!(system.engines[1].runs().len(), 0);
+}
+
+#[tokio::test]
+async fn a_target_whose_region_is_not_known_counts_as_outside() {
+    let start = |gate: &Gate| start_in("a", "z1", gate);
+    let system = start_at(start, |_| "nowhere", &[Behaviour::Answer], &[]).await;
+    configure(&system, confined(2, &[(SAFE, &["east", "north"])], None)).await;
+    let answer = system.ask("r-1", "/safe/").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(system.plain_runs(), 0);
+    assert_eq!(system.ask("r-2", "/unsafe/").await.status, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn pieces_are_made_only_in_allowed_regions() {
+    let system = two_regions(&[], &[Behaviour::Events(2); 2]).await;
+    let far = encoder_in(&system, "i-encode-2", "z2").await;
+    configure(&system, confined(2, &[(STAGED, &["north"])], None)).await;
+    for id in 0..10 {
+        let request = CallerRequest::new(&format!("r-{id}"), "/staged/").with_pieces("2,1");
+        assert_eq!(system.send(request).await.status, StatusCode::OK);
+    }
+    assert_eq!(system.encoder.batches().len(), 0);
+    assert_ne!(far.batches().len(), 0);
+    assert_eq!(system.engines[0].runs().len(), 0);
+    let made = far.batches().len();
+    system.store.drop_target("i-encode-2");
+    until(|| system.instance.target_count() == 3).await;
+    let answer = system.send(CallerRequest::new("r-x", "/staged/").with_pieces("1,1")).await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(!header(&answer, "retry-after").is_empty());
+    assert_eq!((far.batches().len(), system.encoder.batches().len()), (made, 0));
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_off_goes_on_in_its_regions_or_not_at_all() {
+    let engines = [Behaviour::Events(4), Behaviour::BreakAfter(2)];
+    let system = two_regions(&[], &engines).await;
+    configure(&system, confined(2, &[(STORY, &["north"])], None)).await;
+    let answer = system.ask("r-1", "/story/").await;
+    assert!(!answer.is_whole);
+    assert_eq!(system.engines[0].runs().len(), 0);
+    configure(&system, confined(3, &[(STORY, &["north", "east"])], None)).await;
+    until(|| system.engines[1].runs().len() == 1).await;
+    for id in 0..20 {
+        let answer = system.ask(&format!("s-{id}"), "/story/").await;
+        assert!(answer.is_whole);
+        assert_eq!(answer.body, story(0, 4));
+    }
+}
+
+/// The first stage is made in the region that is forbidden then, and the second waits there.
+#[tokio::test]
+async fn what_is_queued_is_withdrawn_when_its_region_is_forbidden_and_made_anew() {
+    let system = two_regions(&[], &[Behaviour::Events(2); 2]).await;
+    system.encoder.set_behaviour(Behaviour::DeclinePieces);
+    let request = CallerRequest::new("r-1", "/staged/").with_pieces("1,1");
+    let callers = system.callers();
+    let waiting = tokio::spawn(call(callers, request));
+    until(|| system.encoder.declined() != 0).await;
+    let made = system.encoder.batches().len();
+    configure(&system, confined(2, &[(STAGED, &["north"])], None)).await;
+    system.encoder.set_behaviour(Behaviour::Answer);
+    let far = Target::start("i-encode-2", "encode", Behaviour::Answer).await;
+    system.store.put_target_in(&far, "z2", 0);
+    // Its regions have no target at that moment or have one: it is refused or served there.
+    let answer = waiting.await.unwrap().expect("there is an answer");
+    assert_eq!(system.encoder.batches().len(), made, "nothing new where it is forbidden");
+    assert_eq!(system.engines[0].runs().len(), 0);
+    assert_eq!(answer.status == StatusCode::OK, system.engines[1].runs().len() == 1);
+}
+
+#[tokio::test]
+async fn what_is_queued_moves_to_where_it_is_allowed() {
+    let system = two_regions(&[], &[Behaviour::Events(2); 2]).await;
+    configure(&system, confined(2, &[(STAGED, &["east"])], None)).await;
+    let far = encoder_in(&system, "i-encode-2", "z2").await;
+    system.encoder.set_behaviour(Behaviour::DeclinePieces);
+    let request = CallerRequest::new("r-1", "/staged/").with_pieces("1,1");
+    let callers = system.callers();
+    let waiting = tokio::spawn(call(callers, request));
+    until(|| system.encoder.declined() != 0).await;
+    assert_eq!(far.batches().len(), 0);
+    configure(&system, confined(3, &[(STAGED, &["north"])], None)).await;
+    let answer = waiting.await.unwrap().expect("there is an answer");
+    assert_eq!(answer.status, StatusCode::OK);
+    // Both stages, the first of them anew.
+    assert_eq!(far.batches().len(), 2);
+    assert_eq!((system.engines[0].runs().len(), system.engines[1].runs().len()), (0, 1));
+    until(|| !system.encoder.freed().is_empty()).await;
+}
+
+#[tokio::test]
+async fn confined_work_is_batched_and_placed_by_an_instance_of_its_regions() {
+    let system = two_regions(&[], &[Behaviour::Events(2); 2]).await;
+    let gate = system.store.open_gate().await;
+    let north = start_in("b", "z2", &gate);
+    let far = encoder_in(&system, "i-encode-2", "z2").await;
+    let is_known = || system.instance.peer_count() == 1 && north.peer_count() == 1;
+    until(|| is_known() && north.is_ready() && north.target_count() == 4).await;
+    configure(&system, confined(2, &[(STAGED, &["north"]), (STORY, &["north"])], None)).await;
+    until(|| north.version() == 2).await;
+    let staged = |id: &str| CallerRequest::new(id, "/staged/").with_pieces("1,1");
+    let told = |id: &str| CallerRequest::new(id, "/story/").with_prompt("a1:1000,b2:100");
+    for id in 0..5 {
+        assert_eq!(system.send(staged(&format!("r-{id}"))).await.status, StatusCode::OK);
+        assert_eq!(system.send(told(&format!("s-{id}"))).await.status, StatusCode::OK);
+    }
+    let pieces = |it| counted(it, "holdpoint_pieces", "answered");
+    assert_eq!((pieces(&system.instance).await, pieces(&north).await), (0.0, 10.0));
+    let placed = |by| counted(&system.instance, "holdpoint_placements", by);
+    assert_eq!(placed("peer").await, 5.0);
+    // Confined to the region in which the caller's instance stands, that one does it.
+    configure(&system, confined(3, &[(STAGED, &["east"]), (STORY, &["east"])], None)).await;
+    let (made, before) = (far.batches().len(), system.encoder.batches().len());
+    until(|| north.version() == 3).await;
+    let callers = north.listen().callers.parse().unwrap();
+    let answer = call(callers, staged("r-far")).await.expect("there is an answer");
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(pieces(&system.instance).await, 2.0);
+    assert_eq!((far.batches().len(), system.encoder.batches().len()), (made, before + 2));
+}
+
+/// A result that waits for a later stage is kept where that is forbidden now.
+#[tokio::test]
+async fn results_that_are_held_outside_are_given_up_and_made_anew() {
+    let system = two_regions(&[], &[Behaviour::Events(2); 2]).await;
+    let far = encoder_in(&system, "i-encode-2", "z2").await;
+    let with_graph = |version, region: &str| {
+        let mut configuration = confined(version, &[(STAGED, &[region])], None);
+        let stage =
+            |needs: &[u32]| json!({ "service": "encode", "since-revision": needs, "bytes": 8000 });
+        configuration["routes"][STAGED]["stages"] =
+            json!([stage(&[]), stage(&[]), stage(&[1]), stage(&[0, 2])]);
+        configuration
+    };
+    configure(&system, with_graph(2, "east")).await;
+    system.encoder.set_behaviour(Behaviour::DeclinePieces);
+    let request = CallerRequest::new("r-1", "/staged/").with_pieces("1,1,1,1");
+    let callers = system.callers();
+    let waiting = tokio::spawn(call(callers, request));
+    until(|| system.encoder.declined() != 0).await;
+    configure(&system, with_graph(3, "north")).await;
+    let answer = waiting.await.unwrap().expect("there is an answer");
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(far.batches().iter().map(Vec::len).sum::<usize>(), 4, "all stages");
+    until(|| system.encoder.freed().len() == 2).await;
+}
+
+#[tokio::test]
+async fn nothing_is_made_for_a_request_one_of_whose_stages_has_no_target_in_its_regions() {
+    let system = two_regions(&[], &[Behaviour::Events(2); 2]).await;
+    let far = encoder_in(&system, "i-encode-2", "z2").await;
+    let check = Target::start("i-check", "check", Behaviour::Answer).await;
+    system.store.put_target_in(&check, "z1", 0);
+    until(|| system.instance.target_count() == 5).await;
+    let mut configuration = confined(2, &[(STAGED, &["north"])], None);
+    let mut service = configuration["services"][2].clone();
+    service["name"] = json!("check");
+    configuration["services"].as_array_mut().unwrap().push(service);
+    configuration["routes"][STAGED]["stages"][1]["service"] = json!("check");
+    configure(&system, configuration).await;
+    let staged = |id, pieces| system.send(CallerRequest::new(id, "/staged/").with_pieces(pieces));
+    let answer = staged("r-1", "1,1").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(header(&answer, "retry-after"), "1.00");
+    let made = || [&far, &check, &system.encoder].map(|it| it.batches().len());
+    assert_eq!(made(), [0, 0, 0]);
+    // One that leaves the stage out is served.
+    assert_eq!(staged("r-2", "1,0").await.status, StatusCode::OK);
+    assert_eq!(made(), [1, 0, 0]);
+}
--- a/crates/holdpointd/tests/support/mod.rs
+++ b/crates/holdpointd/tests/support/mod.rs
@@ -9,7 +9,7 @@
     Behaviour, CallerAnswer, CallerRequest, Gate, Store, Target, call, sample_configuration,
 };
 use holdpointd::ingress::Ingress;
-use serde_json::json;
+use serde_json::{Value, json};
 
 /// How long a condition may take to hold; a test that works takes a fraction of it.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -29,15 +29,32 @@
 
 /// Starts an instance that knows the addresses of some peers from its settings.
 pub fn start_with_seeds(name: &str, gate: &Gate, seeds: &[String]) -> Ingress {
-    let settings = json!({
+    start_with_settings(settings(name, gate, seeds))
+}
+
+/// Starts an instance in a failure domain: `z1` is in region east, `z2` and `z3` are in north.
+pub fn start_in(name: &str, domain: &str, gate: &Gate) -> Ingress {
+    let regions = json!({ "z1": "east", "z2": "north", "z3": "north" });
+    let mut settings = settings(name, gate, &[]);
+    settings["domain"] = json!(domain);
+    settings["region"] = regions[domain].clone();
+    settings["regions"] = regions;
+    start_with_settings(settings)
+}
+
+fn start_with_settings(settings: Value) -> Ingress {
+    Ingress::start(serde_json::from_value(settings).unwrap()).unwrap()
+}
+
+fn settings(name: &str, gate: &Gate, seeds: &[String]) -> Value {
+    json!({
         "instance": name, "domain": "z1", "seeds": seeds,
         "listen": { "callers": "127.0.0.1:0", "readiness": "127.0.0.1:0", "peers": "127.0.0.1:0",
             "metrics": "127.0.0.1:0" },
         "store": { "address": gate.address.to_string(), "poll_ms": 50, "timeout_ms": 300 },
         "timing": { "linger_ms": 100, "grace_s": 5.0 },
         "retries": { "ratio": 0.2, "window_s": 10.0, "slack": 60.0 },
-    });
-    Ingress::start(serde_json::from_value(settings).unwrap()).unwrap()
+    })
 }
 
 pub async fn until(condition: impl Fn() -> bool) {
@@ -50,13 +67,24 @@
 }
 
 pub async fn start(plain: &[Behaviour], engines: &[Behaviour]) -> System {
+    start_at(|gate| start_instance("a", gate), |_| "z1", plain, engines).await
+}
+
+/// Starts a system whose instance is started by `instance`, and whose targets of each service, by
+/// their index, stand in the failure domains that `domain` names.
+pub async fn start_at(
+    instance: impl FnOnce(&Gate) -> Ingress,
+    domain: impl Fn(usize) -> &'static str,
+    plain: &[Behaviour],
+    engines: &[Behaviour],
+) -> System {
     let store = Store::start().await;
     store.put_configuration(&sample_configuration(1));
     let mut system = System {
         plain: Vec::new(),
         engines: Vec::new(),
         encoder: Target::start("i-encode", "encode", Behaviour::Answer).await,
-        instance: start_instance("a", &store.gate),
+        instance: instance(&store.gate),
         store,
     };
     for (index, it) in plain.iter().enumerate() {
@@ -65,8 +93,12 @@
     for (index, it) in engines.iter().enumerate() {
         system.engines.push(Target::start(&format!("i-engine-{index}"), "engine", *it).await);
     }
-    let targets = system.plain.iter().chain(&system.engines).chain([&system.encoder]);
-    targets.for_each(|it| system.store.put_target(it, false));
+    for targets in [&system.plain, &system.engines] {
+        for (index, it) in targets.iter().enumerate() {
+            system.store.put_target_in(it, domain(index), 0);
+        }
+    }
+    system.store.put_target(&system.encoder, false);
     let count = plain.len() + engines.len() + 1;
     until(|| system.instance.is_ready() && system.instance.target_count() == count).await;
     system
