--- a/crates/holdpointd/tests/confinement.rs
+++ b/crates/holdpointd/tests/confinement.rs
@@ -6,11 +6,12 @@
 use std::time::{Duration, Instant};
 
 use holdpoint_adapter_standin::{
-    Behaviour, CallerRequest, Gate, Target, call, sample_configuration,
+    Behaviour, CallerRequest, Gate, Target, call, confine_organisation, confine_route,
+    sample_configuration, set_stages,
 };
 use holdpointd::ingress::Ingress;
 use http::StatusCode;
-use serde_json::{Value, json};
+use serde_json::Value;
 
 use crate::support::{System, header, start_at, start_in, story, until};
 
@@ -18,10 +19,10 @@
 fn confined(version: u64, routes: &[(usize, &[&str])], organisation: Option<&[&str]>) -> Value {
     let mut configuration = sample_configuration(version);
     for (route, regions) in routes {
-        configuration["routes"][route]["allowed-regions"] = json!(regions);
+        confine_route(&mut configuration, *route, regions);
     }
     if let Some(it) = organisation {
-        configuration["tenants"][0]["allowed-regions"] = json!(it);
+        confine_organisation(&mut configuration, it);
     }
     configuration
 }
@@ -229,10 +230,9 @@
     let far = encoder_in(&system, "i-encode-2", "z2").await;
     let with_graph = |version, region: &str| {
         let mut configuration = confined(version, &[(STAGED, &[region])], None);
-        let stage =
-            |needs: &[u32]| json!({ "service": "encode", "since-revision": needs, "bytes": 8000 });
-        configuration["routes"][STAGED]["stages"] =
-            json!([stage(&[]), stage(&[]), stage(&[1]), stage(&[0, 2])]);
+        let stages: [(&str, &[usize]); 4] =
+            [("encode", &[]), ("encode", &[]), ("encode", &[1]), ("encode", &[0, 2])];
+        set_stages(&mut configuration, STAGED, &stages);
         configuration
     };
     configure(&system, with_graph(2, "east")).await;
@@ -256,10 +256,7 @@
     system.store.put_target_in(&check, "z1", 0);
     until(|| system.instance.target_count() == 5).await;
     let mut configuration = confined(2, &[(STAGED, &["north"])], None);
-    let mut service = configuration["services"][2].clone();
-    service["name"] = json!("check");
-    configuration["services"].as_array_mut().unwrap().push(service);
-    configuration["routes"][STAGED]["stages"][1]["service"] = json!("check");
+    set_stages(&mut configuration, STAGED, &[("encode", &[]), ("check", &[0])]);
     configure(&system, configuration).await;
     let staged = |id, pieces| system.send(CallerRequest::new(id, "/staged/").with_pieces(pieces));
     let answer = staged("r-1", "1,1").await;
--- a/crates/holdpointd/tests/confinement_log.rs
+++ b/crates/holdpointd/tests/confinement_log.rs
@@ -4,9 +4,8 @@
 
 use std::sync::Mutex;
 
-use holdpoint_adapter_standin::{Behaviour, sample_configuration};
+use holdpoint_adapter_standin::{Behaviour, confine_route, sample_configuration};
 use log::{LevelFilter, Log, Metadata, Record};
-use serde_json::json;
 
 use crate::support::{start_at, start_in, until};
 
@@ -41,14 +40,15 @@
     assert_eq!(named(""), 0, "it does not matter as long as nobody is confined");
     for version in 2..4 {
         let mut configuration = sample_configuration(version);
-        configuration["routes"][0]["allowed-regions"] = json!(["east", "moon"]);
+        confine_route(&mut configuration, 0, &["east", "moon"]);
         system.store.put_configuration(&configuration);
         until(|| system.instance.version() == version).await;
     }
     assert_eq!((named("region=moon"), named("domain=nowhere"), named("")), (1, 1, 2));
     let mut configuration = sample_configuration(4);
     let many: Vec<String> = (0..500).map(|it| format!("r-{it}")).collect();
-    configuration["routes"][0]["allowed-regions"] = json!(many);
+    let many: Vec<&str> = many.iter().map(String::as_str).collect();
+    confine_route(&mut configuration, 0, &many);
     system.store.put_configuration(&configuration);
     until(|| system.instance.version() == 4).await;
     assert_eq!(named(""), 64);
