--- a/crates/holdpoint-core/benches/decisions.rs
+++ b/crates/holdpoint-core/benches/decisions.rs
@@ -45,6 +45,7 @@
             tried: &[],
             cap: 64,
             share: Share::Whole,
+            inputs: &[],
             within: None,
         };
         group.bench_function(BenchmarkId::from_parameter(targets), |bencher| {
--- a/crates/holdpoint-core/src/batcher.rs
+++ b/crates/holdpoint-core/src/batcher.rs
@@ -18,6 +18,7 @@
     deadline::RecentRate,
     directory::TargetId,
     ids::Millis,
+    near::{NearPiece, NearQueues},
     pieces::{Call, CallEnd, Sizes, Ticket, Waiting},
 };
 
@@ -41,10 +42,6 @@
 const SLOW_REST_MS: Millis = 2000;
 /// Moved bytes below which it does not matter where a piece is made.
 const NEAR_BYTES: u64 = 200_000;
-/// A piece waits for a target in its failure domain until its due time is this near, in
-/// milliseconds.
-const NEAR_SLACK_MS: Millis = 300;
-
 /// How long a target counts as full that had no room although the account said so, in
 /// milliseconds.
 const UNKNOWN_ROOM_MS: Millis = 300;
@@ -54,8 +51,6 @@
 /// Part of what the targets' next calls take, above which a service has a backlog: calls wait to be
 /// worth their time, and slow targets are used too.
 const BACKLOG: f64 = 0.33;
-/// The same above which pieces are made wherever a target is free.
-const LONG_BACKLOG: f64 = 0.6;
 /// A call of less than one in so many of its most pieces is small.
 const SMALL_CALL: usize = 2;
 /// How long a target of a service with a backlog waits for room for more than a small call, in
@@ -73,6 +68,8 @@
 struct Target {
     domain: String,
     is_leaving: bool,
+    /// Whether it gets only pieces that are confined to regions in which no other one makes them.
+    is_spare: bool,
     calls: u32,
     failures: u32,
     suspect_until: Millis,
@@ -82,6 +79,8 @@
     used_bytes: u64,
     /// When its last call ended.
     idle_since: Millis,
+    /// When the call that began last is expected to end.
+    busy_until: Millis,
     /// Until when it counts as called by other instances too.
     shared_until: Millis,
 }
@@ -139,10 +138,21 @@
                 old.remove(id).unwrap_or_else(|| Target { slowness: 1.0, ..Target::default() });
             target.domain = domain.to_owned();
             target.is_leaving = is_leaving;
+            target.is_spare = false;
             self.targets.insert(id.to_owned(), target);
         }
     }
 
+    /// Takes in which of the targets that get no more calls are kept for pieces that are confined to
+    /// regions in which no other target makes them.
+    pub fn set_spare<'a>(&mut self, targets: impl Iterator<Item = &'a str>) {
+        for id in targets {
+            if let Some(it) = self.targets.get_mut(id) {
+                it.is_spare = true;
+            }
+        }
+    }
+
     /// Offers a piece.
     pub fn offer(&mut self, now: Millis, piece: Waiting) {
         // Pieces of one group are offered one after the other, and wait for the same time.
@@ -169,7 +179,18 @@
 
     /// Whether a target stays that makes pieces with these bounds.
     pub fn can_make(&self, within: Option<&Bounds>) -> bool {
-        self.targets.values().any(|it| !it.is_leaving && is_within(within, &it.domain))
+        let is_open = |it: &Target| !it.is_leaving || (it.is_spare && within.is_some());
+        self.targets.values().any(|it| is_open(it) && is_within(within, &it.domain))
+    }
+
+    /// Whether a target is one for a piece, as far as regions go.
+    fn is_allowed(&self, piece: &Waiting, target: &Target) -> bool {
+        let is_open = |it: &Target| !it.is_leaving && piece.is_allowed(&it.domain);
+        if target.is_leaving {
+            let is_spared = piece.within.is_some() && !self.targets.values().any(is_open);
+            return target.is_spare && is_spared && piece.is_allowed(&target.domain);
+        }
+        piece.is_allowed(&target.domain)
     }
 
     /// Takes back the confined pieces whose regions have no target left.
@@ -177,7 +198,7 @@
         if self.waiting.iter().all(|it| it.within.is_none()) {
             return Vec::new();
         }
-        let staying = self.targets.values().filter(|it| !it.is_leaving);
+        let staying = self.targets.values().filter(|it| !it.is_leaving || it.is_spare);
         let domains: HashSet<&str> = staying.map(|it| it.domain.as_str()).collect();
         let is_stranded = |it: &Waiting| !domains.iter().any(|domain| it.is_allowed(domain));
         self.waiting
@@ -312,7 +333,8 @@
             return None;
         }
         self.order(now);
-        let packed = free.into_iter().map(|it| (self.pack(now, &it), it));
+        let queues = self.near_queues(now);
+        let packed = free.into_iter().map(|it| (self.pack(now, &it, &queues), it));
         let (indices, target) = packed.max_by_key(|it| self.score(&it.0, &it.1))?;
         if indices.is_empty() {
             return None;
@@ -322,6 +344,8 @@
         let chosen = self.targets.get_mut(&target)?;
         chosen.calls += 1;
         chosen.used_bytes += pieces.iter().map(|it| it.bytes).sum::<u64>();
+        let call_ms = self.sizes.stated_ms(pieces.len()) * chosen.slowness.max(1.0);
+        chosen.busy_until = now + call_ms as Millis;
         let used_bytes = chosen.used_bytes;
         let is_shared = now < chosen.shared_until;
         let (left, sizes) = (self.waiting.len(), self.sizes);
@@ -442,13 +466,13 @@
     }
 
     /// Indices of the pieces that a call at a target would take: whole groups, as far as they fit.
-    fn pack(&self, now: Millis, id: &str) -> Vec<usize> {
+    fn pack(&self, now: Millis, id: &str, queues: &NearQueues<'_>) -> Vec<usize> {
         let Some(target) = self.targets.get(id) else { return Vec::new() };
         let room = match self.sizes.room_bytes {
             0 => u64::MAX,
             it => it.saturating_sub(target.used_bytes),
         };
-        let indices = self.pack_into(now, target, room);
+        let indices = self.pack_into(now, target, room, queues);
         let is_small = indices.len() * SMALL_CALL < self.sizes.pieces as usize;
         let has_waited = target.idle_since + GATHER_MS <= now;
         if is_small && self.has_backlog(BACKLOG) && !has_waited {
@@ -458,16 +482,30 @@
         indices
     }
 
-    fn pack_into(&self, now: Millis, target: &Target, mut room: u64) -> Vec<usize> {
+    fn pack_into(
+        &self,
+        now: Millis,
+        target: &Target,
+        mut room: u64,
+        queues: &NearQueues<'_>,
+    ) -> Vec<usize> {
         let most = self.sizes.most();
         let mut indices = Vec::new();
+        // Pieces passed so far, by the failure domain of their inputs.
+        let mut passed: BTreeMap<&str, usize> = BTreeMap::new();
         let mut from = 0;
         while from < self.waiting.len() && indices.len() < most {
             let group = self.waiting[from].group;
             let same = self.waiting[from..].iter().take_while(|it| it.group == group).count();
             let pieces = &self.waiting[from..from + same];
             let bytes: u64 = pieces.iter().map(|it| it.bytes).sum();
-            let may_go = self.may_go(now, &pieces[0], target);
+            let mut may_go = self.may_go(now, &pieces[0], target);
+            if let Some(domain) = near_domain(&pieces[0]) {
+                let ahead = passed.entry(domain).or_default();
+                let piece = NearPiece { domain, due: pieces[0].turn, ahead: *ahead };
+                *ahead += same;
+                may_go &= domain == target.domain || queues.may_move(piece, &target.domain);
+            }
             if may_go && bytes <= room && indices.len() + same <= most {
                 room -= bytes;
                 indices.extend(from..from + same);
@@ -491,31 +529,31 @@
         self.sizes.pieces as usize <= 2 * pieces || is_large
     }
 
-    /// Whether a piece may be made at a target, or waits for one where its result is needed.
+    /// Whether a piece may be made at a target as slow as this one.
     fn may_go(&self, now: Millis, piece: &Waiting, target: &Target) -> bool {
-        if !piece.is_allowed(&target.domain) {
+        if !self.is_allowed(piece, target) {
             return false;
         }
-        if SLOW <= target.slowness {
-            // Only what will be in time there, or nowhere.
-            let slow_ms = (self.sizes.stated_ms(1) * target.slowness) as Millis;
-            if !self.sizes.is_late(now, piece) && piece.due < now + slow_ms {
-                return false;
-            }
-        }
-        let is_anywhere = piece.near_bytes < NEAR_BYTES || piece.domain.is_empty();
-        if is_anywhere
-            || !piece.is_allowed(&piece.domain)
-            || piece.domain == target.domain
-            || self.has_backlog(LONG_BACKLOG)
-        {
-            return true;
+        // Only what will be in time at a slow one, or nowhere.
+        let slow_ms = (self.sizes.stated_ms(1) * target.slowness) as Millis;
+        target.slowness < SLOW || self.sizes.is_late(now, piece) || now + slow_ms <= piece.due
+    }
+
+    /// What waits in each failure domain.
+    fn near_queues(&self, now: Millis) -> NearQueues<'_> {
+        let usable = self.targets.values().filter(|it| !it.is_leaving && it.suspect_until <= now);
+        let targets = usable.map(|it| (it.domain.as_str(), self.free_at(now, it)));
+        NearQueues::new(now, &self.sizes, targets, self.waiting.iter().filter_map(near_domain))
+    }
+
+    /// When a target is expected to take its next call. One that is overdue is expected to take as long
+    /// again as it is overdue.
+    fn free_at(&self, now: Millis, target: &Target) -> Millis {
+        if target.calls < self.sizes.calls.max(1) {
+            return now;
         }
-        let call_ms = self.sizes.stated_ms(1) as Millis;
-        let is_urgent = piece.due < now + call_ms + NEAR_SLACK_MS;
-        let is_near =
-            |it: &Target| it.domain == piece.domain && !it.is_leaving && it.suspect_until <= now;
-        is_urgent || !self.targets.values().any(is_near)
+        let overdue = now.saturating_sub(target.busy_until);
+        target.busy_until.max(now) + overdue
     }
 
     /// How good a call would be: the most pieces, then the most large ones in their failure
@@ -538,7 +576,11 @@
             .map(|it| it.1.slowness)
             .fold(f64::INFINITY, f64::min);
         let has_backlog = self.has_backlog(BACKLOG);
+        let has_spare = self.targets.values().any(|it| it.is_spare);
+        let needs_spare = has_spare && self.waiting.iter().any(|it| it.within.is_some());
+        let spare = self.targets.iter().filter(|it| needs_spare && it.1.is_spare);
         staying()
+            .chain(spare)
             .filter(|it| it.1.suspect_until <= now && it.1.calls < calls)
             .filter(|it| {
                 let is_slow = SLOW * fastest.max(1.0) <= it.1.slowness;
@@ -548,3 +590,9 @@
             .collect()
     }
 }
+
+/// Failure domain where a piece is best made; none where that does not matter.
+fn near_domain(piece: &Waiting) -> Option<&str> {
+    let is_bound = NEAR_BYTES <= piece.near_bytes && !piece.domain.is_empty();
+    (is_bound && piece.is_allowed(&piece.domain)).then_some(piece.domain.as_str())
+}
--- a/crates/holdpoint-core/src/confinement.rs
+++ b/crates/holdpoint-core/src/confinement.rs
@@ -88,17 +88,9 @@
         Confinement { regions: Some(self.regions.clone()) }
     }
 
-    /// The instances, named with their failure domains, among which the owner of confined work is
-    /// chosen: those in allowed regions, and of these the near ones where there are any.
-    pub fn owners<'a>(
-        &self,
-        topology: &Topology,
-        instances: impl Iterator<Item = (&'a str, &'a str)>,
-    ) -> Vec<&'a str> {
-        let allowed: Vec<_> = instances.filter(|it| self.allows(it.1)).collect();
-        let has_near = allowed.iter().any(|it| topology.is_near(it.1));
-        let chosen = allowed.into_iter().filter(|it| !has_near || topology.is_near(it.1));
-        chosen.map(|it| it.0).collect()
+    /// Whether a region is allowed.
+    pub fn allows_region(&self, region: &str) -> bool {
+        self.regions.contains(region)
     }
 }
 
--- a/crates/holdpoint-core/tests/cold.rs
+++ b/crates/holdpoint-core/tests/cold.rs
@@ -48,6 +48,7 @@
         tried: &[],
         cap: u32::MAX,
         share,
+        inputs: &[],
         within: None,
     }
 }
--- a/crates/holdpoint-core/tests/confinement.rs
+++ b/crates/holdpoint-core/tests/confinement.rs
@@ -11,6 +11,7 @@
     ids::Name,
     ingress::{CallerLimits, Configuration, IngressRoute, Repeat, Shape, Tenancy},
     pieces::{CallEnd, Sizes, Waiting},
+    regions::ServiceRegions,
     route::Router,
     topology::Topology,
 };
@@ -68,7 +69,7 @@
 fn call<'a>(tried: &'a [String], within: &'a Within) -> Call<'a> {
     let within = within.as_deref();
     let (work, prefix_work, cap, share) = (9000.0, 6000.0, u32::MAX, Share::Whole);
-    Call { work, prefix_work, prefix: Some(7), tried, cap, share, within }
+    Call { work, prefix_work, prefix: Some(7), tried, cap, share, inputs: &[], within }
 }
 
 proptest! {
@@ -132,17 +133,24 @@
     #[test]
     fn no_piece_is_made_outside_and_all_are_made_that_have_a_target(
         topology in topology(),
-        places in prop::collection::vec((0..7_usize, any::<bool>()), 1..8),
+        places in prop::collection::vec((0..7_usize, any::<bool>(), any::<bool>()), 1..8),
         pieces in prop::collection::vec((confinement(), 0..7_usize, any::<bool>()), 1..40),
     ) {
         let mut batcher = Batcher::new(SIZES);
         let targets: Vec<(String, String, bool)> = places.iter().enumerate()
-            .map(|(at, (domain, is_leaving))| (format!("t{at}"), format!("d{domain}"), *is_leaving))
+            .map(|(at, (domain, is_leaving, _))| (format!("t{at}"), format!("d{domain}"), *is_leaving))
             .collect();
         batcher.set_targets(targets.iter().map(|it| (it.0.as_str(), it.1.as_str(), it.2)));
-        let can = |it: &Confinement| {
+        let is_spare = |at: usize| places[at].1 && places[at].2;
+        let spare = || (0..places.len()).filter(|it| is_spare(*it));
+        batcher.set_spare(spare().map(|it| targets[it].0.as_str()));
+        let has_staying = |it: &Confinement| {
             targets.iter().any(|(_, domain, is_leaving)| !is_leaving && allows(it, &topology, domain))
         };
+        let has_spare = |it: &Confinement| {
+            !it.is_free() && spare().any(|at| allows(it, &topology, &targets[at].1))
+        };
+        let can = |it: &Confinement| has_staying(it) || has_spare(it);
         for (ticket, (confinement, domain, is_large)) in pieces.iter().enumerate() {
             let within = confinement.bounds(&topology);
             prop_assert_eq!(batcher.can_make(within.as_deref()), can(confinement));
@@ -166,9 +174,12 @@
         let mut now = 1000;
         for _ in 0..200 {
             while let Some(call) = batcher.next(now) {
-                let domain = targets.iter().find(|it| it.0 == call.target).map(|it| it.1.clone()).unwrap();
+                let at = targets.iter().position(|it| it.0 == call.target).unwrap();
                 for piece in &call.pieces {
-                    prop_assert!(allows(&pieces[piece.ticket as usize].0, &topology, &domain));
+                    let confinement = &pieces[piece.ticket as usize].0;
+                    prop_assert!(allows(confinement, &topology, &targets[at].1));
+                    prop_assert!(!targets[at].2 || is_spare(at), "a leaving target gets no call");
+                    prop_assert!(!is_spare(at) || !has_staying(confinement));
                 }
                 now += 100;
                 batcher.ended(now, &call, CallEnd::Answered(100), &vec![None; call.pieces.len()]);
@@ -182,25 +193,23 @@
     }
 
     #[test]
-    fn an_owner_is_in_an_allowed_region_and_near_where_one_is(
+    fn the_region_that_serves_a_request_is_an_allowed_one(
         topology in topology(), confinement in confinement(),
-        places in prop::collection::vec(0..7_usize, 0..10),
+        usable in prop::collection::vec((0..2_usize, 0..3_usize), 0..8),
     ) {
         let Some(bounds) = confinement.bounds(&topology) else { return Ok(()) };
-        let instances: Vec<(String, String)> =
-            places.iter().enumerate().map(|(at, it)| (format!("i{at}"), format!("d{it}"))).collect();
-        let named = || instances.iter().map(|it| (it.0.as_str(), it.1.as_str()));
-        let owners = bounds.owners(&topology, named());
-        let allowed: Vec<_> = named().filter(|it| bounds.allows(it.1)).collect();
-        prop_assert_eq!(owners.is_empty(), allowed.is_empty());
-        let has_near = allowed.iter().any(|it| topology.is_near(it.1));
-        for (name, domain) in allowed {
-            let expected = !has_near || topology.is_near(domain);
-            prop_assert_eq!(owners.contains(&name), expected);
-        }
-        for owner in owners {
-            prop_assert!(named().any(|it| it.0 == owner && bounds.allows(it.1)));
-        }
+        let services = ["s", "t"];
+        let located = usable.iter().map(|it| (services[it.0], REGIONS[it.1]));
+        let regions = ServiceRegions::new(located);
+        let allowed: Vec<&str> =
+            topology.all().into_iter().filter(|it| bounds.allows_region(it)).collect();
+        let serves = |it: &&&str| {
+            services.iter().all(|service| usable.iter().any(|at| {
+                services[at.0] == *service && REGIONS[at.1] == **it
+            }))
+        };
+        let home = regions.home(allowed.iter().copied(), &services, |_| true);
+        prop_assert_eq!(home, allowed.iter().find(serves).copied());
     }
 }
 
--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -106,6 +106,11 @@
     PEERS_CHANGED = 614 Info "peers changed";
     /// A failure domain was evacuated or restored.
     DOMAIN_CHANGED = 615 Info "failure domain evacuated or restored";
+    /// Nobody could be asked whether the configuration in force is the newest, so requests that it does
+    /// not allow are refused rather than denied.
+    UNCONFIRMED = 621 Warn "configuration not confirmed";
+    /// A list that a peer sent cannot be read.
+    BAD_LIST = 620 Error "list of a peer cannot be read";
     /// A confined request was refused, since its regions have no target for it.
     CONFINED = 640 Info "no target in the allowed regions";
     /// A region that a configuration names, or a target's failure domain, is in no known region.
--- a/crates/holdpointd/src/ingress/attempts.rs
+++ b/crates/holdpointd/src/ingress/attempts.rs
@@ -5,12 +5,18 @@
 use holdpoint_core::{
     confinement::Confinement,
     directory::TargetInstance,
+    ids::Name,
     route::{Call, End, NoTarget},
 };
 
 use crate::{
     events::{self, emit},
-    ingress::{context::Context, peer_service::PromptAsk},
+    ingress::{
+        context::Context,
+        peer_service::PromptAsk,
+        peers::PLACE_LIMIT,
+        regions::{limit_for, owner_of},
+    },
     metrics::label,
 };
 
@@ -64,15 +70,20 @@
         self.sends < ctx.route.attempts
     }
 
-    /// Chooses the target of the next send and counts the send.
-    pub(crate) async fn next(&mut self, ctx: &Context) -> Result<TargetInstance, NoSend> {
+    /// Chooses the target of the next send and counts the send. `inputs` are the bytes that the target
+    /// fetches, by the failure domain that they lie in.
+    pub(crate) async fn next(
+        &mut self,
+        ctx: &Context,
+        inputs: &[(Name, u64)],
+    ) -> Result<TargetInstance, NoSend> {
         if ctx.left().is_zero() {
             return Err(NoSend::Time);
         }
         if !self.may_repeat(ctx) {
             return Err(NoSend::Attempts);
         }
-        let (target, reason) = self.choose(ctx).await?;
+        let (target, reason) = self.choose(ctx, inputs).await?;
         let now = ctx.shared.clock.now();
         if self.sends != 0 && !ctx.pool.spend(now, &ctx.shared.pools.terms()) {
             return Err(NoSend::Budget);
@@ -80,8 +91,15 @@
         self.sends += 1;
         ctx.pool.sent(now, &target.id, &ctx.call(&[]));
         ctx.note_send(&target.id);
-        let detail =
-            format!("id={} target={} send={} {reason}", ctx.request.id, target.id, self.sends);
+        let moved = Call { inputs, ..ctx.call(&[]) }.moved_bytes(&target.domain);
+        let detail = format!(
+            "id={} target={} send={} moved_kb={} {reason}",
+            ctx.request.id,
+            target.id,
+            self.sends,
+            moved / 1000
+        );
+        ctx.shared.metrics.moved_bytes.add(moved, &[label("to", "engine")]);
         emit(events::SENT, &ctx.shared.settings.instance, &detail);
         self.tried.push(target.id.clone());
         Ok(target)
@@ -89,8 +107,12 @@
 
     /// Chooses a target, with the reason for the log. Prompts are placed by one instance for all,
     /// since an engine that reads a long prompt holds up all that run there, whoever sent them.
-    async fn choose(&mut self, ctx: &Context) -> Result<(TargetInstance, String), NoSend> {
-        let chosen = self.choose_at_peer(ctx).await;
+    async fn choose(
+        &mut self,
+        ctx: &Context,
+        inputs: &[(Name, u64)],
+    ) -> Result<(TargetInstance, String), NoSend> {
+        let chosen = self.choose_at_peer(ctx, inputs).await;
         let place = if chosen.is_some() { "peer" } else { "here" };
         ctx.shared.metrics.placements.add(1, &[label("by", place)]);
         if let Some(it) = chosen {
@@ -100,9 +122,10 @@
             let decides = ctx.decides();
             let within = ctx.within();
             let share = ctx.shared.pools.share(decides);
-            let call = Call { share, within: within.as_deref(), ..ctx.call(&self.tried) };
-            let policy = ctx.policy();
-            let choice = match ctx.pool.place(ctx.shared.clock.now(), policy.as_deref(), &call) {
+            let call = Call { share, inputs, within: within.as_deref(), ..ctx.call(&self.tried) };
+            let (policy, region) = (ctx.policy(), ctx.call_region());
+            let now = ctx.shared.clock.now();
+            let choice = match ctx.pool.place(now, policy.as_deref(), &call, region.as_deref()) {
                 Ok(it) => it,
                 Err(NoTarget::Cold(ms)) if ctx.may_wait_for(ms) => {
                     tokio::time::sleep(Duration::from_millis(ms)).await;
@@ -129,19 +152,25 @@
         }
     }
 
-    async fn choose_at_peer(&self, ctx: &Context) -> Option<(TargetInstance, String)> {
+    async fn choose_at_peer(
+        &self,
+        ctx: &Context,
+        inputs: &[(Name, u64)],
+    ) -> Option<(TargetInstance, String)> {
         let call = ctx.call(&self.tried);
         let prefix = call.prefix?;
-        let within = ctx.within();
-        let peers = &ctx.shared.peers;
-        let address = peers.owner_within(&ctx.service, &ctx.shared.topology, within.as_deref())?;
+        let (within, region) = (ctx.within(), ctx.region());
+        let address = owner_of(&ctx.shared, &region, &ctx.service, &within)?;
         let mut avoided = ctx.pool.ejected(ctx.shared.clock.now());
         avoided.extend(self.tried.iter().cloned());
         let policy = ctx.arm.as_ref().map(|it| it.policy.clone());
         let (work, prefix_work) = (call.work, call.prefix_work);
         let confinement = within.map_or_else(Confinement::default, |it| it.confinement());
-        let ask = PromptAsk { work, prefix_work, prefix, avoided, policy, confinement };
-        let chosen = peers.place(&ctx.shared, &address, &ctx.service, ask).await?;
+        let inputs = inputs.to_vec();
+        let ask = PromptAsk { work, prefix_work, prefix, avoided, policy, inputs, confinement };
+        let limit = limit_for(&ctx.shared, &region, PLACE_LIMIT);
+        let placed = ctx.shared.peers.place(&ctx.shared, &address, &ctx.service, ask, limit);
+        let chosen = placed.await?;
         let target = ctx.open_target(&chosen)?;
         Some((target, format!("placed_by={address}")))
     }
--- a/crates/holdpointd/src/ingress/confinement.rs
+++ b/crates/holdpointd/src/ingress/confinement.rs
@@ -79,13 +79,19 @@
 /// The bounds of one request, as the configuration of a version states them.
 #[derive(Debug)]
 pub(crate) struct RequestBounds {
+    at_arrival: Within,
     newest: Mutex<(Version, Within)>,
 }
 
 impl RequestBounds {
     /// Makes the bounds that a version of the configuration states.
     pub(crate) fn new(version: Version, within: Within) -> RequestBounds {
-        RequestBounds { newest: Mutex::new((version, within)) }
+        RequestBounds { at_arrival: within.clone(), newest: Mutex::new((version, within)) }
+    }
+
+    /// The bounds when it came.
+    pub(crate) fn at_arrival(&self) -> &Within {
+        &self.at_arrival
     }
 
     /// The bounds that the configuration in force states.
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -1,6 +1,7 @@
 //! One request on its way: what is known of it, the sends made for it, how it ended.
 
 use std::{
+    borrow::Cow,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -28,6 +29,7 @@
         confinement::RequestBounds,
         connections::Care,
         pools::Pool,
+        regions,
         send::{CallerRequest, left},
         shared::IngressShared,
     },
@@ -52,6 +54,8 @@
     pub(crate) head: CallerHead,
     pub(crate) route: Arc<IngressRoute>,
     pub(crate) service: Name,
+    /// Region whose targets make its stages and read its prompt.
+    region: Name,
     pub(crate) pool: Arc<Pool>,
     pub(crate) organisation: Option<Name>,
     pub(crate) rank: u32,
@@ -105,6 +109,8 @@
         let asked_before = asked_before(&shared, &parts);
         let pool = shared.pools.of(shared.clock.now(), &parts.service);
         pool.request(shared.clock.now(), &shared.pools.terms());
+        let region =
+            regions::home(&shared, &parts.route, &parts.service, parts.bounds.at_arrival());
         let arm = shared.experiments.now().arm_for(&parts.route.name, &parts.request.id);
         Context {
             shared,
@@ -112,6 +118,7 @@
             head: parts.head,
             route: parts.route,
             service: parts.service,
+            region,
             pool,
             organisation: parts.organisation,
             rank: parts.rank,
@@ -210,15 +217,31 @@
             tried,
             cap: u32::MAX,
             share: Share::Whole,
+            inputs: &[],
             within: None,
         }
     }
 
+    /// Region that its target is chosen in; any, by its distance, where there are neither results of
+    /// stages nor a prompt.
+    pub(crate) fn call_region(&self) -> Option<Cow<'_, str>> {
+        let is_bound = !self.route.stages.is_empty() || self.head.prompt.affinity().is_some();
+        is_bound.then(|| self.region())
+    }
+
+    /// Region that serves it; another one than at its arrival once it is confined otherwise.
+    pub(crate) fn region(&self) -> Cow<'_, str> {
+        let within = self.within();
+        if within == *self.bounds.at_arrival() {
+            return Cow::Borrowed(&self.region);
+        }
+        Cow::Owned(regions::home(&self.shared, &self.route, &self.service, &within))
+    }
+
     /// Whether this instance places the prompts of the service for all.
     pub(crate) fn decides(&self) -> bool {
-        let within = self.within();
-        let topology = &self.shared.topology;
-        let owner = || self.shared.peers.owner_within(&self.service, topology, within.as_deref());
+        let region = self.region();
+        let owner = || regions::owner_of(&self.shared, &region, &self.service, &self.within());
         self.head.prompt.affinity().is_some() && owner().is_none()
     }
 
--- a/crates/holdpointd/src/ingress/held.rs
+++ b/crates/holdpointd/src/ingress/held.rs
@@ -61,7 +61,7 @@
     pub(crate) fn release(&mut self, handles: &[String]) {
         for handle in handles {
             if let Some(service) = self.handles.remove(handle) {
-                self.shared.releases.release(&service, &self.within, handle.clone());
+                self.shared.releases.release(&service, handle.clone());
             }
         }
     }
@@ -70,7 +70,7 @@
 impl Drop for Held {
     fn drop(&mut self) {
         for (handle, service) in self.handles.drain() {
-            self.shared.releases.release(&service, &self.within, handle);
+            self.shared.releases.release(&service, handle);
         }
     }
 }
@@ -79,14 +79,16 @@
 pub(crate) struct Results {
     /// Handles for the request's own service.
     pub(crate) inputs: Vec<String>,
+    /// Their bytes by the failure domain that they lie in.
+    pub(crate) places: Vec<(Name, u64)>,
     /// Keeps them until they are no longer needed.
     held: Held,
 }
 
 impl Results {
     /// Makes results of handles, and of what holds them.
-    pub(crate) fn new(inputs: Vec<String>, held: Held) -> Results {
-        Results { inputs, held }
+    pub(crate) fn new(inputs: Vec<String>, places: Vec<(Name, u64)>, held: Held) -> Results {
+        Results { inputs, places, held }
     }
 
     /// Whether the request is confined as it was when the results were made.
--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -62,6 +62,9 @@
     /// Name of the policy of a trial's arm, if the request falls to one.
     #[serde(default)]
     pub(crate) policy: Option<Name>,
+    /// Bytes that the target fetches, by the failure domain that they lie in.
+    #[serde(default)]
+    pub(crate) inputs: Vec<(Name, u64)>,
     /// Regions that its request is confined to.
     #[serde(default, skip_serializing_if = "Confinement::is_free")]
     pub(crate) confinement: Confinement,
@@ -131,11 +134,14 @@
             tried: &prompt.avoided,
             cap: u32::MAX,
             share: Share::Whole,
+            inputs: &prompt.inputs,
             within: within.as_deref(),
         };
         let policy = prompt.policy.and_then(|it| self.shared.experiments.now().policy(&it));
         let now = self.shared.clock.now();
-        let placed = self.shared.pools.of(now, &service).place(now, policy.as_deref(), &call);
+        let pool = self.shared.pools.of(now, &service);
+        let region = Some(self.shared.topology.own_region());
+        let placed = pool.place(now, policy.as_deref(), &call, region);
         placed.ok().map(|it| it.address)
     }
 
--- a/crates/holdpointd/src/ingress/releases.rs
+++ b/crates/holdpointd/src/ingress/releases.rs
@@ -5,37 +5,36 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use holdpoint_adapter::stages as wire;
-use holdpoint_core::{confinement::Within, ids::Name};
+use holdpoint_core::ids::Name;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
-use crate::ingress::{send::own_call, shared::IngressShared};
+use crate::ingress::{
+    regions::{batcher_of, keeper_region},
+    send::own_call,
+    shared::IngressShared,
+};
 
 /// How long results are gathered before they are given up together.
 const GATHER: Duration = Duration::from_millis(8);
 /// How long one call may take.
 const LIMIT: Duration = Duration::from_millis(500);
 
-/// Handles of results that nobody needs any more, by service and what their requests are confined to,
-/// which tells the instance that keeps account of them.
-type Handles = HashMap<(Name, Within), Vec<String>>;
-
-/// Results that nobody needs any more.
+/// Handles of results that nobody needs any more, by service.
 #[derive(Debug, Default)]
 pub(crate) struct Releases {
-    handles: Mutex<Handles>,
+    handles: Mutex<HashMap<Name, Vec<String>>>,
     gathered: Notify,
 }
 
 impl Releases {
-    /// Gives up a result of a request with these bounds.
-    pub(crate) fn release(&self, service: &str, within: &Within, handle: String) {
-        let key = (service.to_owned(), within.clone());
-        self.handles.lock().entry(key).or_default().push(handle);
+    /// Gives up a result.
+    pub(crate) fn release(&self, service: &str, handle: String) {
+        self.handles.lock().entry(service.to_owned()).or_default().push(handle);
         self.gathered.notify_one();
     }
 
-    fn take(&self) -> Handles {
+    fn take(&self) -> HashMap<Name, Vec<String>> {
         std::mem::take(&mut *self.handles.lock())
     }
 }
@@ -50,22 +49,36 @@
 }
 
 fn flush(shared: &Arc<IngressShared>) {
-    for ((service, within), handles) in shared.releases.take() {
-        match shared.peers.owner_within(&service, &shared.topology, within.as_deref()) {
-            None => tell_makers(shared, &service, handles),
-            Some(address) => {
-                let shared = shared.clone();
-                tokio::spawn(async move {
-                    let told = shared.peers.give_up(&shared, &address, &service, handles.clone());
-                    if told.await.is_err() {
-                        tell_makers(&shared, &service, handles);
-                    }
-                });
-            }
+    for (service, handles) in shared.releases.take() {
+        for (region, handles) in by_region(shared, handles) {
+            give_up(shared, &region, service.clone(), handles);
         }
     }
 }
 
+/// Results by the region whose batcher keeps account of them.
+fn by_region(shared: &IngressShared, handles: Vec<String>) -> HashMap<Name, Vec<String>> {
+    let mut by_region: HashMap<Name, Vec<String>> = HashMap::new();
+    for handle in handles {
+        let region = keeper_region(shared, wire::maker(&handle));
+        by_region.entry(region).or_default().push(handle);
+    }
+    by_region
+}
+
+fn give_up(shared: &Arc<IngressShared>, region: &str, service: Name, handles: Vec<String>) {
+    let Some(address) = batcher_of(shared, region, &service) else {
+        return tell_makers(shared, &service, handles);
+    };
+    let shared = shared.clone();
+    tokio::spawn(async move {
+        let told = shared.peers.give_up(&shared, &address, &service, handles.clone());
+        if told.await.is_err() {
+            tell_makers(&shared, &service, handles);
+        }
+    });
+}
+
 /// Tells the makers of results that these are no longer needed, one call each.
 pub(crate) fn tell_makers(shared: &Arc<IngressShared>, service: &str, handles: Vec<String>) {
     let mut by_maker: HashMap<String, Vec<String>> = HashMap::new();
--- a/crates/holdpointd/src/ingress/request.rs
+++ b/crates/holdpointd/src/ingress/request.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use holdpoint_adapter::headers::{self, CallerHead};
 use holdpoint_core::{
-    ingress::{Configuration, Denied, Shape},
+    ingress::{Configuration, Denied, IngressRoute, Shape, Tenancy},
     ledger::Ledger,
 };
 use http::{HeaderValue, Request, header};
@@ -21,6 +21,7 @@
     ingress::{
         answer::{Answer, Failure, failure, refusal},
         confinement::RequestBounds,
+        confirm::confirm,
         context::{Context, Parts},
         send::CallerRequest,
         shared::IngressShared,
@@ -68,7 +69,7 @@
             "id={} cause={it:?} path={} version={}",
             id.unwrap_or("none"),
             parts.uri.path(),
-            configuration.version
+            shared.configuration().version
         );
         emit(events::REQUEST_DENIED, &shared.settings.instance, &detail);
         failure(it, id)
@@ -92,10 +93,14 @@
         body,
         id,
     };
-    let route = configuration.route(request.host(), parts.uri.path());
-    let route = route.map_err(|it| deny(denial(it)))?;
-    let organisation =
-        configuration.organisation(route, head.key.as_deref()).map_err(|it| deny(denial(it)))?;
+    if allowed(&configuration, &request, &head).is_err() && !confirm(shared).await {
+        // A denial is for good, and this instance may have missed what allows the request.
+        let proof = Ledger::new().close().map_err(|_| deny(Failure::Broken))?;
+        return Err(refusal(proof, Some(&request.id), NOT_CONFIGURED));
+    }
+    let configuration = shared.configuration();
+    let (route, organisation) =
+        allowed(&configuration, &request, &head).map_err(|it| deny(denial(it)))?;
     let confinement = route.confinement_for(organisation.map(Arc::as_ref));
     let within = confinement.bounds(&shared.topology);
     let service = route.service_of(&request.id).ok_or_else(|| deny(Failure::NoRoute))?.to_owned();
@@ -115,6 +120,17 @@
     ctx.refuse_confined().map_or(Ok(ctx), Err)
 }
 
+/// The route of a request, and the organisation that its key belongs to.
+fn allowed<'a>(
+    configuration: &'a Configuration,
+    request: &CallerRequest,
+    head: &CallerHead,
+) -> Result<(&'a Arc<IngressRoute>, Option<&'a Arc<Tenancy>>), Denied> {
+    let route = configuration.route(request.host(), request.path.path())?;
+    let organisation = configuration.organisation(route, head.key.as_deref())?;
+    Ok((route, organisation))
+}
+
 fn denial(denied: Denied) -> Failure {
     match denied {
         Denied::NoRoute => Failure::NoRoute,
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -58,15 +58,20 @@
     let graph = StageGraph::new(&ctx.route.stages, &ctx.head.pieces);
     let mut held = Held::new(ctx);
     if graph.is_empty() {
-        return Ok(Results::new(Vec::new(), held));
+        return Ok(Results::new(Vec::new(), Vec::new(), held));
     }
     let begun = Instant::now();
     let made = make_graph(ctx, &graph, domain, &mut held).await;
     ctx.note_stages(begun);
     let results = made?;
-    let last = graph.last().filter_map(|it| results[it].as_ref());
-    let inputs = last.flat_map(|it| it.handles.clone()).collect();
-    Ok(Results::new(inputs, held))
+    let last = graph.last().filter_map(|it| Some((it, results[it].as_ref()?)));
+    let mut places = BTreeMap::new();
+    let mut inputs = Vec::new();
+    for (stage, made) in last {
+        add_places(ctx, &mut places, &made.handles, ctx.route.stages[stage].bytes);
+        inputs.extend(made.handles.iter().cloned());
+    }
+    Ok(Results::new(inputs, places.into_iter().collect(), held))
 }
 
 async fn make_graph(
@@ -182,8 +187,10 @@
         if let (Some(first), PieceSource::Inputs(inputs)) = (asks.first_mut(), &source) {
             first.used_up = used_up(ctx, graph, stage, inputs);
         }
+        let region = ctx.region();
+        let limit = ctx.left_to_begin();
         let made = tokio::select! {
-            it = make_anywhere(&ctx.shared, service, asks, &within, ctx.left_to_begin()) => it,
+            it = make_anywhere(&ctx.shared, &region, service, asks, &within, limit) => it,
             () = ctx.bounds_change(&within) => {
                 // What waits is withdrawn, and what is made is made anew within the new bounds.
                 release_all(ctx, stage, handles);
@@ -255,15 +262,21 @@
         *bytes.entry(domain.to_owned()).or_default() += ctx.route.stages[stage].bytes;
     }
     let input_bytes = graph.needs(stage).map(|it| ctx.route.stages[it].bytes).max().unwrap_or(0);
-    for handle in inputs {
-        let maker = wire::maker(handle).and_then(|it| ctx.shared.target_at(it));
-        if let Some(it) = maker {
-            *bytes.entry(it.domain).or_default() += input_bytes;
-        }
-    }
+    add_places(ctx, &mut bytes, inputs, input_bytes);
     bytes.into_iter().max_by_key(|it| it.1).unwrap_or_default()
 }
 
+/// Adds the bytes of results to those of the failure domains that they lie in.
+fn add_places(
+    ctx: &Context,
+    places: &mut BTreeMap<Name, u64>,
+    handles: &[String],
+    bytes_each: u64,
+) {
+    let makers = handles.iter().filter_map(|it| ctx.shared.target_at(wire::maker(it)?));
+    makers.for_each(|it| *places.entry(it.domain).or_default() += bytes_each);
+}
+
 /// Takes in results; returns why one is missing, if one is.
 fn take_in(
     handles: &mut [Option<String>],
@@ -283,8 +296,8 @@
 
 fn release_all(ctx: &Context, stage: usize, handles: Vec<Option<String>>) {
     let service = &ctx.route.stages[stage].service;
-    let (releases, within) = (&ctx.shared.releases, ctx.within());
-    handles.into_iter().flatten().for_each(|it| releases.release(service, &within, it));
+    let releases = &ctx.shared.releases;
+    handles.into_iter().flatten().for_each(|it| releases.release(service, it));
 }
 
 fn confinement(within: &Within) -> Confinement {
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -121,7 +121,7 @@
     let mut remakes = 0;
     let mut last_failure = None;
     let cause = loop {
-        let target = match attempts.next(ctx).await {
+        let target = match attempts.next(ctx, &results.places).await {
             Ok(it) => it,
             Err(it) => break it,
         };
@@ -158,8 +158,9 @@
 
 async fn stage_results(ctx: &Context) -> Result<Results, NotOpen> {
     let now = ctx.shared.clock.now();
-    let within = ctx.within();
-    let likely = ctx.pool.choose(now, &Call { within: within.as_deref(), ..ctx.call(&[]) });
+    let (within, region) = (ctx.within(), ctx.call_region());
+    let call = Call { within: within.as_deref(), ..ctx.call(&[]) };
+    let likely = ctx.pool.choose(now, &call, region.as_deref());
     // Its stages would be made for nothing.
     match likely {
         Err(NoTarget::Evacuated) => return Err(NotOpen::NoSend(NoSend::Evacuated.name())),
--- a/crates/holdpointd/tests/confinement.rs
+++ b/crates/holdpointd/tests/confinement.rs
@@ -35,7 +35,7 @@
 /// An instance in region east, which has the first target of each service; those after it are in north.
 async fn two_regions(plain: &[Behaviour], engines: &[Behaviour]) -> System {
     let domain = |index| if index == 0 { "z1" } else { "z2" };
-    start_at(|gate| start_in("a", "z1", gate), domain, plain, engines).await
+    start_at(|gate| start_in("a", "east", "z1", gate), domain, plain, engines).await
 }
 
 async fn configure(system: &System, configuration: Value) {
@@ -104,7 +104,7 @@
 
 #[tokio::test]
 async fn a_target_whose_region_is_not_known_counts_as_outside() {
-    let start = |gate: &Gate| start_in("a", "z1", gate);
+    let start = |gate: &Gate| start_in("a", "east", "z1", gate);
     let system = start_at(start, |_| "nowhere", &[Behaviour::Answer], &[]).await;
     configure(&system, confined(2, &[(SAFE, &["east", "north"])], None)).await;
     let answer = system.ask("r-1", "/safe/").await;
@@ -196,7 +196,7 @@
 async fn confined_work_is_batched_and_placed_by_an_instance_of_its_regions() {
     let system = two_regions(&[], &[Behaviour::Events(2); 2]).await;
     let gate = system.store.open_gate().await;
-    let north = start_in("b", "z2", &gate);
+    let north = start_in("b", "north", "z2", &gate);
     let far = encoder_in(&system, "i-encode-2", "z2").await;
     let is_known = || system.instance.peer_count() == 1 && north.peer_count() == 1;
     until(|| is_known() && north.is_ready() && north.target_count() == 4).await;
--- a/crates/holdpointd/tests/confinement_log.rs
+++ b/crates/holdpointd/tests/confinement_log.rs
@@ -36,7 +36,8 @@
     log::set_max_level(LevelFilter::Info);
     let domain = |index| if index == 0 { "z1" } else { "nowhere" };
     let system =
-        start_at(|gate| start_in("a", "z1", gate), domain, &[Behaviour::Answer; 3], &[]).await;
+        start_at(|gate| start_in("a", "east", "z1", gate), domain, &[Behaviour::Answer; 3], &[])
+            .await;
     assert_eq!(named(""), 0, "it does not matter as long as nobody is confined");
     for version in 2..4 {
         let mut configuration = sample_configuration(version);
--- a/crates/holdpointd/tests/support/mod.rs
+++ b/crates/holdpointd/tests/support/mod.rs
@@ -32,13 +32,12 @@
     start_with_settings(settings(name, gate, seeds))
 }
 
-/// Starts an instance in a failure domain: `z1` is in region east, `z2` and `z3` are in north.
-pub fn start_in(name: &str, domain: &str, gate: &Gate) -> Ingress {
-    let regions = json!({ "z1": "east", "z2": "north", "z3": "north" });
+/// Starts an instance in a region of two: `z1` is in the east, `z2` in the north.
+pub fn start_in(name: &str, region: &str, domain: &str, gate: &Gate) -> Ingress {
     let mut settings = settings(name, gate, &[]);
+    settings["region"] = json!(region);
     settings["domain"] = json!(domain);
-    settings["region"] = regions[domain].clone();
-    settings["regions"] = regions;
+    settings["regions"] = json!({ "z1": "east", "z2": "north" });
     start_with_settings(settings)
 }
 
