--- a/crates/holdpointd/src/ingress/links.rs
+++ b/crates/holdpointd/src/ingress/links.rs
@@ -21,6 +21,7 @@
     ingress::{
         connections::guard,
         follow::catch_up,
+        heard::{Heard, LastHeard},
         peer_service::{IngressPeersClient, Standing, codec},
         shared::IngressShared,
     },
@@ -32,6 +33,11 @@
 const PING: Duration = Duration::from_millis(250);
 /// How long it may take to answer, its distance left aside.
 const PING_LIMIT: Duration = Duration::from_millis(350);
+/// How long nothing may come while an answer is awaited that may be large, its distance left aside: it
+/// is made, and waits for its turn on the links, before its first bytes come. Without this bound, a
+/// connection that had gone silent was found out only after the 3 s that such an answer may take, and
+/// calls on it that had less time failed.
+const LARGE_SILENCE: Duration = Duration::from_millis(1000);
 /// How long a peer that was silent is passed over; doubled each time.
 const SUSPECT: Duration = Duration::from_millis(1500);
 /// Longest time that a peer is passed over.
@@ -55,6 +61,7 @@
     pub(crate) lost: Arc<Notify>,
     /// Answers under way that may be large, and hold up others on the same connection.
     large: Arc<AtomicUsize>,
+    heard: LastHeard,
 }
 
 impl Link {
@@ -128,9 +135,11 @@
         };
         self.note_trip(address, begun.elapsed());
         guard(&stream).map_err(|_| PeerSilent)?;
+        let heard = LastHeard::new();
+        let stream = Heard::new(stream, heard.clone());
         let io = transport(codec().new_framed(stream), Cbor::default());
         let client = IngressPeersClient::new(client::Config::default(), io).spawn();
-        let link = Link { client, lost: Arc::default(), large: Arc::default() };
+        let link = Link { client, lost: Arc::default(), large: Arc::default(), heard };
         self.made.lock().insert(address.to_owned(), link.clone());
         tokio::spawn(watch(shared.clone(), address.to_owned(), link.clone()));
         Ok(link)
@@ -201,8 +210,9 @@
     let links = &shared.peers.links;
     loop {
         tokio::time::sleep(PING).await;
-        if link.large.load(Ordering::Acquire) != 0 {
-            // An answer to a ping would stand behind it; whoever waits for it has a limit.
+        let silence = links.with_distance(&address, LARGE_SILENCE);
+        if link.large.load(Ordering::Acquire) != 0 && link.heard.silence() < silence {
+            // An answer to a ping would stand behind it.
             continue;
         }
         let known = shared.configuration().version;
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -17,6 +17,7 @@
 mod domains;
 mod follow;
 mod front;
+mod heard;
 mod held;
 mod links;
 mod news;
