--- a/crates/holdpointd/src/ingress/links.rs
+++ b/crates/holdpointd/src/ingress/links.rs
@@ -19,6 +19,7 @@
 use crate::{
     events::{self, emit},
     ingress::{
+        batches::StageLoads,
         connections::guard,
         follow::catch_up,
         heard::{Heard, LastHeard},
@@ -223,7 +224,8 @@
                 links.note_trip(&address, begun.elapsed());
                 links.trust(&address);
                 if !shared.peers.is_far(&address) {
-                    shared.take_stage_times(&theirs.stage_times);
+                    let (times, loads) = (theirs.stage_times, theirs.stage_loads);
+                    shared.take_stage_loads(StageLoads { times, loads });
                 }
                 if known < theirs.version {
                     drop(tokio::spawn(catch_up(shared.clone(), address.clone())));
