--- a/crates/holdpoint-core/src/batcher/pack.rs
+++ b/crates/holdpoint-core/src/batcher/pack.rs
@@ -93,6 +93,9 @@
 
     /// Whether a piece may be made at a target as slow as this one.
     fn may_go(&self, now: Millis, piece: &Waiting, target: &Target) -> bool {
+        if !self.is_allowed(piece, target) {
+            return false;
+        }
         // Only what will be in time at a slow one, or nowhere.
         let slow_ms = (self.sizes.stated_ms(1) * target.slowness) as Millis;
         target.slowness < SLOW || self.sizes.is_late(now, piece) || now + slow_ms <= piece.due
@@ -128,5 +131,6 @@
 
 /// Failure domain where a piece is best made; none where that does not matter.
 fn near_domain(piece: &Waiting) -> Option<&str> {
-    (NEAR_BYTES <= piece.near_bytes && !piece.domain.is_empty()).then_some(piece.domain.as_str())
+    let is_bound = NEAR_BYTES <= piece.near_bytes && !piece.domain.is_empty();
+    (is_bound && piece.is_allowed(&piece.domain)).then_some(piece.domain.as_str())
 }
--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -111,6 +111,10 @@
     UNCONFIRMED = 621 Warn "configuration not confirmed";
     /// A list that a peer sent cannot be read.
     BAD_LIST = 620 Error "list of a peer cannot be read";
+    /// A confined request was refused, since its regions have no target for it.
+    CONFINED = 640 Info "no target in the allowed regions";
+    /// A region that a configuration names, or a target's failure domain, is in no known region.
+    REGION_UNKNOWN = 641 Warn "region not known";
     /// Pieces were refused, since every target that makes them stands in an evacuated failure domain.
     PIECES_EVACUATED = 709 Info "pieces have no target left";
     /// A request was sent to a target.
--- a/crates/holdpointd/src/ingress/attempts.rs
+++ b/crates/holdpointd/src/ingress/attempts.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use holdpoint_core::{
+    confinement::Confinement,
     directory::TargetInstance,
     ids::Name,
     route::{Call, End, NoTarget},
@@ -14,7 +15,7 @@
         context::Context,
         peer_service::PromptAsk,
         peers::PLACE_LIMIT,
-        regions::{batcher_of, limit_for},
+        regions::{limit_for, owner_of},
     },
     metrics::label,
 };
@@ -43,6 +44,8 @@
     Evacuated,
     /// Every target is cold and carries no more for now.
     Cold,
+    /// No target is in the regions that the request is confined to.
+    Confined,
 }
 
 impl NoSend {
@@ -56,6 +59,7 @@
             NoSend::Stopping => "stopping",
             NoSend::Evacuated => "evacuated",
             NoSend::Cold => "cold",
+            NoSend::Confined => "confined",
         }
     }
 }
@@ -116,11 +120,12 @@
         }
         loop {
             let decides = ctx.decides();
+            let within = ctx.within();
             let share = ctx.shared.pools.share(decides);
-            let call = Call { share, inputs, ..ctx.call(&self.tried) };
-            let policy = ctx.policy();
+            let call = Call { share, inputs, within: within.as_deref(), ..ctx.call(&self.tried) };
+            let (policy, region) = (ctx.policy(), ctx.call_region());
             let now = ctx.shared.clock.now();
-            let choice = match ctx.pool.place(now, policy.as_deref(), &call, ctx.call_region()) {
+            let choice = match ctx.pool.place(now, policy.as_deref(), &call, region.as_deref()) {
                 Ok(it) => it,
                 Err(NoTarget::Cold(ms)) if ctx.may_wait_for(ms) => {
                     tokio::time::sleep(Duration::from_millis(ms)).await;
@@ -128,11 +133,12 @@
                 }
                 Err(NoTarget::Cold(_)) => return Err(NoSend::Cold),
                 Err(NoTarget::Evacuated) => return Err(NoSend::Evacuated),
+                Err(NoTarget::Confined) => return Err(NoSend::Confined),
                 Err(NoTarget::Empty | NoTarget::Tried | NoTarget::Full) => {
                     return Err(NoSend::NoTarget);
                 }
             };
-            if let Some(target) = ctx.shared.open_target(&choice.address) {
+            if let Some(target) = ctx.open_target(&choice.address) {
                 let reason = format!(
                     "compared={} ejected={} predicted_ms={:.0} prefix={}",
                     choice.reason.compared,
@@ -153,17 +159,19 @@
     ) -> Option<(TargetInstance, String)> {
         let call = ctx.call(&self.tried);
         let prefix = call.prefix?;
-        let address = batcher_of(&ctx.shared, &ctx.region, &ctx.service)?;
+        let (within, region) = (ctx.within(), ctx.region());
+        let address = owner_of(&ctx.shared, &region, &ctx.service, &within)?;
         let mut avoided = ctx.pool.ejected(ctx.shared.clock.now());
         avoided.extend(self.tried.iter().cloned());
         let policy = ctx.arm.as_ref().map(|it| it.policy.clone());
         let (work, prefix_work) = (call.work, call.prefix_work);
+        let confinement = within.map_or_else(Confinement::default, |it| it.confinement());
         let inputs = inputs.to_vec();
-        let ask = PromptAsk { work, prefix_work, prefix, avoided, policy, inputs };
-        let limit = limit_for(&ctx.shared, &ctx.region, PLACE_LIMIT);
+        let ask = PromptAsk { work, prefix_work, prefix, avoided, policy, inputs, confinement };
+        let limit = limit_for(&ctx.shared, &region, PLACE_LIMIT);
         let placed = ctx.shared.peers.place(&ctx.shared, &address, &ctx.service, ask, limit);
         let chosen = placed.await?;
-        let target = ctx.shared.open_target(&chosen)?;
+        let target = ctx.open_target(&chosen)?;
         Some((target, format!("placed_by={address}")))
     }
 
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -14,6 +14,7 @@
 use holdpoint_core::{
     admission::{FirstAsk, Verdict, decide},
     batcher::Batcher,
+    confinement::Within,
     directory::{Directory, TargetId, TargetInstance},
     evacuation::Evacuations,
     ids::{Millis, Name},
@@ -30,6 +31,7 @@
 use crate::{
     events::{self, emit},
     ingress::{
+        confinement::{self, log_refused},
         piece_ask::{PieceAsk, PieceResult},
         regions::own_batcher_of,
         send::{left, own_call},
@@ -65,14 +67,17 @@
     /// Pieces whose target has not fetched its inputs yet.
     unfetched: AtomicUsize,
     used_up: Mutex<Vec<(Name, String)>>,
+    /// What their request is confined to.
+    within: Within,
 }
 
 impl GroupInputs {
-    fn new(asks: &mut [PieceAsk]) -> GroupInputs {
+    fn new(asks: &mut [PieceAsk], within: Within) -> GroupInputs {
         let used_up = asks.first_mut().map(|it| std::mem::take(&mut it.used_up));
         GroupInputs {
             unfetched: AtomicUsize::new(asks.len()),
             used_up: Mutex::new(used_up.unwrap_or_default()),
+            within,
         }
     }
 
@@ -82,7 +87,10 @@
             return;
         }
         let used_up = std::mem::take(&mut *self.used_up.lock());
-        used_up.into_iter().for_each(|(service, handle)| shared.releases.release(&service, handle));
+        let release = |(service, handle): (Name, String)| {
+            shared.releases.release(&service, handle);
+        };
+        used_up.into_iter().for_each(release);
     }
 }
 
@@ -93,6 +101,8 @@
 #[derive(Clone, Debug, Default)]
 struct Targets {
     known: Vec<Known>,
+    /// Those that get no calls here only since they stand in another region.
+    far: Vec<TargetId>,
     /// Whether one is only kept from work by the evacuation of its failure domain.
     is_held: bool,
 }
@@ -112,6 +122,8 @@
     is_owner: bool,
     /// Whether all its targets stand in evacuated failure domains.
     is_evacuated: bool,
+    /// Whether this instance was about to stop when last looked at.
+    was_leaving: bool,
 }
 
 impl ServiceBatches {
@@ -121,6 +133,7 @@
             pending: HashMap::new(),
             is_owner: false,
             is_evacuated: false,
+            was_leaving: false,
         }
     }
 
@@ -128,15 +141,20 @@
     fn set_targets(&mut self, targets: &Targets) {
         let known = targets.known.iter();
         self.batcher.set_targets(known.map(|it| (it.0.as_str(), it.1.as_str(), it.2)));
+        self.batcher.set_spare(targets.far.iter().map(String::as_str));
         self.is_evacuated = targets.is_evacuated();
-        if !self.is_evacuated {
-            return;
+        if self.is_evacuated {
+            let tickets = self.batcher.hand_over();
+            self.answer(&tickets, NoResult::Overload(EVACUATED_RETURN_MS));
         }
-        for ticket in self.batcher.hand_over() {
-            if let Some(it) = self.pending.remove(&ticket) {
-                // Its request may have ended meanwhile.
-                drop(it.reply.send(Err(NoResult::Overload(EVACUATED_RETURN_MS))));
-            }
+        let stranded = self.batcher.take_stranded();
+        self.answer(&stranded, NoResult::Overload(confinement::RETURN_MS));
+    }
+
+    /// Answers pieces that wait no longer; a request may have ended meanwhile.
+    fn answer(&mut self, tickets: &[Ticket], why: NoResult) {
+        for it in tickets.iter().filter_map(|it| self.pending.remove(it)) {
+            drop(it.reply.send(Err(why)));
         }
     }
 }
@@ -192,6 +210,9 @@
             of_service.is_held |= is_held;
             let is_far = !topology.is_near(&it.domain) && near.contains(it.service.as_str());
             let gets_none = it.is_leaving || is_held || is_far;
+            if is_far && is_open(it) {
+                of_service.far.push(it.id.clone());
+            }
             of_service.known.push((it.id.clone(), it.domain.clone(), gets_none));
         }
         let none = Targets::default();
@@ -242,18 +263,26 @@
             emit(events::PIECES_EVACUATED, &shared.settings.instance, &detail);
             return Err(NoResult::Overload(EVACUATED_RETURN_MS));
         }
+        let within = asks.first().and_then(|it| it.confinement.bounds(&shared.topology));
+        if let Some(it) = within.as_ref().filter(|it| !of_service.batcher.can_make(Some(it))) {
+            let request = asks.first().map_or("none", |it| it.work.request.as_str());
+            log_refused(shared, request, service, it);
+            return Err(NoResult::Overload(confinement::RETURN_MS));
+        }
         let mut promises = self.promises.lock();
         admit(shared, service, &mut of_service.batcher, &mut promises, now, &asks)?;
         drop(promises);
         let offered = Instant::now();
         let group = self.ticket();
-        let inputs = Arc::new(GroupInputs::new(&mut asks));
+        let inputs = Arc::new(GroupInputs::new(&mut asks, within));
         let mut replies = Vec::with_capacity(asks.len());
         for ask in asks {
             let ticket = self.ticket();
             let (reply, answer) = oneshot::channel();
             replies.push(answer);
-            of_service.batcher.offer(now, waiting(&ask, ticket, group, now));
+            let within = inputs.within.clone();
+            let piece = Waiting { within, ..waiting(&ask, ticket, group, now) };
+            of_service.batcher.offer(now, piece);
             let deadline = offered + Duration::from_millis(ask.left_ms);
             let inputs = inputs.clone();
             let pending = Pending {
@@ -386,18 +415,23 @@
             let is_owner = own_batcher_of(shared, name).is_none();
             let was_owner = std::mem::replace(&mut of_service.is_owner, is_owner);
             let is_told = || shared.pools.of(shared.clock.now(), name).has_told(shared.clock.now());
-            let is_idle = of_service.batcher.waiting() == 0;
-            if is_owner || is_idle || !(was_owner || is_told()) {
+            let is_leaving = shared.peers.is_leaving();
+            let was_leaving = std::mem::replace(&mut of_service.was_leaving, is_leaving);
+            if of_service.batcher.waiting() == 0 {
+                continue;
+            }
+            let moves = !is_owner && (was_owner || is_told());
+            // Confined pieces have an owner of their own, which may be any allowed instance.
+            let confined_move = is_leaving && !was_leaving;
+            let tickets = of_service
+                .batcher
+                .take_back(|it| if it.within.is_some() { confined_move } else { moves });
+            if tickets.is_empty() {
                 continue;
             }
-            let tickets = of_service.batcher.hand_over();
             let detail = format!("service={name} pieces={}", tickets.len());
             emit(events::HANDED_PIECES_OVER, &shared.settings.instance, &detail);
-            for ticket in tickets {
-                if let Some(it) = of_service.pending.remove(&ticket) {
-                    drop(it.reply.send(Err(NoResult::Moved)));
-                }
-            }
+            of_service.answer(&tickets, NoResult::Moved);
         }
     }
 
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -1,6 +1,7 @@
 //! One request on its way: what is known of it, the sends made for it, how it ended.
 
 use std::{
+    borrow::Cow,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -25,6 +26,7 @@
     events::{self, emit},
     ingress::{
         answer::{Answer, Failure, failure, refusal},
+        confinement::RequestBounds,
         connections::Care,
         pools::Pool,
         regions,
@@ -53,10 +55,12 @@
     pub(crate) route: Arc<IngressRoute>,
     pub(crate) service: Name,
     /// Region whose targets make its stages and read its prompt.
-    pub(crate) region: Name,
+    region: Name,
     pub(crate) pool: Arc<Pool>,
     pub(crate) organisation: Option<Name>,
     pub(crate) rank: u32,
+    /// What binds it to regions.
+    pub(crate) bounds: RequestBounds,
     pub(crate) version: Version,
     pub(crate) arrived: Instant,
     /// How long before that its caller has likely asked for the first time.
@@ -92,6 +96,7 @@
     pub(crate) service: Name,
     pub(crate) organisation: Option<Name>,
     pub(crate) rank: u32,
+    pub(crate) bounds: RequestBounds,
     pub(crate) version: Version,
     pub(crate) arrived: Instant,
     pub(crate) working: Working,
@@ -104,7 +109,8 @@
         let asked_before = asked_before(&shared, &parts);
         let pool = shared.pools.of(shared.clock.now(), &parts.service);
         pool.request(shared.clock.now(), &shared.pools.terms());
-        let region = regions::home(&shared, &parts.route, &parts.service);
+        let region =
+            regions::home(&shared, &parts.route, &parts.service, parts.bounds.at_arrival());
         let arm = shared.experiments.now().arm_for(&parts.route.name, &parts.request.id);
         Context {
             shared,
@@ -116,6 +122,7 @@
             pool,
             organisation: parts.organisation,
             rank: parts.rank,
+            bounds: parts.bounds,
             version: parts.version,
             arrived: parts.arrived,
             asked_before,
@@ -211,20 +218,31 @@
             cap: u32::MAX,
             share: Share::Whole,
             inputs: &[],
+            within: None,
         }
     }
 
     /// Region that its target is chosen in; any, by its distance, where there are neither results of
     /// stages nor a prompt.
-    pub(crate) fn call_region(&self) -> Option<&str> {
+    pub(crate) fn call_region(&self) -> Option<Cow<'_, str>> {
         let is_bound = !self.route.stages.is_empty() || self.head.prompt.affinity().is_some();
-        is_bound.then_some(self.region.as_str())
+        is_bound.then(|| self.region())
+    }
+
+    /// Region that serves it; another one than at its arrival once it is confined otherwise.
+    pub(crate) fn region(&self) -> Cow<'_, str> {
+        let within = self.within();
+        if within == *self.bounds.at_arrival() {
+            return Cow::Borrowed(&self.region);
+        }
+        Cow::Owned(regions::home(&self.shared, &self.route, &self.service, &within))
     }
 
     /// Whether this instance places the prompts of the service for all.
     pub(crate) fn decides(&self) -> bool {
-        self.head.prompt.affinity().is_some()
-            && regions::batcher_of(&self.shared, &self.region, &self.service).is_none()
+        let region = self.region();
+        let owner = || regions::owner_of(&self.shared, &region, &self.service, &self.within());
+        self.head.prompt.affinity().is_some() && owner().is_none()
     }
 
     /// Whether it may still be served in time after a wait for a target that carries one more.
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -13,6 +13,7 @@
 
 use holdpoint_core::{
     capacity::{Capacity, strong},
+    confinement::{Bounds, Within},
     directory::TargetId,
     ids::{Millis, Name},
     readers::{Member, Role, plan},
@@ -28,9 +29,9 @@
 use crate::ingress::{
     links::{Links, PeerSilent, context_for},
     news::{Known, Update},
-    peer_service::PromptAsk,
+    peer_service::{CONFINES, PromptAsk},
     piece_ask::{PieceAsk, PieceResult},
-    regions::batcher_of,
+    regions::owner_of,
     shared::IngressShared,
 };
 
@@ -285,6 +286,18 @@
         known.get(chosen).map(|it| it.address.clone())
     }
 
+    /// Whether the peer at an address stands within some bounds, and keeps work there.
+    pub(crate) fn is_confined_to(&self, address: &str, within: &Bounds) -> bool {
+        let known = self.known.lock();
+        let found = known.values().find(|it| it.address == address);
+        found.is_some_and(|it| CONFINES <= it.protocol && within.allows(&it.domain))
+    }
+
+    /// Whether this instance is about to stop.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Acquire)
+    }
+
     /// Whether an instance that answers stands in a region.
     pub(crate) fn has_live_in(&self, region: &str) -> bool {
         let known = self.known.lock();
@@ -400,11 +413,12 @@
     region: &str,
     service: &str,
     asks: Vec<PieceAsk>,
+    within: &Within,
     limit: Duration,
 ) -> Vec<PieceResult> {
     let count = asks.len();
     let until = Instant::now() + limit;
-    while let Some(address) = batcher_of(shared, region, service) {
+    while let Some(address) = owner_of(shared, region, service, within) {
         let left = until.saturating_duration_since(Instant::now());
         let made = shared.peers.make(shared, &address, service, asks.clone(), left).await;
         let Ok(mut results) = made else { continue };
--- a/crates/holdpointd/src/ingress/piece_ask.rs
+++ b/crates/holdpointd/src/ingress/piece_ask.rs
@@ -1,6 +1,7 @@
 //! What an instance asks of the one that batches a service, and what it gets.
 
 use holdpoint_core::{
+    confinement::Confinement,
     ids::{Millis, Name},
     promises::StageAhead,
     stage_graph::{NoResult, PieceWork},
@@ -42,6 +43,9 @@
     /// service that keeps each; stands at the first of these pieces.
     #[serde(default)]
     pub(crate) used_up: Vec<(Name, String)>,
+    /// Regions that its request is confined to.
+    #[serde(default, skip_serializing_if = "Confinement::is_free")]
+    pub(crate) confinement: Confinement,
     /// What comes after; stands at the first of the pieces that are asked for together, where they may be
     /// refused. Peers of earlier versions tell nothing, and then only their own stage counts.
     #[serde(default)]
--- a/crates/holdpointd/src/ingress/regions.rs
+++ b/crates/holdpointd/src/ingress/regions.rs
@@ -5,8 +5,13 @@
 
 use arc_swap::ArcSwap;
 use holdpoint_core::{
-    directory::Directory, evacuation::Evacuations, ids::Name, ingress::IngressRoute,
-    regions::ServiceRegions, topology::Topology,
+    confinement::{Bounds, Within},
+    directory::Directory,
+    evacuation::Evacuations,
+    ids::Name,
+    ingress::IngressRoute,
+    regions::ServiceRegions,
+    topology::Topology,
 };
 
 use crate::ingress::{peers::Owners, shared::IngressShared};
@@ -42,7 +47,13 @@
 
 /// The region that serves a request: the own one where it has targets of all services that the request
 /// needs, else another one that has them, and an instance to batch and place there.
-pub(crate) fn home(shared: &IngressShared, route: &IngressRoute, service: &str) -> Name {
+/// Only regions within the request's bounds are asked.
+pub(crate) fn home(
+    shared: &IngressShared,
+    route: &IngressRoute,
+    service: &str,
+    within: &Within,
+) -> Name {
     let topology = &shared.topology;
     let own = topology.own_region();
     if !topology.is_split() {
@@ -51,10 +62,12 @@
     let stages = route.stages.iter().map(|it| it.service.as_str());
     let services: Vec<&str> = stages.chain(std::iter::once(service)).collect();
     let others = topology.all().into_iter().filter(|it| *it != own);
-    let regions = std::iter::once(own).chain(others);
+    let is_allowed = |it: &&str| within.as_ref().is_none_or(|within| within.allows_region(it));
+    let mut regions = std::iter::once(own).chain(others).filter(is_allowed);
+    let usual = regions.clone().next().unwrap_or(own);
     let may_serve = |region: &str| region == own || shared.peers.has_live_in(region);
     let targets = shared.regions.targets.load();
-    targets.home(regions, &services, may_serve).unwrap_or(own).to_owned()
+    targets.home(&mut regions, &services, may_serve).unwrap_or(usual).to_owned()
 }
 
 /// The peer that batches and places for a service in a region; `None` where this instance does, also
@@ -64,6 +77,19 @@
     shared.peers.batcher_of(owners, service)
 }
 
+/// The same for a request with some bounds: a peer outside of them, or one that would not keep to them,
+/// is not asked.
+pub(crate) fn owner_of(
+    shared: &IngressShared,
+    region: &str,
+    service: &str,
+    within: &Within,
+) -> Option<String> {
+    let owner = batcher_of(shared, region, service)?;
+    let may_work = |it: &Bounds| shared.peers.is_confined_to(&owner, it);
+    within.as_ref().is_none_or(|it| may_work(it)).then_some(owner)
+}
+
 /// The peer that batches for a service in this instance's region; `None` where this instance does.
 pub(crate) fn own_batcher_of(shared: &IngressShared, service: &str) -> Option<String> {
     batcher_of(shared, shared.topology.own_region(), service)
--- a/crates/holdpointd/src/ingress/request.rs
+++ b/crates/holdpointd/src/ingress/request.rs
@@ -20,6 +20,7 @@
     events::{self, emit},
     ingress::{
         answer::{Answer, Failure, failure, refusal},
+        confinement::RequestBounds,
         confirm::confirm,
         context::{Context, Parts},
         send::CallerRequest,
@@ -85,46 +86,47 @@
         return Err(refusal(proof, head.request_id.as_deref(), NOT_CONFIGURED));
     }
     let Some(id) = head.request_id.clone() else { return Err(deny(Failure::BadRequest)) };
-    let host = parts.headers.get(header::HOST).and_then(|it| it.to_str().ok());
-    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
-    let path = parts.uri.path();
-    if allowed(&configuration, host, path, &head).is_err() && !confirm(shared).await {
+    let request = CallerRequest {
+        method: parts.method.clone(),
+        path: parts.uri.clone(),
+        headers: parts.headers.clone(),
+        body,
+        id,
+    };
+    if allowed(&configuration, &request, &head).is_err() && !confirm(shared).await {
         // A denial is for good, and this instance may have missed what allows the request.
         let proof = Ledger::new().close().map_err(|_| deny(Failure::Broken))?;
-        return Err(refusal(proof, Some(&id), NOT_CONFIGURED));
+        return Err(refusal(proof, Some(&request.id), NOT_CONFIGURED));
     }
     let configuration = shared.configuration();
     let (route, organisation) =
-        allowed(&configuration, host, path, &head).map_err(|it| deny(denial(it)))?;
-    let service = route.service_of(&id).ok_or_else(|| deny(Failure::NoRoute))?.to_owned();
+        allowed(&configuration, &request, &head).map_err(|it| deny(denial(it)))?;
+    let confinement = route.confinement_for(organisation.map(Arc::as_ref));
+    let within = confinement.bounds(&shared.topology);
+    let service = route.service_of(&request.id).ok_or_else(|| deny(Failure::NoRoute))?.to_owned();
     let parts = Parts {
-        request: CallerRequest {
-            method: parts.method.clone(),
-            path: parts.uri.clone(),
-            headers: parts.headers.clone(),
-            body,
-            id,
-        },
+        request,
         route: route.clone(),
         service,
         organisation: organisation.map(|it| it.name.clone()),
         rank: route.rank_for(organisation.map(Arc::as_ref)),
+        bounds: RequestBounds::new(configuration.version, within),
         version: configuration.version,
         arrived,
         working,
         head: head.clone(),
     };
-    Ok(Context::new(shared.clone(), parts))
+    let ctx = Context::new(shared.clone(), parts);
+    ctx.refuse_confined().map_or(Ok(ctx), Err)
 }
 
 /// The route of a request, and the organisation that its key belongs to.
 fn allowed<'a>(
     configuration: &'a Configuration,
-    host: &str,
-    path: &str,
+    request: &CallerRequest,
     head: &CallerHead,
 ) -> Result<(&'a Arc<IngressRoute>, Option<&'a Arc<Tenancy>>), Denied> {
-    let route = configuration.route(host, path)?;
+    let route = configuration.route(request.host(), request.path.path())?;
     let organisation = configuration.organisation(route, head.key.as_deref())?;
     Ok((route, organisation))
 }
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -29,6 +29,7 @@
     ingress::{
         batches::{Batches, StageLoads},
         changes::{PeerChanges, TargetChanges},
+        confinement::Confinements,
         confirm::Confirmation,
         connections::Connections,
         declared::Declared,
@@ -76,6 +77,8 @@
     pub(crate) regions: Regions,
     /// Failure domains that are evacuated.
     pub(crate) domains: Domains,
+    /// What is known of requests that are confined to regions.
+    pub(crate) confinements: Confinements,
     /// Policies and trials that operators declared.
     pub(crate) experiments: Declared,
     pub(crate) in_flight: Arc<InFlight>,
@@ -139,6 +142,7 @@
             peers: Peers::new(&settings),
             regions: Regions::default(),
             domains: Domains::default(),
+            confinements: Confinements::default(),
             experiments: Declared::default(),
             in_flight: Arc::default(),
             closing: watch::channel(false).0,
@@ -203,6 +207,7 @@
         self.configuration.store(Arc::new(found));
         self.pools.configure(&self.configuration());
         self.batches.configure(self);
+        self.confinements.configured(self, &in_force, &self.configuration());
         self.has_news.send_replace(());
     }
 
@@ -215,6 +220,8 @@
             return;
         }
         changes.log(&self.settings.instance, &directory);
+        let joined = changes.joined().filter_map(|it| directory.get(it));
+        joined.for_each(|it| self.confinements.check(self, &it.domain));
         let now = self.clock.now();
         self.hold_joined(now, &mut directory, &changes);
         self.tell(changes.ids().map(|id| match directory.get(id) {
