--- a/crates/holdpoint-core/src/batcher.rs
+++ b/crates/holdpoint-core/src/batcher.rs
@@ -65,6 +65,8 @@
 const LAG_BOUNDS: (f64, f64) = (1.0, 6.0);
 /// Weight of the newest measurement of that.
 const NEWEST_LAG: f64 = 0.1;
+/// Part of the targets' time that counts as spare where it is not used.
+const SPARE_PART: f64 = 0.8;
 /// Least part of the targets' time that is taken to be left for late pieces.
 const LEAST_SPARE: f64 = 0.05;
 
@@ -206,6 +208,16 @@
         if now + late as Millis <= late_due { Ok(()) } else { Err(expected) }
     }
 
+    /// Pieces that the targets can make within a time beside those that wait and those that are offered
+    /// as of late, where a part of their time is kept for what comes unforeseen.
+    pub fn spare(&self, now: Millis, ms: Millis) -> u32 {
+        if self.usable() == 0 {
+            return 0;
+        }
+        let made = SPARE_PART * ms as f64 / self.piece_gap(now);
+        (made - self.offered.at(now) * ms as f64 - self.waiting.len() as f64).max(0.0) as u32
+    }
+
     /// When a request that was refused may come back, in milliseconds: once there is room for its
     /// pieces, and after those that were refused before it.
     pub fn return_ms(&mut self, now: Millis, due: Millis, pieces: usize) -> Millis {
--- a/crates/holdpoint-core/src/lib.rs
+++ b/crates/holdpoint-core/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod retry;
 pub mod route;
 pub mod snapshot;
+pub mod spill;
 pub mod stage_graph;
 pub mod subset;
 pub mod token;
--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -106,6 +106,14 @@
     PEERS_CHANGED = 614 Info "peers changed";
     /// A failure domain was evacuated or restored.
     DOMAIN_CHANGED = 615 Info "failure domain evacuated or restored";
+    /// Places of a service were lent to another region.
+    PLACES_LENT = 630 Info "places lent";
+    /// Places of a service in another region were asked for.
+    PLACES_BORROWED = 631 Info "places borrowed";
+    /// A request goes to another region, since it would be late in its own one.
+    SPILLED = 632 Info "request sent to another region";
+    /// A request that will be late in its region stays there.
+    NOT_SPILLED = 633 Info "late request stays in its region";
     /// Pieces were refused, since every target that makes them stands in an evacuated failure domain.
     PIECES_EVACUATED = 709 Info "pieces have no target left";
     /// A request was sent to a target.
--- a/crates/holdpointd/src/ingress/attempts.rs
+++ b/crates/holdpointd/src/ingress/attempts.rs
@@ -131,13 +131,13 @@
     async fn choose_at_peer(&self, ctx: &Context) -> Option<(TargetInstance, String)> {
         let call = ctx.call(&self.tried);
         let prefix = call.prefix?;
-        let address = batcher_of(&ctx.shared, &ctx.region, &ctx.service)?;
+        let address = batcher_of(&ctx.shared, ctx.region(), &ctx.service)?;
         let mut avoided = ctx.pool.ejected(ctx.shared.clock.now());
         avoided.extend(self.tried.iter().cloned());
         let policy = ctx.arm.as_ref().map(|it| it.policy.clone());
         let (work, prefix_work) = (call.work, call.prefix_work);
         let ask = PromptAsk { work, prefix_work, prefix, avoided, policy };
-        let limit = limit_for(&ctx.shared, &ctx.region, PLACE_LIMIT);
+        let limit = limit_for(&ctx.shared, ctx.region(), PLACE_LIMIT);
         let placed = ctx.shared.peers.place(&ctx.shared, &address, &ctx.service, ask, limit);
         let chosen = placed.await?;
         let target = ctx.shared.open_target(&chosen)?;
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -265,6 +265,14 @@
         self.stage_times.lock().clone()
     }
 
+    /// Pieces of a service that could be made within a time beside those of this instance's region, and
+    /// how long its stage usually takes; `None` where it was not batched here yet.
+    pub(crate) fn spare(&self, now: Millis, service: &str, ms: Millis) -> Option<(u32, Millis)> {
+        let services = self.services.lock();
+        let batcher = &services.get(service)?.batcher;
+        Some((batcher.spare(now, ms), batcher.usual_ms(now)))
+    }
+
     /// Takes in that results were given up at their makers.
     pub(crate) fn released(&self, service: &str, handles: &[String]) {
         if let Some(it) = self.services.lock().get_mut(service) {
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, Ordering},
     },
     time::{Duration, Instant},
@@ -52,8 +52,10 @@
     pub(crate) head: CallerHead,
     pub(crate) route: Arc<IngressRoute>,
     pub(crate) service: Name,
-    /// Region whose targets make its stages and read its prompt.
-    pub(crate) region: Name,
+    /// Region that is to serve it.
+    home: Name,
+    /// Region that serves it in place of that one.
+    spilled_to: OnceLock<Name>,
     pub(crate) pool: Arc<Pool>,
     pub(crate) organisation: Option<Name>,
     pub(crate) rank: u32,
@@ -104,7 +106,7 @@
         let asked_before = asked_before(&shared, &parts);
         let pool = shared.pools.of(shared.clock.now(), &parts.service);
         pool.request(shared.clock.now(), &shared.pools.terms());
-        let region = regions::home(&shared, &parts.route, &parts.service);
+        let home = regions::home(&shared, &parts.route, &parts.service);
         let arm = shared.experiments.now().arm_for(&parts.route.name, &parts.request.id);
         Context {
             shared,
@@ -112,7 +114,8 @@
             head: parts.head,
             route: parts.route,
             service: parts.service,
-            region,
+            home,
+            spilled_to: OnceLock::new(),
             pool,
             organisation: parts.organisation,
             rank: parts.rank,
@@ -153,6 +156,11 @@
         Duration::from_millis(self.route.target_ms)
     }
 
+    /// Time left until the answer is late.
+    pub(crate) fn left_of_target(&self) -> Duration {
+        self.target_time().saturating_sub(self.arrived.elapsed() + self.asked_before)
+    }
+
     /// Whether the request may run again.
     pub(crate) fn is_repeatable(&self) -> bool {
         self.route.repeat == Repeat::Free
@@ -213,17 +221,33 @@
         }
     }
 
+    /// Region whose targets make its stages and read its prompt.
+    pub(crate) fn region(&self) -> &str {
+        self.spilled_to.get().unwrap_or(&self.home)
+    }
+
+    /// Has another region serve it. No work was done for it yet.
+    pub(crate) fn spill_to(&self, region: Name) {
+        // Whoever spills has looked that it was not spilled before.
+        drop(self.spilled_to.set(region));
+    }
+
+    /// Whether another region serves it than was to.
+    pub(crate) fn is_spilled(&self) -> bool {
+        self.spilled_to.get().is_some()
+    }
+
     /// Region that its target is chosen in; any, by its distance, where there are neither results of
     /// stages nor a prompt.
     pub(crate) fn call_region(&self) -> Option<&str> {
         let is_bound = !self.route.stages.is_empty() || self.head.prompt.affinity().is_some();
-        is_bound.then_some(self.region.as_str())
+        is_bound.then_some(self.region())
     }
 
     /// Whether this instance places the prompts of the service for all.
     pub(crate) fn decides(&self) -> bool {
         self.head.prompt.affinity().is_some()
-            && regions::batcher_of(&self.shared, &self.region, &self.service).is_none()
+            && regions::batcher_of(&self.shared, self.region(), &self.service).is_none()
     }
 
     /// Whether it may still be served in time after a wait for a target that carries one more.
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -25,6 +25,7 @@
 mod request;
 mod send;
 mod shared;
+mod spill;
 mod stages;
 mod store;
 mod stream;
@@ -88,6 +89,9 @@
             tokio::spawn(front::metrics(shared.clone(), it));
         }
         tokio::spawn(releases::run(shared.clone()));
+        if shared.topology.is_split() {
+            tokio::spawn(spill::run(shared.clone()));
+        }
         tokio::spawn(tick(shared.clone()));
         emit(events::STARTED, &shared.settings.instance, &format!("callers={}", listen.callers));
         Ok(Ingress { shared })
--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -9,6 +9,7 @@
     ids::{Millis, Name},
     ingress::Version,
     route::Call,
+    spill::Lease,
 };
 use serde::{Deserialize, Serialize};
 use tarpc::{
@@ -32,8 +33,11 @@
 /// Largest message between peers, in bytes.
 const MAX_FRAME: usize = 16 << 20;
 
-/// Version of the protocol that this instance speaks: from 1 on, [`IngressPeers::check`] is known.
-pub(crate) const PROTOCOL: u32 = 1;
+/// Version of the protocol that this instance speaks: from 1 on, [`IngressPeers::check`] is known, from
+/// [`LENDING`] on, [`IngressPeers::lend`] and [`IngressPeers::borrow`].
+pub(crate) const PROTOCOL: u32 = LENDING;
+/// First version of the protocol by which places are lent.
+pub(crate) const LENDING: u32 = 2;
 
 /// What an instance tells of itself whenever it is asked whether it is there.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -75,6 +79,11 @@
     async fn ping(known: Version, address: String) -> Version;
     /// The same as `ping`, with more in the answer.
     async fn check(known: Version, address: String) -> Standing;
+    /// Lends places of a service, which the asker's region cannot serve in time, to its owner there.
+    async fn lend(service: Name, wanted: u32) -> Lease;
+    /// Takes places that this instance has borrowed of a service in another region; how long the stage
+    /// takes there, in milliseconds.
+    async fn borrow(service: Name, region: Name, places: u32) -> Option<Millis>;
     /// Tells what is new to an asker who knows so much; waits for a while until something is.
     async fn follow(known: Known) -> Update;
 }
@@ -150,6 +159,21 @@
         Standing { version: self.ping(context, known, address).await, stage_times }
     }
 
+    async fn lend(self, _: context::Context, service: Name, wanted: u32) -> Lease {
+        self.shared.regions.spill.lend(&self.shared, &service, wanted)
+    }
+
+    async fn borrow(
+        self,
+        _: context::Context,
+        service: Name,
+        region: Name,
+        places: u32,
+    ) -> Option<Millis> {
+        let now = self.shared.clock.now();
+        self.shared.regions.spill.take(now, (service, region), places)
+    }
+
     async fn follow(self, _: context::Context, known: Known) -> Update {
         news::answer(&self.shared, known).await
     }
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -14,8 +14,9 @@
 use holdpoint_core::{
     capacity::{Capacity, strong},
     directory::TargetId,
-    ids::Name,
+    ids::{Millis, Name},
     readers::{order_for, readers, sources},
+    spill::Lease,
     stage_graph::NoResult,
     subset::{owner, weight},
     topology::Topology,
@@ -37,7 +38,7 @@
         connections::guard,
         follow::catch_up,
         news::{Known, Update},
-        peer_service::{IngressPeersClient, PromptAsk, Standing, codec},
+        peer_service::{IngressPeersClient, LENDING, PromptAsk, Standing, codec},
         piece_ask::{PieceAsk, PieceResult},
         regions::batcher_of,
         shared::IngressShared,
@@ -262,6 +263,12 @@
         self.live(&known).any(|it| self.region_of(&known, it) == Some(region))
     }
 
+    /// Number of instances in this one's region, itself included.
+    pub(crate) fn near_count(&self) -> usize {
+        let known = self.known.lock();
+        1 + known.values().filter(|it| self.topology.is_near(&it.domain)).count()
+    }
+
     /// Region of an instance; `None` where it is not known.
     fn region_of(&self, known: &HashMap<Name, Peer>, name: &str) -> Option<&str> {
         match known.get(name) {
@@ -319,6 +326,39 @@
         tokio::time::timeout(limit, asked).await.ok()?
     }
 
+    /// Asks the owner of a service in another region for places; `None` where it does not answer.
+    pub(crate) async fn lend(
+        &self,
+        shared: &Arc<IngressShared>,
+        address: &str,
+        service: &str,
+        wanted: u32,
+        limit: Duration,
+    ) -> Option<Lease> {
+        if self.protocol_of(address) < LENDING {
+            return None;
+        }
+        let (client, _) = self.link(shared, address).await.ok()?;
+        let asked = client.lend(context_for(limit), service.to_owned(), wanted);
+        tokio::time::timeout(limit, asked).await.ok()?.ok()
+    }
+
+    /// Takes places that a peer has borrowed of a service in another region; `None` where it has none.
+    pub(crate) async fn borrow(
+        &self,
+        shared: &Arc<IngressShared>,
+        address: &str,
+        (service, region): (Name, Name),
+        places: u32,
+        limit: Duration,
+    ) -> Option<Millis> {
+        if self.protocol_of(address) < LENDING {
+            return None;
+        }
+        let (client, _) = self.link(shared, address).await.ok()?;
+        client.borrow(context_for(limit), service, region, places).await.ok()?
+    }
+
     /// Has a peer give up results.
     pub(crate) async fn give_up(
         &self,
--- a/crates/holdpointd/src/ingress/regions.rs
+++ b/crates/holdpointd/src/ingress/regions.rs
@@ -9,19 +9,29 @@
     regions::ServiceRegions, topology::Topology,
 };
 
-use crate::ingress::{peers::Owners, shared::IngressShared};
+use holdpoint_schema::ingress::IngressSettings;
+
+use crate::ingress::{peers::Owners, shared::IngressShared, spill::Spill};
 
 /// Time that the way to another region and back takes, in milliseconds, until it is measured: that
 /// between regions of one continent.
 pub(crate) const FAR_REGION_MS: u64 = 60;
 
 /// What an instance knows of the regions.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Regions {
     targets: ArcSwap<ServiceRegions>,
+    /// What was lent and borrowed between regions.
+    pub(crate) spill: Spill,
 }
 
 impl Regions {
+    /// Makes the regions of an instance that knows no targets yet.
+    pub(crate) fn new(settings: &IngressSettings) -> Regions {
+        let spill = Spill::new(settings.region_link_mbps);
+        Regions { targets: ArcSwap::default(), spill }
+    }
+
     /// Takes in the targets of all services.
     pub(crate) fn set_targets(
         &self,
@@ -38,23 +48,36 @@
             usable.filter_map(|it| Some((it.service.as_str(), topology.region_of(&it.domain)?)));
         self.targets.store(Arc::new(ServiceRegions::new(located)));
     }
+
+    /// Whether a region has usable targets of all services that a request needs.
+    fn serves(&self, region: &str, route: &IngressRoute, service: &str) -> bool {
+        let stages = route.stages.iter().map(|it| it.service.as_str());
+        let services: Vec<&str> = stages.chain(std::iter::once(service)).collect();
+        self.targets.load().serves(region, &services)
+    }
 }
 
 /// The region that serves a request: the own one where it has targets of all services that the request
 /// needs, else another one that has them, and an instance to batch and place there.
 pub(crate) fn home(shared: &IngressShared, route: &IngressRoute, service: &str) -> Name {
-    let topology = &shared.topology;
-    let own = topology.own_region();
-    if !topology.is_split() {
+    let own = shared.topology.own_region();
+    if !shared.topology.is_split() || shared.regions.serves(own, route, service) {
         return own.to_owned();
     }
-    let stages = route.stages.iter().map(|it| it.service.as_str());
-    let services: Vec<&str> = stages.chain(std::iter::once(service)).collect();
-    let others = topology.all().into_iter().filter(|it| *it != own);
-    let regions = std::iter::once(own).chain(others);
-    let may_serve = |region: &str| region == own || shared.peers.has_live_in(region);
-    let targets = shared.regions.targets.load();
-    targets.home(regions, &services, may_serve).unwrap_or(own).to_owned()
+    others_that_serve(shared, route, service).next().unwrap_or_else(|| own.to_owned())
+}
+
+/// The other regions that have targets of all services that a request needs, and an instance to batch
+/// and place there. Whoever restricts a route to regions leaves the rest out here.
+pub(crate) fn others_that_serve<'a>(
+    shared: &'a IngressShared,
+    route: &'a IngressRoute,
+    service: &'a str,
+) -> impl Iterator<Item = Name> + 'a {
+    let others = shared.topology.all().into_iter();
+    let others = others.filter(|it| *it != shared.topology.own_region());
+    let serves = |it: &&str| shared.regions.serves(it, route, service);
+    others.filter(move |it| serves(it) && shared.peers.has_live_in(it)).map(str::to_owned)
 }
 
 /// The peer that batches and places for a service in a region; `None` where this instance does, also
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -133,7 +133,7 @@
             batches: Batches::default(),
             releases: Releases::default(),
             peers: Peers::new(&settings),
-            regions: Regions::default(),
+            regions: Regions::new(&settings),
             domains: Domains::default(),
             experiments: Declared::default(),
             in_flight: Arc::default(),
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -21,6 +21,7 @@
         piece_ask::{PieceAsk, PieceResult},
         send::left,
         shared::IngressShared,
+        spill,
     },
 };
 
@@ -107,8 +108,20 @@
 
 type StageOutcome = (usize, Result<Made, NoResult>);
 
-/// Makes all results; they are needed in `domain`.
+/// Makes all results; they are needed in `domain`. A request that is refused in its own region goes to
+/// another one that can serve it in time.
 pub(crate) async fn make_all(ctx: &Context, domain: &str) -> Result<Results, NoResult> {
+    spill::leave_if_late(ctx).await;
+    // The domain is one of its own region.
+    let made = make_here(ctx, if ctx.is_spilled() { "" } else { domain }).await;
+    let is_refused = matches!(made, Err(NoResult::Overload(_)));
+    if is_refused && spill::leave_if_refused(ctx).await {
+        return make_here(ctx, "").await;
+    }
+    made
+}
+
+async fn make_here(ctx: &Context, domain: &str) -> Result<Results, NoResult> {
     let graph = StageGraph::new(&ctx.route.stages, &ctx.head.pieces);
     let mut held = Held::new(&ctx.shared);
     if graph.is_empty() {
@@ -220,7 +233,7 @@
         if let (Some(first), PieceSource::Inputs(inputs)) = (asks.first_mut(), &source) {
             first.used_up = used_up(ctx, graph, stage, inputs);
         }
-        let made = make_anywhere(&ctx.shared, &ctx.region, service, asks, ctx.left_to_begin());
+        let made = make_anywhere(&ctx.shared, ctx.region(), service, asks, ctx.left_to_begin());
         let made = made.await;
         let failure = take_in(&mut handles, &missing, made);
         if handles.iter().any(Option::is_some) {
@@ -327,8 +340,7 @@
     (domain, near_bytes): &(String, u64),
 ) -> PieceAsk {
     let step = &ctx.route.stages[stage];
-    let first_ms = ctx.first_event_ms(FIRST_EVENT_PERCENT).unwrap_or(FIRST_EVENT_MS);
-    let after_ms = ms_after(ctx, graph, stage) + first_ms;
+    let after_ms = ms_after(ctx, graph, stage) + first_event_ms(ctx);
     let spent = (ctx.arrived.elapsed() + ctx.asked_before).as_millis() as i64;
     let left_ms = ctx.left_to_begin().as_millis() as Millis;
     let slack_ms = left_ms as i64 - after_ms as i64;
@@ -348,8 +360,13 @@
     }
 }
 
+/// Time from the last stage to the first event that is left for it, in milliseconds.
+pub(crate) fn first_event_ms(ctx: &Context) -> Millis {
+    ctx.first_event_ms(FIRST_EVENT_PERCENT).unwrap_or(FIRST_EVENT_MS)
+}
+
 /// Time that a stage at a service usually takes, in milliseconds.
-fn usual_ms(ctx: &Context, service: &str) -> Millis {
+pub(crate) fn usual_ms(ctx: &Context, service: &str) -> Millis {
     let stated = stage_ms(ctx, service);
     ctx.shared.pools.of(ctx.shared.clock.now(), service).stage_ms(ctx.shared.clock.now(), stated)
 }
@@ -367,7 +384,8 @@
     1 + graph.after(stage).map(|it| stages_after(graph, it)).max().unwrap_or(0)
 }
 
-fn stage_ms(ctx: &Context, service: &str) -> Millis {
+/// Time that a stage at a service takes without a queue, in milliseconds.
+pub(crate) fn stage_ms(ctx: &Context, service: &str) -> Millis {
     let configuration = ctx.shared.configuration();
     let limits = configuration.services.get(service).and_then(|it| it.batches.as_ref());
     limits.map_or(STAGE_MS, |it| (1.5 * it.call_ms + 4.0 * it.piece_ms) as Millis)
--- a/crates/holdpointd/src/metrics.rs
+++ b/crates/holdpointd/src/metrics.rs
@@ -26,6 +26,10 @@
     pub batches: Counter<u64>,
     /// Prompts by where their target was chosen.
     pub placements: Counter<u64>,
+    /// Requests that would be late in their region, by the other region and whether they were sent there.
+    pub spills: Counter<u64>,
+    /// Bytes sent to other regions, by kind.
+    pub region_bytes: Counter<u64>,
     /// Requests that fell to an arm of a trial, by whether they attained their aim.
     pub trial_requests: Counter<u64>,
     /// Milliseconds that those requests cost, by stage.
@@ -73,6 +77,8 @@
             attempts: counter("holdpoint_attempts", "Attempts by pool and end"),
             batches: counter("holdpoint_batches", "Calls for results of stages by end"),
             placements: counter("holdpoint_placements", "Prompts by where they were placed"),
+            spills: counter("holdpoint_spills", "Requests late in their region, by outcome"),
+            region_bytes: counter("holdpoint_region_bytes", "Bytes to other regions by kind"),
             trial_requests: counter("holdpoint_trial_requests", "Requests by trial and arm"),
             trial_cost: counter("holdpoint_trial_cost_ms", "Milliseconds by trial, arm and stage"),
             pieces: counter("holdpoint_pieces", "Pieces in calls for results of stages by end"),
