--- a/crates/holdpoint/src/cli.rs
+++ b/crates/holdpoint/src/cli.rs
@@ -51,6 +51,7 @@
             check_settings(),
             declare(),
             domains(),
+            regions(),
             explain(),
             demo(),
             soak(),
@@ -99,6 +100,26 @@
         .subcommand(Command::new("restore").about("Give its targets work again").arg(name()))
 }
 
+fn regions() -> Command {
+    Command::new("regions")
+        .about("List regions on the platform with their instances, targets and what is sent there")
+        .arg(store())
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .required(true)
+                .value_name("FILE")
+                .help("Settings of an instance, as JSON, which name the regions"),
+        )
+        .arg(
+            Arg::new("metrics")
+                .long("metrics")
+                .num_args(1..)
+                .value_name("ADDRESS")
+                .help("Metrics' addresses of the instances, for what was sent between regions"),
+        )
+}
+
 fn explain() -> Command {
     Command::new("explain")
         .about("Tells the story of one request from the logs of all instances")
--- a/crates/holdpoint/src/regions.rs
+++ b/crates/holdpoint/src/regions.rs
@@ -7,6 +7,7 @@
     instances,
     store::{INSTANCES_TOPIC, OPERATORS_TOPIC, TARGETS_TOPIC, evacuated_domain},
 };
+use holdpointd::ingress::domain_of_entry;
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -29,13 +30,6 @@
     regions: BTreeMap<String, String>,
 }
 
-/// The part of an instance's entry that tells where it stands.
-#[derive(Debug, Deserialize)]
-struct Instance {
-    #[serde(default)]
-    domain: String,
-}
-
 /// A region as the store knows it, and what instances have sent to it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 struct Region {
@@ -69,9 +63,8 @@
     let is_evacuated =
         |domain: &str| orders.iter().any(|it| evacuated_domain(&it.key) == Some(domain));
     for record in newest(store, INSTANCES_TOPIC).await? {
-        let entry = record.value.as_deref().map(serde_json::from_slice::<Instance>);
-        if let Some(Ok(it)) = entry {
-            regions.entry(region_of(&it.domain)).or_default().instances += 1;
+        if let Some(domain) = record.value.as_deref().and_then(domain_of_entry) {
+            regions.entry(region_of(&domain)).or_default().instances += 1;
         }
     }
     for record in newest(store, TARGETS_TOPIC).await? {
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -168,6 +168,12 @@
     }
 }
 
+/// Failure domain of the instance that an entry in the store describes; empty where it does not tell,
+/// `None` where it cannot be read.
+pub fn domain_of_entry(entry: &[u8]) -> Option<String> {
+    peers::Peer::parse(entry).map(|it| it.domain)
+}
+
 /// Waits until nothing is in flight, for so long at most; whether that came about. What has no answer
 /// shortly before gets its final one.
 async fn drain(shared: &IngressShared, rest: Duration) -> bool {
