--- a/crates/holdpoint-core/src/batcher/estimate.rs
+++ b/crates/holdpoint-core/src/batcher/estimate.rs
@@ -7,6 +7,8 @@
     promises::StageLoad,
 };
 
+/// Part of the targets' time up to which what is not used may be lent to another region.
+const LENT_PART: f64 = 0.8;
 /// Bounds of how much longer pieces wait than predicted.
 const LAG_BOUNDS: (f64, f64) = (1.0, 6.0);
 /// Weight of the newest measurement of that.
@@ -141,6 +143,16 @@
         (1.0 - self.offered.at(now) * self.piece_gap(now)).max(LEAST_SPARE)
     }
 
+    /// Pieces that the targets can make within a time beside those that wait and those that are offered
+    /// as of late, where a part of their time is kept for what comes unforeseen.
+    pub fn lendable(&self, now: Millis, ms: Millis) -> u32 {
+        if self.usable() == 0 {
+            return 0;
+        }
+        let made = LENT_PART * ms as f64 / self.piece_gap(now);
+        (made - self.offered.at(now) * ms as f64 - self.waiting() as f64).max(0.0) as u32
+    }
+
     /// Whether so many more pieces can be made by their due time, or by their late one although all that
     /// is offered meanwhile goes first. An error is the time in which they would be made.
     pub fn admit(
--- a/crates/holdpoint-core/src/lib.rs
+++ b/crates/holdpoint-core/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod retry;
 pub mod route;
 pub mod snapshot;
+pub mod spill;
 pub mod stage_graph;
 pub mod subset;
 pub mod token;
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -249,13 +249,7 @@
         let sizes = configuration.services.get(service).and_then(|it| sizes(it));
         let sizes = sizes.ok_or(NoResult::Unreachable)?;
         let mut services = self.services.lock();
-        let of_service = services.entry(service.to_owned()).or_insert_with(|| {
-            let mut of_service = ServiceBatches::new(sizes);
-            if let Some(its) = self.targets.lock().get(service) {
-                of_service.set_targets(its);
-            }
-            of_service
-        });
+        let of_service = self.of_service(&mut services, service, sizes);
         let now = shared.clock.now();
         if of_service.is_evacuated {
             let request = asks.first().map_or("none", |it| it.work.request.as_str());
@@ -319,6 +313,38 @@
         }
     }
 
+    /// Pieces of a service that could be made within a time beside those of this instance's region, and
+    /// how long its stage usually takes; `None` where it has no stage.
+    pub(crate) fn lendable(
+        &self,
+        shared: &IngressShared,
+        service: &str,
+        ms: Millis,
+    ) -> Option<(u32, Millis)> {
+        let configuration = shared.configuration();
+        let sizes = configuration.services.get(service).and_then(|it| sizes(it))?;
+        let mut services = self.services.lock();
+        let batcher = &self.of_service(&mut services, service, sizes).batcher;
+        let now = shared.clock.now();
+        Some((batcher.lendable(now, ms), batcher.usual_ms(now)))
+    }
+
+    /// The batcher of a service, made where there is none yet.
+    fn of_service<'a>(
+        &self,
+        services: &'a mut HashMap<Name, ServiceBatches>,
+        service: &str,
+        sizes: Sizes,
+    ) -> &'a mut ServiceBatches {
+        services.entry(service.to_owned()).or_insert_with(|| {
+            let mut of_service = ServiceBatches::new(sizes);
+            if let Some(its) = self.targets.lock().get(service) {
+                of_service.set_targets(its);
+            }
+            of_service
+        })
+    }
+
     /// Takes in that results were given up at their makers.
     pub(crate) fn released(&self, service: &str, handles: &[String]) {
         if let Some(it) = self.services.lock().get_mut(service) {
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -3,7 +3,7 @@
 use std::{
     borrow::Cow,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, Ordering},
     },
     time::{Duration, Instant},
@@ -54,8 +54,10 @@
     pub(crate) head: CallerHead,
     pub(crate) route: Arc<IngressRoute>,
     pub(crate) service: Name,
-    /// Region whose targets make its stages and read its prompt.
-    region: Name,
+    /// Region that is to serve it.
+    home: Name,
+    /// Region that serves it in place of that one.
+    spilled_to: OnceLock<Name>,
     pub(crate) pool: Arc<Pool>,
     pub(crate) organisation: Option<Name>,
     pub(crate) rank: u32,
@@ -109,8 +111,7 @@
         let asked_before = asked_before(&shared, &parts);
         let pool = shared.pools.of(shared.clock.now(), &parts.service);
         pool.request(shared.clock.now(), &shared.pools.terms());
-        let region =
-            regions::home(&shared, &parts.route, &parts.service, parts.bounds.at_arrival());
+        let home = regions::home(&shared, &parts.route, &parts.service, parts.bounds.at_arrival());
         let arm = shared.experiments.now().arm_for(&parts.route.name, &parts.request.id);
         Context {
             shared,
@@ -118,7 +119,8 @@
             head: parts.head,
             route: parts.route,
             service: parts.service,
-            region,
+            home,
+            spilled_to: OnceLock::new(),
             pool,
             organisation: parts.organisation,
             rank: parts.rank,
@@ -160,6 +162,11 @@
         Duration::from_millis(self.route.target_ms)
     }
 
+    /// Time left until the answer is late.
+    pub(crate) fn left_of_target(&self) -> Duration {
+        self.target_time().saturating_sub(self.arrived.elapsed() + self.asked_before)
+    }
+
     /// Whether the request may run again.
     pub(crate) fn is_repeatable(&self) -> bool {
         self.route.repeat == Repeat::Free
@@ -222,6 +229,17 @@
         }
     }
 
+    /// Has another region serve it. No work was done for it yet.
+    pub(crate) fn spill_to(&self, region: Name) {
+        // Whoever spills has looked that it was not spilled before.
+        drop(self.spilled_to.set(region));
+    }
+
+    /// Whether another region serves it than was to.
+    pub(crate) fn is_spilled(&self) -> bool {
+        self.spilled_to.get().is_some()
+    }
+
     /// Region that its target is chosen in; any, by its distance, where there are neither results of
     /// stages nor a prompt.
     pub(crate) fn call_region(&self) -> Option<Cow<'_, str>> {
@@ -229,11 +247,12 @@
         is_bound.then(|| self.region())
     }
 
-    /// Region that serves it; another one than at its arrival once it is confined otherwise.
+    /// Region whose targets make its stages and read its prompt; another one than at its arrival once
+    /// it has gone there, or is confined otherwise.
     pub(crate) fn region(&self) -> Cow<'_, str> {
         let within = self.within();
         if within == *self.bounds.at_arrival() {
-            return Cow::Borrowed(&self.region);
+            return Cow::Borrowed(self.spilled_to.get().unwrap_or(&self.home));
         }
         Cow::Owned(regions::home(&self.shared, &self.route, &self.service, &within))
     }
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -32,6 +32,7 @@
 mod request;
 mod send;
 mod shared;
+mod spill;
 mod stages;
 mod store;
 mod stream;
@@ -95,6 +96,9 @@
             tokio::spawn(front::metrics(shared.clone(), it));
         }
         tokio::spawn(releases::run(shared.clone()));
+        if shared.topology.is_split() {
+            tokio::spawn(spill::run(shared.clone()));
+        }
         tokio::spawn(tick(shared.clone()));
         emit(events::STARTED, &shared.settings.instance, &format!("callers={}", listen.callers));
         Ok(Ingress { shared })
@@ -168,6 +172,12 @@
     }
 }
 
+/// Failure domain of the instance that an entry in the store describes; empty where it does not tell,
+/// `None` where it cannot be read.
+pub fn domain_of_entry(entry: &[u8]) -> Option<String> {
+    peers::Peer::parse(entry).map(|it| it.domain)
+}
+
 /// Waits until nothing is in flight, for so long at most; whether that came about. What has no answer
 /// shortly before gets its final one.
 async fn drain(shared: &IngressShared, rest: Duration) -> bool {
--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -11,6 +11,7 @@
     ingress::Version,
     promises::StageLoad,
     route::Call,
+    spill::Lease,
 };
 use serde::{Deserialize, Serialize};
 use tarpc::{
@@ -36,9 +37,11 @@
 const MAX_FRAME: usize = 16 << 20;
 
 /// Version of the protocol that this instance speaks: from 1 on, [`IngressPeers::check`] is known.
-pub(crate) const PROTOCOL: u32 = CONFINES;
+pub(crate) const PROTOCOL: u32 = LENDING;
 /// Version from which on an instance keeps confined work in its regions.
 pub(crate) const CONFINES: u32 = 2;
+/// Version from which on [`IngressPeers::lend`] is known.
+pub(crate) const LENDING: u32 = 3;
 
 /// What an instance tells of itself whenever it is asked whether it is there.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -89,6 +92,11 @@
     async fn ping(known: Version, address: String) -> Version;
     /// The same as `ping`, with more in the answer.
     async fn check(known: Version, address: String) -> Standing;
+    /// Lends places of a service, which the asker's region cannot serve in time, to its owner there.
+    async fn lend(service: Name, wanted: u32) -> Lease;
+    /// Takes places that this instance has borrowed of a service in another region; how long the stage
+    /// takes there, in milliseconds.
+    async fn borrow(service: Name, region: Name, places: u32) -> Option<Millis>;
     /// Tells what is new to an asker who knows so much; waits for a while until something is.
     async fn follow(known: Known) -> Update;
 }
@@ -168,6 +176,21 @@
         Standing { version, stage_times: times, stage_loads: loads }
     }
 
+    async fn lend(self, _: context::Context, service: Name, wanted: u32) -> Lease {
+        self.shared.regions.spill.lend(&self.shared, &service, wanted)
+    }
+
+    async fn borrow(
+        self,
+        _: context::Context,
+        service: Name,
+        region: Name,
+        places: u32,
+    ) -> Option<Millis> {
+        let now = self.shared.clock.now();
+        self.shared.regions.spill.take(now, (service, region), places)
+    }
+
     async fn follow(self, _: context::Context, known: Known) -> Update {
         news::answer(&self.shared, known).await
     }
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -17,6 +17,7 @@
     directory::TargetId,
     ids::{Millis, Name},
     readers::{Member, Role, plan},
+    spill::Lease,
     stage_graph::NoResult,
     subset::{owner, weight},
     topology::Topology,
@@ -29,7 +30,7 @@
 use crate::ingress::{
     links::{Links, PeerSilent, context_for},
     news::{Known, Update},
-    peer_service::{CONFINES, PromptAsk},
+    peer_service::{CONFINES, LENDING, PromptAsk},
     piece_ask::{PieceAsk, PieceResult},
     regions::owner_of,
     shared::IngressShared,
@@ -304,6 +305,12 @@
         self.live(&known).any(|it| self.region_of(&known, it) == Some(region))
     }
 
+    /// Number of instances in this one's region, itself included.
+    pub(crate) fn near_count(&self) -> usize {
+        let known = self.known.lock();
+        1 + known.values().filter(|it| self.topology.is_near(&it.domain)).count()
+    }
+
     /// Region of an instance; `None` where it is not known.
     fn region_of(&self, known: &HashMap<Name, Peer>, name: &str) -> Option<&str> {
         match known.get(name) {
@@ -361,6 +368,39 @@
         tokio::time::timeout(limit, asked).await.ok()?
     }
 
+    /// Asks the owner of a service in another region for places; `None` where it does not answer.
+    pub(crate) async fn lend(
+        &self,
+        shared: &Arc<IngressShared>,
+        address: &str,
+        service: &str,
+        wanted: u32,
+        limit: Duration,
+    ) -> Option<Lease> {
+        if self.protocol_of(address) < LENDING {
+            return None;
+        }
+        let link = self.links.get(shared, address).await.ok()?;
+        let asked = link.client.lend(context_for(limit), service.to_owned(), wanted);
+        tokio::time::timeout(limit, asked).await.ok()?.ok()
+    }
+
+    /// Takes places that a peer has borrowed of a service in another region; `None` where it has none.
+    pub(crate) async fn borrow(
+        &self,
+        shared: &Arc<IngressShared>,
+        address: &str,
+        (service, region): (Name, Name),
+        places: u32,
+        limit: Duration,
+    ) -> Option<Millis> {
+        if self.protocol_of(address) < LENDING {
+            return None;
+        }
+        let link = self.links.get(shared, address).await.ok()?;
+        link.client.borrow(context_for(limit), service, region, places).await.ok()?
+    }
+
     /// Has a peer give up results.
     pub(crate) async fn give_up(
         &self,
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -140,7 +140,7 @@
             batches: Batches::default(),
             releases: Releases::default(),
             peers: Peers::new(&settings),
-            regions: Regions::default(),
+            regions: Regions::new(&settings),
             domains: Domains::default(),
             confinements: Confinements::default(),
             experiments: Declared::default(),
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -22,6 +22,7 @@
         peers::make_anywhere,
         piece_ask::{ChainAhead, PieceAsk, PieceResult},
         send::left,
+        spill,
     },
 };
 
@@ -59,8 +60,20 @@
 
 type StageOutcome = (usize, Result<Made, NoResult>);
 
-/// Makes all results; they are needed in `domain`.
+/// Makes all results; they are needed in `domain`. A request that is refused in its own region goes to
+/// another one that can serve it in time.
 pub(crate) async fn make_all(ctx: &Context, domain: &str) -> Result<Results, NoResult> {
+    spill::leave_if_late(ctx).await;
+    // The domain is one of its own region.
+    let made = make_here(ctx, if ctx.is_spilled() { "" } else { domain }).await;
+    let is_refused = matches!(made, Err(NoResult::Overload(_)));
+    if is_refused && spill::leave_if_refused(ctx).await {
+        return make_here(ctx, "").await;
+    }
+    made
+}
+
+async fn make_here(ctx: &Context, domain: &str) -> Result<Results, NoResult> {
     let graph = StageGraph::new(&ctx.route.stages, &ctx.head.pieces);
     let mut held = Held::new(ctx);
     if graph.is_empty() {
@@ -346,7 +359,7 @@
 }
 
 /// Time from the send to the first event that is left for it, in milliseconds.
-fn first_event_ms(ctx: &Context) -> Millis {
+pub(crate) fn first_event_ms(ctx: &Context) -> Millis {
     let middle = ctx.first_event_ms(FIRST_EVENT_PERCENT).unwrap_or(FIRST_EVENT_MS);
     let longer = ctx.first_event_ms(LONGER_FIRST_EVENT_PERCENT).unwrap_or(middle);
     middle + (FIRST_EVENT_MARGIN * longer.saturating_sub(middle) as f64) as Millis
@@ -373,7 +386,7 @@
 }
 
 /// Time that a stage at a service usually takes, in milliseconds.
-fn usual_ms(ctx: &Context, service: &str) -> Millis {
+pub(crate) fn usual_ms(ctx: &Context, service: &str) -> Millis {
     let stated = stage_ms(ctx, service);
     ctx.shared.pools.of(ctx.shared.clock.now(), service).stage_ms(ctx.shared.clock.now(), stated)
 }
@@ -391,7 +404,8 @@
     1 + graph.after(stage).map(|it| stages_after(graph, it)).max().unwrap_or(0)
 }
 
-fn stage_ms(ctx: &Context, service: &str) -> Millis {
+/// Time that a stage at a service takes without a queue, in milliseconds.
+pub(crate) fn stage_ms(ctx: &Context, service: &str) -> Millis {
     let configuration = ctx.shared.configuration();
     let limits = configuration.services.get(service).and_then(|it| it.batches.as_ref());
     limits.map_or(STAGE_MS, |it| (1.5 * it.call_ms + 4.0 * it.piece_ms) as Millis)
--- a/crates/holdpointd/src/metrics.rs
+++ b/crates/holdpointd/src/metrics.rs
@@ -28,6 +28,10 @@
     pub placements: Counter<u64>,
     /// Bytes of results of stages that were fetched from other failure domains, by who fetched them.
     pub moved_bytes: Counter<u64>,
+    /// Requests that would be late in their region, by the other region and whether they were sent there.
+    pub spills: Counter<u64>,
+    /// Bytes sent to other regions, by kind.
+    pub region_bytes: Counter<u64>,
     /// Requests that fell to an arm of a trial, by whether they attained their aim.
     pub trial_requests: Counter<u64>,
     /// Milliseconds that those requests cost, by stage.
@@ -79,6 +83,8 @@
                 "holdpoint_moved_bytes",
                 "Bytes of stage results fetched from other failure domains",
             ),
+            spills: counter("holdpoint_spills", "Requests late in their region, by outcome"),
+            region_bytes: counter("holdpoint_region_bytes", "Bytes to other regions by kind"),
             trial_requests: counter("holdpoint_trial_requests", "Requests by trial and arm"),
             trial_cost: counter("holdpoint_trial_cost_ms", "Milliseconds by trial, arm and stage"),
             pieces: counter("holdpoint_pieces", "Pieces in calls for results of stages by end"),
--- a/crates/holdpointd/tests/support/mod.rs
+++ b/crates/holdpointd/tests/support/mod.rs
@@ -38,6 +38,7 @@
     settings["region"] = json!(region);
     settings["domain"] = json!(domain);
     settings["regions"] = json!({ "z1": "east", "z2": "north" });
+    settings["region_link_mbps"] = json!(60.0);
     start_with_settings(settings)
 }
 
