Roll-outs: orders, exposure, judge and phases as decisions; versions of targets are read

Cause: an order to roll a version out was dropped unread, and the version of a target read into nothing. Change: the adapter reads orders, statuses and versions; core rollout/ has orders as the state of a log's prefix, exposure out of each instance's own counted requests, a sequential judge by route and over all, and the driver's state machine. Nothing uses them yet.

--- a/crates/holdpoint-core/src/directory.rs
+++ b/crates/holdpoint-core/src/directory.rs
@@ -45,6 +45,9 @@
     /// How much longer it is cold, in milliseconds, where it tells that.
     #[serde(default)]
     pub cold_left_ms: Option<Millis>,
+    /// Version of its software; empty where it does not tell.
+    #[serde(default)]
+    pub version: String,
 }
 
 /// What an entry changed.
@@ -215,8 +218,9 @@
     pub fn digest(&self) -> u64 {
         let mut hasher = Xxh3::new();
         for it in self.listed() {
-            let TargetInstance { id, service, address, domain, slots, is_leaving, .. } = it;
-            (id, service, address, domain, slots, is_leaving).hash(&mut hasher);
+            let TargetInstance { id, service, address, domain, slots, is_leaving, version, .. } =
+                it;
+            (id, service, address, domain, slots, is_leaving, version).hash(&mut hasher);
         }
         hasher.finish()
     }
--- a/crates/holdpoint-core/src/lib.rs
+++ b/crates/holdpoint-core/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod prompt;
 pub mod readers;
 pub mod retry;
+pub mod rollout;
 pub mod route;
 pub mod snapshot;
 pub mod stage_graph;
--- a/crates/holdpoint-core/tests/cold.rs
+++ b/crates/holdpoint-core/tests/cold.rs
@@ -176,6 +176,7 @@
         is_leaving: false,
         sequence,
         cold_left_ms,
+        version: String::new(),
     }
 }
 
--- a/crates/holdpoint-core/tests/ingress.rs
+++ b/crates/holdpoint-core/tests/ingress.rs
@@ -88,6 +88,7 @@
         is_leaving,
         sequence,
         cold_left_ms: None,
+        version: String::new(),
     }
 }
 
--- /dev/null
+++ b/crates/holdpoint-core/tests/rollout.rs
@@ -0,0 +1,323 @@
+//! Roll-outs: orders, exposure, judging, phases, each on its own and on random histories.
+
+use holdpoint_core::{
+    ids::Millis,
+    rollout::{
+        Answer, Bound, Exposure, Input, Judge, Observations, Order, OrderRecord, Orders, Phase,
+        Reason, Rollout, Verdict, is_wanted,
+    },
+};
+use proptest::prelude::*;
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const ROUTES: [&str; 2] = ["issue", "lookup"];
+const BOUND: Bound = Bound { share: 0.1, slack: 50.0 };
+
+fn ordered(offset: u64, service: &str, version: &str) -> OrderRecord {
+    let (service, version) = (service.to_owned(), version.to_owned());
+    OrderRecord::Ordered { offset, service, version, duration_ms: 12_000 }
+}
+
+fn order() -> Order {
+    let version = "v2".to_owned();
+    Order { offset: 3, version, duration_ms: 12_000, until: 12_000, is_witnessed: true }
+}
+
+#[test]
+fn orders_are_a_function_of_a_prefix_of_the_log() {
+    let mut orders = Orders::default();
+    assert!(orders.advance(Orders::new(100, 4, &[ordered(2, "s", "v2")])) == ["s"]);
+    let found = orders.get("s").unwrap();
+    assert_eq!((found.until, found.is_witnessed), (12_100, false), "found at the start");
+    let later = orders.followed_by(500, 6, &[ordered(5, "t", "v3"), ordered(1, "s", "v0")]);
+    assert_eq!(orders.advance(later), ["t"]);
+    assert_eq!(
+        orders.get("s").unwrap().version,
+        "v2",
+        "a record before the horizon counts already"
+    );
+    assert!(orders.get("t").unwrap().is_witnessed);
+    let older = Orders::new(600, 5, &[]);
+    assert!(orders.advance(older).is_empty(), "an older state replaces nothing");
+    let withdrawn = OrderRecord::Withdrawn { offset: 6, service: "s".to_owned() };
+    let later = orders.followed_by(700, 7, &[withdrawn]);
+    assert_eq!(orders.advance(later), ["s"]);
+    assert!(orders.get("s").is_none());
+}
+
+#[test]
+fn who_learns_an_order_from_another_learns_what_is_left_of_its_time() {
+    let mut known = Orders::default();
+    known.advance(Orders::new(1000, 4, &[ordered(2, "s", "v2")]));
+    let told = known.told(6000);
+    // The other one's clock began elsewhere; later it reads the store, which does not tell the age.
+    let mut other = Orders::default();
+    other.advance(told.taken(90_000));
+    assert_eq!(other.get("s").unwrap().until, 97_000);
+    other.advance(Orders::new(91_000, 9, &[ordered(2, "s", "v2")]));
+    assert_eq!(other.get("s").unwrap().until, 97_000, "the earlier end counts");
+    assert!(other.advance(Orders::new(91_000, 12, &[ordered(10, "s", "v2")])) == ["s"]);
+    assert_eq!(other.get("s").unwrap().until, 103_000, "a new order has its own time");
+}
+
+proptest! {
+    /// The bound holds at every moment, however requests fall to instances, with a start credit for
+    /// each of them and none for those that start later.
+    #[test]
+    fn exposure_is_under_the_bound_at_every_moment(
+        instances in 1_usize..300,
+        slack in 0.0_f64..80.0,
+        steps in prop::collection::vec((0_usize..1000, 1_u64..20, 0_usize..40), 1..400),
+    ) {
+        let bound = Bound { share: 0.1, slack };
+        let mut all: Vec<Exposure> =
+            (0..instances).map(|it| Exposure::new(bound.first_part(it, instances))).collect();
+        let (mut reached, mut exposed) = (0, 0);
+        for (at, count, fault) in steps {
+            let index = at % all.len();
+            if fault == 0 {
+                // Killed and started anew: what it had counted is lost.
+                all[index] = Exposure::new(0.0);
+            }
+            let is_sent = all[index].spend(&bound, count);
+            all[index].reach(count);
+            reached += count;
+            exposed += if is_sent { count } else { 0 };
+            prop_assert!(exposed as f64 <= bound.limit(reached), "{exposed} of {reached}");
+        }
+    }
+
+    /// Whatever instances tell, in whichever order: no status leaves a final one, and no version is
+    /// completed of which 30 in 100 answers are bad.
+    #[test]
+    fn a_bad_version_is_never_completed(seed in 0_u64..10_000, kind in 1_u32..5) {
+        let day = play(seed, Way::of(kind), 145.0, 86);
+        prop_assert_eq!(day.phases.last(), Some(&Phase::RolledBack));
+        prop_assert!(day.worst <= 1.0, "worst part of the bound {}", day.worst);
+        let ends = day.phases.iter().filter(|it| it.is_final()).count();
+        prop_assert_eq!(ends, 1);
+    }
+}
+
+/// In which way a version is bad.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Way {
+    Not,
+    Fails,
+    Slow,
+    Later,
+    OnOneRoute,
+}
+
+impl Way {
+    fn of(kind: u32) -> Way {
+        [Way::Not, Way::Fails, Way::Slow, Way::Later, Way::OnOneRoute][kind as usize]
+    }
+
+    fn answer(self, now: Millis, route: usize, rng: &mut impl Rng) -> Answer {
+        let usual = (60.0 * (0.5 + rng.random::<f64>() + rng.random::<f64>())) as Millis;
+        let is_hit = rng.random_bool(0.3);
+        match self {
+            Way::Fails if is_hit => Answer::Failed,
+            Way::Slow if rng.random_bool(0.5) => Answer::Good(Some(4 * usual)),
+            Way::Later if is_hit && 4000 < now => Answer::Failed,
+            Way::OnOneRoute if route == 1 && is_hit => Answer::Failed,
+            _ => Answer::Good(Some(usual)),
+        }
+    }
+}
+
+/// What one simulated roll-out came to.
+struct Day {
+    phases: Vec<Phase>,
+    reason: Option<Reason>,
+    /// Worst exposure as a part of the bound, at any moment before the end.
+    worst: f64,
+    ended: Millis,
+    /// Time from the 50th bad answer to the last request of the version, in milliseconds.
+    after_bad: Millis,
+}
+
+/// Plays a roll-out of 12 s with requests at a rate to one service of two routes, in steps of 10 ms;
+/// instances report every 200 ms, each at its own moment, and go by what they heard then.
+fn play(seed: u64, way: Way, per_s: f64, instances: usize) -> Day {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut rollout = Rollout::new(0, order(), BOUND, 0);
+    let mut day =
+        Day { phases: vec![Phase::Waiting], reason: None, worst: 0.0, ended: 0, after_bad: 0 };
+    let mut exposures: Vec<Exposure> =
+        (0..instances).map(|it| Exposure::new(BOUND.first_part(it, instances))).collect();
+    let mut inputs: Vec<Input> = vec![Input::default(); instances];
+    let mut heard = vec![(Phase::Waiting, 0_u64, Vec::new()); instances];
+    let (mut reached, mut exposed, mut bad, mut bad_at) = (0_u64, 0_u64, 0_u64, None);
+    let mut under_way: Vec<(Millis, usize, usize, bool, Answer)> = Vec::new();
+    for now in (0..12_000).step_by(10) {
+        for _ in 0..2 {
+            if !rng.random_bool((per_s / 200.0).min(1.0)) {
+                continue;
+            }
+            let (at, route) = (rng.random_range(0..instances), usize::from(rng.random_bool(0.19)));
+            let (phase, quota, wanted) = &heard[at];
+            let is_first = is_wanted(wanted, ROUTES[route], rng.random());
+            let is_new = match phase {
+                Phase::Canary => is_first && exposures[at].spend(&BOUND, 1),
+                Phase::Full if exposures[at].exposed() < *quota => {
+                    exposures[at].expose(1);
+                    true
+                }
+                Phase::Completed => true,
+                _ => false,
+            };
+            exposures[at].reach(1);
+            reached += 1;
+            let answer = if is_new { way } else { Way::Not }.answer(now, route, &mut rng);
+            let ms = match answer {
+                Answer::Good(Some(it)) => it,
+                _ => 20,
+            };
+            under_way.push((now + ms, at, route, is_new, answer));
+            if is_new && !rollout.phase().is_final() {
+                exposed += 1;
+                day.worst = day.worst.max(exposed as f64 / BOUND.limit(reached));
+            }
+            if let (true, Some(since)) = (is_new, bad_at) {
+                day.after_bad = now - since;
+            }
+        }
+        under_way.retain(|(until, at, route, is_new, answer)| {
+            let is_over = *until <= now;
+            if is_over {
+                inputs[*at].answers.add(ROUTES[*route], *is_new, *answer);
+                let is_bad = matches!(answer, Answer::Failed | Answer::Good(Some(150..)));
+                bad += u64::from(*is_new && is_bad);
+                if bad == 50 {
+                    bad_at.get_or_insert(now);
+                }
+            }
+            !is_over
+        });
+        for at in 0..instances {
+            if (now as usize / 10 + at) % 20 == 0 {
+                let (reached, exposed) = (exposures[at].reached(), exposures[at].exposed());
+                let old_running = under_way.iter().filter(|it| it.1 == at && !it.3).count() as u64;
+                let input = Input { reached, exposed, old_running, ..inputs[at].clone() };
+                rollout.tell(now, &format!("i-{at}"), 1, input);
+                let quota = rollout.quota(&format!("i-{at}"), 1);
+                heard[at] = (rollout.phase(), quota, rollout.wanted());
+            }
+        }
+        if now % 100 == 0
+            && let Some((phase, reason)) = rollout.next(now, 7, 7)
+        {
+            rollout.enter(now, phase);
+            day.phases.push(phase);
+            day.reason = Some(reason);
+            day.ended = now;
+        }
+    }
+    day
+}
+
+#[test]
+fn a_good_version_is_completed_in_time_and_within_the_bound() {
+    let day = play(1, Way::Not, 145.0, 86);
+    assert_eq!(day.phases, [Phase::Waiting, Phase::Canary, Phase::Full, Phase::Completed]);
+    assert!(day.ended < 12_000);
+    assert!(day.worst < 1.0, "{}", day.worst);
+}
+
+#[test]
+fn what_cannot_be_judged_is_rolled_back_before_the_deadline() {
+    let mut rollout = Rollout::new(0, order(), BOUND, 0);
+    assert_eq!(rollout.next(0, 0, 7), None);
+    assert_eq!(rollout.next(11_500, 0, 7), Some((Phase::RolledBack, Reason::NoTargets)));
+    assert_eq!(rollout.next(0, 7, 7), Some((Phase::Canary, Reason::Targets)));
+    rollout.enter(0, Phase::Canary);
+    assert_eq!(rollout.next(10_000, 7, 7), None);
+    assert_eq!(rollout.next(11_000, 7, 7), Some((Phase::RolledBack, Reason::Unjudged)));
+    rollout.enter(11_000, Phase::RolledBack);
+    rollout.enter(11_000, Phase::Completed);
+    assert_eq!(rollout.phase(), Phase::RolledBack, "no phase leaves a final one");
+}
+
+#[test]
+fn a_version_that_all_targets_have_is_completed_at_once() {
+    let mut rollout = Rollout::new(0, order(), BOUND, 0);
+    assert_eq!(rollout.next(0, 7, 0), None, "the list may not be whole yet");
+    assert_eq!(rollout.next(1000, 7, 0), Some((Phase::Completed, Reason::InForce)));
+    // Where old targets were there and are lost, the version is judged like any other.
+    let mut rollout = Rollout::new(0, order(), BOUND, 0);
+    assert_eq!(rollout.next(0, 0, 3), None);
+    assert_eq!(rollout.next(1000, 7, 0), Some((Phase::Canary, Reason::Targets)));
+}
+
+#[test]
+fn an_answer_counts_once_however_often_it_is_told() {
+    let mut rollout = Rollout::new(0, order(), BOUND, 0);
+    let mut input = Input { reached: 10, exposed: 1, ..Input::default() };
+    input.answers.add("r", true, Answer::Failed);
+    for now in 0..20 {
+        rollout.tell(now, "a", 1, input.clone());
+    }
+    assert_eq!(rollout.answers(), (1, 1));
+    rollout.tell(20, "a", 2, input);
+    assert_eq!(rollout.answers(), (2, 2), "another life counts from zero");
+}
+
+fn judged(old: &[Answer], new: &[Answer]) -> Verdict {
+    let mut observations = Observations::default();
+    old.iter().for_each(|it| observations.add("r", false, *it));
+    new.iter().for_each(|it| observations.add("r", true, *it));
+    let mut judge = Judge::default();
+    judge.take(0, &observations);
+    judge.verdict()
+}
+
+#[test]
+fn a_version_is_judged_against_the_old_one_of_the_same_moment() {
+    let good = [Answer::Good(Some(50)); 100];
+    assert_eq!(judged(&good, &good[..40]), Verdict::Good);
+    assert_eq!(judged(&good, &good[..10]), Verdict::Open);
+    let slow = [Answer::Good(Some(200)); 12];
+    assert!(matches!(judged(&good, &slow), Verdict::Bad(it) if it.kind == "slow"));
+    let mut grey = good.to_vec();
+    grey.extend([Answer::Failed; 50]);
+    assert_eq!(judged(&grey, &grey[70..115]), Verdict::Open, "the old one fails as often");
+    assert!(matches!(judged(&good, &grey[80..115]), Verdict::Bad(it) if it.kind == "failures"));
+    assert_eq!(judged(&[Answer::Good(Some(200)); 50], &slow), Verdict::Open, "both are slow");
+}
+
+/// 200 seeded roll-outs, half of them of good versions; the table of docs/design/rollouts.md.
+#[test]
+fn two_hundred_rollouts_keep_the_bound_and_promote_no_bad_version() {
+    let (mut wrong, mut promoted, mut missed, mut worst, mut after) = (0, 0, 0, 0.0_f64, 0);
+    let mut rows = String::new();
+    for way in [Way::Not, Way::Fails, Way::Slow, Way::Later, Way::OnOneRoute] {
+        let count = if way == Way::Not { 100 } else { 25 };
+        let mut part = (0, 0, 0.0_f64, 0, 0);
+        for seed in 0..count {
+            let day = play(7000 + seed, way, [145.0, 361.0][seed as usize % 2], 86);
+            let last = *day.phases.last().unwrap();
+            part.0 += u32::from(last == Phase::Completed);
+            part.1 += u32::from(last == Phase::RolledBack);
+            part.2 = part.2.max(day.worst);
+            part.3 = part.3.max(day.after_bad);
+            part.4 = part.4.max(day.ended);
+            missed += u32::from(!last.is_final());
+        }
+        if way == Way::Not {
+            wrong += part.1
+        } else {
+            promoted += part.0
+        }
+        worst = worst.max(part.2);
+        after = after.max(part.3);
+        rows += &format!("{way:?}: {part:?}\n");
+    }
+    println!("{rows}");
+    assert_eq!((promoted, missed), (0, 0), "{rows}");
+    assert!(wrong <= 1, "{rows}");
+    assert!(worst <= 1.0, "{rows}");
+    assert!(after <= 1000, "{rows}");
+}
--- a/crates/holdpointd/src/ingress/news.rs
+++ b/crates/holdpointd/src/ingress/news.rs
@@ -141,6 +141,9 @@
     domain: Name,
     slots: u32,
     is_leaving: bool,
+    /// Version of their software; peers of earlier versions tell none.
+    #[serde(default)]
+    version: String,
     /// Id, address and sequence of each.
     members: Vec<(TargetId, String, u64)>,
 }
@@ -148,15 +151,17 @@
 impl TargetList {
     /// Makes the list of a directory.
     pub(crate) fn new(now: Millis, directory: &Directory) -> TargetList {
-        let mut groups: BTreeMap<(&str, &str, u32, bool), Vec<_>> = BTreeMap::new();
+        let mut groups: BTreeMap<(&str, &str, u32, bool, &str), Vec<_>> = BTreeMap::new();
         for it in directory.listed() {
-            let common = (it.service.as_str(), it.domain.as_str(), it.slots, it.is_leaving);
+            let (service, version) = (it.service.as_str(), it.version.as_str());
+            let common = (service, it.domain.as_str(), it.slots, it.is_leaving, version);
             let member = (it.id.clone(), it.address.clone(), it.sequence);
             groups.entry(common).or_default().push(member);
         }
-        let group = |((service, domain, slots, is_leaving), members): ((&str, &str, _, _), _)| {
+        type Common<'a> = (&'a str, &'a str, u32, bool, &'a str);
+        let group = |((service, domain, slots, is_leaving, version), members): (Common<'_>, _)| {
             let (service, domain) = (service.to_owned(), domain.to_owned());
-            TargetGroup { service, domain, slots, is_leaving, members }
+            TargetGroup { service, domain, slots, is_leaving, version: version.to_owned(), members }
         };
         TargetList {
             listed: groups.into_iter().map(group).collect(),
@@ -175,7 +180,7 @@
         let cold: HashMap<TargetId, Millis> = self.cold.into_iter().collect();
         let cold = &cold;
         let targets = self.listed.into_iter().flat_map(|group| {
-            let TargetGroup { service, domain, slots, is_leaving, members } = group;
+            let TargetGroup { service, domain, slots, is_leaving, version, members } = group;
             members.into_iter().map(move |(id, address, sequence)| TargetInstance {
                 cold_left_ms: cold.get(&id).copied(),
                 id,
@@ -185,6 +190,7 @@
                 slots,
                 is_leaving,
                 sequence,
+                version: version.clone(),
             })
         });
         (targets.collect(), self.lapsed)
