Versions are rolled out on order under a bounded exposure, and bad ones taken back

Cause: an order to roll a version out was dropped unread, and its targets got traffic like any other. Change: one instance drives a roll-out, fenced by conditional writes of its record; all tell it every 200 ms what they have seen and send to the version only what the last word from it allows, for 1 s. Each instance spends its own share of what it has itself sent; full traffic moves under quotas shortly before the deadline. Plain requests, prompts and pieces go by it; a send looks again before its bytes leave. Tests: Run of the stand-in has a time, so judge.rs of the soak names it; nothing else changed there.

--- a/crates/holdpoint-core/src/batcher.rs
+++ b/crates/holdpoint-core/src/batcher.rs
@@ -125,6 +125,11 @@
         }
     }
 
+    /// Sizes in force.
+    pub fn sizes(&self) -> &Sizes {
+        &self.sizes
+    }
+
     /// Puts other sizes in force.
     pub fn set_sizes(&mut self, sizes: Sizes) {
         self.sizes = sizes;
--- a/crates/holdpoint-core/src/rollout/mod.rs
+++ b/crates/holdpoint-core/src/rollout/mod.rs
@@ -6,11 +6,13 @@
 //! what follows from all that. docs/design/rollouts.md has the reasons.
 
 pub mod exposure;
+pub mod gate;
 pub mod judge;
 pub mod order;
 pub mod phase;
 
 pub use exposure::{Bound, Exposure, is_wanted};
+pub use gate::{Gate, Lane, Word};
 pub use judge::{Answer, Counts, Fault, Judge, Observations, RouteCounts, Verdict};
 pub use order::{Order, OrderRecord, Orders, ToldOrders};
 pub use phase::{Input, Phase, Reason, Rollout, State};
--- a/crates/holdpoint-core/src/rollout/phase.rs
+++ b/crates/holdpoint-core/src/rollout/phase.rs
@@ -172,13 +172,18 @@
         self.order.offset
     }
 
-    /// Takes over a final phase that was recorded.
+    /// Takes over a final phase that was recorded, whatever this driver had found.
     pub fn end(&mut self, now: Millis, phase: Phase) {
-        if !self.phase.is_final() && phase.is_final() {
+        if phase.is_final() {
             (self.phase, self.since) = (phase, now);
         }
     }
 
+    /// Takes in when the time is over, as an earlier driver recorded; a later end is not believed.
+    pub fn end_by(&mut self, until: Millis) {
+        self.order.until = self.order.until.min(until);
+    }
+
     /// Takes in what a life of an instance tells; each answer counts once however often it is told.
     pub fn tell(&mut self, now: Millis, instance: &str, life: u64, input: Input) {
         let told = self.told.entry((instance.to_owned(), life)).or_default();
--- a/crates/holdpoint-core/tests/rollout.rs
+++ b/crates/holdpoint-core/tests/rollout.rs
@@ -198,7 +198,7 @@
             !is_over
         });
         for at in 0..instances {
-            if (now as usize / 10 + at) % 20 == 0 {
+            if (now as usize / 10 + at).is_multiple_of(20) {
                 let (reached, exposed) = (exposures[at].reached(), exposures[at].exposed());
                 let old_running = under_way.iter().filter(|it| it.1 == at && !it.3).count() as u64;
                 let input = Input { reached, exposed, old_running, ..inputs[at].clone() };
@@ -307,9 +307,9 @@
             missed += u32::from(!last.is_final());
         }
         if way == Way::Not {
-            wrong += part.1
+            wrong += part.1;
         } else {
-            promoted += part.0
+            promoted += part.0;
         }
         worst = worst.max(part.2);
         after = after.max(part.3);
--- a/crates/holdpoint-soak/tests/judge.rs
+++ b/crates/holdpoint-soak/tests/judge.rs
@@ -19,6 +19,8 @@
         line: of.line(),
         headers: Default::default(),
         body: Bytes::from(of.id.clone()),
+        at: std::time::Instant::now(),
+        is_bad: false,
     }
 }
 
--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -108,6 +108,16 @@
     DOMAIN_CHANGED = 615 Info "failure domain evacuated or restored";
     /// Pieces were refused, since every target that makes them stands in an evacuated failure domain.
     PIECES_EVACUATED = 709 Info "pieces have no target left";
+    /// An operator ordered a version to be rolled out, or withdrew the order.
+    ROLLOUT_ORDERED = 750 Info "roll-out ordered or withdrawn";
+    /// A roll-out began a phase.
+    ROLLOUT_PHASE = 751 Info "roll-out phase began";
+    /// This instance drives a roll-out, or does not any more.
+    ROLLOUT_DRIVER = 752 Info "roll-out driver changed";
+    /// The status of a roll-out was not written.
+    ROLLOUT_UNWRITTEN = 753 Warn "roll-out not recorded";
+    /// An order to roll out a version cannot be read.
+    BAD_ROLLOUT = 754 Error "roll-out order cannot be read";
     /// A request was sent to a target.
     SENT = 700 Info "sent to a target";
     /// A send ended without a whole answer.
--- a/crates/holdpointd/src/ingress/attempts.rs
+++ b/crates/holdpointd/src/ingress/attempts.rs
@@ -4,12 +4,13 @@
 
 use holdpoint_core::{
     directory::TargetInstance,
+    rollout::Lane,
     route::{Call, End, NoTarget},
 };
 
 use crate::{
     events::{self, emit},
-    ingress::{context::Context, peer_service::PromptAsk},
+    ingress::{context::Context, peer_service::PromptAsk, rollouts::Running},
     metrics::label,
 };
 
@@ -18,6 +19,8 @@
 pub(crate) struct Attempts {
     tried: Vec<String>,
     sends: u32,
+    /// The send that is under way, where a version is rolled out.
+    running: Option<Running>,
 }
 
 /// Why no further send is made.
@@ -68,12 +71,14 @@
         if !self.may_repeat(ctx) {
             return Err(NoSend::Attempts);
         }
-        let (target, reason) = self.choose(ctx).await?;
+        self.running = None;
+        let (target, reason) = self.choose_in_lane(ctx).await?;
         let now = ctx.shared.clock.now();
         if self.sends != 0 && !ctx.pool.spend(now, &ctx.shared.pools.terms()) {
             return Err(NoSend::Budget);
         }
         self.sends += 1;
+        self.running = Running::begin(ctx, &target);
         ctx.pool.sent(now, &target.id, &ctx.call(&[]));
         ctx.note_send(&target.id);
         let detail =
@@ -83,6 +88,27 @@
         Ok(target)
     }
 
+    /// Chooses a target among those of the version that the request may go to. Where none of a version
+    /// that is rolled out can be had, it goes to another version, unless the roll-out is over.
+    async fn choose_in_lane(&mut self, ctx: &Context) -> Result<(TargetInstance, String), NoSend> {
+        let rollouts = &ctx.shared.rollouts;
+        let now = ctx.shared.clock.now();
+        let lane = rollouts.lane(now, &ctx.service, &ctx.route.name);
+        if lane == Lane::Any {
+            return self.choose(ctx).await;
+        }
+        let tried = self.tried.clone();
+        self.tried.extend(rollouts.closed(&ctx.service, lane));
+        let mut chosen = self.choose(ctx).await;
+        if chosen.is_err() && lane == Lane::New {
+            self.tried = tried.clone();
+            self.tried.extend(rollouts.closed(&ctx.service, Lane::Old));
+            chosen = self.choose(ctx).await;
+        }
+        self.tried = tried;
+        chosen
+    }
+
     /// Chooses a target, with the reason for the log. Prompts are placed by one instance for all,
     /// since an engine that reads a long prompt holds up all that run there, whoever sent them.
     async fn choose(&mut self, ctx: &Context) -> Result<(TargetInstance, String), NoSend> {
@@ -145,6 +171,7 @@
 /// Ends a send in the books of its pool, with a line in the log unless it went well.
 pub(crate) fn end_send(ctx: &Context, target: &TargetInstance, end: End, cause: &'static str) {
     ctx.pool.ended(ctx.shared.clock.now(), &target.id, ctx.call(&[]).work, end);
+    ctx.shared.rollouts.answered(ctx, target, end, cause);
     let labels = [label("service", ctx.service.as_str()), label("end", cause)];
     ctx.shared.metrics.attempts.add(1, &labels);
     if !matches!(end, End::Whole(_)) {
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -18,6 +18,7 @@
     ids::{Millis, Name},
     ingress::Service,
     pieces::{Call, CallEnd, Sizes, Ticket, Waiting},
+    rollout::{Answer, Lane},
     route::Load,
     stage_graph::{NoResult, PieceWork},
 };
@@ -45,6 +46,8 @@
 
 struct Pending {
     work: PieceWork,
+    /// Route of its request.
+    route: Name,
     deadline: Instant,
     offered: Instant,
     /// How often it went back to the queue.
@@ -108,6 +111,8 @@
     is_owner: bool,
     /// Whether all its targets stand in evacuated failure domains.
     is_evacuated: bool,
+    /// Targets that calls may go to, where a version is rolled out.
+    lane: Option<Lane>,
 }
 
 impl ServiceBatches {
@@ -117,13 +122,21 @@
             pending: HashMap::new(),
             is_owner: false,
             is_evacuated: false,
+            lane: None,
         }
     }
 
+    /// Takes in which targets calls may go to, where a version is rolled out.
+    fn set_lane(&mut self, lane: Option<Lane>, closed: &[TargetId], targets: &Targets) {
+        self.lane = lane;
+        let known = targets.known.iter();
+        let is_closed = |it: &Known| it.2 || closed.contains(&it.0);
+        self.batcher.set_targets(known.map(|it| (it.0.as_str(), it.1.as_str(), is_closed(it))));
+    }
+
     /// Takes in the service's targets. Where none is left, what waits is refused at once.
     fn set_targets(&mut self, targets: &Targets) {
-        let known = targets.known.iter();
-        self.batcher.set_targets(known.map(|it| (it.0.as_str(), it.1.as_str(), it.2)));
+        self.set_lane(None, &[], targets);
         self.is_evacuated = targets.is_evacuated();
         if !self.is_evacuated {
             return;
@@ -231,6 +244,7 @@
             let inputs = inputs.clone();
             let pending = Pending {
                 work: ask.work,
+                route: ask.route,
                 deadline,
                 offered,
                 returns: 0,
@@ -291,8 +305,17 @@
     fn next(&self, shared: &IngressShared, service: &str) -> Option<(Call, Vec<Pending>, Millis)> {
         let now = shared.clock.now();
         let mut services = self.services.lock();
-        let ServiceBatches { batcher, pending, .. } = services.get_mut(service)?;
+        let of_service = services.get_mut(service)?;
+        let pieces = u64::from(of_service.batcher.sizes().pieces);
+        let lane = shared.rollouts.piece_lane(now, service, pieces);
+        if lane != of_service.lane {
+            let closed = shared.rollouts.closed(service, lane.unwrap_or(Lane::Any));
+            let targets = self.targets.lock().get(service).cloned().unwrap_or_default();
+            of_service.set_lane(lane, &closed, &targets);
+        }
+        let ServiceBatches { batcher, pending, .. } = of_service;
         let call = batcher.next(now)?;
+        shared.rollouts.pieces_sent(service, &call.target, call.pieces.len() as u64);
         let pieces: Vec<Pending> =
             call.pieces.iter().filter_map(|it| pending.remove(&it.ticket)).collect();
         let patience = batcher.patience_ms(&call.target, call.pieces.len());
@@ -462,6 +485,7 @@
         Err(_) => (Vec::new(), CallEnd::Failed, "failed"),
     };
     log_call(&shared, &service, &call, &pieces, &results, (begun, ms, text));
+    judge_call(&shared, &service, &call, &pieces, &results, (end, ms));
     shared.batches.ended(&shared, &service, &call, end, &results);
     let mut results = results.into_iter();
     for (waiting, piece) in call.pieces.into_iter().zip(pieces) {
@@ -472,6 +496,29 @@
     pump(&shared, &service);
 }
 
+/// Has a call counted for the roll-out of its target's version: the time of its pieces as a percentage
+/// of the stated one, since calls differ in size.
+fn judge_call(
+    shared: &IngressShared,
+    service: &str,
+    call: &Call,
+    pieces: &[Pending],
+    results: &[PieceResult],
+    (end, ms): (CallEnd, Millis),
+) {
+    let part = (100.0 * ms as f64 / call.sizes.stated_ms(pieces.len()).max(1.0)) as Millis;
+    for (index, piece) in pieces.iter().enumerate() {
+        let answer = match (end, results.get(index)) {
+            (CallEnd::Full, _) => Answer::Refused,
+            (CallEnd::Silent(_), _) => Answer::Silent,
+            (CallEnd::Failed, _) | (_, Some(Err(NoResult::Failed))) => Answer::Failed,
+            (_, Some(Ok(_))) => Answer::Good((!shared.is_cold(&call.target)).then_some(part)),
+            _ => continue,
+        };
+        shared.rollouts.piece_answered(service, &call.target, &piece.route, answer);
+    }
+}
+
 /// Makes a call, and gives up the inputs of its pieces as soon as its target has them. Where other
 /// instances call the target too, the call may wait there for its turn, and its inputs are not
 /// fetched before that.
--- a/crates/holdpointd/src/ingress/follow.rs
+++ b/crates/holdpointd/src/ingress/follow.rs
@@ -21,6 +21,7 @@
         domains,
         news::{Content, Known, News, Place, TargetList, Update, WAIT},
         peers::Sources,
+        rollouts,
         shared::IngressShared,
         watch,
     },
@@ -88,6 +89,7 @@
             place: Some(Place { digest: shared.digest(), ..*place }),
             wants_large: false,
             orders: Some(shared.domains.horizon()),
+            rollouts: Some(shared.rollouts.horizon()),
         };
         let limit = if *place == Place::default() { WHOLE_LIMIT } else { wait + LIMIT };
         let answer = shared.peers.follow(shared, &address, known, limit).await;
@@ -155,7 +157,11 @@
 
 /// Takes in what another instance tells; whether it has read the store of late.
 fn take_in(shared: &Arc<IngressShared>, update: Update) -> bool {
-    // Before what makes an instance ready: one that starts gives an evacuated domain no work.
+    // Before what makes an instance ready: one that starts gives an evacuated domain and a version that
+    // is rolled out no work.
+    if let Some(it) = update.rollouts {
+        rollouts::take_over(shared, it.taken(shared.clock.now()), "peer");
+    }
     if let Some(it) = update.evacuations {
         domains::take_over(shared, it, "peer");
     }
@@ -207,6 +213,9 @@
 ) -> Version {
     let known = Known::configuration_only(shared, wants_large);
     let Ok(update) = shared.peers.follow(shared, address, known, limit).await else { return 0 };
+    if let Some(it) = update.rollouts {
+        rollouts::take_over(shared, it.taken(shared.clock.now()), "peer");
+    }
     if let Some(it) = update.evacuations {
         domains::take_over(shared, it, "peer");
     }
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -22,6 +22,7 @@
 mod pools;
 mod releases;
 mod request;
+mod rollouts;
 mod send;
 mod shared;
 mod stages;
@@ -37,7 +38,7 @@
 };
 
 use error_stack::{Report, ResultExt};
-use holdpoint_core::{directory::TargetInstance, ids::Name, ingress::Version};
+use holdpoint_core::{directory::TargetInstance, ids::Name, ingress::Version, rollout::Phase};
 use holdpoint_schema::ingress::{IngressSettings, Listen};
 use tokio::time::{interval, sleep, timeout};
 
@@ -87,6 +88,7 @@
             tokio::spawn(front::metrics(shared.clone(), it));
         }
         tokio::spawn(releases::run(shared.clone()));
+        tokio::spawn(rollouts::run(shared.clone()));
         tokio::spawn(tick(shared.clone()));
         emit(events::STARTED, &shared.settings.instance, &format!("callers={}", listen.callers));
         Ok(Ingress { shared })
@@ -133,6 +135,11 @@
         self.shared.domains.state().domains().cloned().collect()
     }
 
+    /// Where the roll-out of a service stands, as far as this instance knows.
+    pub fn rollout(&self, service: &str) -> Option<Phase> {
+        self.shared.rollouts.phase(self.shared.clock.now(), service)
+    }
+
     /// Stops as planned: not ready at once, new work while the balancer notices, then the end of
     /// all that is in flight, within the grace that the platform gives.
     pub async fn stop(self) -> Ended {
--- a/crates/holdpointd/src/ingress/news.rs
+++ b/crates/holdpointd/src/ingress/news.rs
@@ -15,6 +15,7 @@
     evacuation::{Evacuations, Horizon},
     ids::{Millis, Name},
     ingress::Version,
+    rollout::ToldOrders,
 };
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
@@ -67,6 +68,9 @@
     /// How far it knows the log of orders for failure domains; peers of earlier versions know none.
     #[serde(default)]
     pub(crate) orders: Option<Horizon>,
+    /// How far it knows that log's orders to roll out versions; peers of earlier versions know none.
+    #[serde(default)]
+    pub(crate) rollouts: Option<Horizon>,
 }
 
 impl Known {
@@ -74,7 +78,8 @@
     pub(crate) fn configuration_only(shared: &IngressShared, wants_large: bool) -> Known {
         let version = shared.configuration().version;
         let orders = Some(shared.domains.horizon());
-        Known { version, wait_ms: 0, place: None, wants_large, orders }
+        let rollouts = Some(shared.rollouts.horizon());
+        Known { version, wait_ms: 0, place: None, wants_large, orders, rollouts }
     }
 }
 
@@ -98,6 +103,9 @@
     /// The failure domains that are evacuated, where more is known than the asker knows.
     #[serde(default)]
     pub(crate) evacuations: Option<Evacuations>,
+    /// The orders to roll out versions, where more is known than the asker knows.
+    #[serde(default)]
+    pub(crate) rollouts: Option<ToldOrders>,
     /// What else is new, where that was asked for.
     pub(crate) content: Option<Content>,
 }
@@ -228,6 +236,8 @@
     let age_ms = shared.fresh_age();
     let steady_ms = shared.steady_ms();
     let evacuations = knows_less(shared, &known).then(|| shared.domains.state());
+    let is_unknown = known.rollouts.is_some_and(|it| it < shared.rollouts.horizon());
+    let rollouts = is_unknown.then(|| shared.rollouts.told(shared.clock.now()));
     Update {
         life: shared.life,
         revision,
@@ -236,6 +246,7 @@
         version,
         configuration,
         evacuations,
+        rollouts,
         content,
     }
 }
@@ -254,4 +265,5 @@
 /// Whether an asker knows less of the orders for failure domains.
 fn knows_less(shared: &IngressShared, known: &Known) -> bool {
     known.orders.is_some_and(|it| it < shared.domains.horizon())
+        || known.rollouts.is_some_and(|it| it < shared.rollouts.horizon())
 }
--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -26,6 +26,7 @@
     news::{self, Known, Update},
     piece_ask::{PieceAsk, PieceResult},
     releases::tell_makers,
+    rollouts::{self, DriverAnswer, RolloutReport},
     shared::IngressShared,
 };
 
@@ -75,6 +76,8 @@
     async fn ping(known: Version, address: String) -> Version;
     /// The same as `ping`, with more in the answer.
     async fn check(known: Version, address: String) -> Standing;
+    /// Takes in what an instance has seen of a roll-out, and tells where it stands.
+    async fn roll_out(service: Name, report: RolloutReport) -> DriverAnswer;
     /// Tells what is new to an asker who knows so much; waits for a while until something is.
     async fn follow(known: Known) -> Update;
 }
@@ -148,6 +151,15 @@
         Standing { version: self.ping(context, known, address).await, stage_times }
     }
 
+    async fn roll_out(
+        self,
+        _: context::Context,
+        service: Name,
+        report: RolloutReport,
+    ) -> DriverAnswer {
+        rollouts::answer(&self.shared, &service, report)
+    }
+
     async fn follow(self, _: context::Context, known: Known) -> Update {
         news::answer(&self.shared, known).await
     }
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -38,6 +38,7 @@
         news::{Known, Update},
         peer_service::{IngressPeersClient, PromptAsk, Standing, codec},
         piece_ask::{PieceAsk, PieceResult},
+        rollouts::{DriverAnswer, RolloutReport},
         shared::IngressShared,
     },
 };
@@ -52,6 +53,8 @@
 const LARGE_LIMIT: Duration = Duration::from_millis(1000);
 /// How long a peer may take to choose a target; after that it is chosen here.
 const PLACE_LIMIT: Duration = Duration::from_millis(60);
+/// How long the driver of a roll-out may take to answer; what it last told holds for longer.
+const ROLL_OUT_LIMIT: Duration = Duration::from_millis(300);
 /// How long a peer that was silent is passed over; doubled each time.
 const SUSPECT: Duration = Duration::from_millis(1500);
 /// Longest time that a peer is passed over.
@@ -230,10 +233,16 @@
         if self.batching == Batching::Own {
             return None;
         }
+        self.owner_of(service)
+    }
+
+    /// Address of the peer that does what one instance does for all under a key; `None` where this
+    /// instance does.
+    pub(crate) fn owner_of(&self, key: &str) -> Option<String> {
         let known = self.known.lock();
         let capacity = |name: &str| known.get(name).map_or(self.own_capacity, |it| it.capacity);
         let live: Vec<_> = self.live(&known).map(|it| (it, capacity(it))).collect();
-        let chosen = owner(service, strong(&live).into_iter())?;
+        let chosen = owner(key, strong(&live).into_iter())?;
         known.get(chosen).map(|it| it.address.clone())
     }
 
@@ -277,6 +286,38 @@
         tokio::time::timeout(PLACE_LIMIT, asked).await.ok()?
     }
 
+    /// Address of an instance that works for others, this one left out; `None` where it does not.
+    pub(crate) fn live_address(&self, name: &str) -> Option<String> {
+        let address = self.known.lock().get(name).map(|it| it.address.clone())?;
+        (!self.is_suspect(&address)).then_some(address)
+    }
+
+    /// Whether a life of an instance works for others, this one left out.
+    pub(crate) fn is_life(&self, name: &str, life: &str) -> bool {
+        let known = self.known.lock();
+        known.get(name).is_some_and(|it| it.life == life && !self.is_suspect(&it.address))
+    }
+
+    /// Rank of this instance among the names of all.
+    pub(crate) fn rank(&self) -> usize {
+        self.known.lock().keys().filter(|it| **it < self.own_name).count()
+    }
+
+    /// Tells the driver of a roll-out what this instance has seen; `None` where it does not answer.
+    pub(crate) async fn roll_out(
+        &self,
+        shared: &Arc<IngressShared>,
+        address: &str,
+        service: &str,
+        report: RolloutReport,
+    ) -> Option<DriverAnswer> {
+        let asked = async {
+            let (client, _) = self.link(shared, address).await.ok()?;
+            client.roll_out(context_for(ROLL_OUT_LIMIT), service.to_owned(), report).await.ok()
+        };
+        tokio::time::timeout(ROLL_OUT_LIMIT, asked).await.ok()?
+    }
+
     /// Has a peer give up results.
     pub(crate) async fn give_up(
         &self,
--- a/crates/holdpointd/src/ingress/piece_ask.rs
+++ b/crates/holdpointd/src/ingress/piece_ask.rs
@@ -11,6 +11,9 @@
 pub(crate) struct PieceAsk {
     /// What to make.
     pub(crate) work: PieceWork,
+    /// Route of its request; empty where a peer of an earlier version asks.
+    #[serde(default)]
+    pub(crate) route: Name,
     /// Milliseconds until its result should be there; negative where that is over.
     pub(crate) due_in_ms: i64,
     /// Milliseconds until its request ends.
--- /dev/null
+++ b/crates/holdpointd/src/ingress/rollouts/running.rs
@@ -0,0 +1,73 @@
+//! One request under way to a service of which a version is rolled out.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use holdpoint_core::{directory::TargetInstance, rollout::Answer};
+
+use crate::{
+    ingress::{context::Context, rollouts::side, shared::IngressShared},
+    metrics::label,
+};
+
+/// Counts a request that was sent, until it is dropped. One that is dropped without an answer, although
+/// it had the time in which answers are due, counts as silent: its caller has left, or its time is over.
+pub(crate) struct Running {
+    shared: Arc<IngressShared>,
+    target: TargetInstance,
+    route: String,
+    is_new: bool,
+    begun: Instant,
+    due: Duration,
+    id: String,
+}
+
+impl std::fmt::Debug for Running {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Running").field("target", &self.target.id).finish_non_exhaustive()
+    }
+}
+
+impl Running {
+    /// Counts a request as sent; `None` where nothing is rolled out.
+    pub(crate) fn begin(ctx: &Context, target: &TargetInstance) -> Option<Running> {
+        let rollouts = &ctx.shared.rollouts;
+        if !rollouts.is_active() {
+            return None;
+        }
+        let mut local = rollouts.local.lock();
+        let it = local.get_mut(&target.service)?;
+        let is_new = target.version == it.gate.order().version;
+        it.gate.reached(1);
+        it.unanswered.insert(ctx.request.id.clone());
+        if !is_new {
+            it.gate.old_begun();
+        }
+        let labels = [label("service", target.service.as_str()), side(is_new)];
+        ctx.shared.metrics.rollout_sends.add(1, &labels);
+        Some(Running {
+            shared: ctx.shared.clone(),
+            target: target.clone(),
+            route: ctx.route.name.clone(),
+            is_new,
+            begun: Instant::now(),
+            due: ctx.target_time(),
+            id: ctx.request.id.clone(),
+        })
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let mut local = self.shared.rollouts.local.lock();
+        let Some(it) = local.get_mut(&self.target.service) else { return };
+        if !self.is_new {
+            it.gate.old_ended();
+        }
+        if it.unanswered.remove(&self.id) && self.due <= self.begun.elapsed() {
+            it.gate.answered(&self.route, self.is_new, Answer::Silent);
+        }
+    }
+}
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -37,6 +37,7 @@
         peers::{Peer, Peers, own_capacity},
         pools::Pools,
         releases::Releases,
+        rollouts::Rollouts,
     },
     metrics::Metrics,
     shared::{InFlight, Lazy},
@@ -71,6 +72,8 @@
     pub(crate) peers: Peers,
     /// Failure domains that are evacuated.
     pub(crate) domains: Domains,
+    /// Versions that are rolled out.
+    pub(crate) rollouts: Rollouts,
     /// Policies and trials that operators declared.
     pub(crate) experiments: Declared,
     pub(crate) in_flight: Arc<InFlight>,
@@ -131,6 +134,7 @@
             releases: Releases::default(),
             peers: Peers::new(&settings),
             domains: Domains::default(),
+            rollouts: Rollouts::new(&settings),
             experiments: Declared::default(),
             in_flight: Arc::default(),
             closing: watch::channel(false).0,
@@ -251,6 +255,7 @@
 
     fn apply(&self, directory: &Directory) {
         let evacuations = self.domains.state();
+        self.rollouts.set_targets(directory, &evacuations);
         self.pools.set_targets(self.clock.now(), directory, &evacuations);
         self.batches.set_targets(directory, &evacuations);
     }
@@ -350,11 +355,17 @@
         });
     }
 
-    /// A target instance that is known and may get new work: it is not leaving, and its failure domain
-    /// is not evacuated.
+    /// A target instance that is known and may get new work: it is not leaving, its failure domain is
+    /// not evacuated, and its version is not held back.
     pub(crate) fn open_target(&self, id: &str) -> Option<TargetInstance> {
         let found = self.directory.lock().get(id).filter(|it| !it.is_leaving).cloned();
-        found.filter(|it| !self.domains.is_evacuated(&it.domain))
+        let found = found.filter(|it| !self.domains.is_evacuated(&it.domain));
+        found.filter(|it| self.rollouts.is_open(self.clock.now(), it))
+    }
+
+    /// Whether a target is cold.
+    pub(crate) fn is_cold(&self, id: &str) -> bool {
+        self.directory.lock().cold_left(self.clock.now(), id) != 0
     }
 
     /// The target instance at an address that makes results of stages, leaving or not.
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -333,6 +333,7 @@
     let slack_ms = left_ms as i64 - after_ms as i64;
     PieceAsk {
         work: PieceWork { request: ctx.request.id.clone(), stage, piece, source },
+        route: ctx.route.name.clone(),
         due_in_ms: ctx.route.target_ms as i64 - after_ms as i64 - spent,
         left_ms,
         rank: ctx.rank,
--- a/crates/holdpointd/src/ingress/store.rs
+++ b/crates/holdpointd/src/ingress/store.rs
@@ -4,8 +4,8 @@
 
 use bytes::{Bytes, BytesMut};
 use holdpoint_adapter::store::{
-    KeyedRecord, ReadPage, append_body, append_path, newest_path, parse_newest, parse_read,
-    read_path,
+    KeyedRecord, ReadPage, append_at_path, append_body, append_path, newest_path, parse_newest,
+    parse_read, read_path,
 };
 use http::{HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
@@ -98,6 +98,19 @@
         self.call(Method::POST, &append_path(topic), body, Duration::ZERO).await.map(drop)
     }
 
+    /// The same if the topic ends at an offset; else it is refused.
+    pub(crate) async fn append_at(
+        &mut self,
+        topic: &str,
+        key: &str,
+        value: &[u8],
+        end: u64,
+    ) -> Result<(), StoreError> {
+        let body = Bytes::from(append_body(key, value));
+        let path = append_at_path(topic, end);
+        self.call(Method::POST, &path, body, Duration::ZERO).await.map(drop)
+    }
+
     async fn call(
         &mut self,
         method: Method,
--- a/crates/holdpointd/src/ingress/watch.rs
+++ b/crates/holdpointd/src/ingress/watch.rs
@@ -24,6 +24,7 @@
         changes::TargetChanges,
         domains,
         peers::Peer,
+        rollouts,
         shared::IngressShared,
         store::{StoreClient, StoreError},
     },
@@ -79,6 +80,7 @@
     } else {
         shared.domains.state().followed_by(read.next, &orders)
     };
+    rollouts::take_orders(shared, read.records, read.next, read.is_whole);
     domains::take_over(shared, newer, "store");
     for record in read.records {
         if let (CONFIGURATION_KEY, Some(value)) = (record.key.as_str(), &record.value) {
--- a/crates/holdpointd/src/metrics.rs
+++ b/crates/holdpointd/src/metrics.rs
@@ -48,6 +48,10 @@
     pub heartbeats: Counter<u64>,
     /// Changes, by verdict.
     pub changes: Counter<u64>,
+    /// Requests to services with a roll-out, by whether they went to its version.
+    pub rollout_sends: Counter<u64>,
+    /// Answers of services with a roll-out, by whether its version gave them.
+    pub rollout_answers: Counter<u64>,
     /// Failure domains that are evacuated.
     pub evacuated_domains: UpDownCounter<i64>,
 }
@@ -84,6 +88,8 @@
             peer_bytes: counter("holdpoint_peer_bytes", "Bytes to and from peers"),
             heartbeats: counter("holdpoint_heartbeats", "Heartbeats by result"),
             changes: counter("holdpoint_changes", "Changes by verdict"),
+            rollout_sends: counter("holdpoint_rollout_sends", "Requests by version rolled out"),
+            rollout_answers: counter("holdpoint_rollout_answers", "Answers by version rolled out"),
             evacuated_domains: meter
                 .i64_up_down_counter("holdpoint_evacuated_domains")
                 .with_description("Failure domains that are evacuated")
--- /dev/null
+++ b/crates/holdpointd/tests/rollouts.rs
@@ -0,0 +1,266 @@
+//! Versions that are rolled out: what targets and operators see, counted at the targets' sockets.
+
+mod support;
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use holdpoint_adapter_standin::{
+    Badness, Behaviour, CallerRequest, Gate, Outage, Store, Target, call, sample_configuration,
+};
+use holdpoint_core::rollout::Phase;
+use holdpointd::ingress::Ingress;
+use tokio::task::JoinHandle;
+
+use crate::support::{start_with_seeds, until};
+
+/// Time that an order states, in seconds.
+const DURATION_S: f64 = 8.0;
+const GOOD: Behaviour =
+    Behaviour::Bad(Badness { percent: 0, slow_ms: 0, after: 0, path: "", above: 0 });
+
+/// Instances, targets of two versions, and callers who send requests until it is dropped.
+struct Fleet {
+    store: Store,
+    gates: Vec<Gate>,
+    instances: Vec<Option<Ingress>>,
+    old: Vec<Target>,
+    new: Vec<Target>,
+    callers: Vec<JoinHandle<()>>,
+    stop: Arc<AtomicBool>,
+    failed: Arc<AtomicUsize>,
+}
+
+impl Fleet {
+    async fn start(new: Behaviour, instances: usize) -> Fleet {
+        let store = Store::start().await;
+        store.put_configuration(&sample_configuration(1));
+        let mut fleet = Fleet {
+            store,
+            gates: Vec::new(),
+            instances: Vec::new(),
+            old: Vec::new(),
+            new: Vec::new(),
+            callers: Vec::new(),
+            stop: Arc::default(),
+            failed: Arc::default(),
+        };
+        for index in 0..4 {
+            let old = Target::start(&format!("i-old-{index}"), "plain", GOOD).await;
+            fleet.store.put_version(&old, "v1", false);
+            fleet.old.push(old);
+            fleet.new.push(Target::start(&format!("i-new-{index}"), "plain", new).await);
+        }
+        for index in 0..instances {
+            let gate = fleet.store.open_gate().await;
+            let seeds = fleet.seeds();
+            fleet.instances.push(Some(start_with_seeds(&format!("n-{index}"), &gate, &seeds)));
+            fleet.gates.push(gate);
+        }
+        let all = instances;
+        until(|| fleet.running().all(|it| it.is_ready() && it.target_count() == 4)).await;
+        until(|| fleet.running().all(|it| it.peer_count() + 1 == all)).await;
+        fleet
+    }
+
+    fn running(&self) -> impl Iterator<Item = &Ingress> {
+        self.instances.iter().flatten()
+    }
+
+    fn seeds(&self) -> Vec<String> {
+        self.running().map(|it| it.listen().peers.clone()).collect()
+    }
+
+    /// Has callers send requests of two routes to all instances, some 300 a second.
+    fn call(&mut self) {
+        for caller in 0..6 {
+            let addresses: Vec<_> =
+                self.running().map(|it| it.listen().callers.parse().unwrap()).collect();
+            let (stop, failed) = (self.stop.clone(), self.failed.clone());
+            self.callers.push(tokio::spawn(async move {
+                for number in 0.. {
+                    if stop.load(Ordering::Acquire) {
+                        return;
+                    }
+                    let path = if number % 3 == 0 { "/unsafe/" } else { "/safe/" };
+                    let request = CallerRequest::new(&format!("r-{caller}-{number}"), path);
+                    let answer = call(addresses[number % addresses.len()], request).await;
+                    let is_good = answer.is_some_and(|it| it.status.is_success());
+                    failed.fetch_add(usize::from(!is_good), Ordering::Relaxed);
+                    tokio::time::sleep(Duration::from_millis(12)).await;
+                }
+            }));
+        }
+    }
+
+    fn order(&self) {
+        self.new.iter().for_each(|it| self.store.put_version(it, "v2", false));
+        self.store.order_rollout("plain", "v2", DURATION_S);
+    }
+
+    fn states(&self) -> Vec<String> {
+        self.store.rollout_statuses("plain").into_iter().map(|it| it.0).collect()
+    }
+
+    /// Waits for the final status, plays what follows from it, and checks what every roll-out keeps:
+    /// one final status at the end, and the bound at the targets' sockets for a bad version.
+    async fn end(mut self, ordered: Instant) -> String {
+        until(|| self.states().last().is_some_and(|it| it != "running")).await;
+        let last = self.states().last().cloned().unwrap();
+        let ended = Instant::now();
+        assert!(ended < ordered + Duration::from_secs_f64(DURATION_S), "before the deadline");
+        let exposed_at_end = self.exposed(ended);
+        if last == "completed" {
+            // The old ones stop at once.
+            self.old.iter().for_each(|it| it.set_behaviour(Behaviour::RunAndCut));
+            self.old.iter().for_each(|it| self.store.drop_target(&it.id));
+        }
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+        self.stop.store(true, Ordering::Release);
+        for it in self.callers.drain(..) {
+            it.await.unwrap();
+        }
+        let finals = self.states().into_iter().filter(|it| it != "running").count();
+        assert_eq!(finals, 1, "{:?}", self.states());
+        let deadline = ordered + Duration::from_secs_f64(DURATION_S);
+        let reached = self.reached(ordered, deadline);
+        if last == "rolled_back" {
+            let late = self.runs_after(&self.new, ended + Duration::from_millis(1000));
+            assert_eq!(late, 0, "nothing goes to a version that was taken back");
+            let exposed = self.exposed(deadline);
+            assert!(exposed as f64 <= 0.1 * reached as f64 + 50.0, "{exposed} of {reached}");
+        } else {
+            let late = self.runs_after(&self.old, ended + Duration::from_millis(100));
+            assert_eq!(late, 0, "nothing goes to targets that were stopped");
+        }
+        println!("{last}: {exposed_at_end} of {reached} after {:?}", ended - ordered);
+        last
+    }
+
+    fn exposed(&self, until: Instant) -> usize {
+        let runs = self.new.iter().flat_map(Target::runs);
+        runs.filter(|it| it.at <= until).count()
+    }
+
+    fn reached(&self, from: Instant, until: Instant) -> usize {
+        let runs = self.new.iter().chain(&self.old).flat_map(Target::runs);
+        runs.filter(|it| (from..until).contains(&it.at)).count()
+    }
+
+    fn runs_after(&self, targets: &[Target], from: Instant) -> usize {
+        targets.iter().flat_map(Target::runs).filter(|it| from < it.at).count()
+    }
+}
+
+async fn play(new: Behaviour) -> String {
+    let mut fleet = Fleet::start(new, 3).await;
+    fleet.call();
+    fleet.order();
+    fleet.end(Instant::now()).await
+}
+
+#[tokio::test]
+async fn a_good_version_is_completed() {
+    assert_eq!(play(GOOD).await, "completed");
+}
+
+#[tokio::test]
+async fn a_version_that_fails_is_taken_back() {
+    assert_eq!(play(Behaviour::Bad(Badness::failures(30))).await, "rolled_back");
+}
+
+#[tokio::test]
+async fn a_version_that_fails_later_is_taken_back() {
+    let later = Badness { after: 8, ..Badness::failures(40) };
+    assert_eq!(play(Behaviour::Bad(later)).await, "rolled_back");
+}
+
+#[tokio::test]
+async fn a_version_that_fails_on_one_route_is_taken_back() {
+    let on_one = Badness { path: "/unsafe/", ..Badness::failures(50) };
+    assert_eq!(play(Behaviour::Bad(on_one)).await, "rolled_back");
+}
+
+#[tokio::test]
+async fn a_version_that_is_slow_is_taken_back() {
+    let slow = Badness { slow_ms: 120, ..Badness::failures(50) };
+    assert_eq!(play(Behaviour::Bad(slow)).await, "rolled_back");
+}
+
+#[tokio::test]
+async fn a_version_that_nobody_runs_is_rolled_back() {
+    let mut fleet = Fleet::start(GOOD, 2).await;
+    fleet.call();
+    fleet.store.order_rollout("plain", "v2", DURATION_S);
+    assert_eq!(fleet.end(Instant::now()).await, "rolled_back");
+}
+
+#[tokio::test]
+async fn an_order_withdrawn_is_rolled_back() {
+    let mut fleet = Fleet::start(GOOD, 2).await;
+    fleet.call();
+    fleet.order();
+    let ordered = Instant::now();
+    until(|| fleet.running().all(|it| it.rollout("plain") == Some(Phase::Canary))).await;
+    fleet.store.withdraw_rollout("plain");
+    assert_eq!(fleet.end(ordered).await, "rolled_back");
+}
+
+#[tokio::test]
+async fn without_a_driver_that_reads_the_store_nothing_goes_to_the_version() {
+    let mut fleet = Fleet::start(GOOD, 2).await;
+    fleet.call();
+    fleet.order();
+    until(|| fleet.running().all(|it| it.rollout("plain") == Some(Phase::Canary))).await;
+    fleet.gates.iter().for_each(|it| it.set_outage(Outage::Busy));
+    until(|| fleet.running().all(|it| it.rollout("plain").is_none())).await;
+    let silent = Instant::now();
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    assert_eq!(fleet.runs_after(&fleet.new, silent), 0);
+    fleet.gates.iter().for_each(|it| it.set_outage(Outage::None));
+    until(|| fleet.states().last().is_some_and(|it| it != "running")).await;
+}
+
+/// Each instance in turn is stopped, so whichever drives it is among them.
+#[tokio::test]
+async fn a_bad_version_is_taken_back_although_its_drivers_are_stopped() {
+    let mut fleet = Fleet::start(Behaviour::Bad(Badness::failures(30)), 3).await;
+    fleet.call();
+    fleet.order();
+    let ordered = Instant::now();
+    until(|| !fleet.states().is_empty()).await;
+    for index in 0..2 {
+        let stopped = fleet.instances[index].take().unwrap();
+        stopped.stop().await;
+        let seeds = fleet.seeds();
+        let name = format!("n-{index}");
+        fleet.instances[index] = Some(start_with_seeds(&name, &fleet.gates[index], &seeds));
+    }
+    assert_eq!(fleet.end(ordered).await, "rolled_back");
+}
+
+#[tokio::test]
+async fn an_instance_that_starts_after_the_end_knows_it() {
+    let mut fleet = Fleet::start(Behaviour::Bad(Badness::failures(40)), 2).await;
+    fleet.call();
+    fleet.order();
+    until(|| fleet.states().last().is_some_and(|it| it != "running")).await;
+    let gate = fleet.store.open_gate().await;
+    let started = start_with_seeds("n-late", &gate, &fleet.seeds());
+    until(|| started.rollout("plain") == Some(Phase::RolledBack)).await;
+    let address = started.listen().callers.parse().unwrap();
+    for id in 0..60 {
+        let answer = call(address, CallerRequest::new(&format!("late-{id}"), "/safe/")).await;
+        assert!(answer.unwrap().status.is_success());
+    }
+    // The others may hear of the end a moment later.
+    let runs = fleet.new.iter().flat_map(Target::runs);
+    assert_eq!(runs.filter(|it| it.request.starts_with("late-")).count(), 0);
+    assert_eq!(fleet.states().last().unwrap(), "rolled_back");
+    fleet.stop.store(true, Ordering::Release);
+}
