Roll-outs by permits of the driver, a phase under load, the command line, expected targets shown

Change: the driver gives permits against what has reached the service by all reports, recorded ahead; before traffic moves in full, few targets of the version get their full load. A driver that cannot read the store is replaced. holdpoint rollouts lists, starts, aborts and waits.

--- a/crates/holdpoint-core/src/rollout/gate.rs
+++ b/crates/holdpoint-core/src/rollout/gate.rs
@@ -9,7 +9,7 @@
     evacuation::Horizon,
     ids::{Millis, Name},
     rollout::{
-        exposure::{Bound, Exposure, is_wanted},
+        exposure::{Exposure, is_wanted},
         judge::{Answer, Observations},
         order::Order,
         phase::{Input, Phase},
@@ -27,7 +27,7 @@
     pub offset: Horizon,
     /// Where the roll-out stands.
     pub phase: Phase,
-    /// Requests to the version in all that this life of the instance may send while all traffic moves.
+    /// Requests to the version in all that this life of the instance may send before the roll-out ends.
     pub quota: u64,
     /// Routes from which answers are wanted most.
     pub wanted: Vec<Name>,
@@ -48,10 +48,10 @@
 #[derive(Clone, Debug)]
 pub struct Gate {
     order: Order,
-    bound: Bound,
     exposure: Exposure,
     answers: Observations,
     old_running: u64,
+    wants: u64,
     word: Word,
     /// Until when what the driver told holds.
     until: Millis,
@@ -59,16 +59,14 @@
 }
 
 impl Gate {
-    /// Begins with an order. `first_part` counts only where the order was written while the instance
-    /// ran.
-    pub fn new(order: Order, bound: Bound, first_part: f64) -> Gate {
-        let first_part = if order.is_witnessed { first_part } else { 0.0 };
+    /// Begins with an order.
+    pub fn new(order: Order) -> Gate {
         Gate {
             order,
-            bound,
-            exposure: Exposure::new(first_part),
+            exposure: Exposure::default(),
             answers: Observations::default(),
             old_running: 0,
+            wants: 1,
             word: Word::default(),
             until: 0,
             is_withdrawn: false,
@@ -104,14 +102,17 @@
     /// Whether requests may be under way to the version now.
     pub fn is_open(&self, now: Millis) -> bool {
         let phase = self.phase(now);
-        matches!(phase, Some(Phase::Canary | Phase::Full | Phase::Completed))
+        matches!(phase, Some(Phase::Canary | Phase::Loaded | Phase::Full | Phase::Completed))
     }
 
     /// Chooses for a request, and spends what it needs; `draw` is from 0 to 1 and even.
     pub fn lane(&mut self, now: Millis, route: &str, draw: f64, has_old: bool) -> Lane {
         let lane = self.lane_for(now, 1, has_old);
-        let is_first = is_wanted(&self.word.wanted, route, draw);
-        if lane == Lane::New && self.phase(now) == Some(Phase::Canary) && !is_first {
+        let is_drawn = match self.phase(now) {
+            Some(Phase::Canary) => is_wanted(&self.word.wanted, route, draw),
+            _ => true,
+        };
+        if lane == Lane::New && !is_drawn {
             return Lane::Old;
         }
         // Spent before a target is chosen, which may take a while: others are not to see it as free.
@@ -126,8 +127,9 @@
     pub fn lane_for(&self, now: Millis, count: u64, has_old: bool) -> Lane {
         let or_old = |is_new| if is_new { Lane::New } else { Lane::Old };
         match self.phase(now) {
-            Some(Phase::Canary) => or_old(count <= self.exposure.free(&self.bound)),
-            Some(Phase::Full) => or_old(self.exposure.exposed() + count <= self.word.quota),
+            Some(Phase::Canary | Phase::Loaded | Phase::Full) => {
+                or_old(self.exposure.exposed + count <= self.word.quota)
+            }
             Some(Phase::Completed) => Lane::New,
             // Nobody knows how it ended, and no other version is there to fall back on.
             _ if !has_old && self.order.until + FORGOTTEN_MS < now => Lane::Any,
@@ -135,14 +137,19 @@
         }
     }
 
+    /// Takes in how many requests go together, for which permits are needed.
+    pub fn wants(&mut self, count: u64) {
+        self.wants = count.max(1);
+    }
+
     /// Counts requests as sent to the service, whichever the version.
     pub fn reached(&mut self, count: u64) {
-        self.exposure.reach(count);
+        self.exposure.reached += count;
     }
 
     /// Counts requests as sent to the version.
     pub fn exposed(&mut self, count: u64) {
-        self.exposure.expose(count);
+        self.exposure.exposed += count;
     }
 
     /// Counts a request that runs at an old target, until [`Gate::old_ended`].
@@ -163,9 +170,10 @@
     /// What the driver is told.
     pub fn input(&self) -> Input {
         Input {
-            reached: self.exposure.reached(),
-            exposed: self.exposure.exposed(),
+            reached: self.exposure.reached,
+            exposed: self.exposure.exposed,
             old_running: self.old_running,
+            wants: self.wants,
             answers: self.answers.clone(),
         }
     }
--- a/crates/holdpoint-core/src/rollout/mod.rs
+++ b/crates/holdpoint-core/src/rollout/mod.rs
@@ -11,7 +11,7 @@
 pub mod order;
 pub mod phase;
 
-pub use exposure::{Bound, Exposure, is_wanted};
+pub use exposure::{Bound, Exposure, canary_targets, is_wanted};
 pub use gate::{Gate, Lane, Word};
 pub use judge::{Answer, Counts, Fault, Judge, Observations, RouteCounts, Verdict};
 pub use order::{Order, OrderRecord, Orders, ToldOrders};
--- a/crates/holdpoint-core/src/rollout/order.rs
+++ b/crates/holdpoint-core/src/rollout/order.rs
@@ -47,8 +47,6 @@
     pub duration_ms: Millis,
     /// When that time is over, by the clock of this instance.
     pub until: Millis,
-    /// Whether this instance was running when the order was written, rather than finding it.
-    pub is_witnessed: bool,
 }
 
 /// The orders in force, by service.
@@ -94,7 +92,6 @@
                         version: version.clone(),
                         duration_ms: *duration_ms,
                         until: now + duration_ms,
-                        is_witnessed: false,
                     };
                     next.orders.insert(service.clone(), order);
                 }
@@ -114,19 +111,12 @@
         if newer.horizon < self.horizon {
             return Vec::new();
         }
-        let had_read = self.horizon != 0;
         let before = std::mem::replace(self, newer);
         let mut changed: Vec<Name> = Vec::new();
         for (service, order) in &mut self.orders {
             match before.orders.get(service).filter(|it| it.offset == order.offset) {
-                Some(known) => {
-                    order.until = order.until.min(known.until);
-                    order.is_witnessed = known.is_witnessed;
-                }
-                None => {
-                    order.is_witnessed = had_read && before.horizon <= order.offset;
-                    changed.push(service.clone());
-                }
+                Some(known) => order.until = order.until.min(known.until),
+                None => changed.push(service.clone()),
             }
         }
         let withdrawn = before.orders.into_keys().filter(|it| !self.orders.contains_key(it));
@@ -134,14 +124,6 @@
         changed
     }
 
-    /// Takes in when an order's time is over, as whoever drove it first has recorded; a later end than
-    /// the one known is not believed.
-    pub fn end_by(&mut self, service: &str, offset: Horizon, until: Millis) {
-        if let Some(it) = self.orders.get_mut(service).filter(|it| it.offset == offset) {
-            it.until = it.until.min(until);
-        }
-    }
-
     /// How far the log is known.
     pub fn horizon(&self) -> Horizon {
         self.horizon
@@ -184,7 +166,6 @@
                 version: it.version,
                 duration_ms: it.duration_ms,
                 until: now + it.left_ms.min(it.duration_ms),
-                is_witnessed: false,
             };
             (it.service, order)
         };
--- a/crates/holdpoint/src/cli.rs
+++ b/crates/holdpoint/src/cli.rs
@@ -51,6 +51,7 @@
             check_settings(),
             declare(),
             domains(),
+            rollouts(),
             explain(),
             demo(),
             soak(),
@@ -99,6 +100,33 @@
         .subcommand(Command::new("restore").about("Give its targets work again").arg(name()))
 }
 
+fn rollouts() -> Command {
+    let service = || Arg::new("service").required(true).value_name("SERVICE").help("Service");
+    let wait =
+        || Arg::new("wait").long("wait").action(ArgAction::SetTrue).help("Wait until it has ended");
+    let start = Command::new("start")
+        .about("Move a service's traffic to targets of a version, unless it is worse")
+        .arg(service())
+        .arg(Arg::new("version").required(true).value_name("VERSION").help("Version"))
+        .arg(
+            Arg::new("within")
+                .long("within")
+                .value_name("TIME")
+                .default_value("60s")
+                .help("Time for it, as 30s or 5m"),
+        )
+        .arg(wait());
+    let abort = Command::new("abort")
+        .about("Withdraw the order for a service; its version gets nothing more")
+        .arg(service())
+        .arg(wait());
+    Command::new("rollouts")
+        .about("List roll-outs on the platform with their states, or start or abort one")
+        .arg(store())
+        .subcommand(start)
+        .subcommand(abort)
+}
+
 fn explain() -> Command {
     Command::new("explain")
         .about("Tells the story of one request from the logs of all instances")
--- a/crates/holdpoint/src/main.rs
+++ b/crates/holdpoint/src/main.rs
@@ -11,6 +11,7 @@
 mod judge;
 mod losses;
 mod output;
+mod rollouts;
 mod soak;
 mod store;
 
@@ -57,6 +58,7 @@
         }
         Some(("declare", it)) => experiments::declare(it).await,
         Some(("domains", it)) => domains::run(it, api::form(matches)).await,
+        Some(("rollouts", it)) => rollouts::run(it, api::form(matches)).await,
         Some(("explain", it)) => explain::run(it),
         Some(("demo", it)) => demo::run(it).await,
         Some(("soak", it)) => soak::run(it).await,
--- a/crates/holdpointd/src/ingress/attempts.rs
+++ b/crates/holdpointd/src/ingress/attempts.rs
@@ -98,15 +98,15 @@
             return self.choose(ctx).await;
         }
         let tried = self.tried.clone();
-        self.tried.extend(rollouts.closed(&ctx.service, lane));
+        self.tried.extend(rollouts.closed(now, &ctx.service, lane));
         let mut chosen = self.choose(ctx).await;
         if chosen.is_err() && lane == Lane::New {
             self.tried = tried.clone();
-            self.tried.extend(rollouts.closed(&ctx.service, Lane::Old));
+            self.tried.extend(rollouts.closed(now, &ctx.service, Lane::Old));
             chosen = self.choose(ctx).await;
         }
         self.tried = tried;
-        chosen
+        chosen.map(|(target, reason)| (target, format!("{reason} rollout={lane:?}")))
     }
 
     /// Chooses a target, with the reason for the log. Prompts are placed by one instance for all,
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -309,7 +309,7 @@
         let pieces = u64::from(of_service.batcher.sizes().pieces);
         let lane = shared.rollouts.piece_lane(now, service, pieces);
         if lane != of_service.lane {
-            let closed = shared.rollouts.closed(service, lane.unwrap_or(Lane::Any));
+            let closed = shared.rollouts.closed(now, service, lane.unwrap_or(Lane::Any));
             let targets = self.targets.lock().get(service).cloned().unwrap_or_default();
             of_service.set_lane(lane, &closed, &targets);
         }
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -298,11 +298,6 @@
         known.get(name).is_some_and(|it| it.life == life && !self.is_suspect(&it.address))
     }
 
-    /// Rank of this instance among the names of all.
-    pub(crate) fn rank(&self) -> usize {
-        self.known.lock().keys().filter(|it| **it < self.own_name).count()
-    }
-
     /// Tells the driver of a roll-out what this instance has seen; `None` where it does not answer.
     pub(crate) async fn roll_out(
         &self,
--- a/crates/holdpointd/src/ingress/rollouts.rs
+++ b/crates/holdpointd/src/ingress/rollouts.rs
@@ -21,8 +21,12 @@
     directory::{Directory, TargetId, TargetInstance},
     evacuation::{Evacuations, Horizon},
     ids::{Millis, Name},
-    rollout::{Answer, Bound, Gate, Input, Lane, OrderRecord, Orders, Phase, ToldOrders, Word},
+    rollout::{
+        Answer, Bound, Gate, Input, Lane, OrderRecord, Orders, Phase, ToldOrders, Word,
+        canary_targets,
+    },
     route::End,
+    subset::weight,
 };
 use holdpoint_schema::ingress::IngressSettings;
 use parking_lot::Mutex;
@@ -30,7 +34,10 @@
 use tokio::{sync::Notify, time::sleep};
 
 pub(crate) use self::running::Running;
-use self::{driver::Driven, record::Records};
+use self::{
+    driver::Driven,
+    record::{Record, Records},
+};
 use crate::{
     events::{self, emit},
     ingress::{batches::pump_all, context::Context, shared::IngressShared},
@@ -72,6 +79,8 @@
 struct Sides {
     old: Vec<TargetId>,
     new: Vec<TargetId>,
+    /// Those of the version that get nothing while it is not known to be good.
+    spared: Vec<TargetId>,
     /// How many of each may get work: neither leaving nor in an evacuated failure domain.
     open: (usize, usize),
 }
@@ -83,8 +92,9 @@
     sides: Sides,
     /// Name of the instance that drives it, where another one has told.
     driver: Option<Name>,
-    /// Since when nothing was heard of it.
-    quiet_since: Millis,
+    /// When the driver was last heard, and when its record was last read for want of that.
+    heard: Millis,
+    looked: Millis,
     /// Requests sent whose end was not counted.
     unanswered: HashSet<String>,
 }
@@ -143,7 +153,8 @@
             return;
         }
         for (service, local) in self.local.lock().iter_mut() {
-            local.sides = sides(directory, evacuations, service, &local.gate.order().version);
+            let version = local.gate.order().version.as_str();
+            local.sides = sides(directory, evacuations, (service, version, &self.bound));
         }
     }
 
@@ -177,13 +188,16 @@
     }
 
     /// Targets that a request in a lane may not go to.
-    pub(crate) fn closed(&self, service: &str, lane: Lane) -> Vec<TargetId> {
+    pub(crate) fn closed(&self, now: Millis, service: &str, lane: Lane) -> Vec<TargetId> {
         let local = self.local.lock();
         let Some(it) = local.get(service) else { return Vec::new() };
+        let phase = it.gate.phase(now);
+        let is_spared = matches!(phase, Some(Phase::Canary | Phase::Loaded));
+        let spared = it.sides.spared.iter().filter(|_| is_spared).cloned();
         match lane {
-            Lane::Any => Vec::new(),
+            Lane::Any => spared.collect(),
             Lane::Old => it.sides.new.clone(),
-            Lane::New => it.sides.old.clone(),
+            Lane::New => it.sides.old.iter().cloned().chain(spared).collect(),
         }
     }
 
@@ -192,8 +206,9 @@
         if !self.is_active() {
             return None;
         }
-        let local = self.local.lock();
-        let it = local.get(service)?;
+        let mut local = self.local.lock();
+        let it = local.get_mut(service)?;
+        it.gate.wants(pieces);
         let is_over = it.gate.phase(now) == Some(Phase::Completed);
         // Until then a busy target of the version keeps no piece from an idle one of another.
         let or_any = |lane| if lane == Lane::New && !is_over { Lane::Any } else { lane };
@@ -244,7 +259,8 @@
             (End::Whole(ms), _) => Answer::Good((!is_cold).then_some(ms)),
             (_, "target-failed" | "broken") => Answer::Failed,
             (_, "silent") => Answer::Silent,
-            (_, "declined" | "not-sent") => Answer::Refused,
+            // A target that takes no connection is none that answers badly.
+            (_, "declined") => Answer::Refused,
             _ => return,
         };
         let is_new = target.version == it.gate.order().version;
@@ -267,7 +283,8 @@
             gate,
             sides: Sides::default(),
             driver: None,
-            quiet_since: now,
+            heard: now,
+            looked: 0,
             unanswered: HashSet::new(),
         }
     }
@@ -285,8 +302,13 @@
     label("version", if is_new { "new" } else { "old" })
 }
 
-fn sides(directory: &Directory, evacuations: &Evacuations, service: &str, version: &str) -> Sides {
+fn sides(
+    directory: &Directory,
+    evacuations: &Evacuations,
+    (service, version, bound): (&str, &str, &Bound),
+) -> Sides {
     let mut sides = Sides::default();
+    let mut open_new: Vec<TargetId> = Vec::new();
     for it in directory.of_service(service) {
         let is_new = it.version == version;
         let is_open = !it.is_leaving && !evacuations.is_evacuated(&it.domain);
@@ -294,7 +316,14 @@
         side.push(it.id.clone());
         let open = if is_new { &mut sides.open.1 } else { &mut sides.open.0 };
         *open += usize::from(is_open);
+        if is_new && is_open {
+            open_new.push(it.id.clone());
+        }
     }
+    // All instances spare the same ones.
+    open_new.sort_by_cached_key(|it| weight(version, it));
+    let few = canary_targets(bound, sides.open.0, sides.open.1);
+    sides.spared = open_new.split_off(few.min(open_new.len()));
     sides
 }
 
@@ -338,11 +367,10 @@
         let order = rollouts.orders.lock().get(service).cloned();
         let detail = match &order {
             Some(it) => format!(
-                "service={service} version={} order={} left_ms={} witnessed={} source={source}",
+                "service={service} version={} order={} left_ms={} source={source}",
                 it.version,
                 it.offset,
                 it.until.saturating_sub(now),
-                it.is_witnessed
             ),
             None => format!("service={service} withdrawn=true source={source}"),
         };
@@ -350,10 +378,7 @@
         let mut local = rollouts.local.lock();
         match (order, local.get_mut(service)) {
             (Some(order), _) => {
-                let instances = shared.peers.instance_count();
-                let first_part = rollouts.bound.first_part(shared.peers.rank(), instances);
-                let gate = Gate::new(order, rollouts.bound, first_part);
-                let begun = Local::new(gate, now);
+                let begun = Local::new(Gate::new(order), now);
                 local.insert(service.clone(), begun);
             }
             (None, Some(it)) => it.gate.withdraw(),
@@ -387,7 +412,9 @@
     let (is_open, is_over, report) = {
         let local = rollouts.local.lock();
         let Some(it) = local.get(service) else { return };
-        let is_over = it.gate.phase(now).is_some_and(Phase::is_final);
+        // Until the old targets stop, the driver waits for what runs there.
+        let is_over = it.gate.phase(now).is_some_and(Phase::is_final)
+            && (it.gate.phase(now) == Some(Phase::RolledBack) || it.gate.order().until <= now);
         (it.gate.is_open(now), is_over, report(shared, it))
     };
     if driver::has_duty(shared, service) {
@@ -434,13 +461,19 @@
         }
         DriverAnswer::Nothing => {
             set_driver(shared, service, None);
-            driver::recorded_end(shared, service).await
+            match driver::recorded(shared, service).await {
+                Some(Record { phase, order, .. }) if phase.is_final() => {
+                    Some(Word { offset: order, phase, ..Word::default() })
+                }
+                Some(it) => return set_driver(shared, service, Some(it.driver)),
+                None => None,
+            }
         }
     };
     let Some(word) = word else { return };
     let mut local = shared.rollouts.local.lock();
     let Some(it) = local.get_mut(service) else { return };
-    it.quiet_since = asked;
+    it.heard = asked;
     // It holds from when it was asked for: the answer may have been long on its way.
     it.gate.hear(word, asked + shared.rollouts.lease_ms);
 }
--- a/crates/holdpointd/src/ingress/rollouts/driver.rs
+++ b/crates/holdpointd/src/ingress/rollouts/driver.rs
@@ -12,7 +12,8 @@
 use holdpoint_adapter::rollouts::Status;
 use holdpoint_core::{
     ids::{Millis, Name},
-    rollout::{Order, Phase, Reason, Rollout, State, Word},
+    rollout::{Bound, Order, Phase, Reason, Rollout, State, Word},
+    subset::weight,
 };
 
 use crate::{
@@ -30,12 +31,14 @@
 const CHECK_MS: Millis = 500;
 /// How long that holds, in milliseconds: a check and a call that takes its longest time.
 const CHECKED_MS: Millis = 1500;
-/// Time from the end of a roll-out to its status, in milliseconds: all instances have heard of it, and
-/// none sends anything to targets that are stopped then.
-const TELL_MS: Millis = 300;
 /// How long an instance hears nothing of a roll-out before it reads the record by itself, and how often
 /// it does, in milliseconds.
 const QUIET_MS: Millis = 1000;
+/// How long nothing is heard before any instance may take a roll-out over, in milliseconds: its driver is
+/// live and cannot read the store. Instances wait longer by different parts of a second.
+const DEAF_MS: Millis = 2000;
+/// The longest of these parts.
+const DEAF_SPREAD_MS: f64 = 1000.0;
 
 /// One roll-out at the instance that drives it, or would.
 pub(super) struct Driven {
@@ -48,11 +51,10 @@
     end: u64,
     /// When the record was last known to be as this instance believes.
     checked: Option<Millis>,
-    spent: u64,
     /// What operators were told.
     told: Option<State>,
-    /// When its end was recorded.
-    ended: Millis,
+    /// When this instance last tried to find out whether it drives it.
+    tried: Option<Millis>,
     /// A phase that is decided and not recorded.
     decided: Option<Phase>,
 }
@@ -77,7 +79,15 @@
     };
     let is_mine = found.is_some_and(|it| it.is_mine);
     let is_over = is_done && found.is_some_and(is_same);
-    !is_over && (is_mine || (is_owner && is_ordered))
+    !is_over && (is_mine || ((is_owner || is_deaf(shared, service)) && is_ordered))
+}
+
+/// Whether nothing was heard of a roll-out for so long that this instance may take it over.
+fn is_deaf(shared: &IngressShared, service: &str) -> bool {
+    let own = weight(service, &shared.settings.instance) as f64 / u64::MAX as f64;
+    let patience = DEAF_MS + (DEAF_SPREAD_MS * own) as Millis;
+    let local = shared.rollouts.local.lock();
+    local.get(service).is_some_and(|it| it.heard + patience <= shared.clock.now())
 }
 
 /// Decides what is due for a service's roll-out.
@@ -88,22 +98,16 @@
         check(shared, service).await;
     }
     let Some((phase, reason)) = due(shared, service, order.is_none()) else {
+        record(shared, service, None).await;
         return tell(shared, service).await;
     };
-    if !needs_record(phase) {
-        return enter(shared, service, phase, &reason);
-    }
-    if record(shared, service, phase).await {
+    // Another driver begins with a canary anew; only the end has to outlive this one.
+    if !phase.is_final() || record(shared, service, Some(phase)).await {
         enter(shared, service, phase, &reason);
     }
     tell(shared, service).await;
 }
 
-/// Whether a phase has to outlive the driver. A canary begins anew with another one.
-fn needs_record(phase: Phase) -> bool {
-    phase.is_final() || phase == Phase::Full
-}
-
 fn begin(shared: &IngressShared, service: &str, order: Option<&Order>) {
     let Some(order) = order else { return };
     let mut driven = shared.rollouts.driven.lock();
@@ -115,16 +119,15 @@
 }
 
 impl Driven {
-    fn new(now: Millis, order: Order, bound: holdpoint_core::rollout::Bound, spent: u64) -> Driven {
+    fn new(now: Millis, order: Order, bound: Bound, spent: u64) -> Driven {
         Driven {
             rollout: Rollout::new(now, order, bound, spent),
             is_mine: false,
             other: None,
             end: 0,
             checked: None,
-            spent,
             told: None,
-            ended: 0,
+            tried: None,
             decided: None,
         }
     }
@@ -144,13 +147,18 @@
     let driven = shared.rollouts.driven.lock();
     driven.get(service).is_some_and(|it| {
         let is_old = it.checked.is_none_or(|it| it + CHECK_MS <= now);
-        is_old || !it.is_mine
+        let is_first = it.is_mine || it.tried.is_none_or(|it| it + CHECK_MS <= now);
+        is_old && is_first
     })
 }
 
 /// Reads the record, and takes the roll-out over where the record names nobody who lives.
 async fn check(shared: &Arc<IngressShared>, service: &str) {
     let begun = shared.clock.now();
+    let is_deaf = is_deaf(shared, service);
+    if let Some(it) = shared.rollouts.driven.lock().get_mut(service) {
+        it.tried = Some(begun);
+    }
     let mut records = shared.rollouts.records.lock().await;
     let Ok((found, end)) = records.read(service).await else { return };
     let claim = {
@@ -159,7 +167,7 @@
         it.end = end;
         let offset = it.rollout.offset();
         let of_order = found.filter(|it| it.order == offset);
-        if !take_in(shared, it, of_order.as_ref(), begun) {
+        if !take_in(shared, it, of_order.as_ref(), (begun, is_deaf)) {
             return;
         }
         it.checked = None;
@@ -184,14 +192,13 @@
     shared: &IngressShared,
     driven: &mut Driven,
     record: Option<&Record>,
-    begun: Millis,
+    (begun, is_deaf): (Millis, bool),
 ) -> bool {
     let Some(record) = record else { return true };
     let is_own = record.driver == shared.settings.instance && record.life == shared.own_peer().life;
     if record.phase.is_final() {
         if !driven.rollout.phase().is_final() || driven.rollout.phase() != record.phase {
             driven.rollout.end(begun, record.phase);
-            driven.ended = begun;
         }
         driven.decided = None;
     }
@@ -199,7 +206,7 @@
         (driven.is_mine, driven.other, driven.checked) = (true, None, Some(begun));
         return false;
     }
-    if shared.peers.is_life(&record.driver, &record.life) {
+    if shared.peers.is_life(&record.driver, &record.life) && !is_deaf {
         if driven.is_mine {
             let detail = format!("driver={} drives=false", record.driver);
             emit(events::ROLLOUT_DRIVER, &shared.settings.instance, &detail);
@@ -239,30 +246,34 @@
     due
 }
 
-/// Records a phase; whether it is recorded.
-async fn record(shared: &Arc<IngressShared>, service: &str, phase: Phase) -> bool {
+/// Records the end, or else the permits that are to be given, if more are needed; whether that is recorded.
+async fn record(shared: &Arc<IngressShared>, service: &str, end: Option<Phase>) -> bool {
     let mut records = shared.rollouts.records.lock().await;
     let begun = shared.clock.now();
-    let (record, end) = {
+    let (record, at) = {
         let driven = shared.rollouts.driven.lock();
         let Some(it) = driven.get(service) else { return false };
-        let spent = if phase == Phase::Full { it.rollout.most_exposed() } else { it.spent };
+        let reserve = it.rollout.reserve_due().filter(|_| it.is_trusted(begun));
+        if end.is_none() && reserve.is_none() {
+            return false;
+        }
         let record = Record {
             order: it.rollout.offset(),
             driver: shared.settings.instance.clone(),
             life: shared.own_peer().life,
-            phase,
-            spent,
+            phase: end.unwrap_or_default(),
+            spent: reserve.unwrap_or(it.rollout.reserve()),
             until: on_wall(shared, it.rollout.order().until),
         };
         (record, it.end)
     };
-    let written = records.write(service, &record, end).await;
+    let written = records.write(service, &record, at).await;
     let mut driven = shared.rollouts.driven.lock();
     let Some(it) = driven.get_mut(service) else { return false };
     match written {
         Ok(end) => {
-            (it.end, it.checked, it.spent) = (end, Some(begun), record.spent);
+            (it.end, it.checked) = (end, Some(begun));
+            it.rollout.reserved(record.spent);
             true
         }
         Err(cause) => {
@@ -281,9 +292,6 @@
     let Some(it) = driven.get_mut(service) else { return };
     it.rollout.enter(now, phase);
     it.decided = None;
-    if phase.is_final() {
-        it.ended = now;
-    }
     let (reached, exposed) = it.rollout.totals();
     let (answers, failures) = it.rollout.answers();
     let order = it.rollout.order();
@@ -305,8 +313,7 @@
         let driven = shared.rollouts.driven.lock();
         let Some(it) = driven.get(service).filter(|it| it.is_trusted(now)) else { return };
         let state = it.rollout.phase().state();
-        let is_early = state == State::Completed && now < it.ended + TELL_MS;
-        if it.told == Some(state) || is_early {
+        if it.told == Some(state) || !it.rollout.may_tell(now) {
             return;
         }
         let version = it.rollout.order().version.clone();
@@ -341,36 +348,34 @@
     if it.rollout.offset() != offset {
         return DriverAnswer::Nothing;
     }
-    if !it.rollout.phase().is_final() {
-        if let (false, Some(other)) = (it.is_mine, &it.other) {
-            return DriverAnswer::Other(other.clone());
-        }
-        it.rollout.tell(now, &instance, life, input);
-        if !it.is_trusted(now) {
-            return DriverAnswer::Nothing;
-        }
+    let is_over = it.rollout.phase().is_final();
+    if let (false, false, Some(other)) = (is_over, it.is_mine, &it.other) {
+        return DriverAnswer::Other(other.clone());
+    }
+    it.rollout.tell(now, &instance, life, input);
+    if !is_over && !it.is_trusted(now) {
+        return DriverAnswer::Nothing;
     }
     let quota = it.rollout.quota(&instance, life);
     let wanted = it.rollout.wanted();
     DriverAnswer::Word(Word { offset, phase: it.phase_told(), quota, wanted })
 }
 
-/// How a roll-out has ended, as its record says, where nothing was heard of it for a while.
-pub(super) async fn recorded_end(shared: &Arc<IngressShared>, service: &str) -> Option<Word> {
+/// The record of a roll-out, where nothing was heard of it for a while.
+pub(super) async fn recorded(shared: &Arc<IngressShared>, service: &str) -> Option<Record> {
     let now = shared.clock.now();
     let offset = {
         let mut local = shared.rollouts.local.lock();
         let it = local.get_mut(service)?;
-        if now < it.quiet_since + QUIET_MS {
+        if now < it.heard + QUIET_MS || now < it.looked + QUIET_MS {
             return None;
         }
-        it.quiet_since = now;
+        it.looked = now;
         it.gate.order().offset
     };
     let mut records = shared.rollouts.records.lock().await;
     let (record, _) = records.read(service).await.ok()?;
-    let ended = record.filter(|it| it.order == offset && it.phase.is_final())?;
-    Some(Word { offset, phase: ended.phase, ..Word::default() })
+    record.filter(|it| it.order == offset)
 }
 
 /// A time of this instance's clock as the clock on the wall shows it.
--- a/crates/holdpointd/src/ingress/rollouts/record.rs
+++ b/crates/holdpointd/src/ingress/rollouts/record.rs
@@ -27,9 +27,9 @@
     /// Instance that drives it, and its life.
     pub(super) driver: Name,
     pub(super) life: String,
-    /// Where it stands, as far as that must outlive the driver: waiting, full or final.
+    /// How it has ended; waiting where it has not.
     pub(super) phase: Phase,
-    /// Requests that the version may have got under quotas.
+    /// Permits that are given, or may be.
     pub(super) spent: u64,
     /// When the order's time is over, by the clock on the wall, in milliseconds.
     pub(super) until: Millis,
