--- a/crates/holdpoint-core/src/rollout/gate.rs
+++ b/crates/holdpoint-core/src/rollout/gate.rs
@@ -16,8 +16,8 @@
     },
 };
 
-/// How long after an order's deadline its version is held back where nothing is known of its end and
-/// no other version is left, in milliseconds.
+/// How long after an order's deadline its version is held back where it is not known to be completed and
+/// no other version is left, and how long other versions are held back where it is, in milliseconds.
 const FORGOTTEN_MS: Millis = 30_000;
 
 /// What the driver of a roll-out tells an instance.
@@ -130,13 +130,19 @@
             Some(Phase::Canary | Phase::Loaded | Phase::Full) => {
                 or_old(self.exposure.exposed + count <= self.word.quota)
             }
+            // By then the old targets are gone, and others may come that have a later version.
+            Some(Phase::Completed) if self.is_forgotten(now) => Lane::Any,
             Some(Phase::Completed) => Lane::New,
             // Nobody knows how it ended, and no other version is there to fall back on.
-            _ if !has_old && self.order.until + FORGOTTEN_MS < now => Lane::Any,
+            _ if !has_old && self.is_forgotten(now) => Lane::Any,
             _ => Lane::Old,
         }
     }
 
+    fn is_forgotten(&self, now: Millis) -> bool {
+        self.order.until + FORGOTTEN_MS < now
+    }
+
     /// Takes in how many requests go together, for which permits are needed.
     pub fn wants(&mut self, count: u64) {
         self.wants = count.max(1);
--- a/crates/holdpoint-core/src/rollout/phase.rs
+++ b/crates/holdpoint-core/src/rollout/phase.rs
@@ -52,7 +52,7 @@
 const LOADED_START: f64 = 10.0;
 /// Permits that are recorded ahead: each record is a call of the store, and what is left of them is lost
 /// where the driver changes.
-const RESERVE: u64 = 20;
+const RESERVE: u64 = 8;
 
 /// Where a roll-out stands.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -218,7 +218,8 @@
         }
     }
 
-    /// Takes in when the time is over, as an earlier driver recorded; a later end is not believed.
+    /// Takes in when the time is over, as an earlier driver recorded or an instance knows; a later end is
+    /// not believed.
     pub fn end_by(&mut self, until: Millis) {
         self.order.until = self.order.until.min(until);
     }
--- a/crates/holdpointd/src/ingress/rollouts.rs
+++ b/crates/holdpointd/src/ingress/rollouts.rs
@@ -59,6 +59,8 @@
     /// Name of the instance, and its life.
     instance: Name,
     life: u64,
+    /// How much of the order's time is left, as it knows.
+    left_ms: Millis,
     /// What it has seen.
     input: Input,
 }
@@ -381,6 +383,9 @@
                 let begun = Local::new(Gate::new(order), now);
                 local.insert(service.clone(), begun);
             }
+            (None, Some(it)) if it.gate.phase(now).is_some_and(Phase::is_final) => {
+                local.remove(service);
+            }
             (None, Some(it)) => it.gate.withdraw(),
             (None, None) => (),
         }
@@ -435,6 +440,7 @@
         offset: local.gate.order().offset,
         instance: shared.settings.instance.clone(),
         life: shared.life,
+        left_ms: local.gate.order().until.saturating_sub(shared.clock.now()),
         input: local.gate.input(),
     }
 }
--- a/crates/holdpointd/src/ingress/rollouts/driver.rs
+++ b/crates/holdpointd/src/ingress/rollouts/driver.rs
@@ -344,7 +344,7 @@
     let now = shared.clock.now();
     let mut driven = shared.rollouts.driven.lock();
     let Some(it) = driven.get_mut(service) else { return DriverAnswer::Nothing };
-    let RolloutReport { offset, instance, life, input } = report;
+    let RolloutReport { offset, instance, life, left_ms, input } = report;
     if it.rollout.offset() != offset {
         return DriverAnswer::Nothing;
     }
@@ -352,6 +352,8 @@
     if let (false, false, Some(other)) = (is_over, it.is_mine, &it.other) {
         return DriverAnswer::Other(other.clone());
     }
+    // Whoever has seen the order earlier knows its deadline better.
+    it.rollout.end_by(now + left_ms);
     it.rollout.tell(now, &instance, life, input);
     if !is_over && !it.is_trusted(now) {
         return DriverAnswer::Nothing;
