--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -60,6 +60,9 @@
     /// Name of the policy of a trial's arm, if the request falls to one.
     #[serde(default)]
     pub(crate) policy: Option<Name>,
+    /// Bytes that the target fetches, by the failure domain that they lie in.
+    #[serde(default)]
+    pub(crate) inputs: Vec<(Name, u64)>,
 }
 
 /// What ingress instances ask of each other.
@@ -127,10 +130,13 @@
             tried: &prompt.avoided,
             cap: u32::MAX,
             share: Share::Whole,
+            inputs: &prompt.inputs,
         };
         let policy = prompt.policy.and_then(|it| self.shared.experiments.now().policy(&it));
         let now = self.shared.clock.now();
-        let placed = self.shared.pools.of(now, &service).place(now, policy.as_deref(), &call);
+        let pool = self.shared.pools.of(now, &service);
+        let region = Some(self.shared.topology.own_region());
+        let placed = pool.place(now, policy.as_deref(), &call, region);
         placed.ok().map(|it| it.address)
     }
 
--- a/crates/holdpointd/src/ingress/rollouts.rs
+++ b/crates/holdpointd/src/ingress/rollouts.rs
@@ -40,7 +40,7 @@
 };
 use crate::{
     events::{self, emit},
-    ingress::{batches::pump_all, context::Context, shared::IngressShared},
+    ingress::{batches::pump_all, context::Context, peers::Owners, shared::IngressShared},
     metrics::label,
 };
 
@@ -449,7 +449,8 @@
 async fn ask(shared: &Arc<IngressShared>, service: &str, report: RolloutReport) -> DriverAnswer {
     let named = shared.rollouts.local.lock().get(service).and_then(|it| it.driver.clone());
     let named = named.and_then(|it| shared.peers.live_address(&it));
-    let Some(address) = named.or_else(|| shared.peers.owner_of(&driver::key(service))) else {
+    let Some(address) = named.or_else(|| shared.peers.owner_of(Owners::Any, &driver::key(service)))
+    else {
         return answer(shared, service, report);
     };
     let told = shared.peers.roll_out(shared, &address, service, report).await;
--- a/crates/holdpointd/src/ingress/rollouts/driver.rs
+++ b/crates/holdpointd/src/ingress/rollouts/driver.rs
@@ -19,6 +19,7 @@
 use crate::{
     events::{self, emit},
     ingress::{
+        peers::Owners,
         rollouts::{
             DriverAnswer, RolloutReport,
             record::{Record, Unwritten},
@@ -66,7 +67,7 @@
 
 /// Whether it falls to this instance to drive a service's roll-out.
 pub(super) fn has_duty(shared: &IngressShared, service: &str) -> bool {
-    let is_owner = shared.peers.owner_of(&key(service)).is_none();
+    let is_owner = shared.peers.owner_of(Owners::Any, &key(service)).is_none();
     let is_ordered = shared.rollouts.orders.lock().get(service).is_some();
     let driven = shared.rollouts.driven.lock();
     let found = driven.get(service);
