--- a/crates/holdpoint-core/src/lib.rs
+++ b/crates/holdpoint-core/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod readers;
 pub mod regions;
 pub mod retry;
+pub mod rollout;
 pub mod route;
 pub mod snapshot;
 pub mod spill;
--- a/crates/holdpointd/src/ingress/follow.rs
+++ b/crates/holdpointd/src/ingress/follow.rs
@@ -22,6 +22,7 @@
         news::{Content, Known, Place, TargetList, Update, WAIT},
         packed::peers_digest,
         peers::Sources,
+        rollouts,
         shared::IngressShared,
         watch,
     },
@@ -150,6 +151,7 @@
             place: Some(Place { digest: shared.digest(), ..*place }),
             wants_large: is_far_from_store(shared),
             orders: Some(shared.domains.horizon()),
+            rollouts: Some(shared.rollouts.horizon()),
             peers_digest: Some(peers_digest(&shared.instances())),
             is_relay,
         };
@@ -272,6 +274,9 @@
 ) -> Version {
     let known = Known::configuration_only(shared, wants_large);
     let Ok(update) = shared.peers.follow(shared, address, known, limit).await else { return 0 };
+    if let Some(it) = update.rollouts.clone() {
+        rollouts::take_over(shared, it.taken(shared.clock.now()), "peer");
+    }
     if let Some(it) = update.evacuations.clone() {
         domains::take_over(shared, it, "peer");
     }
--- a/crates/holdpointd/src/ingress/intake.rs
+++ b/crates/holdpointd/src/ingress/intake.rs
@@ -13,6 +13,7 @@
         news::{Content, News, TargetList, Update},
         packed::{Unreadable, decompress, unpack},
         peers::Peer,
+        rollouts,
         shared::IngressShared,
     },
 };
@@ -30,7 +31,11 @@
 
 /// Takes in what another instance tells.
 pub(crate) fn take_in(shared: &Arc<IngressShared>, update: Update) -> Taken {
-    // Before what makes an instance ready: one that starts gives an evacuated domain no work.
+    // Before what makes an instance ready: one that starts gives an evacuated domain and a version that
+    // is rolled out no work.
+    if let Some(it) = update.rollouts.clone() {
+        rollouts::take_over(shared, it.taken(shared.clock.now()), "peer");
+    }
     if let Some(it) = update.evacuations.clone() {
         domains::take_over(shared, it, "peer");
     }
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -30,6 +30,7 @@
 mod regions;
 mod releases;
 mod request;
+mod rollouts;
 mod send;
 mod shared;
 mod spill;
@@ -46,7 +47,7 @@
 };
 
 use error_stack::{Report, ResultExt};
-use holdpoint_core::{directory::TargetInstance, ids::Name, ingress::Version};
+use holdpoint_core::{directory::TargetInstance, ids::Name, ingress::Version, rollout::Phase};
 use holdpoint_schema::ingress::{IngressSettings, Listen};
 use tokio::time::{interval, sleep, timeout};
 
@@ -99,6 +100,7 @@
         if shared.topology.is_split() {
             tokio::spawn(spill::run(shared.clone()));
         }
+        tokio::spawn(rollouts::run(shared.clone()));
         tokio::spawn(tick(shared.clone()));
         emit(events::STARTED, &shared.settings.instance, &format!("callers={}", listen.callers));
         Ok(Ingress { shared })
@@ -145,6 +147,11 @@
         self.shared.domains.state().domains().cloned().collect()
     }
 
+    /// Where the roll-out of a service stands, as far as this instance knows.
+    pub fn rollout(&self, service: &str) -> Option<Phase> {
+        self.shared.rollouts.phase(self.shared.clock.now(), service)
+    }
+
     /// Stops as planned: not ready at once, new work while the balancer notices, then the end of
     /// all that is in flight, within the grace that the platform gives.
     pub async fn stop(self) -> Ended {
--- a/crates/holdpointd/src/ingress/news.rs
+++ b/crates/holdpointd/src/ingress/news.rs
@@ -15,6 +15,7 @@
     evacuation::{Evacuations, Horizon},
     ids::{Millis, Name},
     ingress::Version,
+    rollout::ToldOrders,
 };
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
@@ -74,6 +75,9 @@
     /// How far it knows the log of orders for failure domains; peers of earlier versions know none.
     #[serde(default)]
     pub(crate) orders: Option<Horizon>,
+    /// How far it knows that log's orders to roll out versions; peers of earlier versions know none.
+    #[serde(default)]
+    pub(crate) rollouts: Option<Horizon>,
     /// Hash of the peers that it knows, if it reads [`Content::Packed`]; peers of earlier versions do
     /// not.
     #[serde(default)]
@@ -94,6 +98,7 @@
             place: None,
             wants_large,
             orders,
+            rollouts: Some(shared.rollouts.horizon()),
             // Without a place, no peers are told.
             peers_digest: Some(0),
             is_relay: false,
@@ -124,6 +129,9 @@
     /// The failure domains that are evacuated, where more is known than the asker knows.
     #[serde(default)]
     pub(crate) evacuations: Option<Evacuations>,
+    /// The orders to roll out versions, where more is known than the asker knows.
+    #[serde(default)]
+    pub(crate) rollouts: Option<ToldOrders>,
     /// Whether the instance that answers knows the peers as the store has them, rather than a few that it
     /// has met; peers of earlier versions do not tell.
     #[serde(default)]
@@ -182,6 +190,9 @@
     domain: Name,
     slots: u32,
     is_leaving: bool,
+    /// Version of their software; peers of earlier versions tell none.
+    #[serde(default)]
+    version: String,
     /// Id, address and sequence of each.
     members: Vec<(TargetId, String, u64)>,
 }
@@ -189,15 +200,17 @@
 impl TargetList {
     /// Makes the list of a directory.
     pub(crate) fn new(now: Millis, directory: &Directory) -> TargetList {
-        let mut groups: BTreeMap<(&str, &str, u32, bool), Vec<_>> = BTreeMap::new();
+        let mut groups: BTreeMap<(&str, &str, u32, bool, &str), Vec<_>> = BTreeMap::new();
         for it in directory.listed() {
-            let common = (it.service.as_str(), it.domain.as_str(), it.slots, it.is_leaving);
+            let (service, version) = (it.service.as_str(), it.version.as_str());
+            let common = (service, it.domain.as_str(), it.slots, it.is_leaving, version);
             let member = (it.id.clone(), it.address.clone(), it.sequence);
             groups.entry(common).or_default().push(member);
         }
-        let group = |((service, domain, slots, is_leaving), members): ((&str, &str, _, _), _)| {
+        type Common<'a> = (&'a str, &'a str, u32, bool, &'a str);
+        let group = |((service, domain, slots, is_leaving, version), members): (Common<'_>, _)| {
             let (service, domain) = (service.to_owned(), domain.to_owned());
-            TargetGroup { service, domain, slots, is_leaving, members }
+            TargetGroup { service, domain, slots, is_leaving, version: version.to_owned(), members }
         };
         TargetList {
             listed: groups.into_iter().map(group).collect(),
@@ -216,7 +229,7 @@
         let cold: HashMap<TargetId, Millis> = self.cold.into_iter().collect();
         let cold = &cold;
         let targets = self.listed.into_iter().flat_map(|group| {
-            let TargetGroup { service, domain, slots, is_leaving, members } = group;
+            let TargetGroup { service, domain, slots, is_leaving, version, members } = group;
             members.into_iter().map(move |(id, address, sequence)| TargetInstance {
                 cold_left_ms: cold.get(&id).copied(),
                 id,
@@ -226,6 +239,7 @@
                 slots,
                 is_leaving,
                 sequence,
+                version: version.clone(),
             })
         });
         (targets.collect(), self.lapsed)
@@ -268,6 +282,8 @@
     let age_ms = shared.fresh_age();
     let steady_ms = shared.steady_ms();
     let evacuations = knows_less(shared, &known).then(|| shared.domains.state());
+    let is_unknown = known.rollouts.is_some_and(|it| it < shared.rollouts.horizon());
+    let rollouts = is_unknown.then(|| shared.rollouts.told(shared.clock.now()));
     Update {
         life: shared.life,
         revision,
@@ -277,6 +293,7 @@
         configuration,
         packed_configuration,
         evacuations,
+        rollouts,
         knows_peers: Some(shared.peers.were_read()),
         content,
     }
@@ -327,4 +344,5 @@
 /// Whether an asker knows less of the orders for failure domains.
 fn knows_less(shared: &IngressShared, known: &Known) -> bool {
     known.orders.is_some_and(|it| it < shared.domains.horizon())
+        || known.rollouts.is_some_and(|it| it < shared.rollouts.horizon())
 }
--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -30,6 +30,7 @@
     news::{self, Known, Update},
     piece_ask::{PieceAsk, PieceResult},
     releases::tell_makers,
+    rollouts::{self, DriverAnswer, RolloutReport},
     shared::IngressShared,
 };
 
@@ -97,6 +98,8 @@
     /// Takes places that this instance has borrowed of a service in another region; how long the stage
     /// takes there, in milliseconds.
     async fn borrow(service: Name, region: Name, places: u32) -> Option<Millis>;
+    /// Takes in what an instance has seen of a roll-out, and tells where it stands.
+    async fn roll_out(service: Name, report: RolloutReport) -> DriverAnswer;
     /// Tells what is new to an asker who knows so much; waits for a while until something is.
     async fn follow(known: Known) -> Update;
 }
@@ -191,6 +194,15 @@
         self.shared.regions.spill.take(now, (service, region), places)
     }
 
+    async fn roll_out(
+        self,
+        _: context::Context,
+        service: Name,
+        report: RolloutReport,
+    ) -> DriverAnswer {
+        rollouts::answer(&self.shared, &service, report)
+    }
+
     async fn follow(self, _: context::Context, known: Known) -> Update {
         news::answer(&self.shared, known).await
     }
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -33,6 +33,7 @@
     peer_service::{CONFINES, LENDING, PromptAsk},
     piece_ask::{PieceAsk, PieceResult},
     regions::owner_of,
+    rollouts::{DriverAnswer, RolloutReport},
     shared::IngressShared,
 };
 
@@ -42,6 +43,8 @@
 pub(crate) const PLACE_LIMIT: Duration = Duration::from_millis(60);
 /// How long a peer may take to release results.
 const RELEASE_LIMIT: Duration = Duration::from_millis(350);
+/// How long the driver of a roll-out may take to answer; what it last told holds for longer.
+const ROLL_OUT_LIMIT: Duration = Duration::from_millis(300);
 
 /// Among whom the owner of a service is chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -275,6 +278,12 @@
         if self.batching == Batching::Own {
             return None;
         }
+        self.owner_of(owners, service)
+    }
+
+    /// Address of the peer that does under a key what one of some instances does for all; `None` where
+    /// this instance does.
+    pub(crate) fn owner_of(&self, owners: Owners<'_>, key: &str) -> Option<String> {
         let known = self.known.lock();
         let capacity = |name: &str| known.get(name).map_or(self.own_capacity, |it| it.capacity);
         let is_among = |name: &&str| match owners {
@@ -283,7 +292,7 @@
         };
         let among = self.live(&known).filter(is_among);
         let live: Vec<_> = among.map(|it| (it, capacity(it))).collect();
-        let chosen = owner(service, strong(&live).into_iter())?;
+        let chosen = owner(key, strong(&live).into_iter())?;
         known.get(chosen).map(|it| it.address.clone())
     }
 
@@ -401,6 +410,33 @@
         link.client.borrow(context_for(limit), service, region, places).await.ok()?
     }
 
+    /// Address of an instance that works for others, this one left out; `None` where it does not.
+    pub(crate) fn live_address(&self, name: &str) -> Option<String> {
+        let address = self.known.lock().get(name).map(|it| it.address.clone())?;
+        (!self.links.is_suspect(&address)).then_some(address)
+    }
+
+    /// Whether a life of an instance works for others, this one left out.
+    pub(crate) fn is_life(&self, name: &str, life: &str) -> bool {
+        let known = self.known.lock();
+        known.get(name).is_some_and(|it| it.life == life && !self.links.is_suspect(&it.address))
+    }
+
+    /// Tells the driver of a roll-out what this instance has seen; `None` where it does not answer.
+    pub(crate) async fn roll_out(
+        &self,
+        shared: &Arc<IngressShared>,
+        address: &str,
+        service: &str,
+        report: RolloutReport,
+    ) -> Option<DriverAnswer> {
+        let asked = async {
+            let link = self.links.get(shared, address).await.ok()?;
+            link.client.roll_out(context_for(ROLL_OUT_LIMIT), service.to_owned(), report).await.ok()
+        };
+        tokio::time::timeout(ROLL_OUT_LIMIT, asked).await.ok()?
+    }
+
     /// Has a peer give up results.
     pub(crate) async fn give_up(
         &self,
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -41,6 +41,7 @@
         pools::Pools,
         regions::Regions,
         releases::Releases,
+        rollouts::Rollouts,
     },
     metrics::Metrics,
     shared::{InFlight, Lazy},
@@ -79,6 +80,8 @@
     pub(crate) domains: Domains,
     /// What is known of requests that are confined to regions.
     pub(crate) confinements: Confinements,
+    /// Versions that are rolled out.
+    pub(crate) rollouts: Rollouts,
     /// Policies and trials that operators declared.
     pub(crate) experiments: Declared,
     pub(crate) in_flight: Arc<InFlight>,
@@ -143,6 +146,7 @@
             regions: Regions::new(&settings),
             domains: Domains::default(),
             confinements: Confinements::default(),
+            rollouts: Rollouts::new(&settings),
             experiments: Declared::default(),
             in_flight: Arc::default(),
             closing: watch::channel(false).0,
@@ -267,6 +271,7 @@
 
     fn apply(&self, directory: &Directory) {
         let evacuations = self.domains.state();
+        self.rollouts.set_targets(directory, &evacuations);
         self.pools.set_targets(self.clock.now(), directory, &evacuations);
         self.batches.set_targets(directory, &evacuations, &self.topology);
         self.regions.set_targets(directory, &evacuations, &self.topology);
@@ -369,11 +374,17 @@
         });
     }
 
-    /// A target instance that is known and may get new work: it is not leaving, and its failure domain
-    /// is not evacuated.
+    /// A target instance that is known and may get new work: it is not leaving, its failure domain is
+    /// not evacuated, and its version is not held back.
     pub(crate) fn open_target(&self, id: &str) -> Option<TargetInstance> {
         let found = self.directory.lock().get(id).filter(|it| !it.is_leaving).cloned();
-        found.filter(|it| !self.domains.is_evacuated(&it.domain))
+        let found = found.filter(|it| !self.domains.is_evacuated(&it.domain));
+        found.filter(|it| self.rollouts.is_open(self.clock.now(), it))
+    }
+
+    /// Whether a target is cold.
+    pub(crate) fn is_cold(&self, id: &str) -> bool {
+        self.directory.lock().cold_left(self.clock.now(), id) != 0
     }
 
     /// The target instance at an address that makes results of stages, leaving or not.
