Confined work is not given to a peer of an earlier version, proved

Cause: with the check of the owner switched off no test failed. Change: a test with a peer of the protocol before; all entries at an address have to comply, since one address may stand under two names. With the check off the test fails (tried).

--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -289,8 +289,9 @@
     /// Whether the peer at an address stands within some bounds, and keeps work there.
     pub(crate) fn is_confined_to(&self, address: &str, within: &Bounds) -> bool {
         let known = self.known.lock();
-        let found = known.values().find(|it| it.address == address);
-        found.is_some_and(|it| CONFINES <= it.protocol && within.allows(&it.domain))
+        let keeps = |it: &Peer| CONFINES <= it.protocol && within.allows(&it.domain);
+        let mut its = known.values().filter(|it| it.address == address).peekable();
+        its.peek().is_some() && its.all(keeps)
     }
 
     /// Whether this instance is about to stop.
--- a/crates/holdpointd/tests/confinement.rs
+++ b/crates/holdpointd/tests/confinement.rs
@@ -268,3 +268,25 @@
     assert_eq!(staged("r-2", "1,0").await.status, StatusCode::OK);
     assert_eq!(made(), [1, 0, 0]);
 }
+
+/// A peer of a version that knows nothing of confinement would do the work anywhere.
+#[tokio::test]
+async fn confined_work_is_not_given_to_a_peer_that_would_not_keep_it_inside() {
+    let system = two_regions(&[], &[Behaviour::Events(2); 2]).await;
+    let far = encoder_in(&system, "i-encode-2", "z2").await;
+    let gate = system.store.open_gate().await;
+    let north = start_in("b", "north", "z2", &gate);
+    until(|| north.is_ready() && north.target_count() == 4).await;
+    until(|| system.instance.peer_count() == 1).await;
+    // Under another name, far stronger, and with the protocol of before.
+    let address = &north.listen().peers;
+    system.store.put_instance("old", &format!("{address} 1 8000 8000 1 z2"));
+    until(|| system.instance.peer_count() == 2).await;
+    configure(&system, confined(2, &[(STAGED, &["north"])], None)).await;
+    until(|| north.version() == 2).await;
+    let answer = system.send(CallerRequest::new("r-1", "/staged/").with_pieces("1,1")).await;
+    assert_eq!(answer.status, StatusCode::OK);
+    let pieces = |it| counted(it, "holdpoint_pieces", "answered");
+    assert_eq!((pieces(&system.instance).await, pieces(&north).await), (2.0, 0.0));
+    assert_eq!((far.batches().len(), system.encoder.batches().len()), (2, 0));
+}
