--- a/crates/holdpoint-core/src/admission.rs
+++ b/crates/holdpoint-core/src/admission.rs
@@ -63,6 +63,7 @@
         return alone(now, batcher, ask);
     }
     let (own_ms, own_spread) = batcher.likely_ms(now, ask.due, ask.pieces);
+    let own_wait = batcher.wait_ms(now, ask.due);
     let mut expected = promises.expect(now, own_ms, ask.ahead);
     expected.spread_ms = expected.spread_ms.hypot(own_spread);
     let needed = (expected.ms + MARGIN * expected.spread_ms) as Millis;
@@ -71,17 +72,17 @@
         return Verdict::InTime(expected);
     }
     let (own_late, _) = batcher.likely_ms(now, ask.late_due, ask.pieces);
-    let spare = expected.spare.min(batcher.spare(now)).max(LEAST_SPARE);
-    let late_ms = (own_late + expected.ms - own_ms + expected.late_ms) / spare;
-    if now + late_ms as Millis <= ask.deadline {
+    let aside_ms = (own_late - own_ms).max(0.0) + expected.late_ms;
+    let late_ms = expected.ms + aside_ms / expected.spare.max(LEAST_SPARE);
+    let late_end = now + late_ms as Millis;
+    if late_end <= ask.deadline {
         promises.promise(now, ask.ahead, &expected, true);
         return Verdict::Late(expected);
     }
-    let waits_ahead = expected.longest_wait.filter(|it| own_ms < it.1 + own_ms / 2.0);
     Verdict::Refused {
         expected: expected.ms as Millis,
-        by: waits_ahead.map(|it| it.0),
-        excess: (now + needed).saturating_sub(ask.end),
+        by: expected.longest_wait.filter(|it| own_wait <= it.1).map(|it| it.0),
+        excess: late_end - ask.deadline,
     }
 }
 
--- a/crates/holdpoint-core/src/batcher/estimate.rs
+++ b/crates/holdpoint-core/src/batcher/estimate.rs
@@ -13,6 +13,9 @@
 const NEWEST_LAG: f64 = 0.1;
 /// Least part of the targets' time that is taken to be left for late pieces.
 const LEAST_SPARE: f64 = 0.05;
+/// Age of the last call at which what was measured of calls has lost half its weight, in milliseconds: a few
+/// calls of a service with work.
+const TRUST_MS: f64 = 700.0;
 /// Weight of the newest call in what is judged and measured of calls: some ten calls, which a service with
 /// a backlog makes within the time of one.
 const NEWEST_CALL: f64 = 0.1;
@@ -29,12 +32,15 @@
     bias_ms: f64,
     /// Mean distance from that, in milliseconds.
     spread_ms: f64,
+    /// When a call was answered last.
+    answered: Millis,
 }
 
 impl Judge {
     /// Takes in a call that was answered after `ms`. Returns what was foretold for its pieces and how long
     /// they took, in the mean and in milliseconds, where any of them was not late.
     fn answered(&mut self, now: Millis, call: &Call, ms: Millis) -> Option<(f64, f64)> {
+        self.answered = now;
         let keep = 1.0 - NEWEST_CALL;
         let pieces = call.pieces.len() as f64;
         self.piece_ms = keep * self.piece_ms + pieces * ms as f64;
@@ -60,9 +66,18 @@
         Some((foretold, took))
     }
 
-    /// Time of a piece's call, where the service has made none of late `otherwise`, in milliseconds.
-    fn call_ms(&self, otherwise: f64) -> f64 {
-        if self.pieces < 1.0 { otherwise } else { self.piece_ms / self.pieces }
+    /// How much what was measured counts. It fades: a long time that leads to refusals would stay for good
+    /// else, since what is refused is not measured.
+    fn trust(&self, now: Millis) -> f64 {
+        0.5_f64.powf(now.saturating_sub(self.answered) as f64 / TRUST_MS)
+    }
+
+    /// Time of a piece's call, where it is `usual` without any measurement, in milliseconds.
+    fn call_ms(&self, now: Millis, usual: f64) -> f64 {
+        if self.pieces < 1.0 {
+            return usual;
+        }
+        usual + self.trust(now) * (self.piece_ms / self.pieces - usual)
     }
 }
 
@@ -99,16 +114,17 @@
         let calls = f64::from(self.sizes.calls.max(1));
         let per_ms = usable().map(|it| calls * full / (full_ms * it)).sum();
         let slowness = usable().sum::<f64>() / usable().count().max(1) as f64;
+        let trust = self.judge.trust(now);
         let usual_call = self.sizes.stated_ms(most.div_ceil(2));
         StageLoad {
             per_ms,
             waiting,
             late,
-            call_ms: self.judge.call_ms(usual_call),
+            call_ms: self.judge.call_ms(now, usual_call),
             full_ms: full_ms * slowness.max(1.0),
             most: full,
-            bias_ms: self.judge.bias_ms,
-            spread_ms: self.judge.spread_ms,
+            bias_ms: trust * self.judge.bias_ms,
+            spread_ms: trust * self.judge.spread_ms,
         }
     }
 
@@ -130,6 +146,11 @@
         (load.expected_ms(ahead + pieces as f64 / 2.0), load.spread_ms)
     }
 
+    /// Time in which what goes before a piece that is due at a time is made, in milliseconds.
+    pub(crate) fn wait_ms(&self, now: Millis, due: Millis) -> f64 {
+        self.ahead(now, due) as f64 * self.piece_gap(now)
+    }
+
     /// Takes in how long an answered call took; returns what was foretold for its pieces and how long they
     /// took, in the mean and in milliseconds.
     pub fn judge(&mut self, now: Millis, call: &Call, ms: Millis) -> Option<(f64, f64)> {
--- a/crates/holdpoint-core/src/promises.rs
+++ b/crates/holdpoint-core/src/promises.rs
@@ -284,8 +284,9 @@
     counted: Millis,
 }
 
-/// Time over which promises are counted, in milliseconds: a few calls.
-const RATE_MS: f64 = 1000.0;
+/// Time over which promises are counted, in milliseconds: what is left of it is for late requests, and they
+/// have some seconds until their callers leave.
+const RATE_MS: f64 = 4000.0;
 
 impl PromisedRate {
     fn at(&self, now: Millis) -> f64 {
--- a/crates/holdpoint-core/src/stage_graph.rs
+++ b/crates/holdpoint-core/src/stage_graph.rs
@@ -43,6 +43,9 @@
     Unreachable,
     /// Another instance batches the service's pieces now.
     Moved,
+    /// Its request can be served, but late. Asked for again as a late one, it is made in the time that others
+    /// leave. Told only to those who accept it.
+    OnlyLate,
     /// It would be too late for its request, which may come back after so many milliseconds.
     Overload(Millis),
 }
--- a/crates/holdpoint-core/tests/support/chain.rs
+++ b/crates/holdpoint-core/tests/support/chain.rs
@@ -1,6 +1,9 @@
 //! Three batchers, one after the other, in virtual time.
 
-use std::{collections::HashMap, iter::Sum};
+use std::{
+    collections::{HashMap, HashSet},
+    iter::Sum,
+};
 
 use holdpoint_core::{
     admission::{FirstAsk, Verdict, decide},
@@ -99,6 +102,8 @@
     told_ms: [u64; 3],
     credits: [f64; 3],
     arrived: HashMap<u64, u64>,
+    /// Requests that were admitted late.
+    late: HashSet<u64>,
     /// Pieces that are missing, by request and stage.
     missing: HashMap<(u64, usize), u32>,
     /// Pieces on their way to a batcher: when, request, stage.
@@ -135,6 +140,7 @@
             told_ms: [200; 3],
             credits: [0.0; 3],
             arrived: HashMap::new(),
+            late: HashSet::new(),
             missing: HashMap::new(),
             coming: Vec::new(),
             running: Vec::new(),
@@ -222,6 +228,9 @@
             self.outcome.refused += 1;
             return;
         }
+        if self.way == Way::Chain && matches!(verdict, Verdict::Late(_)) {
+            self.late.insert(request);
+        }
         for (credits, stage) in self.credits.iter_mut().zip(&STAGES) {
             *credits -= f64::from(stage.2);
         }
@@ -235,12 +244,13 @@
         let deadline = (arrived + DEADLINE_MS).saturating_sub(after);
         let left = deadline.saturating_sub(self.now);
         let count = STAGES[stage].2;
+        let due = (arrived + AIM_MS).saturating_sub(after);
         self.missing.insert((request, stage), count);
         for piece in 0..count {
             let waiting = Waiting {
                 ticket: 100 * request + u64::from(piece),
                 group: request,
-                due: (arrived + AIM_MS).saturating_sub(after),
+                due: if self.late.contains(&request) { self.now } else { due },
                 deadline,
                 late_due: self.now + left / (3 - stage as u64),
                 ..Waiting::default()
--- a/crates/holdpoint/src/explain.rs
+++ b/crates/holdpoint/src/explain.rs
@@ -11,14 +11,21 @@
 use crate::failure::Failure;
 
 /// What a numbered event says about a request, in words.
-const MEANINGS: [(&str, &str); 7] = [
+const MEANINGS: [(&str, &str); 8] = [
     ("E700", "sent to a target"),
     ("E701", "that send ended without a whole answer"),
     ("E703", "results of a stage were missing"),
     ("E704", "its stream broke off at its target"),
     ("E705", "denied before it had a route"),
     ("E706", "ended"),
-    ("E707", "refused by the instance that batches a stage: it would be late"),
+    (
+        "E707",
+        "refused by the instance that batches its first stage, for want of time at the stage named",
+    ),
+    (
+        "E721",
+        "admitted as late, in the time that others leave, for want of time at the stage named",
+    ),
 ];
 
 /// What the cause of an end means.
--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -122,6 +122,8 @@
     HANDED_PIECES_OVER = 708 Info "pieces handed over";
     /// What an instance tells of the load of a service makes no sense, and the one before counts.
     LOAD_NOT_USED = 720 Warn "told load not used";
+    /// A request was admitted that will be late; it is made in the time that others leave.
+    ADMITTED_LATE = 721 Info "admitted late";
     /// A stream broke off at its target.
     STREAM_MOVED = 704 Info "stream broke off at its target";
     /// A request was denied before it had a route.
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -19,7 +19,7 @@
     ids::{Millis, Name},
     ingress::Service,
     pieces::{Call, CallEnd, Sizes, Ticket, Waiting},
-    promises::{Promises, StageLoad},
+    promises::{Expected, Promises, StageLoad},
     route::Load,
     stage_graph::{NoResult, PieceWork},
 };
@@ -429,8 +429,13 @@
         end: at(first.chain.as_ref().map_or(first.due_in_ms, |it| it.end_in_ms)),
         deadline: at(first.chain.as_ref().map_or(late_due_in_ms(first), |it| it.deadline_in_ms)),
     };
-    let Verdict::Refused { expected, by, excess } = decide(now, batcher, promises, &ask) else {
-        return Ok(());
+    let (expected, by, excess) = match decide(now, batcher, promises, &ask) {
+        Verdict::Late(expected) if first.chain.as_ref().is_some_and(|it| it.accepts_late) => {
+            log_late(shared, service, first, &expected);
+            return Err(NoResult::OnlyLate);
+        }
+        Verdict::InTime(_) | Verdict::Late(_) => return Ok(()),
+        Verdict::Refused { expected, by, excess } => (expected, by, excess),
     };
     let later = by.as_ref().and_then(|by| ask.ahead.iter().find(|it| it.service == *by));
     let return_ms = match later {
@@ -450,6 +455,18 @@
     Err(NoResult::Overload(return_ms))
 }
 
+fn log_late(shared: &IngressShared, service: &str, first: &PieceAsk, expected: &Expected) {
+    let detail = format!(
+        "id={} service={service} stage={} expected_ms={:.0} spread_ms={:.0} end_in_ms={}",
+        first.work.request,
+        expected.longest_wait.as_ref().map_or(service, |it| &it.0),
+        expected.ms,
+        expected.spread_ms,
+        first.chain.as_ref().map_or(first.due_in_ms, |it| it.end_in_ms),
+    );
+    emit(events::ADMITTED_LATE, &shared.settings.instance, &detail);
+}
+
 fn late_due_in_ms(ask: &PieceAsk) -> i64 {
     ask.late_due_in_ms.unwrap_or(ask.deadline_in_ms)
 }
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -63,6 +63,8 @@
     pub(crate) ledger: Ledger,
     /// Whether work was done for it.
     has_begun: AtomicBool,
+    /// Whether it was admitted as one that will be late.
+    is_late: AtomicBool,
     /// Arm of the trial that it falls to, if there is one on its route.
     pub(crate) arm: Option<ChosenArm>,
     end: Mutex<EndLine>,
@@ -117,6 +119,7 @@
             until: parts.arrived + limit,
             ledger: Ledger::new(),
             has_begun: AtomicBool::new(false),
+            is_late: AtomicBool::new(false),
             arm,
             end: Mutex::default(),
             _working: parts.working,
@@ -163,6 +166,16 @@
         self.has_begun.load(Ordering::Acquire) || self.was_sent()
     }
 
+    /// Accepts that it will be late.
+    pub(crate) fn accept_late(&self) {
+        self.is_late.store(true, Ordering::Release);
+    }
+
+    /// Whether it was admitted as one that will be late.
+    pub(crate) fn is_late(&self) -> bool {
+        self.is_late.load(Ordering::Acquire)
+    }
+
     /// Policy of its trial's arm; none where the built-in one routes it.
     pub(crate) fn policy(&self) -> Option<Arc<Policy>> {
         let arm = self.arm.as_ref()?;
--- a/crates/holdpointd/src/ingress/piece_ask.rs
+++ b/crates/holdpointd/src/ingress/piece_ask.rs
@@ -57,6 +57,9 @@
     pub(crate) end_in_ms: i64,
     /// Milliseconds until they must be there, for the request to be served at all.
     pub(crate) deadline_in_ms: i64,
+    /// Whether the asker wants to know that the request can only be served late, and then asks again.
+    #[serde(default)]
+    pub(crate) accepts_late: bool,
 }
 
 /// A result's handle, or why there is none.
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -247,6 +247,7 @@
         match cause {
             NoResult::NoRoom | NoResult::Unreachable => tokio::time::sleep(ROOM_PAUSE).await,
             NoResult::Moved => tokio::time::sleep(MOVE_PAUSE).await,
+            NoResult::OnlyLate => ctx.accept_late(),
             _ => (),
         }
     }
@@ -340,9 +341,11 @@
     let spent = (ctx.arrived.elapsed() + ctx.asked_before).as_millis() as i64;
     let left_ms = ctx.left_to_begin().as_millis() as Millis;
     let slack_ms = left_ms as i64 - after_ms as i64;
+    let due_in_ms = ctx.route.target_ms as i64 - after_ms as i64 - spent;
     PieceAsk {
         work: PieceWork { request: ctx.request.id.clone(), stage, piece, source },
-        due_in_ms: ctx.route.target_ms as i64 - after_ms as i64 - spent,
+        // What was admitted late stands aside for what can be in time, at every stage.
+        due_in_ms: if ctx.is_late() { 0 } else { due_in_ms },
         left_ms,
         rank: ctx.rank,
         bytes: step.bytes,
@@ -350,7 +353,7 @@
         near_bytes: *near_bytes,
         deadline_in_ms: slack_ms,
         late_due_in_ms: Some(slack_ms / (1 + stages_after(graph, stage)) as i64),
-        is_refusable: !ctx.has_begun(),
+        is_refusable: !ctx.has_begun() && !ctx.is_late(),
         inputs_for_ms: None,
         used_up: Vec::new(),
         chain: None,
@@ -381,6 +384,7 @@
         stages: stages.collect(),
         end_in_ms: ctx.route.target_ms as i64 - first_ms - spent,
         deadline_in_ms: ctx.left_to_begin().as_millis() as i64 - first_ms,
+        accepts_late: true,
     }
 }
 
