--- a/crates/holdpoint-core/src/admission.rs
+++ b/crates/holdpoint-core/src/admission.rs
@@ -17,8 +17,22 @@
 /// Least part of the targets' time that is taken to be left for late requests.
 const LEAST_SPARE: f64 = 0.05;
 
+/// What the deployment's answers are worth, as its operator declares it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Objective {
+    /// Worth of a late answer as a part of one in time, from 0 to 1.
+    pub late_worth: f64,
+}
+
+impl Objective {
+    /// Whether a request is served although it will be late.
+    fn serves_late(self) -> bool {
+        0.0 < self.late_worth
+    }
+}
+
 /// A request that has cost nothing yet, at the batcher of its first stage.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct FirstAsk<'a> {
     /// When the first stage's results should be there.
     pub due: Millis,
@@ -32,6 +46,8 @@
     pub end: Millis,
     /// When they must be there, for the request to be served at all.
     pub deadline: Millis,
+    /// What its answer is worth.
+    pub objective: Objective,
 }
 
 /// What becomes of a request.
@@ -75,14 +91,15 @@
     let aside_ms = (own_late - own_ms).max(0.0) + expected.late_ms;
     let late_ms = expected.ms + aside_ms / expected.spare.max(LEAST_SPARE);
     let late_end = now + late_ms as Millis;
-    if late_end <= ask.deadline {
+    let excess = (now + needed).saturating_sub(ask.end);
+    if late_end <= ask.deadline && ask.objective.serves_late() {
         promises.promise(now, ask.ahead, &expected, true);
         return Verdict::Late(expected);
     }
     Verdict::Refused {
         expected: expected.ms as Millis,
         by: expected.longest_wait.filter(|it| own_wait <= it.1).map(|it| it.0),
-        excess: late_end - ask.deadline,
+        excess: excess.max(late_end.saturating_sub(ask.deadline)),
     }
 }
 
@@ -92,8 +109,9 @@
     let expected = Expected { ms: expected_ms as f64, ..Expected::default() };
     match batcher.admit(now, ask.due, ask.late_due, ask.pieces) {
         Ok(()) if now + expected_ms <= ask.due => Verdict::InTime(expected),
-        Ok(()) => Verdict::Late(expected),
-        Err(expected) => {
+        Ok(()) if ask.objective.serves_late() => Verdict::Late(expected),
+        late => {
+            let expected = late.err().unwrap_or(expected_ms);
             let excess = (now + expected).saturating_sub(ask.due);
             Verdict::Refused { expected, by: None, excess }
         }
--- a/crates/holdpoint-core/src/batcher/estimate.rs
+++ b/crates/holdpoint-core/src/batcher/estimate.rs
@@ -20,6 +20,15 @@
 /// a backlog makes within the time of one.
 const NEWEST_CALL: f64 = 0.1;
 
+/// What was foretold for the pieces of a call, and what came, in the mean.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Judgement {
+    /// Time from the offer to the result as it was foretold, in milliseconds.
+    pub foretold_ms: f64,
+    /// The time that it took.
+    pub took_ms: f64,
+}
+
 /// How calls went of late, as their pieces saw it.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Judge {
@@ -37,16 +46,15 @@
 }
 
 impl Judge {
-    /// Takes in a call that was answered after `ms`. Returns what was foretold for its pieces and how long
-    /// they took, in the mean and in milliseconds, where any of them was not late.
-    fn answered(&mut self, now: Millis, call: &Call, ms: Millis) -> Option<(f64, f64)> {
+    /// Takes in a call that was answered after `ms`.
+    fn answered(&mut self, now: Millis, call: &Call, ms: Millis) -> Option<Judgement> {
         self.answered = now;
         let keep = 1.0 - NEWEST_CALL;
         let pieces = call.pieces.len() as f64;
         self.piece_ms = keep * self.piece_ms + pieces * ms as f64;
         self.pieces = keep * self.pieces + pieces;
         let most = call.sizes.most();
-        if most <= call.left {
+        if call.has_backlog() {
             let fill = pieces / most as f64;
             let before = self.fill.unwrap_or(fill);
             self.fill = Some(before + NEWEST_CALL * (fill - before));
@@ -59,11 +67,12 @@
         let foretold = judged().map(|it| it.1).sum::<f64>() / count;
         let took = judged().map(|it| now.saturating_sub(it.0.offered) as f64).sum::<f64>() / count;
         let error = took - foretold;
+        let judgement = Judgement { foretold_ms: foretold + self.bias_ms, took_ms: took };
         // A piece is likelier to go with a large call than with a small one.
         let newest = (count / self.pieces).min(1.0);
         self.bias_ms += newest * (error - self.bias_ms);
         self.spread_ms += newest * ((error - self.bias_ms).abs() - self.spread_ms);
-        Some((foretold, took))
+        Some(judgement)
     }
 
     /// How much what was measured counts. It fades: a long time that leads to refusals would stay for good
@@ -151,9 +160,9 @@
         self.ahead(now, due) as f64 * self.piece_gap(now)
     }
 
-    /// Takes in how long an answered call took; returns what was foretold for its pieces and how long they
-    /// took, in the mean and in milliseconds.
-    pub fn judge(&mut self, now: Millis, call: &Call, ms: Millis) -> Option<(f64, f64)> {
+    /// Takes in how long an answered call took; returns how well that was foretold where any of its pieces
+    /// was not late.
+    pub fn judge(&mut self, now: Millis, call: &Call, ms: Millis) -> Option<Judgement> {
         self.judge.answered(now, call, ms)
     }
 
--- a/crates/holdpoint-core/src/batcher/mod.rs
+++ b/crates/holdpoint-core/src/batcher/mod.rs
@@ -25,6 +25,7 @@
     pieces::{Call, Sizes, Ticket, Waiting},
 };
 
+pub use self::estimate::Judgement;
 use self::{
     estimate::Judge,
     targets::{Kept, Target},
--- a/crates/holdpoint-core/src/pieces.rs
+++ b/crates/holdpoint-core/src/pieces.rs
@@ -60,6 +60,13 @@
     pub is_shared: bool,
 }
 
+impl Call {
+    /// Whether as much waits behind it as another call carries.
+    pub fn has_backlog(&self) -> bool {
+        self.sizes.most() <= self.left
+    }
+}
+
 /// How a call ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallEnd {
--- a/crates/holdpoint-core/tests/chain.rs
+++ b/crates/holdpoint-core/tests/chain.rs
@@ -8,19 +8,23 @@
 /// As many requests a second as the second stage carries, with a little room.
 const CALM: f64 = 210.0;
 
+fn load() -> Load {
+    Load { seed: 0, per_s: Vec::new(), gone: None, late_worth: 0.15 }
+}
+
 fn burst(seed: u64) -> Load {
-    Load { seed, per_s: vec![(0, CALM), (4_000, 2.4 * CALM), (10_000, CALM)], ..Load::default() }
+    Load { seed, per_s: vec![(0, CALM), (4_000, 2.4 * CALM), (10_000, CALM)], ..load() }
 }
 
 fn a_third_gone(seed: u64) -> Load {
     let per_s = vec![(0, 1.9 * CALM)];
-    Load { seed, per_s, gone: Some((4_000, 10_000)) }
+    Load { seed, per_s, gone: Some((4_000, 10_000)), ..load() }
 }
 
 /// Batchers start from nothing while requests come at full rate.
 fn all_back(seed: u64) -> Load {
     let per_s = vec![(0, 2.6 * CALM), (3_000, CALM)];
-    Load { seed, per_s, ..Load::default() }
+    Load { seed, per_s, ..load() }
 }
 
 fn sum(load: fn(u64) -> Load, way: Way) -> Outcome {
@@ -29,8 +33,8 @@
 
 #[test]
 fn in_calm_nobody_is_refused_or_late() {
-    let load = Load { seed: 1, per_s: vec![(0, CALM)], ..Load::default() };
-    let outcome = play(&load, Way::Chain);
+    let calm = Load { seed: 1, per_s: vec![(0, CALM)], ..load() };
+    let outcome = play(&calm, Way::Chain);
     assert_eq!((outcome.refused, outcome.late), (0, 0), "{outcome:?}");
 }
 
@@ -71,3 +75,15 @@
         assert!(credits.worth() <= chain.worth(), "{credits:?} {chain:?}");
     }
 }
+
+/// The same burst under two objectives: served late in what others leave, or refused at once.
+#[test]
+fn what_late_answers_are_worth_decides_whether_there_are_any() {
+    let worthless = |seed| play(&Load { late_worth: 0.0, ..burst(seed) }, Way::Chain);
+    let none: Outcome = (1..=3).map(worthless).sum();
+    let some = sum(burst, Way::Chain);
+    eprintln!("late answers worthless: {none:?}\nworth 0.15: {some:?}");
+    assert!(none.late * 5 < some.late && 0 < none.refused, "{none:?}");
+    assert!(some.refused < none.refused);
+    assert!(none.in_time * 99 < some.in_time * 100 && some.in_time * 99 < none.in_time * 100);
+}
--- a/crates/holdpoint-core/tests/support/chain.rs
+++ b/crates/holdpoint-core/tests/support/chain.rs
@@ -6,7 +6,7 @@
 };
 
 use holdpoint_core::{
-    admission::{FirstAsk, Verdict, decide},
+    admission::{FirstAsk, Objective, Verdict, decide},
     batcher::Batcher,
     pieces::{Call, CallEnd, Sizes, Waiting},
     promises::{Promises, StageAhead},
@@ -46,13 +46,15 @@
 }
 
 /// Requests and targets over time.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct Load {
     pub(crate) seed: u64,
     /// From when on how many requests a second come.
     pub(crate) per_s: Vec<(u64, f64)>,
     /// From when until when a third of the second stage's targets is gone.
     pub(crate) gone: Option<(u64, u64)>,
+    /// Worth of a late answer.
+    pub(crate) late_worth: f64,
 }
 
 /// What became of the requests.
@@ -95,6 +97,7 @@
 
 struct Chain {
     way: Way,
+    late_worth: f64,
     now: u64,
     batchers: Vec<Batcher>,
     promises: Promises,
@@ -115,7 +118,7 @@
 
 /// Plays a load; a third of the second stage's targets fail where the load says so.
 pub(crate) fn play(load: &Load, way: Way) -> Outcome {
-    let mut chain = Chain::new(way);
+    let mut chain = Chain::new(way, load.late_worth);
     let mut rng = ChaCha8Rng::seed_from_u64(load.seed);
     for now in 0..END_MS + DEADLINE_MS {
         chain.now = now;
@@ -131,9 +134,10 @@
 }
 
 impl Chain {
-    fn new(way: Way) -> Chain {
+    fn new(way: Way, late_worth: f64) -> Chain {
         let mut chain = Chain {
             way,
+            late_worth,
             now: 0,
             batchers: STAGES.iter().map(|it| Batcher::new(it.3)).collect(),
             promises: Promises::default(),
@@ -220,6 +224,7 @@
             ahead: if self.way == Way::Chain { &ahead } else { &[] },
             end: self.now + AIM_MS - FIRST_EVENT_MS,
             deadline: self.now + DEADLINE_MS - FIRST_EVENT_MS,
+            objective: Objective { late_worth: self.late_worth },
         };
         let is_covered = self.way != Way::Credits
             || (1..3).all(|it| f64::from(STAGES[it].2) <= self.credits[it]);
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -12,8 +12,8 @@
 use futures::{StreamExt, stream::FuturesUnordered};
 use holdpoint_adapter::stages as wire;
 use holdpoint_core::{
-    admission::{FirstAsk, Verdict, decide},
-    batcher::Batcher,
+    admission::{FirstAsk, Objective, Verdict, decide},
+    batcher::{Batcher, Judgement},
     directory::{Directory, TargetId},
     evacuation::Evacuations,
     ids::{Millis, Name},
@@ -332,19 +332,21 @@
         call: &Call,
         end: CallEnd,
         results: &[PieceResult],
-    ) {
+    ) -> Option<Judgement> {
         let now = shared.clock.now();
         let handles: Vec<Option<&str>> =
             results.iter().map(|it| it.as_ref().ok().map(String::as_str)).collect();
         let mut services = self.services.lock();
-        let Some(it) = services.get_mut(service) else { return };
-        if let CallEnd::Answered(ms) = end {
-            it.batcher.judge(now, call, ms);
-        }
+        let it = services.get_mut(service)?;
+        let judgement = match end {
+            CallEnd::Answered(ms) => it.batcher.judge(now, call, ms),
+            _ => None,
+        };
         it.batcher.ended(now, call, end, &handles);
         if results.contains(&Err(NoResult::NoRoom)) {
             it.batcher.no_room(now, &call.target);
         }
+        judgement
     }
 
     /// Takes in the load that a target told with the answer to a call.
@@ -427,6 +429,7 @@
         pieces: asks.len(),
         ahead: first.chain.as_ref().map_or(&[], |it| &it.stages),
         end: at(first.chain.as_ref().map_or(first.due_in_ms, |it| it.end_in_ms)),
+        objective: Objective { late_worth: shared.settings.decisions.objective.late_worth },
         deadline: at(first.chain.as_ref().map_or(late_due_in_ms(first), |it| it.deadline_in_ms)),
     };
     let (expected, by, excess) = match decide(now, batcher, promises, &ask) {
@@ -522,8 +525,8 @@
         Err(_) if patience.max(LEAST_CALL_MS) <= ms => (Vec::new(), CallEnd::Silent(ms), "silent"),
         Err(_) => (Vec::new(), CallEnd::Failed, "failed"),
     };
-    log_call(&shared, &service, &call, &pieces, &results, (begun, ms, text));
-    shared.batches.ended(&shared, &service, &call, end, &results);
+    let judgement = shared.batches.ended(&shared, &service, &call, end, &results);
+    log_call(&shared, &service, &call, &pieces, &results, (begun, ms, text), judgement);
     let mut results = results.into_iter();
     for (waiting, piece) in call.pieces.into_iter().zip(pieces) {
         let usual = if end == CallEnd::Full { NoResult::NoRoom } else { NoResult::Failed };
@@ -594,13 +597,19 @@
     pieces: &[Pending],
     results: &[PieceResult],
     (begun, ms, end): (Instant, Millis, &'static str),
+    judgement: Option<Judgement>,
 ) {
     let waited = pieces.iter().map(|it| (begun - it.offered).as_millis()).max().unwrap_or(0);
     let made = results.iter().filter(|it| it.is_ok()).count();
     let no_room = results.iter().filter(|it| **it == Err(NoResult::NoRoom)).count();
+    let judged = judgement.map_or(String::new(), |it| {
+        let load = if call.has_backlog() { "backlog" } else { "calm" };
+        shared.metrics.foretold(service, load, it.foretold_ms, it.took_ms);
+        format!(" load={load} foretold_ms={:.0} took_ms={:.0}", it.foretold_ms, it.took_ms)
+    });
     let detail = format!(
         "service={service} target={} pieces={} most={} made={made} no_room={no_room} left={} \
-         used_kb={} room_kb={} waited_ms={waited} ms={ms} stated_ms={:.0} shared={} end={end}",
+         used_kb={} room_kb={} waited_ms={waited} ms={ms} stated_ms={:.0} shared={} end={end}{judged}",
         call.target,
         pieces.len(),
         call.sizes.pieces,
