--- a/crates/holdpoint-core/src/batcher/mod.rs
+++ b/crates/holdpoint-core/src/batcher/mod.rs
@@ -12,6 +12,7 @@
 //! them until they are given up or their time is over.
 
 mod estimate;
+mod near;
 mod pack;
 mod queue;
 mod targets;
@@ -124,7 +125,8 @@
             return None;
         }
         self.order(now);
-        let packed = free.into_iter().map(|it| (self.pack(now, &it), it));
+        let queues = self.near_queues(now);
+        let packed = free.into_iter().map(|it| (self.pack(now, &it, &queues), it));
         let (indices, target) = packed.max_by_key(|it| self.score(&it.0, &it.1))?;
         if indices.is_empty() {
             return None;
@@ -134,6 +136,8 @@
         let chosen = self.targets.get_mut(&target)?;
         chosen.calls += 1;
         chosen.used_bytes += pieces.iter().map(|it| it.bytes).sum::<u64>();
+        let call_ms = self.sizes.stated_ms(pieces.len()) * chosen.slowness.max(1.0);
+        chosen.busy_until = now + call_ms as Millis;
         let used_bytes = chosen.used_bytes;
         let is_shared = now < chosen.shared_until;
         let (left, sizes) = (self.waiting.len(), self.sizes);
--- a/crates/holdpoint-core/src/batcher/pack.rs
+++ b/crates/holdpoint-core/src/batcher/pack.rs
@@ -1,21 +1,19 @@
 //! Which of the pieces that wait go into a call, and at which target.
 
+use std::collections::BTreeMap;
+
 use super::{
     Batcher,
+    near::{NearPiece, NearQueues},
     targets::{SLOW, Target},
 };
 use crate::{ids::Millis, pieces::Waiting};
 
 /// Moved bytes below which it does not matter where a piece is made.
 const NEAR_BYTES: u64 = 200_000;
-/// A piece waits for a target in its failure domain until its due time is this near, in
-/// milliseconds.
-const NEAR_SLACK_MS: Millis = 300;
 /// Part of what the targets' next calls take, above which a service has a backlog: calls wait to be
 /// worth their time, and slow targets are used too.
 pub(super) const BACKLOG: f64 = 0.33;
-/// The same above which pieces are made wherever a target is free.
-const LONG_BACKLOG: f64 = 0.6;
 /// A call of less than one in so many of its most pieces is small.
 const SMALL_CALL: usize = 2;
 /// How long a target of a service with a backlog waits for room for more than a small call, in
@@ -30,13 +28,13 @@
     }
 
     /// Indices of the pieces that a call at a target would take: whole groups, as far as they fit.
-    pub(super) fn pack(&self, now: Millis, id: &str) -> Vec<usize> {
+    pub(super) fn pack(&self, now: Millis, id: &str, queues: &NearQueues<'_>) -> Vec<usize> {
         let Some(target) = self.targets.get(id) else { return Vec::new() };
         let room = match self.sizes.room_bytes {
             0 => u64::MAX,
             it => it.saturating_sub(target.used_bytes),
         };
-        let indices = self.pack_into(now, target, room);
+        let indices = self.pack_into(now, target, room, queues);
         let is_small = indices.len() * SMALL_CALL < self.sizes.pieces as usize;
         let has_waited = target.idle_since + GATHER_MS <= now;
         if is_small && self.has_backlog(BACKLOG) && !has_waited {
@@ -46,9 +44,17 @@
         indices
     }
 
-    pub(super) fn pack_into(&self, now: Millis, target: &Target, mut room: u64) -> Vec<usize> {
+    fn pack_into(
+        &self,
+        now: Millis,
+        target: &Target,
+        mut room: u64,
+        queues: &NearQueues<'_>,
+    ) -> Vec<usize> {
         let most = self.sizes.most();
         let mut indices = Vec::new();
+        // Pieces passed so far, by the failure domain of their inputs.
+        let mut passed: BTreeMap<&str, usize> = BTreeMap::new();
         let mut from = 0;
         let mut earliest_due = None;
         while from < self.waiting.len() && indices.len() < most {
@@ -59,7 +65,13 @@
             let end = now + self.sizes.stated_ms(indices.len() + same) as Millis;
             // What is late does not make a call so long that it is late for others.
             let fits_in = !pieces[0].is_late || earliest_due.is_none_or(|it| end <= it);
-            let may_go = fits_in && self.may_go(now, &pieces[0], target);
+            let mut may_go = fits_in && self.may_go(now, &pieces[0], target);
+            if let Some(domain) = near_domain(&pieces[0]) {
+                let ahead = passed.entry(domain).or_default();
+                let piece = NearPiece { domain, due: pieces[0].turn, ahead: *ahead };
+                *ahead += same;
+                may_go &= domain == target.domain || queues.may_move(piece, &target.domain);
+            }
             if may_go && bytes <= room && indices.len() + same <= most {
                 room -= bytes;
                 indices.extend(from..from + same);
@@ -86,24 +98,28 @@
         self.sizes.pieces as usize <= 2 * pieces || is_large
     }
 
-    /// Whether a piece may be made at a target, or waits for one where its result is needed.
-    pub(super) fn may_go(&self, now: Millis, piece: &Waiting, target: &Target) -> bool {
-        if SLOW <= target.slowness {
-            // Only what will be in time there, or nowhere.
-            let slow_ms = (self.sizes.stated_ms(1) * target.slowness) as Millis;
-            if !self.sizes.is_late(now, piece) && piece.due < now + slow_ms {
-                return false;
-            }
-        }
-        let is_anywhere = piece.near_bytes < NEAR_BYTES || piece.domain.is_empty();
-        if is_anywhere || piece.domain == target.domain || self.has_backlog(LONG_BACKLOG) {
-            return true;
+    /// Whether a piece may be made at a target as slow as this one.
+    fn may_go(&self, now: Millis, piece: &Waiting, target: &Target) -> bool {
+        // Only what will be in time at a slow one, or nowhere.
+        let slow_ms = (self.sizes.stated_ms(1) * target.slowness) as Millis;
+        target.slowness < SLOW || self.sizes.is_late(now, piece) || now + slow_ms <= piece.due
+    }
+
+    /// What waits in each failure domain.
+    pub(super) fn near_queues(&self, now: Millis) -> NearQueues<'_> {
+        let usable = self.targets.values().filter(|it| !it.is_leaving && it.suspect_until <= now);
+        let targets = usable.map(|it| (it.domain.as_str(), self.free_at(now, it)));
+        NearQueues::new(now, &self.sizes, targets, self.waiting.iter().filter_map(near_domain))
+    }
+
+    /// When a target is expected to take its next call. One that is overdue is expected to take as long
+    /// again as it is overdue.
+    fn free_at(&self, now: Millis, target: &Target) -> Millis {
+        if target.calls < self.sizes.calls.max(1) {
+            return now;
         }
-        let call_ms = self.sizes.stated_ms(1) as Millis;
-        let is_urgent = piece.due < now + call_ms + NEAR_SLACK_MS;
-        let is_near =
-            |it: &Target| it.domain == piece.domain && !it.is_leaving && it.suspect_until <= now;
-        is_urgent || !self.targets.values().any(is_near)
+        let overdue = now.saturating_sub(target.busy_until);
+        target.busy_until.max(now) + overdue
     }
 
     /// How good a call would be: the most pieces, then the most large ones in their failure
@@ -116,3 +132,8 @@
         (indices.len(), near_bytes, -(target.slowness * 10.0) as i64)
     }
 }
+
+/// Failure domain where a piece is best made; none where that does not matter.
+fn near_domain(piece: &Waiting) -> Option<&str> {
+    (NEAR_BYTES <= piece.near_bytes && !piece.domain.is_empty()).then_some(piece.domain.as_str())
+}
--- a/crates/holdpoint-core/src/batcher/targets.rs
+++ b/crates/holdpoint-core/src/batcher/targets.rs
@@ -45,6 +45,8 @@
     pub(super) used_bytes: u64,
     /// When its last call ended.
     pub(super) idle_since: Millis,
+    /// When the call that began last is expected to end.
+    pub(super) busy_until: Millis,
     /// Until when it counts as called by other instances too.
     pub(super) shared_until: Millis,
 }
--- a/crates/holdpoint-core/src/lib.rs
+++ b/crates/holdpoint-core/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod promises;
 pub mod prompt;
 pub mod readers;
+pub mod regions;
 pub mod retry;
 pub mod route;
 pub mod snapshot;
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -29,13 +29,16 @@
     ingress::{
         batches::{Batches, StageLoads},
         changes::{PeerChanges, TargetChanges},
+        confirm::Confirmation,
         connections::Connections,
         declared::Declared,
         domains::Domains,
         news::{News, TargetList},
+        packed::Packed,
         peer_service::PROTOCOL,
         peers::{Peer, Peers, own_capacity},
         pools::Pools,
+        regions::Regions,
         releases::Releases,
     },
     metrics::Metrics,
@@ -55,7 +58,7 @@
 
 /// What a list of targets was made of: the position in the news, the number of lapsed entries and, if
 /// targets are cold, the second.
-type ListState = (Revision, usize, Millis);
+pub(crate) type ListState = (Revision, usize, Millis);
 
 /// What the tasks of one ingress instance share.
 pub(crate) struct IngressShared {
@@ -69,6 +72,8 @@
     pub(crate) batches: Batches,
     pub(crate) releases: Releases,
     pub(crate) peers: Peers,
+    /// Targets by region.
+    pub(crate) regions: Regions,
     /// Failure domains that are evacuated.
     pub(crate) domains: Domains,
     /// Policies and trials that operators declared.
@@ -97,8 +102,10 @@
     /// Sent whenever there is something new for those who follow this instance.
     pub(crate) has_news: watch::Sender<()>,
     news: Mutex<ChangeLog<News>>,
-    /// The list of targets for peers, with what it was made of.
-    target_list: Mutex<Option<(ListState, Bytes)>>,
+    /// When the configuration in force was last known to be the newest.
+    pub(crate) confirmation: Confirmation,
+    /// Whole lists as they are sent to peers.
+    pub(crate) packed: Packed,
     /// Becomes true once the peers were read from the store, or could not be read.
     pub(crate) peers_known: watch::Sender<bool>,
     configuration: ArcSwap<Configuration>,
@@ -130,6 +137,7 @@
             batches: Batches::default(),
             releases: Releases::default(),
             peers: Peers::new(&settings),
+            regions: Regions::default(),
             domains: Domains::default(),
             experiments: Declared::default(),
             in_flight: Arc::default(),
@@ -145,7 +153,8 @@
             life: rand::random(),
             has_news: watch::channel(()).0,
             news: Mutex::new(ChangeLog::new(NEWS_KEPT)),
-            target_list: Mutex::default(),
+            confirmation: Confirmation::default(),
+            packed: Packed::default(),
             peers_known: watch::channel(false).0,
             configuration: ArcSwap::default(),
             configuration_bytes: Mutex::default(),
@@ -252,7 +261,8 @@
     fn apply(&self, directory: &Directory) {
         let evacuations = self.domains.state();
         self.pools.set_targets(self.clock.now(), directory, &evacuations);
-        self.batches.set_targets(directory, &evacuations);
+        self.batches.set_targets(directory, &evacuations, &self.topology);
+        self.regions.set_targets(directory, &evacuations, &self.topology);
     }
 
     /// Tells those who follow this instance what is new.
@@ -335,6 +345,7 @@
             capacity: own_capacity(&self.settings),
             protocol: PROTOCOL,
             domain: self.settings.domain.clone(),
+            store_ms: self.peers.store_ms(),
         }
     }
 
@@ -370,20 +381,25 @@
 
     /// The list of target instances for peers, as JSON; made anew when something has changed.
     pub(crate) fn target_list(&self) -> Bytes {
+        self.target_list_with_state().1
+    }
+
+    /// The same, with what it was made of.
+    pub(crate) fn target_list_with_state(&self) -> (ListState, Bytes) {
         let directory = self.directory.lock();
         let now = self.clock.now();
         // How much longer targets are cold is told to the second.
         let second = directory.cold(now).next().map_or(0, |_| now / 1000);
         let state = (self.news.lock().end(), directory.lapsed().count(), second);
-        let mut made = self.target_list.lock();
+        let mut made = self.packed.plain.lock();
         match &*made {
-            Some((of, list)) if *of == state => list.clone(),
+            Some((of, list)) if *of == state => (state, list.clone()),
             _ => {
                 let list =
                     serde_json::to_vec(&TargetList::new(now, &directory)).unwrap_or_default();
                 let list = Bytes::from(list);
                 *made = Some((state, list.clone()));
-                list
+                (state, list)
             }
         }
     }
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -120,7 +120,7 @@
     let mut remakes = 0;
     let mut last_failure = None;
     let cause = loop {
-        let target = match attempts.next(ctx).await {
+        let target = match attempts.next(ctx, &results.places).await {
             Ok(it) => it,
             Err(it) => break it,
         };
@@ -151,7 +151,7 @@
 
 async fn stage_results(ctx: &Context) -> Result<Results, NotOpen> {
     let now = ctx.shared.clock.now();
-    let likely = ctx.pool.choose(now, &ctx.call(&[]));
+    let likely = ctx.pool.choose(now, &ctx.call(&[]), ctx.call_region());
     if likely == Err(NoTarget::Evacuated) {
         // Its stages would be made for nothing.
         return Err(NotOpen::NoSend(NoSend::Evacuated.name()));
