--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -1,5 +1,8 @@
 //! Makes pieces of stages in calls that carry the pieces of many requests.
 
+mod admit;
+mod calls;
+
 use std::{
     collections::{HashMap, HashSet},
     sync::{
@@ -10,9 +13,7 @@
 };
 
 use futures::{StreamExt, stream::FuturesUnordered};
-use holdpoint_adapter::stages as wire;
 use holdpoint_core::{
-    admission::{FirstAsk, Objective, Verdict, decide},
     batcher::{Batcher, Judgement},
     confinement::Within,
     directory::{Directory, TargetId, TargetInstance},
@@ -20,14 +21,14 @@
     ids::{Millis, Name},
     ingress::Service,
     pieces::{Call, CallEnd, Sizes, Ticket, Waiting},
-    promises::{Expected, Promises, StageLoad},
-    rollout::{Answer, Lane},
+    promises::{Promises, StageLoad},
+    rollout::Lane,
     route::Load,
     stage_graph::{NoResult, PieceWork},
     topology::Topology,
 };
 use parking_lot::Mutex;
-use tokio::{sync::oneshot, time::sleep};
+use tokio::sync::oneshot;
 
 use crate::{
     events::{self, emit},
@@ -35,20 +36,18 @@
         confinement::{self, log_refused},
         piece_ask::{PieceAsk, PieceResult},
         regions::own_batcher_of,
-        send::{left, own_call},
         shared::IngressShared,
-        stages::FETCHED,
     },
-    metrics::label,
 };
 
-/// How often a piece goes back to the queue for want of room.
-const RETURNS: u32 = 20;
+use self::{
+    admit::{admit, waiting},
+    calls::run,
+};
+
 /// When a request may come back whose pieces have no target, since all stand in evacuated failure
 /// domains, in milliseconds. When an operator restores one is not known.
 const EVACUATED_RETURN_MS: Millis = 1000;
-/// Shortest time that a call to a target is given, in milliseconds.
-const LEAST_CALL_MS: Millis = 400;
 
 struct Pending {
     work: PieceWork,
@@ -508,85 +507,6 @@
     results
 }
 
-/// Refuses pieces of a request that has cost nothing yet and would be too late.
-fn admit(
-    shared: &IngressShared,
-    service: &str,
-    batcher: &mut Batcher,
-    promises: &mut Promises,
-    now: Millis,
-    asks: &[PieceAsk],
-) -> Result<(), NoResult> {
-    let Some(first) = asks.first().filter(|it| it.is_refusable) else { return Ok(()) };
-    let at = |in_ms: i64| now.saturating_add_signed(in_ms);
-    let ask = FirstAsk {
-        due: at(first.due_in_ms),
-        late_due: at(late_due_in_ms(first)),
-        pieces: asks.len(),
-        ahead: first.chain.as_ref().map_or(&[], |it| &it.stages),
-        end: at(first.chain.as_ref().map_or(first.due_in_ms, |it| it.end_in_ms)),
-        objective: Objective { late_worth: shared.settings.decisions.objective.late_worth },
-        deadline: at(first.chain.as_ref().map_or(late_due_in_ms(first), |it| it.deadline_in_ms)),
-    };
-    let (expected, by, excess) = match decide(now, batcher, promises, &ask) {
-        Verdict::Late(expected) if first.chain.as_ref().is_some_and(|it| it.accepts_late) => {
-            log_late(shared, service, first, &expected);
-            return Err(NoResult::OnlyLate);
-        }
-        Verdict::InTime(_) | Verdict::Late(_) => return Ok(()),
-        Verdict::Refused { expected, by, excess } => (expected, by, excess),
-    };
-    let later = by.as_ref().and_then(|by| ask.ahead.iter().find(|it| it.service == *by));
-    let return_ms = match later {
-        Some(it) => promises.return_ms(now, &it.service, excess, it.pieces),
-        None => batcher.return_ms(now, ask.due, asks.len()),
-    };
-    let detail = format!(
-        "id={} service={service} stage={} expected_ms={expected} due_in_ms={} end_in_ms={} waiting={} \
-         return_ms={return_ms}",
-        first.work.request,
-        by.as_deref().unwrap_or(service),
-        first.due_in_ms,
-        ask.end.saturating_sub(now),
-        batcher.waiting()
-    );
-    emit(events::STAGE_REFUSED, &shared.settings.instance, &detail);
-    Err(NoResult::Overload(return_ms))
-}
-
-fn log_late(shared: &IngressShared, service: &str, first: &PieceAsk, expected: &Expected) {
-    let detail = format!(
-        "id={} service={service} stage={} expected_ms={:.0} spread_ms={:.0} end_in_ms={}",
-        first.work.request,
-        expected.longest_wait.as_ref().map_or(service, |it| &it.0),
-        expected.ms,
-        expected.spread_ms,
-        first.chain.as_ref().map_or(first.due_in_ms, |it| it.end_in_ms),
-    );
-    emit(events::ADMITTED_LATE, &shared.settings.instance, &detail);
-}
-
-fn late_due_in_ms(ask: &PieceAsk) -> i64 {
-    ask.late_due_in_ms.unwrap_or(ask.deadline_in_ms)
-}
-
-/// A piece as its batcher sees it.
-fn waiting(ask: &PieceAsk, ticket: Ticket, group: u64, now: Millis) -> Waiting {
-    Waiting {
-        ticket,
-        group,
-        due: now.saturating_add_signed(ask.due_in_ms),
-        deadline: now.saturating_add_signed(ask.deadline_in_ms),
-        late_due: now.saturating_add_signed(late_due_in_ms(ask)),
-        rank: ask.rank,
-        bytes: ask.bytes,
-        domain: ask.domain.clone(),
-        near_bytes: ask.near_bytes,
-        inputs_until: ask.inputs_for_ms.map(|it| now + it),
-        ..Waiting::default()
-    }
-}
-
 /// Starts calls for all that waits where a target has become free with time.
 pub(crate) fn pump_all(shared: &Arc<IngressShared>) {
     shared.batches.hand_over(shared);
@@ -605,186 +525,6 @@
     }
 }
 
-async fn run(
-    shared: Arc<IngressShared>,
-    service: Name,
-    call: Call,
-    pieces: Vec<Pending>,
-    patience: Millis,
-) {
-    let begun = Instant::now();
-    let outcome = ask_and_release(&shared, &service, &call, &pieces, patience).await;
-    let ms = begun.elapsed().as_millis() as Millis;
-    let (results, end, text) = match outcome {
-        Ok(it) => (it, CallEnd::Answered(ms), "answered"),
-        Err(CallEnd::Full) => (Vec::new(), CallEnd::Full, "full"),
-        Err(_) if patience.max(LEAST_CALL_MS) <= ms => (Vec::new(), CallEnd::Silent(ms), "silent"),
-        Err(_) => (Vec::new(), CallEnd::Failed, "failed"),
-    };
-    judge_call(&shared, &service, &call, &pieces, &results, (end, ms));
-    let judgement = shared.batches.ended(&shared, &service, &call, end, &results);
-    log_call(&shared, &service, &call, &pieces, &results, (begun, ms, text), judgement);
-    let mut results = results.into_iter();
-    for (waiting, piece) in call.pieces.into_iter().zip(pieces) {
-        let usual = if end == CallEnd::Full { NoResult::NoRoom } else { NoResult::Failed };
-        let result = results.next().unwrap_or(Err(usual));
-        deliver(&shared, &service, waiting, piece, result);
-    }
-    pump(&shared, &service);
-}
-
-/// Has a call counted for the roll-out of its target's version: the time of its pieces as a percentage
-/// of the stated one, since calls differ in size.
-fn judge_call(
-    shared: &IngressShared,
-    service: &str,
-    call: &Call,
-    pieces: &[Pending],
-    results: &[PieceResult],
-    (end, ms): (CallEnd, Millis),
-) {
-    let part = (100.0 * ms as f64 / call.sizes.stated_ms(pieces.len()).max(1.0)) as Millis;
-    for (index, piece) in pieces.iter().enumerate() {
-        let answer = match (end, results.get(index)) {
-            (CallEnd::Full, _) => Answer::Refused,
-            (CallEnd::Silent(_), _) => Answer::Silent,
-            (CallEnd::Failed, _) | (_, Some(Err(NoResult::Failed))) => Answer::Failed,
-            (_, Some(Ok(_))) => Answer::Good((!shared.is_cold(&call.target)).then_some(part)),
-            _ => continue,
-        };
-        shared.rollouts.piece_answered(service, &call.target, &piece.route, answer);
-    }
-}
-
-/// Makes a call, and gives up the inputs of its pieces as soon as its target has them. Where other
-/// instances call the target too, the call may wait there for its turn, and its inputs are not
-/// fetched before that.
-async fn ask_and_release(
-    shared: &IngressShared,
-    service: &str,
-    call: &Call,
-    pieces: &[Pending],
-    patience: Millis,
-) -> Result<Vec<PieceResult>, CallEnd> {
-    let asking = ask_target(shared, service, call, pieces, patience);
-    tokio::pin!(asking);
-    let outcome = tokio::select! {
-        it = &mut asking => it,
-        () = sleep(FETCHED), if !call.is_shared => {
-            release_inputs(shared, pieces);
-            return asking.await;
-        }
-    };
-    if outcome.is_ok() {
-        release_inputs(shared, pieces);
-    }
-    outcome
-}
-
-/// Gives up the inputs of pieces whose target has fetched them, as it does first of all. Their makers
-/// have room again so much earlier. Should a call fail after that, the inputs are made anew.
-fn release_inputs(shared: &IngressShared, pieces: &[Pending]) {
-    for piece in pieces {
-        if !piece.is_fetched.swap(true, Ordering::AcqRel) {
-            piece.inputs.fetched(shared);
-        }
-    }
-}
-
-/// Hands a result to whoever asked for it; a piece that found no room goes back to the queue.
-fn deliver(
-    shared: &IngressShared,
-    service: &str,
-    waiting: Waiting,
-    mut piece: Pending,
-    result: PieceResult,
-) {
-    if result == Err(NoResult::NoRoom) && piece.returns < RETURNS {
-        piece.returns += 1;
-        shared.batches.again(shared.clock.now(), service, waiting, piece);
-        return;
-    }
-    if let Err(Ok(handle)) = piece.reply.send(result) {
-        // Its request has ended meanwhile.
-        shared.releases.release(service, handle);
-    }
-}
-
-fn log_call(
-    shared: &IngressShared,
-    service: &str,
-    call: &Call,
-    pieces: &[Pending],
-    results: &[PieceResult],
-    (begun, ms, end): (Instant, Millis, &'static str),
-    judgement: Option<Judgement>,
-) {
-    let waited = pieces.iter().map(|it| (begun - it.offered).as_millis()).max().unwrap_or(0);
-    let made = results.iter().filter(|it| it.is_ok()).count();
-    let no_room = results.iter().filter(|it| **it == Err(NoResult::NoRoom)).count();
-    let judged = judgement.map_or(String::new(), |it| {
-        let load = if call.has_backlog() { "backlog" } else { "calm" };
-        shared.metrics.foretold(service, load, it.foretold_ms, it.took_ms);
-        format!(" load={load} foretold_ms={:.0} took_ms={:.0}", it.foretold_ms, it.took_ms)
-    });
-    let moved = moved_bytes(shared, call);
-    let detail = format!(
-        "service={service} target={} pieces={} most={} made={made} no_room={no_room} left={} \
-         used_kb={} room_kb={} moved_kb={} waited_ms={waited} ms={ms} stated_ms={:.0} shared={} \
-         end={end}{judged}",
-        call.target,
-        pieces.len(),
-        call.sizes.pieces,
-        call.left,
-        call.used_bytes / 1000,
-        call.sizes.room_bytes / 1000,
-        moved / 1000,
-        call.sizes.stated_ms(pieces.len()),
-        call.is_shared,
-    );
-    emit(events::BATCH, &shared.settings.instance, &detail);
-    shared.metrics.batches.add(1, &[label("end", end)]);
-    shared.metrics.pieces.add(pieces.len() as u64, &[label("end", end)]);
-    shared.metrics.moved_bytes.add(moved, &[label("to", "stage")]);
-}
-
-/// Bytes that a call moves between failure domains.
-fn moved_bytes(shared: &IngressShared, call: &Call) -> u64 {
-    let domain = shared.open_target(&call.target).map(|it| it.domain);
-    let is_moved = |it: &&Waiting| !it.domain.is_empty() && Some(&it.domain) != domain.as_ref();
-    call.pieces.iter().filter(is_moved).map(|it| it.near_bytes).sum()
-}
-
-async fn ask_target(
-    shared: &IngressShared,
-    service: &str,
-    call: &Call,
-    pieces: &[Pending],
-    patience: Millis,
-) -> Result<Vec<PieceResult>, CallEnd> {
-    let target = shared.open_target(&call.target).ok_or(CallEnd::Full)?;
-    let body =
-        wire::run_body(pieces.iter().map(|it| (&it.work, left(it.deadline).as_millis() as Millis)));
-    let limit = Duration::from_millis(patience.max(LEAST_CALL_MS));
-    let answer = own_call(shared, &target, wire::RUN_PATH, body, limit).await;
-    let (status, head, body) = answer.map_err(|_| CallEnd::Failed)?;
-    if let Some(load) = head.load {
-        shared.batches.told_load(shared.clock.now(), service, &call.target, load);
-    }
-    if head.is_misdirected {
-        shared.target_leaves(&target.id, "misdirected");
-        return Err(CallEnd::Full);
-    }
-    if head.is_declined {
-        return Err(CallEnd::Full);
-    }
-    let results = wire::parse_run(&body).map_err(|_| CallEnd::Failed)?;
-    if !status.is_success() || results.len() != pieces.len() {
-        return Err(CallEnd::Failed);
-    }
-    Ok(results)
-}
-
 fn sizes(service: &Service) -> Option<Sizes> {
     let limits = service.batches.as_ref()?;
     Some(Sizes {
