What is expected of a stage is 'predicted' everywhere

'Foretold' was a word of its own for it; the metric is holdpoint_predicted_percent, the fields of E702 predicted_ms and took_ms.

--- a/crates/holdpoint-core/src/batcher/estimate.rs
+++ b/crates/holdpoint-core/src/batcher/estimate.rs
@@ -1,4 +1,4 @@
-//! When pieces will be made, and how well that was foretold.
+//! When pieces will be made, and how well that was predicted.
 
 use super::{Batcher, targets::Target};
 use crate::{
@@ -22,11 +22,11 @@
 /// a backlog makes within the time of one.
 const NEWEST_CALL: f64 = 0.1;
 
-/// What was foretold for the pieces of a call, and what came, in the mean.
+/// What was predicted for the pieces of a call, and what came, in the mean.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Judgement {
-    /// Time from the offer to the result as it was foretold, in milliseconds.
-    pub foretold_ms: f64,
+    /// Time from the offer to the result as it was predicted, in milliseconds.
+    pub predicted_ms: f64,
     /// The time that it took.
     pub took_ms: f64,
 }
@@ -39,7 +39,7 @@
     pieces: f64,
     /// Part of a call's most pieces that calls carry while there is a backlog.
     fill: Option<f64>,
-    /// How much longer than foretold pieces took, in milliseconds.
+    /// How much longer than predicted pieces took, in milliseconds.
     bias_ms: f64,
     /// Mean distance from that, in milliseconds.
     spread_ms: f64,
@@ -61,15 +61,15 @@
             let before = self.fill.unwrap_or(fill);
             self.fill = Some(before + NEWEST_CALL * (fill - before));
         }
-        let judged = || call.pieces.iter().filter_map(|it| Some((it, it.foretold_ms?)));
+        let judged = || call.pieces.iter().filter_map(|it| Some((it, it.predicted_ms?)));
         let count = judged().count() as f64;
         if count == 0.0 {
             return None;
         }
-        let foretold = judged().map(|it| it.1).sum::<f64>() / count;
+        let predicted = judged().map(|it| it.1).sum::<f64>() / count;
         let took = judged().map(|it| now.saturating_sub(it.0.offered) as f64).sum::<f64>() / count;
-        let error = took - foretold;
-        let judgement = Judgement { foretold_ms: foretold + self.bias_ms, took_ms: took };
+        let error = took - predicted;
+        let judgement = Judgement { predicted_ms: predicted + self.bias_ms, took_ms: took };
         // A piece is likelier to go with a large call than with a small one.
         let newest = (count / self.pieces).min(1.0);
         self.bias_ms += newest * (error - self.bias_ms);
@@ -141,7 +141,7 @@
 
     /// Time in which a piece that is offered now will be made, in milliseconds; `None` where it will be late
     /// and stands aside for others.
-    pub(super) fn foretell(&self, now: Millis, piece: &Waiting) -> Option<f64> {
+    pub(super) fn predict(&self, now: Millis, piece: &Waiting) -> Option<f64> {
         if self.is_late(now, piece) {
             return None;
         }
@@ -162,7 +162,7 @@
         self.ahead(now, due) as f64 * self.piece_gap(now)
     }
 
-    /// Takes in how long an answered call took; returns how well that was foretold where any of its pieces
+    /// Takes in how long an answered call took; returns how well that was predicted where any of its pieces
     /// was not late.
     pub fn judge(&mut self, now: Millis, call: &Call, ms: Millis) -> Option<Judgement> {
         self.judge.answered(now, call, ms)
--- a/crates/holdpoint-core/src/batcher/mod.rs
+++ b/crates/holdpoint-core/src/batcher/mod.rs
@@ -93,12 +93,12 @@
     pub fn offer(&mut self, now: Millis, piece: Waiting) {
         // Pieces of one group are offered one after the other, and wait for the same time.
         let same = self.waiting.last().filter(|it| it.group == piece.group && it.offered == now);
-        let foretold = same.map(|it| (it.predicted_wait, it.foretold_ms));
-        let (predicted_wait, foretold_ms) = foretold
-            .unwrap_or_else(|| (self.predicted_wait(now, piece.due), self.foretell(now, &piece)));
+        let predicted = same.map(|it| (it.predicted_wait, it.predicted_ms));
+        let (predicted_wait, predicted_ms) = predicted
+            .unwrap_or_else(|| (self.predicted_wait(now, piece.due), self.predict(now, &piece)));
         self.offered.count(now);
         let turn = self.turn(now, &piece);
-        self.waiting.push(Waiting { offered: now, predicted_wait, foretold_ms, turn, ..piece });
+        self.waiting.push(Waiting { offered: now, predicted_wait, predicted_ms, turn, ..piece });
     }
 
     /// Takes back all pieces that wait, for another instance to make.
--- a/crates/holdpoint-core/src/pieces.rs
+++ b/crates/holdpoint-core/src/pieces.rs
@@ -40,9 +40,9 @@
     pub offered: Millis,
     /// Wait predicted then, in milliseconds; set by the batcher.
     pub predicted_wait: f64,
-    /// Time in which it was foretold to be made, in milliseconds; none where it was late already; set by the
+    /// Time in which it was predicted to be made, in milliseconds; none where it was late already; set by the
     /// batcher.
-    pub foretold_ms: Option<f64>,
+    pub predicted_ms: Option<f64>,
     /// Whether it cannot be in time any more; set by the batcher.
     pub is_late: bool,
     /// Time that decides when it has its turn; set by the batcher.
--- a/crates/holdpoint-core/src/promises.rs
+++ b/crates/holdpoint-core/src/promises.rs
@@ -23,7 +23,7 @@
 const SPAN_MS: Millis = 10;
 /// Longest time that an account looks ahead, in milliseconds; bounds what it keeps.
 const HORIZON_MS: Millis = 10_000;
-/// How far ahead an account foretells a queue to be judged by what is told then, in milliseconds: within the
+/// How far ahead an account predicts a queue to be judged by what is told then, in milliseconds: within the
 /// time that any stage takes, so that all that arrives by then is already promised.
 const FORECAST_MS: Millis = 150;
 /// Weight of the newest such judgement: several of them, as calls of different sizes make queues uneven.
@@ -131,9 +131,9 @@
     expected: BTreeMap<Millis, f64>,
     /// Pieces of late requests admitted after that.
     late: f64,
-    /// When the queue was foretold for, and how many pieces.
+    /// When the queue was predicted for, and how many pieces.
     forecast: Option<(Millis, f64)>,
-    /// How many more pieces wait than foretold, as of late. Without a backlog it is what gathers while
+    /// How many more pieces wait than predicted, as of late. Without a backlog it is what gathers while
     /// targets work on small calls.
     residual: f64,
     /// Pieces promised in time, a millisecond, at present and in the long run.
@@ -252,8 +252,8 @@
 
 impl Account {
     fn told(&mut self, now: Millis, load: StageLoad) {
-        if let Some((_, foretold)) = self.forecast.take_if(|it| it.0 <= now) {
-            self.residual += NEWEST_JUDGEMENT * (load.waiting - foretold - self.residual);
+        if let Some((_, predicted)) = self.forecast.take_if(|it| it.0 <= now) {
+            self.residual += NEWEST_JUDGEMENT * (load.waiting - predicted - self.residual);
         }
         self.load = load;
         self.told = now;
--- a/crates/holdpoint-core/tests/promises.rs
+++ b/crates/holdpoint-core/tests/promises.rs
@@ -171,7 +171,7 @@
 }
 
 #[test]
-fn what_was_foretold_is_held_against_what_came() {
+fn what_was_predicted_is_held_against_what_came() {
     let mut batcher = batcher();
     for turn in 0..40 {
         let now = 1000 + 350 * turn;
--- a/crates/holdpointd/src/ingress/batches/calls.rs
+++ b/crates/holdpointd/src/ingress/batches/calls.rs
@@ -151,8 +151,8 @@
     let no_room = results.iter().filter(|it| **it == Err(NoResult::NoRoom)).count();
     let judged = judgement.map_or(String::new(), |it| {
         let load = if call.has_backlog() { "backlog" } else { "calm" };
-        shared.metrics.foretold(service, load, it.foretold_ms, it.took_ms);
-        format!(" load={load} foretold_ms={:.0} took_ms={:.0}", it.foretold_ms, it.took_ms)
+        shared.metrics.predicted(service, load, it.predicted_ms, it.took_ms);
+        format!(" load={load} predicted_ms={:.0} took_ms={:.0}", it.predicted_ms, it.took_ms)
     });
     let moved = moved_bytes(shared, call);
     let detail = format!(
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -307,8 +307,8 @@
 
     /// Takes in the time from a send to the first event.
     pub(crate) fn first_event_took(&self, ms: Millis) {
-        if let Some(foretold) = self.first_event_ms(50) {
-            self.shared.metrics.foretold("first event", "any", foretold as f64, ms as f64);
+        if let Some(predicted) = self.first_event_ms(50) {
+            self.shared.metrics.predicted("first event", "any", predicted as f64, ms as f64);
         }
         let times = self.shared.first_times.of(&self.route.name, Default::default);
         times.lock().record(self.shared.clock.now(), ms);
--- a/crates/holdpointd/src/metrics.rs
+++ b/crates/holdpointd/src/metrics.rs
@@ -11,8 +11,8 @@
 const LATENCY_BOUNDS: [f64; 12] =
     [1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 500.0, 1000.0, 2000.0, 5000.0];
 
-/// Bounds of what was foretold, in hundredths of what came.
-const FORETOLD_BOUNDS: [f64; 9] = [30.0, 50.0, 70.0, 80.0, 90.0, 110.0, 130.0, 200.0, 400.0];
+/// Bounds of what was predicted, in hundredths of what came.
+const PREDICTED_BOUNDS: [f64; 9] = [30.0, 50.0, 70.0, 80.0, 90.0, 110.0, 130.0, 200.0, 400.0];
 
 /// All instruments of one instance.
 #[derive(Debug)]
@@ -39,8 +39,8 @@
     pub trial_requests: Counter<u64>,
     /// Milliseconds that those requests cost, by stage.
     pub trial_cost: Counter<u64>,
-    /// Time of stages and of first events as foretold, in hundredths of the time that they took.
-    pub foretold_percent: Histogram<f64>,
+    /// Time of stages and of first events as predicted, in hundredths of the time that they took.
+    pub predicted_percent: Histogram<f64>,
     /// Pieces in those calls, by end.
     pub pieces: Counter<u64>,
     /// Repeated chunks dropped.
@@ -96,12 +96,12 @@
             region_bytes: counter("holdpoint_region_bytes", "Bytes to other regions by kind"),
             trial_requests: counter("holdpoint_trial_requests", "Requests by trial and arm"),
             trial_cost: counter("holdpoint_trial_cost_ms", "Milliseconds by trial, arm and stage"),
-            foretold_percent: meter
-                .f64_histogram("holdpoint_foretold_percent")
+            predicted_percent: meter
+                .f64_histogram("holdpoint_predicted_percent")
                 .with_description(
-                    "Foretold times of stages and first events, in % of the true ones",
+                    "Predicted times of stages and first events, in % of the true ones",
                 )
-                .with_boundaries(FORETOLD_BOUNDS.to_vec())
+                .with_boundaries(PREDICTED_BOUNDS.to_vec())
                 .build(),
             pieces: counter("holdpoint_pieces", "Pieces in calls for results of stages by end"),
             dropped_chunks: counter("holdpoint_dropped_chunks", "Repeated chunks dropped"),
@@ -123,10 +123,10 @@
         }
     }
 
-    /// Takes in how long a step was foretold to take and took, in milliseconds, at a service with a load.
-    pub fn foretold(&self, step: &str, load: &'static str, foretold_ms: f64, took_ms: f64) {
-        let percent = 100.0 * foretold_ms / took_ms.max(1.0);
-        self.foretold_percent.record(percent, &[label("step", step), label("load", load)]);
+    /// Takes in how long a step was predicted to take and took, in milliseconds, at a service with a load.
+    pub fn predicted(&self, step: &str, load: &'static str, predicted_ms: f64, took_ms: f64) {
+        let percent = 100.0 * predicted_ms / took_ms.max(1.0);
+        self.predicted_percent.record(percent, &[label("step", step), label("load", load)]);
     }
 
     /// All metrics in the Prometheus text form.
