--- a/crates/holdpoint-core/benches/decisions.rs
+++ b/crates/holdpoint-core/benches/decisions.rs
@@ -46,6 +46,7 @@
             cap: 64,
             share: Share::Whole,
             inputs: &[],
+            within: None,
         };
         group.bench_function(BenchmarkId::from_parameter(targets), |bencher| {
             bencher.iter(|| black_box(router.choose(1, &policy, &call, &mut rng)));
--- a/crates/holdpoint-core/src/batcher/mod.rs
+++ b/crates/holdpoint-core/src/batcher/mod.rs
@@ -15,6 +15,7 @@
 mod near;
 mod pack;
 mod queue;
+mod regions;
 mod targets;
 
 use std::collections::{BTreeMap, HashMap};
@@ -26,6 +27,7 @@
     pieces::{Call, Sizes, Ticket, Waiting},
 };
 
+pub use self::estimate::Judgement;
 use self::{
     estimate::Judge,
     targets::{Kept, Target},
@@ -64,6 +66,11 @@
         }
     }
 
+    /// Sizes in force.
+    pub fn sizes(&self) -> &Sizes {
+        &self.sizes
+    }
+
     /// Puts other sizes in force.
     pub fn set_sizes(&mut self, sizes: Sizes) {
         self.sizes = sizes;
@@ -77,6 +84,7 @@
                 old.remove(id).unwrap_or_else(|| Target { slowness: 1.0, ..Target::default() });
             target.domain = domain.to_owned();
             target.is_leaving = is_leaving;
+            target.is_spare = false;
             self.targets.insert(id.to_owned(), target);
         }
     }
@@ -95,7 +103,12 @@
 
     /// Takes back all pieces that wait, for another instance to make.
     pub fn hand_over(&mut self) -> Vec<Ticket> {
-        self.waiting.drain(..).map(|it| it.ticket).collect()
+        self.take_back(|_| true)
+    }
+
+    /// Takes back some of the pieces that wait.
+    pub fn take_back(&mut self, is_taken: impl Fn(&Waiting) -> bool) -> Vec<Ticket> {
+        self.waiting.extract_if(.., |it| is_taken(it)).map(|it| it.ticket).collect()
     }
 
     /// Takes back the pieces that are no longer wanted.
--- a/crates/holdpoint-core/src/batcher/targets.rs
+++ b/crates/holdpoint-core/src/batcher/targets.rs
@@ -36,6 +36,8 @@
 pub(super) struct Target {
     pub(super) domain: String,
     pub(super) is_leaving: bool,
+    /// Whether it gets only pieces that are confined to regions in which no other one makes them.
+    pub(super) is_spare: bool,
     pub(super) calls: u32,
     pub(super) failures: u32,
     pub(super) suspect_until: Millis,
@@ -154,6 +156,7 @@
             .fold(f64::INFINITY, f64::min);
         let has_backlog = self.has_backlog(BACKLOG);
         staying()
+            .chain(self.spare_targets())
             .filter(|it| it.1.suspect_until <= now && it.1.calls < calls)
             .filter(|it| {
                 let is_slow = SLOW * fastest.max(1.0) <= it.1.slowness;
--- a/crates/holdpoint-core/src/choice.rs
+++ b/crates/holdpoint-core/src/choice.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     cold::Share,
+    confinement::Bounds,
     ids::{Millis, Name},
 };
 
@@ -47,6 +48,8 @@
     pub share: Share,
     /// Bytes that the target fetches before it begins, by the failure domain that they lie in.
     pub inputs: &'a [(Name, u64)],
+    /// What its targets must be within, where its request is confined to regions.
+    pub within: Option<&'a Bounds>,
 }
 
 impl Call<'_> {
@@ -91,6 +94,8 @@
     Full,
     /// Every target is held back, since its failure domain is evacuated.
     Evacuated,
+    /// The call is confined to regions in which there is no target for it.
+    Confined,
     /// Every target is cold and carries no more for so many milliseconds.
     Cold(Millis),
 }
--- a/crates/holdpoint-core/src/route.rs
+++ b/crates/holdpoint-core/src/route.rs
@@ -14,6 +14,7 @@
 use crate::{
     admit::Signal,
     cold::{Credits, Share},
+    confinement::is_within,
     ids::Millis,
     subset::{subset, weight},
     topology::Topology,
@@ -168,7 +169,9 @@
                     region: region(&self.topology, &member.domain),
                     ..Target::default()
                 };
-                old.remove(&member.address).unwrap_or_else(fresh)
+                let known = old.remove(&member.address).unwrap_or_else(fresh);
+                let region = region(&self.topology, &member.domain);
+                Target { domain: member.domain.clone(), region, ..known }
             })
             .collect();
         let held = members.iter().filter(|it| it.held && !it.leaving);
@@ -358,8 +361,12 @@
         call: &Call<'_>,
         region: Option<&str>,
     ) -> Result<(Vec<usize>, usize), NoTarget> {
+        let allowed = |it: &usize| is_within(call.within, &self.targets[*it].domain);
+        if !(0..self.targets.len()).any(|it| allowed(&it)) {
+            return Err(NoTarget::Confined);
+        }
         let untried = |it: &usize| !call.tried.contains(&self.targets[*it].address);
-        let all: Vec<usize> = (0..self.targets.len()).filter(untried).collect();
+        let all: Vec<usize> = (0..self.targets.len()).filter(allowed).filter(untried).collect();
         let (all, pool) = self.in_region(all, region);
         if all.is_empty() {
             return Err(NoTarget::Tried);
--- a/crates/holdpoint-core/tests/cold.rs
+++ b/crates/holdpoint-core/tests/cold.rs
@@ -49,6 +49,7 @@
         cap: u32::MAX,
         share,
         inputs: &[],
+        within: None,
     }
 }
 
@@ -184,6 +185,7 @@
         is_leaving: false,
         sequence,
         cold_left_ms,
+        version: String::new(),
     }
 }
 
--- a/crates/holdpoint-core/tests/support/chain.rs
+++ b/crates/holdpoint-core/tests/support/chain.rs
@@ -1,9 +1,12 @@
 //! Three batchers, one after the other, in virtual time.
 
-use std::{collections::HashMap, iter::Sum};
+use std::{
+    collections::{HashMap, HashSet},
+    iter::Sum,
+};
 
 use holdpoint_core::{
-    admission::{FirstAsk, Verdict, decide},
+    admission::{FirstAsk, Objective, Verdict, decide},
     batcher::Batcher,
     pieces::{Call, CallEnd, Sizes, Waiting},
     promises::{Promises, StageAhead},
@@ -43,13 +46,15 @@
 }
 
 /// Requests and targets over time.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct Load {
     pub(crate) seed: u64,
     /// From when on how many requests a second come.
     pub(crate) per_s: Vec<(u64, f64)>,
     /// From when until when a third of the second stage's targets is gone.
     pub(crate) gone: Option<(u64, u64)>,
+    /// Worth of a late answer.
+    pub(crate) late_worth: f64,
 }
 
 /// What became of the requests.
@@ -92,6 +97,7 @@
 
 struct Chain {
     way: Way,
+    late_worth: f64,
     now: u64,
     batchers: Vec<Batcher>,
     promises: Promises,
@@ -99,6 +105,8 @@
     told_ms: [u64; 3],
     credits: [f64; 3],
     arrived: HashMap<u64, u64>,
+    /// Requests that were admitted late.
+    late: HashSet<u64>,
     /// Pieces that are missing, by request and stage.
     missing: HashMap<(u64, usize), u32>,
     /// Pieces on their way to a batcher: when, request, stage.
@@ -110,7 +118,7 @@
 
 /// Plays a load; a third of the second stage's targets fail where the load says so.
 pub(crate) fn play(load: &Load, way: Way) -> Outcome {
-    let mut chain = Chain::new(way);
+    let mut chain = Chain::new(way, load.late_worth);
     let mut rng = ChaCha8Rng::seed_from_u64(load.seed);
     for now in 0..END_MS + DEADLINE_MS {
         chain.now = now;
@@ -126,15 +134,17 @@
 }
 
 impl Chain {
-    fn new(way: Way) -> Chain {
+    fn new(way: Way, late_worth: f64) -> Chain {
         let mut chain = Chain {
             way,
+            late_worth,
             now: 0,
             batchers: STAGES.iter().map(|it| Batcher::new(it.3)).collect(),
             promises: Promises::default(),
             told_ms: [200; 3],
             credits: [0.0; 3],
             arrived: HashMap::new(),
+            late: HashSet::new(),
             missing: HashMap::new(),
             coming: Vec::new(),
             running: Vec::new(),
@@ -214,6 +224,7 @@
             ahead: if self.way == Way::Chain { &ahead } else { &[] },
             end: self.now + AIM_MS - FIRST_EVENT_MS,
             deadline: self.now + DEADLINE_MS - FIRST_EVENT_MS,
+            objective: Objective { late_worth: self.late_worth },
         };
         let is_covered = self.way != Way::Credits
             || (1..3).all(|it| f64::from(STAGES[it].2) <= self.credits[it]);
@@ -222,6 +233,9 @@
             self.outcome.refused += 1;
             return;
         }
+        if self.way == Way::Chain && matches!(verdict, Verdict::Late(_)) {
+            self.late.insert(request);
+        }
         for (credits, stage) in self.credits.iter_mut().zip(&STAGES) {
             *credits -= f64::from(stage.2);
         }
@@ -235,12 +249,13 @@
         let deadline = (arrived + DEADLINE_MS).saturating_sub(after);
         let left = deadline.saturating_sub(self.now);
         let count = STAGES[stage].2;
+        let due = (arrived + AIM_MS).saturating_sub(after);
         self.missing.insert((request, stage), count);
         for piece in 0..count {
             let waiting = Waiting {
                 ticket: 100 * request + u64::from(piece),
                 group: request,
-                due: (arrived + AIM_MS).saturating_sub(after),
+                due: if self.late.contains(&request) { self.now } else { due },
                 deadline,
                 late_due: self.now + left / (3 - stage as u64),
                 ..Waiting::default()
--- a/crates/holdpoint-emulator/src/capacity.rs
+++ b/crates/holdpoint-emulator/src/capacity.rs
@@ -223,6 +223,7 @@
                 cap: 10_000,
                 share: Share::Whole,
                 inputs: &[],
+                within: None,
             };
             micros(|| {
                 for now in 0..CALLS as u64 {
--- a/crates/holdpoint/src/main.rs
+++ b/crates/holdpoint/src/main.rs
@@ -11,6 +11,8 @@
 mod judge;
 mod losses;
 mod output;
+mod regions;
+mod rollouts;
 mod soak;
 mod store;
 
@@ -57,6 +59,8 @@
         }
         Some(("declare", it)) => experiments::declare(it).await,
         Some(("domains", it)) => domains::run(it, api::form(matches)).await,
+        Some(("regions", it)) => regions::run(it, api::form(matches)).await,
+        Some(("rollouts", it)) => rollouts::run(it, api::form(matches)).await,
         Some(("explain", it)) => explain::run(it),
         Some(("demo", it)) => demo::run(it).await,
         Some(("soak", it)) => soak::run(it).await,
--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -111,8 +111,30 @@
     UNCONFIRMED = 621 Warn "configuration not confirmed";
     /// A list that a peer sent cannot be read.
     BAD_LIST = 620 Error "list of a peer cannot be read";
+    /// A confined request was refused, since its regions have no target for it.
+    CONFINED = 640 Info "no target in the allowed regions";
+    /// A region that a configuration names, or a target's failure domain, is in no known region.
+    REGION_UNKNOWN = 641 Warn "region not known";
+    /// Places of a service were lent to another region.
+    PLACES_LENT = 630 Info "places lent";
+    /// Places of a service in another region were asked for.
+    PLACES_BORROWED = 631 Info "places borrowed";
+    /// A request goes to another region, since it would be late in its own one.
+    SPILLED = 632 Info "request sent to another region";
+    /// A request that will be late in its region stays there.
+    NOT_SPILLED = 633 Info "late request stays in its region";
     /// Pieces were refused, since every target that makes them stands in an evacuated failure domain.
     PIECES_EVACUATED = 709 Info "pieces have no target left";
+    /// An operator ordered a version to be rolled out, or withdrew the order.
+    ROLLOUT_ORDERED = 750 Info "roll-out ordered or withdrawn";
+    /// A roll-out began a phase.
+    ROLLOUT_PHASE = 751 Info "roll-out phase began";
+    /// This instance drives a roll-out, or does not any more.
+    ROLLOUT_DRIVER = 752 Info "roll-out driver changed";
+    /// The status of a roll-out was not written.
+    ROLLOUT_UNWRITTEN = 753 Warn "roll-out not recorded";
+    /// An order to roll out a version cannot be read.
+    BAD_ROLLOUT = 754 Error "roll-out order cannot be read";
     /// A request was sent to a target.
     SENT = 700 Info "sent to a target";
     /// A send ended without a whole answer.
@@ -127,6 +149,8 @@
     HANDED_PIECES_OVER = 708 Info "pieces handed over";
     /// What an instance tells of the load of a service makes no sense, and the one before counts.
     LOAD_NOT_USED = 720 Warn "told load not used";
+    /// A request was admitted that will be late; it is made in the time that others leave.
+    ADMITTED_LATE = 721 Info "admitted late";
     /// A stream broke off at its target.
     STREAM_MOVED = 704 Info "stream broke off at its target";
     /// A request was denied before it had a route.
--- a/crates/holdpointd/src/ingress/attempts.rs
+++ b/crates/holdpointd/src/ingress/attempts.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use holdpoint_core::{
+    confinement::Confinement,
     directory::TargetInstance,
     ids::Name,
+    rollout::Lane,
     route::{Call, End, NoTarget},
 };
 
@@ -14,7 +16,8 @@
         context::Context,
         peer_service::PromptAsk,
         peers::PLACE_LIMIT,
-        regions::{batcher_of, limit_for},
+        regions::{limit_for, owner_of},
+        rollouts::Running,
     },
     metrics::label,
 };
@@ -24,6 +27,8 @@
 pub(crate) struct Attempts {
     tried: Vec<String>,
     sends: u32,
+    /// The send that is under way, where a version is rolled out.
+    running: Option<Running>,
 }
 
 /// Why no further send is made.
@@ -43,6 +48,8 @@
     Evacuated,
     /// Every target is cold and carries no more for now.
     Cold,
+    /// No target is in the regions that the request is confined to.
+    Confined,
 }
 
 impl NoSend {
@@ -56,6 +63,7 @@
             NoSend::Stopping => "stopping",
             NoSend::Evacuated => "evacuated",
             NoSend::Cold => "cold",
+            NoSend::Confined => "confined",
         }
     }
 }
@@ -79,12 +87,14 @@
         if !self.may_repeat(ctx) {
             return Err(NoSend::Attempts);
         }
-        let (target, reason) = self.choose(ctx, inputs).await?;
+        self.running = None;
+        let (target, reason) = self.choose_in_lane(ctx, inputs).await?;
         let now = ctx.shared.clock.now();
         if self.sends != 0 && !ctx.pool.spend(now, &ctx.shared.pools.terms()) {
             return Err(NoSend::Budget);
         }
         self.sends += 1;
+        self.running = Running::begin(ctx, &target);
         ctx.pool.sent(now, &target.id, &ctx.call(&[]));
         ctx.note_send(&target.id);
         let moved = Call { inputs, ..ctx.call(&[]) }.moved_bytes(&target.domain);
@@ -101,6 +111,31 @@
         Ok(target)
     }
 
+    /// Chooses a target among those of the version that the request may go to. Where none of a version
+    /// that is rolled out can be had, it goes to another version, unless the roll-out is over.
+    async fn choose_in_lane(
+        &mut self,
+        ctx: &Context,
+        inputs: &[(Name, u64)],
+    ) -> Result<(TargetInstance, String), NoSend> {
+        let rollouts = &ctx.shared.rollouts;
+        let now = ctx.shared.clock.now();
+        let lane = rollouts.lane(now, &ctx.service, &ctx.route.name);
+        if lane == Lane::Any {
+            return self.choose(ctx, inputs).await;
+        }
+        let tried = self.tried.clone();
+        self.tried.extend(rollouts.closed(now, &ctx.service, lane));
+        let mut chosen = self.choose(ctx, inputs).await;
+        if chosen.is_err() && lane == Lane::New {
+            self.tried = tried.clone();
+            self.tried.extend(rollouts.closed(now, &ctx.service, Lane::Old));
+            chosen = self.choose(ctx, inputs).await;
+        }
+        self.tried = tried;
+        chosen.map(|(target, reason)| (target, format!("{reason} rollout={lane:?}")))
+    }
+
     /// Chooses a target, with the reason for the log. Prompts are placed by one instance for all,
     /// since an engine that reads a long prompt holds up all that run there, whoever sent them.
     async fn choose(
@@ -116,11 +151,12 @@
         }
         loop {
             let decides = ctx.decides();
+            let within = ctx.within();
             let share = ctx.shared.pools.share(decides);
-            let call = Call { share, inputs, ..ctx.call(&self.tried) };
-            let policy = ctx.policy();
+            let call = Call { share, inputs, within: within.as_deref(), ..ctx.call(&self.tried) };
+            let (policy, region) = (ctx.policy(), ctx.call_region());
             let now = ctx.shared.clock.now();
-            let choice = match ctx.pool.place(now, policy.as_deref(), &call, ctx.call_region()) {
+            let choice = match ctx.pool.place(now, policy.as_deref(), &call, region.as_deref()) {
                 Ok(it) => it,
                 Err(NoTarget::Cold(ms)) if ctx.may_wait_for(ms) => {
                     tokio::time::sleep(Duration::from_millis(ms)).await;
@@ -128,11 +164,12 @@
                 }
                 Err(NoTarget::Cold(_)) => return Err(NoSend::Cold),
                 Err(NoTarget::Evacuated) => return Err(NoSend::Evacuated),
+                Err(NoTarget::Confined) => return Err(NoSend::Confined),
                 Err(NoTarget::Empty | NoTarget::Tried | NoTarget::Full) => {
                     return Err(NoSend::NoTarget);
                 }
             };
-            if let Some(target) = ctx.shared.open_target(&choice.address) {
+            if let Some(target) = ctx.open_target(&choice.address) {
                 let reason = format!(
                     "compared={} ejected={} predicted_ms={:.0} prefix={}",
                     choice.reason.compared,
@@ -153,17 +190,19 @@
     ) -> Option<(TargetInstance, String)> {
         let call = ctx.call(&self.tried);
         let prefix = call.prefix?;
-        let address = batcher_of(&ctx.shared, &ctx.region, &ctx.service)?;
+        let (within, region) = (ctx.within(), ctx.region());
+        let address = owner_of(&ctx.shared, &region, &ctx.service, &within)?;
         let mut avoided = ctx.pool.ejected(ctx.shared.clock.now());
         avoided.extend(self.tried.iter().cloned());
         let policy = ctx.arm.as_ref().map(|it| it.policy.clone());
         let (work, prefix_work) = (call.work, call.prefix_work);
+        let confinement = within.map_or_else(Confinement::default, |it| it.confinement());
         let inputs = inputs.to_vec();
-        let ask = PromptAsk { work, prefix_work, prefix, avoided, policy, inputs };
-        let limit = limit_for(&ctx.shared, &ctx.region, PLACE_LIMIT);
+        let ask = PromptAsk { work, prefix_work, prefix, avoided, policy, inputs, confinement };
+        let limit = limit_for(&ctx.shared, &region, PLACE_LIMIT);
         let placed = ctx.shared.peers.place(&ctx.shared, &address, &ctx.service, ask, limit);
         let chosen = placed.await?;
-        let target = ctx.shared.open_target(&chosen)?;
+        let target = ctx.open_target(&chosen)?;
         Some((target, format!("placed_by={address}")))
     }
 
@@ -176,6 +215,7 @@
 /// Ends a send in the books of its pool, with a line in the log unless it went well.
 pub(crate) fn end_send(ctx: &Context, target: &TargetInstance, end: End, cause: &'static str) {
     ctx.pool.ended(ctx.shared.clock.now(), &target.id, ctx.call(&[]).work, end);
+    ctx.shared.rollouts.answered(ctx, target, end, cause);
     let labels = [label("service", ctx.service.as_str()), label("end", cause)];
     ctx.shared.metrics.attempts.add(1, &labels);
     if !matches!(end, End::Whole(_)) {
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -12,14 +12,16 @@
 use futures::{StreamExt, stream::FuturesUnordered};
 use holdpoint_adapter::stages as wire;
 use holdpoint_core::{
-    admission::{FirstAsk, Verdict, decide},
-    batcher::Batcher,
+    admission::{FirstAsk, Objective, Verdict, decide},
+    batcher::{Batcher, Judgement},
+    confinement::Within,
     directory::{Directory, TargetId, TargetInstance},
     evacuation::Evacuations,
     ids::{Millis, Name},
     ingress::Service,
     pieces::{Call, CallEnd, Sizes, Ticket, Waiting},
-    promises::{Promises, StageLoad},
+    promises::{Expected, Promises, StageLoad},
+    rollout::{Answer, Lane},
     route::Load,
     stage_graph::{NoResult, PieceWork},
     topology::Topology,
@@ -30,6 +32,7 @@
 use crate::{
     events::{self, emit},
     ingress::{
+        confinement::{self, log_refused},
         piece_ask::{PieceAsk, PieceResult},
         regions::own_batcher_of,
         send::{left, own_call},
@@ -49,6 +52,8 @@
 
 struct Pending {
     work: PieceWork,
+    /// Route of its request.
+    route: Name,
     deadline: Instant,
     offered: Instant,
     /// How often it went back to the queue.
@@ -65,14 +70,17 @@
     /// Pieces whose target has not fetched its inputs yet.
     unfetched: AtomicUsize,
     used_up: Mutex<Vec<(Name, String)>>,
+    /// What their request is confined to.
+    within: Within,
 }
 
 impl GroupInputs {
-    fn new(asks: &mut [PieceAsk]) -> GroupInputs {
+    fn new(asks: &mut [PieceAsk], within: Within) -> GroupInputs {
         let used_up = asks.first_mut().map(|it| std::mem::take(&mut it.used_up));
         GroupInputs {
             unfetched: AtomicUsize::new(asks.len()),
             used_up: Mutex::new(used_up.unwrap_or_default()),
+            within,
         }
     }
 
@@ -82,7 +90,10 @@
             return;
         }
         let used_up = std::mem::take(&mut *self.used_up.lock());
-        used_up.into_iter().for_each(|(service, handle)| shared.releases.release(&service, handle));
+        let release = |(service, handle): (Name, String)| {
+            shared.releases.release(&service, handle);
+        };
+        used_up.into_iter().for_each(release);
     }
 }
 
@@ -93,6 +104,8 @@
 #[derive(Clone, Debug, Default)]
 struct Targets {
     known: Vec<Known>,
+    /// Those that get no calls here only since they stand in another region.
+    far: Vec<TargetId>,
     /// Whether one is only kept from work by the evacuation of its failure domain.
     is_held: bool,
 }
@@ -112,6 +125,10 @@
     is_owner: bool,
     /// Whether all its targets stand in evacuated failure domains.
     is_evacuated: bool,
+    /// Whether this instance was about to stop when last looked at.
+    was_leaving: bool,
+    /// Targets that calls may go to, where a version is rolled out.
+    lane: Option<Lane>,
 }
 
 impl ServiceBatches {
@@ -121,22 +138,36 @@
             pending: HashMap::new(),
             is_owner: false,
             is_evacuated: false,
+            was_leaving: false,
+            lane: None,
         }
     }
 
+    /// Takes in which targets calls may go to, where a version is rolled out.
+    fn set_lane(&mut self, lane: Option<Lane>, closed: &[TargetId], targets: &Targets) {
+        self.lane = lane;
+        let known = targets.known.iter();
+        let is_closed = |it: &Known| it.2 || closed.contains(&it.0);
+        self.batcher.set_targets(known.map(|it| (it.0.as_str(), it.1.as_str(), is_closed(it))));
+    }
+
     /// Takes in the service's targets. Where none is left, what waits is refused at once.
     fn set_targets(&mut self, targets: &Targets) {
-        let known = targets.known.iter();
-        self.batcher.set_targets(known.map(|it| (it.0.as_str(), it.1.as_str(), it.2)));
+        self.set_lane(None, &[], targets);
+        self.batcher.set_spare(targets.far.iter().map(String::as_str));
         self.is_evacuated = targets.is_evacuated();
-        if !self.is_evacuated {
-            return;
+        if self.is_evacuated {
+            let tickets = self.batcher.hand_over();
+            self.answer(&tickets, NoResult::Overload(EVACUATED_RETURN_MS));
         }
-        for ticket in self.batcher.hand_over() {
-            if let Some(it) = self.pending.remove(&ticket) {
-                // Its request may have ended meanwhile.
-                drop(it.reply.send(Err(NoResult::Overload(EVACUATED_RETURN_MS))));
-            }
+        let stranded = self.batcher.take_stranded();
+        self.answer(&stranded, NoResult::Overload(confinement::RETURN_MS));
+    }
+
+    /// Answers pieces that wait no longer; a request may have ended meanwhile.
+    fn answer(&mut self, tickets: &[Ticket], why: NoResult) {
+        for it in tickets.iter().filter_map(|it| self.pending.remove(it)) {
+            drop(it.reply.send(Err(why)));
         }
     }
 }
@@ -192,6 +223,9 @@
             of_service.is_held |= is_held;
             let is_far = !topology.is_near(&it.domain) && near.contains(it.service.as_str());
             let gets_none = it.is_leaving || is_held || is_far;
+            if is_far && is_open(it) {
+                of_service.far.push(it.id.clone());
+            }
             of_service.known.push((it.id.clone(), it.domain.clone(), gets_none));
         }
         let none = Targets::default();
@@ -228,13 +262,7 @@
         let sizes = configuration.services.get(service).and_then(|it| sizes(it));
         let sizes = sizes.ok_or(NoResult::Unreachable)?;
         let mut services = self.services.lock();
-        let of_service = services.entry(service.to_owned()).or_insert_with(|| {
-            let mut of_service = ServiceBatches::new(sizes);
-            if let Some(its) = self.targets.lock().get(service) {
-                of_service.set_targets(its);
-            }
-            of_service
-        });
+        let of_service = self.of_service(&mut services, service, sizes);
         let now = shared.clock.now();
         if of_service.is_evacuated {
             let request = asks.first().map_or("none", |it| it.work.request.as_str());
@@ -242,22 +270,31 @@
             emit(events::PIECES_EVACUATED, &shared.settings.instance, &detail);
             return Err(NoResult::Overload(EVACUATED_RETURN_MS));
         }
+        let within = asks.first().and_then(|it| it.confinement.bounds(&shared.topology));
+        if let Some(it) = within.as_ref().filter(|it| !of_service.batcher.can_make(Some(it))) {
+            let request = asks.first().map_or("none", |it| it.work.request.as_str());
+            log_refused(shared, request, service, it);
+            return Err(NoResult::Overload(confinement::RETURN_MS));
+        }
         let mut promises = self.promises.lock();
         admit(shared, service, &mut of_service.batcher, &mut promises, now, &asks)?;
         drop(promises);
         let offered = Instant::now();
         let group = self.ticket();
-        let inputs = Arc::new(GroupInputs::new(&mut asks));
+        let inputs = Arc::new(GroupInputs::new(&mut asks, within));
         let mut replies = Vec::with_capacity(asks.len());
         for ask in asks {
             let ticket = self.ticket();
             let (reply, answer) = oneshot::channel();
             replies.push(answer);
-            of_service.batcher.offer(now, waiting(&ask, ticket, group, now));
+            let within = inputs.within.clone();
+            let piece = Waiting { within, ..waiting(&ask, ticket, group, now) };
+            of_service.batcher.offer(now, piece);
             let deadline = offered + Duration::from_millis(ask.left_ms);
             let inputs = inputs.clone();
             let pending = Pending {
                 work: ask.work,
+                route: ask.route,
                 deadline,
                 offered,
                 returns: 0,
@@ -290,6 +327,38 @@
         }
     }
 
+    /// Pieces of a service that could be made within a time beside those of this instance's region, and
+    /// how long its stage usually takes; `None` where it has no stage.
+    pub(crate) fn lendable(
+        &self,
+        shared: &IngressShared,
+        service: &str,
+        ms: Millis,
+    ) -> Option<(u32, Millis)> {
+        let configuration = shared.configuration();
+        let sizes = configuration.services.get(service).and_then(|it| sizes(it))?;
+        let mut services = self.services.lock();
+        let batcher = &self.of_service(&mut services, service, sizes).batcher;
+        let now = shared.clock.now();
+        Some((batcher.lendable(now, ms), batcher.usual_ms(now)))
+    }
+
+    /// The batcher of a service, made where there is none yet.
+    fn of_service<'a>(
+        &self,
+        services: &'a mut HashMap<Name, ServiceBatches>,
+        service: &str,
+        sizes: Sizes,
+    ) -> &'a mut ServiceBatches {
+        services.entry(service.to_owned()).or_insert_with(|| {
+            let mut of_service = ServiceBatches::new(sizes);
+            if let Some(its) = self.targets.lock().get(service) {
+                of_service.set_targets(its);
+            }
+            of_service
+        })
+    }
+
     /// Takes in that results were given up at their makers.
     pub(crate) fn released(&self, service: &str, handles: &[String]) {
         if let Some(it) = self.services.lock().get_mut(service) {
@@ -330,8 +399,17 @@
     fn next(&self, shared: &IngressShared, service: &str) -> Option<(Call, Vec<Pending>, Millis)> {
         let now = shared.clock.now();
         let mut services = self.services.lock();
-        let ServiceBatches { batcher, pending, .. } = services.get_mut(service)?;
+        let of_service = services.get_mut(service)?;
+        let pieces = u64::from(of_service.batcher.sizes().pieces);
+        let lane = shared.rollouts.piece_lane(now, service, pieces);
+        if lane != of_service.lane {
+            let closed = shared.rollouts.closed(now, service, lane.unwrap_or(Lane::Any));
+            let targets = self.targets.lock().get(service).cloned().unwrap_or_default();
+            of_service.set_lane(lane, &closed, &targets);
+        }
+        let ServiceBatches { batcher, pending, .. } = of_service;
         let call = batcher.next(now)?;
+        shared.rollouts.pieces_sent(service, &call.target, call.pieces.len() as u64);
         let pieces: Vec<Pending> =
             call.pieces.iter().filter_map(|it| pending.remove(&it.ticket)).collect();
         let patience = batcher.patience_ms(&call.target, call.pieces.len());
@@ -345,19 +423,21 @@
         call: &Call,
         end: CallEnd,
         results: &[PieceResult],
-    ) {
+    ) -> Option<Judgement> {
         let now = shared.clock.now();
         let handles: Vec<Option<&str>> =
             results.iter().map(|it| it.as_ref().ok().map(String::as_str)).collect();
         let mut services = self.services.lock();
-        let Some(it) = services.get_mut(service) else { return };
-        if let CallEnd::Answered(ms) = end {
-            it.batcher.judge(now, call, ms);
-        }
+        let it = services.get_mut(service)?;
+        let judgement = match end {
+            CallEnd::Answered(ms) => it.batcher.judge(now, call, ms),
+            _ => None,
+        };
         it.batcher.ended(now, call, end, &handles);
         if results.contains(&Err(NoResult::NoRoom)) {
             it.batcher.no_room(now, &call.target);
         }
+        judgement
     }
 
     /// Takes in the load that a target told with the answer to a call.
@@ -386,18 +466,23 @@
             let is_owner = own_batcher_of(shared, name).is_none();
             let was_owner = std::mem::replace(&mut of_service.is_owner, is_owner);
             let is_told = || shared.pools.of(shared.clock.now(), name).has_told(shared.clock.now());
-            let is_idle = of_service.batcher.waiting() == 0;
-            if is_owner || is_idle || !(was_owner || is_told()) {
+            let is_leaving = shared.peers.is_leaving();
+            let was_leaving = std::mem::replace(&mut of_service.was_leaving, is_leaving);
+            if of_service.batcher.waiting() == 0 {
+                continue;
+            }
+            let moves = !is_owner && (was_owner || is_told());
+            // Confined pieces have an owner of their own, which may be any allowed instance.
+            let confined_move = is_leaving && !was_leaving;
+            let tickets = of_service
+                .batcher
+                .take_back(|it| if it.within.is_some() { confined_move } else { moves });
+            if tickets.is_empty() {
                 continue;
             }
-            let tickets = of_service.batcher.hand_over();
             let detail = format!("service={name} pieces={}", tickets.len());
             emit(events::HANDED_PIECES_OVER, &shared.settings.instance, &detail);
-            for ticket in tickets {
-                if let Some(it) = of_service.pending.remove(&ticket) {
-                    drop(it.reply.send(Err(NoResult::Moved)));
-                }
-            }
+            of_service.answer(&tickets, NoResult::Moved);
         }
     }
 
@@ -440,10 +525,16 @@
         pieces: asks.len(),
         ahead: first.chain.as_ref().map_or(&[], |it| &it.stages),
         end: at(first.chain.as_ref().map_or(first.due_in_ms, |it| it.end_in_ms)),
+        objective: Objective { late_worth: shared.settings.decisions.objective.late_worth },
         deadline: at(first.chain.as_ref().map_or(late_due_in_ms(first), |it| it.deadline_in_ms)),
     };
-    let Verdict::Refused { expected, by, excess } = decide(now, batcher, promises, &ask) else {
-        return Ok(());
+    let (expected, by, excess) = match decide(now, batcher, promises, &ask) {
+        Verdict::Late(expected) if first.chain.as_ref().is_some_and(|it| it.accepts_late) => {
+            log_late(shared, service, first, &expected);
+            return Err(NoResult::OnlyLate);
+        }
+        Verdict::InTime(_) | Verdict::Late(_) => return Ok(()),
+        Verdict::Refused { expected, by, excess } => (expected, by, excess),
     };
     let later = by.as_ref().and_then(|by| ask.ahead.iter().find(|it| it.service == *by));
     let return_ms = match later {
@@ -463,6 +554,18 @@
     Err(NoResult::Overload(return_ms))
 }
 
+fn log_late(shared: &IngressShared, service: &str, first: &PieceAsk, expected: &Expected) {
+    let detail = format!(
+        "id={} service={service} stage={} expected_ms={:.0} spread_ms={:.0} end_in_ms={}",
+        first.work.request,
+        expected.longest_wait.as_ref().map_or(service, |it| &it.0),
+        expected.ms,
+        expected.spread_ms,
+        first.chain.as_ref().map_or(first.due_in_ms, |it| it.end_in_ms),
+    );
+    emit(events::ADMITTED_LATE, &shared.settings.instance, &detail);
+}
+
 fn late_due_in_ms(ask: &PieceAsk) -> i64 {
     ask.late_due_in_ms.unwrap_or(ask.deadline_in_ms)
 }
@@ -518,8 +621,9 @@
         Err(_) if patience.max(LEAST_CALL_MS) <= ms => (Vec::new(), CallEnd::Silent(ms), "silent"),
         Err(_) => (Vec::new(), CallEnd::Failed, "failed"),
     };
-    log_call(&shared, &service, &call, &pieces, &results, (begun, ms, text));
-    shared.batches.ended(&shared, &service, &call, end, &results);
+    judge_call(&shared, &service, &call, &pieces, &results, (end, ms));
+    let judgement = shared.batches.ended(&shared, &service, &call, end, &results);
+    log_call(&shared, &service, &call, &pieces, &results, (begun, ms, text), judgement);
     let mut results = results.into_iter();
     for (waiting, piece) in call.pieces.into_iter().zip(pieces) {
         let usual = if end == CallEnd::Full { NoResult::NoRoom } else { NoResult::Failed };
@@ -529,6 +633,29 @@
     pump(&shared, &service);
 }
 
+/// Has a call counted for the roll-out of its target's version: the time of its pieces as a percentage
+/// of the stated one, since calls differ in size.
+fn judge_call(
+    shared: &IngressShared,
+    service: &str,
+    call: &Call,
+    pieces: &[Pending],
+    results: &[PieceResult],
+    (end, ms): (CallEnd, Millis),
+) {
+    let part = (100.0 * ms as f64 / call.sizes.stated_ms(pieces.len()).max(1.0)) as Millis;
+    for (index, piece) in pieces.iter().enumerate() {
+        let answer = match (end, results.get(index)) {
+            (CallEnd::Full, _) => Answer::Refused,
+            (CallEnd::Silent(_), _) => Answer::Silent,
+            (CallEnd::Failed, _) | (_, Some(Err(NoResult::Failed))) => Answer::Failed,
+            (_, Some(Ok(_))) => Answer::Good((!shared.is_cold(&call.target)).then_some(part)),
+            _ => continue,
+        };
+        shared.rollouts.piece_answered(service, &call.target, &piece.route, answer);
+    }
+}
+
 /// Makes a call, and gives up the inputs of its pieces as soon as its target has them. Where other
 /// instances call the target too, the call may wait there for its turn, and its inputs are not
 /// fetched before that.
@@ -590,14 +717,21 @@
     pieces: &[Pending],
     results: &[PieceResult],
     (begun, ms, end): (Instant, Millis, &'static str),
+    judgement: Option<Judgement>,
 ) {
     let waited = pieces.iter().map(|it| (begun - it.offered).as_millis()).max().unwrap_or(0);
     let made = results.iter().filter(|it| it.is_ok()).count();
     let no_room = results.iter().filter(|it| **it == Err(NoResult::NoRoom)).count();
+    let judged = judgement.map_or(String::new(), |it| {
+        let load = if call.has_backlog() { "backlog" } else { "calm" };
+        shared.metrics.foretold(service, load, it.foretold_ms, it.took_ms);
+        format!(" load={load} foretold_ms={:.0} took_ms={:.0}", it.foretold_ms, it.took_ms)
+    });
     let moved = moved_bytes(shared, call);
     let detail = format!(
         "service={service} target={} pieces={} most={} made={made} no_room={no_room} left={} \
-         used_kb={} room_kb={} moved_kb={} waited_ms={waited} ms={ms} stated_ms={:.0} shared={} end={end}",
+         used_kb={} room_kb={} moved_kb={} waited_ms={waited} ms={ms} stated_ms={:.0} shared={} \
+         end={end}{judged}",
         call.target,
         pieces.len(),
         call.sizes.pieces,
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -1,8 +1,9 @@
 //! One request on its way: what is known of it, the sends made for it, how it ended.
 
 use std::{
+    borrow::Cow,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, Ordering},
     },
     time::{Duration, Instant},
@@ -25,6 +26,7 @@
     events::{self, emit},
     ingress::{
         answer::{Answer, Failure, failure, refusal},
+        confinement::RequestBounds,
         connections::Care,
         pools::Pool,
         regions,
@@ -52,11 +54,15 @@
     pub(crate) head: CallerHead,
     pub(crate) route: Arc<IngressRoute>,
     pub(crate) service: Name,
-    /// Region whose targets make its stages and read its prompt.
-    pub(crate) region: Name,
+    /// Region that is to serve it.
+    home: Name,
+    /// Region that serves it in place of that one.
+    spilled_to: OnceLock<Name>,
     pub(crate) pool: Arc<Pool>,
     pub(crate) organisation: Option<Name>,
     pub(crate) rank: u32,
+    /// What binds it to regions.
+    pub(crate) bounds: RequestBounds,
     pub(crate) version: Version,
     pub(crate) arrived: Instant,
     /// How long before that its caller has likely asked for the first time.
@@ -66,6 +72,8 @@
     pub(crate) ledger: Ledger,
     /// Whether work was done for it.
     has_begun: AtomicBool,
+    /// Whether it was admitted as one that will be late.
+    is_late: AtomicBool,
     /// Arm of the trial that it falls to, if there is one on its route.
     pub(crate) arm: Option<ChosenArm>,
     end: Mutex<EndLine>,
@@ -92,6 +100,7 @@
     pub(crate) service: Name,
     pub(crate) organisation: Option<Name>,
     pub(crate) rank: u32,
+    pub(crate) bounds: RequestBounds,
     pub(crate) version: Version,
     pub(crate) arrived: Instant,
     pub(crate) working: Working,
@@ -104,7 +113,7 @@
         let asked_before = asked_before(&shared, &parts);
         let pool = shared.pools.of(shared.clock.now(), &parts.service);
         pool.request(shared.clock.now(), &shared.pools.terms());
-        let region = regions::home(&shared, &parts.route, &parts.service);
+        let home = regions::home(&shared, &parts.route, &parts.service, parts.bounds.at_arrival());
         let arm = shared.experiments.now().arm_for(&parts.route.name, &parts.request.id);
         Context {
             shared,
@@ -112,16 +121,19 @@
             head: parts.head,
             route: parts.route,
             service: parts.service,
-            region,
+            home,
+            spilled_to: OnceLock::new(),
             pool,
             organisation: parts.organisation,
             rank: parts.rank,
+            bounds: parts.bounds,
             version: parts.version,
             arrived: parts.arrived,
             asked_before,
             until: parts.arrived + limit,
             ledger: Ledger::new(),
             has_begun: AtomicBool::new(false),
+            is_late: AtomicBool::new(false),
             arm,
             end: Mutex::default(),
             _working: parts.working,
@@ -153,6 +165,11 @@
         Duration::from_millis(self.route.target_ms)
     }
 
+    /// Time left until the answer is late.
+    pub(crate) fn left_of_target(&self) -> Duration {
+        self.target_time().saturating_sub(self.arrived.elapsed() + self.asked_before)
+    }
+
     /// Whether the request may run again.
     pub(crate) fn is_repeatable(&self) -> bool {
         self.route.repeat == Repeat::Free
@@ -168,6 +185,16 @@
         self.has_begun.load(Ordering::Acquire) || self.was_sent()
     }
 
+    /// Accepts that it will be late.
+    pub(crate) fn accept_late(&self) {
+        self.is_late.store(true, Ordering::Release);
+    }
+
+    /// Whether it was admitted as one that will be late.
+    pub(crate) fn is_late(&self) -> bool {
+        self.is_late.load(Ordering::Acquire)
+    }
+
     /// Policy of its trial's arm; none where the built-in one routes it.
     pub(crate) fn policy(&self) -> Option<Arc<Policy>> {
         let arm = self.arm.as_ref()?;
@@ -211,20 +238,43 @@
             cap: u32::MAX,
             share: Share::Whole,
             inputs: &[],
+            within: None,
         }
     }
 
+    /// Has another region serve it. No work was done for it yet.
+    pub(crate) fn spill_to(&self, region: Name) {
+        // Whoever spills has looked that it was not spilled before.
+        drop(self.spilled_to.set(region));
+    }
+
+    /// Whether another region serves it than was to.
+    pub(crate) fn is_spilled(&self) -> bool {
+        self.spilled_to.get().is_some()
+    }
+
     /// Region that its target is chosen in; any, by its distance, where there are neither results of
     /// stages nor a prompt.
-    pub(crate) fn call_region(&self) -> Option<&str> {
+    pub(crate) fn call_region(&self) -> Option<Cow<'_, str>> {
         let is_bound = !self.route.stages.is_empty() || self.head.prompt.affinity().is_some();
-        is_bound.then_some(self.region.as_str())
+        is_bound.then(|| self.region())
+    }
+
+    /// Region whose targets make its stages and read its prompt; another one than at its arrival once
+    /// it has gone there, or is confined otherwise.
+    pub(crate) fn region(&self) -> Cow<'_, str> {
+        let within = self.within();
+        if within == *self.bounds.at_arrival() {
+            return Cow::Borrowed(self.spilled_to.get().unwrap_or(&self.home));
+        }
+        Cow::Owned(regions::home(&self.shared, &self.route, &self.service, &within))
     }
 
     /// Whether this instance places the prompts of the service for all.
     pub(crate) fn decides(&self) -> bool {
-        self.head.prompt.affinity().is_some()
-            && regions::batcher_of(&self.shared, &self.region, &self.service).is_none()
+        let region = self.region();
+        let owner = || regions::owner_of(&self.shared, &region, &self.service, &self.within());
+        self.head.prompt.affinity().is_some() && owner().is_none()
     }
 
     /// Whether it may still be served in time after a wait for a target that carries one more.
@@ -257,6 +307,9 @@
 
     /// Takes in the time from a send to the first event.
     pub(crate) fn first_event_took(&self, ms: Millis) {
+        if let Some(foretold) = self.first_event_ms(50) {
+            self.shared.metrics.foretold("first event", "any", foretold as f64, ms as f64);
+        }
         let times = self.shared.first_times.of(&self.route.name, Default::default);
         times.lock().record(self.shared.clock.now(), ms);
     }
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -9,6 +9,7 @@
 mod attempts;
 mod batches;
 mod changes;
+mod confinement;
 mod confirm;
 mod connections;
 mod context;
@@ -16,6 +17,9 @@
 mod domains;
 mod follow;
 mod front;
+mod heard;
+mod held;
+mod intake;
 mod links;
 mod news;
 mod packed;
@@ -26,8 +30,10 @@
 mod regions;
 mod releases;
 mod request;
+mod rollouts;
 mod send;
 mod shared;
+mod spill;
 mod stages;
 mod store;
 mod stream;
@@ -41,7 +47,7 @@
 };
 
 use error_stack::{Report, ResultExt};
-use holdpoint_core::{directory::TargetInstance, ids::Name, ingress::Version};
+use holdpoint_core::{directory::TargetInstance, ids::Name, ingress::Version, rollout::Phase};
 use holdpoint_schema::ingress::{IngressSettings, Listen};
 use tokio::time::{interval, sleep, timeout};
 
@@ -91,6 +97,10 @@
             tokio::spawn(front::metrics(shared.clone(), it));
         }
         tokio::spawn(releases::run(shared.clone()));
+        if shared.topology.is_split() {
+            tokio::spawn(spill::run(shared.clone()));
+        }
+        tokio::spawn(rollouts::run(shared.clone()));
         tokio::spawn(tick(shared.clone()));
         emit(events::STARTED, &shared.settings.instance, &format!("callers={}", listen.callers));
         Ok(Ingress { shared })
@@ -137,6 +147,11 @@
         self.shared.domains.state().domains().cloned().collect()
     }
 
+    /// Where the roll-out of a service stands, as far as this instance knows.
+    pub fn rollout(&self, service: &str) -> Option<Phase> {
+        self.shared.rollouts.phase(self.shared.clock.now(), service)
+    }
+
     /// Stops as planned: not ready at once, new work while the balancer notices, then the end of
     /// all that is in flight, within the grace that the platform gives.
     pub async fn stop(self) -> Ended {
@@ -164,6 +179,12 @@
     }
 }
 
+/// Failure domain of the instance that an entry in the store describes; empty where it does not tell,
+/// `None` where it cannot be read.
+pub fn domain_of_entry(entry: &[u8]) -> Option<String> {
+    peers::Peer::parse(entry).map(|it| it.domain)
+}
+
 /// Waits until nothing is in flight, for so long at most; whether that came about. What has no answer
 /// shortly before gets its final one.
 async fn drain(shared: &IngressShared, rest: Duration) -> bool {
--- a/crates/holdpointd/src/ingress/news.rs
+++ b/crates/holdpointd/src/ingress/news.rs
@@ -15,14 +15,21 @@
     evacuation::{Evacuations, Horizon},
     ids::{Millis, Name},
     ingress::Version,
+    rollout::ToldOrders,
 };
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
-use crate::ingress::{peers::Peer, shared::IngressShared};
+use crate::ingress::{
+    peers::{Peer, own_capacity},
+    shared::IngressShared,
+};
 
 /// How long an answer waits for something new.
 pub(crate) const WAIT: Duration = Duration::from_millis(400);
+/// News from which on they are packed; fewer are a few kilobytes. 2,900 targets that join within 4 s are
+/// some 200 bytes each as they are, to each of 24 followers: 28 Mbit/s.
+const MANY_NEWS: usize = 8;
 /// Size above which a configuration is large, in bytes.
 const LARGE_CONFIGURATION: usize = 32 << 10;
 
@@ -62,15 +69,22 @@
     /// Where it follows from; absent where it wants no more than a later configuration.
     pub(crate) place: Option<Place>,
     /// Whether it wants a large configuration too. A reader's link would not carry one to all who
-    /// follow it, so they read it from the store where they can.
+    /// follow it, so they read it from the store where they can; those far from the store would fill the
+    /// link between the regions so, and have it, packed, from within their region.
     pub(crate) wants_large: bool,
     /// How far it knows the log of orders for failure domains; peers of earlier versions know none.
     #[serde(default)]
     pub(crate) orders: Option<Horizon>,
+    /// How far it knows that log's orders to roll out versions; peers of earlier versions know none.
+    #[serde(default)]
+    pub(crate) rollouts: Option<Horizon>,
     /// Hash of the peers that it knows, if it reads [`Content::Packed`]; peers of earlier versions do
     /// not.
     #[serde(default)]
     pub(crate) peers_digest: Option<u64>,
+    /// Whether it passes on to others what it is told.
+    #[serde(default)]
+    pub(crate) is_relay: bool,
 }
 
 impl Known {
@@ -78,7 +92,17 @@
     pub(crate) fn configuration_only(shared: &IngressShared, wants_large: bool) -> Known {
         let version = shared.configuration().version;
         let orders = Some(shared.domains.horizon());
-        Known { version, wait_ms: 0, place: None, wants_large, orders, peers_digest: None }
+        Known {
+            version,
+            wait_ms: 0,
+            place: None,
+            wants_large,
+            orders,
+            rollouts: Some(shared.rollouts.horizon()),
+            // Without a place, no peers are told.
+            peers_digest: Some(0),
+            is_relay: false,
+        }
     }
 }
 
@@ -99,9 +123,15 @@
     pub(crate) version: Version,
     /// That configuration, where it is later than the asker's and the asker wants it.
     pub(crate) configuration: Option<Bytes>,
+    /// The same, packed, to those who read packed lists.
+    #[serde(default)]
+    pub(crate) packed_configuration: Option<Bytes>,
     /// The failure domains that are evacuated, where more is known than the asker knows.
     #[serde(default)]
     pub(crate) evacuations: Option<Evacuations>,
+    /// The orders to roll out versions, where more is known than the asker knows.
+    #[serde(default)]
+    pub(crate) rollouts: Option<ToldOrders>,
     /// Whether the instance that answers knows the peers as the store has them, rather than a few that it
     /// has met; peers of earlier versions do not tell.
     #[serde(default)]
@@ -126,6 +156,8 @@
         #[serde(default)]
         resources: Vec<(String, Bytes)>,
     },
+    /// What happened since the asker last heard, packed, for those who read it so.
+    PackedNews(Bytes),
     /// All that is known, for those who read it so: without what they have, and compressed.
     Packed {
         /// The packed [`TargetList`]; none where the asker's targets are the same.
@@ -158,6 +190,9 @@
     domain: Name,
     slots: u32,
     is_leaving: bool,
+    /// Version of their software; peers of earlier versions tell none.
+    #[serde(default)]
+    version: String,
     /// Id, address and sequence of each.
     members: Vec<(TargetId, String, u64)>,
 }
@@ -165,15 +200,17 @@
 impl TargetList {
     /// Makes the list of a directory.
     pub(crate) fn new(now: Millis, directory: &Directory) -> TargetList {
-        let mut groups: BTreeMap<(&str, &str, u32, bool), Vec<_>> = BTreeMap::new();
+        let mut groups: BTreeMap<(&str, &str, u32, bool, &str), Vec<_>> = BTreeMap::new();
         for it in directory.listed() {
-            let common = (it.service.as_str(), it.domain.as_str(), it.slots, it.is_leaving);
+            let (service, version) = (it.service.as_str(), it.version.as_str());
+            let common = (service, it.domain.as_str(), it.slots, it.is_leaving, version);
             let member = (it.id.clone(), it.address.clone(), it.sequence);
             groups.entry(common).or_default().push(member);
         }
-        let group = |((service, domain, slots, is_leaving), members): ((&str, &str, _, _), _)| {
+        type Common<'a> = (&'a str, &'a str, u32, bool, &'a str);
+        let group = |((service, domain, slots, is_leaving, version), members): (Common<'_>, _)| {
             let (service, domain) = (service.to_owned(), domain.to_owned());
-            TargetGroup { service, domain, slots, is_leaving, members }
+            TargetGroup { service, domain, slots, is_leaving, version: version.to_owned(), members }
         };
         TargetList {
             listed: groups.into_iter().map(group).collect(),
@@ -192,7 +229,7 @@
         let cold: HashMap<TargetId, Millis> = self.cold.into_iter().collect();
         let cold = &cold;
         let targets = self.listed.into_iter().flat_map(|group| {
-            let TargetGroup { service, domain, slots, is_leaving, members } = group;
+            let TargetGroup { service, domain, slots, is_leaving, version, members } = group;
             members.into_iter().map(move |(id, address, sequence)| TargetInstance {
                 cold_left_ms: cold.get(&id).copied(),
                 id,
@@ -202,6 +239,7 @@
                 slots,
                 is_leaving,
                 sequence,
+                version: version.clone(),
             })
         });
         (targets.collect(), self.lapsed)
@@ -219,9 +257,17 @@
         // Where the wait is over without news, the answer tells that there are none.
         let _ = timeout(wait, has_news.changed()).await;
     }
+    if known.place.is_some_and(|it| wants_targets(shared, &it)) {
+        let bytes = shared.packed.targets(shared).len();
+        let link_mbps = f64::from(own_capacity(&shared.settings).link_mbps);
+        shared.packed.turn(known.is_relay, bytes, link_mbps).await;
+    }
     let (news, revision) = shared.news_since(known.place.map_or(0, |it| it.revision));
     let is_fresh = shared.fresh_age().is_some();
     let content = known.place.map(|place| match news.filter(|_| place.life == shared.life) {
+        Some(it) if known.peers_digest.is_some() && MANY_NEWS <= it.len() => {
+            Content::PackedNews(shared.packed.news((place.revision, revision), &it))
+        }
         Some(it) => Content::News(it),
         None => all_known(shared, place.digest, known.peers_digest, is_fresh),
     });
@@ -229,9 +275,15 @@
     let configuration = (known.version < version)
         .then(|| shared.configuration_bytes())
         .filter(|it| known.wants_large || it.len() <= LARGE_CONFIGURATION);
+    let packs = known.peers_digest.is_some();
+    let packed_configuration =
+        configuration.as_ref().filter(|_| packs).map(|it| shared.packed.configuration(version, it));
+    let configuration = configuration.filter(|_| !packs);
     let age_ms = shared.fresh_age();
     let steady_ms = shared.steady_ms();
     let evacuations = knows_less(shared, &known).then(|| shared.domains.state());
+    let is_unknown = known.rollouts.is_some_and(|it| it < shared.rollouts.horizon());
+    let rollouts = is_unknown.then(|| shared.rollouts.told(shared.clock.now()));
     Update {
         life: shared.life,
         revision,
@@ -239,12 +291,21 @@
         steady_ms,
         version,
         configuration,
+        packed_configuration,
         evacuations,
+        rollouts,
         knows_peers: Some(shared.peers.were_read()),
         content,
     }
 }
 
+/// Whether an asker gets the whole list of targets: the news that it has missed are not kept, and its
+/// targets are others.
+fn wants_targets(shared: &IngressShared, place: &Place) -> bool {
+    let is_kept = place.life == shared.life && shared.news_since(place.revision).0.is_some();
+    !is_kept && place.digest != shared.digest()
+}
+
 /// All that this instance knows and an asker does not, by the hashes of what it knows.
 fn all_known(
     shared: &IngressShared,
@@ -283,4 +344,5 @@
 /// Whether an asker knows less of the orders for failure domains.
 fn knows_less(shared: &IngressShared, known: &Known) -> bool {
     known.orders.is_some_and(|it| it < shared.domains.horizon())
+        || known.rollouts.is_some_and(|it| it < shared.rollouts.horizon())
 }
--- a/crates/holdpointd/src/ingress/packed.rs
+++ b/crates/holdpointd/src/ingress/packed.rs
@@ -8,16 +8,19 @@
     fmt,
     hash::{Hash, Hasher},
     io::{Read, Write},
+    time::Duration,
 };
 
 use bytes::Bytes;
 use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
-use holdpoint_core::ids::Name;
+use holdpoint_core::{change_log::Revision, ids::Name, ingress::Version};
 use parking_lot::Mutex;
 use serde::{Serialize, de::DeserializeOwned};
+use tokio::time::{Instant, sleep_until};
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::ingress::{
+    news::News,
     peers::Peer,
     shared::{IngressShared, ListState},
 };
@@ -26,6 +29,9 @@
 /// is not read, so that a few bytes cannot fill the memory.
 const LARGEST: u64 = 16 << 20;
 
+/// Part of the own link that lists may take; the rest is for pings, news and callers.
+const LINK_PART: f64 = 0.7;
+
 /// Why a packed list cannot be read.
 #[derive(Debug)]
 pub(crate) enum Unreadable {
@@ -50,11 +56,34 @@
     /// The list of targets as it is, for peers of earlier versions.
     pub(crate) plain: Mutex<Option<(ListState, Bytes)>>,
     targets: Mutex<Option<(ListState, Bytes)>>,
+    /// The configuration of a version.
+    configuration: Mutex<Option<(Version, Bytes)>>,
+    /// The news between two positions.
+    news: Mutex<Option<((Revision, Revision), Bytes)>>,
+    /// When the last answer with all that is known will have been sent.
+    free: Mutex<Option<Instant>>,
     /// The hash of the peers and, once somebody asked for them, the peers.
     peers: Mutex<Option<(u64, Bytes)>>,
 }
 
 impl Packed {
+    /// Waits until an answer with all that is known may be sent. They are sent one after the other: 24 lists
+    /// at once are a second of a link of 10 Mbit/s, in which no ping is answered, so that followers would
+    /// take the instance for silent and ask the next one for the same list. Relays, which are few and have
+    /// followers of their own, go before all others.
+    pub(crate) async fn turn(&self, is_relay: bool, bytes: usize, link_mbps: f64) {
+        let now = Instant::now();
+        let start = {
+            let mut free = self.free.lock();
+            let start = free.map_or(now, |it| it.max(now));
+            *free = Some(start + time_to_send(bytes, link_mbps));
+            start
+        };
+        if !is_relay {
+            sleep_until(start).await;
+        }
+    }
+
     /// The list of target instances.
     pub(crate) fn targets(&self, shared: &IngressShared) -> Bytes {
         let (state, list) = shared.target_list_with_state();
@@ -69,6 +98,33 @@
         }
     }
 
+    /// The configuration of this version.
+    pub(crate) fn configuration(&self, version: Version, bytes: &[u8]) -> Bytes {
+        let mut made = self.configuration.lock();
+        match &*made {
+            Some((of, packed)) if *of == version => packed.clone(),
+            _ => {
+                let packed = compress(bytes);
+                *made = Some((version, packed.clone()));
+                packed
+            }
+        }
+    }
+
+    /// What is new between two positions. Most who follow this instance have followed it as far, and ask
+    /// at the same moment.
+    pub(crate) fn news(&self, span: (Revision, Revision), news: &[News]) -> Bytes {
+        let mut made = self.news.lock();
+        match &*made {
+            Some((of, packed)) if *of == span => packed.clone(),
+            _ => {
+                let packed = pack(&news);
+                *made = Some((span, packed.clone()));
+                packed
+            }
+        }
+    }
+
     /// All instances; none where their hash is one that the asker has.
     pub(crate) fn peers(&self, shared: &IngressShared, known: u64) -> Option<Bytes> {
         let instances = shared.instances();
@@ -88,6 +144,15 @@
     }
 }
 
+/// Time that so many bytes take on the part of a link that lists may take; none where the link is not
+/// known.
+fn time_to_send(bytes: usize, link_mbps: f64) -> Duration {
+    if link_mbps <= 0.0 {
+        return Duration::ZERO;
+    }
+    Duration::from_micros((8.0 * bytes as f64 / (LINK_PART * link_mbps)) as u64)
+}
+
 /// Hash of instances, in whatever order.
 pub(crate) fn peers_digest(instances: &[(Name, Peer)]) -> u64 {
     let hash = |it: &(Name, Peer)| {
@@ -105,7 +170,7 @@
 }
 
 fn compress(json: &[u8]) -> Bytes {
-    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::default());
     // Writing to memory does not fail; what is not whole is found to be unreadable.
     let _ = encoder.write_all(json);
     Bytes::from(encoder.finish().unwrap_or_default())
@@ -113,8 +178,13 @@
 
 /// Reads a packed value.
 pub(crate) fn unpack<T: DeserializeOwned>(packed: &[u8]) -> Result<T, Unreadable> {
-    let mut json = Vec::new();
+    serde_json::from_slice(&decompress(packed)?).map_err(Unreadable::Content)
+}
+
+/// Reads packed bytes.
+pub(crate) fn decompress(packed: &[u8]) -> Result<Bytes, Unreadable> {
+    let mut bytes = Vec::new();
     let mut decoder = DeflateDecoder::new(packed).take(LARGEST);
-    decoder.read_to_end(&mut json).map_err(Unreadable::Compression)?;
-    serde_json::from_slice(&json).map_err(Unreadable::Content)
+    decoder.read_to_end(&mut bytes).map_err(Unreadable::Compression)?;
+    Ok(Bytes::from(bytes))
 }
--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -5,11 +5,13 @@
 use futures::StreamExt;
 use holdpoint_core::{
     cold::Share,
+    confinement::Confinement,
     directory::TargetId,
     ids::{Millis, Name},
     ingress::Version,
     promises::StageLoad,
     route::Call,
+    spill::Lease,
 };
 use serde::{Deserialize, Serialize};
 use tarpc::{
@@ -28,6 +30,7 @@
     news::{self, Known, Update},
     piece_ask::{PieceAsk, PieceResult},
     releases::tell_makers,
+    rollouts::{self, DriverAnswer, RolloutReport},
     shared::IngressShared,
 };
 
@@ -35,7 +38,11 @@
 const MAX_FRAME: usize = 16 << 20;
 
 /// Version of the protocol that this instance speaks: from 1 on, [`IngressPeers::check`] is known.
-pub(crate) const PROTOCOL: u32 = 1;
+pub(crate) const PROTOCOL: u32 = LENDING;
+/// Version from which on an instance keeps confined work in its regions.
+pub(crate) const CONFINES: u32 = 2;
+/// Version from which on [`IngressPeers::lend`] is known.
+pub(crate) const LENDING: u32 = 3;
 
 /// What an instance tells of itself whenever it is asked whether it is there.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -67,6 +74,9 @@
     /// Bytes that the target fetches, by the failure domain that they lie in.
     #[serde(default)]
     pub(crate) inputs: Vec<(Name, u64)>,
+    /// Regions that its request is confined to.
+    #[serde(default, skip_serializing_if = "Confinement::is_free")]
+    pub(crate) confinement: Confinement,
 }
 
 /// What ingress instances ask of each other.
@@ -83,6 +93,13 @@
     async fn ping(known: Version, address: String) -> Version;
     /// The same as `ping`, with more in the answer.
     async fn check(known: Version, address: String) -> Standing;
+    /// Lends places of a service, which the asker's region cannot serve in time, to its owner there.
+    async fn lend(service: Name, wanted: u32) -> Lease;
+    /// Takes places that this instance has borrowed of a service in another region; how long the stage
+    /// takes there, in milliseconds.
+    async fn borrow(service: Name, region: Name, places: u32) -> Option<Millis>;
+    /// Takes in what an instance has seen of a roll-out, and tells where it stands.
+    async fn roll_out(service: Name, report: RolloutReport) -> DriverAnswer;
     /// Tells what is new to an asker who knows so much; waits for a while until something is.
     async fn follow(known: Known) -> Update;
 }
@@ -125,6 +142,7 @@
         service: Name,
         prompt: PromptAsk,
     ) -> Option<TargetId> {
+        let within = prompt.confinement.bounds(&self.shared.topology);
         let call = Call {
             work: prompt.work,
             prefix_work: prompt.prefix_work,
@@ -133,6 +151,7 @@
             cap: u32::MAX,
             share: Share::Whole,
             inputs: &prompt.inputs,
+            within: within.as_deref(),
         };
         let policy = prompt.policy.and_then(|it| self.shared.experiments.now().policy(&it));
         let now = self.shared.clock.now();
@@ -160,6 +179,30 @@
         Standing { version, stage_times: times, stage_loads: loads }
     }
 
+    async fn lend(self, _: context::Context, service: Name, wanted: u32) -> Lease {
+        self.shared.regions.spill.lend(&self.shared, &service, wanted)
+    }
+
+    async fn borrow(
+        self,
+        _: context::Context,
+        service: Name,
+        region: Name,
+        places: u32,
+    ) -> Option<Millis> {
+        let now = self.shared.clock.now();
+        self.shared.regions.spill.take(now, (service, region), places)
+    }
+
+    async fn roll_out(
+        self,
+        _: context::Context,
+        service: Name,
+        report: RolloutReport,
+    ) -> DriverAnswer {
+        rollouts::answer(&self.shared, &service, report)
+    }
+
     async fn follow(self, _: context::Context, known: Known) -> Update {
         news::answer(&self.shared, known).await
     }
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -13,9 +13,11 @@
 
 use holdpoint_core::{
     capacity::{Capacity, strong},
+    confinement::{Bounds, Within},
     directory::TargetId,
     ids::{Millis, Name},
     readers::{Member, Role, plan},
+    spill::Lease,
     stage_graph::NoResult,
     subset::{owner, weight},
     topology::Topology,
@@ -28,9 +30,10 @@
 use crate::ingress::{
     links::{Links, PeerSilent, context_for},
     news::{Known, Update},
-    peer_service::PromptAsk,
+    peer_service::{CONFINES, LENDING, PromptAsk},
     piece_ask::{PieceAsk, PieceResult},
-    regions::batcher_of,
+    regions::owner_of,
+    rollouts::{DriverAnswer, RolloutReport},
     shared::IngressShared,
 };
 
@@ -40,6 +43,8 @@
 pub(crate) const PLACE_LIMIT: Duration = Duration::from_millis(60);
 /// How long a peer may take to release results.
 const RELEASE_LIMIT: Duration = Duration::from_millis(350);
+/// How long the driver of a roll-out may take to answer; what it last told holds for longer.
+const ROLL_OUT_LIMIT: Duration = Duration::from_millis(300);
 
 /// Among whom the owner of a service is chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -273,6 +278,12 @@
         if self.batching == Batching::Own {
             return None;
         }
+        self.owner_of(owners, service)
+    }
+
+    /// Address of the peer that does under a key what one of some instances does for all; `None` where
+    /// this instance does.
+    pub(crate) fn owner_of(&self, owners: Owners<'_>, key: &str) -> Option<String> {
         let known = self.known.lock();
         let capacity = |name: &str| known.get(name).map_or(self.own_capacity, |it| it.capacity);
         let is_among = |name: &&str| match owners {
@@ -281,16 +292,35 @@
         };
         let among = self.live(&known).filter(is_among);
         let live: Vec<_> = among.map(|it| (it, capacity(it))).collect();
-        let chosen = owner(service, strong(&live).into_iter())?;
+        let chosen = owner(key, strong(&live).into_iter())?;
         known.get(chosen).map(|it| it.address.clone())
     }
 
+    /// Whether the peer at an address stands within some bounds, and keeps work there.
+    pub(crate) fn is_confined_to(&self, address: &str, within: &Bounds) -> bool {
+        let known = self.known.lock();
+        let keeps = |it: &Peer| CONFINES <= it.protocol && within.allows(&it.domain);
+        let mut its = known.values().filter(|it| it.address == address).peekable();
+        its.peek().is_some() && its.all(keeps)
+    }
+
+    /// Whether this instance is about to stop.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Acquire)
+    }
+
     /// Whether an instance that answers stands in a region.
     pub(crate) fn has_live_in(&self, region: &str) -> bool {
         let known = self.known.lock();
         self.live(&known).any(|it| self.region_of(&known, it) == Some(region))
     }
 
+    /// Number of instances in this one's region, itself included.
+    pub(crate) fn near_count(&self) -> usize {
+        let known = self.known.lock();
+        1 + known.values().filter(|it| self.topology.is_near(&it.domain)).count()
+    }
+
     /// Region of an instance; `None` where it is not known.
     fn region_of(&self, known: &HashMap<Name, Peer>, name: &str) -> Option<&str> {
         match known.get(name) {
@@ -348,6 +378,66 @@
         tokio::time::timeout(limit, asked).await.ok()?
     }
 
+    /// Asks the owner of a service in another region for places; `None` where it does not answer.
+    pub(crate) async fn lend(
+        &self,
+        shared: &Arc<IngressShared>,
+        address: &str,
+        service: &str,
+        wanted: u32,
+        limit: Duration,
+    ) -> Option<Lease> {
+        if self.protocol_of(address) < LENDING {
+            return None;
+        }
+        let link = self.links.get(shared, address).await.ok()?;
+        let asked = link.client.lend(context_for(limit), service.to_owned(), wanted);
+        tokio::time::timeout(limit, asked).await.ok()?.ok()
+    }
+
+    /// Takes places that a peer has borrowed of a service in another region; `None` where it has none.
+    pub(crate) async fn borrow(
+        &self,
+        shared: &Arc<IngressShared>,
+        address: &str,
+        (service, region): (Name, Name),
+        places: u32,
+        limit: Duration,
+    ) -> Option<Millis> {
+        if self.protocol_of(address) < LENDING {
+            return None;
+        }
+        let link = self.links.get(shared, address).await.ok()?;
+        link.client.borrow(context_for(limit), service, region, places).await.ok()?
+    }
+
+    /// Address of an instance that works for others, this one left out; `None` where it does not.
+    pub(crate) fn live_address(&self, name: &str) -> Option<String> {
+        let address = self.known.lock().get(name).map(|it| it.address.clone())?;
+        (!self.links.is_suspect(&address)).then_some(address)
+    }
+
+    /// Whether a life of an instance works for others, this one left out.
+    pub(crate) fn is_life(&self, name: &str, life: &str) -> bool {
+        let known = self.known.lock();
+        known.get(name).is_some_and(|it| it.life == life && !self.links.is_suspect(&it.address))
+    }
+
+    /// Tells the driver of a roll-out what this instance has seen; `None` where it does not answer.
+    pub(crate) async fn roll_out(
+        &self,
+        shared: &Arc<IngressShared>,
+        address: &str,
+        service: &str,
+        report: RolloutReport,
+    ) -> Option<DriverAnswer> {
+        let asked = async {
+            let link = self.links.get(shared, address).await.ok()?;
+            link.client.roll_out(context_for(ROLL_OUT_LIMIT), service.to_owned(), report).await.ok()
+        };
+        tokio::time::timeout(ROLL_OUT_LIMIT, asked).await.ok()?
+    }
+
     /// Has a peer give up results.
     pub(crate) async fn give_up(
         &self,
@@ -400,11 +490,12 @@
     region: &str,
     service: &str,
     asks: Vec<PieceAsk>,
+    within: &Within,
     limit: Duration,
 ) -> Vec<PieceResult> {
     let count = asks.len();
     let until = Instant::now() + limit;
-    while let Some(address) = batcher_of(shared, region, service) {
+    while let Some(address) = owner_of(shared, region, service, within) {
         let left = until.saturating_duration_since(Instant::now());
         let made = shared.peers.make(shared, &address, service, asks.clone(), left).await;
         let Ok(mut results) = made else { continue };
--- a/crates/holdpointd/src/ingress/piece_ask.rs
+++ b/crates/holdpointd/src/ingress/piece_ask.rs
@@ -1,6 +1,7 @@
 //! What an instance asks of the one that batches a service, and what it gets.
 
 use holdpoint_core::{
+    confinement::Confinement,
     ids::{Millis, Name},
     promises::StageAhead,
     stage_graph::{NoResult, PieceWork},
@@ -12,6 +13,9 @@
 pub(crate) struct PieceAsk {
     /// What to make.
     pub(crate) work: PieceWork,
+    /// Route of its request; empty where a peer of an earlier version asks.
+    #[serde(default)]
+    pub(crate) route: Name,
     /// Milliseconds until its result should be there; negative where that is over.
     pub(crate) due_in_ms: i64,
     /// Milliseconds until its request ends.
@@ -42,6 +46,9 @@
     /// service that keeps each; stands at the first of these pieces.
     #[serde(default)]
     pub(crate) used_up: Vec<(Name, String)>,
+    /// Regions that its request is confined to.
+    #[serde(default, skip_serializing_if = "Confinement::is_free")]
+    pub(crate) confinement: Confinement,
     /// What comes after; stands at the first of the pieces that are asked for together, where they may be
     /// refused. Peers of earlier versions tell nothing, and then only their own stage counts.
     #[serde(default)]
@@ -57,6 +64,9 @@
     pub(crate) end_in_ms: i64,
     /// Milliseconds until they must be there, for the request to be served at all.
     pub(crate) deadline_in_ms: i64,
+    /// Whether the asker wants to know that the request can only be served late, and then asks again.
+    #[serde(default)]
+    pub(crate) accepts_late: bool,
 }
 
 /// A result's handle, or why there is none.
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -29,6 +29,7 @@
     ingress::{
         batches::{Batches, StageLoads},
         changes::{PeerChanges, TargetChanges},
+        confinement::Confinements,
         confirm::Confirmation,
         connections::Connections,
         declared::Declared,
@@ -40,6 +41,7 @@
         pools::Pools,
         regions::Regions,
         releases::Releases,
+        rollouts::Rollouts,
     },
     metrics::Metrics,
     shared::{InFlight, Lazy},
@@ -76,6 +78,10 @@
     pub(crate) regions: Regions,
     /// Failure domains that are evacuated.
     pub(crate) domains: Domains,
+    /// What is known of requests that are confined to regions.
+    pub(crate) confinements: Confinements,
+    /// Versions that are rolled out.
+    pub(crate) rollouts: Rollouts,
     /// Policies and trials that operators declared.
     pub(crate) experiments: Declared,
     pub(crate) in_flight: Arc<InFlight>,
@@ -137,8 +143,10 @@
             batches: Batches::default(),
             releases: Releases::default(),
             peers: Peers::new(&settings),
-            regions: Regions::default(),
+            regions: Regions::new(&settings),
             domains: Domains::default(),
+            confinements: Confinements::default(),
+            rollouts: Rollouts::new(&settings),
             experiments: Declared::default(),
             in_flight: Arc::default(),
             closing: watch::channel(false).0,
@@ -203,6 +211,7 @@
         self.configuration.store(Arc::new(found));
         self.pools.configure(&self.configuration());
         self.batches.configure(self);
+        self.confinements.configured(self, &in_force, &self.configuration());
         self.has_news.send_replace(());
     }
 
@@ -215,6 +224,8 @@
             return;
         }
         changes.log(&self.settings.instance, &directory);
+        let joined = changes.joined().filter_map(|it| directory.get(it));
+        joined.for_each(|it| self.confinements.check(self, &it.domain));
         let now = self.clock.now();
         self.hold_joined(now, &mut directory, &changes);
         self.tell(changes.ids().map(|id| match directory.get(id) {
@@ -260,6 +271,7 @@
 
     fn apply(&self, directory: &Directory) {
         let evacuations = self.domains.state();
+        self.rollouts.set_targets(directory, &evacuations);
         self.pools.set_targets(self.clock.now(), directory, &evacuations);
         self.batches.set_targets(directory, &evacuations, &self.topology);
         self.regions.set_targets(directory, &evacuations, &self.topology);
@@ -362,11 +374,17 @@
         });
     }
 
-    /// A target instance that is known and may get new work: it is not leaving, and its failure domain
-    /// is not evacuated.
+    /// A target instance that is known and may get new work: it is not leaving, its failure domain is
+    /// not evacuated, and its version is not held back.
     pub(crate) fn open_target(&self, id: &str) -> Option<TargetInstance> {
         let found = self.directory.lock().get(id).filter(|it| !it.is_leaving).cloned();
-        found.filter(|it| !self.domains.is_evacuated(&it.domain))
+        let found = found.filter(|it| !self.domains.is_evacuated(&it.domain));
+        found.filter(|it| self.rollouts.is_open(self.clock.now(), it))
+    }
+
+    /// Whether a target is cold.
+    pub(crate) fn is_cold(&self, id: &str) -> bool {
+        self.directory.lock().cold_left(self.clock.now(), id) != 0
     }
 
     /// The target instance at an address that makes results of stages, leaving or not.
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -1,14 +1,14 @@
 //! Makes the results of a request's stages, in the order of its graph.
 
 use std::{
-    collections::{BTreeMap, HashMap},
-    sync::Arc,
+    collections::BTreeMap,
     time::{Duration, Instant},
 };
 
 use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
 use holdpoint_adapter::stages as wire;
 use holdpoint_core::{
+    confinement::{Confinement, Within},
     ids::{Millis, Name},
     promises::StageAhead,
     stage_graph::{NoResult, PieceSource, PieceWork, StageGraph},
@@ -18,10 +18,11 @@
     events::{self, emit},
     ingress::{
         context::Context,
+        held::{Held, Results},
         peers::make_anywhere,
         piece_ask::{ChainAhead, PieceAsk, PieceResult},
         send::left,
-        shared::IngressShared,
+        spill,
     },
 };
 
@@ -49,62 +50,6 @@
 /// Usual time of a stage, until its service's configuration is known.
 const STAGE_MS: Millis = 400;
 
-/// Results held for a request. Dropping them gives them up.
-pub(crate) struct Held {
-    shared: Arc<IngressShared>,
-    /// Services by handle.
-    handles: HashMap<String, Name>,
-}
-
-impl Held {
-    fn new(shared: &Arc<IngressShared>) -> Held {
-        Held { shared: shared.clone(), handles: HashMap::new() }
-    }
-
-    /// Forgets results that whoever made pieces from them has given up.
-    fn forget(&mut self, handles: &[String]) {
-        handles.iter().for_each(|it| drop(self.handles.remove(it)));
-    }
-
-    /// Whether results are there and were not given up.
-    fn has(&self, made: &Made) -> bool {
-        made.handles.iter().all(|it| self.handles.contains_key(it))
-    }
-
-    fn release(&mut self, handles: &[String]) {
-        for handle in handles {
-            if let Some(service) = self.handles.remove(handle) {
-                self.shared.releases.release(&service, handle.clone());
-            }
-        }
-    }
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        for (handle, service) in self.handles.drain() {
-            self.shared.releases.release(&service, handle);
-        }
-    }
-}
-
-/// Results of a request's last stages.
-pub(crate) struct Results {
-    /// Handles for the request's own service.
-    pub(crate) inputs: Vec<String>,
-    /// Their bytes by the failure domain that they lie in.
-    pub(crate) places: Vec<(Name, u64)>,
-    /// Keeps them until they are no longer needed.
-    held: Held,
-}
-
-impl Results {
-    /// Gives the results up. A target that asks for them later declines, and they are made anew.
-    pub(crate) fn release(&mut self) {
-        self.held.release(&self.inputs);
-    }
-}
-
 /// Results of one stage.
 #[derive(Clone, Debug)]
 struct Made {
@@ -115,12 +60,24 @@
 
 type StageOutcome = (usize, Result<Made, NoResult>);
 
-/// Makes all results; they are needed in `domain`.
+/// Makes all results; they are needed in `domain`. A request that is refused in its own region goes to
+/// another one that can serve it in time.
 pub(crate) async fn make_all(ctx: &Context, domain: &str) -> Result<Results, NoResult> {
+    spill::leave_if_late(ctx).await;
+    // The domain is one of its own region.
+    let made = make_here(ctx, if ctx.is_spilled() { "" } else { domain }).await;
+    let is_refused = matches!(made, Err(NoResult::Overload(_)));
+    if is_refused && spill::leave_if_refused(ctx).await {
+        return make_here(ctx, "").await;
+    }
+    made
+}
+
+async fn make_here(ctx: &Context, domain: &str) -> Result<Results, NoResult> {
     let graph = StageGraph::new(&ctx.route.stages, &ctx.head.pieces);
-    let mut held = Held::new(&ctx.shared);
+    let mut held = Held::new(ctx);
     if graph.is_empty() {
-        return Ok(Results { inputs: Vec::new(), places: Vec::new(), held });
+        return Ok(Results::new(Vec::new(), Vec::new(), held));
     }
     let begun = Instant::now();
     let made = make_graph(ctx, &graph, domain, &mut held).await;
@@ -133,7 +90,7 @@
         add_places(ctx, &mut places, &made.handles, ctx.route.stages[stage].bytes);
         inputs.extend(made.handles.iter().cloned());
     }
-    Ok(Results { inputs, places: places.into_iter().collect(), held })
+    Ok(Results::new(inputs, places.into_iter().collect(), held))
 }
 
 async fn make_graph(
@@ -159,8 +116,7 @@
         let Some((stage, outcome)) = running.next().await else { return Ok(results) };
         match outcome {
             Ok(made) => {
-                let service = &ctx.route.stages[stage].service;
-                held.handles.extend(made.handles.iter().map(|it| (it.clone(), service.clone())));
+                held.keep(&ctx.route.stages[stage].service, &made.handles);
                 results[stage] = Some(made);
                 for needed in graph.needs(stage).filter(|it| is_used_by_one(graph, *it)) {
                     held.forget(handles(&results[needed]));
@@ -170,7 +126,11 @@
             Err(NoResult::InputGone) if remakes < INPUT_REMAKES => {
                 remakes += 1;
                 is_begun[stage] = false;
-                let is_held = |it: usize| results[it].as_ref().is_some_and(|it| held.has(it));
+                for outside in held.confine(&ctx.within()) {
+                    forget_outside(&outside, &mut results, &mut is_begun);
+                }
+                let is_held =
+                    |it: usize| results[it].as_ref().is_some_and(|it| held.has(&it.handles));
                 for lost in graph.lost_before(stage, is_held) {
                     held.release(handles(&results[lost].take()));
                     is_begun[lost] = false;
@@ -181,6 +141,16 @@
     }
 }
 
+/// Has the stage of a result made anew that was given up as its request is confined otherwise now.
+fn forget_outside(outside: &str, results: &mut [Option<Made>], is_begun: &mut [bool]) {
+    for (made, is_begun) in results.iter_mut().zip(is_begun) {
+        if handles(made).iter().any(|it| it == outside) {
+            *made = None;
+            *is_begun = false;
+        }
+    }
+}
+
 fn handles(made: &Option<Made>) -> &[String] {
     made.as_ref().map_or(&[], |it| &it.handles)
 }
@@ -214,6 +184,7 @@
     let inputs_until = inputs.iter().map(|it| it.until).min();
     let inputs: Vec<String> = inputs.into_iter().flat_map(|it| it.handles).collect();
     let near = near(ctx, graph, stage, &inputs, domain);
+    let within = ctx.within();
     let source = if inputs.is_empty() {
         PieceSource::Key(ctx.head.piece_key.clone().unwrap_or_default())
     } else {
@@ -227,7 +198,9 @@
         let missing: Vec<u32> = (0..count).filter(|it| handles[*it as usize].is_none()).collect();
         let ask = |piece: &u32| {
             let ask = ask(ctx, graph, stage, *piece, source.clone(), &near);
-            PieceAsk { inputs_for_ms: inputs_until.map(|it| left(it).as_millis() as Millis), ..ask }
+            let inputs_for_ms = inputs_until.map(|it| left(it).as_millis() as Millis);
+            let confinement = confinement(&within);
+            PieceAsk { inputs_for_ms, confinement, ..ask }
         };
         let mut asks: Vec<PieceAsk> = missing.iter().map(ask).collect();
         if let (Some(first), PieceSource::Inputs(inputs)) = (asks.first_mut(), &source) {
@@ -236,8 +209,16 @@
         if let Some(first) = asks.first_mut().filter(|it| it.is_refusable) {
             first.chain = Some(chain_ahead(ctx, graph, stage));
         }
-        let made = make_anywhere(&ctx.shared, &ctx.region, service, asks, ctx.left_to_begin());
-        let made = made.await;
+        let region = ctx.region();
+        let limit = ctx.left_to_begin();
+        let made = tokio::select! {
+            it = make_anywhere(&ctx.shared, &region, service, asks, &within, limit) => it,
+            () = ctx.bounds_change(&within) => {
+                // What waits is withdrawn, and what is made is made anew within the new bounds.
+                release_all(ctx, stage, handles);
+                return Err(NoResult::InputGone);
+            }
+        };
         let failure = take_in(&mut handles, &missing, made);
         if handles.iter().any(Option::is_some) {
             ctx.begin_stages();
@@ -255,6 +236,7 @@
         match cause {
             NoResult::NoRoom | NoResult::Unreachable => tokio::time::sleep(ROOM_PAUSE).await,
             NoResult::Moved => tokio::time::sleep(MOVE_PAUSE).await,
+            NoResult::OnlyLate => ctx.accept_late(),
             _ => (),
         }
     }
@@ -337,7 +319,12 @@
 
 fn release_all(ctx: &Context, stage: usize, handles: Vec<Option<String>>) {
     let service = &ctx.route.stages[stage].service;
-    handles.into_iter().flatten().for_each(|it| ctx.shared.releases.release(service, it));
+    let releases = &ctx.shared.releases;
+    handles.into_iter().flatten().for_each(|it| releases.release(service, it));
+}
+
+fn confinement(within: &Within) -> Confinement {
+    within.as_ref().map_or_else(Confinement::default, |it| it.confinement())
 }
 
 fn ask(
@@ -354,9 +341,12 @@
     let spent = (ctx.arrived.elapsed() + ctx.asked_before).as_millis() as i64;
     let left_ms = ctx.left_to_begin().as_millis() as Millis;
     let slack_ms = left_ms as i64 - after_ms as i64;
+    let due_in_ms = ctx.route.target_ms as i64 - after_ms as i64 - spent;
     PieceAsk {
         work: PieceWork { request: ctx.request.id.clone(), stage, piece, source },
-        due_in_ms: ctx.route.target_ms as i64 - after_ms as i64 - spent,
+        route: ctx.route.name.clone(),
+        // What was admitted late stands aside for what can be in time, at every stage.
+        due_in_ms: if ctx.is_late() { 0 } else { due_in_ms },
         left_ms,
         rank: ctx.rank,
         bytes: step.bytes,
@@ -364,15 +354,16 @@
         near_bytes: *near_bytes,
         deadline_in_ms: slack_ms,
         late_due_in_ms: Some(slack_ms / (1 + stages_after(graph, stage)) as i64),
-        is_refusable: !ctx.has_begun(),
+        is_refusable: !ctx.has_begun() && !ctx.is_late(),
         inputs_for_ms: None,
         used_up: Vec::new(),
+        confinement: Confinement::default(),
         chain: None,
     }
 }
 
 /// Time from the send to the first event that is left for it, in milliseconds.
-fn first_event_ms(ctx: &Context) -> Millis {
+pub(crate) fn first_event_ms(ctx: &Context) -> Millis {
     let middle = ctx.first_event_ms(FIRST_EVENT_PERCENT).unwrap_or(FIRST_EVENT_MS);
     let longer = ctx.first_event_ms(LONGER_FIRST_EVENT_PERCENT).unwrap_or(middle);
     middle + (FIRST_EVENT_MARGIN * longer.saturating_sub(middle) as f64) as Millis
@@ -395,11 +386,12 @@
         stages: stages.collect(),
         end_in_ms: ctx.route.target_ms as i64 - first_ms - spent,
         deadline_in_ms: ctx.left_to_begin().as_millis() as i64 - first_ms,
+        accepts_late: true,
     }
 }
 
 /// Time that a stage at a service usually takes, in milliseconds.
-fn usual_ms(ctx: &Context, service: &str) -> Millis {
+pub(crate) fn usual_ms(ctx: &Context, service: &str) -> Millis {
     let stated = stage_ms(ctx, service);
     ctx.shared.pools.of(ctx.shared.clock.now(), service).stage_ms(ctx.shared.clock.now(), stated)
 }
@@ -417,7 +409,8 @@
     1 + graph.after(stage).map(|it| stages_after(graph, it)).max().unwrap_or(0)
 }
 
-fn stage_ms(ctx: &Context, service: &str) -> Millis {
+/// Time that a stage at a service takes without a queue, in milliseconds.
+pub(crate) fn stage_ms(ctx: &Context, service: &str) -> Millis {
     let configuration = ctx.shared.configuration();
     let limits = configuration.services.get(service).and_then(|it| it.batches.as_ref());
     limits.map_or(STAGE_MS, |it| (1.5 * it.call_ms + 4.0 * it.piece_ms) as Millis)
--- a/crates/holdpointd/src/metrics.rs
+++ b/crates/holdpointd/src/metrics.rs
@@ -11,6 +11,9 @@
 const LATENCY_BOUNDS: [f64; 12] =
     [1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 500.0, 1000.0, 2000.0, 5000.0];
 
+/// Bounds of what was foretold, in hundredths of what came.
+const FORETOLD_BOUNDS: [f64; 9] = [30.0, 50.0, 70.0, 80.0, 90.0, 110.0, 130.0, 200.0, 400.0];
+
 /// All instruments of one instance.
 #[derive(Debug)]
 pub struct Metrics {
@@ -28,10 +31,16 @@
     pub placements: Counter<u64>,
     /// Bytes of results of stages that were fetched from other failure domains, by who fetched them.
     pub moved_bytes: Counter<u64>,
+    /// Requests that would be late in their region, by the other region and whether they were sent there.
+    pub spills: Counter<u64>,
+    /// Bytes sent to other regions, by kind.
+    pub region_bytes: Counter<u64>,
     /// Requests that fell to an arm of a trial, by whether they attained their aim.
     pub trial_requests: Counter<u64>,
     /// Milliseconds that those requests cost, by stage.
     pub trial_cost: Counter<u64>,
+    /// Time of stages and of first events as foretold, in hundredths of the time that they took.
+    pub foretold_percent: Histogram<f64>,
     /// Pieces in those calls, by end.
     pub pieces: Counter<u64>,
     /// Repeated chunks dropped.
@@ -50,6 +59,10 @@
     pub heartbeats: Counter<u64>,
     /// Changes, by verdict.
     pub changes: Counter<u64>,
+    /// Requests to services with a roll-out, by whether they went to its version.
+    pub rollout_sends: Counter<u64>,
+    /// Answers of services with a roll-out, by whether its version gave them.
+    pub rollout_answers: Counter<u64>,
     /// Failure domains that are evacuated.
     pub evacuated_domains: UpDownCounter<i64>,
 }
@@ -79,8 +92,17 @@
                 "holdpoint_moved_bytes",
                 "Bytes of stage results fetched from other failure domains",
             ),
+            spills: counter("holdpoint_spills", "Requests late in their region, by outcome"),
+            region_bytes: counter("holdpoint_region_bytes", "Bytes to other regions by kind"),
             trial_requests: counter("holdpoint_trial_requests", "Requests by trial and arm"),
             trial_cost: counter("holdpoint_trial_cost_ms", "Milliseconds by trial, arm and stage"),
+            foretold_percent: meter
+                .f64_histogram("holdpoint_foretold_percent")
+                .with_description(
+                    "Foretold times of stages and first events, in % of the true ones",
+                )
+                .with_boundaries(FORETOLD_BOUNDS.to_vec())
+                .build(),
             pieces: counter("holdpoint_pieces", "Pieces in calls for results of stages by end"),
             dropped_chunks: counter("holdpoint_dropped_chunks", "Repeated chunks dropped"),
             crossed: counter("holdpoint_crossed", "Answers of other attempts dropped"),
@@ -90,6 +112,8 @@
             peer_bytes: counter("holdpoint_peer_bytes", "Bytes to and from peers"),
             heartbeats: counter("holdpoint_heartbeats", "Heartbeats by result"),
             changes: counter("holdpoint_changes", "Changes by verdict"),
+            rollout_sends: counter("holdpoint_rollout_sends", "Requests by version rolled out"),
+            rollout_answers: counter("holdpoint_rollout_answers", "Answers by version rolled out"),
             evacuated_domains: meter
                 .i64_up_down_counter("holdpoint_evacuated_domains")
                 .with_description("Failure domains that are evacuated")
@@ -99,6 +123,12 @@
         }
     }
 
+    /// Takes in how long a step was foretold to take and took, in milliseconds, at a service with a load.
+    pub fn foretold(&self, step: &str, load: &'static str, foretold_ms: f64, took_ms: f64) {
+        let percent = 100.0 * foretold_ms / took_ms.max(1.0);
+        self.foretold_percent.record(percent, &[label("step", step), label("load", load)]);
+    }
+
     /// All metrics in the Prometheus text form.
     pub fn text(&self) -> String {
         let mut out = Vec::new();
--- a/crates/holdpointd/src/traffic/stage.rs
+++ b/crates/holdpointd/src/traffic/stage.rs
@@ -230,6 +230,7 @@
             cap: self.pool.concurrency,
             share: Share::Whole,
             inputs: &[],
+            within: None,
         }
     }
 
--- a/crates/holdpointd/tests/support/mod.rs
+++ b/crates/holdpointd/tests/support/mod.rs
@@ -29,7 +29,7 @@
 
 /// Starts an instance that knows the addresses of some peers from its settings.
 pub fn start_with_seeds(name: &str, gate: &Gate, seeds: &[String]) -> Ingress {
-    Ingress::start(serde_json::from_value(settings(name, gate, seeds)).unwrap()).unwrap()
+    start_with_settings(settings(name, gate, seeds))
 }
 
 /// Starts an instance in a region of two: `z1` is in the east, `z2` in the north.
@@ -38,6 +38,11 @@
     settings["region"] = json!(region);
     settings["domain"] = json!(domain);
     settings["regions"] = json!({ "z1": "east", "z2": "north" });
+    settings["region_link_mbps"] = json!(60.0);
+    start_with_settings(settings)
+}
+
+fn start_with_settings(settings: Value) -> Ingress {
     Ingress::start(serde_json::from_value(settings).unwrap()).unwrap()
 }
 
@@ -62,13 +67,24 @@
 }
 
 pub async fn start(plain: &[Behaviour], engines: &[Behaviour]) -> System {
+    start_at(|gate| start_instance("a", gate), |_| "z1", plain, engines).await
+}
+
+/// Starts a system whose instance is started by `instance`, and whose targets of each service, by
+/// their index, stand in the failure domains that `domain` names.
+pub async fn start_at(
+    instance: impl FnOnce(&Gate) -> Ingress,
+    domain: impl Fn(usize) -> &'static str,
+    plain: &[Behaviour],
+    engines: &[Behaviour],
+) -> System {
     let store = Store::start().await;
     store.put_configuration(&sample_configuration(1));
     let mut system = System {
         plain: Vec::new(),
         engines: Vec::new(),
         encoder: Target::start("i-encode", "encode", Behaviour::Answer).await,
-        instance: start_instance("a", &store.gate),
+        instance: instance(&store.gate),
         store,
     };
     for (index, it) in plain.iter().enumerate() {
@@ -77,8 +93,12 @@
     for (index, it) in engines.iter().enumerate() {
         system.engines.push(Target::start(&format!("i-engine-{index}"), "engine", *it).await);
     }
-    let targets = system.plain.iter().chain(&system.engines).chain([&system.encoder]);
-    targets.for_each(|it| system.store.put_target(it, false));
+    for targets in [&system.plain, &system.engines] {
+        for (index, it) in targets.iter().enumerate() {
+            system.store.put_target_in(it, domain(index), 0);
+        }
+    }
+    system.store.put_target(&system.encoder, false);
     let count = plain.len() + engines.len() + 1;
     until(|| system.instance.is_ready() && system.instance.target_count() == count).await;
     system
