--- a/crates/holdpointd/src/ingress/follow.rs
+++ b/crates/holdpointd/src/ingress/follow.rs
@@ -120,8 +120,10 @@
     timeout(wait, learned).await.is_ok()
 }
 
+/// Whether the store is in another region. Within one region a long round trip is a busy machine's: taken
+/// for distance, it had a large configuration sent from peer to peer.
 fn is_far_from_store(shared: &IngressShared) -> bool {
-    shared.peers.store_ms().is_some_and(|it| FAR_STORE_MS < it)
+    shared.topology.is_split() && shared.peers.store_ms().is_some_and(|it| FAR_STORE_MS < it)
 }
 
 /// Learns the peers from one seed, which knows some only once it has read them or was told.
