Log: what a request has in common with others that ask for the same

Cause: of three explanations for engines that end one after the other, the log could tell none: the sends of one content could not be followed over its ids and over instances, nor was it told how long a request had run when its target ended. Change: a fingerprint of caller, method, host, path and body; E701 tells it, and the time since the send. It is hashed on first use, so that only requests whose send failed pay for it.

--- a/crates/holdpoint-core/src/lib.rs
+++ b/crates/holdpoint-core/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod prelude;
 pub mod promises;
 pub mod prompt;
+pub mod quarantine;
 pub mod readers;
 pub mod regions;
 pub mod retry;
--- a/crates/holdpointd/src/ingress/attempts.rs
+++ b/crates/holdpointd/src/ingress/attempts.rs
@@ -219,7 +219,13 @@
     let labels = [label("service", ctx.service.as_str()), label("end", cause)];
     ctx.shared.metrics.attempts.add(1, &labels);
     if !matches!(end, End::Whole(_)) {
-        let detail = format!("id={} target={} cause={cause}", ctx.request.id, target.id);
+        let detail = format!(
+            "id={} target={} cause={cause} ms={} fingerprint={}",
+            ctx.request.id,
+            target.id,
+            ctx.ms_since_send(),
+            ctx.fingerprint()
+        );
         emit(events::SEND_FAILED, &ctx.shared.settings.instance, &detail);
     }
 }
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -17,6 +17,7 @@
     ids::{Millis, Name},
     ingress::{IngressRoute, Repeat, Shape, Version},
     ledger::Ledger,
+    quarantine::Fingerprint,
     route::Call,
 };
 use holdpoint_schema::resources::Policy;
@@ -70,6 +71,7 @@
     /// When the request gets its final answer at the latest.
     pub(crate) until: Instant,
     pub(crate) ledger: Ledger,
+    fingerprint: OnceLock<Fingerprint>,
     /// Whether work was done for it.
     has_begun: AtomicBool,
     /// Whether it was admitted as one that will be late.
@@ -87,6 +89,7 @@
     cause: &'static str,
     target: String,
     sends: u32,
+    sent: Option<Instant>,
     first_ms: u64,
     stages_ms: u64,
     longest_gap_ms: u64,
@@ -132,6 +135,7 @@
             asked_before,
             until: parts.arrived + limit,
             ledger: Ledger::new(),
+            fingerprint: OnceLock::new(),
             has_begun: AtomicBool::new(false),
             is_late: AtomicBool::new(false),
             arm,
@@ -175,6 +179,19 @@
         self.route.repeat == Repeat::Free
     }
 
+    /// What it has in common with requests that ask for the same. Hashed on first use: most requests
+    /// end without it.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let request = &self.request;
+            let organisation = self.organisation.as_deref().unwrap_or_default();
+            let path = request.path.path_and_query().map_or("", |it| it.as_str());
+            let parts = [organisation, request.method.as_str(), request.host(), path];
+            let parts = parts.map(str::as_bytes);
+            Fingerprint::new(&[parts[0], parts[1], parts[2], parts[3], &request.body])
+        })
+    }
+
     /// Notes that results of a stage were made for it.
     pub(crate) fn begin_stages(&self) {
         self.has_begun.store(true, Ordering::Release);
@@ -363,6 +380,12 @@
         let mut end = self.end.lock();
         target.clone_into(&mut end.target);
         end.sends += 1;
+        end.sent = Some(Instant::now());
+    }
+
+    /// Time since the last send, in milliseconds.
+    pub(crate) fn ms_since_send(&self) -> Millis {
+        self.end.lock().sent.map_or(0, |it| it.elapsed().as_millis() as Millis)
     }
 }
 
