A request under which three lives of targets have ended goes to no target any more

Cause: nothing remembered, across a request's ids and across instances, that targets ended while they ran it. Its caller's returns and the instances' own second sends took it to one target after the other, each with all that ran there. The class: the outcome of an attempt was kept under the attempt's id, at the instance that made it, while the cause stays with the content. Change: a fingerprint of caller, method, host, path and body. When a target's connection breaks off, all that this instance ran there is suspect, and the instance that judges the service is told; three lives of targets with no good end between hold a request for ten minutes, unless a request that is held already explains each of them. What is found goes to all instances by RPC and into the store. It is looked at when a request comes, before each send and each round of a stage, and what is under way before its first event ends at once. A held request is refused, with the time until it may come back, as not run where that is true. Pieces of a request that met two ends share no call with others. A good end clears a request, at whichever instance. A target that falls silent, rather than breaking off, is no end yet.

--- a/crates/holdpoint-core/src/batcher/pack.rs
+++ b/crates/holdpoint-core/src/batcher/pack.rs
@@ -65,7 +65,10 @@
             let end = now + self.sizes.stated_ms(indices.len() + same) as Millis;
             // What is late does not make a call so long that it is late for others.
             let fits_in = !pieces[0].is_late || earliest_due.is_none_or(|it| end <= it);
+            let is_shared_call = !indices.is_empty();
             let mut may_go = fits_in && self.may_go(now, &pieces[0], target);
+            // Its target may end with it, and so would the pieces beside it.
+            may_go &= !(pieces[0].is_alone && is_shared_call);
             if let Some(domain) = near_domain(&pieces[0]) {
                 let ahead = passed.entry(domain).or_default();
                 let piece = NearPiece { domain, due: pieces[0].turn, ahead: *ahead };
@@ -87,6 +90,9 @@
                     indices.push(from + index);
                 }
             }
+            if pieces[0].is_alone && !is_shared_call && !indices.is_empty() {
+                break;
+            }
             from += same;
         }
         indices
--- a/crates/holdpoint-core/src/directory.rs
+++ b/crates/holdpoint-core/src/directory.rs
@@ -45,6 +45,9 @@
     /// How much longer it is cold, in milliseconds, where it tells that.
     #[serde(default)]
     pub cold_left_ms: Option<Millis>,
+    /// When this life of it began, in milliseconds of Unix time, where it tells that.
+    #[serde(default)]
+    pub born: Option<Millis>,
     /// Version of its software; empty where it does not tell.
     #[serde(default)]
     pub version: String,
--- a/crates/holdpoint-core/src/pieces.rs
+++ b/crates/holdpoint-core/src/pieces.rs
@@ -36,6 +36,8 @@
     pub inputs_until: Option<Millis>,
     /// What its target must be within, where its request is confined to regions.
     pub within: Within,
+    /// Whether its call carries no pieces of other requests.
+    pub is_alone: bool,
     /// When it was offered; set by the batcher.
     pub offered: Millis,
     /// Wait predicted then, in milliseconds; set by the batcher.
--- a/crates/holdpoint-core/tests/cold.rs
+++ b/crates/holdpoint-core/tests/cold.rs
@@ -184,6 +184,7 @@
         slots: 1,
         is_leaving: false,
         sequence,
+        born: None,
         cold_left_ms,
         version: String::new(),
     }
--- a/crates/holdpoint-core/tests/ingress.rs
+++ b/crates/holdpoint-core/tests/ingress.rs
@@ -90,6 +90,7 @@
         slots: 1,
         is_leaving,
         sequence,
+        born: None,
         cold_left_ms: None,
         version: String::new(),
     }
--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -135,6 +135,12 @@
     ROLLOUT_UNWRITTEN = 753 Warn "roll-out not recorded";
     /// An order to roll out a version cannot be read.
     BAD_ROLLOUT = 754 Error "roll-out order cannot be read";
+    /// A request goes to no target any more, since targets have ended under it.
+    QUARANTINED = 760 Warn "request quarantined";
+    /// A quarantined request goes to targets again.
+    QUARANTINE_ENDED = 761 Info "quarantine ended";
+    /// A request was refused, since it is quarantined.
+    REFUSED_HELD = 762 Info "quarantined request refused";
     /// A request was sent to a target.
     SENT = 700 Info "sent to a target";
     /// A send ended without a whole answer.
--- a/crates/holdpointd/src/ingress/attempts.rs
+++ b/crates/holdpointd/src/ingress/attempts.rs
@@ -50,6 +50,8 @@
     Cold,
     /// No target is in the regions that the request is confined to.
     Confined,
+    /// The request ended its targets.
+    Quarantined,
 }
 
 impl NoSend {
@@ -64,6 +66,7 @@
             NoSend::Evacuated => "evacuated",
             NoSend::Cold => "cold",
             NoSend::Confined => "confined",
+            NoSend::Quarantined => "quarantined",
         }
     }
 }
@@ -87,6 +90,11 @@
         if !self.may_repeat(ctx) {
             return Err(NoSend::Attempts);
         }
+        // It may have ended its last target by now: without this look, a request that was admitted goes on to
+        // end the next one.
+        if ctx.held_for().is_some() {
+            return Err(NoSend::Quarantined);
+        }
         self.running = None;
         let (target, reason) = self.choose_in_lane(ctx, inputs).await?;
         let now = ctx.shared.clock.now();
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -22,6 +22,7 @@
     ingress::Service,
     pieces::{Call, CallEnd, Sizes, Ticket, Waiting},
     promises::{Promises, StageLoad},
+    quarantine::Fingerprint,
     rollout::Lane,
     route::Load,
     stage_graph::{NoResult, PieceWork},
@@ -71,12 +72,16 @@
     used_up: Mutex<Vec<(Name, String)>>,
     /// What their request is confined to.
     within: Within,
+    /// Their request.
+    fingerprint: Option<Fingerprint>,
 }
 
 impl GroupInputs {
     fn new(asks: &mut [PieceAsk], within: Within) -> GroupInputs {
+        let fingerprint = asks.first().and_then(|it| it.fingerprint);
         let used_up = asks.first_mut().map(|it| std::mem::take(&mut it.used_up));
         GroupInputs {
+            fingerprint,
             unfetched: AtomicUsize::new(asks.len()),
             used_up: Mutex::new(used_up.unwrap_or_default()),
             within,
@@ -281,13 +286,14 @@
         let offered = Instant::now();
         let group = self.ticket();
         let inputs = Arc::new(GroupInputs::new(&mut asks, within));
+        let is_alone = shared.quarantines.runs_alone(inputs.fingerprint);
         let mut replies = Vec::with_capacity(asks.len());
         for ask in asks {
             let ticket = self.ticket();
             let (reply, answer) = oneshot::channel();
             replies.push(answer);
             let within = inputs.within.clone();
-            let piece = Waiting { within, ..waiting(&ask, ticket, group, now) };
+            let piece = Waiting { within, is_alone, ..waiting(&ask, ticket, group, now) };
             of_service.batcher.offer(now, piece);
             let deadline = offered + Duration::from_millis(ask.left_ms);
             let inputs = inputs.clone();
--- a/crates/holdpointd/src/ingress/batches/calls.rs
+++ b/crates/holdpointd/src/ingress/batches/calls.rs
@@ -2,6 +2,7 @@
 
 use super::{Pending, pump};
 use std::{
+    collections::HashSet,
     sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
@@ -9,8 +10,10 @@
 use holdpoint_adapter::stages as wire;
 use holdpoint_core::{
     batcher::Judgement,
+    directory::TargetInstance,
     ids::{Millis, Name},
     pieces::{Call, CallEnd, Waiting},
+    quarantine::Fingerprint,
     rollout::Answer,
     stage_graph::NoResult,
 };
@@ -20,7 +23,7 @@
     events::{self, emit},
     ingress::{
         piece_ask::PieceResult,
-        send::{left, own_call},
+        send::{NoAnswer, left, own_call},
         shared::IngressShared,
         stages::FETCHED,
     },
@@ -42,6 +45,8 @@
     let begun = Instant::now();
     let outcome = ask_and_release(&shared, &service, &call, &pieces, patience).await;
     let ms = begun.elapsed().as_millis() as Millis;
+    note_runs(&shared, &service, &pieces, &outcome);
+    let outcome = outcome.map_err(|it| it.end);
     let (results, end, text) = match outcome {
         Ok(it) => (it, CallEnd::Answered(ms), "answered"),
         Err(CallEnd::Full) => (Vec::new(), CallEnd::Full, "full"),
@@ -60,6 +65,45 @@
     pump(&shared, &service);
 }
 
+/// A call that made nothing.
+struct NoCall {
+    end: CallEnd,
+    /// The target that ended while it worked on the call.
+    ended: Option<TargetInstance>,
+}
+
+impl From<CallEnd> for NoCall {
+    fn from(end: CallEnd) -> NoCall {
+        NoCall { end, ended: None }
+    }
+}
+
+/// Notes that the target of a call has ended under the requests of its pieces, or which of them ran to
+/// a good end.
+fn note_runs(
+    shared: &IngressShared,
+    service: &str,
+    pieces: &[Pending],
+    outcome: &Result<Vec<PieceResult>, NoCall>,
+) {
+    let requests = |is_its: &dyn Fn(usize) -> bool| -> HashSet<Fingerprint> {
+        let its = pieces.iter().enumerate().filter(|it| is_its(it.0));
+        its.filter_map(|it| it.1.inputs.fingerprint).collect()
+    };
+    match outcome {
+        Ok(results) => {
+            let is_made = |index| matches!(results.get(index), Some(Ok(_)));
+            requests(&is_made).into_iter().for_each(|it| shared.quarantines.passed(service, || it));
+        }
+        Err(NoCall { ended: Some(target), .. }) => {
+            let now = shared.clock.now();
+            let all = requests(&|_| true).into_iter();
+            all.for_each(|it| shared.quarantines.ended(now, it, target));
+        }
+        Err(_) => (),
+    }
+}
+
 /// Has a call counted for the roll-out of its target's version: the time of its pieces as a percentage
 /// of the stated one, since calls differ in size.
 fn judge_call(
@@ -92,7 +136,7 @@
     call: &Call,
     pieces: &[Pending],
     patience: Millis,
-) -> Result<Vec<PieceResult>, CallEnd> {
+) -> Result<Vec<PieceResult>, NoCall> {
     let asking = ask_target(shared, service, call, pieces, patience);
     tokio::pin!(asking);
     let outcome = tokio::select! {
@@ -188,26 +232,29 @@
     call: &Call,
     pieces: &[Pending],
     patience: Millis,
-) -> Result<Vec<PieceResult>, CallEnd> {
+) -> Result<Vec<PieceResult>, NoCall> {
     let target = shared.open_target(&call.target).ok_or(CallEnd::Full)?;
     let body =
         wire::run_body(pieces.iter().map(|it| (&it.work, left(it.deadline).as_millis() as Millis)));
     let limit = Duration::from_millis(patience.max(LEAST_CALL_MS));
     let answer = own_call(shared, &target, wire::RUN_PATH, body, limit).await;
-    let (status, head, body) = answer.map_err(|_| CallEnd::Failed)?;
+    let (status, head, body) = answer.map_err(|it| NoCall {
+        end: CallEnd::Failed,
+        ended: (it == NoAnswer::Broken).then(|| target.clone()),
+    })?;
     if let Some(load) = head.load {
         shared.batches.told_load(shared.clock.now(), service, &call.target, load);
     }
     if head.is_misdirected {
         shared.target_leaves(&target.id, "misdirected");
-        return Err(CallEnd::Full);
+        return Err(CallEnd::Full.into());
     }
     if head.is_declined {
-        return Err(CallEnd::Full);
+        return Err(CallEnd::Full.into());
     }
     let results = wire::parse_run(&body).map_err(|_| CallEnd::Failed)?;
     if !status.is_success() || results.len() != pieces.len() {
-        return Err(CallEnd::Failed);
+        return Err(CallEnd::Failed.into());
     }
     Ok(results)
 }
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -344,8 +344,10 @@
         end.cause = cause;
     }
 
-    /// The system's own final answer: a refusal where nothing has run, else a failure.
+    /// The system's own final answer: a refusal where nothing has run, else a failure. A request that is
+    /// held may come back once it is not.
     pub(crate) fn give_up(&self, cause: &'static str, retry_after: Duration) -> Answer {
+        let retry_after = self.held_for().unwrap_or(retry_after);
         let id = Some(self.request.id.as_str());
         let answer = match self.ledger.close() {
             Ok(proof) => refusal(proof, id, retry_after),
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -27,6 +27,7 @@
 mod peers;
 mod piece_ask;
 mod pools;
+mod quarantine;
 mod regions;
 mod releases;
 mod request;
@@ -101,6 +102,7 @@
             tokio::spawn(spill::run(shared.clone()));
         }
         tokio::spawn(rollouts::run(shared.clone()));
+        tokio::spawn(quarantine::run(shared.clone()));
         tokio::spawn(tick(shared.clone()));
         emit(events::STARTED, &shared.settings.instance, &format!("callers={}", listen.callers));
         Ok(Ingress { shared })
--- a/crates/holdpointd/src/ingress/news.rs
+++ b/crates/holdpointd/src/ingress/news.rs
@@ -42,7 +42,7 @@
     TargetGone(TargetId),
     /// A peer joined or started anew, or has left.
     Peer(Name, Option<Peer>),
-    /// An operator declared a resource, or dropped it.
+    /// A resource was declared, or dropped.
     Resource(String, Option<Bytes>),
 }
 
@@ -181,6 +181,9 @@
     /// Those that are cold, and for how much longer in milliseconds.
     #[serde(default)]
     cold: Vec<(TargetId, Millis)>,
+    /// When their lives began, in milliseconds of Unix time, of those that tell it.
+    #[serde(default)]
+    born: Vec<(TargetId, Millis)>,
 }
 
 /// Target instances that have all but their names in common.
@@ -216,6 +219,7 @@
             listed: groups.into_iter().map(group).collect(),
             lapsed: directory.lapsed().cloned().collect(),
             cold: directory.cold(now).map(|(id, left)| (id.clone(), left)).collect(),
+            born: directory.listed().filter_map(|it| Some((it.id.clone(), it.born?))).collect(),
         }
     }
 
@@ -227,11 +231,13 @@
 
     pub(crate) fn into_targets(self) -> (Vec<TargetInstance>, Vec<TargetId>) {
         let cold: HashMap<TargetId, Millis> = self.cold.into_iter().collect();
-        let cold = &cold;
+        let born: HashMap<TargetId, Millis> = self.born.into_iter().collect();
+        let (cold, born) = (&cold, &born);
         let targets = self.listed.into_iter().flat_map(|group| {
             let TargetGroup { service, domain, slots, is_leaving, version, members } = group;
             members.into_iter().map(move |(id, address, sequence)| TargetInstance {
                 cold_left_ms: cold.get(&id).copied(),
+                born: born.get(&id).copied(),
                 id,
                 service: service.clone(),
                 address,
@@ -316,7 +322,7 @@
     // What was read too long ago helps only those who know nothing.
     let is_wanted = is_fresh || targets_digest == Directory::default().digest();
     let is_other = is_wanted && shared.digest() != targets_digest;
-    let resources = shared.experiments.all();
+    let resources = shared.resources();
     match peers_digest {
         None => {
             let targets = is_other.then(|| shared.target_list());
--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -10,6 +10,7 @@
     ids::{Millis, Name},
     ingress::Version,
     promises::StageLoad,
+    quarantine::Verdict,
     route::Call,
     spill::Lease,
 };
@@ -29,6 +30,7 @@
     follow::catch_up,
     news::{self, Known, Update},
     piece_ask::{PieceAsk, PieceResult},
+    quarantine::{self, RunReport},
     releases::tell_makers,
     rollouts::{self, DriverAnswer, RolloutReport},
     shared::IngressShared,
@@ -38,11 +40,13 @@
 const MAX_FRAME: usize = 16 << 20;
 
 /// Version of the protocol that this instance speaks: from 1 on, [`IngressPeers::check`] is known.
-pub(crate) const PROTOCOL: u32 = LENDING;
+pub(crate) const PROTOCOL: u32 = QUARANTINES;
 /// Version from which on an instance keeps confined work in its regions.
 pub(crate) const CONFINES: u32 = 2;
 /// Version from which on [`IngressPeers::lend`] is known.
 pub(crate) const LENDING: u32 = 3;
+/// Version from which on [`IngressPeers::report_runs`] and [`IngressPeers::tell_verdicts`] are known.
+pub(crate) const QUARANTINES: u32 = 4;
 
 /// What an instance tells of itself whenever it is asked whether it is there.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -100,6 +104,10 @@
     async fn borrow(service: Name, region: Name, places: u32) -> Option<Millis>;
     /// Takes in what an instance has seen of a roll-out, and tells where it stands.
     async fn roll_out(service: Name, report: RolloutReport) -> DriverAnswer;
+    /// Tells the judge of a service what an instance has seen of requests that end their targets.
+    async fn report_runs(reports: Vec<RunReport>);
+    /// Tells an instance what was found of such requests.
+    async fn tell_verdicts(verdicts: Vec<Verdict>);
     /// Tells what is new to an asker who knows so much; waits for a while until something is.
     async fn follow(known: Known) -> Update;
 }
@@ -203,6 +211,14 @@
         rollouts::answer(&self.shared, &service, report)
     }
 
+    async fn report_runs(self, _: context::Context, reports: Vec<RunReport>) {
+        quarantine::take_reports(&self.shared, reports);
+    }
+
+    async fn tell_verdicts(self, _: context::Context, verdicts: Vec<Verdict>) {
+        quarantine::take_verdicts(&self.shared, verdicts, "peer");
+    }
+
     async fn follow(self, _: context::Context, known: Known) -> Update {
         news::answer(&self.shared, known).await
     }
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -16,6 +16,7 @@
     confinement::{Bounds, Within},
     directory::TargetId,
     ids::{Millis, Name},
+    quarantine::Verdict,
     readers::{Member, Role, plan},
     spill::Lease,
     stage_graph::NoResult,
@@ -32,6 +33,7 @@
     news::{Known, Update},
     peer_service::{CONFINES, LENDING, PromptAsk},
     piece_ask::{PieceAsk, PieceResult},
+    quarantine::RunReport,
     regions::owner_of,
     rollouts::{DriverAnswer, RolloutReport},
     shared::IngressShared,
@@ -43,6 +45,8 @@
 pub(crate) const PLACE_LIMIT: Duration = Duration::from_millis(60);
 /// How long a peer may take to release results.
 const RELEASE_LIMIT: Duration = Duration::from_millis(350);
+/// How long a peer may take to take in what concerns requests that end their targets.
+const VERDICT_LIMIT: Duration = Duration::from_millis(500);
 /// How long the driver of a roll-out may take to answer; what it last told holds for longer.
 const ROLL_OUT_LIMIT: Duration = Duration::from_millis(300);
 
@@ -438,6 +442,34 @@
         tokio::time::timeout(ROLL_OUT_LIMIT, asked).await.ok()?
     }
 
+    /// Tells the judge of a service what this instance has seen of requests that end their targets.
+    pub(crate) async fn report_runs(
+        &self,
+        shared: &Arc<IngressShared>,
+        address: &str,
+        reports: Vec<RunReport>,
+    ) -> Result<(), PeerSilent> {
+        let link = self.links.get(shared, address).await?;
+        let limit = self.links.with_distance(address, VERDICT_LIMIT);
+        let told = link.client.report_runs(context_for(limit), reports);
+        let told = tokio::time::timeout(limit, told).await;
+        told.map_err(|_| PeerSilent)?.map_err(|_| PeerSilent)
+    }
+
+    /// Tells a peer what was found of such requests.
+    pub(crate) async fn tell_verdicts(
+        &self,
+        shared: &Arc<IngressShared>,
+        address: &str,
+        verdicts: Vec<Verdict>,
+    ) -> Result<(), PeerSilent> {
+        let link = self.links.get(shared, address).await?;
+        let limit = self.links.with_distance(address, VERDICT_LIMIT);
+        let told = link.client.tell_verdicts(context_for(limit), verdicts);
+        let told = tokio::time::timeout(limit, told).await;
+        told.map_err(|_| PeerSilent)?.map_err(|_| PeerSilent)
+    }
+
     /// Has a peer give up results.
     pub(crate) async fn give_up(
         &self,
--- a/crates/holdpointd/src/ingress/piece_ask.rs
+++ b/crates/holdpointd/src/ingress/piece_ask.rs
@@ -4,6 +4,7 @@
     confinement::Confinement,
     ids::{Millis, Name},
     promises::StageAhead,
+    quarantine::Fingerprint,
     stage_graph::{NoResult, PieceWork},
 };
 use serde::{Deserialize, Serialize};
@@ -49,6 +50,10 @@
     /// Regions that its request is confined to.
     #[serde(default, skip_serializing_if = "Confinement::is_free")]
     pub(crate) confinement: Confinement,
+    /// Fingerprint of its request; stands at the first of the pieces that are asked for together. Peers of
+    /// earlier versions tell none.
+    #[serde(default)]
+    pub(crate) fingerprint: Option<Fingerprint>,
     /// What comes after; stands at the first of the pieces that are asked for together, where they may be
     /// refused. Peers of earlier versions tell nothing, and then only their own stage counts.
     #[serde(default)]
--- a/crates/holdpointd/src/ingress/request.rs
+++ b/crates/holdpointd/src/ingress/request.rs
@@ -117,7 +117,7 @@
         head: head.clone(),
     };
     let ctx = Context::new(shared.clone(), parts);
-    ctx.refuse_confined().map_or(Ok(ctx), Err)
+    ctx.refuse_held().or_else(|| ctx.refuse_confined()).map_or(Ok(ctx), Err)
 }
 
 /// The route of a request, and the organisation that its key belongs to.
--- a/crates/holdpointd/src/ingress/send.rs
+++ b/crates/holdpointd/src/ingress/send.rs
@@ -28,9 +28,16 @@
     pub(crate) id: String,
 }
 
-/// A call of the system's own had no whole answer.
+/// Why a call of the system's own had no whole answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct NoAnswer;
+pub(crate) enum NoAnswer {
+    /// There is no connection to the target, or no byte of the call has left.
+    NotSent,
+    /// The connection broke off.
+    Broken,
+    /// It took too long.
+    Silent,
+}
 
 /// Outcome of a send.
 pub(crate) enum Sent {
@@ -59,7 +66,10 @@
     let response = match connection.sender.try_send_request(outgoing).await {
         Ok(it) => it,
         Err(it) if it.message().is_some() => return Sent::Nothing,
-        Err(_) => return Sent::Broken,
+        Err(_) => {
+            ctx.target_ended(target);
+            return Sent::Broken;
+        }
     };
     let head = headers::read_target(response.status(), response.headers());
     if head.is_misdirected {
@@ -108,23 +118,27 @@
 ) -> Result<(StatusCode, TargetHead, Bytes), NoAnswer> {
     let call = async {
         let taken = shared.connections.take(target, Care::Usual).await;
-        let mut connection = taken.map_err(|_| NoAnswer)?;
+        let mut connection = taken.map_err(|_| NoAnswer::NotSent)?;
         let mut request = Request::new(Full::new(Bytes::from(body)));
         *request.method_mut() = Method::POST;
         *request.uri_mut() = http::Uri::from_static(path);
         *request.headers_mut() = headers::own_call(&target.id);
         set_host(request.headers_mut(), &target.address);
-        let sent = connection.sender.send_request(request).await;
-        let response = sent.map_err(|_| NoAnswer)?;
+        let sent = connection.sender.try_send_request(request).await;
+        let response = sent.map_err(|it| match it.message() {
+            Some(_) => NoAnswer::NotSent,
+            None => NoAnswer::Broken,
+        })?;
         let status = response.status();
         let head = headers::read_target(status, response.headers());
-        let body = response.into_body().collect().await.map_err(|_| NoAnswer)?.to_bytes();
+        let body = response.into_body().collect().await;
+        let body = body.map_err(|_| NoAnswer::Broken)?.to_bytes();
         if !head.closes {
             shared.connections.give_back(connection, head.idle_limit);
         }
         Ok((status, head, body))
     };
-    tokio::time::timeout(limit, call).await.map_err(|_| NoAnswer)?
+    tokio::time::timeout(limit, call).await.map_err(|_| NoAnswer::Silent)?
 }
 
 /// Time left until a moment.
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -39,6 +39,7 @@
         peer_service::PROTOCOL,
         peers::{Peer, Peers, own_capacity},
         pools::Pools,
+        quarantine::{self, Quarantines},
         regions::Regions,
         releases::Releases,
         rollouts::Rollouts,
@@ -82,6 +83,8 @@
     pub(crate) confinements: Confinements,
     /// Versions that are rolled out.
     pub(crate) rollouts: Rollouts,
+    /// Requests that end their targets.
+    pub(crate) quarantines: Quarantines,
     /// Policies and trials that operators declared.
     pub(crate) experiments: Declared,
     pub(crate) in_flight: Arc<InFlight>,
@@ -147,6 +150,7 @@
             domains: Domains::default(),
             confinements: Confinements::default(),
             rollouts: Rollouts::new(&settings),
+            quarantines: Quarantines::default(),
             experiments: Declared::default(),
             in_flight: Arc::default(),
             closing: watch::channel(false).0,
@@ -324,8 +328,21 @@
         self.batches.told(self, now, told.loads);
     }
 
-    /// Takes in a resource that an operator declared, or that it was dropped.
+    /// All resources in the store by key: what operators declared, and the requests that are held.
+    pub(crate) fn resources(&self) -> Vec<(String, Bytes)> {
+        let mut resources = self.experiments.all();
+        resources.extend(self.quarantines.stored());
+        resources
+    }
+
+    /// Takes in a resource, or that it was dropped.
     pub(crate) fn set_resource(&self, key: &str, value: Option<Bytes>) {
+        if let Some(is_new) = quarantine::set_stored(self, key, value.clone()) {
+            if is_new {
+                self.tell(std::iter::once(News::Resource(key.to_owned(), value)));
+            }
+            return;
+        }
         match self.experiments.set(key, value.clone()) {
             Ok(false) => (),
             Ok(true) => {
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -203,6 +203,9 @@
             PieceAsk { inputs_for_ms, confinement, ..ask }
         };
         let mut asks: Vec<PieceAsk> = missing.iter().map(ask).collect();
+        if let Some(first) = asks.first_mut() {
+            first.fingerprint = Some(ctx.fingerprint());
+        }
         if let (Some(first), PieceSource::Inputs(inputs)) = (asks.first_mut(), &source) {
             first.used_up = used_up(ctx, graph, stage, inputs);
         }
@@ -228,6 +231,7 @@
         let detail = format!("id={} stage={stage} round={round} cause={cause:?}", ctx.request.id);
         emit(events::STAGE_FAILED, &ctx.shared.settings.instance, &detail);
         let is_final = round == REMAKES
+            || ctx.held_for().is_some()
             || matches!(cause, NoResult::InputGone | NoResult::Late | NoResult::Overload(_));
         if is_final || ctx.left_to_begin().is_zero() {
             release_all(ctx, stage, handles);
@@ -358,6 +362,7 @@
         inputs_for_ms: None,
         used_up: Vec::new(),
         confinement: Confinement::default(),
+        fingerprint: None,
         chain: None,
     }
 }
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -33,6 +33,8 @@
     },
 };
 
+/// Why a stream goes on elsewhere whose target's connection broke off.
+const BROKEN: &str = "broken";
 /// Events that may wait for a caller who reads slowly.
 const BUFFERED: usize = 16;
 /// Part of the target time without a first event after which another target is tried.
@@ -90,6 +92,7 @@
     let opened = tokio::select! {
         it = open(&ctx, &mut attempts, None) => it,
         () = tokio::time::sleep(ctx.left()) => Err(NotOpen::NoSend(NoSend::Time.name())),
+        () = ctx.is_held() => Err(NotOpen::NoSend(NoSend::Quarantined.name())),
         () = ctx.shared.stop_nears() => Err(NotOpen::NoSend(NoSend::Stopping.name())),
     };
     match opened {
@@ -270,7 +273,10 @@
             Next::Events(it) if it.is_empty() => continue,
             Next::Events(it) => (it, false),
             Next::End => (Vec::new(), true),
-            Next::Broken => return Ended::Broken,
+            Next::Broken => {
+                ctx.target_ended(target);
+                return Ended::Broken;
+            }
         };
         return Ended::Open(Box::new(Open {
             target: target.clone(),
@@ -321,6 +327,7 @@
         };
         match passed {
             Passed::Whole => {
+                ctx.has_passed();
                 end_send(&ctx, &target, End::Whole(first_ms), "answered");
                 ctx.note_end(status, "answered");
                 return;
@@ -335,6 +342,9 @@
                 return break_off(&ctx, status, "time-over", &sender).await;
             }
             Passed::Broken(cause) => {
+                if cause == BROKEN {
+                    ctx.target_ended(&target);
+                }
                 end_send(&ctx, &target, End::Failed, cause);
                 if !ctx.is_repeatable() {
                     return break_off(&ctx, status, cause, &sender).await;
@@ -408,7 +418,7 @@
                 }
             }
             Ok(Next::End) => return keep(ctx, connection, &head),
-            Ok(Next::Broken) => return Passed::Broken("broken"),
+            Ok(Next::Broken) => return Passed::Broken(BROKEN),
             Err(_) => return Passed::Broken("silent"),
         }
     }
--- a/crates/holdpointd/src/ingress/watch.rs
+++ b/crates/holdpointd/src/ingress/watch.rs
@@ -132,12 +132,12 @@
     shared.set_peers(entries.collect(), is_whole);
 }
 
-/// Keeps the policies and trials that operators declare up to date.
+/// Keeps the resources up to date: policies and trials that operators declare, requests that are held.
 pub(crate) async fn follow_resources(shared: Arc<IngressShared>) {
     let take = |read: &Read<'_>| {
         if read.is_whole {
             let is_named = |key: &str| read.records.iter().any(|it| it.key == key);
-            let known = shared.experiments.all().into_iter();
+            let known = shared.resources().into_iter();
             known.filter(|it| !is_named(&it.0)).for_each(|it| shared.set_resource(&it.0, None));
         }
         read.records.iter().for_each(|it| shared.set_resource(&it.key, it.value.clone()));
--- a/crates/holdpointd/src/ingress/whole.rs
+++ b/crates/holdpointd/src/ingress/whole.rs
@@ -36,6 +36,7 @@
 pub(crate) async fn serve(ctx: &Context) -> Answer {
     tokio::select! {
         it = answer(ctx) => it,
+        () = ctx.is_held() => ctx.give_up(NoSend::Quarantined.name(), COME_BACK),
         () = ctx.shared.stop_nears() => ctx.give_up(NoSend::Stopping.name(), COME_BACK),
     }
 }
@@ -113,6 +114,7 @@
         }
         Ok(Ended::Answered(head, body)) => {
             ctx.note_first();
+            ctx.has_passed();
             ctx.pool.times.lock().record(ctx.shared.clock.now(), ms);
             end_send(ctx, target, End::Whole(ms), "answered");
             Ended::Answered(head, body)
@@ -150,7 +152,10 @@
             match body {
                 Some(it) if copy.status.is_server_error() => Ended::Failed(Box::new(copy), it),
                 Some(it) => Ended::Answered(Box::new(copy), it),
-                None => Ended::Broken,
+                None => {
+                    ctx.target_ended(target);
+                    Ended::Broken
+                }
             }
         }
     }
--- a/crates/holdpointd/src/metrics.rs
+++ b/crates/holdpointd/src/metrics.rs
@@ -45,6 +45,8 @@
     pub pieces: Counter<u64>,
     /// Repeated chunks dropped.
     pub dropped_chunks: Counter<u64>,
+    /// Requests that were quarantined.
+    pub quarantined: Counter<u64>,
     /// Answers of other attempts dropped.
     pub crossed: Counter<u64>,
     /// Generations resumed at their engine.
@@ -104,6 +106,7 @@
                 .with_boundaries(PREDICTED_BOUNDS.to_vec())
                 .build(),
             pieces: counter("holdpoint_pieces", "Pieces in calls for results of stages by end"),
+            quarantined: counter("holdpoint_quarantined", "Requests that were quarantined"),
             dropped_chunks: counter("holdpoint_dropped_chunks", "Repeated chunks dropped"),
             crossed: counter("holdpoint_crossed", "Answers of other attempts dropped"),
             resumes: counter("holdpoint_resumes", "Generations resumed at their engine"),
--- a/crates/holdpointd/tests/crashing_requests.rs
+++ b/crates/holdpointd/tests/crashing_requests.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 
 use holdpoint_adapter_standin::{
-    Behaviour, CallerAnswer, CallerRequest, Gate, Store, Target, call,
+    Behaviour, CallerAnswer, CallerRequest, Gate, Outage, Store, Target, call,
 };
 use holdpointd::ingress::Ingress;
 use http::StatusCode;
@@ -144,3 +144,135 @@
         assert_eq!(fleet.send(0, other).await.status, StatusCode::OK);
     }
 }
+
+#[tokio::test]
+async fn whole_answers_are_no_other_matter_than_streams() {
+    for path in ["/safe/x", "/unsafe/x"] {
+        let fleet = fleet(&[Behaviour::Answer; 6], &[], Restart::SameId).await;
+        fleet.end_targets(path).await;
+        let before = fleet.deadly_runs();
+        assert!(before <= ENDS + 1, "{path}: {before}");
+        for round in 0..6 {
+            assert_refused(&fleet.send(round, deadly(&format!("s-{round}"), path)).await);
+        }
+        assert_eq!(fleet.deadly_runs(), before, "{path}");
+    }
+}
+
+/// A caller that comes back with the number of the last event that it has asks for the same.
+#[tokio::test]
+async fn a_stream_that_its_caller_takes_up_again_is_refused_too() {
+    let fleet = fleet(&[], &[Behaviour::Events(20); 6], Restart::NewId).await;
+    fleet.end_targets("/story/x").await;
+    let before = fleet.deadly_runs();
+    let again = deadly("s-1", "/story/x").with_header("last-event-id", "1");
+    assert_refused(&fleet.send(1, again).await);
+    assert_eq!(fleet.deadly_runs(), before);
+}
+
+/// Pieces of many requests share a call, and the target that ends takes all of them with it.
+#[tokio::test]
+async fn pieces_that_end_their_target_are_made_no_more_and_their_neighbours_are() {
+    let fleet = fleet(&[], &[Behaviour::Events(3); 2], Restart::SameId).await;
+    let staged = |id: &str, key: &str| {
+        CallerRequest::new(id, "/staged/x")
+            .with_body(format!("body of {key}"))
+            .with_pieces("2,1")
+            .with_piece_key(key)
+            .with_header("holdpoint-deadline-ms", "8000")
+    };
+    let encoder = &fleet.system.encoder;
+    let deadly_calls = || {
+        let is_deadly = |it: &Vec<serde_json::Value>| it.iter().any(|it| it["key"] == DEADLY);
+        encoder.batches().iter().filter(|it| is_deadly(it)).count()
+    };
+    let neighbours = async {
+        let mut served = 0;
+        for round in 0..12 {
+            let key = format!("{round}a");
+            let answer = fleet.send(round, staged(&format!("n-{round}"), &key)).await;
+            served += usize::from(answer.status == StatusCode::OK && answer.is_whole);
+        }
+        served
+    };
+    let deadly = async {
+        for round in 0..6 {
+            fleet.send(round, staged(&format!("d-{round}"), DEADLY)).await;
+        }
+    };
+    let (served, ()) = tokio::join!(neighbours, deadly);
+    let before = deadly_calls();
+    assert!((ENDS..=ENDS + 1).contains(&before), "{before} calls ended the target");
+    assert!(10 <= served, "{served} of 12 neighbours were served");
+    for round in 0..6 {
+        assert_refused(&fleet.send(round, staged(&format!("s-{round}"), DEADLY)).await);
+        let key = format!("{round}b");
+        let answer = fleet.send(round, staged(&format!("m-{round}"), &key)).await;
+        assert_eq!(answer.status, StatusCode::OK, "neighbour {round} after it");
+    }
+    assert_eq!(deadly_calls(), before);
+}
+
+/// A stream that runs beside the deadly request breaks off with it, goes on elsewhere, and has done
+/// nothing wrong.
+#[tokio::test]
+async fn neighbours_are_served_and_not_held() {
+    let fleet = fleet(&[], &[Behaviour::Events(200); 6], Restart::SameId).await;
+    let neighbour = |id: &str, body: usize| {
+        CallerRequest::new(id, "/story/x").with_body(format!("neighbour {body}"))
+    };
+    let beside = (0..12).map(|it| fleet.send(it, neighbour(&format!("n-{it}"), it)));
+    let deadly = async {
+        // They are in the middle of their streams.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        fleet.end_targets("/story/x").await;
+    };
+    let (answers, ()) = tokio::join!(futures::future::join_all(beside), deadly);
+    let whole = answers.iter().filter(|it| it.is_whole).count();
+    assert!(6 <= whole, "{whole} of 12 came whole although three of six engines ended");
+    for it in 0..12 {
+        let answer = fleet.send(it, neighbour(&format!("m-{it}"), it)).await;
+        assert!(answer.status == StatusCode::OK && answer.is_whole, "neighbour {it}");
+    }
+}
+
+async fn is_refused_by(instance: &Ingress, id: &str) {
+    until(|| instance.is_ready()).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let callers = instance.listen().callers.parse().unwrap();
+    assert_refused(&call(callers, deadly(id, "/story/x")).await.unwrap());
+}
+
+/// What instances have found outlives them, and reaches those that start later.
+#[tokio::test]
+async fn an_instance_that_starts_later_knows_it_and_so_do_all_after_a_restart_of_all() {
+    let mut fleet = fleet(&[], &[Behaviour::Events(20); 6], Restart::NewId).await;
+    fleet.end_targets("/story/x").await;
+    let before = fleet.deadly_runs();
+    let gate = fleet.system.store.open_gate().await;
+    let late = start_instance("d", &gate);
+    is_refused_by(&late, "s-1").await;
+    let gate = fleet.system.store.open_gate().await;
+    fleet.others.drain(..).for_each(|(it, _)| drop(tokio::spawn(it.stop())));
+    drop(tokio::spawn(late.stop()));
+    let first = std::mem::replace(&mut fleet.system.instance, start_instance("e", &gate));
+    first.stop().await;
+    is_refused_by(&fleet.system.instance, "s-2").await;
+    assert_eq!(fleet.deadly_runs(), before);
+}
+
+/// Without the store, instances tell each other.
+#[tokio::test]
+async fn it_is_known_everywhere_while_the_store_is_away() {
+    let fleet = fleet(&[], &[Behaviour::Events(20); 6], Restart::SameId).await;
+    let gates = [&fleet.system.store.gate, &fleet.others[0].1, &fleet.others[1].1];
+    gates.iter().for_each(|it| it.set_outage(Outage::Silent));
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    fleet.end_targets("/story/x").await;
+    let before = fleet.deadly_runs();
+    for round in 0..6 {
+        assert_refused(&fleet.send(round, deadly(&format!("s-{round}"), "/story/x")).await);
+    }
+    assert_eq!(fleet.deadly_runs(), before);
+    gates.iter().for_each(|it| it.set_outage(Outage::None));
+}
