A target that starts again under its id is a new life; entries of other writers name no target

Cause: entries were ordered by their number alone, which starts anew with each life, so that those of a new life were passed over as old, and a sign of leaving held for the id for good. Change: a later birth is a new life: whatever is known of the one before goes (router, batcher's room, rests of connections, coldness, leaving), also at peers, whose lists and hashes tell births. An entry that cannot be read names no target, and the one known under its id is not used until it writes again; unreadable records are passed over, each by itself. Entries of peers need an IP number and port. A result's maker is found among the services that the configuration names.

--- a/crates/holdpoint-core/src/batcher/mod.rs
+++ b/crates/holdpoint-core/src/batcher/mod.rs
@@ -87,6 +87,9 @@
             target.is_spare = false;
             self.targets.insert(id.to_owned(), target);
         }
+        // One that starts again under its id has all its room.
+        let targets = &self.targets;
+        self.kept.retain(|_, it| targets.contains_key(&it.target));
     }
 
     /// Offers a piece.
--- a/crates/holdpoint-core/src/directory.rs
+++ b/crates/holdpoint-core/src/directory.rs
@@ -1,13 +1,14 @@
 //! The directory of target instances: who is there, where, and who is leaving.
 //!
-//! Entries are keyed by id, since addresses are used again by other services. A sign of leaving
-//! is final for an id: neither an older entry nor a later one takes it back.
+//! Entries are keyed by id, since addresses are used again by other services. A target may start again
+//! under its id: a later birth is another life, which counts its entries anew and holds nothing of the
+//! one before. A sign of leaving is final for a life: no entry of it takes that back.
 //!
 //! While the store is away, entries of targets lapse that are well. What lapsed is therefore kept
 //! for a while after the store's return, until its target has written itself anew.
 
 use std::{
-    collections::{BTreeMap, HashSet},
+    collections::{BTreeMap, HashMap, HashSet},
     hash::{Hash, Hasher},
 };
 
@@ -60,6 +61,8 @@
     Nothing,
     /// A new instance.
     Joined,
+    /// The instance has started again under its id: all that is known of the life before is over.
+    Restarted,
     /// The instance is leaving or has left.
     Leaving,
     /// Something else about it.
@@ -70,8 +73,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     instances: BTreeMap<TargetId, TargetInstance>,
-    /// Ids that have shown a sign of leaving.
-    leaving: HashSet<TargetId>,
+    /// Ids that have shown a sign of leaving, with the birth of the life that has.
+    leaving: HashMap<TargetId, Option<Millis>>,
     /// Instances whose entry is gone although they may be well, and until when they are kept.
     lapsed: BTreeMap<TargetId, Millis>,
     /// Targets that are cold.
@@ -96,10 +99,23 @@
 impl Directory {
     /// Takes in an entry.
     pub fn put(&mut self, now: Millis, entry: TargetInstance) -> Change {
-        let is_back = self.lapsed.remove(&entry.id).is_some();
-        let is_leaving = entry.is_leaving || self.leaving.contains(&entry.id);
-        let entry = TargetInstance { is_leaving, ..entry };
         let known = self.instances.get(&entry.id);
+        match known.and_then(|it| it.born).zip(entry.born) {
+            Some((known, born)) if born < known => return Change::Nothing,
+            Some((known, born)) if known < born => {
+                self.remove(&entry.id);
+                return match self.put(now, entry) {
+                    Change::Joined => Change::Restarted,
+                    other => other,
+                };
+            }
+            _ => (),
+        }
+        let is_back = self.lapsed.remove(&entry.id).is_some();
+        let is_leaving = entry.is_leaving || self.has_left(&entry);
+        // A peer of an earlier version tells no birth.
+        let born = entry.born.or(known.and_then(|it| it.born));
+        let entry = TargetInstance { is_leaving, born, ..entry };
         if known.is_some_and(|it| entry.sequence < it.sequence) {
             return Change::Nothing;
         }
@@ -112,12 +128,27 @@
             Some(_) => Change::Altered,
         };
         if is_leaving {
-            self.leaving.insert(entry.id.clone());
+            self.leaving.insert(entry.id.clone(), entry.born);
         }
         self.instances.insert(entry.id.clone(), entry);
         change
     }
 
+    /// Whether the life that an entry tells of has shown a sign of leaving.
+    fn has_left(&self, entry: &TargetInstance) -> bool {
+        let Some(left) = self.leaving.get(&entry.id) else { return false };
+        left.zip(entry.born).is_none_or(|(left, born)| born <= left)
+    }
+
+    /// The same directory without some instances.
+    pub fn without<'a>(&self, ids: impl Iterator<Item = &'a TargetId>) -> Directory {
+        let mut rest = self.clone();
+        for id in ids {
+            rest.remove(id);
+        }
+        rest
+    }
+
     /// Takes in that an entry is gone.
     pub fn remove(&mut self, id: &str) -> Change {
         self.lapsed.remove(id);
@@ -159,7 +190,7 @@
             return Change::Nothing;
         }
         found.is_leaving = true;
-        self.leaving.insert(id.to_owned());
+        self.leaving.insert(id.to_owned(), found.born);
         Change::Leaving
     }
 
@@ -221,9 +252,20 @@
     pub fn digest(&self) -> u64 {
         let mut hasher = Xxh3::new();
         for it in self.listed() {
-            let TargetInstance { id, service, address, domain, slots, is_leaving, version, .. } =
-                it;
+            let TargetInstance {
+                id,
+                service,
+                address,
+                domain,
+                slots,
+                is_leaving,
+                version,
+                born,
+                ..
+            } = it;
             (id, service, address, domain, slots, is_leaving, version).hash(&mut hasher);
+            // Two versions of this program agree where no target tells its birth.
+            born.iter().for_each(|it| it.hash(&mut hasher));
         }
         hasher.finish()
     }
--- a/crates/holdpoint-core/tests/batcher.rs
+++ b/crates/holdpoint-core/tests/batcher.rs
@@ -435,3 +435,46 @@
     assert_eq!(expected(&batcher, now), before, "late pieces raised what is expected");
     batcher.ended(now, &busy, CallEnd::Answered(220), &[None]);
 }
+
+/// A target that starts again has no results of its life before, and all its room.
+#[test]
+fn results_of_a_target_that_has_ended_take_no_room_at_the_next() {
+    let mut batcher = batcher(&[("t", "a")]);
+    batcher.set_sizes(Sizes { room_bytes: 4, ..SIZES });
+    batcher.offer(1000, Waiting { bytes: 3, ..piece(1, 1, 3000) });
+    let call = batcher.next(1000).unwrap();
+    batcher.ended(1200, &call, CallEnd::Answered(200), &[Some("t/1")]);
+    batcher.set_targets(std::iter::empty());
+    batcher.set_targets([("t", "a", false)].into_iter());
+    for ticket in 2..4 {
+        batcher.offer(1300, Waiting { bytes: 3, ..piece(ticket, ticket, 4000) });
+    }
+    let call = batcher.next(1300).unwrap();
+    assert_eq!(call.used_bytes, 3, "the room is its own");
+    batcher.ended(1500, &call, CallEnd::Answered(200), &[Some("t/2")]);
+    batcher.released("t/1");
+    assert!(batcher.next(1700).is_none(), "a result of the life before makes no room in this one");
+}
+
+/// Once its request has met two ends of targets, the next end takes no others with it.
+#[test]
+fn pieces_that_go_alone_share_no_call() {
+    let mut batcher = batcher(&[("t", "a")]);
+    for (ticket, group, is_alone) in
+        [(1, 1, false), (2, 2, true), (3, 2, true), (4, 3, false), (5, 4, true)]
+    {
+        let due = 3000 + ticket;
+        batcher.offer(1000, Waiting { is_alone, ..piece(ticket, group, due) });
+    }
+    let mut calls = Vec::new();
+    let mut now = 1000;
+    while let Some(call) = batcher.next(now) {
+        calls.push(tickets(&call));
+        let results: Vec<String> = call.pieces.iter().map(|it| it.ticket.to_string()).collect();
+        let results: Vec<Option<&str>> = results.iter().map(|it| Some(it.as_str())).collect();
+        now += 200;
+        batcher.ended(now, &call, CallEnd::Answered(200), &results);
+        now += 200;
+    }
+    assert_eq!(calls, [vec![1, 4], vec![2, 3], vec![5]]);
+}
--- a/crates/holdpoint-core/tests/ingress.rs
+++ b/crates/holdpoint-core/tests/ingress.rs
@@ -106,6 +106,36 @@
     assert_eq!(directory.put(0, TargetInstance { slots: 4, ..entry(4, false) }), Change::Altered);
 }
 
+/// A target starts again under its id, and counts its entries anew. An instance that went by the count
+/// passed the entries of the new life over, as older than those of the one before, and went on with an
+/// address where nobody was, or with a sign of leaving that the new life never gave.
+#[test]
+fn a_target_that_starts_again_under_its_id_is_known_by_its_new_entries() {
+    let life = |born, sequence, address: &str| TargetInstance {
+        born: Some(born),
+        address: address.to_owned(),
+        ..entry(sequence, false)
+    };
+    let mut directory = Directory::default();
+    assert_eq!(directory.put(0, life(1000, 900, "10.0.0.1:80")), Change::Joined);
+    directory.hold_cold(0, "i", 5000);
+    directory.leave("i");
+    assert_eq!(directory.put(1, life(2000, 1, "10.0.0.2:80")), Change::Restarted);
+    let found = directory.get("i").unwrap();
+    assert_eq!((found.address.as_str(), found.is_leaving), ("10.0.0.2:80", false));
+    assert_eq!(directory.cold_left(1, "i"), 0, "what was held of the life before is over");
+    assert_eq!(directory.put(2, life(1000, 950, "10.0.0.1:80")), Change::Nothing, "an old life");
+    assert_eq!(directory.put(3, life(2000, 2, "10.0.0.2:80")), Change::Nothing, "a beat");
+    assert_eq!(directory.get("i").unwrap().address, "10.0.0.2:80");
+    let other = Directory::default();
+    let digest = |born| {
+        let mut directory = other.clone();
+        directory.put(0, life(born, 1, "10.0.0.2:80"));
+        directory.digest()
+    };
+    assert_ne!(digest(1000), digest(2000), "whoever knows the life before is told");
+}
+
 proptest! {
     #[test]
     fn leaving_is_final_for_an_id(entries in prop::collection::vec((0..20_u64, any::<bool>()), 1..40)) {
--- a/crates/holdpointd/src/ingress/changes.rs
+++ b/crates/holdpointd/src/ingress/changes.rs
@@ -53,9 +53,15 @@
         self.changes.is_empty()
     }
 
-    /// Ids of the targets that have joined.
+    /// Ids of the targets that have joined, or started again.
     pub(crate) fn joined(&self) -> impl Iterator<Item = &TargetId> {
-        self.changes.iter().filter(|it| it.1 == Change::Joined).map(|it| &it.0)
+        let is_new = |it: Change| matches!(it, Change::Joined | Change::Restarted);
+        self.changes.iter().filter(move |it| is_new(it.1)).map(|it| &it.0)
+    }
+
+    /// Ids of the targets that have started again.
+    pub(crate) fn restarted(&self) -> impl Iterator<Item = &TargetId> {
+        self.changes.iter().filter(|it| it.1 == Change::Restarted).map(|it| &it.0)
     }
 
     /// Ids of the targets that have changed.
@@ -81,8 +87,9 @@
         let leaving = self.changes.iter().filter(|it| it.1 == Change::Leaving);
         let leaving: Vec<&str> = leaving.take(NAMED).map(|it| it.0.as_str()).collect();
         let detail = format!(
-            "joined={} altered={} leaving={} known={} sign={} leaving_ids={}",
+            "joined={} restarted={} altered={} leaving={} known={} sign={} leaving_ids={}",
             count(Change::Joined),
+            count(Change::Restarted),
             count(Change::Altered),
             count(Change::Leaving),
             directory.len(),
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -4,6 +4,7 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -109,7 +110,8 @@
     /// Reads an entry. Those of earlier versions end after the life of the process or later.
     pub(crate) fn parse(entry: &[u8]) -> Option<Peer> {
         let mut fields = std::str::from_utf8(entry).ok()?.split(' ');
-        let address = fields.next()?.to_owned();
+        // An entry of another writer must not become an instance that others wait for.
+        let address = fields.next().filter(|it| it.parse::<SocketAddr>().is_ok())?.to_owned();
         let life = fields.next().unwrap_or_default().to_owned();
         // What is not stated counts as nothing, so that those who state more are preferred.
         let mut figure = || fields.next().and_then(|it| it.parse().ok()).unwrap_or(0);
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -239,6 +239,12 @@
             }
             None => News::TargetGone(id.clone()),
         }));
+        if changes.restarted().next().is_some() {
+            // Whatever is known of the lives before goes, as with targets that are gone.
+            let others = directory.without(changes.restarted());
+            self.apply(&others);
+            self.connections.retain(|it| others.get(it).is_some());
+        }
         self.apply(&directory);
         self.connections.retain(|it| directory.get(it).is_some());
     }
@@ -406,7 +412,12 @@
 
     /// The target instance at an address that makes results of stages, leaving or not.
     pub(crate) fn target_at(&self, address: &str) -> Option<TargetInstance> {
-        self.directory.lock().all().find(|it| it.address == address).cloned()
+        let configuration = self.configuration();
+        // Another writer's entry may name the same address under a service that there is not.
+        let is_its = |it: &&TargetInstance| {
+            it.address == address && configuration.services.contains_key(&it.service)
+        };
+        self.directory.lock().all().find(is_its).cloned()
     }
 
     /// All target instances, leaving ones included.
--- a/crates/holdpointd/src/ingress/watch.rs
+++ b/crates/holdpointd/src/ingress/watch.rs
@@ -4,14 +4,14 @@
 use std::{sync::Arc, time::Duration};
 
 use holdpoint_adapter::{
-    instances,
+    BadBody, instances,
     store::{
         CONFIGURATION_KEY, INSTANCES_TOPIC, KeyedRecord, OPERATORS_TOPIC, RESOURCES_TOPIC,
         TARGETS_TOPIC, evacuated_domain,
     },
 };
 use holdpoint_core::{
-    directory::{Change, Directory, TargetId},
+    directory::{Change, Directory, TargetId, TargetInstance},
     evacuation::{Evacuations, Order},
     ids::Millis,
 };
@@ -314,8 +314,7 @@
     let Some(from) = offset else {
         let (records, end) = client.newest(TARGETS_TOPIC).await?;
         let now = shared.clock.now();
-        let entries: Vec<_> =
-            records.iter().filter_map(|it| instances::parse(it).ok().flatten()).collect();
+        let entries: Vec<_> = records.iter().filter_map(|it| read_entry(shared, it)).collect();
         shared.change_directory(|directory, changes| {
             for id in directory.unnamed(&entries) {
                 take_gone(shared, directory, changes, id, lapse);
@@ -333,6 +332,16 @@
     Ok(Some(page.next))
 }
 
+/// Reads the entry of a target; one that cannot be read names none.
+fn read_entry(shared: &IngressShared, record: &KeyedRecord) -> Option<TargetInstance> {
+    let read = instances::parse(record);
+    let note = |it: &BadBody| {
+        let detail = format!("target={} cause=\"{it}\"", record.key);
+        emit(events::BAD_ENTRY, &shared.settings.instance, &detail);
+    };
+    read.inspect_err(note).ok().flatten()
+}
+
 /// Takes in one record of the list.
 fn take_target(
     shared: &IngressShared,
@@ -341,13 +350,9 @@
     record: &KeyedRecord,
     lapse: &Lapse,
 ) {
-    match instances::parse(record) {
-        Ok(Some(entry)) => changes.put(directory, shared.clock.now(), entry, "store"),
-        Ok(None) => take_gone(shared, directory, changes, record.key.clone(), lapse),
-        Err(it) => {
-            let detail = format!("target={} cause=\"{it}\"", record.key);
-            emit(events::BAD_ENTRY, &shared.settings.instance, &detail);
-        }
+    match read_entry(shared, record) {
+        Some(entry) => changes.put(directory, shared.clock.now(), entry, "store"),
+        None => take_gone(shared, directory, changes, record.key.clone(), lapse),
     }
 }
 
