Time goes on while the machine is suspended

Cause: all ages and deadlines were told by the steady clock, which leaves a suspension out. A caller's time ended so much later than it had said, and what was read before a suspension counted as fresh after it, also for instances that follow the one that was suspended. Change: a point in time of our own, by the clock that goes on (CLOCK_BOOTTIME), for the ingress and the clock of the project. Timers still leave a suspension out; a look every 50 ms notices one (E616), and requests whose time is over are answered then. Waits on peers and the store still end by their timers, at most 15 s late.

--- a/crates/holdpoint-platform/src/clock.rs
+++ b/crates/holdpoint-platform/src/clock.rs
@@ -5,11 +5,13 @@
         Arc,
         atomic::{AtomicU64, Ordering},
     },
-    time::{Instant, SystemTime, UNIX_EPOCH},
+    time::{SystemTime, UNIX_EPOCH},
 };
 
 use holdpoint_core::ids::Millis;
 
+use crate::Instant;
+
 /// Tells the time, in milliseconds since the Unix epoch; it never goes back.
 #[derive(Clone, Debug)]
 pub struct Clock {
@@ -18,7 +20,7 @@
 
 #[derive(Clone, Debug)]
 enum Source {
-    /// Wall-clock time at start, then the monotonic clock.
+    /// Wall-clock time at start, then the clock that goes on in a suspension.
     System {
         start: Millis,
         since: Instant,
--- a/crates/holdpoint-platform/src/lib.rs
+++ b/crates/holdpoint-platform/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod clock;
 pub mod engine;
 pub mod http;
+pub mod instant;
 pub mod list;
 pub mod log;
 pub mod operators;
@@ -20,6 +21,7 @@
     clock::Clock,
     engine::EngineClient,
     http::{CallError, Http},
+    instant::Instant,
     list::ListClient,
     log::LogClient,
     operators::OperatorClient,
--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -90,6 +90,8 @@
     PEER_CHANGED = 606 Info "peer changed";
     /// A peer does not answer.
     PEER_SILENT = 607 Warn "peer does not answer";
+    /// The machine was suspended; the steady clock and its timers left that time out.
+    WOKEN = 616 Warn "machine was suspended";
     /// The settings file was read again.
     RELOADED = 608 Info "settings read again";
     /// Whether this instance reads the store or follows another that does has changed.
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -9,7 +9,7 @@
         Arc,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use futures::{StreamExt, stream::FuturesUnordered};
@@ -28,6 +28,7 @@
     stage_graph::{NoResult, PieceWork},
     topology::Topology,
 };
+use holdpoint_platform::Instant;
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
--- a/crates/holdpointd/src/ingress/batches/calls.rs
+++ b/crates/holdpointd/src/ingress/batches/calls.rs
@@ -4,7 +4,7 @@
 use std::{
     collections::HashSet,
     sync::{Arc, atomic::Ordering},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use holdpoint_adapter::stages as wire;
@@ -17,6 +17,7 @@
     rollout::Answer,
     stage_graph::NoResult,
 };
+use holdpoint_platform::Instant;
 use tokio::time::sleep;
 
 use crate::{
--- a/crates/holdpointd/src/ingress/connections.rs
+++ b/crates/holdpointd/src/ingress/connections.rs
@@ -1,13 +1,10 @@
 //! Connections to target instances: made when needed, kept for the next request, used with care.
 
-use std::{
-    collections::HashMap,
-    io,
-    time::{Duration, Instant},
-};
+use std::{collections::HashMap, io, time::Duration};
 
 use bytes::Bytes;
 use holdpoint_core::directory::{TargetId, TargetInstance};
+use holdpoint_platform::Instant;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -6,7 +6,7 @@
         Arc, OnceLock,
         atomic::{AtomicBool, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use holdpoint_adapter::headers::{Added, CallerHead};
@@ -20,6 +20,7 @@
     quarantine::Fingerprint,
     route::Call,
 };
+use holdpoint_platform::Instant;
 use holdpoint_schema::resources::Policy;
 use parking_lot::Mutex;
 
@@ -149,6 +150,11 @@
         left(self.until)
     }
 
+    /// Waits until the final answer is due.
+    pub(crate) async fn time_over(&self) {
+        self.shared.wait_until(self.until).await;
+    }
+
     /// Time left until the answer must have begun: callers leave a stream that stays silent before its
     /// time is over.
     pub(crate) fn left_to_begin(&self) -> Duration {
--- a/crates/holdpointd/src/ingress/follow.rs
+++ b/crates/holdpointd/src/ingress/follow.rs
@@ -5,13 +5,11 @@
 //! after a short wait. It tells how long ago the store was read, so that an instance relies on no
 //! other that is cut off itself: where nobody has read of late, it reads by itself.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
 use futures::future::BoxFuture;
 use holdpoint_core::{ids::Millis, ingress::Version, readers::order_for};
+use holdpoint_platform::Instant;
 use tokio::time::{sleep, timeout};
 
 use crate::{
--- a/crates/holdpointd/src/ingress/heard.rs
+++ b/crates/holdpointd/src/ingress/heard.rs
@@ -5,9 +5,10 @@
     pin::Pin,
     sync::Arc,
     task::{Context, Poll},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
+use holdpoint_platform::Instant;
 use parking_lot::Mutex;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
--- a/crates/holdpointd/src/ingress/links.rs
+++ b/crates/holdpointd/src/ingress/links.rs
@@ -7,10 +7,11 @@
         Arc,
         atomic::{AtomicUsize, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use holdpoint_core::ids::Millis;
+use holdpoint_platform::Instant;
 use parking_lot::Mutex;
 use tarpc::{client, context, serde_transport::new as transport};
 use tokio::{net::TcpStream, sync::Notify};
@@ -260,7 +261,7 @@
 /// Context of a call that may take so long.
 pub(crate) fn context_for(limit: Duration) -> context::Context {
     let mut context = context::current();
-    context.deadline = Instant::now() + limit;
+    context.deadline = std::time::Instant::now() + limit;
     context
 }
 
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -44,11 +44,12 @@
 use std::{
     net::TcpListener,
     sync::{Arc, atomic::Ordering},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use error_stack::{Report, ResultExt};
 use holdpoint_core::{directory::TargetInstance, ids::Name, ingress::Version, rollout::Phase};
+use holdpoint_platform::Instant;
 use holdpoint_schema::ingress::{IngressSettings, Listen};
 use tokio::time::{interval, sleep, timeout};
 
@@ -201,14 +202,45 @@
 async fn tick(shared: Arc<IngressShared>) {
     let mut pump = interval(PUMP);
     let mut sweep = interval(SWEEP);
+    let mut suspensions = Suspensions::default();
     loop {
         tokio::select! {
-            _ = pump.tick() => batches::pump_all(&shared),
+            _ = pump.tick() => {
+                if let Some(it) = suspensions.look() {
+                    shared.woken_after(it);
+                }
+                batches::pump_all(&shared);
+            }
             _ = sweep.tick() => shared.connections.sweep(),
         }
     }
 }
 
+/// Difference between the clock that goes on in a suspension and the steady one, from which on the
+/// machine counts as having been suspended: adjustments of the clocks are far below.
+const SUSPENDED: Duration = Duration::from_millis(200);
+
+/// Notices suspensions of the machine: the steady clock leaves them out.
+struct Suspensions {
+    steady: std::time::Instant,
+    whole: Instant,
+}
+
+impl Default for Suspensions {
+    fn default() -> Suspensions {
+        Suspensions { steady: std::time::Instant::now(), whole: Instant::now() }
+    }
+}
+
+impl Suspensions {
+    /// How long the machine was suspended since the last look, if it was.
+    fn look(&mut self) -> Option<Duration> {
+        let before = std::mem::take(self);
+        let left_out = (self.whole - before.whole).saturating_sub(self.steady - before.steady);
+        (SUSPENDED <= left_out).then_some(left_out)
+    }
+}
+
 /// Binds the metrics' address, if there is one. An instance serves its callers without it too.
 fn bind_metrics(instance: &str, listen: &mut Listen) -> Option<tokio::net::TcpListener> {
     if listen.metrics.is_empty() {
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -9,7 +9,7 @@
         Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use holdpoint_core::{
@@ -24,6 +24,7 @@
     subset::{owner, weight},
     topology::Topology,
 };
+use holdpoint_platform::Instant;
 use holdpoint_schema::ingress::{Batching, IngressSettings};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
--- a/crates/holdpointd/src/ingress/request.rs
+++ b/crates/holdpointd/src/ingress/request.rs
@@ -3,7 +3,7 @@
 use std::{
     convert::Infallible,
     sync::{Arc, atomic::Ordering},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -12,6 +12,7 @@
     ingress::{Configuration, Denied, IngressRoute, Shape, Tenancy},
     ledger::Ledger,
 };
+use holdpoint_platform::Instant;
 use http::{HeaderValue, Request, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
--- a/crates/holdpointd/src/ingress/rollouts/running.rs
+++ b/crates/holdpointd/src/ingress/rollouts/running.rs
@@ -1,12 +1,11 @@
 //! One request under way to a service of which a version is rolled out.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
 use holdpoint_core::{directory::TargetInstance, rollout::Answer};
 
+use holdpoint_platform::Instant;
+
 use crate::{
     ingress::{context::Context, rollouts::side, shared::IngressShared},
     metrics::label,
--- a/crates/holdpointd/src/ingress/send.rs
+++ b/crates/holdpointd/src/ingress/send.rs
@@ -1,10 +1,11 @@
 //! One send of one request to one target, and what its outcome proves.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use holdpoint_adapter::headers::{self, Added, TargetHead};
 use holdpoint_core::directory::TargetInstance;
+use holdpoint_platform::Instant;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -6,7 +6,7 @@
         Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use arc_swap::ArcSwap;
@@ -19,7 +19,7 @@
     ingress::{Configuration, newer},
     topology::Topology,
 };
-use holdpoint_platform::Clock;
+use holdpoint_platform::{Clock, Instant};
 use holdpoint_schema::ingress::IngressSettings;
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
@@ -98,6 +98,8 @@
     pub(crate) first_times: Lazy<Mutex<Times>>,
     /// Patience that callers bring, by route.
     pub(crate) patiences: Lazy<Mutex<Times>>,
+    /// Sent whenever the machine has been suspended.
+    woken: watch::Sender<()>,
     /// Raised whenever the store was silent, so that waiting reads begin anew.
     pub(crate) store_lost: Notify,
     /// Whether this instance reads the store by itself, or follows another that does.
@@ -158,6 +160,7 @@
             is_leaving: AtomicBool::new(false),
             first_times: Lazy::default(),
             patiences: Lazy::default(),
+            woken: watch::channel(()).0,
             store_lost: Notify::new(),
             reading: watch::channel(false).0,
             is_store_silent: watch::channel(false).0,
@@ -507,6 +510,28 @@
         (read != 0 && age < FRESH.as_millis() as Millis).then_some(age)
     }
 
+    /// Takes in that the machine has been suspended for so long.
+    pub(crate) fn woken_after(&self, suspended: Duration) {
+        let detail = format!("suspended_ms={}", suspended.as_millis());
+        emit(events::WOKEN, &self.settings.instance, &detail);
+        self.woken.send_replace(());
+        // What a waiting read hears now may be as old as the suspension.
+        self.store_lost.notify_waiters();
+    }
+
+    /// Waits until a point in time. Timers leave a suspension out, so it looks again after one.
+    pub(crate) async fn wait_until(&self, at: Instant) {
+        let mut woken = self.woken.subscribe();
+        loop {
+            let left = at.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return;
+            }
+            // The sender lives as long as the instance.
+            let _ = tokio::time::timeout(left, woken.changed()).await;
+        }
+    }
+
     /// Waits until all that has no answer yet gets its final one.
     pub(crate) async fn stop_nears(&self) {
         let mut answer_now = self.answer_now.subscribe();
--- a/crates/holdpointd/src/ingress/spill.rs
+++ b/crates/holdpointd/src/ingress/spill.rs
@@ -4,11 +4,7 @@
 //! The instance that a caller has reached decides. It takes places for all pieces of the request from
 //! the owners of the services in its own region, which borrow them from the owners in the other one.
 
-use std::{
-    collections::HashMap,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use futures::future::join_all;
 use holdpoint_core::{
@@ -16,6 +12,7 @@
     spill::{Borrower, LEASE_MS, Lease, Lender, LinkBudget, Prospect, chain_ms},
     stage_graph::StageGraph,
 };
+use holdpoint_platform::Instant;
 use parking_lot::Mutex;
 use tokio::time::{interval, timeout};
 
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -1,9 +1,6 @@
 //! Makes the results of a request's stages, in the order of its graph.
 
-use std::{
-    collections::BTreeMap,
-    time::{Duration, Instant},
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
 use holdpoint_adapter::stages as wire;
@@ -14,6 +11,8 @@
     stage_graph::{NoResult, PieceSource, PieceWork, StageGraph},
 };
 
+use holdpoint_platform::Instant;
+
 use crate::{
     events::{self, emit},
     ingress::{
--- a/crates/holdpointd/src/ingress/store.rs
+++ b/crates/holdpointd/src/ingress/store.rs
@@ -1,12 +1,13 @@
 //! A client of the platform's store: one connection, made anew whenever a call fails.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use holdpoint_adapter::store::{
     KeyedRecord, ReadPage, append_at_path, append_body, append_path, newest_path, parse_newest,
     parse_read, read_path,
 };
+use holdpoint_platform::Instant;
 use http::{HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, client::conn::http1::SendRequest};
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -3,7 +3,7 @@
 //! Each whole event is passed on at once; part of one is held back. Where the route allows it, a
 //! stream that breaks off goes on at another target inside the same answer.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use holdpoint_adapter::headers::TargetHead;
@@ -15,6 +15,7 @@
     route::{Call, End, NoTarget},
     stage_graph::NoResult,
 };
+use holdpoint_platform::Instant;
 use http::{StatusCode, response::Parts};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -91,7 +92,7 @@
     let mut attempts = Attempts::default();
     let opened = tokio::select! {
         it = open(&ctx, &mut attempts, None) => it,
-        () = tokio::time::sleep(ctx.left()) => Err(NotOpen::NoSend(NoSend::Time.name())),
+        () = ctx.time_over() => Err(NotOpen::NoSend(NoSend::Time.name())),
         () = ctx.is_held() => Err(NotOpen::NoSend(NoSend::Quarantined.name())),
         () = ctx.shared.stop_nears() => Err(NotOpen::NoSend(NoSend::Stopping.name())),
     };
@@ -323,7 +324,7 @@
         let passed = tokio::select! {
             it = pass(&ctx, &attempts, open_stream, &mut last_id, &sender) => it,
             () = sender.closed() => Passed::CallerGone,
-            () = tokio::time::sleep(ctx.left()) => Passed::TimeOver,
+            () = ctx.time_over() => Passed::TimeOver,
         };
         match passed {
             Passed::Whole => {
@@ -352,7 +353,7 @@
                 let reopened = tokio::select! {
                     it = open(&ctx, &mut attempts, last_id.as_deref()) => it,
                     () = sender.closed() => Err(NotOpen::NoSend("caller-gone")),
-                    () = tokio::time::sleep(ctx.left()) => Err(NotOpen::NoSend("time-over")),
+                    () = ctx.time_over() => Err(NotOpen::NoSend("time-over")),
                 };
                 let event = last_id.as_deref().unwrap_or("none");
                 let detail = format!(
--- a/crates/holdpointd/src/ingress/whole.rs
+++ b/crates/holdpointd/src/ingress/whole.rs
@@ -1,9 +1,10 @@
 //! Requests whose answer is one whole body.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use holdpoint_core::{directory::TargetInstance, ids::Millis, route::End, stage_graph::NoResult};
+use holdpoint_platform::Instant;
 use http::response::Parts;
 
 use crate::ingress::{
@@ -36,6 +37,7 @@
 pub(crate) async fn serve(ctx: &Context) -> Answer {
     tokio::select! {
         it = answer(ctx) => it,
+        () = ctx.time_over() => ctx.give_up(NoSend::Time.name(), COME_BACK),
         () = ctx.is_held() => ctx.give_up(NoSend::Quarantined.name(), COME_BACK),
         () = ctx.shared.stop_nears() => ctx.give_up(NoSend::Stopping.name(), COME_BACK),
     }
