--- a/crates/holdpoint-core/src/quarantine.rs
+++ b/crates/holdpoint-core/src/quarantine.rs
@@ -15,6 +15,8 @@
     ids::{Millis, Name},
 };
 
+/// Start of the keys of held requests in the store; the fingerprint follows.
+pub const KEY_PREFIX: &str = "quarantine/";
 /// Ends of targets after which a request is held. One or two may be chance: as 46 engines ended within 16 s
 /// under a few such requests, 28 of 203 requests that broke off met two ends, and none three.
 pub const ENDS: usize = 3;
@@ -259,12 +261,18 @@
         ends.filter(move |it| it.service == service)
     }
 
-    /// Forgets suspects that were not heard of for long, and the oldest where there are too many.
+    /// Forgets what is over. As long as anything is known, each request that comes is hashed.
+    pub fn forget(&mut self, now: Millis) {
+        self.suspects.retain(|_, it| now < it.last + SUSPECT_MS);
+        self.held.retain(|_, it| now < it.until);
+    }
+
+    /// Forgets the oldest suspects where there are too many.
     fn make_room(&mut self, now: Millis) {
         if self.suspects.len() < MOST_SUSPECTS {
             return;
         }
-        self.suspects.retain(|_, it| now < it.last + SUSPECT_MS);
+        self.forget(now);
         let mut oldest: Vec<_> = self.suspects.iter().map(|(it, of)| (of.last, *it)).collect();
         oldest.sort_unstable();
         for (_, it) in
--- a/crates/holdpoint-core/tests/quarantine.rs
+++ b/crates/holdpoint-core/tests/quarantine.rs
@@ -117,6 +117,10 @@
         quarantine.ended(index as u64 * HOLD_MS, end("rare", target, 0));
         assert_eq!(held(&quarantine.judge(index as u64 * HOLD_MS)), []);
     }
+    quarantine.forget(4 * HOLD_MS - 1);
+    assert!(quarantine.is_suspect(Fingerprint::new(&[b"rare"])));
+    quarantine.forget(4 * HOLD_MS);
+    assert!(quarantine.is_empty());
 }
 
 #[test]
--- a/crates/holdpoint/src/cli.rs
+++ b/crates/holdpoint/src/cli.rs
@@ -86,7 +86,7 @@
                 .long("drop")
                 .value_name("KIND/NAME")
                 .conflicts_with("file")
-                .help("Drop this resource instead"),
+                .help("Drop this resource instead; quarantine/FINGERPRINT releases a request"),
         )
 }
 
--- a/crates/holdpoint/src/experiments.rs
+++ b/crates/holdpoint/src/experiments.rs
@@ -7,6 +7,7 @@
 use holdpoint_adapter::store::RESOURCES_TOPIC;
 use holdpoint_core::{
     experiments::Experiments,
+    quarantine::KEY_PREFIX,
     trial::{ArmStats, judge},
 };
 use holdpoint_platform::operators::ApiError;
@@ -25,11 +26,15 @@
 /// Counter of what they cost.
 const COST: &str = "holdpoint_trial_cost_ms_total";
 
-/// Writes the policies and trials of a file to the store, or drops one resource.
+/// Writes the policies and trials of a file to the store, or drops one resource: a policy, a trial, or a
+/// request that is held.
 pub(crate) async fn declare(matches: &ArgMatches) -> Result<(), Failure> {
     let store: &String = matches.get_one("store").expect("the argument is required");
     if let Some(key) = matches.get_one::<String>("drop") {
-        Experiments::default().set(key, None).map_err(|it| Failure::File(it.to_string()))?;
+        // A held request is released by dropping it too.
+        if !key.starts_with(KEY_PREFIX) {
+            Experiments::default().set(key, None).map_err(|it| Failure::File(it.to_string()))?;
+        }
         append(store, RESOURCES_TOPIC, key, &[]).await?;
         println!("{key}: dropped");
         return Ok(());
--- a/crates/holdpoint/tests/experiments.rs
+++ b/crates/holdpoint/tests/experiments.rs
@@ -120,6 +120,8 @@
 
     let dropped = declare(&["--drop", "trials/safe-routes"]).await;
     assert!(dropped.status.success());
+    let released = declare(&["--drop", "quarantine/0011223344556677"]).await;
+    assert!(released.status.success());
     until_divided(&instances[0], false).await;
 }
 
--- a/crates/holdpointd/src/ingress/quarantine.rs
+++ b/crates/holdpointd/src/ingress/quarantine.rs
@@ -18,7 +18,7 @@
 use holdpoint_core::{
     directory::TargetInstance,
     ids::{Millis, Name},
-    quarantine::{EndedRun, Fingerprint, HOLD_MS, Life, Quarantine, Verdict},
+    quarantine::{EndedRun, Fingerprint, HOLD_MS, KEY_PREFIX, Life, Quarantine, Verdict},
 };
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
@@ -35,8 +35,6 @@
     },
 };
 
-/// Start of the keys of held requests in the store.
-const KEY_PREFIX: &str = "quarantine/";
 /// How long reports gather: all that a target ran breaks off within a few milliseconds.
 const GATHER: Duration = Duration::from_millis(20);
 /// How long the reports of an end come in from all instances before it is judged: whoever is judged first
@@ -214,9 +212,10 @@
     }
 }
 
-/// Tells new judges what the ones before knew, and drops from the store what is over.
+/// Forgets what is over, here and in the store, and tells new judges what the ones before knew.
 fn review_judges(shared: &Arc<IngressShared>) {
     let quarantines = &shared.quarantines;
+    quarantines.state.lock().forget(shared.clock.now());
     let told: Vec<Name> = quarantines.judges.lock().keys().cloned().collect();
     for service in told {
         let is_same = quarantines.judges.lock().get(&service) == Some(&judge_of(shared, &service));
--- a/crates/holdpointd/tests/crashing_requests.rs
+++ b/crates/holdpointd/tests/crashing_requests.rs
@@ -276,3 +276,20 @@
     assert_eq!(fleet.deadly_runs(), before);
     gates.iter().for_each(|it| it.set_outage(Outage::None));
 }
+
+/// Whoever has mended the targets need not wait until the quarantine ends by itself.
+#[tokio::test]
+async fn an_operator_releases_a_request_by_dropping_its_record() {
+    let fleet = fleet(&[], &[Behaviour::Events(20); 6], Restart::SameId).await;
+    fleet.end_targets("/story/x").await;
+    let store = &fleet.system.store;
+    until(|| !store.resource_keys().is_empty()).await;
+    assert_refused(&fleet.send(0, deadly("s-1", "/story/x")).await);
+    fleet.targets().iter().for_each(|it| it.set_deadly(""));
+    store.resource_keys().iter().for_each(|it| store.drop_resource(it));
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    for round in 0..3 {
+        let answer = fleet.send(round, deadly(&format!("t-{round}"), "/story/x")).await;
+        assert!(answer.status == StatusCode::OK && answer.is_whole, "instance {round}");
+    }
+}
