A target has ended only where it cannot be reached any more

Cause: a connection that broke off counted as the end of its target. Change: after a break the target is looked for once: a connection that rests there and is still open, or a new one. Only where there is none, what ran there is suspect. A new connection is kept for the next request. A target that is back within 20 ms of its end is not seen to have ended.

--- a/crates/holdpointd/src/ingress/batches/calls.rs
+++ b/crates/holdpointd/src/ingress/batches/calls.rs
@@ -69,18 +69,17 @@
 /// A call that made nothing.
 struct NoCall {
     end: CallEnd,
-    /// The target that ended while it worked on the call.
-    ended: Option<TargetInstance>,
+    /// The target whose connection broke off while it worked on the call.
+    broken: Option<TargetInstance>,
 }
 
 impl From<CallEnd> for NoCall {
     fn from(end: CallEnd) -> NoCall {
-        NoCall { end, ended: None }
+        NoCall { end, broken: None }
     }
 }
 
-/// Notes that the target of a call has ended under the requests of its pieces, or which of them ran to
-/// a good end.
+/// Notes that a call broke off under the requests of its pieces, or which of them ran to a good end.
 fn note_runs(
     shared: &IngressShared,
     service: &str,
@@ -96,10 +95,9 @@
             let is_made = |index| matches!(results.get(index), Some(Ok(_)));
             requests(&is_made).into_iter().for_each(|it| shared.quarantines.passed(service, || it));
         }
-        Err(NoCall { ended: Some(target), .. }) => {
-            let now = shared.clock.now();
+        Err(NoCall { broken: Some(target), .. }) => {
             let all = requests(&|_| true).into_iter();
-            all.for_each(|it| shared.quarantines.ended(now, it, target));
+            all.for_each(|it| shared.quarantines.broke_off(it, target));
         }
         Err(_) => (),
     }
@@ -241,7 +239,7 @@
     let answer = own_call(shared, &target, wire::RUN_PATH, body, limit).await;
     let (status, head, body) = answer.map_err(|it| NoCall {
         end: CallEnd::Failed,
-        ended: (it == NoAnswer::Broken).then(|| target.clone()),
+        broken: (it == NoAnswer::Broken).then(|| target.clone()),
     })?;
     if let Some(load) = head.load {
         shared.batches.told_load(shared.clock.now(), service, &call.target, load);
--- a/crates/holdpointd/src/ingress/connections.rs
+++ b/crates/holdpointd/src/ingress/connections.rs
@@ -73,11 +73,26 @@
         if let Some(it) = self.take_resting(&target.id, care) {
             return Ok(it);
         }
+        self.make(target).await
+    }
+
+    async fn make(&self, target: &TargetInstance) -> io::Result<Connection> {
         let made = tokio::time::timeout(self.connect, connect(&target.address)).await;
         let (sender, task) = made.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         Ok(Connection { sender, target: target.id.clone(), task: Some(task) })
     }
 
+    /// Whether a target can be reached: a connection at rest is still open, or one can be made, which is
+    /// kept.
+    pub(crate) async fn can_reach(&self, target: &TargetInstance) -> bool {
+        let is_open = |it: &Resting| it.connection.sender.is_ready();
+        if self.resting.lock().get(&target.id).is_some_and(|it| it.iter().any(is_open)) {
+            return true;
+        }
+        let made = self.make(target).await;
+        made.map(|it| self.give_back(it, None)).is_ok()
+    }
+
     /// Keeps a connection whose answer was read to its end.
     pub(crate) fn give_back(&self, connection: Connection, idle_limit: Option<Duration>) {
         let limit = idle_limit.map_or(USUAL_REST, |it| it.saturating_sub(REST_MARGIN));
--- a/crates/holdpointd/src/ingress/quarantine.rs
+++ b/crates/holdpointd/src/ingress/quarantine.rs
@@ -35,7 +35,8 @@
     },
 };
 
-/// How long reports gather: all that a target ran breaks off within a few milliseconds.
+/// How long reports gather: all that a target ran breaks off within a few milliseconds, and connections
+/// that rested there are known to be closed after that.
 const GATHER: Duration = Duration::from_millis(20);
 /// How long the reports of an end come in from all instances before it is judged: whoever is judged first
 /// would explain the end that another one has caused.
@@ -79,6 +80,8 @@
     state: Mutex<Quarantine>,
     /// Holds as they stand in the store, by key.
     stored: Mutex<BTreeMap<String, Bytes>>,
+    /// Runs that broke off, with the targets that may have ended.
+    broken: Mutex<HashMap<Life, (TargetInstance, Vec<EndedRun>)>>,
     reports: Mutex<Vec<RunReport>>,
     has_reports: Notify,
     to_judge: Notify,
@@ -93,6 +96,7 @@
         Quarantines {
             state: Mutex::default(),
             stored: Mutex::default(),
+            broken: Mutex::default(),
             reports: Mutex::default(),
             has_reports: Notify::new(),
             to_judge: Notify::new(),
@@ -103,12 +107,22 @@
 }
 
 impl Quarantines {
-    /// Takes in that a target ended while it ran a request.
-    pub(crate) fn ended(&self, now: Millis, fingerprint: Fingerprint, target: &TargetInstance) {
+    /// Takes in that the connection broke off on which a target ran a request.
+    pub(crate) fn broke_off(&self, fingerprint: Fingerprint, target: &TargetInstance) {
         let life = Life { target: target.id.clone(), born: target.born.unwrap_or(0) };
-        let run = EndedRun { fingerprint, service: target.service.clone(), life };
-        if self.state.lock().ended(now, run.clone()) {
-            self.report(RunReport::Ended(run));
+        let run = EndedRun { fingerprint, service: target.service.clone(), life: life.clone() };
+        let mut broken = self.broken.lock();
+        broken.entry(life).or_insert_with(|| (target.clone(), Vec::new())).1.push(run);
+        drop(broken);
+        self.has_reports.notify_one();
+    }
+
+    /// Takes in that a target has ended while it ran some requests.
+    fn ended(&self, now: Millis, runs: Vec<EndedRun>) {
+        for run in runs {
+            if self.state.lock().ended(now, run.clone()) {
+                self.report(RunReport::Ended(run));
+            }
         }
     }
 
@@ -170,6 +184,10 @@
         tokio::select! {
             () = quarantines.has_reports.notified() => {
                 sleep(GATHER).await;
+                let broken = std::mem::take(&mut *quarantines.broken.lock());
+                for (target, runs) in broken.into_values() {
+                    tokio::spawn(check_target(shared.clone(), target, runs));
+                }
                 quarantines.to_judge.notify_one();
                 for (service, reports) in quarantines.take_reports() {
                     tokio::spawn(tell_judge(shared.clone(), service, reports));
@@ -185,6 +203,14 @@
     }
 }
 
+/// Takes requests for suspect whose target has ended. One that is still there has broken off a single
+/// connection: a request that four such targets had failed in turn was held, with no target ended.
+async fn check_target(shared: Arc<IngressShared>, target: TargetInstance, runs: Vec<EndedRun>) {
+    if !shared.connections.can_reach(&target).await {
+        shared.quarantines.ended(shared.clock.now(), runs);
+    }
+}
+
 /// The instance that judges a service's ends; `None` where this one does.
 fn judge_of(shared: &IngressShared, service: &str) -> Option<String> {
     shared.peers.owner_of(Owners::Any, &format!("{KEY_PREFIX}{service}"))
@@ -369,10 +395,9 @@
 }
 
 impl Context {
-    /// Takes in that a target ended while it ran the request.
-    pub(crate) fn target_ended(&self, target: &TargetInstance) {
-        let now = self.shared.clock.now();
-        self.shared.quarantines.ended(now, self.fingerprint(), target);
+    /// Takes in that the connection broke off on which a target ran the request.
+    pub(crate) fn broke_off(&self, target: &TargetInstance) {
+        self.shared.quarantines.broke_off(self.fingerprint(), target);
     }
 
     /// Takes in that the request ran to a good end.
--- a/crates/holdpointd/src/ingress/send.rs
+++ b/crates/holdpointd/src/ingress/send.rs
@@ -68,7 +68,7 @@
         Ok(it) => it,
         Err(it) if it.message().is_some() => return Sent::Nothing,
         Err(_) => {
-            ctx.target_ended(target);
+            ctx.broke_off(target);
             return Sent::Broken;
         }
     };
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -275,7 +275,7 @@
             Next::Events(it) => (it, false),
             Next::End => (Vec::new(), true),
             Next::Broken => {
-                ctx.target_ended(target);
+                ctx.broke_off(target);
                 return Ended::Broken;
             }
         };
@@ -344,7 +344,7 @@
             }
             Passed::Broken(cause) => {
                 if cause == BROKEN {
-                    ctx.target_ended(&target);
+                    ctx.broke_off(&target);
                 }
                 end_send(&ctx, &target, End::Failed, cause);
                 if !ctx.is_repeatable() {
--- a/crates/holdpointd/src/ingress/whole.rs
+++ b/crates/holdpointd/src/ingress/whole.rs
@@ -155,7 +155,7 @@
                 Some(it) if copy.status.is_server_error() => Ended::Failed(Box::new(copy), it),
                 Some(it) => Ended::Answered(Box::new(copy), it),
                 None => {
-                    ctx.target_ended(target);
+                    ctx.broke_off(target);
                     Ended::Broken
                 }
             }
