A good end at one service releases no request that ended targets of another

Cause: a request that ends its engines has its stages made without harm. Calls for them that were under way as it was held came to a good end, and that released it: at the instance that batches the stage, and from there by the judge everywhere. Change: a good end counts for the service that it came from. A held request keeps its ends, and only a good end where targets ended under it releases it; an instance that was only told of it reports a good end to the judge. A list of resources that does not name a held request does not release it either: it may be older. Each look for a target after a break is logged (E763), and takes place by typed outcomes.

--- a/crates/holdpoint-core/src/quarantine.rs
+++ b/crates/holdpoint-core/src/quarantine.rs
@@ -107,8 +107,19 @@
 #[derive(Clone, Debug)]
 struct Held {
     until: Millis,
-    /// Lives that ended under it.
-    lives: HashSet<Life>,
+    /// Targets that ended under it; none where another instance has found it.
+    ends: Vec<EndedRun>,
+}
+
+/// What a good end of a request means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Passed {
+    /// Nothing.
+    Nothing,
+    /// Whoever judges its ends has to know of it.
+    News,
+    /// The request was held, and is no more.
+    Released,
 }
 
 /// What was found of a request.
@@ -138,7 +149,7 @@
     /// Takes in that a target ended under a request; whether that was not known.
     pub fn ended(&mut self, now: Millis, run: EndedRun) -> bool {
         if let Some(it) = self.held.get_mut(&run.fingerprint) {
-            return it.lives.len() < MOST_ENDS && it.lives.insert(run.life);
+            return note_end(&mut it.ends, run);
         }
         self.make_room(now);
         let suspect = self.suspects.entry(run.fingerprint).or_default();
@@ -146,34 +157,40 @@
             *suspect = Suspect::default();
         }
         suspect.last = now;
-        let is_known = suspect.ends.iter().any(|it| it.life == run.life);
-        if is_known || MOST_ENDS <= suspect.ends.len() {
-            return false;
-        }
-        suspect.ends.push(run);
-        true
+        note_end(&mut suspect.ends, run)
     }
 
-    /// Takes in that a request has run to a good end at a service; whether that changes anything. One
-    /// that is held is released: it was a neighbour of one that ended its targets.
-    pub fn passed(&mut self, fingerprint: Fingerprint, service: &str) -> bool {
-        if self.held.remove(&fingerprint).is_some() {
-            self.suspects.remove(&fingerprint);
-            return true;
+    /// Takes in that a request has run to a good end at a service. That says nothing of its ends at others:
+    /// the stages of a request that ends its engines are made without harm.
+    pub fn passed(&mut self, fingerprint: Fingerprint, service: &str) -> Passed {
+        if let Some(it) = self.held.get(&fingerprint) {
+            return match it.ends.iter().any(|it| it.service == service) {
+                // It was a neighbour of one that ended its targets.
+                true => {
+                    self.held.remove(&fingerprint);
+                    Passed::Released
+                }
+                false if it.ends.is_empty() => Passed::News,
+                false => Passed::Nothing,
+            };
+        }
+        let Some(suspect) = self.suspects.get_mut(&fingerprint) else { return Passed::Nothing };
+        if suspect.ends.is_empty() {
+            return Passed::News;
         }
-        let Some(suspect) = self.suspects.get_mut(&fingerprint) else { return false };
         let before = suspect.ends.len();
         suspect.ends.retain(|it| it.service != service);
-        if suspect.ends.is_empty() {
+        let after = suspect.ends.len();
+        if after == 0 {
             self.suspects.remove(&fingerprint);
-            return true;
         }
-        suspect.ends.len() != before
+        if after == before { Passed::Nothing } else { Passed::News }
     }
 
     /// What is found by now and was not found before: requests to hold, and to watch.
     pub fn judge(&mut self, now: Millis) -> Vec<Verdict> {
-        let explained: HashSet<&Life> = self.held.values().flat_map(|it| &it.lives).collect();
+        let of_held = self.held.values().flat_map(|it| &it.ends);
+        let explained: HashSet<&Life> = of_held.map(|it| &it.life).collect();
         let is_guilty = |it: &Suspect| {
             ENDS <= it.ends.len() && it.ends.iter().any(|it| !explained.contains(&it.life))
         };
@@ -184,7 +201,7 @@
             let ends = self.suspects.remove(&fingerprint).unwrap_or_default().ends;
             self.hold(now, fingerprint, HOLD_MS);
             if let Some(it) = self.held.get_mut(&fingerprint) {
-                it.lives.extend(ends.into_iter().map(|it| it.life));
+                it.ends = ends;
             }
             verdicts.push(Verdict::Hold(fingerprint, HOLD_MS));
         }
@@ -228,7 +245,7 @@
             self.held.remove(&first);
         }
         self.suspects.remove(&fingerprint);
-        self.held.insert(fingerprint, Held { until, lives: HashSet::new() });
+        self.held.insert(fingerprint, Held { until, ends: Vec::new() });
         true
     }
 
@@ -282,3 +299,12 @@
         }
     }
 }
+
+/// Adds the end of a life that is not known yet; whether it was not.
+fn note_end(ends: &mut Vec<EndedRun>, run: EndedRun) -> bool {
+    let is_new = ends.len() < MOST_ENDS && ends.iter().all(|it| it.life != run.life);
+    if is_new {
+        ends.push(run);
+    }
+    is_new
+}
--- a/crates/holdpoint-core/tests/quarantine.rs
+++ b/crates/holdpoint-core/tests/quarantine.rs
@@ -1,6 +1,8 @@
 //! Which request is held when targets end, and which are cleared.
 
-use holdpoint_core::quarantine::{ENDS, EndedRun, Fingerprint, HOLD_MS, Life, Quarantine, Verdict};
+use holdpoint_core::quarantine::{
+    ENDS, EndedRun, Fingerprint, HOLD_MS, Life, Passed, Quarantine, Verdict,
+};
 
 fn request(name: &str) -> Fingerprint {
     Fingerprint::new(&[name.as_bytes()])
@@ -59,8 +61,8 @@
         let found = quarantine.judge(round);
         assert_eq!(found, [Verdict::Watch(request("neighbour"))]);
         assert!(quarantine.runs_alone(request("neighbour")));
-        assert!(!quarantine.passed(request("neighbour"), "another service"));
-        assert!(quarantine.passed(request("neighbour"), "engine"));
+        assert_eq!(quarantine.passed(request("neighbour"), "stage"), Passed::Nothing);
+        assert_eq!(quarantine.passed(request("neighbour"), "engine"), Passed::News);
         assert!(quarantine.is_empty());
     }
 }
@@ -89,7 +91,8 @@
         quarantine.ended(0, end("deadly", target, 0));
     }
     assert_eq!(held(&quarantine.judge(0)).len(), 2, "none can be told from the other");
-    assert!(quarantine.passed(request("neighbour"), "engine"), "one was under way still");
+    let passed = quarantine.passed(request("neighbour"), "engine");
+    assert_eq!(passed, Passed::Released, "one was under way still");
     assert_eq!(quarantine.held_ms(1, request("neighbour")), None);
     assert!(quarantine.held_ms(1, request("deadly")).is_some());
 }
@@ -106,10 +109,33 @@
     assert_eq!(quarantine.held_ms(1, request("deadly")), None);
     assert!(quarantine.told(1, Verdict::Watch(request("watched"))));
     assert!(quarantine.is_suspect(request("watched")));
-    assert!(quarantine.passed(request("watched"), "engine"));
+    assert!(quarantine.told(1, Verdict::Release(request("watched"))));
     assert!(!quarantine.is_suspect(request("watched")));
 }
 
+/// A request that ends its engines has its pieces made without harm. Those that were under way as it was
+/// held came back with results, which released it everywhere, and 9 more engines ended.
+#[test]
+fn a_good_end_at_another_service_releases_nothing() {
+    let mut quarantine = Quarantine::default();
+    for target in ["t1", "t2", "t3"] {
+        quarantine.ended(0, end("deadly", target, 0));
+    }
+    quarantine.judge(0);
+    assert_eq!(quarantine.passed(request("deadly"), "stage"), Passed::Nothing);
+    assert!(quarantine.held_ms(0, request("deadly")).is_some());
+    let mut told = Quarantine::default();
+    told.told(0, Verdict::Hold(request("deadly"), 500));
+    told.told(0, Verdict::Watch(request("watched")));
+    for name in ["deadly", "watched"] {
+        for service in ["stage", "engine"] {
+            assert_eq!(told.passed(request(name), service), Passed::News, "whoever judges knows");
+        }
+        assert!(told.is_suspect(request(name)));
+    }
+    assert!(told.held_ms(0, request("deadly")).is_some());
+}
+
 #[test]
 fn old_ends_do_not_add_up() {
     let mut quarantine = Quarantine::default();
--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -143,6 +143,8 @@
     QUARANTINE_ENDED = 761 Info "quarantine ended";
     /// A request was refused, since it is quarantined.
     REFUSED_HELD = 762 Info "quarantined request refused";
+    /// A connection broke off on which a target ran requests, and the target was looked for.
+    TARGET_LOOKED_FOR = 763 Info "target looked for";
     /// A request was sent to a target.
     SENT = 700 Info "sent to a target";
     /// A send ended without a whole answer.
--- a/crates/holdpointd/src/ingress/connections.rs
+++ b/crates/holdpointd/src/ingress/connections.rs
@@ -32,6 +32,17 @@
     Once,
 }
 
+/// How a target can be reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reach {
+    /// A connection that rests there is open.
+    Resting,
+    /// A connection can be made.
+    New,
+    /// Neither.
+    None,
+}
+
 /// A connection in use. Dropping it closes it at once, so that the target stops its work.
 #[derive(Debug)]
 pub(crate) struct Connection {
@@ -82,15 +93,19 @@
         Ok(Connection { sender, target: target.id.clone(), task: Some(task) })
     }
 
-    /// Whether a target can be reached: a connection at rest is still open, or one can be made, which is
-    /// kept.
-    pub(crate) async fn can_reach(&self, target: &TargetInstance) -> bool {
+    /// How a target can be reached. A connection that is made for it is kept.
+    pub(crate) async fn reach(&self, target: &TargetInstance) -> Reach {
         let is_open = |it: &Resting| it.connection.sender.is_ready();
         if self.resting.lock().get(&target.id).is_some_and(|it| it.iter().any(is_open)) {
-            return true;
+            return Reach::Resting;
+        }
+        match self.make(target).await {
+            Ok(it) => {
+                self.give_back(it, None);
+                Reach::New
+            }
+            Err(_) => Reach::None,
         }
-        let made = self.make(target).await;
-        made.map(|it| self.give_back(it, None)).is_ok()
     }
 
     /// Keeps a connection whose answer was read to its end.
--- a/crates/holdpointd/src/ingress/intake.rs
+++ b/crates/holdpointd/src/ingress/intake.rs
@@ -132,7 +132,8 @@
 fn take_resources(shared: &IngressShared, resources: Vec<(String, Bytes)>, is_fresh: bool) {
     if is_fresh {
         let is_named = |key: &str| resources.iter().any(|it| it.0 == key);
-        let known = shared.resources().into_iter();
+        // A held request is released by a word of its own: a list may be older than what holds it.
+        let known = shared.experiments.all().into_iter();
         known.filter(|it| !is_named(&it.0)).for_each(|it| shared.set_resource(&it.0, None));
     }
     resources.into_iter().for_each(|(key, value)| shared.set_resource(&key, Some(value)));
--- a/crates/holdpointd/src/ingress/quarantine.rs
+++ b/crates/holdpointd/src/ingress/quarantine.rs
@@ -18,7 +18,7 @@
 use holdpoint_core::{
     directory::TargetInstance,
     ids::{Millis, Name},
-    quarantine::{EndedRun, Fingerprint, HOLD_MS, KEY_PREFIX, Life, Quarantine, Verdict},
+    quarantine::{EndedRun, Fingerprint, HOLD_MS, KEY_PREFIX, Life, Passed, Quarantine, Verdict},
 };
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
@@ -30,8 +30,8 @@
 use crate::{
     events::{self, emit},
     ingress::{
-        answer::Answer, context::Context, peer_service::QUARANTINES, peers::Owners,
-        shared::IngressShared, store::StoreClient,
+        answer::Answer, connections::Reach, context::Context, peer_service::QUARANTINES,
+        peers::Owners, shared::IngressShared, store::StoreClient,
     },
 };
 
@@ -83,6 +83,8 @@
     /// Runs that broke off, with the targets that may have ended.
     broken: Mutex<HashMap<Life, (TargetInstance, Vec<EndedRun>)>>,
     reports: Mutex<Vec<RunReport>>,
+    /// Requests that are held no more, of which the others are to be told.
+    released: Mutex<Vec<Fingerprint>>,
     has_reports: Notify,
     to_judge: Notify,
     /// Who was last told of a service's ends; none where that was this instance.
@@ -98,6 +100,7 @@
             stored: Mutex::default(),
             broken: Mutex::default(),
             reports: Mutex::default(),
+            released: Mutex::default(),
             has_reports: Notify::new(),
             to_judge: Notify::new(),
             judges: Mutex::default(),
@@ -134,9 +137,12 @@
             return;
         }
         let fingerprint = fingerprint();
-        if state.passed(fingerprint, service) {
-            self.report(RunReport::Passed(fingerprint, service.to_owned()));
+        match state.passed(fingerprint, service) {
+            Passed::Nothing => return,
+            Passed::News => (),
+            Passed::Released => self.released.lock().push(fingerprint),
         }
+        self.report(RunReport::Passed(fingerprint, service.to_owned()));
     }
 
     fn report(&self, report: RunReport) {
@@ -188,6 +194,8 @@
                 for (target, runs) in broken.into_values() {
                     tokio::spawn(check_target(shared.clone(), target, runs));
                 }
+                let released = std::mem::take(&mut *quarantines.released.lock());
+                publish(&shared, released.into_iter().map(Verdict::Release).collect());
                 quarantines.to_judge.notify_one();
                 for (service, reports) in quarantines.take_reports() {
                     tokio::spawn(tell_judge(shared.clone(), service, reports));
@@ -206,7 +214,16 @@
 /// Takes requests for suspect whose target has ended. One that is still there has broken off a single
 /// connection: a request that four such targets had failed in turn was held, with no target ended.
 async fn check_target(shared: Arc<IngressShared>, target: TargetInstance, runs: Vec<EndedRun>) {
-    if !shared.connections.can_reach(&target).await {
+    let reach = shared.connections.reach(&target).await;
+    let detail = format!(
+        "target={} born={} runs={} reach={reach:?} first={}",
+        target.id,
+        target.born.unwrap_or(0),
+        runs.len(),
+        runs.first().map_or(String::new(), |it| it.fingerprint.to_string())
+    );
+    emit(events::TARGET_LOOKED_FOR, &shared.settings.instance, &detail);
+    if reach == Reach::None {
         shared.quarantines.ended(shared.clock.now(), runs);
     }
 }
@@ -272,8 +289,7 @@
         match it {
             RunReport::Ended(it) => drop(state.ended(now, it)),
             RunReport::Passed(it, service) => {
-                let was_held = state.held_ms(now, it).is_some();
-                if state.passed(it, &service) && was_held {
+                if state.passed(it, &service) == Passed::Released {
                     released.push(Verdict::Release(it));
                 }
             }
--- a/crates/holdpointd/src/ingress/watch.rs
+++ b/crates/holdpointd/src/ingress/watch.rs
@@ -137,7 +137,7 @@
     let take = |read: &Read<'_>| {
         if read.is_whole {
             let is_named = |key: &str| read.records.iter().any(|it| it.key == key);
-            let known = shared.resources().into_iter();
+            let known = shared.experiments.all().into_iter();
             known.filter(|it| !is_named(&it.0)).for_each(|it| shared.set_resource(&it.0, None));
         }
         read.records.iter().for_each(|it| shared.set_resource(&it.key, it.value.clone()));
--- a/crates/holdpointd/tests/crashing_requests.rs
+++ b/crates/holdpointd/tests/crashing_requests.rs
@@ -117,6 +117,16 @@
     }
 }
 
+/// Requests that an instance began to hold, by its metrics.
+async fn holds(instance: &Ingress) -> u64 {
+    let metrics = instance.listen().metrics.parse().unwrap();
+    let request = CallerRequest::new("m", "/metrics").with_method(http::Method::GET);
+    let page = call(metrics, request).await.expect("there are metrics").body;
+    let page = String::from_utf8_lossy(&page);
+    let line = page.lines().find(|it| it.starts_with("holdpoint_quarantined_total"));
+    line.and_then(|it| it.rsplit(' ').next()?.parse().ok()).unwrap_or(0)
+}
+
 fn deadly(id: &str, path: &str) -> CallerRequest {
     CallerRequest::new(id, path).with_body(DEADLY)
 }
@@ -244,6 +254,39 @@
     assert_refused(&call(callers, deadly(id, "/story/x")).await.unwrap());
 }
 
+/// The stages of such a request are made without harm, and some still were as it was held. Their good end
+/// released it at all instances, so that 9 sends more came later than three seconds after the third end.
+#[tokio::test]
+async fn stages_that_are_made_well_do_not_release_a_request_that_ends_its_engines() {
+    let fleet = fleet(&[], &[Behaviour::Events(20); 8], Restart::NewId).await;
+    let staged = |id: String| {
+        CallerRequest::new(&id, "/staged/x")
+            .with_body(DEADLY)
+            .with_pieces("2,1")
+            .with_piece_key("7b")
+    };
+    // One comes every 25 ms, so that stages of some are always under way.
+    let mut asked = Vec::new();
+    for number in 0..160 {
+        let instance = fleet.instances().nth(number % 3).expect("there are three");
+        let callers = instance.listen().callers.parse().unwrap();
+        asked.push(tokio::spawn(call(callers, staged(format!("r-{number}")))));
+        tokio::time::sleep(Duration::from_millis(25)).await;
+    }
+    futures::future::join_all(asked).await;
+    let mut runs: Vec<_> = fleet.targets().iter().flat_map(Target::runs).map(|it| it.at).collect();
+    runs.sort_unstable();
+    let third = runs[ENDS - 1];
+    let late = runs.iter().filter(|it| third + Duration::from_millis(1500) < **it).count();
+    assert_eq!(late, 0, "of {} runs", runs.len());
+    for instance in fleet.instances() {
+        assert_eq!(holds(instance).await, 1, "it is held once, and for good");
+    }
+    for round in 0..6 {
+        assert_refused(&fleet.send(round, staged(format!("s-{round}"))).await);
+    }
+}
+
 /// Targets that broke single connections off failed a request four times in a row at two instances, and it
 /// was held although no target had ended:
 ///
