--- a/crates/holdpoint-core/src/quarantine.rs
+++ b/crates/holdpoint-core/src/quarantine.rs
@@ -30,8 +30,8 @@
 /// How long the ends under a request count after the last of them, in milliseconds: as long as it would be
 /// held.
 const SUSPECT_MS: Millis = 600_000;
-/// Most suspects; with two ends each they take about 2 MB. An end of a whole domain of 40 engines makes
-/// 2,000.
+/// Most suspects: with two ends each about 2 MB, by the size of their fields. 40 engines that end at once with
+/// 48 requests each make 2,000.
 const MOST_SUSPECTS: usize = 8192;
 /// Most requests that are held.
 const MOST_HELD: usize = 1024;
--- a/crates/holdpointd/tests/crashing_requests.rs
+++ b/crates/holdpointd/tests/crashing_requests.rs
@@ -326,6 +326,32 @@
     assert_eq!(fleet.deadly_runs(), before);
 }
 
+/// Whoever gathers the ends of a service may stop before there are enough; the one that does so then is
+/// told of those before.
+#[tokio::test]
+async fn ends_are_not_forgotten_with_the_instance_that_gathers_them() {
+    for stopped in 0..2 {
+        let mut fleet = fleet(&[], &[Behaviour::Events(20); 6], Restart::SameId).await;
+        fleet.send(0, deadly("r-1", "/story/x")).await;
+        assert_eq!(fleet.deadly_runs(), 2, "the route's attempts");
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let (instance, _gate) = fleet.others.remove(stopped);
+        instance.stop().await;
+        until(|| fleet.instances().all(|it| it.peer_count() == 1)).await;
+        // Longer than an instance takes to notice that another one judges by now.
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+        let (other, _) = &fleet.others[0];
+        let callers = other.listen().callers.parse().unwrap();
+        call(callers, deadly("r-2", "/story/x")).await.expect("there is an answer");
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let before = fleet.deadly_runs();
+        assert!(before <= ENDS + 1, "{before}");
+        assert_refused(&fleet.send(0, deadly("s-1", "/story/x")).await);
+        assert_refused(&call(callers, deadly("s-2", "/story/x")).await.unwrap());
+        assert_eq!(fleet.deadly_runs(), before);
+    }
+}
+
 /// Without the store, instances tell each other.
 #[tokio::test]
 async fn it_is_known_everywhere_while_the_store_is_away() {
