--- a/crates/holdpointd/src/ingress/quarantine.rs
+++ b/crates/holdpointd/src/ingress/quarantine.rs
@@ -87,7 +87,8 @@
     released: Mutex<Vec<Fingerprint>>,
     has_reports: Notify,
     to_judge: Notify,
-    /// Who was last told of a service's ends; none where that was this instance.
+    /// Address of who was last told of a service's ends: empty where nobody was, none where that was this
+    /// instance.
     judges: Mutex<HashMap<Name, Option<String>>>,
     /// Sent whenever a request is held.
     has_held: watch::Sender<()>,
@@ -250,7 +251,8 @@
         if shared.peers.report_runs(&shared, &address, told).await.is_ok() {
             return;
         }
-        shared.quarantines.judges.lock().remove(&service);
+        // Nobody was told, so that the next review tells all.
+        shared.quarantines.judges.lock().insert(service.clone(), Some(String::new()));
         sleep(PAUSE).await;
     }
 }
