A stage's call is packed for one target of each kind, and results expire in the order of their times

Cause: for each call the pieces that wait were packed for each idle target: 1,441 of them, 300 calls a second. All kept results were looked at with each call as well. Change: of idle targets that would take the same pieces (domain, room as far as what waits can use it, speed class) the fastest one is packed for; expiries stand in a heap. A batcher takes in its targets one by one. Figures: packings a call at 1,441 idle targets in six domains: 1,441 before, 6 after, read from the code. The laws of batching hold unchanged.

--- a/crates/holdpoint-core/src/batcher/mod.rs
+++ b/crates/holdpoint-core/src/batcher/mod.rs
@@ -18,7 +18,10 @@
 mod regions;
 mod targets;
 
-use std::collections::{BTreeMap, HashMap};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap, HashMap},
+};
 
 use crate::{
     deadline::RecentRate,
@@ -41,6 +44,8 @@
     targets: BTreeMap<TargetId, Target>,
     /// Results that take room, by handle.
     kept: HashMap<String, Kept>,
+    /// When their time is over, the first one on top; some may have been given up meanwhile.
+    expiries: BinaryHeap<Reverse<(Millis, String)>>,
     /// How many times longer pieces wait than predicted.
     lag: f64,
     /// How calls went of late.
@@ -59,6 +64,7 @@
             waiting: Vec::new(),
             targets: BTreeMap::new(),
             kept: HashMap::new(),
+            expiries: BinaryHeap::new(),
             lag: 1.0,
             judge: Judge::default(),
             offered: RecentRate::default(),
@@ -80,18 +86,32 @@
     pub fn set_targets<'a>(&mut self, targets: impl Iterator<Item = (&'a str, &'a str, bool)>) {
         let mut old = std::mem::take(&mut self.targets);
         for (id, domain, is_leaving) in targets {
-            let mut target =
-                old.remove(id).unwrap_or_else(|| Target { slowness: 1.0, ..Target::default() });
-            target.domain = domain.to_owned();
-            target.is_leaving = is_leaving;
-            target.is_spare = false;
-            self.targets.insert(id.to_owned(), target);
+            self.targets.extend(old.remove_entry(id));
+            self.put_target(id, domain, is_leaving);
         }
         // One that starts again under its id has all its room.
         let targets = &self.targets;
         self.kept.retain(|_, it| targets.contains_key(&it.target));
     }
 
+    /// Takes in one target of the service, a new one or one that has changed.
+    pub fn put_target(&mut self, id: &str, domain: &str, is_leaving: bool) {
+        if !self.targets.contains_key(id) {
+            self.targets.insert(id.to_owned(), Target { slowness: 1.0, ..Target::default() });
+        }
+        let Some(target) = self.targets.get_mut(id) else { return };
+        domain.clone_into(&mut target.domain);
+        target.is_leaving = is_leaving;
+        target.is_spare = false;
+    }
+
+    /// Takes in that a target is no longer one of the service's, and its results are gone.
+    pub fn remove_target(&mut self, id: &str) {
+        if self.targets.remove(id).is_some() {
+            self.kept.retain(|_, it| it.target != id);
+        }
+    }
+
     /// Offers a piece.
     pub fn offer(&mut self, now: Millis, piece: Waiting) {
         // Pieces of one group are offered one after the other, and wait for the same time.
@@ -135,17 +155,11 @@
         if self.waiting.is_empty() {
             return None;
         }
-        let free = self.free_targets(now);
-        if free.is_empty() {
+        if self.free_targets(now).next().is_none() {
             return None;
         }
         self.order(now);
-        let queues = self.near_queues(now);
-        let packed = free.into_iter().map(|it| (self.pack(now, &it, &queues), it));
-        let (indices, target) = packed.max_by_key(|it| self.score(&it.0, &it.1))?;
-        if indices.is_empty() {
-            return None;
-        }
+        let (indices, target) = self.best_call(now)?;
         let pieces = self.take(&indices);
         self.learn_lag(now, &pieces);
         let chosen = self.targets.get_mut(&target)?;
--- a/crates/holdpoint-core/src/batcher/pack.rs
+++ b/crates/holdpoint-core/src/batcher/pack.rs
@@ -7,7 +7,7 @@
     near::{NearPiece, NearQueues},
     targets::{SLOW, Target},
 };
-use crate::{ids::Millis, pieces::Waiting};
+use crate::{directory::TargetId, ids::Millis, pieces::Waiting};
 
 /// Moved bytes below which it does not matter where a piece is made.
 const NEAR_BYTES: u64 = 200_000;
@@ -27,17 +27,45 @@
         part * f64::from(self.sizes.pieces) * (self.usable() as f64) < self.waiting.len() as f64
     }
 
-    /// Indices of the pieces that a call at a target would take: whole groups, as far as they fit.
-    pub(super) fn pack(&self, now: Millis, id: &str, queues: &NearQueues<'_>) -> Vec<usize> {
-        let Some(target) = self.targets.get(id) else { return Vec::new() };
-        let room = match self.sizes.room_bytes {
+    /// The best call that can be made now: the indices of its pieces, and its target. Of targets that would
+    /// all take the same pieces, the fastest one is packed for, since in a fleet of thousands hardly any two
+    /// idle ones differ.
+    pub(super) fn best_call(&self, now: Millis) -> Option<(Vec<usize>, TargetId)> {
+        let queues = self.near_queues(now);
+        let waiting_bytes: u64 = self.waiting.iter().map(|it| it.bytes).sum();
+        let mut kinds: BTreeMap<Kind<'_>, (&TargetId, &Target)> = BTreeMap::new();
+        for (id, target) in self.free_targets(now) {
+            let kind = Kind {
+                domain: &target.domain,
+                is_spare: target.is_leaving,
+                room: self.room(target).min(waiting_bytes),
+                slow: (SLOW <= target.slowness).then_some(id),
+                has_gathered: has_gathered(now, target),
+            };
+            let best = kinds.entry(kind).or_insert((id, target));
+            if (speed(best.1), best.0) < (speed(target), id) {
+                *best = (id, target);
+            }
+        }
+        let packed = kinds.into_values().map(|(id, it)| (self.pack(now, it, &queues), it, id));
+        let best = packed.max_by_key(|it| (self.score(&it.0, it.1), it.2));
+        best.filter(|it| !it.0.is_empty()).map(|it| (it.0, it.2.clone()))
+    }
+
+    /// Room that is left at a target for results, in bytes.
+    fn room(&self, target: &Target) -> u64 {
+        match self.sizes.room_bytes {
             0 => u64::MAX,
             it => it.saturating_sub(target.used_bytes),
-        };
+        }
+    }
+
+    /// Indices of the pieces that a call at a target would take: whole groups, as far as they fit.
+    fn pack(&self, now: Millis, target: &Target, queues: &NearQueues<'_>) -> Vec<usize> {
+        let room = self.room(target);
         let indices = self.pack_into(now, target, room, queues);
         let is_small = indices.len() * SMALL_CALL < self.sizes.pieces as usize;
-        let has_waited = target.idle_since + GATHER_MS <= now;
-        if is_small && self.has_backlog(BACKLOG) && !has_waited {
+        if is_small && self.has_backlog(BACKLOG) && !has_gathered(now, target) {
             // Room comes back within the time of a small call, and then more fits in.
             return Vec::new();
         }
@@ -133,15 +161,38 @@
 
     /// How good a call would be: the most pieces, then the most large ones in their failure
     /// domain, then the fastest target.
-    pub(super) fn score(&self, indices: &[usize], id: &str) -> (usize, u64, i64) {
-        let Some(target) = self.targets.get(id) else { return (0, 0, 0) };
+    fn score(&self, indices: &[usize], target: &Target) -> (usize, u64, i64) {
         let is_near = |it: &&Waiting| NEAR_BYTES <= it.near_bytes && it.domain == target.domain;
         let pieces = indices.iter().map(|it| &self.waiting[*it]);
         let near_bytes = pieces.filter(is_near).map(|it| it.near_bytes).sum();
-        (indices.len(), near_bytes, -(target.slowness * 10.0) as i64)
+        (indices.len(), near_bytes, speed(target))
     }
 }
 
+/// What decides which pieces a call at a target would take: targets that have it in common would take the
+/// same ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Kind<'a> {
+    domain: &'a str,
+    /// Whether it gets only pieces that are confined.
+    is_spare: bool,
+    /// Room for results, as far as what waits could use it.
+    room: u64,
+    /// The target itself, where its pieces depend on how slow it is.
+    slow: Option<&'a TargetId>,
+    has_gathered: bool,
+}
+
+/// Whether a target has waited long enough for more than a small call.
+fn has_gathered(now: Millis, target: &Target) -> bool {
+    target.idle_since + GATHER_MS <= now
+}
+
+/// How fast a target is, in steps of a tenth: smaller differences are noise.
+fn speed(target: &Target) -> i64 {
+    -(target.slowness * 10.0) as i64
+}
+
 /// Failure domain where a piece is best made; none where that does not matter.
 fn near_domain(piece: &Waiting) -> Option<&str> {
     let is_bound = NEAR_BYTES <= piece.near_bytes && !piece.domain.is_empty();
--- a/crates/holdpoint-core/src/batcher/targets.rs
+++ b/crates/holdpoint-core/src/batcher/targets.rs
@@ -1,5 +1,7 @@
 //! The targets of a service: which may be called, how slow they are, what room they have.
 
+use std::cmp::Reverse;
+
 use super::{Batcher, pack::BACKLOG};
 use crate::{
     directory::TargetId,
@@ -71,7 +73,7 @@
                 Some(handle) => {
                     let until = now + self.sizes.keep_ms;
                     let kept = Kept { target: call.target.clone(), bytes: piece.bytes, until };
-                    self.kept.insert(handle.to_owned(), kept);
+                    self.keep(handle.to_owned(), kept);
                 }
                 None => freed += piece.bytes,
             }
@@ -121,7 +123,12 @@
         found.used_bytes += unknown;
         let until = now + UNKNOWN_ROOM_MS;
         let kept = Kept { target: target.to_owned(), bytes: unknown, until };
-        self.kept.insert(format!("unknown:{target}:{now}"), kept);
+        self.keep(format!("unknown:{target}:{now}"), kept);
+    }
+
+    fn keep(&mut self, handle: String, kept: Kept) {
+        self.expiries.push(Reverse((kept.until, handle.clone())));
+        self.kept.insert(handle, kept);
     }
 
     /// Takes in that a result was given up at its maker.
@@ -133,9 +140,13 @@
     }
 
     pub(super) fn forget_kept(&mut self, now: Millis) {
-        let over: Vec<String> =
-            self.kept.iter().filter(|it| it.1.until < now).map(|it| it.0.clone()).collect();
-        over.iter().for_each(|it| self.released(it));
+        while self.expiries.peek().is_some_and(|it| it.0.0 < now) {
+            let Some(Reverse((until, handle))) = self.expiries.pop() else { return };
+            // A handle that was kept anew meanwhile has a later time.
+            if self.kept.get(&handle).is_some_and(|it| it.until == until) {
+                self.released(&handle);
+            }
+        }
     }
 
     /// Longest time that a call of so many pieces at a target is waited for, in milliseconds.
@@ -147,7 +158,7 @@
 
     /// Targets that may take a call now. One much slower than the fastest is left out while the
     /// others keep up.
-    pub(super) fn free_targets(&self, now: Millis) -> Vec<TargetId> {
+    pub(super) fn free_targets(&self, now: Millis) -> impl Iterator<Item = (&TargetId, &Target)> {
         let calls = self.sizes.calls.max(1);
         let staying = || self.targets.iter().filter(|it| !it.1.is_leaving);
         let fastest = staying()
@@ -157,12 +168,10 @@
         let has_backlog = self.has_backlog(BACKLOG);
         staying()
             .chain(self.spare_targets())
-            .filter(|it| it.1.suspect_until <= now && it.1.calls < calls)
-            .filter(|it| {
+            .filter(move |it| it.1.suspect_until <= now && it.1.calls < calls)
+            .filter(move |it| {
                 let is_slow = SLOW * fastest.max(1.0) <= it.1.slowness;
                 has_backlog || !is_slow || it.1.idle_since + SLOW_REST_MS <= now
             })
-            .map(|it| it.0.clone())
-            .collect()
     }
 }
