The directory keeps a sum of its hashes and an index by address

Cause: an instance tells whom it follows what it knows, several times a second, and hashed all of 10,000 targets for that; the target that made a result was looked for among all, for each handle. Change: each change adjusts a sum; ids are found by address.

--- a/crates/holdpoint-core/src/directory.rs
+++ b/crates/holdpoint-core/src/directory.rs
@@ -79,6 +79,10 @@
     lapsed: BTreeMap<TargetId, Millis>,
     /// Targets that are cold.
     cold: BTreeMap<TargetId, Cold>,
+    /// Ids of the instances at each address.
+    by_address: HashMap<String, Vec<TargetId>>,
+    /// Sum of the hashes of all that is listed.
+    sum: u64,
 }
 
 /// Until when a target is cold, in milliseconds.
@@ -99,12 +103,17 @@
 impl Directory {
     /// Takes in an entry.
     pub fn put(&mut self, now: Millis, entry: TargetInstance) -> Change {
+        let id = entry.id.clone();
+        self.summed(&id, |it| it.put_entry(now, entry))
+    }
+
+    fn put_entry(&mut self, now: Millis, entry: TargetInstance) -> Change {
         let known = self.instances.get(&entry.id);
         match known.and_then(|it| it.born).zip(entry.born) {
             Some((known, born)) if born < known => return Change::Nothing,
             Some((known, born)) if known < born => {
-                self.remove(&entry.id);
-                return match self.put(now, entry) {
+                self.remove_entry(&entry.id);
+                return match self.put_entry(now, entry) {
                     Change::Joined => Change::Restarted,
                     other => other,
                 };
@@ -130,42 +139,71 @@
         if is_leaving {
             self.leaving.insert(entry.id.clone(), entry.born);
         }
-        self.instances.insert(entry.id.clone(), entry);
+        self.insert(entry);
         change
     }
 
+    fn insert(&mut self, entry: TargetInstance) {
+        let (id, address) = (entry.id.clone(), entry.address.clone());
+        let before = self.instances.insert(id.clone(), entry);
+        match before {
+            Some(it) if it.address == address => return,
+            Some(it) => self.leave_address(&it.address, &id),
+            None => (),
+        }
+        self.by_address.entry(address).or_default().push(id);
+    }
+
+    fn leave_address(&mut self, address: &str, id: &str) {
+        let Some(ids) = self.by_address.get_mut(address) else { return };
+        ids.retain(|it| it != id);
+        if ids.is_empty() {
+            self.by_address.remove(address);
+        }
+    }
+
+    /// Makes a change to one instance, and keeps the sum of the hashes in step.
+    fn summed<T>(&mut self, id: &str, change: impl FnOnce(&mut Directory) -> T) -> T {
+        let before = self.listed_hash(id);
+        let changed = change(self);
+        self.sum = self.sum.wrapping_sub(before).wrapping_add(self.listed_hash(id));
+        changed
+    }
+
+    fn listed_hash(&self, id: &str) -> u64 {
+        let listed = self.instances.get(id).filter(|_| !self.lapsed.contains_key(id));
+        listed.map_or(0, entry_hash)
+    }
+
     /// Whether the life that an entry tells of has shown a sign of leaving.
     fn has_left(&self, entry: &TargetInstance) -> bool {
         let Some(left) = self.leaving.get(&entry.id) else { return false };
         left.zip(entry.born).is_none_or(|(left, born)| born <= left)
     }
 
-    /// The same directory without some instances.
-    pub fn without<'a>(&self, ids: impl Iterator<Item = &'a TargetId>) -> Directory {
-        let mut rest = self.clone();
-        for id in ids {
-            rest.remove(id);
-        }
-        rest
-    }
-
     /// Takes in that an entry is gone.
     pub fn remove(&mut self, id: &str) -> Change {
+        self.summed(id, |it| it.remove_entry(id))
+    }
+
+    fn remove_entry(&mut self, id: &str) -> Change {
         self.lapsed.remove(id);
         self.cold.remove(id);
-        if self.instances.remove(id).is_some() { Change::Leaving } else { Change::Nothing }
+        let Some(removed) = self.instances.remove(id) else { return Change::Nothing };
+        self.leave_address(&removed.address, id);
+        Change::Leaving
     }
 
     /// Takes in that an entry is gone that may have lapsed while the store was away: its instance
     /// is kept until then, unless it was leaving.
     pub fn lapse(&mut self, id: &str, until: Millis) -> Change {
-        match self.instances.get(id) {
+        self.summed(id, |all| match all.instances.get(id) {
             Some(it) if !it.is_leaving => {
-                self.lapsed.entry(id.to_owned()).or_insert(until);
+                all.lapsed.entry(id.to_owned()).or_insert(until);
                 Change::Nothing
             }
-            _ => self.remove(id),
-        }
+            _ => all.remove_entry(id),
+        })
     }
 
     /// Instances whose entries lapsed. Whether they are well is not known.
@@ -185,6 +223,10 @@
 
     /// Takes in a sign of leaving that did not come from the instance's own entry.
     pub fn leave(&mut self, id: &str) -> Change {
+        self.summed(id, |it| it.leave_entry(id))
+    }
+
+    fn leave_entry(&mut self, id: &str) -> Change {
         let Some(found) = self.instances.get_mut(id) else { return Change::Nothing };
         if found.is_leaving {
             return Change::Nothing;
@@ -248,28 +290,19 @@
     }
 
     /// Hash of all that is listed, their sequences left aside: two directories with the same one
-    /// agree.
+    /// agree. Peers of earlier versions know this one; it takes a look at each instance.
     pub fn digest(&self) -> u64 {
         let mut hasher = Xxh3::new();
-        for it in self.listed() {
-            let TargetInstance {
-                id,
-                service,
-                address,
-                domain,
-                slots,
-                is_leaving,
-                version,
-                born,
-                ..
-            } = it;
-            (id, service, address, domain, slots, is_leaving, version).hash(&mut hasher);
-            // Two versions of this program agree where no target tells its birth.
-            born.iter().for_each(|it| it.hash(&mut hasher));
-        }
+        self.listed().for_each(|it| hash_entry(it, &mut hasher));
         hasher.finish()
     }
 
+    /// Sum of the hashes of all that is listed, which tells the same and is kept up to date: after every
+    /// answer of whom it follows, an instance says what it knows.
+    pub fn sum(&self) -> u64 {
+        self.sum
+    }
+
     /// All instances but those whose entries lapsed.
     pub fn listed(&self) -> impl Iterator<Item = &TargetInstance> {
         self.instances.values().filter(|it| !self.lapsed.contains_key(&it.id))
@@ -280,6 +313,12 @@
         self.instances.get(id)
     }
 
+    /// Instances at an address: of one service, unless another writer has written an entry.
+    pub fn at<'a>(&'a self, address: &str) -> impl Iterator<Item = &'a TargetInstance> {
+        let ids = self.by_address.get(address).into_iter().flatten();
+        ids.filter_map(|it| self.instances.get(it))
+    }
+
     /// All instances.
     pub fn all(&self) -> impl Iterator<Item = &TargetInstance> {
         self.instances.values()
@@ -301,6 +340,20 @@
     }
 }
 
+fn hash_entry(entry: &TargetInstance, hasher: &mut Xxh3) {
+    let TargetInstance { id, service, address, domain, slots, is_leaving, version, born, .. } =
+        entry;
+    (id, service, address, domain, slots, is_leaving, version).hash(hasher);
+    // Two versions of this program agree where no target tells its birth.
+    born.iter().for_each(|it| it.hash(hasher));
+}
+
+fn entry_hash(entry: &TargetInstance) -> u64 {
+    let mut hasher = Xxh3::new();
+    hash_entry(entry, &mut hasher);
+    hasher.finish()
+}
+
 fn is_same(known: &TargetInstance, entry: &TargetInstance) -> bool {
     let TargetInstance { sequence, cold_left_ms, .. } = *known;
     TargetInstance { sequence, cold_left_ms, ..entry.clone() } == *known
