The pace that a target tells of this moment counts in routing, batching and times

Cause: targets that share their machines tell with each answer how long work takes at this moment; the figure was not read. A target five times slower than usual was chosen like any other until its own calls had taught otherwise, and two silences in a row took it out. Predicted times, the choice among idle targets, the time that a call is given and the load told to others are multiplied by it; what is learned of a target's pace has it taken out. A silence at a target that told to be slow is no failure. Absent figures change nothing.

--- a/crates/holdpoint-core/src/batcher/estimate.rs
+++ b/crates/holdpoint-core/src/batcher/estimate.rs
@@ -120,7 +120,7 @@
             // One that was only full, or had no room for a while, has not lost its capacity.
             let has_failed = move |it: &Target| it.failures != 0 && now < it.suspect_until;
             let is_usable = move |it: &&Target| !it.is_leaving && !has_failed(it);
-            self.targets.values().filter(is_usable).map(|it| it.slowness.max(1.0))
+            self.targets.values().filter(is_usable).map(move |it| it.slowness_at(now).max(1.0))
         };
         let calls = f64::from(self.sizes.calls.max(1));
         let per_ms = usable().map(|it| calls * full / (full_ms * it)).sum();
--- a/crates/holdpoint-core/src/batcher/mod.rs
+++ b/crates/holdpoint-core/src/batcher/mod.rs
@@ -165,7 +165,7 @@
         let chosen = self.targets.get_mut(&target)?;
         chosen.calls += 1;
         chosen.used_bytes += pieces.iter().map(|it| it.bytes).sum::<u64>();
-        let call_ms = self.sizes.stated_ms(pieces.len()) * chosen.slowness.max(1.0);
+        let call_ms = self.sizes.stated_ms(pieces.len()) * chosen.slowness_at(now).max(1.0);
         chosen.busy_until = now + call_ms as Millis;
         let used_bytes = chosen.used_bytes;
         let is_shared = now < chosen.shared_until;
--- a/crates/holdpoint-core/src/batcher/pack.rs
+++ b/crates/holdpoint-core/src/batcher/pack.rs
@@ -43,12 +43,12 @@
                 has_gathered: has_gathered(now, target),
             };
             let best = kinds.entry(kind).or_insert((id, target));
-            if (speed(best.1), best.0) < (speed(target), id) {
+            if (speed(now, best.1), best.0) < (speed(now, target), id) {
                 *best = (id, target);
             }
         }
         let packed = kinds.into_values().map(|(id, it)| (self.pack(now, it, &queues), it, id));
-        let best = packed.max_by_key(|it| (self.score(&it.0, it.1), it.2));
+        let best = packed.max_by_key(|it| (self.score(now, &it.0, it.1), it.2));
         best.filter(|it| !it.0.is_empty()).map(|it| (it.0, it.2.clone()))
     }
 
@@ -161,11 +161,11 @@
 
     /// How good a call would be: the most pieces, then the most large ones in their failure
     /// domain, then the fastest target.
-    fn score(&self, indices: &[usize], target: &Target) -> (usize, u64, i64) {
+    fn score(&self, now: Millis, indices: &[usize], target: &Target) -> (usize, u64, i64) {
         let is_near = |it: &&Waiting| NEAR_BYTES <= it.near_bytes && it.domain == target.domain;
         let pieces = indices.iter().map(|it| &self.waiting[*it]);
         let near_bytes = pieces.filter(is_near).map(|it| it.near_bytes).sum();
-        (indices.len(), near_bytes, speed(target))
+        (indices.len(), near_bytes, speed(now, target))
     }
 }
 
@@ -189,8 +189,8 @@
 }
 
 /// How fast a target is, in steps of a tenth: smaller differences are noise.
-fn speed(target: &Target) -> i64 {
-    -(target.slowness * 10.0) as i64
+fn speed(now: Millis, target: &Target) -> i64 {
+    -(target.slowness_at(now) * 10.0) as i64
 }
 
 /// Failure domain where a piece is best made; none where that does not matter.
--- a/crates/holdpoint-core/src/batcher/targets.rs
+++ b/crates/holdpoint-core/src/batcher/targets.rs
@@ -4,9 +4,11 @@
 
 use super::{Batcher, pack::BACKLOG};
 use crate::{
+    choice::Load,
     directory::TargetId,
     ids::Millis,
     pieces::{Call, CallEnd},
+    told_pace::ToldPace,
 };
 
 /// How long a target that failed gets no calls, in milliseconds; doubled with each failure.
@@ -43,8 +45,10 @@
     pub(super) calls: u32,
     pub(super) failures: u32,
     pub(super) suspect_until: Millis,
-    /// How much longer its calls take than stated; 1 until measured.
+    /// How much longer its calls take than stated at its usual pace; 1 until measured.
     pub(super) slowness: f64,
+    /// What it tells of its pace at this moment.
+    pub(super) told: ToldPace,
     /// Room reserved by calls and taken by results, in bytes.
     pub(super) used_bytes: u64,
     /// When its last call ended.
@@ -55,6 +59,13 @@
     pub(super) shared_until: Millis,
 }
 
+impl Target {
+    /// How much longer its calls take than stated, at this moment.
+    pub(super) fn slowness_at(&self, now: Millis) -> f64 {
+        self.slowness * self.told.factor(now)
+    }
+}
+
 #[derive(Clone, Debug)]
 pub(super) struct Kept {
     pub(super) target: TargetId,
@@ -84,7 +95,7 @@
         target.used_bytes = target.used_bytes.saturating_sub(freed);
         match end {
             CallEnd::Answered(ms) => {
-                let seen = ms as f64 / stated.max(1.0);
+                let seen = ms as f64 / stated.max(1.0) / target.told.factor(now);
                 target.slowness += NEWEST * (seen - target.slowness);
                 target.failures = 0;
             }
@@ -107,8 +118,12 @@
     /// are no sign of one: they go with a target that crashed, and counted as a sign they had inputs kept
     /// until the ends of calls, which filled the makers' room: 4,491 in place of 5,041 of 6,480 requests of a
     /// class were in time, counted in one play of 48 s each at 86 instances, same seed.
-    pub fn told_load(&mut self, now: Millis, target: &str, calls: u32) {
+    pub fn told_load(&mut self, now: Millis, target: &str, load: Load) {
         let Some(found) = self.targets.get_mut(target) else { return };
+        if let Some(it) = load.pace_percent {
+            found.told.told(now, it);
+        }
+        let calls = load.running + load.waiting;
         if found.calls.saturating_sub(1) < calls {
             found.shared_until = now + SHARED_MS;
         }
@@ -150,9 +165,9 @@
     }
 
     /// Longest time that a call of so many pieces at a target is waited for, in milliseconds.
-    pub fn patience_ms(&self, target: &str, pieces: usize) -> Millis {
+    pub fn patience_ms(&self, now: Millis, target: &str, pieces: usize) -> Millis {
         let stated = self.sizes.stated_ms(pieces);
-        let slowness = self.targets.get(target).map_or(1.0, |it| it.slowness.max(1.0));
+        let slowness = self.targets.get(target).map_or(1.0, |it| it.slowness_at(now).max(1.0));
         (stated * (1.0 + slowness) + 300.0) as Millis
     }
 
--- a/crates/holdpoint-core/src/choice.rs
+++ b/crates/holdpoint-core/src/choice.rs
@@ -29,6 +29,8 @@
     pub running: u32,
     /// Calls that wait in its queue.
     pub waiting: u32,
+    /// How long work takes there at this moment, in hundredths of the usual time, where it tells that.
+    pub pace_percent: Option<u32>,
 }
 
 /// A call to route.
--- a/crates/holdpoint-core/src/lib.rs
+++ b/crates/holdpoint-core/src/lib.rs
@@ -57,5 +57,6 @@
 pub mod stage_graph;
 pub mod subset;
 pub mod token;
+pub mod told_pace;
 pub mod topology;
 pub mod trial;
--- a/crates/holdpoint-core/src/route.rs
+++ b/crates/holdpoint-core/src/route.rs
@@ -21,6 +21,7 @@
     confinement::is_within,
     ids::Millis,
     subset::weight,
+    told_pace::ToldPace,
     topology::Topology,
 };
 
@@ -56,8 +57,10 @@
     in_flight: u32,
     work: f64,
     report: Option<Report>,
-    /// Milliseconds that one unit of work takes once it runs; 0 if unknown.
+    /// Milliseconds that one unit of work takes once it runs, at its usual pace; 0 if unknown.
     pace: f64,
+    /// What it tells of its pace at this moment.
+    told: ToldPace,
     /// Calls that it runs at once, as far as its reports have shown; 0 if unknown.
     slots: f64,
     failures: u32,
@@ -265,7 +268,7 @@
         match end {
             End::Whole(ms) => {
                 let before = target.known_pace();
-                learn_pace(target, work, ms.saturating_sub(way));
+                learn_pace(now, target, work, ms.saturating_sub(way));
                 paces.replace(before, target.known_pace());
                 target.failures = 0;
                 target.ejections = 0;
@@ -293,6 +296,9 @@
         if target.report.as_ref().is_some_and(|it| at < it.at) {
             return;
         }
+        if let Some(it) = load.pace_percent {
+            target.told.told(at, it);
+        }
         let running = f64::from(load.running);
         // A queue shows where the limit is; without one there is room for more than runs.
         let is_queued = Signal::Clear < Signal::of_load(load.running, load.waiting);
@@ -304,6 +310,11 @@
         self.others = all_others;
     }
 
+    /// Whether a target has told that work takes so long there that a silence is no failure of it.
+    pub fn is_slow(&self, now: Millis, address: &str) -> bool {
+        self.found(address).is_some_and(|it| it.told.is_slow(now))
+    }
+
     /// Whether calls waited at a target when it last reported.
     pub fn has_queue(&self, address: &str) -> bool {
         self.found(address).and_then(|it| it.report.as_ref()).is_some_and(|it| it.has_queue)
--- a/crates/holdpoint-core/src/route/predict.rs
+++ b/crates/holdpoint-core/src/route/predict.rs
@@ -36,7 +36,7 @@
         trust: f64,
     ) -> f64 {
         let load = f64::from(target.in_flight) + self.others(now, policy, target);
-        let pace = self.pace_of(target);
+        let pace = self.pace_of(target) * target.told.factor(now);
         let slots = if target.slots == 0.0 { load + 1.0 } else { target.slots };
         let ahead = (load + 1.0 - slots).max(0.0);
         let mean_work = if target.in_flight == 0 {
@@ -128,11 +128,14 @@
 }
 
 /// Learns the pace from a call's time, less the wait that the queue of its time explains.
-pub(super) fn learn_pace(target: &mut Target, work: f64, ms: Millis) {
+/// What the target has told of its pace is taken out, so that a moment in which it was slow does not count
+/// twice when the next call is predicted.
+pub(super) fn learn_pace(now: Millis, target: &mut Target, work: f64, ms: Millis) {
     let others = target.report.as_ref().map_or(0.0, |it| it.others);
     let load = f64::from(target.in_flight) + others;
     let queued = if target.slots == 0.0 { 1.0 } else { (load / target.slots).max(1.0) };
     let slowed = queued * (1.0 + BATCH_COST * load.min(target.slots.max(1.0)));
+    let slowed = slowed * target.told.factor(now);
     let seen = (ms as f64).max(0.1) / (work.max(0.001) * slowed);
     target.pace =
         if target.pace == 0.0 { seen } else { target.pace + NEWEST * (seen - target.pace) };
--- a/crates/holdpoint-core/tests/batcher.rs
+++ b/crates/holdpoint-core/tests/batcher.rs
@@ -4,6 +4,7 @@
 
 use holdpoint_core::{
     batcher::Batcher,
+    choice::Load,
     ingress::StageStep,
     pieces::{Call, CallEnd, Sizes, Waiting},
     stage_graph::StageGraph,
@@ -366,7 +367,7 @@
     let mut call_at = |now: u64, told: u32| {
         batcher.offer(now, piece(now, now, now + 900));
         let call = batcher.next(now).unwrap();
-        batcher.told_load(now + 220, "t-0", told);
+        batcher.told_load(now + 220, "t-0", Load { running: told, ..Load::default() });
         batcher.ended(now + 220, &call, CallEnd::Answered(220), &[None]);
         call.is_shared
     };
@@ -398,7 +399,7 @@
             batcher.offer(now, piece(now + ticket, ticket / 6, now + 9000));
         }
         for call in [batcher.next(now).unwrap(), batcher.next(now).unwrap()] {
-            let patience = batcher.patience_ms(&call.target, call.pieces.len());
+            let patience = batcher.patience_ms(now, &call.target, call.pieces.len());
             let takes = if call.target == "t-0" { 1600 } else { 320 };
             silent += u32::from(patience < takes);
             let end = match patience < takes {
--- a/crates/holdpoint-core/tests/laws.rs
+++ b/crates/holdpoint-core/tests/laws.rs
@@ -82,7 +82,7 @@
                     in_flight[target] -= 1;
                     let end = if now % 3 == 0 { End::Failed } else { End::Whole(5) };
                     router.ended(now, &all[target].address, 1.0, end);
-                    router.report(now, &all[target].address, Load { running: 1, waiting: 0 });
+                    router.report(now, &all[target].address, Load { running: 1, waiting: 0, pace_percent: None });
                 }
                 3 if now % 5 == 0 => {
                     all[target].leaving = true;
@@ -391,7 +391,7 @@
                 };
                 router.sent(index as u64, target, &call);
             }
-            router.report(1, target, Load { running: 40, waiting: 400 });
+            router.report(1, target, Load { running: 40, waiting: 400, pace_percent: None });
         }
         let call = Call {
             work: 9000.0,
--- a/crates/holdpoint-core/tests/regions.rs
+++ b/crates/holdpoint-core/tests/regions.rs
@@ -133,7 +133,7 @@
     for now in (0..2000).step_by(100) {
         for (target, ms) in [("e1", 30), ("n1", 90)] {
             router.sent(now, target, &plain());
-            let load = holdpoint_core::route::Load { running: 1, waiting: 1 };
+            let load = holdpoint_core::route::Load { running: 1, waiting: 1, pace_percent: None };
             router.report(now, target, load);
             router.ended(now, target, 1.0, End::Whole(ms));
         }
--- a/crates/holdpoint-emulator/src/policies/run.rs
+++ b/crates/holdpoint-emulator/src/policies/run.rs
@@ -310,7 +310,7 @@
         instance.router.ended(now, &address, call(request).work, End::Whole(took));
         let running = self.engines[engine].running.len() as u32;
         let waiting = self.engines[engine].waiting.len() as u32;
-        instance.router.report(now, &address, Load { running, waiting });
+        instance.router.report(now, &address, Load { running, waiting, pace_percent: None });
         self.done_at_gate(index, Signal::of_load(running, waiting));
     }
 
--- a/crates/holdpointd/src/ingress/attempts.rs
+++ b/crates/holdpointd/src/ingress/attempts.rs
@@ -231,6 +231,9 @@
 
 /// Ends a send in the books of its pool, with a line in the log unless it went well.
 pub(crate) fn end_send(ctx: &Context, target: &TargetInstance, end: End, cause: &'static str) {
+    let is_slow = || ctx.pool.is_slow(ctx.shared.clock.now(), &target.id);
+    // Two of them in a row would take a target out that has only said that it is slow.
+    let end = if cause == "silent" && is_slow() { End::Dropped } else { end };
     ctx.pool.ended(ctx.shared.clock.now(), &target.id, ctx.call(&[]).work, end);
     ctx.shared.rollouts.answered(ctx, target, end, cause);
     let labels = [label("service", ctx.service.as_str()), label("end", cause)];
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -497,7 +497,7 @@
         shared.rollouts.pieces_sent(service, &call.target, call.pieces.len() as u64);
         let pieces: Vec<Pending> =
             call.pieces.iter().filter_map(|it| pending.remove(&it.ticket)).collect();
-        let patience = batcher.patience_ms(&call.target, call.pieces.len());
+        let patience = batcher.patience_ms(now, &call.target, call.pieces.len());
         Some((call, pieces, patience))
     }
 
@@ -528,7 +528,7 @@
     /// Takes in the load that a target told with the answer to a call.
     fn told_load(&self, now: Millis, service: &str, target: &str, load: Load) {
         if let Some(it) = self.services.lock().get_mut(service) {
-            it.batcher.told_load(now, target, load.running + load.waiting);
+            it.batcher.told_load(now, target, load);
         }
     }
 
--- a/crates/holdpointd/src/ingress/pools.rs
+++ b/crates/holdpointd/src/ingress/pools.rs
@@ -295,6 +295,11 @@
         }
     }
 
+    /// Whether a target has told that work takes so long there that a silence is no failure of it.
+    pub(crate) fn is_slow(&self, now: Millis, target: &str) -> bool {
+        self.router.lock().is_slow(now, target)
+    }
+
     /// Whether calls waited at a target when it last told its load.
     pub(crate) fn has_queue(&self, target: &str) -> bool {
         self.router.lock().has_queue(target)
--- a/crates/holdpointd/src/traffic/stage.rs
+++ b/crates/holdpointd/src/traffic/stage.rs
@@ -302,7 +302,8 @@
         router.ended(now, address, self.units, end);
         if let Some(it) = &attempted.signs.load {
             self.job.note_load(it);
-            router.report(now, address, Load { running: it.running, waiting: it.waiting });
+            let load = Load { running: it.running, waiting: it.waiting, pace_percent: None };
+            router.report(now, address, load);
         }
         if attempted.signs.leaving {
             router.leave(address);
