A store that comes back from an older copy: eras of its log, and what is written again

Cause: offsets go back when the store returns from a copy some seconds old, and are given out again. Readers read on from their old offsets and passed over what was written in the place of what was lost; a target that had left stood in the copy as if it were well; an evacuation in the lost seconds was forgotten; instances that had started in them were in no list. Peers that tell no era are taken to be in the same one.

--- a/crates/holdpoint-core/src/directory.rs
+++ b/crates/holdpoint-core/src/directory.rs
@@ -15,7 +15,10 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::ids::{Millis, Name};
+use crate::{
+    era::LOST_TAIL_MS,
+    ids::{Millis, Name},
+};
 
 /// Longest time that a target is believed to be cold, in milliseconds; what says more is absurd.
 const LONGEST_COLD_MS: Millis = 60_000;
@@ -83,6 +86,16 @@
     by_address: HashMap<String, Vec<TargetId>>,
     /// Sum of the hashes of all that is listed.
     sum: u64,
+    /// The newest entry of each instance that went of late, and until when it is remembered.
+    gone: HashMap<TargetId, Gone>,
+}
+
+/// What is remembered of an instance that is gone.
+#[derive(Clone, Copy, Debug)]
+struct Gone {
+    born: Option<Millis>,
+    sequence: u64,
+    until: Millis,
 }
 
 /// Until when a target is cold, in milliseconds.
@@ -108,6 +121,9 @@
     }
 
     fn put_entry(&mut self, now: Millis, entry: TargetInstance) -> Change {
+        if self.is_of_gone(now, &entry) {
+            return Change::Nothing;
+        }
         let known = self.instances.get(&entry.id);
         match known.and_then(|it| it.born).zip(entry.born) {
             Some((known, born)) if born < known => return Change::Nothing,
@@ -143,6 +159,22 @@
         change
     }
 
+    /// Whether an entry is no newer than the one of an instance that is gone: a store that comes back from an
+    /// older copy names it again, and so may a peer that has not heard.
+    fn is_of_gone(&self, now: Millis, entry: &TargetInstance) -> bool {
+        let Some(gone) = self.gone.get(&entry.id).filter(|it| now < it.until) else { return false };
+        gone.born == entry.born && entry.sequence <= gone.sequence
+    }
+
+    /// Remembers the entries of instances that are gone from now on.
+    pub fn note_gone(&mut self, now: Millis, id: &str) {
+        let Some(it) = self.instances.get(id) else { return };
+        let until = now + LOST_TAIL_MS;
+        let gone = Gone { born: it.born, sequence: it.sequence, until };
+        self.gone.retain(|_, it| now < it.until);
+        self.gone.insert(id.to_owned(), gone);
+    }
+
     fn insert(&mut self, entry: TargetInstance) {
         let (id, address) = (entry.id.clone(), entry.address.clone());
         let before = self.instances.insert(id.clone(), entry);
@@ -216,6 +248,7 @@
         let over: Vec<TargetId> =
             self.lapsed.iter().filter(|it| *it.1 <= now).map(|it| it.0.clone()).collect();
         for id in &over {
+            self.note_gone(now, id);
             self.remove(id);
         }
         over
--- a/crates/holdpoint-core/src/lib.rs
+++ b/crates/holdpoint-core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod confinement;
 pub mod deadline;
 pub mod directory;
+pub mod era;
 pub mod evacuation;
 pub mod event_split;
 pub mod experiments;
--- a/crates/holdpoint-core/src/rollout/order.rs
+++ b/crates/holdpoint-core/src/rollout/order.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    era::{Era, Position, SETTLE_MS},
     evacuation::Horizon,
     ids::{Millis, Name},
 };
@@ -53,13 +54,19 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Orders {
     horizon: Horizon,
+    era: Option<Era>,
     orders: BTreeMap<Name, Order>,
+    /// Until when orders of an era before are kept that the store lacks; they may be written again.
+    kept_until: Millis,
 }
 
 /// Orders as one instance tells them to another.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ToldOrders {
     horizon: Horizon,
+    /// Era of the log; instances of earlier versions tell none.
+    #[serde(default)]
+    era: Option<Era>,
     orders: Vec<ToldOrder>,
 }
 
@@ -74,9 +81,9 @@
 
 impl Orders {
     /// Makes the state of a whole read up to `horizon`: services that it does not name have no order.
-    pub fn new(now: Millis, horizon: Horizon, records: &[OrderRecord]) -> Orders {
-        let empty = Orders::default();
-        Orders { horizon, ..empty.followed_by(now, horizon, records) }
+    pub fn new(now: Millis, at: Position, records: &[OrderRecord]) -> Orders {
+        let empty = Orders { era: at.era, ..Orders::default() };
+        Orders { horizon: at.offset, ..empty.followed_by(now, at.offset, records) }
     }
 
     /// The state after the records up to `horizon`, of which `records` are those for roll-outs.
@@ -107,11 +114,25 @@
 
     /// Takes over a state; the services whose orders have changed. Of the same order, the earlier end
     /// counts: whoever knows it has seen the order earlier.
-    pub fn advance(&mut self, newer: Orders) -> Vec<Name> {
-        if newer.horizon < self.horizon {
+    ///
+    /// Where the store has come back from an older copy, an order that is known stays the same one although
+    /// its record lies elsewhere now, and one that is missing is kept until its operator may have written it
+    /// again: else a version would begin anew with all that it had been given before.
+    pub fn advance(&mut self, now: Millis, newer: Orders) -> Vec<Name> {
+        if self.position().is_after(newer.position()) {
             return Vec::new();
         }
+        let is_back = newer.position().is_of_later_era(self.position());
         let before = std::mem::replace(self, newer);
+        self.kept_until = if is_back { now + SETTLE_MS } else { before.kept_until };
+        if now < self.kept_until {
+            for (service, known) in &before.orders {
+                let order = self.orders.entry(service.clone()).or_insert_with(|| known.clone());
+                if order.version == known.version && order.duration_ms == known.duration_ms {
+                    order.offset = known.offset;
+                }
+            }
+        }
         let mut changed: Vec<Name> = Vec::new();
         for (service, order) in &mut self.orders {
             match before.orders.get(service).filter(|it| it.offset == order.offset) {
@@ -129,6 +150,11 @@
         self.horizon
     }
 
+    /// How far the log is known, with its era.
+    pub fn position(&self) -> Position {
+        Position { era: self.era, offset: self.horizon }
+    }
+
     /// Order of a service.
     pub fn get(&self, service: &str) -> Option<&Order> {
         self.orders.get(service)
@@ -153,7 +179,8 @@
             duration_ms: it.duration_ms,
             left_ms: it.until.saturating_sub(now),
         };
-        ToldOrders { horizon: self.horizon, orders: self.orders.iter().map(told).collect() }
+        let orders = self.orders.iter().map(told).collect();
+        ToldOrders { horizon: self.horizon, era: self.era, orders }
     }
 }
 
@@ -169,6 +196,7 @@
             };
             (it.service, order)
         };
-        Orders { horizon: self.horizon, orders: self.orders.into_iter().map(taken).collect() }
+        let orders = self.orders.into_iter().map(taken).collect();
+        Orders { horizon: self.horizon, era: self.era, orders, kept_until: 0 }
     }
 }
--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -92,6 +92,8 @@
     PEER_SILENT = 607 Warn "peer does not answer";
     /// The machine was suspended; the steady clock and its timers left that time out.
     WOKEN = 616 Warn "machine was suspended";
+    /// The store came back from an older copy: what was written since is gone.
+    STORE_RETURNED = 617 Warn "store came back from an older copy";
     /// The settings file was read again.
     RELOADED = 608 Info "settings read again";
     /// Whether this instance reads the store or follows another that does has changed.
--- a/crates/holdpointd/src/ingress/changes.rs
+++ b/crates/holdpointd/src/ingress/changes.rs
@@ -36,7 +36,14 @@
     }
 
     /// Takes in that a target instance is gone.
-    pub(crate) fn remove(&mut self, directory: &mut Directory, id: TargetId, sign: &'static str) {
+    pub(crate) fn remove(
+        &mut self,
+        directory: &mut Directory,
+        now: Millis,
+        id: TargetId,
+        sign: &'static str,
+    ) {
+        directory.note_gone(now, &id);
         let change = directory.remove(&id);
         self.note(id, change, sign);
     }
--- a/crates/holdpointd/src/ingress/domains.rs
+++ b/crates/holdpointd/src/ingress/domains.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use holdpoint_core::{
-    evacuation::{DomainChange, Evacuations, Horizon},
+    era::Position,
+    evacuation::{DomainChange, Evacuations},
     ids::Millis,
 };
 use parking_lot::Mutex;
@@ -30,8 +31,8 @@
     }
 
     /// How far the log of orders is known.
-    pub(crate) fn horizon(&self) -> Horizon {
-        self.state.lock().horizon()
+    pub(crate) fn position(&self) -> Position {
+        self.state.lock().position()
     }
 
     /// Whether a failure domain is evacuated.
@@ -43,12 +44,23 @@
 /// Takes over what is newer of the domains that are evacuated: their targets get no new work from now
 /// on, and what waits for them is placed elsewhere at once.
 pub(crate) fn take_over(shared: &Arc<IngressShared>, newer: Evacuations, source: &str) {
-    let Some(changes) = shared.domains.state.lock().advance(newer) else { return };
+    let now = shared.clock.now();
+    let Some(changes) = shared.domains.state.lock().advance(now, newer) else { return };
     shared.has_news.send_replace(());
+    put_in_force(shared, &changes, source);
+}
+
+/// Restores the domains that the store lacked when it came back, and whose orders nobody has written again.
+pub(crate) fn settle(shared: &Arc<IngressShared>) {
+    let changes = shared.domains.state.lock().settle(shared.clock.now());
+    put_in_force(shared, &changes, "settled");
+}
+
+fn put_in_force(shared: &Arc<IngressShared>, changes: &[DomainChange], source: &str) {
     if changes.is_empty() {
         return;
     }
-    for change in &changes {
+    for change in changes {
         log(shared, change, source);
         if !change.is_evacuated {
             hold_cold(shared, &change.domain);
@@ -66,7 +78,7 @@
     let detail = format!(
         "domain={domain} evacuated={is_evacuated} horizon={} its_targets={} open_targets={open} \
          targets={} source={source}",
-        shared.domains.horizon(),
+        shared.domains.position().offset,
         staying().filter(|it| it.domain == *domain).count(),
         staying().count(),
     );
--- a/crates/holdpointd/src/ingress/follow.rs
+++ b/crates/holdpointd/src/ingress/follow.rs
@@ -193,8 +193,9 @@
             wait_ms: wait.as_millis() as Millis,
             place: Some(place.with_targets(shared, &address)),
             wants_large: is_far_from_store(shared),
-            orders: Some(shared.domains.horizon()),
-            rollouts: Some(shared.rollouts.horizon()),
+            orders: Some(shared.domains.position().offset),
+            era: shared.domains.position().era,
+            rollouts: Some(shared.rollouts.position().offset),
             peers_digest: Some(shared.instances_digest()),
             is_relay,
             wants_leaders: false,
@@ -268,9 +269,10 @@
             _ => continue,
         };
         let Some(list): Option<TargetList> = list else { continue };
+        let now = shared.clock.now();
         shared.change_directory(|directory, changes| {
             let left = lapsed.into_iter().filter(|id| !list.knows(id));
-            left.for_each(|id| changes.remove(directory, id, "peer-steady"));
+            left.for_each(|id| changes.remove(directory, now, id, "peer-steady"));
         });
         return;
     }
--- a/crates/holdpointd/src/ingress/intake.rs
+++ b/crates/holdpointd/src/ingress/intake.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use holdpoint_core::ids::Name;
+use holdpoint_core::{era::Heard, ids::Name};
 use serde::de::DeserializeOwned;
 
 use crate::{
@@ -31,6 +31,11 @@
 
 /// Takes in what another instance tells.
 pub(crate) fn take_in(shared: &Arc<IngressShared>, update: Update) -> Taken {
+    if shared.eras.hear(update.era) == Heard::Over {
+        // What it knows is from before the store's return, which it has not heard of.
+        take_configuration(shared, &update);
+        return Taken::Stale;
+    }
     // Before what makes an instance ready: one that starts gives an evacuated domain and a version that
     // is rolled out no work.
     if let Some(it) = update.rollouts.clone() {
@@ -122,7 +127,7 @@
         for it in targets {
             match it {
                 Ok(it) => changes.put(directory, now, it, "peer"),
-                Err(it) => changes.remove(directory, it, "peer"),
+                Err(it) => changes.remove(directory, now, it, "peer"),
             }
         }
     });
@@ -150,7 +155,7 @@
         }
         let unnamed = directory.unnamed(&listed).into_iter();
         for id in unnamed.filter(|it| !lapsed.contains(it)) {
-            changes.remove(directory, id, "peer");
+            changes.remove(directory, now, id, "peer");
         }
         listed.into_iter().for_each(|it| changes.put(directory, now, it, "peer"));
     });
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -91,6 +91,7 @@
         tokio::spawn(watch::follow_targets(shared.clone()));
         tokio::spawn(watch::follow_resources(shared.clone()));
         tokio::spawn(watch::follow_peers(shared.clone()));
+        tokio::spawn(watch::write_again(shared.clone()));
         tokio::spawn(follow::run(shared.clone()));
         tokio::spawn(follow::settle_lapses(shared.clone()));
         tokio::spawn(peer_service::serve(shared.clone(), peers));
@@ -212,7 +213,10 @@
                 }
                 batches::pump_all(&shared);
             }
-            _ = sweep.tick() => shared.connections.sweep(),
+            _ = sweep.tick() => {
+                shared.connections.sweep();
+                domains::settle(&shared);
+            }
         }
     }
 }
--- a/crates/holdpointd/src/ingress/news.rs
+++ b/crates/holdpointd/src/ingress/news.rs
@@ -12,6 +12,7 @@
 use holdpoint_core::{
     change_log::Revision,
     directory::{Directory, TargetId, TargetInstance},
+    era::{Era, Position},
     evacuation::{Evacuations, Horizon},
     ids::{Millis, Name},
     ingress::Version,
@@ -105,6 +106,9 @@
     /// How far it knows the log of orders for failure domains; peers of earlier versions know none.
     #[serde(default)]
     pub(crate) orders: Option<Horizon>,
+    /// Era of that log; peers of earlier versions know none.
+    #[serde(default)]
+    pub(crate) era: Option<Era>,
     /// How far it knows that log's orders to roll out versions; peers of earlier versions know none.
     #[serde(default)]
     pub(crate) rollouts: Option<Horizon>,
@@ -124,14 +128,15 @@
     /// What an asker knows who wants no more than a later configuration.
     pub(crate) fn configuration_only(shared: &IngressShared, wants_large: bool) -> Known {
         let version = shared.configuration().version;
-        let orders = Some(shared.domains.horizon());
+        let Position { era, offset } = shared.domains.position();
         Known {
             version,
             wait_ms: 0,
             place: None,
             wants_large,
-            orders,
-            rollouts: Some(shared.rollouts.horizon()),
+            orders: Some(offset),
+            era,
+            rollouts: Some(shared.rollouts.position().offset),
             // Without a place, no peers are told.
             peers_digest: Some(0),
             is_relay: false,
@@ -153,6 +158,10 @@
     /// where it does not.
     #[serde(default)]
     pub(crate) steady_ms: Option<Millis>,
+    /// Newest era of the store that the instance which answers has heard of; peers of earlier versions tell
+    /// none.
+    #[serde(default)]
+    pub(crate) era: Option<Era>,
     /// Version of the configuration in force.
     pub(crate) version: Version,
     /// That configuration, where it is later than the asker's and the asker wants it.
@@ -326,13 +335,14 @@
     let age_ms = shared.fresh_age();
     let steady_ms = shared.steady_ms();
     let evacuations = knows_less(shared, &known).then(|| shared.domains.state());
-    let is_unknown = known.rollouts.is_some_and(|it| it < shared.rollouts.horizon());
-    let rollouts = is_unknown.then(|| shared.rollouts.told(shared.clock.now()));
+    let rollouts =
+        knows_fewer_rollouts(shared, &known).then(|| shared.rollouts.told(shared.clock.now()));
     Update {
         life: shared.life,
         revision,
         age_ms,
         steady_ms,
+        era: shared.eras.newest(),
         version,
         configuration,
         packed_configuration,
@@ -400,6 +410,13 @@
 
 /// Whether an asker knows less of the orders for failure domains.
 fn knows_less(shared: &IngressShared, known: &Known) -> bool {
-    known.orders.is_some_and(|it| it < shared.domains.horizon())
-        || known.rollouts.is_some_and(|it| it < shared.rollouts.horizon())
+    let at = |offset| Position { era: known.era, offset };
+    known.orders.is_some_and(|it| shared.domains.position().is_after(at(it)))
+        || knows_fewer_rollouts(shared, known)
+}
+
+/// Whether an asker knows less of the orders to roll out versions.
+fn knows_fewer_rollouts(shared: &IngressShared, known: &Known) -> bool {
+    let at = |offset| Position { era: known.era, offset };
+    known.rollouts.is_some_and(|it| shared.rollouts.position().is_after(at(it)))
 }
--- a/crates/holdpointd/src/ingress/quarantine.rs
+++ b/crates/holdpointd/src/ingress/quarantine.rs
@@ -17,6 +17,7 @@
 use holdpoint_adapter::store::RESOURCES_TOPIC;
 use holdpoint_core::{
     directory::TargetInstance,
+    era::LOST_TAIL_MS,
     ids::{Millis, Name},
     quarantine::{EndedRun, Fingerprint, HOLD_MS, KEY_PREFIX, Life, Passed, Quarantine, Verdict},
 };
@@ -360,10 +361,23 @@
     });
 }
 
+/// Writes again what is held here and the store may have lost, as it has come back from an older copy. A
+/// request that was released meanwhile is not held here any more.
+pub(crate) fn store_returned(shared: &Arc<IngressShared>) {
+    for (key, value) in shared.quarantines.stored() {
+        let begun = read_hold(&value).map_or(0, |it| it.until.saturating_sub(HOLD_MS));
+        let is_lost = unix_ms() < begun + LOST_TAIL_MS;
+        if is_lost && judge_of(shared, "").is_none() {
+            tokio::spawn(write(shared.clone(), key, Some(value)));
+        }
+    }
+}
+
 /// Writes a hold to the store, or drops it there, until the store takes it or it is over.
 async fn write(shared: Arc<IngressShared>, key: String, value: Option<Bytes>) {
     let store = &shared.settings.store;
-    let mut client = StoreClient::new(&store.address, Duration::from_millis(store.timeout_ms));
+    let timeout = Duration::from_millis(store.timeout_ms);
+    let mut client = StoreClient::new(&store.address, timeout, shared.eras.clone());
     let begun = shared.clock.now();
     let bytes = value.unwrap_or_default();
     while client.append(RESOURCES_TOPIC, &key, &bytes).await.is_err() {
--- a/crates/holdpointd/src/ingress/rollouts.rs
+++ b/crates/holdpointd/src/ingress/rollouts.rs
@@ -19,6 +19,7 @@
 use holdpoint_adapter::{rollouts::parse_order, store::KeyedRecord};
 use holdpoint_core::{
     directory::{Directory, TargetId, TargetInstance},
+    era::Position,
     evacuation::{Evacuations, Horizon},
     ids::{Millis, Name},
     rollout::{
@@ -40,7 +41,9 @@
 };
 use crate::{
     events::{self, emit},
-    ingress::{batches::pump_all, context::Context, peers::Owners, shared::IngressShared},
+    ingress::{
+        batches::pump_all, context::Context, peers::Owners, shared::IngressShared, store::Eras,
+    },
     metrics::label,
 };
 
@@ -116,7 +119,7 @@
 
 impl Rollouts {
     /// Makes the state of an instance that knows of none.
-    pub(crate) fn new(settings: &IngressSettings) -> Rollouts {
+    pub(crate) fn new(settings: &IngressSettings, eras: Arc<Eras>) -> Rollouts {
         let its = &settings.rollouts;
         Rollouts {
             bound: Bound { share: its.share, slack: its.slack },
@@ -125,14 +128,14 @@
             orders: Mutex::default(),
             local: Mutex::default(),
             driven: Mutex::default(),
-            records: tokio::sync::Mutex::new(Records::new(settings)),
+            records: tokio::sync::Mutex::new(Records::new(settings, eras)),
             ordered: Notify::new(),
         }
     }
 
     /// How far the log of orders is known.
-    pub(crate) fn horizon(&self) -> Horizon {
-        self.orders.lock().horizon()
+    pub(crate) fn position(&self) -> Position {
+        self.orders.lock().position()
     }
 
     /// The orders, for a peer.
@@ -333,7 +336,7 @@
 pub(crate) fn take_orders(
     shared: &Arc<IngressShared>,
     records: &[KeyedRecord],
-    next: Horizon,
+    next: Position,
     is_whole: bool,
 ) {
     let mut orders: Vec<OrderRecord> = Vec::new();
@@ -351,7 +354,7 @@
     let newer = if is_whole {
         Orders::new(now, next, &orders)
     } else {
-        shared.rollouts.orders.lock().followed_by(now, next, &orders)
+        shared.rollouts.orders.lock().followed_by(now, next.offset, &orders)
     };
     take_over(shared, newer, "store");
 }
@@ -360,7 +363,7 @@
 /// allows.
 pub(crate) fn take_over(shared: &Arc<IngressShared>, newer: Orders, source: &str) {
     let rollouts = &shared.rollouts;
-    let changed = rollouts.orders.lock().advance(newer);
+    let changed = rollouts.orders.lock().advance(shared.clock.now(), newer);
     if changed.is_empty() {
         return;
     }
@@ -397,6 +400,11 @@
     shared.has_news.send_replace(());
 }
 
+/// Has drivers look whether the store still has what they wrote there, and write it again where it has not.
+pub(crate) fn store_returned(shared: &IngressShared) {
+    driver::store_returned(shared);
+}
+
 /// Tells drivers what this instance has seen and hears from them, and drives what falls to it, until
 /// the task is dropped.
 pub(crate) async fn run(shared: Arc<IngressShared>) {
--- a/crates/holdpointd/src/ingress/rollouts/driver.rs
+++ b/crates/holdpointd/src/ingress/rollouts/driver.rs
@@ -143,6 +143,13 @@
     }
 }
 
+/// Has each roll-out that this instance drives checked, and told, anew.
+pub(super) fn store_returned(shared: &IngressShared) {
+    for it in shared.rollouts.driven.lock().values_mut() {
+        (it.checked, it.tried, it.told) = (None, None, None);
+    }
+}
+
 fn is_check_due(shared: &IngressShared, service: &str) -> bool {
     let now = shared.clock.now();
     let driven = shared.rollouts.driven.lock();
@@ -172,12 +179,15 @@
             return;
         }
         it.checked = None;
+        // A store that has come back from an older copy may lack what this instance has recorded.
+        let own = it.is_mine.then_some(&it.rollout);
+        let recorded = of_order.as_ref().map_or(0, |it| it.spent);
         Record {
             order: offset,
             driver: shared.settings.instance.clone(),
             life: shared.own_peer().life,
-            phase: Phase::Waiting,
-            spent: of_order.as_ref().map_or(0, |it| it.spent),
+            phase: own.map(|it| it.phase()).filter(|it| it.is_final()).unwrap_or_default(),
+            spent: own.map_or(0, |it| it.reserve()).max(recorded),
             until: of_order
                 .map_or_else(|| on_wall(shared, it.rollout.order().until), |it| it.until),
         }
@@ -221,6 +231,10 @@
 fn claimed(shared: &IngressShared, service: &str, claim: &Record, (begun, end): (Millis, u64)) {
     let mut driven = shared.rollouts.driven.lock();
     let Some(it) = driven.get_mut(service) else { return };
+    if claim.phase.is_final() {
+        (it.checked, it.end) = (Some(begun), end);
+        return;
+    }
     let order = it.rollout.order().clone();
     let now = shared.clock.now();
     *it = Driven::new(now, order, shared.rollouts.bound, claim.spent);
--- a/crates/holdpointd/src/ingress/rollouts/record.rs
+++ b/crates/holdpointd/src/ingress/rollouts/record.rs
@@ -2,7 +2,7 @@
 //! operators read. Both are written under the condition that nobody else has written meanwhile, so of
 //! two drivers one wins, and one that was paused changes nothing when it wakes.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use holdpoint_adapter::{
     rollouts::{Status, key, parse_status, status_bytes},
@@ -17,7 +17,7 @@
 use http::StatusCode;
 use serde::{Deserialize, Serialize};
 
-use crate::ingress::store::{StoreClient, StoreError};
+use crate::ingress::store::{Eras, StoreClient, StoreError};
 
 /// What a driver records.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -60,10 +60,10 @@
 
 impl Records {
     /// Makes one that has not connected yet.
-    pub(super) fn new(settings: &IngressSettings) -> Records {
+    pub(super) fn new(settings: &IngressSettings, eras: Arc<Eras>) -> Records {
         let store = &settings.store;
         let timeout = Duration::from_millis(store.timeout_ms);
-        Records { client: StoreClient::new(&store.address, timeout) }
+        Records { client: StoreClient::new(&store.address, timeout, eras) }
     }
 
     /// Reads the record of a service, and where its topic ends.
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -46,6 +46,7 @@
         regions::Regions,
         releases::Releases,
         rollouts::Rollouts,
+        store::Eras,
         unread::Unread,
     },
     metrics::Metrics,
@@ -110,6 +111,10 @@
     pub(crate) patiences: Lazy<Mutex<Times>>,
     /// Sent whenever the machine has been suspended.
     woken: watch::Sender<()>,
+    /// Eras of the store.
+    pub(crate) eras: Arc<Eras>,
+    /// When this instance last wrote its entry, in milliseconds; 0 is never.
+    pub(crate) entry_written: AtomicU64,
     /// Raised whenever the store was silent, so that waiting reads begin anew.
     pub(crate) store_lost: Notify,
     /// Whether this instance reads the store by itself, or follows another that does.
@@ -150,6 +155,7 @@
     /// Makes the state of an instance that knows nothing yet.
     pub(crate) fn new(settings: IngressSettings) -> IngressShared {
         let connect = Duration::from_millis(settings.timing.connect_ms);
+        let eras = Arc::new(Eras::default());
         IngressShared {
             clock: Clock::new(),
             topology: Topology::new(&settings.region, settings.regions.clone()),
@@ -163,7 +169,7 @@
             regions: Regions::new(&settings),
             domains: Domains::default(),
             confinements: Confinements::default(),
-            rollouts: Rollouts::new(&settings),
+            rollouts: Rollouts::new(&settings, eras.clone()),
             quarantines: Quarantines::default(),
             experiments: Declared::default(),
             in_flight: Arc::default(),
@@ -173,6 +179,8 @@
             first_times: Lazy::default(),
             patiences: Lazy::default(),
             woken: watch::channel(()).0,
+            eras,
+            entry_written: AtomicU64::new(0),
             store_lost: Notify::new(),
             reading: watch::channel(false).0,
             is_store_silent: watch::channel(false).0,
--- a/crates/holdpointd/src/ingress/store.rs
+++ b/crates/holdpointd/src/ingress/store.rs
@@ -1,17 +1,19 @@
 //! A client of the platform's store: one connection, made anew whenever a call fails.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use holdpoint_adapter::store::{
-    KeyedRecord, ReadPage, append_at_path, append_body, append_path, newest_path, parse_newest,
-    parse_read, read_path,
+    KeyedRecord, ReadPage, append_at_path, append_body, append_path, era, newest_path,
+    parse_newest, parse_read, read_path,
 };
+use holdpoint_core::era::{Era, Heard, Position, SETTLE_MS, heard};
 use holdpoint_platform::Instant;
 use http::{HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, client::conn::http1::SendRequest};
-use tokio::task::AbortHandle;
+use parking_lot::Mutex;
+use tokio::{sync::watch, task::AbortHandle};
 
 use crate::ingress::connections::connect;
 
@@ -26,6 +28,49 @@
     Gone,
     /// An answer that cannot be read.
     BadAnswer,
+    /// The store has come back from an older copy since the call before. What was asked may have been done.
+    Returned,
+    /// An answer from before the store's return.
+    Over,
+}
+
+/// The newest era of the store that this instance has heard of, from the store or from others.
+#[derive(Debug, Default)]
+pub(crate) struct Eras {
+    newest: Mutex<Option<Era>>,
+    /// When it rose last.
+    risen: watch::Sender<Option<Instant>>,
+}
+
+impl Eras {
+    /// The newest era.
+    pub(crate) fn newest(&self) -> Option<Era> {
+        *self.newest.lock()
+    }
+
+    /// Takes in the era that an answer tells.
+    pub(crate) fn hear(&self, told: Option<Era>) -> Heard {
+        let mut newest = self.newest.lock();
+        let heard = heard(*newest, told);
+        if heard == Heard::Risen || newest.is_none() {
+            *newest = told;
+        }
+        drop(newest);
+        if heard == Heard::Risen {
+            self.risen.send_replace(Some(Instant::now()));
+        }
+        heard
+    }
+
+    /// Whether the store has come back so lately that it may lack what is about to be written again.
+    pub(crate) fn is_settling(&self) -> bool {
+        self.risen.borrow().is_some_and(|it| it.elapsed() < Duration::from_millis(SETTLE_MS))
+    }
+
+    /// Sent whenever the era rises.
+    pub(crate) fn risen(&self) -> watch::Receiver<Option<Instant>> {
+        self.risen.subscribe()
+    }
 }
 
 /// One connection to the store.
@@ -33,6 +78,9 @@
     address: String,
     timeout: Duration,
     connection: Option<(SendRequest<Full<Bytes>>, Guard)>,
+    eras: Arc<Eras>,
+    /// Era of the last answer.
+    era: Option<Era>,
 }
 
 /// Ends the connection's task with the connection.
@@ -46,8 +94,13 @@
 
 impl StoreClient {
     /// Makes a client that has not connected yet.
-    pub(crate) fn new(address: &str, timeout: Duration) -> StoreClient {
-        StoreClient { address: address.to_owned(), timeout, connection: None }
+    pub(crate) fn new(address: &str, timeout: Duration, eras: Arc<Eras>) -> StoreClient {
+        StoreClient { address: address.to_owned(), timeout, connection: None, eras, era: None }
+    }
+
+    /// A position in a topic, as of the last answer.
+    pub(crate) fn position(&self, offset: u64) -> Position {
+        Position { era: self.era, offset }
     }
 
     /// Closes the connection; the next call makes a new one.
@@ -144,6 +197,7 @@
         };
         let answer = tokio::time::timeout(limit, answering).await.map_err(silent)??;
         let status = answer.status();
+        self.hear(era(answer.headers()))?;
         let body = whole_body(answer.into_body(), timeout).await?;
         self.connection = connection;
         match status {
@@ -154,6 +208,18 @@
     }
 }
 
+impl StoreClient {
+    /// Takes in the era of an answer; an error where nothing from before tells what the store holds now.
+    fn hear(&mut self, told: Option<Era>) -> Result<(), StoreError> {
+        if self.eras.hear(told) == Heard::Over {
+            return Err(StoreError::Over);
+        }
+        let heard = heard(self.era, told);
+        self.era = told.or(self.era);
+        if heard == Heard::Risen { Err(StoreError::Returned) } else { Ok(()) }
+    }
+}
+
 /// Reads a body to its end. A large one takes its time on a narrow link, so the limit holds for each
 /// part of it.
 async fn whole_body(mut body: Incoming, limit: Duration) -> Result<Bytes, StoreError> {
--- a/crates/holdpointd/src/ingress/watch.rs
+++ b/crates/holdpointd/src/ingress/watch.rs
@@ -1,7 +1,10 @@
 //! Reads the store, as long as this instance does so by itself: configuration, target instances,
 //! peers. [`super::follow`] decides whether it does.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use holdpoint_adapter::{
     BadBody, instances,
@@ -12,6 +15,7 @@
 };
 use holdpoint_core::{
     directory::{Change, Directory, TargetId, TargetInstance},
+    era::{Era, LOST_TAIL_MS, Position},
     evacuation::{Evacuations, Order},
     ids::Millis,
 };
@@ -24,7 +28,7 @@
         domains, follow,
         links::whole_millis,
         peers::Peer,
-        rollouts,
+        quarantine, rollouts,
         shared::IngressShared,
         store::{StoreClient, StoreError},
     },
@@ -45,6 +49,9 @@
 const STANDBY_DOUBLINGS: u32 = 2;
 /// Factors by which such a pause varies, so that not all ask together.
 const JITTER: std::ops::Range<f64> = 0.75..1.25;
+/// Longest time that an instance waits before it writes its entry again: after the store's return, all that
+/// have started of late do.
+const WRITE_AGAIN: Duration = Duration::from_millis(1000);
 /// How long after the store's return an entry that lapsed may take to be written anew.
 pub(crate) const LAPSE_MS: Millis = 2000;
 
@@ -53,8 +60,19 @@
     records: &'a [KeyedRecord],
     /// Offset at which reading goes on.
     next: u64,
+    /// Era of the store that they were read in.
+    era: Option<Era>,
     /// Whether they are the newest of all keys, rather than what followed the last read.
     is_whole: bool,
+    /// Whether the store may lack what is about to be written again, as it has come back from an older copy.
+    may_lack: bool,
+}
+
+impl Read<'_> {
+    /// Whether a key that is not among them has no record.
+    fn names_all(&self) -> bool {
+        self.is_whole && !self.may_lack
+    }
 }
 
 /// Keeps the configuration and the evacuated failure domains up to date.
@@ -67,8 +85,12 @@
 pub(crate) async fn read_configuration(shared: &Arc<IngressShared>) {
     let begun = shared.clock.now();
     // Without an answer, whoever asked for it goes on without.
-    if let Ok((records, next)) = client(shared).newest(OPERATORS_TOPIC).await {
-        take_orders(shared, &Read { records: &records, next, is_whole: true });
+    let mut client = client(shared);
+    if let Ok((records, next)) = client.newest(OPERATORS_TOPIC).await {
+        let may_lack = shared.eras.is_settling();
+        let era = client.position(next).era;
+        let read = Read { records: &records, next, era, is_whole: true, may_lack };
+        take_orders(shared, &read);
         shared.confirmation.note(begun);
     }
 }
@@ -77,12 +99,13 @@
 /// makes an instance ready.
 fn take_orders(shared: &Arc<IngressShared>, read: &Read<'_>) {
     let orders: Vec<Order> = read.records.iter().filter_map(order).collect();
+    let at = Position { era: read.era, offset: read.next };
     let newer = if read.is_whole {
-        Evacuations::new(read.next, orders)
+        Evacuations::new(at, orders)
     } else {
         shared.domains.state().followed_by(read.next, &orders)
     };
-    rollouts::take_orders(shared, read.records, read.next, read.is_whole);
+    rollouts::take_orders(shared, read.records, at, read.is_whole);
     domains::take_over(shared, newer, "store");
     for record in read.records {
         if let (CONFIGURATION_KEY, Some(value)) = (record.key.as_str(), &record.value) {
@@ -113,7 +136,7 @@
     drop(client);
     shared.peers_known.send_replace(true);
     let take = |read: &Read<'_>| {
-        take_peers(&shared, read.records, read.is_whole);
+        take_peers(&shared, read.records, read.names_all());
         if read.is_whole {
             shared.peers.note_read();
         }
@@ -126,7 +149,30 @@
     let trip = client.measure().await?;
     shared.peers.note_store_trip(whole_millis(trip));
     let entry = shared.own_peer().entry();
-    client.append(INSTANCES_TOPIC, &shared.settings.instance, entry.as_bytes()).await
+    client.append(INSTANCES_TOPIC, &shared.settings.instance, entry.as_bytes()).await?;
+    shared.entry_written.store(shared.clock.now().max(1), Ordering::Release);
+    Ok(())
+}
+
+/// Writes again what this instance has written and the store may have lost, whenever it comes back from an
+/// older copy, until the task is dropped.
+pub(crate) async fn write_again(shared: Arc<IngressShared>) {
+    let mut risen = shared.eras.risen();
+    // The sender lives as long as the instance.
+    while risen.changed().await.is_ok() {
+        let detail = format!("era={}", shared.eras.newest().map_or(0, |it| it.0));
+        emit(events::STORE_RETURNED, &shared.settings.instance, &detail);
+        rollouts::store_returned(&shared);
+        quarantine::store_returned(&shared);
+        let written = shared.entry_written.load(Ordering::Acquire);
+        if shared.clock.now() < written + LOST_TAIL_MS && !shared.peers.is_leaving() {
+            sleep(WRITE_AGAIN.mul_f64(rand::random())).await;
+            let mut client = client(&shared);
+            while append_entry(&shared, &mut client).await.is_err() {
+                sleep(PAUSE * 4).await;
+            }
+        }
+    }
 }
 
 /// Takes in entries of peers; where they are all that there are, the others have left.
@@ -139,7 +185,7 @@
 /// Keeps the resources up to date: policies and trials that operators declare, requests that are held.
 pub(crate) async fn follow_resources(shared: Arc<IngressShared>) {
     let take = |read: &Read<'_>| {
-        if read.is_whole {
+        if read.names_all() {
             let is_named = |key: &str| read.records.iter().any(|it| it.key == key);
             let known = shared.experiments.all().into_iter();
             known.filter(|it| !is_named(&it.0)).for_each(|it| shared.set_resource(&it.0, None));
@@ -181,6 +227,11 @@
                 lapse.store_answered(&shared);
                 sleep(Duration::from_millis(shared.settings.store.poll_ms)).await;
             }
+            Err(StoreError::Returned) => {
+                // Targets whose entries it lacks write them again.
+                lapse.is_away = true;
+                offset = None;
+            }
             Err(it) => {
                 note_store(&shared, Some(it));
                 shared.note_own_read(None);
@@ -257,12 +308,17 @@
     let mut client = client(shared);
     let mut reading = shared.reading.subscribe();
     let mut offset: Option<u64> = None;
+    let mut is_lacking = false;
     loop {
         if has_paused(&mut reading) {
             offset = None;
             client.reset();
             raised(&mut reading).await;
         }
+        if is_lacking && !shared.eras.is_settling() {
+            (offset, is_lacking) = (None, false);
+        }
+        let wait = if is_lacking { wait.min(PAUSE) } else { wait };
         let read = async {
             match offset {
                 None => client.newest(topic).await,
@@ -276,10 +332,15 @@
         };
         match outcome {
             Ok((records, next)) => {
-                take(&Read { records: &records, next, is_whole: offset.is_none() });
+                let is_whole = offset.is_none();
+                let may_lack = is_whole && shared.eras.is_settling();
+                is_lacking |= may_lack;
+                let era = client.position(next).era;
+                take(&Read { records: &records, next, era, is_whole, may_lack });
                 offset = Some(next);
                 sleep(gather).await;
             }
+            Err(StoreError::Returned) => offset = None,
             Err(_) => {
                 client.reset();
                 offset = None;
@@ -370,7 +431,7 @@
     let now = shared.clock.now();
     let until = if lapse.is_away { now + LAPSE_MS } else { lapse.until };
     if until <= now {
-        return changes.remove(directory, id, "gone");
+        return changes.remove(directory, now, id, "gone");
     }
     if directory.lapsed().next().is_none() {
         shared.note_lapses();
@@ -390,5 +451,6 @@
 
 fn client(shared: &IngressShared) -> StoreClient {
     let store = &shared.settings.store;
-    StoreClient::new(&store.address, Duration::from_millis(store.timeout_ms))
+    let timeout = Duration::from_millis(store.timeout_ms);
+    StoreClient::new(&store.address, timeout, shared.eras.clone())
 }
