--- a/crates/holdpoint-core/src/batcher/mod.rs
+++ b/crates/holdpoint-core/src/batcher/mod.rs
@@ -155,9 +155,7 @@
         if self.waiting.is_empty() {
             return None;
         }
-        if self.free_targets(now).next().is_none() {
-            return None;
-        }
+        self.free_targets(now).next()?;
         self.order(now);
         let (indices, target) = self.best_call(now)?;
         let pieces = self.take(&indices);
--- a/crates/holdpointd/src/ingress/packed.rs
+++ b/crates/holdpointd/src/ingress/packed.rs
@@ -156,7 +156,7 @@
             _ => {
                 let is_leaving = shared.is_leaving.load(Ordering::Acquire);
                 let own = (!is_leaving).then(|| shared.own_peer());
-                let packed = pack(&shared.peers.leaders(own));
+                let packed = pack(&shared.peers.leaders(own.as_ref()));
                 *made = Some((digest, packed.clone()));
                 packed
             }
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -388,16 +388,16 @@
     }
 
     /// The leaders among all instances, for one who starts, and how many there are in each failure domain.
-    pub(crate) fn leaders(&self, own: Option<Peer>) -> Leaders {
+    pub(crate) fn leaders(&self, own: Option<&Peer>) -> Leaders {
         let view = self.view();
         let known = self.known.lock();
         let mut sizes = DomainSizes::new();
-        for it in known.values().chain(&own) {
+        for it in known.values().chain(own) {
             *sizes.entry(it.domain.clone()).or_default() += 1;
         }
         let entry = |name: &Name| match known.get(name) {
             Some(it) => Some((name.clone(), it.clone())),
-            None => own.clone().map(|it| (name.clone(), it)),
+            None => own.map(|it| (name.clone(), it.clone())),
         };
         Leaders { members: view.leaders.iter().filter_map(entry).collect(), sizes }
     }
