A changed configuration goes through the sources, and seeds wait for all before they tell the leaders

Cause, from the logs of the whole fleet's first seconds: at the first start three seeds were asked for the leaders before others' entries had come, told themselves, and 982 instances found that nobody had read and read the store by themselves for 12 s (E609 cause=nobody-has-read, 44,000 calls). Change: at the first start a seed reads on until no entry has come for 0.4 s; who starts waits for it up to 8 s; an entry that the store refuses is written later without holding that up. A source sends a configuration, packed, where its link carries it to its followers in 0.5 s (core/readers), whatever its size; else each reads it as before. Tests: a_configuration_leaves_the_store_as_often_..., a_large_configuration_comes_from_the_readers_over_wide_links (new); the test that each reads a large one from the store now has links of 0.1 Mbit/s, where that holds.

--- a/crates/holdpoint-core/src/readers.rs
+++ b/crates/holdpoint-core/src/readers.rs
@@ -33,6 +33,9 @@
 const LARGE_DOMAIN: usize = 2 * FOLLOWERS;
 /// Key under which all of them are chosen.
 const KEY: &str = "reader";
+/// Time in which a source may send a configuration to all who follow it, in milliseconds: a tenth of the 5 s
+/// and a quarter of the 2 s that a change has to be in force within.
+const CONFIGURATION_MS: u64 = 500;
 /// A region whose shortest round trip to the store is longer than the shortest of all by more than this
 /// stands far from it, in milliseconds: two failure domains of a region are a few milliseconds apart, two
 /// regions some tens.
@@ -200,6 +203,15 @@
     }
 }
 
+/// Whether a source with a link of so many Mbit/s sends its followers a configuration of so many bytes, as it
+/// is packed. Where it does not, each reads it from the store, which in a fleet of 985 instances read 110 kB
+/// each, 108 MB a change: two changes within a second kept readers from the store for seconds.
+pub fn sends_configuration(bytes: usize, link_mbps: u32) -> bool {
+    let bits = 8 * (bytes * FOLLOWERS) as u64;
+    // So many Mbit/s are as many thousand bits a millisecond.
+    bits <= CONFIGURATION_MS * 1000 * u64::from(link_mbps)
+}
+
 fn source_count(members: usize) -> usize {
     members.div_ceil(FOLLOWERS).max(READERS)
 }
--- a/crates/holdpoint-core/tests/growth.rs
+++ b/crates/holdpoint-core/tests/growth.rs
@@ -10,7 +10,7 @@
     catalog::default_policy,
     directory::{Change, Directory, TargetInstance},
     liveness::{Duty, Use, duty},
-    readers::{DomainSizes, Member as Instance, Role, leaders, plan},
+    readers::{DomainSizes, Member as Instance, Role, leaders, plan, sends_configuration},
     route::{Call, Choice, Member, Router},
 };
 use holdpoint_schema::resources::{Policy, Route};
@@ -275,3 +275,21 @@
     assert_eq!(duty(60_000, rested), Duty::Close);
     assert_eq!(duty(60_000, Use { is_standing: true, ..rested }), Duty::Ask);
 }
+
+/// Each instance read a changed configuration of 83 kB from the store, 110 kB as it sends it. Sent by the
+/// sources, what leaves the store is three readers' worth at any size.
+#[test]
+fn a_configuration_leaves_the_store_as_often_in_a_large_fleet_as_in_a_small_one() {
+    const PACKED: usize = 12 << 10;
+    for size in SIZES {
+        let all = instances(size);
+        let members = fleet(&all);
+        let role =
+            |it: &Instance<'_>| plan(it.name, "", it.domain, &members, &DomainSizes::new()).role;
+        let reads = members
+            .iter()
+            .filter(|it| role(it) == Role::Reader || !sends_configuration(PACKED, 1000));
+        assert_eq!(reads.count(), 3, "of {size}");
+    }
+    assert!(sends_configuration(1 << 20, 1000) && !sends_configuration(40 << 10, 10));
+}
--- a/crates/holdpointd/src/ingress/follow.rs
+++ b/crates/holdpointd/src/ingress/follow.rs
@@ -52,7 +52,7 @@
 /// first.
 const LEADERS_WAIT: Duration = Duration::from_millis(1200);
 /// The same at the first start of the whole system, when they wait for all to have written their entries.
-const FIRST_LEADERS_WAIT: Duration = Duration::from_millis(4000);
+const FIRST_LEADERS_WAIT: Duration = Duration::from_millis(8000);
 /// Part of these times that each instance waits: without seeds, all would read the store together.
 const LEADERS_JITTER: std::ops::Range<f64> = 0.75..1.25;
 /// Pause between two questions to the seeds.
--- a/crates/holdpointd/src/ingress/news.rs
+++ b/crates/holdpointd/src/ingress/news.rs
@@ -16,6 +16,7 @@
     evacuation::{Evacuations, Horizon},
     ids::{Millis, Name},
     ingress::Version,
+    readers::sends_configuration,
     rollout::ToldOrders,
 };
 use serde::{Deserialize, Serialize};
@@ -34,7 +35,7 @@
 /// News from which on they are packed; fewer are a few kilobytes. 2,900 targets that join within 4 s are
 /// some 200 bytes each as they are, to each of 24 followers: 28 Mbit/s.
 const MANY_NEWS: usize = 8;
-/// Size above which a configuration is large, in bytes.
+/// Size above which a configuration is not sent to peers that do not read packed ones, in bytes.
 const LARGE_CONFIGURATION: usize = 32 << 10;
 
 /// Something that is new at an instance.
@@ -99,8 +100,8 @@
     pub(crate) wait_ms: Millis,
     /// Where it follows from; absent where it wants no more than a later configuration.
     pub(crate) place: Option<Place>,
-    /// Whether it wants a large configuration too. A reader's link would not carry one to all who
-    /// follow it, so they read it from the store where they can; those far from the store would fill the
+    /// Whether it wants a large configuration too. A narrow link would not carry one to all who follow
+    /// a source, so they read it from the store where they can; those far from the store would fill the
     /// link between the regions so, and have it, packed, from within their region.
     pub(crate) wants_large: bool,
     /// How far it knows the log of orders for failure domains; peers of earlier versions know none.
@@ -325,13 +326,15 @@
         None => all_known(shared, &place, known.peers_digest, is_fresh),
     });
     let version = shared.configuration().version;
-    let configuration = (known.version < version)
-        .then(|| shared.configuration_bytes())
-        .filter(|it| known.wants_large || it.len() <= LARGE_CONFIGURATION);
+    let newer = (known.version < version).then(|| shared.configuration_bytes());
     let packs = known.peers_digest.is_some();
-    let packed_configuration =
-        configuration.as_ref().filter(|_| packs).map(|it| shared.packed.configuration(version, it));
-    let configuration = configuration.filter(|_| !packs);
+    let packed = newer.as_ref().filter(|_| packs);
+    let packed = packed.map(|it| shared.packed.configuration(version, it));
+    let link_mbps = own_capacity(&shared.settings).link_mbps;
+    let is_sent = |it: &Bytes| known.wants_large || sends_configuration(it.len(), link_mbps);
+    let packed_configuration = packed.filter(is_sent);
+    let is_small = |it: &Bytes| known.wants_large || it.len() <= LARGE_CONFIGURATION;
+    let configuration = newer.filter(|it| !packs && is_small(it));
     let age_ms = shared.fresh_age();
     let steady_ms = shared.steady_ms();
     let evacuations = knows_less(shared, &known).then(|| shared.domains.state());
@@ -360,7 +363,6 @@
     let known = async {
         // The sender lives as long as the instance.
         let _ = peers_known.wait_for(|it| *it).await;
-        shared.all_have_written().await;
     };
     timeout(LEADERS_WAIT, known).await.ok()?;
     shared.peers.were_read().then(|| shared.packed.leaders(shared))
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -22,10 +22,7 @@
 use holdpoint_platform::{Clock, Instant};
 use holdpoint_schema::ingress::IngressSettings;
 use parking_lot::Mutex;
-use tokio::{
-    sync::{Notify, watch},
-    time::sleep,
-};
+use tokio::sync::{Notify, watch};
 
 use crate::{
     events::{self, emit},
@@ -58,9 +55,6 @@
 /// Time after its start by which an instance knows configuration and targets: 1.7 s for 99 in 100 of 295
 /// that started together, by their logs.
 const START: Duration = Duration::from_millis(2000);
-/// Time after the first start of the whole system by which all instances have written their entries: they start
-/// within 0.3 s of each other, and gather changes of peers for as long.
-const FIRST_START: Duration = Duration::from_millis(1500);
 /// Longest time that a peer is believed a stage to take, in milliseconds: as long as the longest time
 /// limit of a route that states none.
 const LONGEST_STAGE_MS: Millis = 60_000;
@@ -526,13 +520,6 @@
         }
     }
 
-    /// Waits until instances that have started together with this one have written their entries.
-    pub(crate) async fn all_have_written(&self) {
-        if self.settings.first_start {
-            sleep(FIRST_START.saturating_sub(self.begun.elapsed())).await;
-        }
-    }
-
     /// Counts a read of the list by this instance itself, begun at a time, or one that failed.
     pub(crate) fn note_own_read(&self, begun: Option<Millis>) {
         match begun {
--- a/crates/holdpointd/src/ingress/watch.rs
+++ b/crates/holdpointd/src/ingress/watch.rs
@@ -19,6 +19,7 @@
     evacuation::{Evacuations, Order},
     ids::Millis,
 };
+use holdpoint_platform::Instant;
 use tokio::{sync::watch, time::sleep};
 
 use crate::{
@@ -52,6 +53,10 @@
 /// Longest time that an instance waits before it writes its entry again: after the store's return, all that
 /// have started of late do.
 const WRITE_AGAIN: Duration = Duration::from_millis(1000);
+/// How long no entry has come for when all that start together have written theirs: the store takes one in 2 ms.
+const QUIET: Duration = Duration::from_millis(400);
+/// How long that is waited for at most.
+const LONGEST_FIRST_START: Duration = Duration::from_millis(8000);
 /// How long after the store's return an entry that lapsed may take to be written anew.
 pub(crate) const LAPSE_MS: Millis = 2000;
 
@@ -123,14 +128,16 @@
 /// Writes this instance's own entry and keeps the list of peers up to date.
 pub(crate) async fn follow_peers(shared: Arc<IngressShared>) {
     let mut client = client(&shared);
-    while append_entry(&shared, &mut client).await.is_err() {
-        // Without the store, its seeds are all that this instance can ask.
-        shared.peers_known.send_replace(true);
-        sleep(PAUSE * 4).await;
+    if append_entry(&shared, &mut client).await.is_err() {
+        // Its seeds tell the others without it; they hear of this instance once the store takes its entry.
+        tokio::spawn(append_until_taken(shared.clone()));
     }
     let has_learned = follow::learn_leaders(&shared).await || follow::learn_peers(&shared).await;
-    if !has_learned && let Ok((records, _)) = client.newest(INSTANCES_TOPIC).await {
+    if !has_learned && let Ok((records, next)) = client.newest(INSTANCES_TOPIC).await {
         take_peers(&shared, &records, true);
+        if shared.settings.first_start && shared.peers.is_seed() {
+            read_until_quiet(&shared, &mut client, next).await;
+        }
         shared.peers.note_read();
     }
     drop(client);
@@ -144,6 +151,32 @@
     follow_topic(&shared, INSTANCES_TOPIC, (PEERS_WAIT, PEERS_GATHER), take).await;
 }
 
+/// Reads the entries of those who start together with this instance, until no more come. Asked for the leaders
+/// before, three seeds told 982 instances of none but themselves; nobody had read the store, and all did so by
+/// themselves, with 44,000 calls in 12 s.
+async fn read_until_quiet(shared: &IngressShared, client: &mut StoreClient, mut next: u64) {
+    let until = Instant::now() + LONGEST_FIRST_START;
+    while Instant::now() < until {
+        sleep(PEERS_GATHER).await;
+        let Ok(page) = client.read(INSTANCES_TOPIC, next, QUIET).await else { return };
+        if page.records.is_empty() {
+            return;
+        }
+        next = page.next;
+        take_peers(shared, &page.records, false);
+    }
+}
+
+/// Writes this instance's own entry once the store takes it.
+async fn append_until_taken(shared: Arc<IngressShared>) {
+    let mut client = client(&shared);
+    let mut failures = 0;
+    while append_entry(&shared, &mut client).await.is_err() {
+        sleep(pause(&shared, failures)).await;
+        failures += 1;
+    }
+}
+
 /// Writes this instance's own entry, which tells how far away the store is.
 async fn append_entry(shared: &IngressShared, client: &mut StoreClient) -> Result<(), StoreError> {
     let trip = client.measure().await?;
@@ -167,10 +200,7 @@
         let written = shared.entry_written.load(Ordering::Acquire);
         if shared.clock.now() < written + LOST_TAIL_MS && !shared.peers.is_leaving() {
             sleep(WRITE_AGAIN.mul_f64(rand::random())).await;
-            let mut client = client(&shared);
-            while append_entry(&shared, &mut client).await.is_err() {
-                sleep(PAUSE * 4).await;
-            }
+            append_until_taken(shared.clone()).await;
         }
     }
 }
--- a/crates/holdpointd/tests/readers.rs
+++ b/crates/holdpointd/tests/readers.rs
@@ -9,7 +9,7 @@
 use holdpoint_standin::relay::Relay;
 use holdpointd::ingress::Ingress;
 
-use crate::support::{PATIENCE, System, start, start_instance, until};
+use crate::support::{PATIENCE, System, start, start_at, start_instance, start_linked, until};
 
 /// Instances beside the system's own.
 const OTHERS: [&str; 5] = ["b", "c", "d", "e", "f"];
@@ -22,11 +22,17 @@
 
 impl Fleet {
     async fn start() -> Fleet {
-        let system = start(&[Behaviour::Answer], &[]).await;
+        Fleet::start_linked(1000.0).await
+    }
+
+    /// Starts one whose instances have links of so many Mbit/s.
+    async fn start_linked(link_mbps: f64) -> Fleet {
+        let first = |gate: &Gate| start_linked("a", gate, link_mbps);
+        let system = start_at(first, |_| "z1", &[Behaviour::Answer], &[]).await;
         let mut instances = Vec::new();
         for name in OTHERS {
             let gate = system.store.open_gate().await;
-            instances.push((start_instance(name, &gate), gate));
+            instances.push((start_linked(name, &gate, link_mbps), gate));
         }
         let is_complete = |it: &Ingress| it.is_ready() && it.peer_count() == OTHERS.len();
         until(|| instances.iter().all(|it| is_complete(&it.0))).await;
@@ -167,8 +173,8 @@
 /// Seen on pcfo grown, hunt a2d2-3: 1,564 routes sent from peer to peer filled the links; peers
 /// took each other for silent, and each asked the next one.
 #[tokio::test]
-async fn a_large_configuration_comes_from_the_store_to_each() {
-    let fleet = Fleet::start().await;
+async fn a_large_configuration_comes_from_the_store_to_each_over_narrow_links() {
+    let fleet = Fleet::start_linked(0.1).await;
     let readers = fleet.settle().await;
     let before = fleet.counts();
     fleet.system.store.put_configuration(&large_configuration(4));
@@ -178,6 +184,21 @@
     }
 }
 
+/// In a fleet of 985 instances each read 110 kB from the store with each change, 108 MB; two changes within a
+/// second kept its readers from it, and configurations came over 5 s late. A source whose link carries the
+/// packed configuration to all who follow it sends it.
+#[tokio::test]
+async fn a_large_configuration_comes_from_the_readers_over_wide_links() {
+    let fleet = Fleet::start().await;
+    let readers = fleet.settle().await;
+    let before = fleet.counts();
+    fleet.system.store.put_configuration(&large_configuration(4));
+    fleet.all_know(4, 2).await;
+    for (index, (now, then)) in fleet.counts().iter().zip(before).enumerate() {
+        assert!(readers.contains(&index) || then == *now, "instance {index} has asked the store");
+    }
+}
+
 #[tokio::test]
 async fn where_the_store_does_not_answer_a_large_configuration_comes_from_a_peer() {
     let fleet = Fleet::start().await;
--- a/crates/holdpointd/tests/support/mod.rs
+++ b/crates/holdpointd/tests/support/mod.rs
@@ -32,6 +32,13 @@
     start_with_settings(settings(name, gate, seeds))
 }
 
+/// Starts an instance with a link of so many Mbit/s.
+pub fn start_linked(name: &str, gate: &Gate, link_mbps: f64) -> Ingress {
+    let mut settings = settings(name, gate, &[]);
+    settings["machine"] = json!({ "link_mbps": link_mbps });
+    start_with_settings(settings)
+}
+
 /// Starts an instance in a region of two: `z1` is in the east, `z2` in the north.
 pub fn start_in(name: &str, region: &str, domain: &str, gate: &Gate) -> Ingress {
     let mut settings = settings(name, gate, &[]);
