--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -2,9 +2,10 @@
 
 mod admit;
 mod calls;
+mod targets;
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{HashMap, HashSet},
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
@@ -45,6 +46,7 @@
 use self::{
     admit::{admit, waiting},
     calls::run,
+    targets::{Known, Targets},
 };
 
 /// When a request may come back whose pieces have no target, since all stand in evacuated failure
@@ -102,56 +104,6 @@
     }
 }
 
-/// A target as the batchers know it.
-#[derive(Clone, Debug)]
-struct Known {
-    domain: String,
-    /// Whether it gets no more calls.
-    is_closed: bool,
-    /// Whether only the evacuation of its failure domain keeps it from work.
-    is_held: bool,
-}
-
-impl Known {
-    fn new(target: &TargetInstance, is_evacuated: bool, is_far: bool) -> Known {
-        let is_held = is_evacuated && !target.is_leaving;
-        let is_closed = target.is_leaving || is_held || is_far;
-        Known { domain: target.domain.clone(), is_closed, is_held }
-    }
-}
-
-/// The targets of one service.
-#[derive(Clone, Debug, Default)]
-struct Targets {
-    known: BTreeMap<TargetId, Known>,
-    /// Those that get no calls here only since they stand in another region.
-    far: Vec<TargetId>,
-    /// How many get calls, and how many only an evacuation keeps from work.
-    open: usize,
-    held: usize,
-}
-
-impl Targets {
-    fn put(&mut self, id: &str, known: Known) {
-        self.remove(id);
-        self.open += usize::from(!known.is_closed);
-        self.held += usize::from(known.is_held);
-        self.known.insert(id.to_owned(), known);
-    }
-
-    fn remove(&mut self, id: &str) -> bool {
-        let Some(it) = self.known.remove(id) else { return false };
-        self.open -= usize::from(!it.is_closed);
-        self.held -= usize::from(it.is_held);
-        true
-    }
-
-    /// Whether none is left, since all that stay stand in evacuated failure domains.
-    fn is_evacuated(&self) -> bool {
-        self.held != 0 && self.open == 0
-    }
-}
-
 /// The batcher of one service on this instance.
 struct ServiceBatches {
     batcher: Batcher,
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -2,8 +2,10 @@
 //! them, targets from the one that places prompts, state while the store does not answer.
 //! [`super::links`] knows which of them answer.
 
+mod view;
+
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::HashMap,
     net::SocketAddr,
     sync::{
         Arc,
@@ -14,12 +16,12 @@
 
 use arc_swap::ArcSwap;
 use holdpoint_core::{
-    capacity::{Capacity, strong},
+    capacity::Capacity,
     confinement::{Bounds, Within},
     directory::TargetId,
     ids::{Millis, Name},
     quarantine::Verdict,
-    readers::{DomainSizes, Member, Role, leaders, plan},
+    readers::DomainSizes,
     spill::Lease,
     stage_graph::NoResult,
     subset::weight,
@@ -43,6 +45,9 @@
     shared::IngressShared,
 };
 
+pub(crate) use self::view::Leaders;
+use self::view::View;
+
 /// An answer that may take so long may be large.
 const LARGE_LIMIT: Duration = Duration::from_millis(1000);
 /// How long a peer of the own region may take to choose a target; after that it is chosen here.
@@ -78,46 +83,6 @@
     pub(crate) patience: Duration,
 }
 
-/// An instance that may do for others what one does for all.
-#[derive(Clone, Debug)]
-struct Owner {
-    name: Name,
-    /// Its address; none of this instance itself.
-    address: Option<String>,
-}
-
-/// What a [`View`] was made of.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct Stamp {
-    peers: u64,
-    suspects: u64,
-    store_ms: u64,
-    is_leaving: bool,
-}
-
-/// What follows from which instances live.
-#[derive(Debug, Default)]
-struct View {
-    stamp: Stamp,
-    /// When the next one that is passed over counts again.
-    until: Option<Instant>,
-    /// The strong ones of all instances, and of each region.
-    owners: Vec<Owner>,
-    regions: HashMap<Name, Vec<Owner>>,
-    sources: Sources,
-    /// Those that one who starts has to know.
-    leaders: Vec<Name>,
-}
-
-/// What one who starts has to know of the others.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub(crate) struct Leaders {
-    /// Instances that may do for others what one does for all, or pass on what is read.
-    pub(crate) members: Vec<(Name, Peer)>,
-    /// Number of instances by failure domain.
-    pub(crate) sizes: DomainSizes,
-}
-
 /// A peer, as its entry in the store describes it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub(crate) struct Peer {
@@ -295,113 +260,6 @@
         self.view().sources.clone()
     }
 
-    /// What follows from which instances live. It is looked at with each request and each question to
-    /// another instance, and made anew only where something has changed: a look at each of 985 instances
-    /// several times a second was a part of a weak one's processor that grew with the fleet.
-    fn view(&self) -> Arc<View> {
-        let (suspects, next) = self.links.suspects_revision();
-        let stamp = Stamp {
-            peers: self.revision.load(Ordering::Acquire),
-            suspects,
-            store_ms: self.own_store_ms.load(Ordering::Acquire),
-            is_leaving: self.is_leaving.load(Ordering::Acquire),
-        };
-        let now = Instant::now();
-        let view = self.view.load_full();
-        if view.stamp == stamp && view.until.is_none_or(|it| now < it) {
-            return view;
-        }
-        let view = Arc::new(View { stamp, until: next, ..self.make_view() });
-        self.view.store(view.clone());
-        view
-    }
-
-    fn make_view(&self) -> View {
-        let known = self.known.lock();
-        let own = self.own_name.as_str();
-        let (is_split, own_region) = (self.topology.is_split(), self.topology.own_region());
-        let region_of = |domain: &str| self.topology.region_of(domain).unwrap_or_default();
-        let in_split = |region| if is_split { region } else { Default::default() };
-        let member = |name| match known.get(name) {
-            None => Member {
-                name,
-                region: in_split(own_region),
-                domain: &self.own_domain,
-                capacity: self.own_capacity,
-                store_ms: self.store_ms(),
-            },
-            Some(it) => Member {
-                name,
-                region: in_split(region_of(&it.domain)),
-                domain: &it.domain,
-                capacity: it.capacity,
-                store_ms: it.store_ms,
-            },
-        };
-        let mut members: Vec<Member<'_>> = self.live(&known).map(member).collect();
-        members.sort_unstable_by_key(|it| it.name);
-        let told = self.told_sizes();
-        let plan = plan(own, in_split(own_region), &self.own_domain, &members, &told);
-        let addresses = |names: &[&str]| {
-            names.iter().filter_map(|it| known.get(*it)).map(|it| it.address.clone()).collect()
-        };
-        let sources = Sources {
-            is_reader: plan.role == Role::Reader,
-            is_relay: plan.role == Role::Relay,
-            asked: addresses(&plan.asked),
-            readers: addresses(&plan.readers),
-            patience: Duration::from_millis(plan.patience_ms),
-        };
-        let owners = |is_its: &dyn Fn(&str) -> bool| -> Vec<Owner> {
-            let its = members.iter().filter(|it| is_its(it.name));
-            let its: Vec<_> = its.map(|it| (it.name, it.capacity)).collect();
-            let address = |it: &str| known.get(it).map(|it| it.address.clone());
-            strong(&its)
-                .into_iter()
-                .map(|it| Owner { name: it.to_owned(), address: address(it) })
-                .collect()
-        };
-        let mut regions: HashMap<Name, Vec<Owner>> = HashMap::new();
-        let of_members = members.iter().filter_map(|it| self.region_of(&known, it.name));
-        for region in of_members.collect::<BTreeSet<_>>() {
-            let is_its = |name: &str| self.region_of(&known, name) == Some(region);
-            regions.insert(region.to_owned(), owners(&is_its));
-        }
-        let leaders = leaders(&members).into_iter().map(str::to_owned).collect();
-        View { owners: owners(&|_| true), regions, sources, leaders, ..View::default() }
-    }
-
-    /// Number of instances by failure domain, as told by one who knows them, until they are known here.
-    fn told_sizes(&self) -> DomainSizes {
-        if self.were_read() { DomainSizes::new() } else { self.told_sizes.lock().clone() }
-    }
-
-    /// Takes in how many instances there are in each failure domain, before all of them are known.
-    pub(crate) fn tell_sizes(&self, sizes: DomainSizes) {
-        *self.told_sizes.lock() = sizes;
-        self.revision.fetch_add(1, Ordering::AcqRel);
-    }
-
-    /// Whether the leaders are known, by which this instance can tell whom it follows.
-    pub(crate) fn knows_leaders(&self) -> bool {
-        self.were_read() || !self.told_sizes.lock().is_empty()
-    }
-
-    /// The leaders among all instances, for one who starts, and how many there are in each failure domain.
-    pub(crate) fn leaders(&self, own: Option<&Peer>) -> Leaders {
-        let view = self.view();
-        let known = self.known.lock();
-        let mut sizes = DomainSizes::new();
-        for it in known.values().chain(own) {
-            *sizes.entry(it.domain.clone()).or_default() += 1;
-        }
-        let entry = |name: &Name| match known.get(name) {
-            Some(it) => Some((name.clone(), it.clone())),
-            None => own.map(|it| (name.clone(), it.clone())),
-        };
-        Leaders { members: view.leaders.iter().filter_map(entry).collect(), sizes }
-    }
-
     /// Addresses of all peers and seeds: those that answer first, and of these the near ones.
     pub(crate) fn to_ask(&self, topology: &Topology) -> Vec<String> {
         let mut is_far: HashMap<String, bool> =
