--- a/crates/holdpoint-core/src/subset.rs
+++ b/crates/holdpoint-core/src/subset.rs
@@ -12,8 +12,8 @@
     xxh3_64(item.as_bytes())
 }
 
-/// Weight of an item, given by its hash, for a key that is a hash. Of thousands of items, hashing names anew
-/// for each key takes ten times as long.
+/// Weight of an item, given by its hash, for a key that is a hash: sixteen bytes are hashed, however long the
+/// names are, and no text is made for each of thousands of items.
 pub fn paired_weight(key: u64, item: u64) -> u64 {
     let mut bytes = [0; 16];
     bytes[..8].copy_from_slice(&key.to_le_bytes());
