Sight: what targets name as their limit is read, logged and counted

Cause: no line of any log told that a target had named a limit, when an instance heard of it, or what was sent after that, so that an unread limit, one kept by each instance apart and one known late looked alike. Change: the adapter reads the limit of an answer; E770 tells of each that begins, changes or ends, with the instance that heard it, E771 of one that cannot be read; E700 names the limit that is known of its target; holdpoint_target_limits counts the changes. Nothing is decided by it yet. Conclusion: the three hypotheses differ in what follows E770 at the instance that logs it and at the others.

--- a/crates/holdpoint-core/src/lib.rs
+++ b/crates/holdpoint-core/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod spill;
 pub mod stage_graph;
 pub mod subset;
+pub mod target_limits;
 pub mod token;
 pub mod told_pace;
 pub mod topology;
--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -147,6 +147,10 @@
     REFUSED_HELD = 762 Info "quarantined request refused";
     /// A connection broke off on which a target ran requests, and the target was looked for.
     TARGET_LOOKED_FOR = 763 Info "target looked for";
+    /// A target named a limit of requests a second, named another one, or none any more.
+    LIMIT_NAMED = 770 Info "target's limit changed";
+    /// What a target says of its limit cannot be read.
+    BAD_LIMIT = 771 Warn "target's limit cannot be read";
     /// A request was sent to a target.
     SENT = 700 Info "sent to a target";
     /// A send ended without a whole answer.
--- a/crates/holdpointd/src/ingress/attempts.rs
+++ b/crates/holdpointd/src/ingress/attempts.rs
@@ -107,11 +107,12 @@
         ctx.note_send(&target.id);
         let moved = Call { inputs, ..ctx.call(&[]) }.moved_bytes(&target.domain);
         let detail = format!(
-            "id={} target={} send={} moved_kb={} {reason}",
+            "id={} target={} send={} moved_kb={}{} {reason}",
             ctx.request.id,
             target.id,
             self.sends,
-            moved / 1000
+            moved / 1000,
+            ctx.shared.limits.shown(&target.id),
         );
         ctx.shared.metrics.moved_bytes.add(moved, &[label("to", "engine")]);
         emit(events::SENT, &ctx.shared.settings.instance, &detail);
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -20,6 +20,7 @@
 mod heard;
 mod held;
 mod intake;
+mod limits;
 mod links;
 mod news;
 mod packed;
--- a/crates/holdpointd/src/ingress/send.rs
+++ b/crates/holdpointd/src/ingress/send.rs
@@ -65,6 +65,7 @@
         // connection was made.
         return Sent::Nothing;
     }
+    let begun = shared.clock.now();
     let response = match connection.sender.try_send_request(outgoing).await {
         Ok(it) => it,
         Err(it) if it.message().is_some() => return Sent::Nothing,
@@ -82,6 +83,7 @@
         shared.metrics.crossed.add(1, &[]);
         return Sent::Broken;
     }
+    shared.limits.heard(shared, target, head.limit, begun);
     if head.is_declined {
         let status = response.status();
         keep_after(shared, connection, &response, &head, request.body.len());
@@ -136,6 +138,7 @@
         *request.uri_mut() = http::Uri::from_static(path);
         *request.headers_mut() = headers::own_call(&target.id);
         set_host(request.headers_mut(), &target.address);
+        let begun = shared.clock.now();
         let sent = connection.sender.try_send_request(request).await;
         let response = sent.map_err(|it| match it.message() {
             Some(_) => NoAnswer::NotSent,
@@ -143,6 +146,9 @@
         })?;
         let status = response.status();
         let head = headers::read_target(status, response.headers());
+        if !head.is_misdirected {
+            shared.limits.heard(shared, target, head.limit, begun);
+        }
         let body = response.into_body().collect().await;
         let body = body.map_err(|_| NoAnswer::Broken)?.to_bytes();
         if !head.closes {
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -34,6 +34,7 @@
         connections::Connections,
         declared::Declared,
         domains::Domains,
+        limits::Limits,
         news::{News, TargetList},
         packed::{Packed, peer_hash},
         peer_service::PROTOCOL,
@@ -90,6 +91,8 @@
     pub(crate) rollouts: Rollouts,
     /// Requests that end their targets.
     pub(crate) quarantines: Quarantines,
+    /// Limits that targets name.
+    pub(crate) limits: Limits,
     /// Policies and trials that operators declared.
     pub(crate) experiments: Declared,
     pub(crate) in_flight: Arc<InFlight>,
@@ -165,6 +168,7 @@
             confinements: Confinements::default(),
             rollouts: Rollouts::new(&settings, eras.clone()),
             quarantines: Quarantines::default(),
+            limits: Limits::default(),
             experiments: Declared::default(),
             in_flight: Arc::default(),
             closing: watch::channel(false).0,
@@ -263,6 +267,11 @@
             self.pools.remove_target(id);
             self.batches.remove_target(id);
         }
+        for id in changes.ids() {
+            if restarted.contains(id.as_str()) || directory.get(id).is_none() {
+                self.limits.remove(id);
+            }
+        }
         self.apply_changes(&directory, changes.ids());
         let is_kept = |it: &str| directory.get(it).is_some() && !restarted.contains(it);
         self.connections.retain(is_kept);
--- a/crates/holdpointd/src/metrics.rs
+++ b/crates/holdpointd/src/metrics.rs
@@ -47,6 +47,8 @@
     pub dropped_chunks: Counter<u64>,
     /// Requests that were quarantined.
     pub quarantined: Counter<u64>,
+    /// Changes of limits that targets name, by what changed.
+    pub target_limits: Counter<u64>,
     /// Answers broken off, since their callers did not read them, by route.
     pub unread: Counter<u64>,
     /// Answers of other attempts dropped.
@@ -109,6 +111,7 @@
                 .build(),
             pieces: counter("holdpoint_pieces", "Pieces in calls for results of stages by end"),
             quarantined: counter("holdpoint_quarantined", "Requests that were quarantined"),
+            target_limits: counter("holdpoint_target_limits", "Changes of limits of targets"),
             dropped_chunks: counter("holdpoint_dropped_chunks", "Repeated chunks dropped"),
             unread: counter("holdpoint_unread", "Answers broken off as nobody read them"),
             crossed: counter("holdpoint_crossed", "Answers of other attempts dropped"),
