What a target names as its limit holds for all instances together

What callers saw: nothing by itself; the target in need got three to four times the requests that it takes, and its callers waited with it. Instances had no word for a limit: routing, batching and placing each decided to send by load alone, at three places, and a fourth gave results up. Cause and class: a bound for all senders together that no sender knew, and no one place through which all sends go. Change: one instance, that which batches and places for the service in the target's region, keeps the account of a target's limit: the time of the last request let through. Whatever is sent (first sends, repeats, resumed streams, prompts, calls for pieces, results given up) needs a permit, which only that account gives; send() and own_call() take it by value, so that a send without one does not compile. Whoever hears of a change tells the account's keeper, which tells all.

--- a/crates/holdpoint-core/src/batcher/estimate.rs
+++ b/crates/holdpoint-core/src/batcher/estimate.rs
@@ -120,11 +120,13 @@
             // One that was only full, or had no room for a while, has not lost its capacity.
             let has_failed = move |it: &Target| it.failures != 0 && now < it.suspect_until;
             let is_usable = move |it: &&Target| !it.is_leaving && !has_failed(it);
-            self.targets.values().filter(is_usable).map(move |it| it.slowness_at(now).max(1.0))
+            self.targets.values().filter(is_usable)
         };
         let calls = f64::from(self.sizes.calls.max(1));
-        let per_ms = usable().map(|it| calls * full / (full_ms * it)).sum();
-        let slowness = usable().sum::<f64>() / usable().count().max(1) as f64;
+        let slowness_of = |it: &Target| it.slowness_at(now).max(1.0);
+        let per_ms =
+            usable().map(|it| full * it.calls_per_ms(calls, full_ms * slowness_of(it))).sum();
+        let slowness = usable().map(slowness_of).sum::<f64>() / usable().count().max(1) as f64;
         let trust = self.judge.trust(now);
         let usual_call = self.sizes.stated_ms(most.div_ceil(2));
         StageLoad {
@@ -212,9 +214,12 @@
     /// Time in which the targets make one piece where calls are full, in milliseconds.
     pub(super) fn piece_gap(&self, now: Millis) -> f64 {
         let usable = |it: &&Target| !it.is_leaving && it.suspect_until <= now;
-        let targets = self.targets.values().filter(usable).count().max(1) as f64;
         let most = self.sizes.most();
-        self.sizes.stated_ms(most) / most as f64 / targets
+        let full_ms = self.sizes.stated_ms(most);
+        let calls_per_ms: f64 =
+            self.targets.values().filter(usable).map(|it| it.calls_per_ms(1.0, full_ms)).sum();
+        let calls_per_ms = if calls_per_ms == 0.0 { 1.0 / full_ms } else { calls_per_ms };
+        1.0 / (calls_per_ms * most as f64)
     }
 
     /// Pieces that have their turn before one that is due at a time.
@@ -230,7 +235,7 @@
 
     /// Wait of one more piece, as far as the targets' stated times explain it, in milliseconds.
     pub(super) fn predicted_wait(&self, now: Millis, due: Millis) -> f64 {
-        let usable = |it: &&Target| !it.is_leaving && it.suspect_until <= now;
+        let usable = |it: &&Target| !it.is_leaving && it.is_open(now);
         let is_free = self.targets.values().filter(usable).any(|it| it.calls < self.sizes.calls);
         if is_free && self.waiting.is_empty() {
             return 0.0;
--- a/crates/holdpoint-core/src/batcher/targets.rs
+++ b/crates/holdpoint-core/src/batcher/targets.rs
@@ -57,9 +57,24 @@
     pub(super) busy_until: Millis,
     /// Until when it counts as called by other instances too.
     pub(super) shared_until: Millis,
+    /// Until when it gets no calls, since it has got what it takes.
+    pub(super) closed_until: Millis,
+    /// Calls a second that it takes, where it names a limit.
+    pub(super) per_s: Option<f64>,
 }
 
 impl Target {
+    /// Whether it may be called again once its calls have ended.
+    pub(super) fn is_open(&self, now: Millis) -> bool {
+        self.suspect_until <= now && self.closed_until <= now
+    }
+
+    /// Calls that it makes in a millisecond where one takes so long.
+    pub(super) fn calls_per_ms(&self, calls: f64, call_ms: f64) -> f64 {
+        let most = self.per_s.map_or(f64::INFINITY, |it| it / 1000.0);
+        (calls / call_ms).min(most)
+    }
+
     /// How much longer its calls take than stated, at this moment.
     pub(super) fn slowness_at(&self, now: Millis) -> f64 {
         self.slowness * self.told.factor(now)
@@ -129,6 +144,13 @@
         }
     }
 
+    /// Takes in how many calls a second a target takes, if it names a limit, and until when it gets none.
+    pub fn set_limit(&mut self, target: &str, per_s: Option<f64>, closed_until: Millis) {
+        if let Some(it) = self.targets.get_mut(target) {
+            (it.per_s, it.closed_until) = (per_s, closed_until);
+        }
+    }
+
     /// Takes in that a target had no room for a piece, although it should have had.
     pub fn no_room(&mut self, now: Millis, target: &str) {
         let Some(found) = self.targets.get_mut(target) else { return };
@@ -183,7 +205,7 @@
         let has_backlog = self.has_backlog(BACKLOG);
         staying()
             .chain(self.spare_targets())
-            .filter(move |it| it.1.suspect_until <= now && it.1.calls < calls)
+            .filter(move |it| it.1.is_open(now) && it.1.calls < calls)
             .filter(move |it| {
                 let is_slow = SLOW * fastest.max(1.0) <= it.1.slowness;
                 has_backlog || !is_slow || it.1.idle_since + SLOW_REST_MS <= now
--- a/crates/holdpoint-core/src/choice.rs
+++ b/crates/holdpoint-core/src/choice.rs
@@ -98,6 +98,8 @@
     Evacuated,
     /// The call is confined to regions in which there is no target for it.
     Confined,
+    /// Every target has got what it takes for so many milliseconds.
+    Limited(Millis),
     /// Every target is cold and carries no more for so many milliseconds.
     Cold(Millis),
 }
--- a/crates/holdpoint-core/src/route.rs
+++ b/crates/holdpoint-core/src/route.rs
@@ -71,6 +71,8 @@
     reads_until: f64,
     /// What it carries as long as it is cold.
     credits: Credits,
+    /// Until when it gets no calls, since it has got what it takes from all instances.
+    closed_until: Millis,
 }
 
 /// Routes the calls of one instance to one pool.
@@ -161,6 +163,13 @@
         }
     }
 
+    /// Gives a target no calls until a time, in milliseconds.
+    pub fn close_until(&mut self, address: &str, until: Millis) {
+        if let Some(it) = self.target(address) {
+            it.closed_until = until;
+        }
+    }
+
     /// Number of targets that calls may go to.
     pub fn len(&self) -> usize {
         self.targets.len()
@@ -352,6 +361,12 @@
         if open.is_empty() {
             return Err(NoTarget::Full);
         }
+        let closed_ms = |it: &usize| self.targets[*it].closed_until.saturating_sub(now);
+        let soonest = open.iter().map(closed_ms).min().unwrap_or(0);
+        if 0 < soonest {
+            return Err(NoTarget::Limited(soonest));
+        }
+        let open: Vec<usize> = open.into_iter().filter(|it| closed_ms(it) == 0).collect();
         let cold_ms =
             |it: &usize| self.targets[*it].credits.wait_ms(now, self.cold_per_s, call.share);
         let soonest = open.iter().map(cold_ms).min().unwrap_or(0);
--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -151,6 +151,8 @@
     LIMIT_NAMED = 770 Info "target's limit changed";
     /// What a target says of its limit cannot be read.
     BAD_LIMIT = 771 Warn "target's limit cannot be read";
+    /// A request was not let through to a target, which has got what its limit allows.
+    LIMIT_REACHED = 772 Info "target has got what it takes";
     /// A request was sent to a target.
     SENT = 700 Info "sent to a target";
     /// A send ended without a whole answer.
--- a/crates/holdpointd/src/ingress/attempts.rs
+++ b/crates/holdpointd/src/ingress/attempts.rs
@@ -5,7 +5,7 @@
 use holdpoint_core::{
     confinement::Confinement,
     directory::TargetInstance,
-    ids::Name,
+    ids::{Millis, Name},
     rollout::Lane,
     route::{Call, End, NoTarget},
 };
@@ -14,7 +14,8 @@
     events::{self, emit},
     ingress::{
         context::Context,
-        peer_service::PromptAsk,
+        limits::{self, Assignment, Permit},
+        peer_service::{LIMITS, PromptAsk},
         peers::PLACE_LIMIT,
         regions::{limit_for, owner_of},
         rollouts::Running,
@@ -31,6 +32,14 @@
     running: Option<Running>,
 }
 
+/// A target that was chosen for a send.
+struct Chosen {
+    target: TargetInstance,
+    permit: Permit,
+    /// Why, for the log.
+    reason: String,
+}
+
 /// Why no further send is made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum NoSend {
@@ -48,6 +57,8 @@
     Evacuated,
     /// Every target is cold and carries no more for now.
     Cold,
+    /// Every target has got what it takes; the request may come back in so many milliseconds.
+    Limited(Millis),
     /// No target is in the regions that the request is confined to.
     Confined,
     /// The request ended its targets.
@@ -65,10 +76,19 @@
             NoSend::Stopping => "stopping",
             NoSend::Evacuated => "evacuated",
             NoSend::Cold => "cold",
+            NoSend::Limited(_) => "limited",
             NoSend::Confined => "confined",
             NoSend::Quarantined => "quarantined",
         }
     }
+
+    /// When a request that is refused for it may come back, where that is not known to be later than usual.
+    pub(crate) fn return_after(self, usual: Duration) -> Duration {
+        match self {
+            NoSend::Limited(ms) => Duration::from_millis(ms).max(usual),
+            _ => usual,
+        }
+    }
 }
 
 impl Attempts {
@@ -83,7 +103,7 @@
         &mut self,
         ctx: &Context,
         inputs: &[(Name, u64)],
-    ) -> Result<TargetInstance, NoSend> {
+    ) -> Result<(TargetInstance, Permit), NoSend> {
         if ctx.left().is_zero() {
             return Err(NoSend::Time);
         }
@@ -96,7 +116,7 @@
             return Err(NoSend::Quarantined);
         }
         self.running = None;
-        let (target, reason) = self.choose_in_lane(ctx, inputs).await?;
+        let Chosen { target, permit, reason } = self.choose_in_lane(ctx, inputs).await?;
         let now = ctx.shared.clock.now();
         if self.sends != 0 && !ctx.pool.spend(now, &ctx.shared.pools.terms()) {
             return Err(NoSend::Budget);
@@ -117,7 +137,7 @@
         ctx.shared.metrics.moved_bytes.add(moved, &[label("to", "engine")]);
         emit(events::SENT, &ctx.shared.settings.instance, &detail);
         self.tried.push(target.id.clone());
-        Ok(target)
+        Ok((target, permit))
     }
 
     /// Chooses a target among those of the version that the request may go to. Where none of a version
@@ -126,7 +146,7 @@
         &mut self,
         ctx: &Context,
         inputs: &[(Name, u64)],
-    ) -> Result<(TargetInstance, String), NoSend> {
+    ) -> Result<Chosen, NoSend> {
         let rollouts = &ctx.shared.rollouts;
         let now = ctx.shared.clock.now();
         let lane = rollouts.lane(now, &ctx.service, &ctx.route.name);
@@ -142,17 +162,13 @@
             chosen = self.choose(ctx, inputs).await;
         }
         self.tried = tried;
-        chosen.map(|(target, reason)| (target, format!("{reason} rollout={lane:?}")))
+        chosen.map(|it| Chosen { reason: format!("{} rollout={lane:?}", it.reason), ..it })
     }
 
     /// Chooses a target, with the reason for the log. Prompts are placed by one instance for all,
     /// since an engine that reads a long prompt holds up all that run there, whoever sent them.
-    async fn choose(
-        &mut self,
-        ctx: &Context,
-        inputs: &[(Name, u64)],
-    ) -> Result<(TargetInstance, String), NoSend> {
-        let chosen = self.choose_at_peer(ctx, inputs).await;
+    async fn choose(&mut self, ctx: &Context, inputs: &[(Name, u64)]) -> Result<Chosen, NoSend> {
+        let chosen = self.choose_at_peer(ctx, inputs).await?;
         let place = if chosen.is_some() { "peer" } else { "here" };
         ctx.shared.metrics.placements.add(1, &[label("by", place)]);
         if let Some(it) = chosen {
@@ -164,9 +180,19 @@
             let share = ctx.shared.pools.share(decides);
             let call = Call { share, inputs, within: within.as_deref(), ..ctx.call(&self.tried) };
             let (policy, region) = (ctx.policy(), ctx.call_region());
-            let now = ctx.shared.clock.now();
-            let choice = match ctx.pool.place(now, policy.as_deref(), &call, region.as_deref()) {
+            let choosing =
+                limits::choose(&ctx.shared, &ctx.pool, policy.as_deref(), &call, region.as_deref());
+            let (choice, permit) = match choosing.await {
                 Ok(it) => it,
+                Err(NoTarget::Limited(ms)) if ms <= ctx.slot_patience() => {
+                    tokio::time::sleep(Duration::from_millis(ms)).await;
+                    continue;
+                }
+                Err(NoTarget::Limited(ms)) => {
+                    let deciders = if decides { 1 } else { ctx.shared.peers.instance_count() };
+                    let ms = limits::return_ms(&ctx.shared, &ctx.pool, ms, deciders);
+                    return Err(NoSend::Limited(ms));
+                }
                 Err(NoTarget::Cold(ms)) if ctx.may_wait_for(ms) => {
                     tokio::time::sleep(Duration::from_millis(ms)).await;
                     continue;
@@ -186,33 +212,74 @@
                     choice.reason.predicted,
                     choice.reason.prefix_hit
                 );
-                return Ok((target, reason));
+                return Ok(Chosen { target, permit, reason });
             }
             self.tried.push(choice.address);
         }
     }
 
+    /// Has the instance that places the prompts of the service choose; `None` where that is this one, or it
+    /// does not answer.
     async fn choose_at_peer(
         &self,
         ctx: &Context,
         inputs: &[(Name, u64)],
-    ) -> Option<(TargetInstance, String)> {
+    ) -> Result<Option<Chosen>, NoSend> {
+        loop {
+            let (within, region) = (ctx.within(), ctx.region());
+            let owner = owner_of(&ctx.shared, &region, &ctx.service, &within);
+            let Some((prompt, address)) = self.prompt_ask(ctx, inputs).zip(owner) else {
+                return Ok(None);
+            };
+            let limit = limit_for(&ctx.shared, &region, PLACE_LIMIT);
+            let peers = &ctx.shared.peers;
+            let assignment = if peers.protocol_of(&address) < LIMITS {
+                let placed = peers.place(&ctx.shared, &address, &ctx.service, prompt, limit);
+                placed.await.map(|target| Assignment::To { target, is_taken: false })
+            } else {
+                let ask = (prompt, ctx.slot_patience());
+                peers.assign(&ctx.shared, &address, &ctx.service, ask, limit).await
+            };
+            match assignment {
+                Some(Assignment::To { target, is_taken }) => {
+                    let Some(target) = ctx.open_target(&target) else { return Ok(None) };
+                    let permit = if is_taken {
+                        Ok(Permit::assigned())
+                    } else {
+                        limits::ask(&ctx.shared, &target).await
+                    };
+                    let reason = format!("placed_by={address}");
+                    // Whoever placed it has not heard of its limit yet, and does now.
+                    return Ok(permit.ok().map(|permit| Chosen { target, permit, reason }));
+                }
+                Some(Assignment::Wait(ms)) if ms <= ctx.slot_patience() => {
+                    tokio::time::sleep(Duration::from_millis(ms)).await;
+                }
+                Some(Assignment::Wait(ms)) => return Err(NoSend::Limited(ms)),
+                Some(Assignment::Later { soonest_ms, return_ms }) => {
+                    ctx.pool.shut(ctx.shared.clock.now(), soonest_ms);
+                    return Err(NoSend::Limited(return_ms));
+                }
+                Some(Assignment::Nowhere) | None => return Ok(None),
+            }
+        }
+    }
+
+    /// What whoever places prompts has to know of this one; `None` where it is none.
+    fn prompt_ask(&self, ctx: &Context, inputs: &[(Name, u64)]) -> Option<PromptAsk> {
         let call = ctx.call(&self.tried);
-        let prefix = call.prefix?;
-        let (within, region) = (ctx.within(), ctx.region());
-        let address = owner_of(&ctx.shared, &region, &ctx.service, &within)?;
         let mut avoided = ctx.pool.ejected(ctx.shared.clock.now());
         avoided.extend(self.tried.iter().cloned());
-        let policy = ctx.arm.as_ref().map(|it| it.policy.clone());
-        let (work, prefix_work) = (call.work, call.prefix_work);
-        let confinement = within.map_or_else(Confinement::default, |it| it.confinement());
-        let inputs = inputs.to_vec();
-        let ask = PromptAsk { work, prefix_work, prefix, avoided, policy, inputs, confinement };
-        let limit = limit_for(&ctx.shared, &region, PLACE_LIMIT);
-        let placed = ctx.shared.peers.place(&ctx.shared, &address, &ctx.service, ask, limit);
-        let chosen = placed.await?;
-        let target = ctx.open_target(&chosen)?;
-        Some((target, format!("placed_by={address}")))
+        let confinement = ctx.within().map_or_else(Confinement::default, |it| it.confinement());
+        Some(PromptAsk {
+            work: call.work,
+            prefix_work: call.prefix_work,
+            prefix: call.prefix?,
+            avoided,
+            policy: ctx.arm.as_ref().map(|it| it.policy.clone()),
+            inputs: inputs.to_vec(),
+            confinement,
+        })
     }
 
     /// Takes back a send that its target has not run.
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -37,6 +37,7 @@
     events::{self, emit},
     ingress::{
         confinement::{self, log_refused},
+        limits::{self, Permit},
         piece_ask::{PieceAsk, PieceResult},
         regions::own_batcher_of,
         shared::IngressShared,
@@ -178,6 +179,16 @@
     }
 }
 
+/// A call to make.
+struct NextCall {
+    call: Call,
+    /// The right to make it, where this instance gives it.
+    permit: Option<Permit>,
+    pieces: Vec<Pending>,
+    /// How long it is waited for, in milliseconds.
+    patience: Millis,
+}
+
 /// What an instance tells of the services that it batches.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StageLoads {
@@ -433,7 +444,7 @@
     }
 
     /// Takes the next call of a service, with its pieces.
-    fn next(&self, shared: &IngressShared, service: &str) -> Option<(Call, Vec<Pending>, Millis)> {
+    fn next(&self, shared: &IngressShared, service: &str) -> Option<NextCall> {
         let now = shared.clock.now();
         let mut services = self.services.lock();
         let of_service = services.get_mut(service)?;
@@ -445,12 +456,20 @@
             of_service.set_lane(lane, &closed, &targets);
         }
         let ServiceBatches { batcher, pending, .. } = of_service;
+        shared.limits.allowances(shared, service, |it| {
+            batcher.set_limit(it.target, it.per_s, it.closed_until);
+        });
         let call = batcher.next(now)?;
+        // Before the next call is chosen, which is not to go to the same target.
+        let permit = shared
+            .target(&call.target)
+            .and_then(|it| limits::ask_here(shared, &it))
+            .and_then(Result::ok);
         shared.rollouts.pieces_sent(service, &call.target, call.pieces.len() as u64);
         let pieces: Vec<Pending> =
             call.pieces.iter().filter_map(|it| pending.remove(&it.ticket)).collect();
         let patience = batcher.patience_ms(now, &call.target, call.pieces.len());
-        Some((call, pieces, patience))
+        Some(NextCall { call, permit, pieces, patience })
     }
 
     fn ended(
@@ -565,8 +584,9 @@
 /// Starts as many calls of a service as its targets take.
 pub(crate) fn pump(shared: &Arc<IngressShared>, service: &str) {
     shared.batches.expire(shared.clock.now(), service);
-    while let Some((call, pieces, patience)) = shared.batches.next(shared, service) {
-        tokio::spawn(run(shared.clone(), service.to_owned(), call, pieces, patience));
+    while let Some(it) = shared.batches.next(shared, service) {
+        let call = (it.call, it.permit);
+        tokio::spawn(run(shared.clone(), service.to_owned(), call, it.pieces, it.patience));
     }
 }
 
--- a/crates/holdpointd/src/ingress/batches/calls.rs
+++ b/crates/holdpointd/src/ingress/batches/calls.rs
@@ -23,6 +23,7 @@
 use crate::{
     events::{self, emit},
     ingress::{
+        limits::{self, Permit},
         piece_ask::PieceResult,
         send::{NoAnswer, left, own_call},
         shared::IngressShared,
@@ -39,12 +40,12 @@
 pub(super) async fn run(
     shared: Arc<IngressShared>,
     service: Name,
-    call: Call,
+    (call, permit): (Call, Option<Permit>),
     pieces: Vec<Pending>,
     patience: Millis,
 ) {
     let begun = Instant::now();
-    let outcome = ask_and_release(&shared, &service, &call, &pieces, patience).await;
+    let outcome = ask_and_release(&shared, &service, (&call, permit), &pieces, patience).await;
     let ms = begun.elapsed().as_millis() as Millis;
     note_runs(&shared, &service, &pieces, &outcome);
     let outcome = outcome.map_err(|it| it.end);
@@ -130,13 +131,13 @@
 /// instances call the target too, the call may wait there for its turn, and its inputs are not
 /// fetched before that.
 async fn ask_and_release(
-    shared: &IngressShared,
+    shared: &Arc<IngressShared>,
     service: &str,
-    call: &Call,
+    (call, permit): (&Call, Option<Permit>),
     pieces: &[Pending],
     patience: Millis,
 ) -> Result<Vec<PieceResult>, NoCall> {
-    let asking = ask_target(shared, service, call, pieces, patience);
+    let asking = ask_target(shared, service, (call, permit), pieces, patience);
     tokio::pin!(asking);
     let outcome = tokio::select! {
         it = &mut asking => it,
@@ -226,17 +227,21 @@
 }
 
 async fn ask_target(
-    shared: &IngressShared,
+    shared: &Arc<IngressShared>,
     service: &str,
-    call: &Call,
+    (call, permit): (&Call, Option<Permit>),
     pieces: &[Pending],
     patience: Millis,
 ) -> Result<Vec<PieceResult>, NoCall> {
     let target = shared.open_target(&call.target).ok_or(CallEnd::Full)?;
+    let permit = match permit {
+        Some(it) => it,
+        None => limits::ask(shared, &target).await.map_err(|_| CallEnd::Full)?,
+    };
     let body =
         wire::run_body(pieces.iter().map(|it| (&it.work, left(it.deadline).as_millis() as Millis)));
     let limit = Duration::from_millis(patience.max(LEAST_CALL_MS));
-    let answer = own_call(shared, &target, wire::RUN_PATH, body, limit).await;
+    let answer = own_call(shared, (&target, permit), wire::RUN_PATH, body, limit).await;
     let (status, head, body) = answer.map_err(|it| NoCall {
         end: CallEnd::Failed,
         broken: (it == NoAnswer::Broken).then(|| target.clone()),
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -30,6 +30,7 @@
         answer::{Answer, Failure, failure, refusal},
         confinement::RequestBounds,
         connections::Care,
+        limits,
         pools::Pool,
         regions,
         send::{CallerRequest, left},
@@ -307,6 +308,12 @@
         waited < self.target_time() && waited < self.left()
     }
 
+    /// How long it may wait until a target takes one more, in milliseconds.
+    pub(crate) fn slot_patience(&self) -> Millis {
+        let left = self.left_of_target().min(self.left()).min(limits::LONGEST_WAIT);
+        left.as_millis() as Millis
+    }
+
     /// Notes how long the stages took.
     pub(crate) fn note_stages(&self, begun: Instant) {
         self.end.lock().stages_ms = begun.elapsed().as_millis() as u64;
--- a/crates/holdpointd/src/ingress/links.rs
+++ b/crates/holdpointd/src/ingress/links.rs
@@ -112,7 +112,8 @@
         Use {
             calls: self.calls.load(Ordering::Acquire),
             used: self.used.load(Ordering::Acquire),
-            is_standing: shared.batches.relies_on_owners(),
+            // Whoever keeps accounts of limits has to know whom it does not reach.
+            is_standing: shared.batches.relies_on_owners() || shared.limits.has_any(),
         }
     }
 
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -107,6 +107,7 @@
         }
         tokio::spawn(rollouts::run(shared.clone()));
         tokio::spawn(quarantine::run(shared.clone()));
+        tokio::spawn(limits::run(shared.clone()));
         tokio::spawn(tick(shared.clone()));
         emit(events::STARTED, &shared.settings.instance, &format!("callers={}", listen.callers));
         Ok(Ingress { shared })
--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -5,7 +5,7 @@
 use futures::StreamExt;
 use holdpoint_core::{
     cold::Share,
-    confinement::Confinement,
+    confinement::{Bounds, Confinement},
     directory::TargetId,
     ids::{Millis, Name},
     ingress::Version,
@@ -13,6 +13,7 @@
     quarantine::Verdict,
     route::Call,
     spill::Lease,
+    target_limits::{LimitNews, Slot},
 };
 use serde::{Deserialize, Serialize};
 use tarpc::{
@@ -28,6 +29,7 @@
     batches::StageLoads,
     connections::guard,
     follow::catch_up,
+    limits::{self, Assignment},
     news::{self, Known, Update},
     piece_ask::{PieceAsk, PieceResult},
     quarantine::{self, RunReport},
@@ -40,7 +42,7 @@
 const MAX_FRAME: usize = 16 << 20;
 
 /// Version of the protocol that this instance speaks: from 1 on, [`IngressPeers::check`] is known.
-pub(crate) const PROTOCOL: u32 = SUMS;
+pub(crate) const PROTOCOL: u32 = LIMITS;
 /// Version from which on an instance keeps confined work in its regions.
 pub(crate) const CONFINES: u32 = 2;
 /// Version from which on [`IngressPeers::lend`] is known.
@@ -49,6 +51,9 @@
 pub(crate) const QUARANTINES: u32 = 4;
 /// Version from which on [`news::Place::sum`] is read.
 pub(crate) const SUMS: u32 = 5;
+/// Version from which on [`IngressPeers::take_slot`], [`IngressPeers::hear_limits`] and
+/// [`IngressPeers::assign`] are known.
+pub(crate) const LIMITS: u32 = 6;
 
 /// What an instance tells of itself whenever it is asked whether it is there.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -85,6 +90,22 @@
     pub(crate) confinement: Confinement,
 }
 
+impl PromptAsk {
+    /// The call of the prompt, whose targets are within some bounds, by the instance that places it for all.
+    pub(crate) fn call<'a>(&'a self, within: Option<&'a Bounds>) -> Call<'a> {
+        Call {
+            work: self.work,
+            prefix_work: self.prefix_work,
+            prefix: Some(self.prefix),
+            tried: &self.avoided,
+            cap: u32::MAX,
+            share: Share::Whole,
+            inputs: &self.inputs,
+            within,
+        }
+    }
+}
+
 /// What ingress instances ask of each other.
 #[tarpc::service]
 pub(crate) trait IngressPeers {
@@ -110,6 +131,14 @@
     async fn report_runs(reports: Vec<RunReport>);
     /// Tells an instance what was found of such requests.
     async fn tell_verdicts(verdicts: Vec<Verdict>);
+    /// Asks whoever keeps the account of a target's limit to let a request through. The asker tells what it
+    /// knows of the limit.
+    async fn take_slot(known: LimitNews) -> Slot;
+    /// Takes in what targets have named as their limits.
+    async fn hear_limits(news: Vec<LimitNews>);
+    /// Chooses the target that reads a prompt, and lets the prompt through to it; the request can wait so many
+    /// milliseconds.
+    async fn assign(service: Name, prompt: PromptAsk, patience_ms: Millis) -> Assignment;
     /// Tells what is new to an asker who knows so much; waits for a while until something is.
     async fn follow(known: Known) -> Update;
 }
@@ -152,23 +181,29 @@
         service: Name,
         prompt: PromptAsk,
     ) -> Option<TargetId> {
-        let within = prompt.confinement.bounds(&self.shared.topology);
-        let call = Call {
-            work: prompt.work,
-            prefix_work: prompt.prefix_work,
-            prefix: Some(prompt.prefix),
-            tried: &prompt.avoided,
-            cap: u32::MAX,
-            share: Share::Whole,
-            inputs: &prompt.inputs,
-            within: within.as_deref(),
-        };
-        let policy = prompt.policy.and_then(|it| self.shared.experiments.now().policy(&it));
-        let now = self.shared.clock.now();
-        let pool = self.shared.pools.of(now, &service);
-        let region = Some(self.shared.topology.own_region());
-        let placed = pool.place(now, policy.as_deref(), &call, region);
-        placed.ok().map(|it| it.address)
+        // An asker of an earlier build asks nobody else whether the target takes one more.
+        match limits::assign(&self.shared, &service, prompt, 0).await {
+            Assignment::To { target, .. } => Some(target),
+            Assignment::Wait(_) | Assignment::Later { .. } | Assignment::Nowhere => None,
+        }
+    }
+
+    async fn take_slot(self, _: context::Context, known: LimitNews) -> Slot {
+        limits::answer_slot(&self.shared, known)
+    }
+
+    async fn hear_limits(self, _: context::Context, news: Vec<LimitNews>) {
+        limits::take_news(&self.shared, news);
+    }
+
+    async fn assign(
+        self,
+        _: context::Context,
+        service: Name,
+        prompt: PromptAsk,
+        patience_ms: Millis,
+    ) -> Assignment {
+        limits::assign(&self.shared, &service, prompt, patience_ms).await
     }
 
     async fn give_up(self, _: context::Context, service: Name, handles: Vec<String>) {
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -25,6 +25,7 @@
     spill::Lease,
     stage_graph::NoResult,
     subset::weight,
+    target_limits::{LimitNews, Slot},
     topology::Topology,
 };
 use holdpoint_platform::Instant;
@@ -34,6 +35,7 @@
 use tarpc::client::RpcError;
 
 use crate::ingress::{
+    limits::Assignment,
     links::{Links, PeerSilent, context_for},
     news::{Known, Update},
     packed::peer_hash,
@@ -293,12 +295,23 @@
     /// Address of the peer that does under a key what one of some instances does for all; `None` where
     /// this instance does.
     pub(crate) fn owner_of(&self, owners: Owners<'_>, key: &str) -> Option<String> {
+        self.owner_since(0, owners, key)
+    }
+
+    /// The same among those that speak a version of the protocol or a later one.
+    pub(crate) fn owner_since(
+        &self,
+        protocol: u32,
+        owners: Owners<'_>,
+        key: &str,
+    ) -> Option<String> {
         let view = self.view();
         let among = match owners {
             Owners::Any => &view.owners[..],
             Owners::Of(region) => view.regions.get(region).map_or(&[][..], |it| it.as_slice()),
         };
-        among.iter().max_by_key(|it| (weight(key, &it.name), &it.name))?.address.clone()
+        let among = among.iter().filter(|it| protocol <= it.protocol);
+        among.max_by_key(|it| (weight(key, &it.name), &it.name))?.address.clone()
     }
 
     /// Whether the peer at an address stands within some bounds, and keeps work there.
@@ -309,6 +322,12 @@
         its.peek().is_some() && its.all(keeps)
     }
 
+    /// Of the instances that may do for others what one does for all, how many answer as far as is known, and
+    /// how many there are. Others may still reach those that do not.
+    pub(crate) fn owners_reached(&self) -> (usize, usize) {
+        self.view().owners_reached
+    }
+
     /// Whether this instance is about to stop.
     pub(crate) fn is_leaving(&self) -> bool {
         self.is_leaving.load(Ordering::Acquire)
@@ -382,6 +401,55 @@
         tokio::time::timeout(limit, asked).await.ok()?
     }
 
+    /// Asks a peer for the target that reads a prompt, which is let through to it; `None` where it does not
+    /// answer at once.
+    pub(crate) async fn assign(
+        &self,
+        shared: &Arc<IngressShared>,
+        address: &str,
+        service: &str,
+        (prompt, patience_ms): (PromptAsk, Millis),
+        limit: Duration,
+    ) -> Option<Assignment> {
+        let asked = async {
+            let link = self.links.get(shared, address).await.ok()?;
+            let asked =
+                link.client.assign(context_for(limit), service.to_owned(), prompt, patience_ms);
+            asked.await.ok()
+        };
+        tokio::time::timeout(limit, asked).await.ok()?
+    }
+
+    /// Asks a peer that keeps the account of a target's limit to let a request through; `None` where it does
+    /// not answer at once.
+    pub(crate) async fn take_slot(
+        &self,
+        shared: &Arc<IngressShared>,
+        address: &str,
+        known: LimitNews,
+    ) -> Option<Slot> {
+        let limit = self.links.with_distance(address, PLACE_LIMIT);
+        let asked = async {
+            let link = self.links.get(shared, address).await.ok()?;
+            link.client.take_slot(context_for(limit), known).await.ok()
+        };
+        tokio::time::timeout(limit, asked).await.ok()?
+    }
+
+    /// Tells a peer what targets have named as their limits.
+    pub(crate) async fn hear_limits(
+        &self,
+        shared: &Arc<IngressShared>,
+        address: &str,
+        news: Vec<LimitNews>,
+    ) -> Result<(), PeerSilent> {
+        let link = self.links.get(shared, address).await?;
+        let limit = self.links.with_distance(address, VERDICT_LIMIT);
+        let told = link.client.hear_limits(context_for(limit), news);
+        let told = tokio::time::timeout(limit, told).await;
+        told.map_err(|_| PeerSilent)?.map_err(|_| PeerSilent)
+    }
+
     /// Asks the owner of a service in another region for places; `None` where it does not answer.
     pub(crate) async fn lend(
         &self,
--- a/crates/holdpointd/src/ingress/peers/view.rs
+++ b/crates/holdpointd/src/ingress/peers/view.rs
@@ -16,6 +16,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Peer, Peers, Sources};
+use crate::ingress::peer_service::PROTOCOL;
 
 /// An instance that may do for others what one does for all.
 #[derive(Clone, Debug)]
@@ -23,6 +24,8 @@
     pub(super) name: Name,
     /// Its address; none of this instance itself.
     pub(super) address: Option<String>,
+    /// Version of the protocol that it speaks.
+    pub(super) protocol: u32,
 }
 
 /// What a [`View`] was made of.
@@ -44,6 +47,8 @@
     pub(super) owners: Vec<Owner>,
     pub(super) regions: HashMap<Name, Vec<Owner>>,
     pub(super) sources: Sources,
+    /// How many of the strong ones answer, and how many there are.
+    pub(super) owners_reached: (usize, usize),
     /// Those that one who starts has to know.
     leaders: Vec<Name>,
 }
@@ -118,11 +123,15 @@
         let owners = |is_its: &dyn Fn(&str) -> bool| -> Vec<Owner> {
             let its = members.iter().filter(|it| is_its(it.name));
             let its: Vec<_> = its.map(|it| (it.name, it.capacity)).collect();
-            let address = |it: &str| known.get(it).map(|it| it.address.clone());
-            strong(&its)
-                .into_iter()
-                .map(|it| Owner { name: it.to_owned(), address: address(it) })
-                .collect()
+            let owner = |name: &str| {
+                let peer = known.get(name);
+                Owner {
+                    name: name.to_owned(),
+                    address: peer.map(|it| it.address.clone()),
+                    protocol: peer.map_or(PROTOCOL, |it| it.protocol),
+                }
+            };
+            strong(&its).into_iter().map(owner).collect()
         };
         let mut regions: HashMap<Name, Vec<Owner>> = HashMap::new();
         let of_members = members.iter().filter_map(|it| self.region_of(&known, it.name));
@@ -130,8 +139,22 @@
             let is_its = |name: &str| self.region_of(&known, name) == Some(region);
             regions.insert(region.to_owned(), owners(&is_its));
         }
+        let all = known.iter().map(|(name, it)| (name.as_str(), it.capacity));
+        let all: Vec<_> = all.chain([(own, self.own_capacity)]).collect();
+        let is_silent =
+            |it: &&str| known.get(*it).is_some_and(|it| self.links.is_suspect(&it.address));
+        let all = strong(&all);
+        let silent = all.iter().filter(|it| is_silent(it)).count();
+        let owners_reached = (all.len() - silent, all.len());
         let leaders = leaders(&members).into_iter().map(str::to_owned).collect();
-        View { owners: owners(&|_| true), regions, sources, leaders, ..View::default() }
+        View {
+            owners: owners(&|_| true),
+            regions,
+            sources,
+            owners_reached,
+            leaders,
+            ..View::default()
+        }
     }
 
     /// Number of instances by failure domain, as told by one who knows them, until they are known here.
--- a/crates/holdpointd/src/ingress/pools.rs
+++ b/crates/holdpointd/src/ingress/pools.rs
@@ -4,7 +4,7 @@
     collections::{BTreeMap, HashMap},
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
 };
 
@@ -25,7 +25,7 @@
 };
 use parking_lot::{Mutex, RwLock};
 
-use crate::ingress::regions::FAR_REGION_MS;
+use crate::ingress::{regions::FAR_REGION_MS, shared::IngressShared};
 
 /// Failures in a row that take a target out for a while.
 const EJECT_FAILURES: u32 = 2;
@@ -39,15 +39,26 @@
 /// Age at which a load report has lost half its weight, in milliseconds.
 const REPORT_TRUST_MS: u64 = 400;
 
+/// Latest return of a request that its targets' limits have no room for, in milliseconds.
+const LATEST_RETURN_MS: Millis = 30_000;
+/// Least returns a second that are told.
+const LEAST_RETURNS: f64 = 0.1;
+
 /// One service as an instance sees it.
 #[derive(Debug)]
 pub(crate) struct Pool {
+    pub(crate) service: Name,
     router: Mutex<Router>,
     budget: Mutex<SharedBudget>,
     /// Time to the first part of an answer, in milliseconds.
     pub(crate) times: Mutex<Times>,
     /// Time of a stage here, as the instance that batches it has told of late.
     stage_time: Mutex<RecentTime>,
+    /// When the last request that was refused for its targets' limits was told to come back, in milliseconds.
+    last_return: Mutex<f64>,
+    /// Until when whoever places prompts of the service refuses them, since its targets have got what they
+    /// take.
+    shut_until: AtomicU64,
     policy: Policy,
 }
 
@@ -209,7 +220,7 @@
         if let Some(it) = self.pools.read().get(service) {
             return it.clone();
         }
-        let pool = Pool::new(&self.salt, &self.domain, &self.topology);
+        let pool = Pool::new(service, (&self.salt, &self.domain), &self.topology);
         if let Some(it) = self.members.lock().get(service) {
             it.set_in(now, &mut pool.router.lock());
         }
@@ -223,7 +234,7 @@
 }
 
 impl Pool {
-    fn new(salt: &str, domain: &str, topology: &Topology) -> Pool {
+    fn new(service: &str, (salt, domain): (&str, &str), topology: &Topology) -> Pool {
         let policy = Policy {
             route: Route::Affinity,
             subset: u32::MAX,
@@ -237,40 +248,59 @@
         let router = Router::new(salt, domain, policy.clone())
             .with_topology(topology.clone(), FAR_REGION_MS as f64);
         Pool {
+            service: service.to_owned(),
             router: Mutex::new(router),
             budget: Mutex::default(),
             times: Mutex::default(),
             stage_time: Mutex::default(),
+            last_return: Mutex::default(),
+            shut_until: AtomicU64::new(0),
             policy,
         }
     }
 
-    /// Chooses a target; it may still be another one once the call is made.
+    /// Chooses a target, one of `region` as long as that has any. `policy` is that of a trial's arm, if the
+    /// request falls to one. It may still be another target once the call is made.
     pub(crate) fn choose(
         &self,
         now: Millis,
+        policy: Option<&Policy>,
         call: &Call<'_>,
         region: Option<&str>,
+        shared: &IngressShared,
     ) -> Result<Choice, NoTarget> {
-        self.router.lock().choose_in(now, &self.policy, call, region, &mut rand::rng())
+        let mut router = self.router.lock();
+        shared.limits.allowances(shared, &self.service, |it| {
+            router.close_until(it.target, it.closed_until);
+        });
+        router.choose_in(now, policy.unwrap_or(&self.policy), call, region, &mut rand::rng())
     }
 
-    /// Chooses a target for a prompt of any instance and counts the prompt as placed there.
-    /// `policy` is that of a trial's arm, if the request falls to one; the target is one of `region`
-    /// as long as that has any.
-    pub(crate) fn place(
-        &self,
-        now: Millis,
-        policy: Option<&Policy>,
-        call: &Call<'_>,
-        region: Option<&str>,
-    ) -> Result<Choice, NoTarget> {
+    /// Counts a call, of any instance where it is a prompt, as placed at a target.
+    pub(crate) fn placed(&self, now: Millis, target: &str, call: &Call<'_>) {
         let mut router = self.router.lock();
-        let policy = policy.unwrap_or(&self.policy);
-        let choice = router.choose_in(now, policy, call, region, &mut rand::rng())?;
-        router.placed(now, &choice.address, call);
-        router.spend_cold(now, &choice.address, call.share);
-        Ok(choice)
+        router.placed(now, target, call);
+        router.spend_cold(now, target, call.share);
+    }
+
+    /// When a request may come back that is refused, in milliseconds, where its targets take `per_s` requests a
+    /// second and one more in `soonest` milliseconds: one after the other.
+    pub(crate) fn return_ms(&self, now: Millis, soonest: Millis, per_s: f64) -> Millis {
+        let gap = 1000.0 / per_s.max(LEAST_RETURNS);
+        let mut last = self.last_return.lock();
+        let next = (*last + gap).max((now + soonest) as f64);
+        *last = next.min((now + LATEST_RETURN_MS) as f64);
+        *last as Millis - now
+    }
+
+    /// Takes in that whoever places prompts of the service refuses them for so long.
+    pub(crate) fn shut(&self, now: Millis, ms: Millis) {
+        self.shut_until.store(now + ms, Ordering::Release);
+    }
+
+    /// For how much longer that is so, in milliseconds.
+    pub(crate) fn shut_ms(&self, now: Millis) -> Millis {
+        self.shut_until.load(Ordering::Acquire).saturating_sub(now)
     }
 
     /// Targets that get no calls of this instance for a while.
--- a/crates/holdpointd/src/ingress/releases.rs
+++ b/crates/holdpointd/src/ingress/releases.rs
@@ -10,6 +10,7 @@
 use tokio::sync::Notify;
 
 use crate::ingress::{
+    limits,
     regions::{batcher_of, keeper_region},
     send::own_call,
     shared::IngressShared,
@@ -99,9 +100,10 @@
     target: holdpoint_core::directory::TargetInstance,
     handles: Vec<String>,
 ) {
-    let body = wire::free_body(&handles);
-    let told = own_call(&shared, &target, wire::FREE_PATH, body, LIMIT).await;
     // A result whose maker was not told goes by itself when its time is over.
+    let Ok(permit) = limits::ask(&shared, &target).await else { return };
+    let body = wire::free_body(&handles);
+    let told = own_call(&shared, (&target, permit), wire::FREE_PATH, body, LIMIT).await;
     if told.is_ok_and(|it| it.0.is_success()) {
         shared.batches.released(&service, &handles);
         crate::ingress::batches::pump(&shared, &service);
--- a/crates/holdpointd/src/ingress/send.rs
+++ b/crates/holdpointd/src/ingress/send.rs
@@ -13,6 +13,7 @@
 use crate::ingress::{
     connections::{Care, Connection},
     context::Context,
+    limits::Permit,
     shared::IngressShared,
     unread::MOST_EACH,
 };
@@ -45,6 +46,8 @@
 pub(crate) enum Sent {
     /// No byte of the request has left.
     Nothing,
+    /// The same, since the target named a limit after the send was let through.
+    Limited,
     /// The target has not run the request and never will.
     Declined { status: StatusCode, head: TargetHead },
     /// The head of an answer to this request.
@@ -54,17 +57,25 @@
 }
 
 /// Sends a request and waits for the head of its answer.
-pub(crate) async fn send(ctx: &Context, target: &TargetInstance, added: &Added<'_>) -> Sent {
+pub(crate) async fn send(
+    ctx: &Context,
+    target: &TargetInstance,
+    permit: Permit,
+    added: &Added<'_>,
+) -> Sent {
     let Context { shared, request, .. } = ctx;
     let Ok(mut connection) = shared.connections.take(target, ctx.care()).await else {
         return Sent::Nothing;
     };
     let Some(outgoing) = outgoing(request, added) else { return Sent::Nothing };
+    // While the connection was made, the target may have begun to leave or named a limit, and its failure
+    // domain may have been evacuated or is no longer allowed.
     if ctx.open_target(&target.id).is_none() {
-        // It began to leave, or its failure domain was evacuated or is no longer allowed, while the
-        // connection was made.
         return Sent::Nothing;
     }
+    if !shared.limits.allows(&permit, &target.id) {
+        return Sent::Limited;
+    }
     let begun = shared.clock.now();
     let response = match connection.sender.try_send_request(outgoing).await {
         Ok(it) => it,
@@ -125,7 +136,7 @@
 /// A call of the system's own to a target: its answer's status and body.
 pub(crate) async fn own_call(
     shared: &IngressShared,
-    target: &TargetInstance,
+    (target, permit): (&TargetInstance, Permit),
     path: &'static str,
     body: Vec<u8>,
     limit: Duration,
@@ -133,6 +144,9 @@
     let call = async {
         let taken = shared.connections.take(target, Care::Usual).await;
         let mut connection = taken.map_err(|_| NoAnswer::NotSent)?;
+        if !shared.limits.allows(&permit, &target.id) {
+            return Err(NoAnswer::NotSent);
+        }
         let mut request = Request::new(Full::new(Bytes::from(body)));
         *request.method_mut() = Method::POST;
         *request.uri_mut() = http::Uri::from_static(path);
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -460,6 +460,11 @@
         });
     }
 
+    /// A target instance that is known.
+    pub(crate) fn target(&self, id: &str) -> Option<TargetInstance> {
+        self.directory.lock().get(id).cloned()
+    }
+
     /// A target instance that is known and may get new work: it is not leaving, its failure domain is
     /// not evacuated, and its version is not held back.
     pub(crate) fn open_target(&self, id: &str) -> Option<TargetInstance> {
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -28,6 +28,7 @@
         connections::Connection,
         context::Context,
         held::Results,
+        limits::{self, Permit},
         send::{Sent, send},
         stages::{self, FETCHED},
         unread::{Keeper, NotPassed},
@@ -71,6 +72,8 @@
     /// The target failed it by an answer of its own.
     Failed(Box<Parts>, Bytes),
     NotSent,
+    /// The target named a limit before the request had left.
+    Limited,
     Declined,
     InputsGone,
     Broken,
@@ -83,6 +86,17 @@
     NoSend(&'static str),
     /// The stages have too much to do; they would take so long.
     Overload(Duration),
+    /// Every target has got what it takes; one takes more after so long.
+    Limited(Duration),
+}
+
+impl NotOpen {
+    fn of(cause: NoSend) -> NotOpen {
+        match cause {
+            NoSend::Limited(ms) => NotOpen::Limited(Duration::from_millis(ms)),
+            _ => NotOpen::NoSend(cause.name()),
+        }
+    }
 }
 
 /// Serves a request.
@@ -110,6 +124,7 @@
         }
         Err(NotOpen::NoSend(cause)) => ctx.give_up(cause, COME_BACK),
         Err(NotOpen::Overload(it)) => ctx.give_up("overload", it.max(COME_BACK)),
+        Err(NotOpen::Limited(it)) => ctx.give_up("limited", it.max(COME_BACK)),
     }
 }
 
@@ -123,12 +138,12 @@
     let mut remakes = 0;
     let mut last_failure = None;
     let cause = loop {
-        let target = match attempts.next(ctx, &results.places).await {
+        let (target, permit) = match attempts.next(ctx, &results.places).await {
             Ok(it) => it,
             Err(it) => break it,
         };
         let ended = if results.are_within(&ctx.within()) {
-            attempt(ctx, attempts, &target, last_event, &mut results).await
+            attempt(ctx, attempts, (&target, permit), last_event, &mut results).await
         } else {
             end_send(ctx, &target, End::Dropped, "bounds-changed");
             Ended::InputsGone
@@ -141,7 +156,7 @@
                     break NoSend::Attempts;
                 }
             }
-            Ended::NotSent => attempts.never_sent(ctx),
+            Ended::NotSent | Ended::Limited => attempts.never_sent(ctx),
             Ended::InputsGone if remakes < INPUT_REMAKES => {
                 remakes += 1;
                 attempts.take_back();
@@ -154,7 +169,7 @@
     };
     match last_failure {
         Some((parts, body)) => Err(NotOpen::Failed(parts, body)),
-        None => Err(NotOpen::NoSend(cause.name())),
+        None => Err(NotOpen::of(cause)),
     }
 }
 
@@ -162,13 +177,22 @@
     let now = ctx.shared.clock.now();
     let (within, region) = (ctx.within(), ctx.call_region());
     let call = Call { within: within.as_deref(), ..ctx.call(&[]) };
-    let likely = ctx.pool.choose(now, &call, region.as_deref());
+    let likely = ctx.pool.choose(now, None, &call, region.as_deref(), &ctx.shared);
     // Its stages would be made for nothing.
     match likely {
         Err(NoTarget::Evacuated) => return Err(NotOpen::NoSend(NoSend::Evacuated.name())),
         Err(NoTarget::Confined) => return Err(NotOpen::NoSend(NoSend::Confined.name())),
         _ => (),
     }
+    let limited_ms = match likely {
+        Err(NoTarget::Limited(ms)) => ms,
+        _ => ctx.pool.shut_ms(now),
+    };
+    if ctx.slot_patience() < limited_ms {
+        let deciders = ctx.shared.peers.instance_count();
+        let ms = limits::return_ms(&ctx.shared, &ctx.pool, limited_ms, deciders);
+        return Err(NotOpen::Limited(Duration::from_millis(ms)));
+    }
     let domain = likely
         .ok()
         .and_then(|it| ctx.open_target(&it.address))
@@ -183,13 +207,14 @@
 async fn attempt(
     ctx: &Context,
     attempts: &Attempts,
-    target: &TargetInstance,
+    (target, permit): (&TargetInstance, Permit),
     last_event: Option<&str>,
     results: &mut Results,
 ) -> Ended {
     let Some(begun) = ctx.ledger.begin() else { return Ended::Broken };
     let limit = first_patience(ctx, attempts);
-    let sent = tokio::time::timeout(limit, send_inputs(ctx, target, last_event, results)).await;
+    let sent =
+        tokio::time::timeout(limit, send_inputs(ctx, (target, permit), last_event, results)).await;
     let ended = sent.unwrap_or(Ended::Silent);
     match &ended {
         Ended::Open(it) => ctx.first_event_took(it.first_ms),
@@ -198,6 +223,10 @@
             begun.never_sent();
             end_send(ctx, target, End::Failed, "not-sent");
         }
+        Ended::Limited => {
+            begun.never_sent();
+            end_send(ctx, target, End::Dropped, "limited");
+        }
         Ended::Declined => {
             begun.declined();
             end_send(ctx, target, End::Failed, "declined");
@@ -216,12 +245,12 @@
 /// it reads the prompt. Their makers have room again while the prompt is read.
 async fn send_inputs(
     ctx: &Context,
-    target: &TargetInstance,
+    (target, permit): (&TargetInstance, Permit),
     last_event: Option<&str>,
     results: &mut Results,
 ) -> Ended {
     let inputs = results.inputs.clone();
-    let sending = send_stream(ctx, target, last_event, &inputs);
+    let sending = send_stream(ctx, (target, permit), last_event, &inputs);
     tokio::pin!(sending);
     if inputs.is_empty() || ctx.pool.has_queue(&target.id) {
         return sending.await;
@@ -238,15 +267,16 @@
 /// Sends the request and waits for the first whole event.
 async fn send_stream(
     ctx: &Context,
-    target: &TargetInstance,
+    (target, permit): (&TargetInstance, Permit),
     last_event: Option<&str>,
     inputs: &[String],
 ) -> Ended {
     let started = Instant::now();
     let added = ctx.added(target, last_event, inputs);
-    let sent = send(ctx, target, &added).await;
+    let sent = send(ctx, target, permit, &added).await;
     let (head, response, connection) = match sent {
         Sent::Nothing => return Ended::NotSent,
+        Sent::Limited => return Ended::Limited,
         Sent::Broken => return Ended::Broken,
         Sent::Declined { status, head } => {
             ctx.pool.report(ctx.shared.clock.now(), &target.id, head.load);
--- a/crates/holdpointd/src/ingress/whole.rs
+++ b/crates/holdpointd/src/ingress/whole.rs
@@ -15,6 +15,7 @@
     attempts::{Attempts, NoSend, end_send},
     connections::Connection,
     context::Context,
+    limits::Permit,
     send::{BodyRead, SHORT_BODY, Sent, read_body, send},
     stages,
     unread::Keeper,
@@ -52,6 +53,8 @@
     /// The target failed it by an answer of its own.
     Failed(Box<Parts>, Bytes),
     NotSent,
+    /// The target named a limit before the request had left.
+    Limited,
     Declined,
     Broken,
     Silent,
@@ -136,11 +139,11 @@
     let mut attempts = Attempts::default();
     let mut last_failure = None;
     let cause = loop {
-        let target = match attempts.next(ctx, &[]).await {
+        let (target, permit) = match attempts.next(ctx, &[]).await {
             Ok(it) => it,
             Err(it) => break it,
         };
-        match attempt(ctx, &attempts, &target, &inputs).await {
+        match attempt(ctx, &attempts, (&target, permit), &inputs).await {
             Ended::Answered(head, body) => {
                 ctx.note_end(head.status.as_u16(), "answered");
                 return Outcome::Answer(passed_on(&head, body));
@@ -152,7 +155,7 @@
                     break NoSend::Attempts;
                 }
             }
-            Ended::NotSent => attempts.never_sent(ctx),
+            Ended::NotSent | Ended::Limited => attempts.never_sent(ctx),
             Ended::Declined => (),
             Ended::Broken | Ended::Silent if ctx.is_repeatable() => (),
             Ended::Broken | Ended::Silent => break NoSend::Attempts,
@@ -163,20 +166,20 @@
             ctx.note_end(head.status.as_u16(), "target-failed");
             Outcome::Answer(passed_on(&head, body))
         }
-        None => Outcome::Answer(ctx.give_up(cause.name(), COME_BACK)),
+        None => Outcome::Answer(ctx.give_up(cause.name(), cause.return_after(COME_BACK))),
     }
 }
 
 async fn attempt(
     ctx: &Context,
     attempts: &Attempts,
-    target: &TargetInstance,
+    (target, permit): (&TargetInstance, Permit),
     inputs: &[String],
 ) -> Ended {
     let Some(begun) = ctx.ledger.begin() else { return Ended::Broken };
     let started = Instant::now();
     let limit = patience(ctx, attempts);
-    let sent = tokio::time::timeout(limit, send_whole(ctx, target, inputs)).await;
+    let sent = tokio::time::timeout(limit, send_whole(ctx, (target, permit), inputs)).await;
     let ms = started.elapsed().as_millis() as Millis;
     match sent {
         Err(_) => {
@@ -188,6 +191,11 @@
             end_send(ctx, target, End::Failed, "not-sent");
             Ended::NotSent
         }
+        Ok(Ended::Limited) => {
+            begun.never_sent();
+            end_send(ctx, target, End::Dropped, "limited");
+            Ended::Limited
+        }
         Ok(Ended::Declined) => {
             begun.declined();
             end_send(ctx, target, End::Failed, "declined");
@@ -216,10 +224,15 @@
     }
 }
 
-async fn send_whole(ctx: &Context, target: &TargetInstance, inputs: &[String]) -> Ended {
+async fn send_whole(
+    ctx: &Context,
+    (target, permit): (&TargetInstance, Permit),
+    inputs: &[String],
+) -> Ended {
     let added = ctx.added(target, None, inputs);
-    match send(ctx, target, &added).await {
+    match send(ctx, target, permit, &added).await {
         Sent::Nothing => Ended::NotSent,
+        Sent::Limited => Ended::Limited,
         Sent::Declined { head, .. } => {
             ctx.pool.report(ctx.shared.clock.now(), &target.id, head.load);
             if head.is_misdirected {
