Soak: targets name limits, and the judge checks that they get no more

Cause: the soak knew no limits, so that nothing under random faults would have shown that one is exceeded. Change: some targets name limits for a good part of each soak, drawn apart from the other faults, whose seeds stay what they are; a target that got more is a breach.

--- a/crates/holdpoint-soak/src/faults.rs
+++ b/crates/holdpoint-soak/src/faults.rs
@@ -59,6 +59,12 @@
             fleet.store.restore(&domain_name(domain));
         }
         Kind::Configure => fleet.configure(),
+        Kind::Limit { target, per_10_s } => {
+            let target = &fleet.targets[target].target;
+            target.set_limit(Some(f64::from(per_10_s) / 10.0));
+            sleep(lasts).await;
+            target.set_limit(None);
+        }
     }
 }
 
@@ -87,6 +93,7 @@
     for (index, it) in fleet.targets.iter().enumerate() {
         it.proxy.set(None);
         it.target.set_behaviour(usual(index));
+        it.target.set_limit(None);
     }
     for process in 0..fleet.store_links.len() {
         fleet.signal(process, Signal::CONT);
--- a/crates/holdpoint-soak/src/fleet.rs
+++ b/crates/holdpoint-soak/src/fleet.rs
@@ -235,6 +235,7 @@
         })
         .collect();
     findings.extend(judge(&attempts, &runs, &fleet.kills.lock()));
+    findings.extend(fleet.targets.iter().filter_map(over_limit));
     let status = |it: &Attempt| match &it.outcome {
         Outcome::Answer { status, is_whole: true, .. } => *status,
         _ => 0,
@@ -250,6 +251,12 @@
     }
 }
 
+/// A target that got more than it named as its limit.
+fn over_limit(it: &ProxiedTarget) -> Option<Finding> {
+    let seen = it.target.limit_excess()?;
+    Some(Finding { promise: Promise::Limited, id: it.target.id.clone(), at: 0, seen })
+}
+
 fn start_process(fleet: &Fleet, daemon: &Path, index: usize) -> io::Result<Child> {
     let child = Command::new(daemon)
         .args(["--ingress", "--log-level", "info", "--settings"])
--- a/crates/holdpoint-soak/src/plan.rs
+++ b/crates/holdpoint-soak/src/plan.rs
@@ -17,6 +17,14 @@
 const FAULT_EVERY: Millis = 250;
 /// Longest time that a fault lasts, in milliseconds.
 const LONGEST_FAULT: Millis = 1500;
+/// Targets that name a limit in a soak, at most.
+const LIMITS: usize = 3;
+/// Limits that they name, in requests in ten seconds.
+const LIMITS_PER_10_S: [u32; 5] = [0, 5, 10, 50, 200];
+/// Shortest time for which they do, in milliseconds.
+const SHORTEST_LIMIT: Millis = 1500;
+/// Limits are drawn by themselves, so that the other faults of a seed stay what they are.
+const LIMITS_STREAM: u64 = 1;
 /// Every so many seeds are large.
 const LARGE_EVERY: u64 = 10;
 
@@ -82,6 +90,13 @@
     Evacuate(usize),
     /// The operator writes a configuration.
     Configure,
+    /// A target names a limit.
+    Limit {
+        /// The target.
+        target: usize,
+        /// Requests that it takes in ten seconds.
+        per_10_s: u32,
+    },
 }
 
 /// A fault.
@@ -125,11 +140,26 @@
             at += rng.random_range(0..2 * FAULT_EVERY);
         }
         faults.retain(|it| it.at < end);
+        faults.extend(limits(seed, end));
         faults.sort_by_key(|it| it.at);
         Plan { seed, processes, callers, length, faults }
     }
 }
 
+/// Limits that targets name, each for a good part of the soak, one after the other or at once.
+fn limits(seed: u64, end: Millis) -> Vec<Fault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(LIMITS_STREAM);
+    let mut limit = || {
+        let at = rng.random_range(0..end.max(1));
+        let lasts = rng.random_range(SHORTEST_LIMIT..SHORTEST_LIMIT + end.max(1));
+        let target = rng.random_range(0..2 * TARGETS + ENCODERS);
+        let per_10_s = LIMITS_PER_10_S[rng.random_range(0..LIMITS_PER_10_S.len())];
+        Fault { at, lasts, kind: Kind::Limit { target, per_10_s } }
+    };
+    (0..LIMITS).map(|_| limit()).collect()
+}
+
 /// A fault, or the same one several times in quick succession.
 fn series(rng: &mut impl Rng, at: Millis, processes: usize, faults: &mut Vec<Fault>) {
     let kind = kind(rng, processes);
--- a/crates/holdpoint-soak/src/verdict.rs
+++ b/crates/holdpoint-soak/src/verdict.rs
@@ -25,6 +25,8 @@
     Asked,
     /// What has run is answered, unless the process was killed.
     Answered,
+    /// A target gets no more than one and a half times what it names as its limit, and five requests.
+    Limited,
     /// After the last fault each process serves the newest configuration.
     Recovered,
 }
@@ -38,6 +40,7 @@
             Promise::Whole => "crossed-or-torn",
             Promise::Asked => "unasked",
             Promise::Answered => "lost",
+            Promise::Limited => "over-limit",
             Promise::Recovered => "not-recovered",
         }
     }
@@ -101,6 +104,7 @@
             Promise::Whole,
             Promise::Asked,
             Promise::Answered,
+            Promise::Limited,
             Promise::Recovered,
         ] {
             write!(f, " {} {}", promise.breach(), self.count(promise))?;
