Work done for a request waits for a target that takes one more, although it will be late

Change: what has work done for it waits up to 0.4 s within its time; the others only until they would be late.

--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -308,10 +308,11 @@
         waited < self.target_time() && waited < self.left()
     }
 
-    /// How long it may wait until a target takes one more, in milliseconds.
+    /// How long it may wait until a target takes one more, in milliseconds. What has work done for it waits
+    /// although it will be late: a refusal would throw that away.
     pub(crate) fn slot_patience(&self) -> Millis {
-        let left = self.left_of_target().min(self.left()).min(limits::LONGEST_WAIT);
-        left.as_millis() as Millis
+        let left = if self.has_begun() { self.left() } else { self.left_of_target() };
+        left.min(self.left()).min(limits::LONGEST_WAIT).as_millis() as Millis
     }
 
     /// Notes how long the stages took.
