Connections at rest are no more than a target takes from all instances together

Cause, of the same class as the limit that targets name: a service states how many connections each of its targets takes from all callers together; the figure was decoded and read nowhere, and each instance kept up to 16 at rest with each target, whatever the number of instances: 128 at 8 instances where 51 are taken, 15,760 at 985 where 2,100 are, and a target resets what comes beyond. Change: each keeps an equal part at rest, 16 at most.

--- a/crates/holdpoint-core/src/ingress.rs
+++ b/crates/holdpoint-core/src/ingress.rs
@@ -133,6 +133,17 @@
     pub batches: Option<BatchLimits>,
 }
 
+/// Most connections at rest to one target that an instance keeps.
+const MOST_AT_REST: usize = 16;
+
+impl Service {
+    /// Connections at rest to one target that each of so many instances may keep, so that all together are no
+    /// more than the target takes.
+    pub fn at_rest(&self, instances: usize) -> usize {
+        (self.max_connections as usize / instances.max(1)).min(MOST_AT_REST)
+    }
+}
+
 /// An organisation.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Tenancy {
--- a/crates/holdpoint-core/tests/ingress.rs
+++ b/crates/holdpoint-core/tests/ingress.rs
@@ -11,7 +11,9 @@
     directory::{Change, Directory, TargetInstance},
     event_split::EventSplitter,
     experiments::Experiments,
-    ingress::{CallerLimits, Configuration, Denied, IngressRoute, Repeat, Shape, Tenancy, newer},
+    ingress::{
+        CallerLimits, Configuration, Denied, IngressRoute, Repeat, Service, Shape, Tenancy, newer,
+    },
     ledger::Ledger,
     prompt::{Part, Prompt},
     readers::{order_for, readers, sources},
@@ -371,3 +373,17 @@
     assert_eq!(strong(&[("a", of(0, 0)), ("b", of(0, 0))]), ["a", "b"]);
     assert!(strong(&[]).is_empty());
 }
+
+/// What a target takes, it takes from all instances together.
+#[test]
+fn connections_at_rest_are_no_more_than_a_target_takes() {
+    for instances in [1, 8, 100, 1000, 2000] {
+        for max_connections in [1, 51, 2100] {
+            let (cold, engine, batches) = (None, None, None);
+            let service = Service { name: "s".to_owned(), max_connections, cold, engine, batches };
+            let all = instances * service.at_rest(instances);
+            assert!(all <= max_connections as usize, "{instances}, {max_connections}: {all}");
+            assert!(instances < 8 || max_connections < 2 * 51 || 0 < all);
+        }
+    }
+}
--- a/crates/holdpointd/src/ingress/connections.rs
+++ b/crates/holdpointd/src/ingress/connections.rs
@@ -3,7 +3,11 @@
 use std::{collections::HashMap, io, time::Duration};
 
 use bytes::Bytes;
-use holdpoint_core::directory::{TargetId, TargetInstance};
+use holdpoint_core::{
+    directory::{TargetId, TargetInstance},
+    ids::Name,
+    ingress::Configuration,
+};
 use holdpoint_platform::Instant;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -23,8 +27,8 @@
 /// Most bytes that the HTTP library reads ahead of an answer. With its own bound of 400 kB a process that had
 /// 200 answers nobody read peaked at 107 MB, with 32 kB at 76, while 64 kB were kept of each.
 const READ_BUFFER: usize = 16 << 10;
-/// Most connections at rest to one target.
-const MOST_AT_REST: usize = 16;
+/// Connections at rest to one target as long as its service is not known.
+const USUAL_AT_REST: usize = 1;
 
 /// How carefully a connection is chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,6 +55,7 @@
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
     pub(crate) target: TargetId,
+    service: Name,
     task: Option<AbortHandle>,
 }
 
@@ -74,12 +79,21 @@
 pub(crate) struct Connections {
     connect: Duration,
     resting: Mutex<HashMap<TargetId, Vec<Resting>>>,
+    /// Most connections at rest to one target, by service.
+    at_rest: Mutex<HashMap<Name, usize>>,
 }
 
 impl Connections {
     /// Makes an empty set; making a connection may take `connect`.
     pub(crate) fn new(connect: Duration) -> Connections {
-        Connections { connect, resting: Mutex::default() }
+        Connections { connect, resting: Mutex::default(), at_rest: Mutex::default() }
+    }
+
+    /// Takes in how many instances share the connections that targets take.
+    pub(crate) fn configure(&self, configuration: &Configuration, instances: usize) {
+        let services = configuration.services.values();
+        let at_rest = services.map(|it| (it.name.clone(), it.at_rest(instances)));
+        *self.at_rest.lock() = at_rest.collect();
     }
 
     /// Takes a connection at rest or makes one. An error means that nothing was sent.
@@ -93,7 +107,8 @@
     async fn make(&self, target: &TargetInstance) -> io::Result<Connection> {
         let made = tokio::time::timeout(self.connect, connect(&target.address)).await;
         let (sender, task) = made.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-        Ok(Connection { sender, target: target.id.clone(), task: Some(task) })
+        let (target, service) = (target.id.clone(), target.service.clone());
+        Ok(Connection { sender, target, service, task: Some(task) })
     }
 
     /// How a target can be reached. A connection that is made for it is kept.
@@ -117,10 +132,11 @@
         if limit.is_zero() || connection.sender.is_closed() {
             return;
         }
+        let most = self.at_rest.lock().get(&connection.service).copied().unwrap_or(USUAL_AT_REST);
         let mut all = self.resting.lock();
         let resting = all.entry(connection.target.clone()).or_default();
         resting.push(Resting { connection, since: Instant::now(), limit });
-        if MOST_AT_REST < resting.len() {
+        if most < resting.len() {
             resting.remove(0);
         }
     }
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -236,6 +236,7 @@
         *self.configuration_bytes.lock() = value.clone();
         self.configuration.store(Arc::new(found));
         self.pools.configure(&self.configuration());
+        self.connections.configure(&self.configuration(), self.peers.instance_count());
         self.batches.configure(self);
         self.confinements.configured(self, &in_force, &self.configuration());
         self.has_news.send_replace(());
@@ -369,6 +370,7 @@
         }
         let known = self.peers.instance_count();
         self.pools.set_instances(known);
+        self.connections.configure(&self.configuration(), known);
         changes.log(&self.settings.instance, known);
         self.tell(entries.into_iter().map(|(name, peer)| News::Peer(name, peer)));
     }
--- a/crates/holdpointd/tests/named_limits.rs
+++ b/crates/holdpointd/tests/named_limits.rs
@@ -9,9 +9,12 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use holdpoint_adapter_standin::{Behaviour, CallerAnswer, CallerRequest, Gate, Target, call};
+use holdpoint_adapter_standin::{
+    Badness, Behaviour, CallerAnswer, CallerRequest, Gate, Target, call, sample_configuration,
+};
 use holdpointd::ingress::Ingress;
 use http::StatusCode;
+use serde_json::json;
 use tokio::{runtime::Builder, task::JoinSet};
 
 use crate::support::{System, header, start, start_instance, until};
@@ -145,7 +148,8 @@
 #[tokio::test]
 async fn calls_for_stages_keep_to_the_limit_that_a_target_names() {
     let fleet = fleet(&[], &[Behaviour::Events(3); 2]).await;
-    let other = Target::start("i-encode-2", "encode", Behaviour::Answer).await;
+    // Of two that are idle the one whose id comes last is called, which is the limited one.
+    let other = Target::start("i-another", "encode", Behaviour::Answer).await;
     fleet.system.store.put_target(&other, false);
     until(|| fleet.instances().all(|it| it.target_count() == 4)).await;
     let limited = &fleet.system.encoder;
@@ -225,3 +229,26 @@
         fleet.ask_for(Duration::from_millis(1000), later).await;
     }
 }
+
+/// Connections that rest count against what a target takes from all instances together.
+#[tokio::test]
+async fn connections_that_rest_are_no_more_than_a_target_takes() {
+    let fleet =
+        fleet(&[Behaviour::Bad(Badness { slow_ms: 100, ..Badness::failures(100) })], &[]).await;
+    let mut configuration = sample_configuration(2);
+    configuration["services"][0]["max-connections"] = json!(6);
+    fleet.system.store.put_configuration(&configuration);
+    until(|| fleet.instances().all(|it| it.version() == 2)).await;
+    let target = &fleet.system.plain[0];
+    // None is closed for having rested too long.
+    target.keep_alive(Duration::from_secs(600));
+    let open = CallerRequest::new("o", "/open/x");
+    let mut asked = JoinSet::new();
+    for (index, callers) in fleet.callers().into_iter().cycle().take(24).enumerate() {
+        let request = open.clone().with_header("holdpoint-request-id", &format!("o-{index}"));
+        asked.spawn(call(callers, request));
+    }
+    until(|| 12 < target.connections()).await;
+    asked.join_all().await;
+    until(|| target.connections() <= 6).await;
+}
