Tests: messages of the last build between instances are kept and read

Cause: machines are replaced one after the other, so instances of two builds talk; that the newer one reads the older one's messages was read in the code only. Change: the frames of protocol 5, written by the last build itself, with what that build read in them as JSON: a question and an answer of each of nine calls (roll_out and ping left out). A test reads them; fields may be added. The other direction, the last build reading this one's, is tried by the soak with both builds.

--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -44,6 +44,7 @@
 mod whole;
 
 use std::{
+    io,
     net::TcpListener,
     sync::{Arc, atomic::Ordering},
     time::Duration,
@@ -192,6 +193,12 @@
     peers::Peer::parse(entry).map(|it| it.domain)
 }
 
+/// What stands in a frame between peers: a question, or an answer. Builds older and newer than the one that wrote
+/// it have to read it.
+pub fn read_peer_frame(frame: &[u8], is_answer: bool) -> io::Result<serde_json::Value> {
+    if is_answer { peer_service::read_answer(frame) } else { peer_service::read_request(frame) }
+}
+
 /// Waits until nothing is in flight, for so long at most; whether that came about. What has no answer
 /// shortly before gets its final one.
 async fn drain(shared: &IngressShared, rest: Duration) -> bool {
--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -1,7 +1,8 @@
 //! RPC between ingress instances: its messages, and the side that answers.
 
-use std::sync::Arc;
+use std::{io, pin::Pin, sync::Arc};
 
+use bytes::BytesMut;
 use futures::StreamExt;
 use holdpoint_core::{
     cold::Share,
@@ -17,13 +18,13 @@
 };
 use serde::{Deserialize, Serialize};
 use tarpc::{
-    context,
+    ClientMessage, Response, context,
     serde_transport::{Transport, new as transport},
     server::{BaseChannel, Channel},
     tokio_util::codec::LengthDelimitedCodec,
 };
 use tokio::net::TcpListener;
-use tokio_serde::formats::Cbor;
+use tokio_serde::{Deserializer, formats::Cbor};
 
 use crate::ingress::{
     batches::StageLoads,
@@ -143,6 +144,26 @@
     async fn follow(known: Known) -> Update;
 }
 
+/// What stands in a frame in which a peer asks something; an error tells why it cannot be read.
+pub(super) fn read_request(frame: &[u8]) -> io::Result<serde_json::Value> {
+    match read(frame)? {
+        ClientMessage::Request(it) => Ok(serde_json::to_value::<IngressPeersRequest>(it.message)?),
+        _ => Err(io::Error::from(io::ErrorKind::InvalidData)),
+    }
+}
+
+/// The same for a frame in which a peer answers.
+pub(super) fn read_answer(frame: &[u8]) -> io::Result<serde_json::Value> {
+    let answer: Response<IngressPeersResponse> = read(frame)?;
+    let message = answer.message.map_err(|it| io::Error::other(it.to_string()))?;
+    Ok(serde_json::to_value(message)?)
+}
+
+fn read<T: for<'de> Deserialize<'de> + Unpin>(frame: &[u8]) -> io::Result<T> {
+    let mut codec: Cbor<T, ()> = Cbor::default();
+    Pin::new(&mut codec).deserialize(&BytesMut::from(frame))
+}
+
 /// Serves peers until the task is dropped.
 pub(crate) async fn serve(shared: Arc<IngressShared>, listener: TcpListener) {
     loop {
