--- a/crates/holdpoint-soak/src/fleet.rs
+++ b/crates/holdpoint-soak/src/fleet.rs
@@ -52,6 +52,32 @@
 
 impl std::error::Error for CannotStart {}
 
+/// Programs that are run.
+#[derive(Clone, Debug)]
+pub struct Builds {
+    daemon: PathBuf,
+    former: Option<PathBuf>,
+}
+
+impl Builds {
+    /// One build for all processes.
+    pub fn new(daemon: impl Into<PathBuf>) -> Builds {
+        Builds { daemon: daemon.into(), former: None }
+    }
+
+    /// Has every second process, and every second life of each, run a former build.
+    pub fn with_former(mut self, former: Option<PathBuf>) -> Builds {
+        self.former = former;
+        self
+    }
+
+    /// The program of a process in one of its lives.
+    fn program(&self, process: usize, life: usize) -> &Path {
+        let former = self.former.as_ref().filter(|_| (process + life) % 2 == 1);
+        former.unwrap_or(&self.daemon)
+    }
+}
+
 /// Time since the start of a soak.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Clock(Instant);
@@ -195,17 +221,17 @@
     Ok(path)
 }
 
-/// Plays a plan with processes of `daemon`, and judges it.
-pub async fn run(plan: &Plan, daemon: &Path) -> Result<Verdict, CannotStart> {
-    let cannot_start = |cause| CannotStart { program: daemon.to_owned(), cause };
+/// Plays a plan with processes of some builds, and judges it.
+pub async fn run(plan: &Plan, builds: &Builds) -> Result<Verdict, CannotStart> {
+    let cannot_start = |cause| CannotStart { program: builds.daemon.clone(), cause };
     let folder =
         std::env::temp_dir().join(format!("holdpoint-soak-{}-{}", std::process::id(), plan.seed));
     std::fs::create_dir_all(&folder).map_err(cannot_start)?;
     let fleet = Arc::new(Fleet::start(plan, &folder).await.map_err(cannot_start)?);
     let mut processes = Vec::new();
     for index in 0..plan.processes {
-        let child = start_process(&fleet, daemon, index).map_err(cannot_start)?;
-        processes.push(tokio::spawn(supervise(fleet.clone(), daemon.to_owned(), index, child)));
+        let child = start_process(&fleet, builds.program(index, 0), index).map_err(cannot_start)?;
+        processes.push(tokio::spawn(supervise(fleet.clone(), builds.clone(), index, child)));
     }
     let mut findings = recover(&fleet).await;
     let sending: Vec<_> =
@@ -270,8 +296,8 @@
 }
 
 /// Reads what a process writes until it ends, then starts it again, for good.
-async fn supervise(fleet: Arc<Fleet>, daemon: PathBuf, index: usize, mut child: Child) {
-    loop {
+async fn supervise(fleet: Arc<Fleet>, builds: Builds, index: usize, mut child: Child) {
+    for life in 1.. {
         if let Some(lines) = child.stderr.take() {
             let mut lines = BufReader::new(lines).lines();
             while let Ok(Some(line)) = lines.next_line().await {
@@ -286,7 +312,7 @@
         *fleet.pids[index].lock() = None;
         drop(child.wait().await);
         tokio::time::sleep(RESTART).await;
-        match start_process(&fleet, &daemon, index) {
+        match start_process(&fleet, builds.program(index, life), index) {
             Ok(it) => child = it,
             Err(_) => return,
         }
--- a/crates/holdpoint-soak/src/lib.rs
+++ b/crates/holdpoint-soak/src/lib.rs
@@ -10,11 +10,11 @@
 //! Not covered: steps of the time of day (the daemon reads none) and cuts between peers.
 //!
 //! ```no_run
-//! use holdpoint_soak::{Plan, run};
+//! use holdpoint_soak::{Builds, Plan, run};
 //!
 //! # async fn example() {
 //! let plan = Plan::draw(7, std::time::Duration::from_secs(5));
-//! let verdict = run(&plan, "target/release/holdpointd".as_ref()).await.unwrap();
+//! let verdict = run(&plan, &Builds::new("target/release/holdpointd")).await.unwrap();
 //! assert!(verdict.is_kept(), "{verdict}");
 //! # }
 //! ```
@@ -28,7 +28,7 @@
 
 pub use crate::{
     callers::{Attempt, Outcome, Route},
-    fleet::{CannotStart, run},
+    fleet::{Builds, CannotStart, run},
     plan::{Fault, Kind, Plan, TargetFault, Way},
     verdict::{Finding, Kills, Promise, Verdict, judge},
 };
--- a/crates/holdpoint-soak/src/plan.rs
+++ b/crates/holdpoint-soak/src/plan.rs
@@ -160,6 +160,14 @@
     (0..LIMITS).map(|_| limit()).collect()
 }
 
+impl Plan {
+    /// Leaves the limits out that targets name: earlier builds know none.
+    pub fn without_limits(mut self) -> Plan {
+        self.faults.retain(|it| !matches!(it.kind, Kind::Limit { .. }));
+        self
+    }
+}
+
 /// A fault, or the same one several times in quick succession.
 fn series(rng: &mut impl Rng, at: Millis, processes: usize, faults: &mut Vec<Fault>) {
     let kind = kind(rng, processes);
--- a/crates/holdpoint/src/cli.rs
+++ b/crates/holdpoint/src/cli.rs
@@ -174,6 +174,13 @@
                 .value_parser(value_parser!(PathBuf))
                 .help("The daemon; holdpointd beside this program where absent"),
         )
+        .arg(
+            Arg::new("former")
+                .long("former")
+                .value_name("PROGRAM")
+                .value_parser(value_parser!(PathBuf))
+                .help("A former build of it, which half of the processes run; targets name no limits then"),
+        )
 }
 
 /// Writes the completion of a shell to standard output.
--- a/crates/holdpoint/src/soak.rs
+++ b/crates/holdpoint/src/soak.rs
@@ -3,7 +3,7 @@
 use std::{path::PathBuf, time::Duration};
 
 use clap::ArgMatches;
-use holdpoint_soak::Plan;
+use holdpoint_soak::{Builds, Plan};
 
 use crate::failure::Failure;
 
@@ -15,11 +15,14 @@
     let number = |name: &str| *matches.get_one::<u64>(name).expect("the argument has a default");
     let length = Duration::from_secs(number("seconds"));
     let daemon = matches.get_one::<PathBuf>("daemon").cloned();
-    let daemon = daemon.unwrap_or_else(beside_this_program);
+    let former = matches.get_one::<PathBuf>("former").cloned();
+    let has_former = former.is_some();
+    let builds = Builds::new(daemon.unwrap_or_else(beside_this_program)).with_former(former);
     let mut broken = 0;
     for seed in (number("seed")..).take(number("count") as usize) {
         let plan = Plan::draw(seed, length);
-        let verdict = holdpoint_soak::run(&plan, &daemon).await.map_err(Failure::Soak)?;
+        let plan = if has_former { plan.without_limits() } else { plan };
+        let verdict = holdpoint_soak::run(&plan, &builds).await.map_err(Failure::Soak)?;
         println!("{verdict}");
         broken += verdict.findings.len() as u64;
     }
--- a/crates/holdpointd/tests/soak.rs
+++ b/crates/holdpointd/tests/soak.rs
@@ -1,8 +1,8 @@
 //! A short soak with seeds of its own: real processes, real faults. `holdpoint soak` plays more.
 
-use std::{path::Path, time::Duration};
+use std::time::Duration;
 
-use holdpoint_soak::{Plan, run};
+use holdpoint_soak::{Builds, Plan, run};
 
 /// Seeds that every run of the tests plays.
 const SEEDS: [u64; 2] = [3, 4];
@@ -11,7 +11,8 @@
 async fn promises_hold_under_faults() {
     for seed in SEEDS {
         let plan = Plan::draw(seed, Duration::from_secs(3));
-        let verdict = run(&plan, Path::new(env!("CARGO_BIN_EXE_holdpointd"))).await.unwrap();
+        let builds = Builds::new(env!("CARGO_BIN_EXE_holdpointd"));
+        let verdict = run(&plan, &builds).await.unwrap();
         assert!(verdict.is_kept(), "{verdict}");
         assert!(0 < verdict.answered);
     }
