Limits: instances that have just started hear of them, and a new keeper is told by those who heard

Cause (read): an instance that joined was told of limits before it knew the targets, and dropped what it was told; after a hand-over each of 985 instances would have told the new keeper all limits that it knew, 500 entries of 75 bytes each. A call for pieces that was called off since its target had just named a limit counted as the target's failure. Change: news carry the service, and are kept for 10 s although the target is not known; only instances that had an answer by themselves tell a new keeper; such a call counts as one that found the target full. Figures: the tests of limits, at sockets and in the core, pass as before.

--- a/crates/holdpoint-core/src/target_limits.rs
+++ b/crates/holdpoint-core/src/target_limits.rs
@@ -23,8 +23,9 @@
 /// How long an instance that begins to keep an account lets nothing through at least, in milliseconds: as long
 /// as instances may differ in who keeps it.
 const TAKE_OVER_MS: Millis = 1000;
-/// How long it is remembered that a limit has ended, in milliseconds: longer than news of it travel.
-const ENDED_KEPT_MS: Millis = 10_000;
+/// How long it is remembered that a limit has ended, or what was told of a target that is not known, in
+/// milliseconds: longer than news of either travel.
+const HEARD_KEPT_MS: Millis = 10_000;
 /// Longest time that news of a limit take from one instance to another, in milliseconds.
 const ON_THE_WAY_MS: Millis = 100;
 /// Largest part of a limit that is let through while another instance may keep the account too, as on the
@@ -121,6 +122,8 @@
 pub struct LimitNews {
     /// The target.
     pub target: TargetId,
+    /// Its service.
+    pub service: Name,
     /// Requests a second; absent where it names no limit any more.
     pub per_s: Option<f64>,
     /// How long ago the request was sent whose answer told that, in milliseconds.
@@ -155,6 +158,8 @@
     per_s: Option<f64>,
     /// When the answer was made that told that.
     made: Between,
+    /// Whether this instance has had such an answer by itself.
+    is_heard: bool,
     account: Account,
     /// Until when whoever keeps the account said that nothing more is let through.
     refused_until: Millis,
@@ -198,11 +203,15 @@
 impl TargetLimits {
     /// Takes in what an answer says.
     pub fn heard(&mut self, made: Between, (id, service): (&str, &str), named: Named) -> Change {
-        match named {
+        let change = match named {
             Named::PerSecond(it) => self.learn(made, (id, service), Some(it)),
             Named::Nothing if self.limits.contains_key(id) => self.learn(made, (id, service), None),
-            Named::Nothing | Named::Unreadable => Change::Nothing,
+            Named::Nothing | Named::Unreadable => return Change::Nothing,
+        };
+        if let Some(it) = self.limits.get_mut(id) {
+            it.is_heard = true;
         }
+        change
     }
 
     /// Takes in a limit in requests a second, or that there is none, from an answer of the target. Answers
@@ -216,7 +225,7 @@
     ) -> Change {
         let Some(limit) = self.limits.get_mut(id) else {
             let (service, account) = (service.to_owned(), Account::default());
-            let limit = Limit { service, per_s, made, account, refused_until: 0 };
+            let limit = Limit { service, per_s, made, is_heard: false, account, refused_until: 0 };
             self.limits.insert(id.to_owned(), limit);
             return if per_s.is_some() { Change::Began } else { Change::Nothing };
         };
@@ -296,9 +305,10 @@
         self.limits.remove(id);
     }
 
-    /// Forgets limits that ended long ago.
-    pub fn forget(&mut self, now: Millis) {
-        self.limits.retain(|_, it| it.per_s.is_some() || now < it.made.came + ENDED_KEPT_MS);
+    /// Forgets what was heard long ago of limits that have ended, and of targets that are not known.
+    pub fn forget(&mut self, now: Millis, is_known: impl Fn(&str) -> bool) {
+        let is_new = |it: &Limit| now < it.made.came + HEARD_KEPT_MS;
+        self.limits.retain(|id, it| is_new(it) || (it.per_s.is_some() && is_known(id)));
     }
 
     /// Whether nothing is known of any limit.
@@ -311,6 +321,11 @@
         self.per_s(id).is_some()
     }
 
+    /// Whether this instance knows of a target's limit by an answer of its own.
+    pub fn is_heard(&self, id: &str) -> bool {
+        self.limits.get(id).is_some_and(|it| it.is_heard)
+    }
+
     /// The limit of a target in requests a second, if it names one.
     pub fn per_s(&self, id: &str) -> Option<f64> {
         self.limits.get(id)?.per_s
@@ -327,6 +342,7 @@
         let ago = |at: Millis| now.saturating_sub(at);
         Some(LimitNews {
             target: id.to_owned(),
+            service: limit.service.clone(),
             per_s: limit.per_s,
             sent_ms: ago(limit.made.sent),
             age_ms: ago(limit.made.came),
--- a/crates/holdpointd/src/ingress/batches/calls.rs
+++ b/crates/holdpointd/src/ingress/batches/calls.rs
@@ -243,7 +243,7 @@
     let limit = Duration::from_millis(patience.max(LEAST_CALL_MS));
     let answer = own_call(shared, (&target, permit), wire::RUN_PATH, body, limit).await;
     let (status, head, body) = answer.map_err(|it| NoCall {
-        end: CallEnd::Failed,
+        end: if it == NoAnswer::Limited { CallEnd::Full } else { CallEnd::Failed },
         broken: (it == NoAnswer::Broken).then(|| target.clone()),
     })?;
     if let Some(load) = head.load {
--- a/crates/holdpointd/src/ingress/limits/news.rs
+++ b/crates/holdpointd/src/ingress/limits/news.rs
@@ -9,7 +9,7 @@
 
 use futures::{StreamExt, stream::FuturesUnordered};
 use holdpoint_core::{
-    directory::TargetId,
+    directory::{TargetId, TargetInstance},
     ids::Name,
     target_limits::{Change, LimitNews},
 };
@@ -63,13 +63,15 @@
     let limits = &shared.limits;
     let now = shared.clock.now();
     for it in news {
-        let Some(target) = shared.target(&it.target) else { continue };
-        let its = (target.id.as_str(), target.service.as_str());
+        // An instance that has just started may hear of a limit before it knows the target.
+        let its = (it.target.as_str(), it.service.as_str());
         let change = limits.known.lock().learn(it.made(now), its, it.per_s);
-        limits.note(shared, &target.id, change, "peer");
+        limits.note(shared, &it.target, change, "peer");
         let concerns_all = matches!(change, Change::Began | Change::Ended);
-        if concerns_all && keeper_of(shared, &target).is_none() {
-            limits.outbox.tell_all(&target.id);
+        let is_keeper =
+            || shared.target(&it.target).is_some_and(|it| keeper_of(shared, &it).is_none());
+        if concerns_all && is_keeper() {
+            limits.outbox.tell_all(&it.target);
         }
     }
 }
@@ -149,22 +151,28 @@
 fn review(shared: &Arc<IngressShared>) {
     let (limits, outbox) = (&shared.limits, &shared.limits.outbox);
     let now = shared.clock.now();
-    let ids: Vec<TargetId> = {
-        let mut known = limits.known.lock();
-        known.forget(now);
-        known.ids().cloned().collect()
-    };
-    if ids.is_empty() {
+    let ids: Vec<TargetId> = limits.known.lock().ids().cloned().collect();
+    // The directory is asked without the limits in hand: whoever changes it takes limits back.
+    let targets: HashMap<TargetId, Option<TargetInstance>> =
+        ids.into_iter().map(|id| (id.clone(), shared.target(&id))).collect();
+    let is_known = |id: &str| targets.get(id).is_some_and(Option::is_some);
+    limits.known.lock().forget(now, is_known);
+    if targets.is_empty() {
         outbox.told.lock().clear();
         outbox.greeted.lock().clear();
         return;
     }
+    outbox.told.lock().retain(|id, _| targets.contains_key(id));
     let mut kept = Vec::new();
-    for id in ids {
-        let Some(target) = shared.target(&id) else { continue };
+    for target in targets.into_values().flatten() {
         let keeper = keeper_of(shared, &target);
-        limits.known.lock().keep(now, &id, keeper.is_none());
-        if outbox.told.lock().get(&id) != Some(&keeper) {
+        let id = target.id;
+        let mut known = limits.known.lock();
+        known.keep(now, &id, keeper.is_none());
+        // All who were told the same by a peer need not tell it again.
+        let is_teller = known.is_heard(&id);
+        drop(known);
+        if is_teller && outbox.told.lock().get(&id) != Some(&keeper) {
             outbox.tell(&id);
         }
         if keeper.is_none() {
--- a/crates/holdpointd/src/ingress/send.rs
+++ b/crates/holdpointd/src/ingress/send.rs
@@ -36,6 +36,8 @@
 pub(crate) enum NoAnswer {
     /// There is no connection to the target, or no byte of the call has left.
     NotSent,
+    /// No byte has left, since the target named a limit after the call was let through.
+    Limited,
     /// The connection broke off.
     Broken,
     /// It took too long.
@@ -145,7 +147,7 @@
         let taken = shared.connections.take(target, Care::Usual).await;
         let mut connection = taken.map_err(|_| NoAnswer::NotSent)?;
         if !shared.limits.allows(&permit, &target.id) {
-            return Err(NoAnswer::NotSent);
+            return Err(NoAnswer::Limited);
         }
         let mut request = Request::new(Full::new(Bytes::from(body)));
         *request.method_mut() = Method::POST;
