A request that was declined elsewhere keeps no others from the targets that it may not use

Cause: where the one that places prompts answered that there is no room, the asker refused all prompts of the service until there was, although the question had left out targets that were tried or had failed of late: with one engine that declines and one that takes a request in five seconds, all prompts were refused for up to five seconds after the first engine was well again. And targets that had failed of late were left out even where nothing else had room. Change: only a question that leaves nothing out closes the service; where the rest has no room, targets that have failed of late are asked for as well.

--- a/crates/holdpointd/src/ingress/attempts.rs
+++ b/crates/holdpointd/src/ingress/attempts.rs
@@ -4,7 +4,7 @@
 
 use holdpoint_core::{
     confinement::Confinement,
-    directory::TargetInstance,
+    directory::{TargetId, TargetInstance},
     ids::{Millis, Name},
     rollout::Lane,
     route::{Call, End, NoTarget},
@@ -225,12 +225,14 @@
         ctx: &Context,
         inputs: &[(Name, u64)],
     ) -> Result<Option<Chosen>, NoSend> {
+        let mut ejected = ctx.pool.ejected(ctx.shared.clock.now());
         loop {
             let (within, region) = (ctx.within(), ctx.region());
             let owner = owner_of(&ctx.shared, &region, &ctx.service, &within);
-            let Some((prompt, address)) = self.prompt_ask(ctx, inputs).zip(owner) else {
+            let Some((prompt, address)) = self.prompt_ask(ctx, inputs, &ejected).zip(owner) else {
                 return Ok(None);
             };
+            let is_free = within.is_none() && prompt.avoided.is_empty();
             let limit = limit_for(&ctx.shared, &region, PLACE_LIMIT);
             let peers = &ctx.shared.peers;
             let assignment = if peers.protocol_of(&address) < LIMITS {
@@ -252,12 +254,19 @@
                     // Whoever placed it has not heard of its limit yet, and does now.
                     return Ok(permit.ok().map(|permit| Chosen { target, permit, reason }));
                 }
+                // Better one that has failed of late than none.
+                Some(Assignment::Wait(_) | Assignment::Later { .. }) if !ejected.is_empty() => {
+                    ejected.clear();
+                }
                 Some(Assignment::Wait(ms)) if ms <= ctx.slot_patience() => {
                     tokio::time::sleep(Duration::from_millis(ms)).await;
                 }
                 Some(Assignment::Wait(ms)) => return Err(NoSend::Limited(ms)),
                 Some(Assignment::Later { soonest_ms, return_ms }) => {
-                    ctx.pool.shut(ctx.shared.clock.now(), soonest_ms);
+                    // It may be refused only since it may not go elsewhere.
+                    if is_free {
+                        ctx.pool.shut(ctx.shared.clock.now(), soonest_ms);
+                    }
                     return Err(NoSend::Limited(return_ms));
                 }
                 Some(Assignment::Nowhere) | None => return Ok(None),
@@ -265,11 +274,16 @@
         }
     }
 
-    /// What whoever places prompts has to know of this one; `None` where it is none.
-    fn prompt_ask(&self, ctx: &Context, inputs: &[(Name, u64)]) -> Option<PromptAsk> {
+    /// What whoever places prompts has to know of this one, where some targets are left out; `None` where it
+    /// is none.
+    fn prompt_ask(
+        &self,
+        ctx: &Context,
+        inputs: &[(Name, u64)],
+        ejected: &[TargetId],
+    ) -> Option<PromptAsk> {
         let call = ctx.call(&self.tried);
-        let mut avoided = ctx.pool.ejected(ctx.shared.clock.now());
-        avoided.extend(self.tried.iter().cloned());
+        let avoided = ejected.iter().chain(&self.tried).cloned().collect();
         let confinement = ctx.within().map_or_else(Confinement::default, |it| it.confinement());
         Some(PromptAsk {
             work: call.work,
--- a/crates/holdpointd/tests/named_limits.rs
+++ b/crates/holdpointd/tests/named_limits.rs
@@ -252,3 +252,18 @@
     asked.join_all().await;
     until(|| target.connections() <= 6).await;
 }
+
+/// What is refused since its only target left has got what it takes says nothing of requests that may go elsewhere.
+#[tokio::test]
+async fn a_request_that_was_declined_elsewhere_keeps_no_others_out() {
+    let fleet = fleet(&[], &[Behaviour::Decline, Behaviour::Events(3)]).await;
+    let [open, limited] = &fleet.system.engines[..] else { panic!("there are two") };
+    limited.set_limit(Some(0.2));
+    let prompt = |id: String| CallerRequest::new(&id, "/story/x").with_prompt("a:800,b:10");
+    fleet.ask_for(Duration::from_millis(1500), |it| prompt(format!("r-{it}"))).await;
+    open.set_behaviour(Behaviour::Events(3));
+    for (index, callers) in fleet.callers().into_iter().enumerate() {
+        let answer = call(callers, prompt(format!("s-{index}"))).await.expect("there is an answer");
+        assert_eq!(answer.status, StatusCode::OK, "instance {index}");
+    }
+}
