--- a/crates/holdpoint-core/src/batcher/targets.rs
+++ b/crates/holdpoint-core/src/batcher/targets.rs
@@ -20,7 +20,7 @@
 /// Weight of the newest measurement of a target's slowness.
 const NEWEST: f64 = 0.3;
 /// A target that is so many times slower than the fastest gets work only while there is a
-/// backlog. Not measured by itself.
+/// backlog.
 pub(super) const SLOW: f64 = 2.0;
 /// How many times longer than it was waited for a call is taken to last that was not answered.
 const SILENT_SLOWNESS: f64 = 1.5;
@@ -130,9 +130,8 @@
 
     /// Takes in the calls that a target worked on or had in its queue as it answered a call of this
     /// instance, that one left out. More than are known here are another instance's. Inputs that are gone
-    /// are no sign of one: they go with a target that crashed, and counted as a sign they had inputs kept
-    /// until the ends of calls, which filled the makers' room: 4,491 in place of 5,041 of 6,480 requests of a
-    /// class were in time, counted in one play of 48 s each at 86 instances, same seed.
+    /// are no sign of one: they go with a target that crashed, and counted as a sign they would have inputs
+    /// kept until the ends of calls, which fills the makers' room.
     pub fn told_load(&mut self, now: Millis, target: &str, load: Load) {
         let Some(found) = self.targets.get_mut(target) else { return };
         if let Some(it) = load.pace_percent {
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -2,13 +2,14 @@
 
 mod admit;
 mod calls;
+mod inputs;
 mod targets;
 
 use std::{
     collections::{HashMap, HashSet},
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -16,14 +17,12 @@
 use futures::{StreamExt, stream::FuturesUnordered};
 use holdpoint_core::{
     batcher::{Batcher, Judgement},
-    confinement::Within,
     directory::{Directory, TargetId, TargetInstance},
     evacuation::Evacuations,
     ids::{Millis, Name},
     ingress::Service,
     pieces::{Call, CallEnd, Sizes, Ticket, Waiting},
     promises::{Promises, StageLoad},
-    quarantine::Fingerprint,
     rollout::Lane,
     route::Load,
     stage_graph::{NoResult, PieceWork},
@@ -47,6 +46,7 @@
 use self::{
     admit::{admit, waiting},
     calls::run,
+    inputs::GroupInputs,
     targets::{Known, Targets},
 };
 
@@ -68,43 +68,6 @@
     reply: oneshot::Sender<PieceResult>,
 }
 
-/// Inputs of pieces that were asked for together.
-#[derive(Debug)]
-struct GroupInputs {
-    /// Pieces whose target has not fetched its inputs yet.
-    unfetched: AtomicUsize,
-    used_up: Mutex<Vec<(Name, String)>>,
-    /// What their request is confined to.
-    within: Within,
-    /// Their request.
-    fingerprint: Option<Fingerprint>,
-}
-
-impl GroupInputs {
-    fn new(asks: &mut [PieceAsk], within: Within) -> GroupInputs {
-        let fingerprint = asks.first().and_then(|it| it.fingerprint);
-        let used_up = asks.first_mut().map(|it| std::mem::take(&mut it.used_up));
-        GroupInputs {
-            fingerprint,
-            unfetched: AtomicUsize::new(asks.len()),
-            used_up: Mutex::new(used_up.unwrap_or_default()),
-            within,
-        }
-    }
-
-    /// Counts a piece whose target has its inputs, and gives the inputs up if it was the last one.
-    fn fetched(&self, shared: &IngressShared) {
-        if self.unfetched.fetch_sub(1, Ordering::AcqRel) != 1 {
-            return;
-        }
-        let used_up = std::mem::take(&mut *self.used_up.lock());
-        let release = |(service, handle): (Name, String)| {
-            shared.releases.release(&service, handle);
-        };
-        used_up.into_iter().for_each(release);
-    }
-}
-
 /// The batcher of one service on this instance.
 struct ServiceBatches {
     batcher: Batcher,
--- a/crates/holdpointd/src/ingress/connections.rs
+++ b/crates/holdpointd/src/ingress/connections.rs
@@ -24,8 +24,8 @@
 const REST_MARGIN: Duration = Duration::from_millis(700);
 /// How long a connection may have rested that carries a request which may run only once.
 const CAREFUL_REST: Duration = Duration::from_millis(1500);
-/// Most bytes that the HTTP library reads ahead of an answer. With its own bound of 400 kB a process that had
-/// 200 answers nobody read peaked at 107 MB, with 32 kB at 76, while 64 kB were kept of each.
+/// Most bytes that the HTTP library reads ahead of an answer: its own bound fills the memory with answers that
+/// nobody reads.
 const READ_BUFFER: usize = 16 << 10;
 /// Connections at rest to one target as long as its service is not known.
 const USUAL_AT_REST: usize = 1;
--- a/crates/holdpointd/tests/support/mod.rs
+++ b/crates/holdpointd/tests/support/mod.rs
@@ -116,6 +116,21 @@
         self.instance.listen().callers.parse().unwrap()
     }
 
+    /// Starts more instances, and waits until all know each other and the targets.
+    pub async fn start_others(&self, names: &[&str]) -> Vec<(Ingress, Gate)> {
+        let mut others = Vec::new();
+        for name in names {
+            let gate = self.store.open_gate().await;
+            others.push((start_instance(name, &gate), gate));
+        }
+        let targets = self.plain.len() + self.engines.len() + 1;
+        let all = || std::iter::once(&self.instance).chain(others.iter().map(|it| &it.0));
+        let knows_all =
+            |it: &Ingress| it.peer_count() == names.len() && it.target_count() == targets;
+        until(|| all().all(knows_all)).await;
+        others
+    }
+
     pub async fn ask(&self, id: &str, path: &str) -> CallerAnswer {
         self.send(CallerRequest::new(id, path)).await
     }
