Only who keeps accounts of limits asks its peers all the time whether they are there

Cause (read): every instance that knew of a limit did, although only those that keep accounts let through a part when they do not reach all; at 985 instances each would have gone on asking four times a second. Change: the question is whether an account is kept here.

--- a/crates/holdpoint-core/src/target_limits.rs
+++ b/crates/holdpoint-core/src/target_limits.rs
@@ -311,6 +311,11 @@
         self.limits.retain(|id, it| is_new(it) || (it.per_s.is_some() && is_known(id)));
     }
 
+    /// Whether this instance keeps the account of a limit.
+    pub fn keeps_any(&self) -> bool {
+        self.limits.values().any(|it| it.account.since.is_some())
+    }
+
     /// Whether nothing is known of any limit.
     pub fn is_empty(&self) -> bool {
         self.limits.is_empty()
--- a/crates/holdpointd/src/ingress/limits.rs
+++ b/crates/holdpointd/src/ingress/limits.rs
@@ -107,9 +107,9 @@
         per_s.map_or(String::new(), |it| format!(" limit_per_s={it}"))
     }
 
-    /// Whether anything is known of limits.
-    pub(crate) fn has_any(&self) -> bool {
-        !self.known.lock().is_empty()
+    /// Whether this instance keeps the account of a limit.
+    pub(crate) fn keeps_any(&self) -> bool {
+        self.known.lock().keeps_any()
     }
 
     /// Whether a permit still allows a send: one that was given before the target named a limit does not.
--- a/crates/holdpointd/src/ingress/links.rs
+++ b/crates/holdpointd/src/ingress/links.rs
@@ -113,7 +113,7 @@
             calls: self.calls.load(Ordering::Acquire),
             used: self.used.load(Ordering::Acquire),
             // Whoever keeps accounts of limits has to know whom it does not reach.
-            is_standing: shared.batches.relies_on_owners() || shared.limits.has_any(),
+            is_standing: shared.batches.relies_on_owners() || shared.limits.keeps_any(),
         }
     }
 
