--- a/crates/holdpointd/tests/soak.rs
+++ b/crates/holdpointd/tests/soak.rs
@@ -18,7 +18,7 @@
     }
 }
 
-/// In 1 of 56 runs of this seed no process served requests with stages for 20 s after the last fault, which are
+/// In 1 of 86 runs of this seed no process served requests with stages for 20 s after the last fault, which are
 /// several outages of the store, an evacuation within them and a target of two that took nothing.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_seed_that_once_did_not_recover_does() {
