What a target says of itself is one type, and the log tells that it leaves or asks to back off

Both are decoded now, with the limit and the load, into core::notice::Notice, and one function takes them in from every answer (E780, E781; E782 for what cannot be read). They change no decision yet.

Forms: seconds as a decimal number, or a date by the answer's own date; of several the longest holds; with 503 only, run or not. An empty, negative or infinite figure is one that cannot be read.

--- a/crates/holdpoint-core/src/lib.rs
+++ b/crates/holdpoint-core/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod lifecycle;
 pub mod liveness;
 pub mod membership;
+pub mod notice;
 pub mod pieces;
 pub mod pipeline;
 pub mod placement;
--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -153,6 +153,12 @@
     BAD_LIMIT = 771 Warn "target's limit cannot be read";
     /// A request was not let through to a target, which has got what its limit allows.
     LIMIT_REACHED = 772 Info "target has got what it takes";
+    /// An answer of a target said that the target leaves.
+    LEAVING_NOTICE = 780 Info "target says that it leaves";
+    /// A target turned a request away and asked this instance to back off.
+    BACKOFF_REQUESTED = 781 Info "target asks to back off";
+    /// For how long a target asks this instance to back off cannot be read.
+    BAD_BACKOFF = 782 Warn "target's back-off cannot be read";
     /// A request was sent to a target.
     SENT = 700 Info "sent to a target";
     /// A send ended without a whole answer.
--- a/crates/holdpointd/src/ingress/batches/calls.rs
+++ b/crates/holdpointd/src/ingress/batches/calls.rs
@@ -246,7 +246,7 @@
         end: if it == NoAnswer::Limited { CallEnd::Full } else { CallEnd::Failed },
         broken: (it == NoAnswer::Broken).then(|| target.clone()),
     })?;
-    if let Some(load) = head.load {
+    if let Some(load) = head.notice.load {
         shared.batches.told_load(shared.clock.now(), service, &call.target, load);
     }
     if head.is_misdirected {
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -23,6 +23,7 @@
 mod limits;
 mod links;
 mod news;
+mod notices;
 mod packed;
 mod peer_service;
 mod peers;
--- a/crates/holdpointd/src/ingress/send.rs
+++ b/crates/holdpointd/src/ingress/send.rs
@@ -14,6 +14,7 @@
     connections::{Care, Connection},
     context::Context,
     limits::Permit,
+    notices,
     shared::IngressShared,
     unread::MOST_EACH,
 };
@@ -96,7 +97,7 @@
         shared.metrics.crossed.add(1, &[]);
         return Sent::Broken;
     }
-    shared.limits.heard(shared, target, head.limit, begun);
+    notices::observe(shared, target, &head.notice, begun);
     if head.is_declined {
         let status = response.status();
         keep_after(shared, connection, &response, &head, request.body.len());
@@ -163,7 +164,7 @@
         let status = response.status();
         let head = headers::read_target(status, response.headers());
         if !head.is_misdirected {
-            shared.limits.heard(shared, target, head.limit, begun);
+            notices::observe(shared, target, &head.notice, begun);
         }
         let body = response.into_body().collect().await;
         let body = body.map_err(|_| NoAnswer::Broken)?.to_bytes();
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -279,7 +279,7 @@
         Sent::Limited => return Ended::Limited,
         Sent::Broken => return Ended::Broken,
         Sent::Declined { status, head } => {
-            ctx.pool.report(ctx.shared.clock.now(), &target.id, head.load);
+            ctx.pool.report(ctx.shared.clock.now(), &target.id, head.notice.load);
             if head.is_misdirected {
                 ctx.shared.target_leaves(&target.id, "misdirected");
             }
@@ -288,7 +288,7 @@
         }
         Sent::Answered { head, response, connection } => (head, response, connection),
     };
-    ctx.pool.report(ctx.shared.clock.now(), &target.id, head.load);
+    ctx.pool.report(ctx.shared.clock.now(), &target.id, head.notice.load);
     let (parts, mut body) = response.into_parts();
     if !parts.status.is_success() {
         return match body.collect().await {
--- a/crates/holdpointd/src/ingress/whole.rs
+++ b/crates/holdpointd/src/ingress/whole.rs
@@ -234,7 +234,7 @@
         Sent::Nothing => Ended::NotSent,
         Sent::Limited => Ended::Limited,
         Sent::Declined { head, .. } => {
-            ctx.pool.report(ctx.shared.clock.now(), &target.id, head.load);
+            ctx.pool.report(ctx.shared.clock.now(), &target.id, head.notice.load);
             if head.is_misdirected {
                 ctx.shared.target_leaves(&target.id, "misdirected");
             }
@@ -242,7 +242,7 @@
         }
         Sent::Broken => Ended::Broken,
         Sent::Answered { head, response, connection } => {
-            ctx.pool.report(ctx.shared.clock.now(), &target.id, head.load);
+            ctx.pool.report(ctx.shared.clock.now(), &target.id, head.notice.load);
             let started = Instant::now();
             let (parts, body) = response.into_parts();
             match read_body(&ctx.shared, body).await {
