--- a/crates/holdpointd/tests/named_limits.rs
+++ b/crates/holdpointd/tests/named_limits.rs
@@ -7,63 +7,35 @@
 
 mod support;
 
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 use holdpoint_adapter_standin::{
-    Badness, Behaviour, CallerAnswer, CallerRequest, Gate, Target, call, sample_configuration,
+    Badness, Behaviour, CallerAnswer, CallerRequest, Target, call, sample_configuration,
 };
-use holdpointd::ingress::Ingress;
 use http::StatusCode;
 use serde_json::json;
 use tokio::{runtime::Builder, task::JoinSet};
 
-use crate::support::{System, header, start, start_instance, until};
+use crate::support::{
+    fleet::{Fleet, PAUSE, fleet},
+    header, start, start_instance, until,
+};
 
 /// How long callers keep asking: more than the four seconds in which a target counts.
 const ASKING: Duration = Duration::from_millis(6000);
-/// Time between two requests.
-const PAUSE: Duration = Duration::from_millis(25);
-
-/// Three instances before the same targets.
-struct Fleet {
-    system: System,
-    others: Vec<(Ingress, Gate)>,
-}
 
-async fn fleet(plain: &[Behaviour], engines: &[Behaviour]) -> Fleet {
-    let system = start(plain, engines).await;
-    let others = system.start_others(&["b", "c"]).await;
-    Fleet { system, others }
+/// Sends requests to the instances in turn, again and again.
+async fn ask_for(
+    fleet: &Fleet,
+    time: Duration,
+    request: impl Fn(usize) -> CallerRequest,
+) -> Vec<CallerAnswer> {
+    let asked = fleet.ask(time, "", |round, _| request(round)).await;
+    asked.into_iter().map(|it| it.answer).collect()
 }
 
-impl Fleet {
-    fn instances(&self) -> impl Iterator<Item = &Ingress> {
-        std::iter::once(&self.system.instance).chain(self.others.iter().map(|it| &it.0))
-    }
-
-    fn callers(&self) -> Vec<SocketAddr> {
-        self.instances().map(|it| it.listen().callers.parse().unwrap()).collect()
-    }
-
-    /// Sends requests to the instances in turn, again and again.
-    async fn ask(&self, request: impl Fn(usize) -> CallerRequest) -> Vec<CallerAnswer> {
-        self.ask_for(ASKING, request).await
-    }
-
-    async fn ask_for(
-        &self,
-        time: Duration,
-        request: impl Fn(usize) -> CallerRequest,
-    ) -> Vec<CallerAnswer> {
-        let callers = self.callers();
-        let mut asked = JoinSet::new();
-        let rounds = (time.as_millis() / PAUSE.as_millis()) as usize;
-        for round in 0..rounds {
-            asked.spawn(call(callers[round % callers.len()], request(round)));
-            tokio::time::sleep(PAUSE).await;
-        }
-        asked.join_all().await.into_iter().map(|it| it.expect("there is an answer")).collect()
-    }
+async fn ask(fleet: &Fleet, request: impl Fn(usize) -> CallerRequest) -> Vec<CallerAnswer> {
+    ask_for(fleet, ASKING, request).await
 }
 
 fn assert_kept(target: &Target) {
@@ -87,20 +59,19 @@
     let fleet = fleet(&[Behaviour::Answer; 3], &[Behaviour::Events(3); 3]).await;
     let limited = [&fleet.system.plain[0], &fleet.system.engines[0]];
     limited.iter().for_each(|it| it.set_limit(Some(1.0)));
-    let answers = fleet
-        .ask(|round| {
-            let id = format!("r-{round}");
-            match round % 4 {
-                0 => CallerRequest::new(&id, "/safe/x"),
-                1 => CallerRequest::new(&id, "/unsafe/x"),
-                2 => CallerRequest::new(&id, "/once/x"),
-                _ => {
-                    let parts = format!("{:x}:800,{round:x}:10", round % 5);
-                    CallerRequest::new(&id, "/story/x").with_prompt(&parts)
-                }
+    let answers = ask(&fleet, |round| {
+        let id = format!("r-{round}");
+        match round % 4 {
+            0 => CallerRequest::new(&id, "/safe/x"),
+            1 => CallerRequest::new(&id, "/unsafe/x"),
+            2 => CallerRequest::new(&id, "/once/x"),
+            _ => {
+                let parts = format!("{:x}:800,{round:x}:10", round % 5);
+                CallerRequest::new(&id, "/story/x").with_prompt(&parts)
             }
-        })
-        .await;
+        }
+    })
+    .await;
     limited.into_iter().for_each(assert_kept);
     assert_served(&answers);
 }
@@ -114,13 +85,12 @@
         let is_plain = path == "/safe/x";
         let limited = if is_plain { &fleet.system.plain[0] } else { &fleet.system.engines[0] };
         limited.set_limit(Some(2.0));
-        let answers = fleet
-            .ask(|round| {
-                let request = CallerRequest::new(&format!("r-{round}"), path);
-                let parts = format!("{:x}:800,{round:x}:10", round % 5);
-                if path == "/story/x" { request.with_prompt(&parts) } else { request }
-            })
-            .await;
+        let answers = ask(&fleet, |round| {
+            let request = CallerRequest::new(&format!("r-{round}"), path);
+            let parts = format!("{:x}:800,{round:x}:10", round % 5);
+            if path == "/story/x" { request.with_prompt(&parts) } else { request }
+        })
+        .await;
         assert_kept(limited);
         assert!(6 <= served(&answers), "{path}: it gets what it takes: {}", served(&answers));
         let refused = answers.iter().filter(|it| it.status != StatusCode::OK);
@@ -148,7 +118,7 @@
     let limited = &fleet.system.encoder;
     limited.set_limit(Some(1.0));
     let staged = |it: usize| CallerRequest::new(&format!("r-{it}"), "/staged/x").with_pieces("2,1");
-    let answers = fleet.ask(staged).await;
+    let answers = ask(&fleet, staged).await;
     assert_kept(limited);
     assert!(!limited.batches().is_empty() && !other.batches().is_empty());
     let served = served(&answers);
@@ -208,7 +178,7 @@
         }
     });
     let safe = |it: usize| CallerRequest::new(&format!("r-{it}"), "/safe/x");
-    assert_served(&fleet.ask(safe).await);
+    assert_served(&ask(&fleet, safe).await);
     changing.await.unwrap();
     assert_kept(&limited);
     limited.set_limit(None);
@@ -219,7 +189,7 @@
             break;
         }
         assert!(round < 20, "it gets its part again: {}", limited.arrivals().len() - before);
-        fleet.ask_for(Duration::from_millis(1000), later).await;
+        ask_for(&fleet, Duration::from_millis(1000), later).await;
     }
 }
 
@@ -253,7 +223,7 @@
     let [open, limited] = &fleet.system.engines[..] else { panic!("there are two") };
     limited.set_limit(Some(0.2));
     let prompt = |id: String| CallerRequest::new(&id, "/story/x").with_prompt("a:800,b:10");
-    fleet.ask_for(Duration::from_millis(1500), |it| prompt(format!("r-{it}"))).await;
+    ask_for(&fleet, Duration::from_millis(1500), |it| prompt(format!("r-{it}"))).await;
     open.set_behaviour(Behaviour::Events(3));
     for (index, callers) in fleet.callers().into_iter().enumerate() {
         let answer = call(callers, prompt(format!("s-{index}"))).await.expect("there is an answer");
--- a/crates/holdpointd/tests/support/mod.rs
+++ b/crates/holdpointd/tests/support/mod.rs
@@ -3,6 +3,8 @@
 // Each test file uses a part of it.
 #![allow(dead_code, unreachable_pub)]
 
+pub mod fleet;
+
 use std::{net::SocketAddr, time::Duration};
 
 use holdpoint_adapter_standin::{
