One gate before the first byte of whatever is sent, and one place that hears what its answer says

Requests, calls for pieces and releases each took in what their answers said by themselves (the limit at two places, the load and a wrong address at three), and each looked by itself whether a target is still open: own calls only before they had a connection. A connection sends nothing now without a clearance that only gate::exchange makes, and exchange takes in the answer.

--- a/crates/holdpoint-core/src/batcher/targets.rs
+++ b/crates/holdpoint-core/src/batcher/targets.rs
@@ -128,17 +128,17 @@
         }
     }
 
-    /// Takes in the calls that a target worked on or had in its queue as it answered a call of this
-    /// instance, that one left out. More than are known here are another instance's. Inputs that are gone
+    /// Takes in the calls that a target worked on or had in its queue as it answered. So many calls of this
+    /// instance have ended with the answer, and are no part of its load. More than are known here are another instance's. Inputs that are gone
     /// are no sign of one: they go with a target that crashed, and counted as a sign they would have inputs
     /// kept until the ends of calls, which fills the makers' room.
-    pub fn told_load(&mut self, now: Millis, target: &str, load: Load) {
+    pub fn told_load(&mut self, now: Millis, target: &str, load: Load, answered: u32) {
         let Some(found) = self.targets.get_mut(target) else { return };
         if let Some(it) = load.pace_percent {
             found.told.told(now, it);
         }
         let calls = load.running + load.waiting;
-        if found.calls.saturating_sub(1) < calls {
+        if found.calls.saturating_sub(answered) < calls {
             found.shared_until = now + SHARED_MS;
         }
     }
--- a/crates/holdpoint-core/tests/batcher.rs
+++ b/crates/holdpoint-core/tests/batcher.rs
@@ -367,7 +367,7 @@
     let mut call_at = |now: u64, told: u32| {
         batcher.offer(now, piece(now, now, now + 900));
         let call = batcher.next(now).unwrap();
-        batcher.told_load(now + 220, "t-0", Load { running: told, ..Load::default() });
+        batcher.told_load(now + 220, "t-0", Load { running: told, ..Load::default() }, 1);
         batcher.ended(now + 220, &call, CallEnd::Answered(220), &[None]);
         call.is_shared
     };
--- a/crates/holdpoint-core/tests/told_pace.rs
+++ b/crates/holdpoint-core/tests/told_pace.rs
@@ -116,7 +116,7 @@
         Sizes { calls: 1, pieces: 6, call_ms: 200.0, piece_ms: 20.0, room_bytes: 0, keep_ms: 4000 };
     let mut batcher = Batcher::new(sizes);
     batcher.set_targets([("a", "d", false), ("b", "d", false)].into_iter());
-    batcher.told_load(0, "b", told(300));
+    batcher.told_load(0, "b", told(300), 1);
     batcher
         .offer(0, Waiting { ticket: 1, group: 1, due: 5000, deadline: 9000, ..Waiting::default() });
     let usual = batcher.patience_ms(0, "a", 1);
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -459,10 +459,10 @@
         judgement
     }
 
-    /// Takes in the load that a target told with the answer to a call.
-    fn told_load(&self, now: Millis, service: &str, target: &str, load: Load) {
-        if let Some(it) = self.services.lock().get_mut(service) {
-            it.batcher.told_load(now, target, load);
+    /// Takes in the load that a target told with an answer, with which so many calls have ended.
+    pub(crate) fn report(&self, now: Millis, target: &TargetInstance, load: Load, answered: u32) {
+        if let Some(it) = self.services.lock().get_mut(&target.service) {
+            it.batcher.told_load(now, &target.id, load, answered);
         }
     }
 
--- a/crates/holdpointd/src/ingress/batches/calls.rs
+++ b/crates/holdpointd/src/ingress/batches/calls.rs
@@ -23,9 +23,10 @@
 use crate::{
     events::{self, emit},
     ingress::{
+        gate::Cargo,
         limits::{self, Permit},
         piece_ask::PieceResult,
-        send::{NoAnswer, left, own_call},
+        send::{NoAnswer, OwnCall, left, own_call},
         shared::IngressShared,
         stages::FETCHED,
     },
@@ -45,7 +46,7 @@
     patience: Millis,
 ) {
     let begun = Instant::now();
-    let outcome = ask_and_release(&shared, &service, (&call, permit), &pieces, patience).await;
+    let outcome = ask_and_release(&shared, (&call, permit), &pieces, patience).await;
     let ms = begun.elapsed().as_millis() as Millis;
     note_runs(&shared, &service, &pieces, &outcome);
     let outcome = outcome.map_err(|it| it.end);
@@ -132,12 +133,11 @@
 /// fetched before that.
 async fn ask_and_release(
     shared: &Arc<IngressShared>,
-    service: &str,
     (call, permit): (&Call, Option<Permit>),
     pieces: &[Pending],
     patience: Millis,
 ) -> Result<Vec<PieceResult>, NoCall> {
-    let asking = ask_target(shared, service, (call, permit), pieces, patience);
+    let asking = ask_target(shared, (call, permit), pieces, patience);
     tokio::pin!(asking);
     let outcome = tokio::select! {
         it = &mut asking => it,
@@ -228,7 +228,6 @@
 
 async fn ask_target(
     shared: &Arc<IngressShared>,
-    service: &str,
     (call, permit): (&Call, Option<Permit>),
     pieces: &[Pending],
     patience: Millis,
@@ -241,18 +240,12 @@
     let body =
         wire::run_body(pieces.iter().map(|it| (&it.work, left(it.deadline).as_millis() as Millis)));
     let limit = Duration::from_millis(patience.max(LEAST_CALL_MS));
-    let answer = own_call(shared, (&target, permit), wire::RUN_PATH, body, limit).await;
+    let call = OwnCall { path: wire::RUN_PATH, body, cargo: Cargo::Pieces };
+    let answer = own_call(shared, (&target, permit), call, limit).await;
     let (status, head, body) = answer.map_err(|it| NoCall {
-        end: if it == NoAnswer::Limited { CallEnd::Full } else { CallEnd::Failed },
+        end: if matches!(it, NoAnswer::Barred(_)) { CallEnd::Full } else { CallEnd::Failed },
         broken: (it == NoAnswer::Broken).then(|| target.clone()),
     })?;
-    if let Some(load) = head.notice.load {
-        shared.batches.told_load(shared.clock.now(), service, &call.target, load);
-    }
-    if head.is_misdirected {
-        shared.target_leaves(&target.id, "misdirected");
-        return Err(CallEnd::Full.into());
-    }
     if head.is_declined {
         return Err(CallEnd::Full.into());
     }
--- a/crates/holdpointd/src/ingress/connections.rs
+++ b/crates/holdpointd/src/ingress/connections.rs
@@ -9,13 +9,22 @@
     ingress::Configuration,
 };
 use holdpoint_platform::Instant;
+use http::{Request, Response};
 use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{
+    body::Incoming,
+    client::conn::{
+        TrySendError,
+        http1::{self, SendRequest},
+    },
+};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use socket2::SockRef;
 use tokio::{net::TcpStream, task::AbortHandle};
 
+use crate::ingress::gate::Clearance;
+
 /// How long sent bytes may stay unacknowledged before the connection counts as dead.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(2500);
 /// How long a connection may rest whose target states no limit.
@@ -53,12 +62,23 @@
 /// A connection in use. Dropping it closes it at once, so that the target stops its work.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    pub(crate) sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Full<Bytes>>,
     pub(crate) target: TargetId,
     service: Name,
     task: Option<AbortHandle>,
 }
 
+impl Connection {
+    /// Sends a request; an error that bears it tells that no byte was sent.
+    pub(crate) async fn send(
+        &mut self,
+        _: Clearance,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.sender.try_send_request(request).await
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         if let Some(it) = self.task.take() {
--- /dev/null
+++ b/crates/holdpointd/src/ingress/gate.rs
@@ -0,0 +1,168 @@
+//! The gate that whatever is sent to a target passes last, and the one place that takes in what its answer says
+//! of the target.
+//!
+//! A target is chosen well before the first byte is sent: a connection has to be made, a batch waits for its turn,
+//! a prompt is placed by a peer. What was heard of the target meanwhile counts here. A connection sends nothing
+//! without a [`Clearance`], which only [`exchange`] can make, so no kind of send can leave out either part.
+
+use holdpoint_adapter::headers::{self, TargetHead};
+use holdpoint_core::{
+    confinement::{Within, is_within},
+    directory::TargetInstance,
+    ids::Millis,
+    notice::{Backoff, Notice},
+    target_limits::Named,
+};
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::{Bytes, Incoming};
+
+use crate::{
+    events::{self, emit},
+    ingress::{connections::Connection, limits::Permit, shared::IngressShared},
+};
+
+/// The right to send one request on a connection at this moment.
+#[derive(Debug)]
+pub(crate) struct Clearance(());
+
+/// What is sent.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Cargo<'a> {
+    /// A caller's request.
+    Request {
+        /// Its id, which its answer bears.
+        id: &'a str,
+        /// What its target must be within.
+        within: &'a Within,
+    },
+    /// A call that makes pieces.
+    Pieces,
+    /// A call that gives results up.
+    Release,
+}
+
+/// Why nothing may be sent to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Barred {
+    /// It is leaving or gone, or its failure domain or version gets no work.
+    Closed,
+    /// It has named a limit since the send was let through.
+    Limited,
+}
+
+impl Barred {
+    /// Name in the log.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Barred::Closed => "closed",
+            Barred::Limited => "limited",
+        }
+    }
+}
+
+/// Why there is no head of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoHead {
+    /// No byte was sent, since none may be.
+    Barred(Barred),
+    /// No byte was sent, since the connection was lost.
+    NotSent,
+    /// The connection broke off.
+    Broken,
+    /// An answer to another request came.
+    Crossed,
+}
+
+/// Sends a request on a connection to its target, if it may still be sent, and waits for the head of its answer.
+pub(crate) async fn exchange(
+    shared: &IngressShared,
+    connection: &mut Connection,
+    (target, permit): (&TargetInstance, &Permit),
+    cargo: Cargo<'_>,
+    request: Request<Full<Bytes>>,
+) -> Result<(TargetHead, Response<Incoming>), NoHead> {
+    let clearance = clear(shared, target, permit, cargo).map_err(NoHead::Barred)?;
+    let sent = shared.clock.now();
+    let response = connection.send(clearance, request).await.map_err(|it| match it.message() {
+        Some(_) => NoHead::NotSent,
+        None => NoHead::Broken,
+    })?;
+    let head = headers::read_target(response.status(), response.headers());
+    if head.is_misdirected {
+        // Another target has the address now, and speaks for itself only.
+        shared.target_leaves(&target.id, "misdirected");
+        return Ok((head, response));
+    }
+    if let Cargo::Request { id, .. } = cargo
+        && head.request_id.as_deref() != Some(id)
+    {
+        shared.metrics.crossed.add(1, &[]);
+        return Err(NoHead::Crossed);
+    }
+    observe(shared, target, &head.notice, cargo, sent);
+    Ok((head, response))
+}
+
+/// Whether something may be sent to a target at this moment.
+fn clear(
+    shared: &IngressShared,
+    target: &TargetInstance,
+    permit: &Permit,
+    cargo: Cargo<'_>,
+) -> Result<Clearance, Barred> {
+    let is_open = match cargo {
+        Cargo::Request { within, .. } => {
+            let is_allowed = |it: TargetInstance| is_within(within.as_deref(), &it.domain);
+            shared.open_target(&target.id).is_some_and(is_allowed)
+        }
+        Cargo::Pieces => shared.open_target(&target.id).is_some(),
+        Cargo::Release => true,
+    };
+    if !is_open {
+        return Err(Barred::Closed);
+    }
+    if !shared.limits.allows(permit, &target.id) {
+        return Err(Barred::Limited);
+    }
+    Ok(Clearance(()))
+}
+
+/// Takes in what an answer says of its target, to a request that was sent at a time.
+fn observe(
+    shared: &IngressShared,
+    target: &TargetInstance,
+    notice: &Notice,
+    cargo: Cargo<'_>,
+    sent: Millis,
+) {
+    let instance = &shared.settings.instance;
+    if notice.limit == Named::Unreadable {
+        emit(events::BAD_LIMIT, instance, &format!("target={}", target.id));
+    }
+    shared.limits.observe(shared, target, notice.limit, sent);
+    if let Some(load) = notice.load {
+        let now = shared.clock.now();
+        match cargo {
+            Cargo::Request { .. } => {
+                shared.pools.of(now, &target.service).report(now, &target.id, load);
+            }
+            Cargo::Pieces => shared.batches.report(now, target, load, 1),
+            Cargo::Release => shared.batches.report(now, target, load, 0),
+        }
+    }
+    if notice.is_leaving {
+        emit(events::LEAVING_NOTICE, instance, &format!("target={}", target.id));
+    }
+    match &notice.backoff {
+        Backoff::None => (),
+        Backoff::For(ms) => {
+            let detail = format!("target={} backoff_ms={ms}", target.id);
+            emit(events::BACKOFF_REQUESTED, instance, &detail);
+        }
+        Backoff::Unreadable(value) => {
+            let detail = format!("target={} value={value:?}", target.id);
+            emit(events::BAD_BACKOFF, instance, &detail);
+        }
+    }
+}
--- a/crates/holdpointd/src/ingress/limits.rs
+++ b/crates/holdpointd/src/ingress/limits.rs
@@ -77,16 +77,13 @@
 
 impl Limits {
     /// Takes in what a target's answer says of its limit, to a request that was sent at a time.
-    pub(crate) fn heard(
+    pub(crate) fn observe(
         &self,
         shared: &IngressShared,
         target: &TargetInstance,
         named: Named,
         sent: Millis,
     ) {
-        if named == Named::Unreadable {
-            emit(events::BAD_LIMIT, &shared.settings.instance, &format!("target={}", target.id));
-        }
         let made = Between { sent, came: shared.clock.now() };
         let its = (target.id.as_str(), target.service.as_str());
         let change = self.known.lock().heard(made, its, named);
--- a/crates/holdpointd/src/ingress/pools.rs
+++ b/crates/holdpointd/src/ingress/pools.rs
@@ -319,10 +319,8 @@
     }
 
     /// Takes in a load that a target told.
-    pub(crate) fn report(&self, now: Millis, target: &str, load: Option<Load>) {
-        if let Some(it) = load {
-            self.router.lock().report(now, target, it);
-        }
+    pub(crate) fn report(&self, now: Millis, target: &str, load: Load) {
+        self.router.lock().report(now, target, load);
     }
 
     /// Whether a target has told that work takes so long there that a silence is no failure of it.
--- a/crates/holdpointd/src/ingress/releases.rs
+++ b/crates/holdpointd/src/ingress/releases.rs
@@ -10,9 +10,10 @@
 use tokio::sync::Notify;
 
 use crate::ingress::{
+    gate::Cargo,
     limits,
     regions::{batcher_of, keeper_region},
-    send::own_call,
+    send::{OwnCall, own_call},
     shared::IngressShared,
 };
 
@@ -103,7 +104,8 @@
     // A result whose maker was not told goes by itself when its time is over.
     let Ok(permit) = limits::ask(&shared, &target).await else { return };
     let body = wire::free_body(&handles);
-    let told = own_call(&shared, (&target, permit), wire::FREE_PATH, body, LIMIT).await;
+    let call = OwnCall { path: wire::FREE_PATH, body, cargo: Cargo::Release };
+    let told = own_call(&shared, (&target, permit), call, LIMIT).await;
     if told.is_ok_and(|it| it.0.is_success()) {
         shared.batches.released(&service, &handles);
         crate::ingress::batches::pump(&shared, &service);
--- a/crates/holdpointd/src/ingress/send.rs
+++ b/crates/holdpointd/src/ingress/send.rs
@@ -13,8 +13,8 @@
 use crate::ingress::{
     connections::{Care, Connection},
     context::Context,
+    gate::{Barred, Cargo, NoHead, exchange},
     limits::Permit,
-    notices,
     shared::IngressShared,
     unread::MOST_EACH,
 };
@@ -35,24 +35,34 @@
 /// Why a call of the system's own had no whole answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum NoAnswer {
-    /// There is no connection to the target, or no byte of the call has left.
+    /// There is no connection to the target, or no byte of the call was sent.
     NotSent,
-    /// No byte has left, since the target named a limit after the call was let through.
-    Limited,
+    /// No byte was sent, since none may be.
+    Barred(Barred),
     /// The connection broke off.
     Broken,
     /// It took too long.
     Silent,
 }
 
+impl From<NoHead> for NoAnswer {
+    fn from(why: NoHead) -> NoAnswer {
+        match why {
+            NoHead::Barred(it) => NoAnswer::Barred(it),
+            NoHead::NotSent => NoAnswer::NotSent,
+            NoHead::Broken | NoHead::Crossed => NoAnswer::Broken,
+        }
+    }
+}
+
 /// Outcome of a send.
 pub(crate) enum Sent {
-    /// No byte of the request has left.
+    /// There is no connection to the target, or no byte of the request was sent.
     Nothing,
-    /// The same, since the target named a limit after the send was let through.
-    Limited,
+    /// No byte was sent, since none may be.
+    Barred(Barred),
     /// The target has not run the request and never will.
-    Declined { status: StatusCode, head: TargetHead },
+    Declined { status: StatusCode },
     /// The head of an answer to this request.
     Answered { head: TargetHead, response: Box<Response<Incoming>>, connection: Connection },
     /// It may have run.
@@ -71,37 +81,25 @@
         return Sent::Nothing;
     };
     let Some(outgoing) = outgoing(request, added) else { return Sent::Nothing };
-    // While the connection was made, the target may have begun to leave or named a limit, and its failure
-    // domain may have been evacuated or is no longer allowed.
-    if ctx.open_target(&target.id).is_none() {
-        return Sent::Nothing;
-    }
-    if !shared.limits.allows(&permit, &target.id) {
-        return Sent::Limited;
-    }
-    let begun = shared.clock.now();
-    let response = match connection.sender.try_send_request(outgoing).await {
+    let within = ctx.within();
+    let cargo = Cargo::Request { id: &request.id, within: &within };
+    let sent = exchange(shared, &mut connection, (target, &permit), cargo, outgoing).await;
+    let (head, response) = match sent {
         Ok(it) => it,
-        Err(it) if it.message().is_some() => return Sent::Nothing,
-        Err(_) => {
+        Err(NoHead::Barred(it)) => return Sent::Barred(it),
+        Err(NoHead::NotSent) => return Sent::Nothing,
+        Err(NoHead::Broken) => {
             ctx.broke_off(target);
             return Sent::Broken;
         }
+        Err(NoHead::Crossed) => return Sent::Broken,
     };
-    let head = headers::read_target(response.status(), response.headers());
-    if head.is_misdirected {
-        // The answer of another target, which knows nothing of this request's id.
-        return Sent::Declined { status: response.status(), head };
-    }
-    if head.request_id.as_deref() != Some(request.id.as_str()) {
-        shared.metrics.crossed.add(1, &[]);
-        return Sent::Broken;
-    }
-    notices::observe(shared, target, &head.notice, begun);
     if head.is_declined {
         let status = response.status();
-        keep_after(shared, connection, &response, &head, request.body.len());
-        return Sent::Declined { status, head };
+        if !head.is_misdirected {
+            keep_after(shared, connection, &response, &head, request.body.len());
+        }
+        return Sent::Declined { status };
     }
     if response.status().is_success() && !head.has_signature {
         return Sent::Broken;
@@ -136,36 +134,31 @@
     BodyRead::Whole(read.freeze())
 }
 
-/// A call of the system's own to a target: its answer's status and body.
+/// A call of the system's own to a target: its path and body, and what it carries.
+pub(crate) struct OwnCall {
+    pub(crate) path: &'static str,
+    pub(crate) body: Vec<u8>,
+    pub(crate) cargo: Cargo<'static>,
+}
+
+/// Makes a call of the system's own; returns its answer's status, head and body.
 pub(crate) async fn own_call(
     shared: &IngressShared,
     (target, permit): (&TargetInstance, Permit),
-    path: &'static str,
-    body: Vec<u8>,
+    call: OwnCall,
     limit: Duration,
 ) -> Result<(StatusCode, TargetHead, Bytes), NoAnswer> {
-    let call = async {
+    let calling = async {
         let taken = shared.connections.take(target, Care::Usual).await;
         let mut connection = taken.map_err(|_| NoAnswer::NotSent)?;
-        if !shared.limits.allows(&permit, &target.id) {
-            return Err(NoAnswer::Limited);
-        }
-        let mut request = Request::new(Full::new(Bytes::from(body)));
+        let mut request = Request::new(Full::new(Bytes::from(call.body)));
         *request.method_mut() = Method::POST;
-        *request.uri_mut() = http::Uri::from_static(path);
+        *request.uri_mut() = http::Uri::from_static(call.path);
         *request.headers_mut() = headers::own_call(&target.id);
         set_host(request.headers_mut(), &target.address);
-        let begun = shared.clock.now();
-        let sent = connection.sender.try_send_request(request).await;
-        let response = sent.map_err(|it| match it.message() {
-            Some(_) => NoAnswer::NotSent,
-            None => NoAnswer::Broken,
-        })?;
+        let sent = exchange(shared, &mut connection, (target, &permit), call.cargo, request);
+        let (head, response) = sent.await?;
         let status = response.status();
-        let head = headers::read_target(status, response.headers());
-        if !head.is_misdirected {
-            notices::observe(shared, target, &head.notice, begun);
-        }
         let body = response.into_body().collect().await;
         let body = body.map_err(|_| NoAnswer::Broken)?.to_bytes();
         if !head.closes {
@@ -173,7 +166,7 @@
         }
         Ok((status, head, body))
     };
-    tokio::time::timeout(limit, call).await.map_err(|_| NoAnswer::Silent)?
+    tokio::time::timeout(limit, calling).await.map_err(|_| NoAnswer::Silent)?
 }
 
 /// Time left until a moment.
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -27,6 +27,7 @@
         attempts::{Attempts, NoSend, end_send},
         connections::Connection,
         context::Context,
+        gate::Barred,
         held::Results,
         limits::{self, Permit},
         send::{Sent, send},
@@ -72,8 +73,8 @@
     /// The target failed it by an answer of its own.
     Failed(Box<Parts>, Bytes),
     NotSent,
-    /// The target named a limit before the request had left.
-    Limited,
+    /// No byte was sent, since none may be.
+    Barred(Barred),
     Declined,
     InputsGone,
     Broken,
@@ -156,7 +157,7 @@
                     break NoSend::Attempts;
                 }
             }
-            Ended::NotSent | Ended::Limited => attempts.never_sent(ctx),
+            Ended::NotSent | Ended::Barred(_) => attempts.never_sent(ctx),
             Ended::InputsGone if remakes < INPUT_REMAKES => {
                 remakes += 1;
                 attempts.take_back();
@@ -223,9 +224,9 @@
             begun.never_sent();
             end_send(ctx, target, End::Failed, "not-sent");
         }
-        Ended::Limited => {
+        Ended::Barred(it) => {
             begun.never_sent();
-            end_send(ctx, target, End::Dropped, "limited");
+            end_send(ctx, target, End::Dropped, it.name());
         }
         Ended::Declined => {
             begun.declined();
@@ -276,19 +277,14 @@
     let sent = send(ctx, target, permit, &added).await;
     let (head, response, connection) = match sent {
         Sent::Nothing => return Ended::NotSent,
-        Sent::Limited => return Ended::Limited,
+        Sent::Barred(it) => return Ended::Barred(it),
         Sent::Broken => return Ended::Broken,
-        Sent::Declined { status, head } => {
-            ctx.pool.report(ctx.shared.clock.now(), &target.id, head.notice.load);
-            if head.is_misdirected {
-                ctx.shared.target_leaves(&target.id, "misdirected");
-            }
+        Sent::Declined { status } => {
             let is_gone = status == StatusCode::CONFLICT;
             return if is_gone { Ended::InputsGone } else { Ended::Declined };
         }
         Sent::Answered { head, response, connection } => (head, response, connection),
     };
-    ctx.pool.report(ctx.shared.clock.now(), &target.id, head.notice.load);
     let (parts, mut body) = response.into_parts();
     if !parts.status.is_success() {
         return match body.collect().await {
--- a/crates/holdpointd/src/ingress/whole.rs
+++ b/crates/holdpointd/src/ingress/whole.rs
@@ -15,6 +15,7 @@
     attempts::{Attempts, NoSend, end_send},
     connections::Connection,
     context::Context,
+    gate::Barred,
     limits::Permit,
     send::{BodyRead, SHORT_BODY, Sent, read_body, send},
     stages,
@@ -53,8 +54,8 @@
     /// The target failed it by an answer of its own.
     Failed(Box<Parts>, Bytes),
     NotSent,
-    /// The target named a limit before the request had left.
-    Limited,
+    /// No byte was sent, since none may be.
+    Barred(Barred),
     Declined,
     Broken,
     Silent,
@@ -155,7 +156,7 @@
                     break NoSend::Attempts;
                 }
             }
-            Ended::NotSent | Ended::Limited => attempts.never_sent(ctx),
+            Ended::NotSent | Ended::Barred(_) => attempts.never_sent(ctx),
             Ended::Declined => (),
             Ended::Broken | Ended::Silent if ctx.is_repeatable() => (),
             Ended::Broken | Ended::Silent => break NoSend::Attempts,
@@ -191,10 +192,10 @@
             end_send(ctx, target, End::Failed, "not-sent");
             Ended::NotSent
         }
-        Ok(Ended::Limited) => {
+        Ok(Ended::Barred(it)) => {
             begun.never_sent();
-            end_send(ctx, target, End::Dropped, "limited");
-            Ended::Limited
+            end_send(ctx, target, End::Dropped, it.name());
+            Ended::Barred(it)
         }
         Ok(Ended::Declined) => {
             begun.declined();
@@ -232,17 +233,10 @@
     let added = ctx.added(target, None, inputs);
     match send(ctx, target, permit, &added).await {
         Sent::Nothing => Ended::NotSent,
-        Sent::Limited => Ended::Limited,
-        Sent::Declined { head, .. } => {
-            ctx.pool.report(ctx.shared.clock.now(), &target.id, head.notice.load);
-            if head.is_misdirected {
-                ctx.shared.target_leaves(&target.id, "misdirected");
-            }
-            Ended::Declined
-        }
+        Sent::Barred(it) => Ended::Barred(it),
+        Sent::Declined { .. } => Ended::Declined,
         Sent::Broken => Ended::Broken,
         Sent::Answered { head, response, connection } => {
-            ctx.pool.report(ctx.shared.clock.now(), &target.id, head.notice.load);
             let started = Instant::now();
             let (parts, body) = response.into_parts();
             match read_body(&ctx.shared, body).await {
