A target that says in an answer that it leaves gets nothing more from whoever has heard it

Callers saw nothing: their requests were served by a target that was about to end, with the store away for 13 s, 2.5 to 5.5 s after its answers had told the instances that sent them. Cause: only the target's entry in the store and a wrong address told that it leaves; nothing read its answers, and a sign of one instance's own reached only those who followed it.

Now the gate takes the sign in from every answer, for the life that gave it; entries that say ready take nothing back, nor older ones of a peer hide it. Whoever hears it first tells those who read the store, and all others follow these; one that begins to read asks the other readers. The answer that brings made pieces names their makers that leave (protocol 7). Releases are not sent to a target that leaves. With no target left, prompts are refused before their stages are made and pieces at once, to come back in 1 s; they waited for their deadline before.

Why it holds: no connection sends without the gate, which looks at the directory last of all.

--- a/crates/holdpoint-core/src/directory.rs
+++ b/crates/holdpoint-core/src/directory.rs
@@ -142,7 +142,11 @@
         let born = entry.born.or(known.and_then(|it| it.born));
         let entry = TargetInstance { is_leaving, born, ..entry };
         if known.is_some_and(|it| entry.sequence < it.sequence) {
-            return Change::Nothing;
+            // Whoever told it may have had the sign from an answer, and an entry from before that.
+            return match entry.is_leaving {
+                true => self.leave_entry(&entry.id, entry.born),
+                false => Change::Nothing,
+            };
         }
         let has_cooled = self.tell_cold(now, &entry.id, entry.cold_left_ms);
         let known = self.instances.get(&entry.id);
@@ -254,19 +258,27 @@
         over
     }
 
-    /// Takes in a sign of leaving that did not come from the instance's own entry.
-    pub fn leave(&mut self, id: &str) -> Change {
-        self.summed(id, |it| it.leave_entry(id))
+    /// Takes in a sign of leaving that did not come from the instance's own entry, of the life that began at
+    /// `born`. It holds also where the entry has lapsed and comes back.
+    pub fn leave(&mut self, id: &str, born: Option<Millis>) -> Change {
+        self.summed(id, |it| it.leave_entry(id, born))
     }
 
-    fn leave_entry(&mut self, id: &str) -> Change {
-        let Some(found) = self.instances.get_mut(id) else { return Change::Nothing };
-        if found.is_leaving {
+    fn leave_entry(&mut self, id: &str, born: Option<Millis>) -> Change {
+        let known = self.instances.get(id).and_then(|it| it.born);
+        if born.zip(known).is_some_and(|(born, known)| born < known) {
             return Change::Nothing;
         }
-        found.is_leaving = true;
-        self.leaving.insert(id.to_owned(), found.born);
-        Change::Leaving
+        let left = self.leaving.entry(id.to_owned()).or_insert(born);
+        // None is less than any birth.
+        *left = (*left).max(born).max(known);
+        match self.instances.get_mut(id) {
+            Some(it) if !it.is_leaving => {
+                it.is_leaving = true;
+                Change::Leaving
+            }
+            _ => Change::Nothing,
+        }
     }
 
     /// Takes in how much longer a target says that it is cold; whether that differs from what was known.
--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -129,6 +129,8 @@
     NOT_SPILLED = 633 Info "late request stays in its region";
     /// Pieces were refused, since every target that makes them stands in an evacuated failure domain.
     PIECES_EVACUATED = 709 Info "pieces have no target left";
+    /// Pieces were refused, since every target that makes them leaves.
+    PIECES_LEFT = 712 Info "every target of the pieces leaves";
     /// An operator ordered a version to be rolled out, or withdrew the order.
     ROLLOUT_ORDERED = 750 Info "roll-out ordered or withdrawn";
     /// A roll-out began a phase.
--- a/crates/holdpointd/src/ingress/attempts.rs
+++ b/crates/holdpointd/src/ingress/attempts.rs
@@ -23,6 +23,10 @@
     metrics::label,
 };
 
+/// When a request may come back whose service has no target that stays, in milliseconds: another one needs
+/// about that long to be listed once it has started, and when one does is not known.
+pub(crate) const NONE_LEFT_RETURN_MS: Millis = 1000;
+
 /// The sends made for one request, within its attempts and the retry budget.
 #[derive(Debug, Default)]
 pub(crate) struct Attempts {
@@ -43,8 +47,10 @@
 /// Why no further send is made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum NoSend {
-    /// No target is left.
+    /// No target is left for this request.
     NoTarget,
+    /// The service has no target that stays.
+    NoneLeft,
     /// The route's attempts are used up.
     Attempts,
     /// The retry budget is used up.
@@ -70,6 +76,7 @@
     pub(crate) fn name(self) -> &'static str {
         match self {
             NoSend::NoTarget => "no-target",
+            NoSend::NoneLeft => "none-left",
             NoSend::Attempts => "attempts-used",
             NoSend::Budget => "retry-budget",
             NoSend::Time => "time-over",
@@ -86,6 +93,7 @@
     pub(crate) fn return_after(self, usual: Duration) -> Duration {
         match self {
             NoSend::Limited(ms) => Duration::from_millis(ms).max(usual),
+            NoSend::NoneLeft => Duration::from_millis(NONE_LEFT_RETURN_MS),
             _ => usual,
         }
     }
@@ -200,9 +208,8 @@
                 Err(NoTarget::Cold(_)) => return Err(NoSend::Cold),
                 Err(NoTarget::Evacuated) => return Err(NoSend::Evacuated),
                 Err(NoTarget::Confined) => return Err(NoSend::Confined),
-                Err(NoTarget::Empty | NoTarget::Tried | NoTarget::Full) => {
-                    return Err(NoSend::NoTarget);
-                }
+                Err(NoTarget::Empty) => return Err(NoSend::NoneLeft),
+                Err(NoTarget::Tried | NoTarget::Full) => return Err(NoSend::NoTarget),
             };
             if let Some(target) = ctx.open_target(&choice.address) {
                 let reason = format!(
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -35,6 +35,7 @@
 use crate::{
     events::{self, emit},
     ingress::{
+        attempts::NONE_LEFT_RETURN_MS,
         confinement::{self, log_refused},
         limits::{self, Permit},
         piece_ask::{PieceAsk, PieceResult},
@@ -76,6 +77,8 @@
     is_owner: bool,
     /// Whether all its targets stand in evacuated failure domains.
     is_evacuated: bool,
+    /// Whether it has none but targets that leave.
+    all_leave: bool,
     /// Whether this instance was about to stop when last looked at.
     was_leaving: bool,
     /// Targets that calls may go to, where a version is rolled out.
@@ -89,6 +92,7 @@
             pending: HashMap::new(),
             is_owner: false,
             is_evacuated: false,
+            all_leave: false,
             was_leaving: false,
             lane: None,
         }
@@ -130,6 +134,14 @@
             let tickets = self.batcher.hand_over();
             self.answer(&tickets, NoResult::Overload(EVACUATED_RETURN_MS));
         }
+        // Without any entry they have crashed and may be back at once, unless they were leaving.
+        if !targets.known.is_empty() {
+            self.all_leave = targets.all_leave();
+        }
+        if self.all_leave {
+            let tickets = self.batcher.hand_over();
+            self.answer(&tickets, NoResult::Overload(NONE_LEFT_RETURN_MS));
+        }
         let stranded = self.batcher.take_stranded();
         self.answer(&stranded, NoResult::Overload(confinement::RETURN_MS));
     }
@@ -280,6 +292,12 @@
             emit(events::PIECES_EVACUATED, &shared.settings.instance, &detail);
             return Err(NoResult::Overload(EVACUATED_RETURN_MS));
         }
+        if of_service.all_leave {
+            let request = asks.first().map_or("none", |it| it.work.request.as_str());
+            let detail = format!("id={request} service={service} return_ms={NONE_LEFT_RETURN_MS}");
+            emit(events::PIECES_LEFT, &shared.settings.instance, &detail);
+            return Err(NoResult::Overload(NONE_LEFT_RETURN_MS));
+        }
         let within = asks.first().and_then(|it| it.confinement.bounds(&shared.topology));
         if let Some(it) = within.as_ref().filter(|it| !of_service.batcher.can_make(Some(it))) {
             let request = asks.first().map_or("none", |it| it.work.request.as_str());
--- a/crates/holdpointd/src/ingress/batches/targets.rs
+++ b/crates/holdpointd/src/ingress/batches/targets.rs
@@ -48,6 +48,11 @@
         true
     }
 
+    /// Whether none is left but such that leave.
+    pub(super) fn all_leave(&self) -> bool {
+        self.held == 0 && self.open == 0
+    }
+
     /// Whether none is left, since all that stay stand in evacuated failure domains.
     pub(super) fn is_evacuated(&self) -> bool {
         self.held != 0 && self.open == 0
--- a/crates/holdpointd/src/ingress/gate.rs
+++ b/crates/holdpointd/src/ingress/gate.rs
@@ -19,7 +19,12 @@
 
 use crate::{
     events::{self, emit},
-    ingress::{connections::Connection, limits::Permit, shared::IngressShared},
+    ingress::{
+        connections::Connection,
+        departures::{self, Departure},
+        limits::Permit,
+        shared::IngressShared,
+    },
 };
 
 /// The right to send one request on a connection at this moment.
@@ -91,7 +96,7 @@
     let head = headers::read_target(response.status(), response.headers());
     if head.is_misdirected {
         // Another target has the address now, and speaks for itself only.
-        shared.target_leaves(&target.id, "misdirected");
+        shared.target_leaves(&Departure::of(target), "misdirected");
         return Ok((head, response));
     }
     if let Cargo::Request { id, .. } = cargo
@@ -117,7 +122,8 @@
             shared.open_target(&target.id).is_some_and(is_allowed)
         }
         Cargo::Pieces => shared.open_target(&target.id).is_some(),
-        Cargo::Release => true,
+        // Its results need no room any more.
+        Cargo::Release => shared.target(&target.id).is_some_and(|it| !it.is_leaving),
     };
     if !is_open {
         return Err(Barred::Closed);
@@ -152,7 +158,7 @@
         }
     }
     if notice.is_leaving {
-        emit(events::LEAVING_NOTICE, instance, &format!("target={}", target.id));
+        departures::answered(shared, target);
     }
     match &notice.backoff {
         Backoff::None => (),
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -14,6 +14,7 @@
 mod connections;
 mod context;
 mod declared;
+mod departures;
 mod domains;
 mod follow;
 mod front;
@@ -110,6 +111,7 @@
         tokio::spawn(rollouts::run(shared.clone()));
         tokio::spawn(quarantine::run(shared.clone()));
         tokio::spawn(limits::run(shared.clone()));
+        tokio::spawn(departures::run(shared.clone()));
         tokio::spawn(tick(shared.clone()));
         emit(events::STARTED, &shared.settings.instance, &format!("callers={}", listen.callers));
         Ok(Ingress { shared })
--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -4,6 +4,7 @@
 
 use bytes::BytesMut;
 use futures::StreamExt;
+use holdpoint_adapter::stages;
 use holdpoint_core::{
     cold::Share,
     confinement::{Bounds, Confinement},
@@ -29,6 +30,7 @@
 use crate::ingress::{
     batches::StageLoads,
     connections::guard,
+    departures::{self, Departure},
     follow::catch_up,
     limits::{self, Assignment},
     news::{self, Known, Update},
@@ -43,7 +45,7 @@
 const MAX_FRAME: usize = 16 << 20;
 
 /// Version of the protocol that this instance speaks: from 1 on, [`IngressPeers::check`] is known.
-pub(crate) const PROTOCOL: u32 = LIMITS;
+pub(crate) const PROTOCOL: u32 = DEPARTURES;
 /// Version from which on an instance keeps confined work in its regions.
 pub(crate) const CONFINES: u32 = 2;
 /// Version from which on [`IngressPeers::lend`] is known.
@@ -55,6 +57,19 @@
 /// Version from which on [`IngressPeers::take_slot`], [`IngressPeers::hear_limits`] and
 /// [`IngressPeers::assign`] are known.
 pub(crate) const LIMITS: u32 = 6;
+/// Version from which on [`IngressPeers::make_pieces`] and [`IngressPeers::tell_departures`] are known.
+pub(crate) const DEPARTURES: u32 = 7;
+
+/// Pieces that an instance has made for a peer.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct Made {
+    /// The results, in the order of the pieces.
+    pub(crate) results: Vec<PieceResult>,
+    /// Their makers that leave. Whoever passes their results on is bound by that too, also where it then loses
+    /// touch with all others.
+    #[serde(default)]
+    pub(crate) departures: Vec<Departure>,
+}
 
 /// What an instance tells of itself whenever it is asked whether it is there.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -112,6 +127,10 @@
 pub(crate) trait IngressPeers {
     /// Makes pieces of a service's stage.
     async fn make(service: Name, asks: Vec<PieceAsk>) -> Vec<PieceResult>;
+    /// The same, with more in the answer.
+    async fn make_pieces(service: Name, asks: Vec<PieceAsk>) -> Made;
+    /// Takes in which targets have said that they leave, and tells those that this instance knows.
+    async fn tell_departures(news: Vec<Departure>) -> Vec<Departure>;
     /// Chooses the target of a service that reads a prompt.
     async fn place(service: Name, prompt: PromptAsk) -> Option<TargetId>;
     /// Gives up results of a service's stage.
@@ -196,6 +215,23 @@
         self.shared.batches.make(&self.shared, &service, asks).await
     }
 
+    async fn make_pieces(
+        self,
+        context: context::Context,
+        service: Name,
+        asks: Vec<PieceAsk>,
+    ) -> Made {
+        let shared = self.shared.clone();
+        let results = self.make(context, service, asks).await;
+        let made = results.iter().flatten().filter_map(|it| stages::maker(it));
+        let departures = departures::of_makers(&shared, made);
+        Made { results, departures }
+    }
+
+    async fn tell_departures(self, _: context::Context, news: Vec<Departure>) -> Vec<Departure> {
+        departures::take_news(&self.shared, news)
+    }
+
     async fn place(
         self,
         _: context::Context,
--- a/crates/holdpointd/src/ingress/peers/calls.rs
+++ b/crates/holdpointd/src/ingress/peers/calls.rs
@@ -16,10 +16,11 @@
 
 use super::{PLACE_LIMIT, Peers};
 use crate::ingress::{
+    departures::{self, Departure},
     limits::Assignment,
     links::{PeerSilent, context_for},
     news::{Known, Update},
-    peer_service::{IngressPeersClient, LENDING, PromptAsk},
+    peer_service::{DEPARTURES, IngressPeersClient, LENDING, PromptAsk},
     piece_ask::{PieceAsk, PieceResult},
     quarantine::RunReport,
     regions::owner_of,
@@ -47,7 +48,15 @@
         limit: Duration,
     ) -> Result<Vec<PieceResult>, PeerSilent> {
         let link = self.links.get(shared, address).await?;
-        let call = link.client.make(context_for(limit), service.to_owned(), asks);
+        let call = async {
+            let (context, service) = (context_for(limit), service.to_owned());
+            if self.protocol_of(address) < DEPARTURES {
+                return link.client.make(context, service, asks).await;
+            }
+            let made = link.client.make_pieces(context, service, asks).await?;
+            departures::take_all(shared, made.departures);
+            Ok(made.results)
+        };
         let answer = tokio::select! {
             it = tokio::time::timeout(limit, call) => it,
             () = link.lost.notified() => return Err(PeerSilent),
@@ -125,6 +134,20 @@
         self.tell(shared, address, VERDICT_LIMIT, call).await
     }
 
+    /// Tells a peer which targets have said that they leave; returns those that it knows.
+    pub(crate) async fn tell_departures(
+        &self,
+        shared: &Arc<IngressShared>,
+        address: &str,
+        news: Vec<Departure>,
+    ) -> Result<Vec<Departure>, PeerSilent> {
+        let link = self.links.get(shared, address).await?;
+        let limit = self.links.with_distance(address, VERDICT_LIMIT);
+        let told = link.client.tell_departures(context_for(limit), news);
+        let told = tokio::time::timeout(limit, told).await;
+        told.map_err(|_| PeerSilent)?.map_err(|_| PeerSilent)
+    }
+
     /// Asks the owner of a service in another region for places; `None` where it does not answer.
     pub(crate) async fn lend(
         &self,
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -16,7 +16,7 @@
 use holdpoint_core::{
     change_log::{ChangeLog, Revision},
     deadline::Times,
-    directory::{Directory, TargetId, TargetInstance},
+    directory::{Change, Directory, TargetId, TargetInstance},
     ids::{Millis, Name},
     ingress::{Configuration, newer},
     topology::Topology,
@@ -35,6 +35,7 @@
         confirm::Confirmation,
         connections::Connections,
         declared::Declared,
+        departures::{Departure, Departures},
         domains::Domains,
         limits::Limits,
         news::{News, TargetList},
@@ -95,6 +96,8 @@
     pub(crate) quarantines: Quarantines,
     /// Limits that targets name.
     pub(crate) limits: Limits,
+    /// Targets that have said in answers that they leave.
+    pub(crate) departures: Departures,
     /// Policies and trials that operators declared.
     pub(crate) experiments: Declared,
     pub(crate) in_flight: Arc<InFlight>,
@@ -171,6 +174,7 @@
             rollouts: Rollouts::new(&settings, eras.clone()),
             quarantines: Quarantines::default(),
             limits: Limits::default(),
+            departures: Departures::default(),
             experiments: Declared::default(),
             in_flight: Arc::default(),
             closing: watch::channel(false).0,
@@ -456,12 +460,14 @@
         self.directory.lock().sum()
     }
 
-    /// Takes in a sign that a target instance is leaving, seen in an answer of its own.
-    pub(crate) fn target_leaves(&self, id: &str, sign: &'static str) {
+    /// Takes in a sign of leaving that did not come from a target's entry.
+    pub(crate) fn target_leaves(&self, departure: &Departure, sign: &'static str) -> Change {
+        let mut change = Change::Nothing;
         self.change_directory(|directory, changes| {
-            let change = directory.leave(id);
-            changes.note(id.to_owned(), change, sign);
+            change = directory.leave(&departure.target, departure.born);
+            changes.note(departure.target.clone(), change, sign);
         });
+        change
     }
 
     /// A target instance that is known.
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -84,20 +84,13 @@
 /// Why a stream did not begin.
 enum NotOpen {
     Failed(Box<Parts>, Bytes),
-    NoSend(&'static str),
+    NoSend(NoSend),
+    /// The results of its stages are missing.
+    NoResults(&'static str),
     /// The stages have too much to do; they would take so long.
     Overload(Duration),
-    /// Every target has got what it takes; one takes more after so long.
-    Limited(Duration),
-}
-
-impl NotOpen {
-    fn of(cause: NoSend) -> NotOpen {
-        match cause {
-            NoSend::Limited(ms) => NotOpen::Limited(Duration::from_millis(ms)),
-            _ => NotOpen::NoSend(cause.name()),
-        }
-    }
+    /// Nobody waits for it any more.
+    CallerGone,
 }
 
 /// Serves a request.
@@ -105,9 +98,9 @@
     let mut attempts = Attempts::default();
     let opened = tokio::select! {
         it = open(&ctx, &mut attempts, None) => it,
-        () = ctx.time_over() => Err(NotOpen::NoSend(NoSend::Time.name())),
-        () = ctx.is_held() => Err(NotOpen::NoSend(NoSend::Quarantined.name())),
-        () = ctx.shared.stop_nears() => Err(NotOpen::NoSend(NoSend::Stopping.name())),
+        () = ctx.time_over() => Err(NotOpen::NoSend(NoSend::Time)),
+        () = ctx.is_held() => Err(NotOpen::NoSend(NoSend::Quarantined)),
+        () = ctx.shared.stop_nears() => Err(NotOpen::NoSend(NoSend::Stopping)),
     };
     match opened {
         Ok(it) => {
@@ -123,9 +116,10 @@
             ctx.note_end(parts.status.as_u16(), "target-failed");
             passed_on(&parts, body)
         }
-        Err(NotOpen::NoSend(cause)) => ctx.give_up(cause, COME_BACK),
+        Err(NotOpen::NoSend(cause)) => ctx.give_up(cause.name(), cause.return_after(COME_BACK)),
+        Err(NotOpen::NoResults(cause)) => ctx.give_up(cause, COME_BACK),
         Err(NotOpen::Overload(it)) => ctx.give_up("overload", it.max(COME_BACK)),
-        Err(NotOpen::Limited(it)) => ctx.give_up("limited", it.max(COME_BACK)),
+        Err(NotOpen::CallerGone) => ctx.give_up("caller-gone", COME_BACK),
     }
 }
 
@@ -170,7 +164,7 @@
     };
     match last_failure {
         Some((parts, body)) => Err(NotOpen::Failed(parts, body)),
-        None => Err(NotOpen::of(cause)),
+        None => Err(NotOpen::NoSend(cause)),
     }
 }
 
@@ -181,8 +175,9 @@
     let likely = ctx.pool.choose(now, None, &call, region.as_deref(), &ctx.shared);
     // Its stages would be made for nothing.
     match likely {
-        Err(NoTarget::Evacuated) => return Err(NotOpen::NoSend(NoSend::Evacuated.name())),
-        Err(NoTarget::Confined) => return Err(NotOpen::NoSend(NoSend::Confined.name())),
+        Err(NoTarget::Empty) => return Err(NotOpen::NoSend(NoSend::NoneLeft)),
+        Err(NoTarget::Evacuated) => return Err(NotOpen::NoSend(NoSend::Evacuated)),
+        Err(NoTarget::Confined) => return Err(NotOpen::NoSend(NoSend::Confined)),
         _ => (),
     }
     let limited_ms = match likely {
@@ -192,7 +187,7 @@
     if ctx.slot_patience() < limited_ms {
         let deciders = ctx.shared.peers.instance_count();
         let ms = limits::return_ms(&ctx.shared, &ctx.pool, limited_ms, deciders);
-        return Err(NotOpen::Limited(Duration::from_millis(ms)));
+        return Err(NotOpen::NoSend(NoSend::Limited(ms)));
     }
     let domain = likely
         .ok()
@@ -200,8 +195,8 @@
         .map_or(String::new(), |it| it.domain);
     stages::make_all(ctx, &domain).await.map_err(|it| match it {
         NoResult::Overload(ms) => NotOpen::Overload(Duration::from_millis(ms)),
-        NoResult::Late => NotOpen::NoSend("stages-late"),
-        _ => NotOpen::NoSend("stages"),
+        NoResult::Late => NotOpen::NoResults("stages-late"),
+        _ => NotOpen::NoResults("stages"),
     })
 }
 
@@ -371,8 +366,8 @@
                 }
                 let reopened = tokio::select! {
                     it = open(&ctx, &mut attempts, last_id.as_deref()) => it,
-                    () = keeper.closed() => Err(NotOpen::NoSend("caller-gone")),
-                    () = ctx.time_over() => Err(NotOpen::NoSend("time-over")),
+                    () = keeper.closed() => Err(NotOpen::CallerGone),
+                    () = ctx.time_over() => Err(NotOpen::NoSend(NoSend::Time)),
                 };
                 let event = last_id.as_deref().unwrap_or("none");
                 let detail = format!(
--- a/crates/holdpointd/tests/target_notices.rs
+++ b/crates/holdpointd/tests/target_notices.rs
@@ -10,9 +10,13 @@
 
 use std::time::Duration;
 
-use holdpoint_adapter_standin::{Behaviour, CallerRequest, Outage, Shed, Target};
+use holdpoint_adapter_standin::{Behaviour, CallerRequest, Outage, Shed, Target, call};
+use http::StatusCode;
 
-use crate::support::fleet::{Asked, Fleet, fleet};
+use crate::support::{
+    fleet::{Asked, Fleet, fleet},
+    header, start_with_seeds, until,
+};
 
 /// How long a target's answer may take to be known to an instance that it was sent to.
 const UNDER_WAY: Duration = Duration::from_millis(500);
@@ -87,6 +91,144 @@
     assert_served(&asked);
 }
 
+/// Every answer counts, whatever it is to and however the request ended.
+#[tokio::test]
+async fn any_answer_tells_that_its_target_leaves() {
+    for behaviour in
+        [Behaviour::Decline, Behaviour::Fail, Behaviour::HangAfter(2), Behaviour::CutBody]
+    {
+        let is_stream = behaviour == Behaviour::HangAfter(2);
+        let (plain, engines) =
+            if is_stream { (vec![], vec![behaviour]) } else { (vec![behaviour], vec![]) };
+        let fleet = fleet(&plain, &engines).await;
+        let target = fleet.system.plain.first().unwrap_or_else(|| &fleet.system.engines[0]).clone();
+        target.set_leaving(true);
+        let path = if is_stream { "/once/x" } else { "/unsafe/x" };
+        let first = tokio::spawn(call(fleet.callers()[0], CallerRequest::new("first", path)));
+        until(|| target.notices().iter().any(|it| it.says_leaving)).await;
+        // The head of a stream is there long before its end.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let other = CallerRequest::new("second", path);
+        let second = call(fleet.callers()[0], other).await.expect("there is an answer");
+        assert_eq!(second.status, StatusCode::SERVICE_UNAVAILABLE, "{behaviour:?}");
+        assert_eq!(target.notices().len(), 1, "{behaviour:?}");
+        first.abort();
+    }
+}
+
+/// An answer under another request's id says nothing of the target.
+#[tokio::test]
+async fn a_crossed_answer_tells_nothing() {
+    let fleet = fleet(&[Behaviour::Cross], &[]).await;
+    let target = &fleet.system.plain[0];
+    target.set_leaving(true);
+    let safe = |_: usize, id: &str| CallerRequest::new(id, "/unsafe/x");
+    fleet.ask(Duration::from_millis(500), "r", safe).await;
+    assert!(3 < target.notices().len());
+}
+
+/// What one instance has heard all know soon, also the one that places prompts, and one that starts later and reads
+/// in the store that the target is ready.
+#[tokio::test]
+async fn others_know_of_a_target_that_leaves_and_so_does_one_that_starts() {
+    let fleet = three_of_each().await;
+    let leaving = [&fleet.system.plain[0], &fleet.system.engines[0]];
+    leaving.iter().for_each(|it| it.set_leaving(true));
+    let is_told = |it: &&Target| it.notices().iter().any(|it| it.says_leaving);
+    let callers = fleet.callers();
+    for round in 0.. {
+        if leaving.iter().all(is_told) {
+            break;
+        }
+        let (plain, engine) = (format!("a-{round}"), format!("b-{round}"));
+        call(callers[0], CallerRequest::new(&plain, "/unsafe/x")).await;
+        call(callers[0], prompt(round, &engine)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    let gate = fleet.system.store.open_gate().await;
+    let seeds = [fleet.system.instance.listen().peers.clone()];
+    let newcomer = start_with_seeds("d", &gate, &seeds);
+    until(|| newcomer.is_ready() && newcomer.peer_count() == 3).await;
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    let before: Vec<usize> = leaving.iter().map(|it| it.notices().len()).collect();
+    assert_served(&fleet.ask(Duration::from_millis(1000), "r", mixed).await);
+    let address = newcomer.listen().callers.parse().unwrap();
+    for round in 0..24 {
+        let id = format!("d-{round}");
+        let answer = call(address, mixed(round, &id)).await.expect("there is an answer");
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    let after: Vec<usize> = leaving.iter().map(|it| it.notices().len()).collect();
+    assert_eq!(before, after, "nobody sends there");
+}
+
+/// Entries that still say ready, written again and again, take nothing back; a new life does.
+#[tokio::test]
+async fn an_entry_that_says_ready_takes_nothing_back_and_a_new_life_does() {
+    let fleet = fleet(&[Behaviour::Answer; 2], &[]).await;
+    let mut target = fleet.system.plain[0].clone();
+    target.set_leaving(true);
+    let safe = |_: usize, id: &str| CallerRequest::new(id, "/safe/x");
+    fleet.ask(Duration::from_millis(800), "r", safe).await;
+    tokio::time::sleep(Duration::from_millis(1000)).await;
+    let before = target.notices().len();
+    for round in 0..5 {
+        fleet.system.store.put_target(&target, false);
+        fleet.ask(Duration::from_millis(200), &format!("s{round}"), safe).await;
+    }
+    assert_eq!(target.notices().len(), before);
+    target.end();
+    let id = target.id.clone();
+    target.start_again(&id);
+    fleet.system.store.put_target(&target, false);
+    until(|| target.is_up()).await;
+    for round in 0.. {
+        if before < target.notices().len() {
+            break;
+        }
+        assert!(round < 40, "its next life gets requests");
+        fleet.ask(Duration::from_millis(200), &format!("t{round}"), safe).await;
+    }
+}
+
+/// When all leave, requests are refused at once and told when to come back; nothing waits, nothing is made.
+#[tokio::test]
+async fn what_no_target_is_left_for_is_refused_at_once() {
+    let fleet = fleet(&[Behaviour::Answer; 2], &[Behaviour::Events(3); 2]).await;
+    let all = fleet.system.plain.iter().chain(&fleet.system.engines).chain([&fleet.system.encoder]);
+    let all: Vec<Target> = all.cloned().collect();
+    all.iter().for_each(|it| it.set_leaving(true));
+    let staged = |id: &str| CallerRequest::new(id, "/staged/x").with_pieces("2,1");
+    let any = |round: usize, id: &str| if round % 5 == 4 { staged(id) } else { mixed(round, id) };
+    fleet.ask(Duration::from_millis(1500), "r", any).await;
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    let before: usize = all.iter().map(|it| it.notices().len()).sum();
+    for it in fleet.ask(Duration::from_millis(500), "s", any).await {
+        assert_eq!(it.answer.status, StatusCode::SERVICE_UNAVAILABLE, "{}", it.id);
+        assert_eq!(header(&it.answer, "retry-after"), "1.00", "{}", it.id);
+        assert!(it.ended - it.sent < Duration::from_millis(500), "{}", it.id);
+    }
+    assert_eq!(all.iter().map(|it| it.notices().len()).sum::<usize>(), before);
+}
+
+/// Pieces go to the other target; results that a leaving one has made are used, and it is not told that they are
+/// no longer needed, since nobody needs their room.
+#[tokio::test]
+async fn pieces_and_releases_go_to_no_target_that_leaves() {
+    let fleet = fleet(&[], &[Behaviour::Events(3); 2]).await;
+    let other = Target::start("i-another", "encode", Behaviour::Answer).await;
+    fleet.system.store.put_target(&other, false);
+    until(|| fleet.instances().all(|it| it.target_count() == 4)).await;
+    let leaving = &fleet.system.encoder;
+    leaving.set_leaving(true);
+    let staged = |_: usize, id: &str| CallerRequest::new(id, "/staged/x").with_pieces("2,1");
+    let asked = fleet.ask(Duration::from_millis(2000), "r", staged).await;
+    assert_served(&asked);
+    assert_eq!(leaving.batches().len(), 1, "its first answer tells");
+    assert_eq!(leaving.freed(), [""; 0]);
+    assert!(!other.batches().is_empty());
+}
+
 #[tokio::test]
 async fn no_request_reaches_a_target_that_asked_for_rest() {
     let fleet = three_of_each().await;
