A target that asks an instance to back off gets nothing from there until the time is over

Callers whose routes allow one attempt saw 503 although other targets had room; targets in need got the next request of the same instance 1.6 to 2 s after they had asked for 3 s. Cause: nothing read what a 503 asks for. It counted as a failure, of which it takes two in a row to pass a target over, for 1.5 s; a good answer in between, or another instance that places, and it got the next.

Now the gate takes the time in from every 503, run or not, and lets nothing through until then: first sends, repeats, pieces, prompts that a peer has placed, resumed streams, releases. It is known in choice and batching too: whoever asks for a place names the targets that it may not send to, and a target that backs off is no capacity for the instance that batches. It is no failure, no ejection and no word against a version that is rolled out. Where every target wants it, requests are refused at once, before stages, with the soonest end and spread over half as long again; pieces that cannot be made after it are refused too. A 503's own figure is not passed to callers.

Why it holds: the gate is the last thing before the first byte.

--- a/crates/holdpoint-core/benches/decisions.rs
+++ b/crates/holdpoint-core/benches/decisions.rs
@@ -46,6 +46,7 @@
             cap: 64,
             share: Share::Whole,
             inputs: &[],
+            is_own: true,
             within: None,
         };
         group.bench_function(BenchmarkId::from_parameter(targets), |bencher| {
--- a/crates/holdpoint-core/src/batcher/estimate.rs
+++ b/crates/holdpoint-core/src/batcher/estimate.rs
@@ -119,7 +119,8 @@
         let usable = || {
             // One that was only full, or had no room for a while, has not lost its capacity.
             let has_failed = move |it: &Target| it.failures != 0 && now < it.suspect_until;
-            let is_usable = move |it: &&Target| !it.is_leaving && !has_failed(it);
+            let is_usable =
+                move |it: &&Target| !it.is_leaving && !has_failed(it) && it.backoff_until <= now;
             self.targets.values().filter(is_usable)
         };
         let calls = f64::from(self.sizes.calls.max(1));
@@ -213,7 +214,8 @@
 
     /// Time in which the targets make one piece where calls are full, in milliseconds.
     pub(super) fn piece_gap(&self, now: Millis) -> f64 {
-        let usable = |it: &&Target| !it.is_leaving && it.suspect_until <= now;
+        let usable =
+            |it: &&Target| !it.is_leaving && it.suspect_until <= now && it.backoff_until <= now;
         let most = self.sizes.most();
         let full_ms = self.sizes.stated_ms(most);
         let calls_per_ms: f64 =
--- a/crates/holdpoint-core/src/batcher/queue.rs
+++ b/crates/holdpoint-core/src/batcher/queue.rs
@@ -53,12 +53,14 @@
         self.order(now);
         let own_call = self.sizes.stated_ms(1);
         let gap = self.piece_gap(now);
+        // Until then no target may be called.
+        let from = now + self.backoff_ms(now).unwrap_or(0);
         let mut over = HashSet::new();
         let mut ahead = 0;
         for piece in &self.waiting {
             // What fits into the next call with it does not go before it.
             let before = if ahead < self.sizes.most() { 0.0 } else { ahead as f64 * gap };
-            let made = now + (before + own_call) as Millis;
+            let made = from + (before + own_call) as Millis;
             if piece.deadline < made {
                 over.insert(piece.group);
             } else if !over.contains(&piece.group) {
--- a/crates/holdpoint-core/src/batcher/targets.rs
+++ b/crates/holdpoint-core/src/batcher/targets.rs
@@ -59,6 +59,8 @@
     pub(super) shared_until: Millis,
     /// Until when it gets no calls, since it has got what it takes.
     pub(super) closed_until: Millis,
+    /// Until when it gets no calls of this instance, which it has asked to back off.
+    pub(super) backoff_until: Millis,
     /// Calls a second that it takes, where it names a limit.
     pub(super) per_s: Option<f64>,
 }
@@ -66,7 +68,7 @@
 impl Target {
     /// Whether it may be called again once its calls have ended.
     pub(super) fn is_open(&self, now: Millis) -> bool {
-        self.suspect_until <= now && self.closed_until <= now
+        self.suspect_until <= now && self.closed_until <= now && self.backoff_until <= now
     }
 
     /// Calls that it makes in a millisecond where one takes so long.
@@ -150,6 +152,21 @@
         }
     }
 
+    /// Gives a target no calls until a time, in milliseconds, since it has asked this instance to back off.
+    pub fn back_off_until(&mut self, target: &str, until: Millis) {
+        if let Some(it) = self.targets.get_mut(target) {
+            it.backoff_until = until;
+        }
+    }
+
+    /// In how many milliseconds the first target may be called, where all that stay have asked this instance to
+    /// back off.
+    pub fn backoff_ms(&self, now: Millis) -> Option<Millis> {
+        let staying = self.targets.values().filter(|it| !it.is_leaving);
+        let until = staying.map(|it| it.backoff_until).min()?;
+        (now < until).then(|| until - now)
+    }
+
     /// Takes in that a target had no room for a piece, although it should have had.
     pub fn no_room(&mut self, now: Millis, target: &str) {
         let Some(found) = self.targets.get_mut(target) else { return };
--- a/crates/holdpoint-core/src/choice.rs
+++ b/crates/holdpoint-core/src/choice.rs
@@ -50,6 +50,8 @@
     pub share: Share,
     /// Bytes that the target fetches before it begins, by the failure domain that they lie in.
     pub inputs: &'a [(Name, u64)],
+    /// Whether this instance sends the call itself, rather than a peer for which it chooses.
+    pub is_own: bool,
     /// What its targets must be within, where its request is confined to regions.
     pub within: Option<&'a Bounds>,
 }
@@ -100,6 +102,8 @@
     Confined,
     /// Every target has got what it takes for so many milliseconds.
     Limited(Millis),
+    /// Every target has asked this instance to back off, for so many milliseconds at least.
+    BackingOff(Millis),
     /// Every target is cold and carries no more for so many milliseconds.
     Cold(Millis),
 }
--- a/crates/holdpoint-core/src/directory.rs
+++ b/crates/holdpoint-core/src/directory.rs
@@ -265,10 +265,10 @@
     }
 
     fn leave_entry(&mut self, id: &str, born: Option<Millis>) -> Change {
-        let known = self.instances.get(id).and_then(|it| it.born);
-        if born.zip(known).is_some_and(|(born, known)| born < known) {
+        if self.is_former_life(id, born) {
             return Change::Nothing;
         }
+        let known = self.instances.get(id).and_then(|it| it.born);
         let left = self.leaving.entry(id.to_owned()).or_insert(born);
         // None is less than any birth.
         *left = (*left).max(born).max(known);
@@ -281,6 +281,12 @@
         }
     }
 
+    /// Whether a target has started again under its id since a life began of which an answer came.
+    pub fn is_former_life(&self, id: &str, born: Option<Millis>) -> bool {
+        let known = self.instances.get(id).and_then(|it| it.born);
+        known.zip(born).is_some_and(|(known, born)| born < known)
+    }
+
     /// Takes in how much longer a target says that it is cold; whether that differs from what was known.
     fn tell_cold(&mut self, now: Millis, id: &str, left: Option<Millis>) -> bool {
         let Some(left) = left else { return false };
--- a/crates/holdpoint-core/src/lib.rs
+++ b/crates/holdpoint-core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod admission;
 pub mod admit;
 pub mod assemble;
+pub mod backoffs;
 pub mod batch;
 pub mod batcher;
 pub mod budget;
--- a/crates/holdpoint-core/src/notice.rs
+++ b/crates/holdpoint-core/src/notice.rs
@@ -26,3 +26,10 @@
     /// It does, for a time that cannot be read.
     Unreadable(String),
 }
+
+impl Backoff {
+    /// Whether it does.
+    pub fn is_requested(&self) -> bool {
+        *self != Backoff::None
+    }
+}
--- a/crates/holdpoint-core/src/route.rs
+++ b/crates/holdpoint-core/src/route.rs
@@ -9,7 +9,7 @@
 mod members;
 mod predict;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use holdpoint_schema::resources::{Policy, Route};
 use rand::{Rng, RngExt};
@@ -73,6 +73,8 @@
     credits: Credits,
     /// Until when it gets no calls, since it has got what it takes from all instances.
     closed_until: Millis,
+    /// Until when it gets no calls of this instance, which it has asked to back off.
+    backoff_until: Millis,
 }
 
 /// Routes the calls of one instance to one pool.
@@ -170,6 +172,13 @@
         }
     }
 
+    /// Gives a target none of this instance's own calls until a time, in milliseconds.
+    pub fn back_off_until(&mut self, address: &str, until: Millis) {
+        if let Some(it) = self.target(address) {
+            it.backoff_until = until;
+        }
+    }
+
     /// Number of targets that calls may go to.
     pub fn len(&self) -> usize {
         self.targets.len()
@@ -350,7 +359,8 @@
         if !(0..self.targets.len()).any(|it| allowed(&it)) {
             return Err(NoTarget::Confined);
         }
-        let untried = |it: &usize| !call.tried.contains(&self.targets[*it].address);
+        let tried: HashSet<&str> = call.tried.iter().map(String::as_str).collect();
+        let untried = |it: &usize| !tried.contains(self.targets[*it].address.as_str());
         let all: Vec<usize> = (0..self.targets.len()).filter(allowed).filter(untried).collect();
         let (all, pool) = self.in_region(all, region);
         if all.is_empty() {
@@ -361,10 +371,18 @@
         if open.is_empty() {
             return Err(NoTarget::Full);
         }
-        let closed_ms = |it: &usize| self.targets[*it].closed_until.saturating_sub(now);
-        let soonest = open.iter().map(closed_ms).min().unwrap_or(0);
-        if 0 < soonest {
-            return Err(NoTarget::Limited(soonest));
+        let limited_ms = |it: &usize| self.targets[*it].closed_until.saturating_sub(now);
+        let backoff_ms = |it: &usize| {
+            let until = if call.is_own { self.targets[*it].backoff_until } else { 0 };
+            until.saturating_sub(now)
+        };
+        let closed_ms = |it: &usize| limited_ms(it).max(backoff_ms(it));
+        if let Some(soonest) = open.iter().min_by_key(|it| closed_ms(it))
+            && 0 < closed_ms(soonest)
+        {
+            let ms = closed_ms(soonest);
+            let is_limited = backoff_ms(soonest) < ms;
+            return Err(if is_limited { NoTarget::Limited(ms) } else { NoTarget::BackingOff(ms) });
         }
         let open: Vec<usize> = open.into_iter().filter(|it| closed_ms(it) == 0).collect();
         let cold_ms =
--- a/crates/holdpoint-core/tests/cold.rs
+++ b/crates/holdpoint-core/tests/cold.rs
@@ -49,6 +49,7 @@
         cap: u32::MAX,
         share,
         inputs: &[],
+        is_own: true,
         within: None,
     }
 }
--- a/crates/holdpoint-core/tests/confinement.rs
+++ b/crates/holdpoint-core/tests/confinement.rs
@@ -69,7 +69,17 @@
 fn call<'a>(tried: &'a [String], within: &'a Within) -> Call<'a> {
     let within = within.as_deref();
     let (work, prefix_work, cap, share) = (9000.0, 6000.0, u32::MAX, Share::Whole);
-    Call { work, prefix_work, prefix: Some(7), tried, cap, share, inputs: &[], within }
+    Call {
+        work,
+        prefix_work,
+        prefix: Some(7),
+        tried,
+        cap,
+        share,
+        inputs: &[],
+        is_own: true,
+        within,
+    }
 }
 
 proptest! {
--- a/crates/holdpoint-core/tests/growth.rs
+++ b/crates/holdpoint-core/tests/growth.rs
@@ -47,6 +47,7 @@
         cap: u32::MAX,
         share: holdpoint_core::cold::Share::Whole,
         inputs: &[],
+        is_own: true,
         within: None,
     }
 }
--- a/crates/holdpoint-core/tests/laws.rs
+++ b/crates/holdpoint-core/tests/laws.rs
@@ -62,7 +62,7 @@
         router.set_members(&all);
         let mut rng = ChaCha8Rng::seed_from_u64(1);
         let mut in_flight = [0_u32; 8];
-        let call = Call { work: 1.0, prefix_work: 0.5, prefix: Some(3), tried: &[], cap: 2, share: Share::Whole, inputs: &[], within: None };
+        let call = Call { work: 1.0, prefix_work: 0.5, prefix: Some(3), tried: &[], cap: 2, share: Share::Whole, inputs: &[], is_own: true, within: None };
         for (now, (kind, target)) in (0..).zip(steps) {
             match kind {
                 0 | 1 => match router.choose(now, &policy, &call, &mut rng) {
@@ -294,6 +294,7 @@
         cap: 100,
         share: Share::Whole,
         inputs: &[],
+        is_own: true,
         within: None,
     };
     for target in ["t0", "t1", "t2"] {
@@ -387,6 +388,7 @@
                     cap: u32::MAX,
                     share: Share::Whole,
                     inputs: &[],
+                    is_own: true,
                     within: None,
                 };
                 router.sent(index as u64, target, &call);
@@ -401,6 +403,7 @@
             cap: u32::MAX,
             share: Share::Whole,
             inputs: &[],
+            is_own: true,
             within: None,
         };
         router.choose(2, &policy, &call, &mut ChaCha8Rng::seed_from_u64(1)).unwrap().address
@@ -431,6 +434,7 @@
             cap: 9999,
             share: Share::Whole,
             inputs: &[],
+            is_own: true,
             within: None,
         };
         let address = router.choose(now, &policy, &call, &mut rng).unwrap().address;
@@ -461,6 +465,7 @@
         cap: u32::MAX,
         share: Share::Whole,
         inputs: &[],
+        is_own: true,
         within: None,
     };
     for member in members(12) {
--- a/crates/holdpoint-core/tests/near_results.rs
+++ b/crates/holdpoint-core/tests/near_results.rs
@@ -52,6 +52,7 @@
         cap: u32::MAX,
         share: Share::Whole,
         inputs,
+        is_own: true,
         within: None,
     }
 }
--- a/crates/holdpoint-core/tests/regions.rs
+++ b/crates/holdpoint-core/tests/regions.rs
@@ -99,6 +99,7 @@
         cap: u32::MAX,
         share,
         inputs: &[],
+        is_own: true,
         within: None,
     }
 }
--- a/crates/holdpoint-core/tests/told_pace.rs
+++ b/crates/holdpoint-core/tests/told_pace.rs
@@ -88,6 +88,7 @@
         cap: u32::MAX,
         share: holdpoint_core::cold::Share::Whole,
         inputs: &[],
+        is_own: true,
         within: None,
     };
     let mut rng = ChaCha8Rng::seed_from_u64(1);
--- a/crates/holdpoint-emulator/src/capacity.rs
+++ b/crates/holdpoint-emulator/src/capacity.rs
@@ -223,6 +223,7 @@
                 cap: 10_000,
                 share: Share::Whole,
                 inputs: &[],
+                is_own: true,
                 within: None,
             };
             micros(|| {
--- a/crates/holdpoint-emulator/src/policies/run.rs
+++ b/crates/holdpoint-emulator/src/policies/run.rs
@@ -443,6 +443,7 @@
         cap: 256,
         share: Share::Whole,
         inputs: &[],
+        is_own: true,
         within: None,
     }
 }
--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -131,6 +131,8 @@
     PIECES_EVACUATED = 709 Info "pieces have no target left";
     /// Pieces were refused, since every target that makes them leaves.
     PIECES_LEFT = 712 Info "every target of the pieces leaves";
+    /// Pieces were refused, since every target that makes them has asked this instance to back off.
+    PIECES_BACK_OFF = 713 Info "every target of the pieces wants a back-off";
     /// An operator ordered a version to be rolled out, or withdrew the order.
     ROLLOUT_ORDERED = 750 Info "roll-out ordered or withdrawn";
     /// A roll-out began a phase.
--- a/crates/holdpointd/src/ingress/attempts.rs
+++ b/crates/holdpointd/src/ingress/attempts.rs
@@ -13,12 +13,14 @@
 use crate::{
     events::{self, emit},
     ingress::{
+        backoff,
         context::Context,
         limits::{self, Assignment, Permit},
         peer_service::{LIMITS, PromptAsk},
         peers::PLACE_LIMIT,
         regions::{limit_for, owner_of},
         rollouts::Running,
+        stages,
     },
     metrics::label,
 };
@@ -65,6 +67,8 @@
     Cold,
     /// Every target has got what it takes; the request may come back in so many milliseconds.
     Limited(Millis),
+    /// Every target has asked this instance to back off; the request may come back in so many milliseconds.
+    BackingOff(Millis),
     /// No target is in the regions that the request is confined to.
     Confined,
     /// The request ended its targets.
@@ -84,6 +88,7 @@
             NoSend::Evacuated => "evacuated",
             NoSend::Cold => "cold",
             NoSend::Limited(_) => "limited",
+            NoSend::BackingOff(_) => "backoff",
             NoSend::Confined => "confined",
             NoSend::Quarantined => "quarantined",
         }
@@ -92,7 +97,7 @@
     /// When a request that is refused for it may come back, where that is not known to be later than usual.
     pub(crate) fn return_after(self, usual: Duration) -> Duration {
         match self {
-            NoSend::Limited(ms) => Duration::from_millis(ms).max(usual),
+            NoSend::Limited(ms) | NoSend::BackingOff(ms) => Duration::from_millis(ms).max(usual),
             NoSend::NoneLeft => Duration::from_millis(NONE_LEFT_RETURN_MS),
             _ => usual,
         }
@@ -201,6 +206,13 @@
                     let ms = limits::return_ms(&ctx.shared, &ctx.pool, ms, deciders);
                     return Err(NoSend::Limited(ms));
                 }
+                Err(NoTarget::BackingOff(ms)) => match backoff::wait(ms, ctx.slot_patience()) {
+                    Some(it) => {
+                        tokio::time::sleep(it).await;
+                        continue;
+                    }
+                    None => return Err(NoSend::BackingOff(backoff::return_ms(ms))),
+                },
                 Err(NoTarget::Cold(ms)) if ctx.may_wait_for(ms) => {
                     tokio::time::sleep(Duration::from_millis(ms)).await;
                     continue;
@@ -290,7 +302,12 @@
         ejected: &[TargetId],
     ) -> Option<PromptAsk> {
         let call = ctx.call(&self.tried);
-        let avoided = ejected.iter().chain(&self.tried).cloned().collect();
+        let mut avoided: Vec<TargetId> = ejected.iter().chain(&self.tried).cloned().collect();
+        // Whoever places it does not know whom they have asked to back off.
+        let now = ctx.shared.clock.now();
+        let backoffs = ctx.shared.backoffs.lock();
+        avoided.extend(backoffs.of_service(now, &ctx.service).map(|it| it.0.clone()));
+        drop(backoffs);
         let confinement = ctx.within().map_or_else(Confinement::default, |it| it.confinement());
         Some(PromptAsk {
             work: call.work,
@@ -318,6 +335,36 @@
     }
 }
 
+/// Failure domain of the target that a request is likely to go to once its stages are made. An error tells that they
+/// would be made for nothing.
+pub(crate) fn likely_domain(ctx: &Context) -> Result<Name, NoSend> {
+    let now = ctx.shared.clock.now();
+    let (within, region) = (ctx.within(), ctx.call_region());
+    let call = Call { within: within.as_deref(), ..ctx.call(&[]) };
+    let likely = ctx.pool.choose(now, None, &call, region.as_deref(), &ctx.shared);
+    match likely {
+        Err(NoTarget::Empty) => return Err(NoSend::NoneLeft),
+        Err(NoTarget::Evacuated) => return Err(NoSend::Evacuated),
+        Err(NoTarget::Confined) => return Err(NoSend::Confined),
+        // It ends while the stages are made, perhaps.
+        Err(NoTarget::BackingOff(ms)) if stages::usual_total_ms(ctx) + ctx.slot_patience() < ms => {
+            return Err(NoSend::BackingOff(backoff::return_ms(ms)));
+        }
+        _ => (),
+    }
+    let limited_ms = match likely {
+        Err(NoTarget::Limited(ms)) => ms,
+        _ => ctx.pool.shut_ms(now),
+    };
+    if ctx.slot_patience() < limited_ms {
+        let deciders = ctx.shared.peers.instance_count();
+        let ms = limits::return_ms(&ctx.shared, &ctx.pool, limited_ms, deciders);
+        return Err(NoSend::Limited(ms));
+    }
+    let target = likely.ok().and_then(|it| ctx.open_target(&it.address));
+    Ok(target.map_or(String::new(), |it| it.domain))
+}
+
 /// Ends a send in the books of its pool, with a line in the log unless it went well.
 pub(crate) fn end_send(ctx: &Context, target: &TargetInstance, end: End, cause: &'static str) {
     let is_slow = || ctx.pool.is_slow(ctx.shared.clock.now(), &target.id);
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -36,6 +36,7 @@
     events::{self, emit},
     ingress::{
         attempts::NONE_LEFT_RETURN_MS,
+        backoff,
         confinement::{self, log_refused},
         limits::{self, Permit},
         piece_ask::{PieceAsk, PieceResult},
@@ -127,6 +128,13 @@
         self.note_open(targets);
     }
 
+    /// Takes in which targets have asked this instance to back off.
+    fn take_in_backoffs(&mut self, shared: &IngressShared, now: Millis, service: &str) {
+        for (id, until) in shared.backoffs.lock().of_service(now, service) {
+            self.batcher.back_off_until(id, until);
+        }
+    }
+
     /// Refuses what no target is left for.
     fn note_open(&mut self, targets: &Targets) {
         self.is_evacuated = targets.is_evacuated();
@@ -286,6 +294,7 @@
         let mut services = self.services.lock();
         let of_service = self.of_service(&mut services, service, sizes);
         let now = shared.clock.now();
+        of_service.take_in_backoffs(shared, now, service);
         if of_service.is_evacuated {
             let request = asks.first().map_or("none", |it| it.work.request.as_str());
             let detail = format!("id={request} service={service} return_ms={EVACUATED_RETURN_MS}");
@@ -298,6 +307,19 @@
             emit(events::PIECES_LEFT, &shared.settings.instance, &detail);
             return Err(NoResult::Overload(NONE_LEFT_RETURN_MS));
         }
+        if let Some((first, ms)) = asks.first().zip(of_service.batcher.backoff_ms(now)) {
+            let limit_ms = if first.is_refusable { first.due_in_ms } else { first.deadline_in_ms };
+            let call_ms = of_service.batcher.sizes().stated_ms(1) as i64;
+            if limit_ms < ms as i64 + call_ms {
+                let return_ms = backoff::return_ms(ms);
+                let detail = format!(
+                    "id={} service={service} backoff_ms={ms} return_ms={return_ms}",
+                    first.work.request
+                );
+                emit(events::PIECES_BACK_OFF, &shared.settings.instance, &detail);
+                return Err(NoResult::Overload(return_ms));
+            }
+        }
         let within = asks.first().and_then(|it| it.confinement.bounds(&shared.topology));
         if let Some(it) = within.as_ref().filter(|it| !of_service.batcher.can_make(Some(it))) {
             let request = asks.first().map_or("none", |it| it.work.request.as_str());
@@ -396,15 +418,16 @@
     }
 
     /// Drops the pieces of a service that will not be made in time for their requests.
-    fn expire(&self, now: Millis, service: &str) {
+    fn expire(&self, shared: &IngressShared, service: &str) {
+        let now = shared.clock.now();
         let mut services = self.services.lock();
-        let Some(ServiceBatches { batcher, pending, .. }) = services.get_mut(service) else {
-            return;
-        };
-        for ticket in batcher.expire(now) {
-            if let Some(it) = pending.remove(&ticket) {
-                drop(it.reply.send(Err(NoResult::Late)));
-            }
+        let Some(of_service) = services.get_mut(service) else { return };
+        of_service.take_in_backoffs(shared, now, service);
+        let tickets = of_service.batcher.expire(now);
+        if !tickets.is_empty() {
+            let backoff_ms = of_service.batcher.backoff_ms(now);
+            let later = backoff_ms.map(|it| NoResult::Overload(backoff::return_ms(it)));
+            of_service.answer(&tickets, later.unwrap_or(NoResult::Late));
         }
     }
 
@@ -436,6 +459,7 @@
             let targets = self.targets.lock().get(service).cloned().unwrap_or_default();
             of_service.set_lane(lane, &closed, &targets);
         }
+        of_service.take_in_backoffs(shared, now, service);
         let ServiceBatches { batcher, pending, .. } = of_service;
         shared.limits.allowances(shared, service, |it| {
             batcher.set_limit(it.target, it.per_s, it.closed_until);
@@ -564,7 +588,7 @@
 
 /// Starts as many calls of a service as its targets take.
 pub(crate) fn pump(shared: &Arc<IngressShared>, service: &str) {
-    shared.batches.expire(shared.clock.now(), service);
+    shared.batches.expire(shared, service);
     while let Some(it) = shared.batches.next(shared, service) {
         let call = (it.call, it.permit);
         tokio::spawn(run(shared.clone(), service.to_owned(), call, it.pieces, it.patience));
--- a/crates/holdpointd/src/ingress/batches/calls.rs
+++ b/crates/holdpointd/src/ingress/batches/calls.rs
@@ -23,7 +23,7 @@
 use crate::{
     events::{self, emit},
     ingress::{
-        gate::Cargo,
+        gate::{Barred, Cargo},
         limits::{self, Permit},
         piece_ask::PieceResult,
         send::{NoAnswer, OwnCall, left, own_call},
@@ -49,6 +49,7 @@
     let outcome = ask_and_release(&shared, (&call, permit), &pieces, patience).await;
     let ms = begun.elapsed().as_millis() as Millis;
     note_runs(&shared, &service, &pieces, &outcome);
+    let is_judged = !outcome.as_ref().is_err_and(|it| it.is_backoff);
     let outcome = outcome.map_err(|it| it.end);
     let (results, end, text) = match outcome {
         Ok(it) => (it, CallEnd::Answered(ms), "answered"),
@@ -56,7 +57,9 @@
         Err(_) if patience.max(LEAST_CALL_MS) <= ms => (Vec::new(), CallEnd::Silent(ms), "silent"),
         Err(_) => (Vec::new(), CallEnd::Failed, "failed"),
     };
-    judge_call(&shared, &service, &call, &pieces, &results, (end, ms));
+    if is_judged {
+        judge_call(&shared, &service, &call, &pieces, &results, (end, ms));
+    }
     let judgement = shared.batches.ended(&shared, &service, &call, end, &results);
     log_call(&shared, &service, &call, &pieces, &results, (begun, ms, text), judgement);
     let mut results = results.into_iter();
@@ -73,11 +76,13 @@
     end: CallEnd,
     /// The target whose connection broke off while it worked on the call.
     broken: Option<TargetInstance>,
+    /// Whether the target has asked this instance to back off, which is no fault of its version.
+    is_backoff: bool,
 }
 
 impl From<CallEnd> for NoCall {
     fn from(end: CallEnd) -> NoCall {
-        NoCall { end, broken: None }
+        NoCall { end, broken: None, is_backoff: false }
     }
 }
 
@@ -245,7 +250,11 @@
     let (status, head, body) = answer.map_err(|it| NoCall {
         end: if matches!(it, NoAnswer::Barred(_)) { CallEnd::Full } else { CallEnd::Failed },
         broken: (it == NoAnswer::Broken).then(|| target.clone()),
+        is_backoff: it == NoAnswer::Barred(Barred::BackingOff),
     })?;
+    if head.notice.backoff.is_requested() {
+        return Err(NoCall { end: CallEnd::Full, broken: None, is_backoff: true });
+    }
     if head.is_declined {
         return Err(CallEnd::Full.into());
     }
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -263,6 +263,7 @@
             cap: u32::MAX,
             share: Share::Whole,
             inputs: &[],
+            is_own: true,
             within: None,
         }
     }
--- a/crates/holdpointd/src/ingress/gate.rs
+++ b/crates/holdpointd/src/ingress/gate.rs
@@ -25,6 +25,7 @@
         limits::Permit,
         shared::IngressShared,
     },
+    metrics::label,
 };
 
 /// The right to send one request on a connection at this moment.
@@ -54,6 +55,8 @@
     Closed,
     /// It has named a limit since the send was let through.
     Limited,
+    /// It has asked this instance to back off.
+    BackingOff,
 }
 
 impl Barred {
@@ -62,6 +65,7 @@
         match self {
             Barred::Closed => "closed",
             Barred::Limited => "limited",
+            Barred::BackingOff => "backoff",
         }
     }
 }
@@ -131,6 +135,9 @@
     if !shared.limits.allows(permit, &target.id) {
         return Err(Barred::Limited);
     }
+    if shared.backoff_ms(target) != 0 {
+        return Err(Barred::BackingOff);
+    }
     Ok(Clearance(()))
 }
 
@@ -143,6 +150,9 @@
     sent: Millis,
 ) {
     let instance = &shared.settings.instance;
+    if shared.is_of_former_life(target) {
+        return;
+    }
     if notice.limit == Named::Unreadable {
         emit(events::BAD_LIMIT, instance, &format!("target={}", target.id));
     }
@@ -163,12 +173,21 @@
     match &notice.backoff {
         Backoff::None => (),
         Backoff::For(ms) => {
-            let detail = format!("target={} backoff_ms={ms}", target.id);
-            emit(events::BACKOFF_REQUESTED, instance, &detail);
+            let its = (target.id.as_str(), target.service.as_str());
+            // Counted from the arrival of the answer, it is never too short.
+            let longer = shared.backoffs.lock().request(shared.clock.now(), its, target.born, *ms);
+            if let Some(left) = longer {
+                let detail = format!("target={} asked_ms={ms} backoff_ms={left}", target.id);
+                emit(events::BACKOFF_REQUESTED, instance, &detail);
+                let labels = [label("service", target.service.as_str())];
+                shared.metrics.backoffs.add(1, &labels);
+            }
         }
         Backoff::Unreadable(value) => {
-            let detail = format!("target={} value={value:?}", target.id);
-            emit(events::BAD_BACKOFF, instance, &detail);
+            if shared.backoffs.lock().unreadable(&target.id) {
+                let detail = format!("target={} value={value:?}", target.id);
+                emit(events::BAD_BACKOFF, instance, &detail);
+            }
         }
     }
 }
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -7,6 +7,7 @@
 
 mod answer;
 mod attempts;
+mod backoff;
 mod batches;
 mod changes;
 mod confinement;
@@ -227,6 +228,7 @@
             }
             _ = sweep.tick() => {
                 shared.connections.sweep();
+                shared.backoffs.lock().forget(shared.clock.now());
                 domains::settle(&shared);
             }
         }
--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -117,6 +117,7 @@
             cap: u32::MAX,
             share: Share::Whole,
             inputs: &self.inputs,
+            is_own: false,
             within,
         }
     }
--- a/crates/holdpointd/src/ingress/pools.rs
+++ b/crates/holdpointd/src/ingress/pools.rs
@@ -273,6 +273,9 @@
         shared.limits.allowances(shared, &self.service, |it| {
             router.close_until(it.target, it.closed_until);
         });
+        for (id, until) in shared.backoffs.lock().of_service(now, &self.service) {
+            router.back_off_until(id, until);
+        }
         router.choose_in(now, policy.unwrap_or(&self.policy), call, region, &mut rand::rng())
     }
 
--- a/crates/holdpointd/src/ingress/releases.rs
+++ b/crates/holdpointd/src/ingress/releases.rs
@@ -101,6 +101,9 @@
     target: holdpoint_core::directory::TargetInstance,
     handles: Vec<String>,
 ) {
+    if shared.backoff_ms(&target) != 0 {
+        return;
+    }
     // A result whose maker was not told goes by itself when its time is over.
     let Ok(permit) = limits::ask(&shared, &target).await else { return };
     let body = wire::free_body(&handles);
--- a/crates/holdpointd/src/ingress/send.rs
+++ b/crates/holdpointd/src/ingress/send.rs
@@ -6,7 +6,7 @@
 use holdpoint_adapter::headers::{self, Added, TargetHead};
 use holdpoint_core::directory::TargetInstance;
 use holdpoint_platform::Instant;
-use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http::{HeaderMap, Method, Request, Response, StatusCode, response::Parts};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 
@@ -22,6 +22,9 @@
 /// Longest body that may still be on its way when an answer is there and the connection is kept.
 pub(crate) const SHORT_BODY: usize = 8 << 10;
 
+/// End of a send in the log whose target has asked this instance to back off.
+pub(crate) const BACKED_OFF: &str = "backoff";
+
 /// A request as its caller sent it.
 #[derive(Clone, Debug)]
 pub(crate) struct CallerRequest {
@@ -62,7 +65,11 @@
     /// No byte was sent, since none may be.
     Barred(Barred),
     /// The target has not run the request and never will.
-    Declined { status: StatusCode },
+    Declined {
+        status: StatusCode,
+        /// Whether it has asked this instance to back off.
+        asks_backoff: bool,
+    },
     /// The head of an answer to this request.
     Answered { head: TargetHead, response: Box<Response<Incoming>>, connection: Connection },
     /// It may have run.
@@ -99,7 +106,8 @@
         if !head.is_misdirected {
             keep_after(shared, connection, &response, &head, request.body.len());
         }
-        return Sent::Declined { status };
+        let asks_backoff = head.notice.backoff.is_requested();
+        return Sent::Declined { status, asks_backoff };
     }
     if response.status().is_success() && !head.has_signature {
         return Sent::Broken;
@@ -107,6 +115,11 @@
     Sent::Answered { head, response: Box::new(response), connection }
 }
 
+/// Whether an answer asks this instance to back off.
+pub(crate) fn asks_backoff(parts: &Parts) -> bool {
+    headers::read_target(parts.status, &parts.headers).notice.backoff.is_requested()
+}
+
 /// What was read of an answer's body.
 pub(crate) enum BodyRead {
     /// All of it.
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -14,6 +14,7 @@
 use arc_swap::ArcSwap;
 use bytes::Bytes;
 use holdpoint_core::{
+    backoffs::Backoffs,
     change_log::{ChangeLog, Revision},
     deadline::Times,
     directory::{Change, Directory, TargetId, TargetInstance},
@@ -96,6 +97,8 @@
     pub(crate) quarantines: Quarantines,
     /// Limits that targets name.
     pub(crate) limits: Limits,
+    /// Targets that have asked this instance to back off.
+    pub(crate) backoffs: Mutex<Backoffs>,
     /// Targets that have said in answers that they leave.
     pub(crate) departures: Departures,
     /// Policies and trials that operators declared.
@@ -174,6 +177,7 @@
             rollouts: Rollouts::new(&settings, eras.clone()),
             quarantines: Quarantines::default(),
             limits: Limits::default(),
+            backoffs: Mutex::default(),
             departures: Departures::default(),
             experiments: Declared::default(),
             in_flight: Arc::default(),
@@ -259,6 +263,9 @@
         changes.log(&self.settings.instance, &directory);
         let joined = changes.joined().filter_map(|it| directory.get(it));
         joined.for_each(|it| self.confinements.check(self, &it.domain));
+        for it in changes.joined().filter_map(|it| directory.get(it)) {
+            self.backoffs.lock().new_life(&it.id, it.born);
+        }
         let now = self.clock.now();
         self.hold_joined(now, &mut directory, &changes);
         self.tell(changes.ids().map(|id| match directory.get(id) {
@@ -483,6 +490,17 @@
         found.filter(|it| self.rollouts.is_open(self.clock.now(), it))
     }
 
+    /// How much longer a target gets nothing of this instance, which it has asked to back off, in milliseconds.
+    pub(crate) fn backoff_ms(&self, target: &TargetInstance) -> Millis {
+        self.backoffs.lock().left(self.clock.now(), (&target.id, &target.service))
+    }
+
+    /// Whether a target has started again under its id since it was chosen: what an answer says concerns the life
+    /// before.
+    pub(crate) fn is_of_former_life(&self, target: &TargetInstance) -> bool {
+        self.directory.lock().is_former_life(&target.id, target.born)
+    }
+
     /// Whether a target is cold.
     pub(crate) fn is_cold(&self, id: &str) -> bool {
         self.directory.lock().cold_left(self.clock.now(), id) != 0
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -400,6 +400,15 @@
     ctx.shared.pools.of(ctx.shared.clock.now(), service).stage_ms(ctx.shared.clock.now(), stated)
 }
 
+/// Time that all stages of a request usually take, along the longest chain, in milliseconds.
+pub(crate) fn usual_total_ms(ctx: &Context) -> Millis {
+    let graph = StageGraph::new(&ctx.route.stages, &ctx.head.pieces);
+    let total = |stage: usize| {
+        usual_ms(ctx, &ctx.route.stages[stage].service) + ms_after(ctx, &graph, stage)
+    };
+    (0..graph.len()).filter(|it| graph.pieces(*it) != 0).map(total).max().unwrap_or(0)
+}
+
 /// Time that the stages after a stage usually take, along the longest chain, in milliseconds.
 fn ms_after(ctx: &Context, graph: &StageGraph, stage: usize) -> Millis {
     let later = graph
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -12,7 +12,7 @@
     event_split::{EventSplitter, WholeEvent},
     ids::Millis,
     ingress::Shape,
-    route::{Call, End, NoTarget},
+    route::End,
     stage_graph::NoResult,
 };
 use holdpoint_platform::Instant;
@@ -24,13 +24,13 @@
     events::{self, emit},
     ingress::{
         answer::{Answer, passed_on, streamed},
-        attempts::{Attempts, NoSend, end_send},
+        attempts::{Attempts, NoSend, end_send, likely_domain},
         connections::Connection,
         context::Context,
         gate::Barred,
         held::Results,
-        limits::{self, Permit},
-        send::{Sent, send},
+        limits::Permit,
+        send::{BACKED_OFF, Sent, asks_backoff, send},
         stages::{self, FETCHED},
         unread::{Keeper, NotPassed},
     },
@@ -76,6 +76,8 @@
     /// No byte was sent, since none may be.
     Barred(Barred),
     Declined,
+    /// The same, and the target has asked this instance to back off.
+    BackedOff,
     InputsGone,
     Broken,
     Silent,
@@ -157,7 +159,7 @@
                 attempts.take_back();
                 results = stage_results(ctx).await?;
             }
-            Ended::Declined | Ended::InputsGone => (),
+            Ended::Declined | Ended::BackedOff | Ended::InputsGone => (),
             Ended::Broken | Ended::Silent if ctx.is_repeatable() => (),
             Ended::Broken | Ended::Silent => break NoSend::Attempts,
         }
@@ -169,30 +171,7 @@
 }
 
 async fn stage_results(ctx: &Context) -> Result<Results, NotOpen> {
-    let now = ctx.shared.clock.now();
-    let (within, region) = (ctx.within(), ctx.call_region());
-    let call = Call { within: within.as_deref(), ..ctx.call(&[]) };
-    let likely = ctx.pool.choose(now, None, &call, region.as_deref(), &ctx.shared);
-    // Its stages would be made for nothing.
-    match likely {
-        Err(NoTarget::Empty) => return Err(NotOpen::NoSend(NoSend::NoneLeft)),
-        Err(NoTarget::Evacuated) => return Err(NotOpen::NoSend(NoSend::Evacuated)),
-        Err(NoTarget::Confined) => return Err(NotOpen::NoSend(NoSend::Confined)),
-        _ => (),
-    }
-    let limited_ms = match likely {
-        Err(NoTarget::Limited(ms)) => ms,
-        _ => ctx.pool.shut_ms(now),
-    };
-    if ctx.slot_patience() < limited_ms {
-        let deciders = ctx.shared.peers.instance_count();
-        let ms = limits::return_ms(&ctx.shared, &ctx.pool, limited_ms, deciders);
-        return Err(NotOpen::NoSend(NoSend::Limited(ms)));
-    }
-    let domain = likely
-        .ok()
-        .and_then(|it| ctx.open_target(&it.address))
-        .map_or(String::new(), |it| it.domain);
+    let domain = likely_domain(ctx).map_err(NotOpen::NoSend)?;
     stages::make_all(ctx, &domain).await.map_err(|it| match it {
         NoResult::Overload(ms) => NotOpen::Overload(Duration::from_millis(ms)),
         NoResult::Late => NotOpen::NoResults("stages-late"),
@@ -214,6 +193,9 @@
     let ended = sent.unwrap_or(Ended::Silent);
     match &ended {
         Ended::Open(it) => ctx.first_event_took(it.first_ms),
+        Ended::Failed(parts, _) if asks_backoff(parts) => {
+            end_send(ctx, target, End::Dropped, BACKED_OFF);
+        }
         Ended::Failed(..) => end_send(ctx, target, End::Failed, "target-failed"),
         Ended::NotSent => {
             begun.never_sent();
@@ -227,6 +209,10 @@
             begun.declined();
             end_send(ctx, target, End::Failed, "declined");
         }
+        Ended::BackedOff => {
+            begun.declined();
+            end_send(ctx, target, End::Dropped, BACKED_OFF);
+        }
         Ended::InputsGone => {
             begun.declined();
             end_send(ctx, target, End::Dropped, "inputs-gone");
@@ -274,10 +260,9 @@
         Sent::Nothing => return Ended::NotSent,
         Sent::Barred(it) => return Ended::Barred(it),
         Sent::Broken => return Ended::Broken,
-        Sent::Declined { status } => {
-            let is_gone = status == StatusCode::CONFLICT;
-            return if is_gone { Ended::InputsGone } else { Ended::Declined };
-        }
+        Sent::Declined { asks_backoff: true, .. } => return Ended::BackedOff,
+        Sent::Declined { status: StatusCode::CONFLICT, .. } => return Ended::InputsGone,
+        Sent::Declined { .. } => return Ended::Declined,
         Sent::Answered { head, response, connection } => (head, response, connection),
     };
     let (parts, mut body) = response.into_parts();
--- a/crates/holdpointd/src/ingress/whole.rs
+++ b/crates/holdpointd/src/ingress/whole.rs
@@ -12,12 +12,12 @@
 
 use crate::ingress::{
     answer::{Answer, passed_on, streamed},
-    attempts::{Attempts, NoSend, end_send},
+    attempts::{Attempts, NoSend, end_send, likely_domain},
     connections::Connection,
     context::Context,
     gate::Barred,
     limits::Permit,
-    send::{BodyRead, SHORT_BODY, Sent, read_body, send},
+    send::{BACKED_OFF, BodyRead, SHORT_BODY, Sent, asks_backoff, read_body, send},
     stages,
     unread::Keeper,
 };
@@ -57,6 +57,8 @@
     /// No byte was sent, since none may be.
     Barred(Barred),
     Declined,
+    /// The same, and the target has asked this instance to back off.
+    BackedOff,
     Broken,
     Silent,
 }
@@ -128,6 +130,9 @@
     let inputs = if ctx.route.stages.is_empty() {
         Vec::new()
     } else {
+        if let Err(it) = likely_domain(ctx) {
+            return Outcome::Answer(ctx.give_up(it.name(), it.return_after(COME_BACK)));
+        }
         match tokio::time::timeout(ctx.left(), stages::make_all(ctx, "")).await {
             Ok(Ok(it)) => it.inputs,
             Ok(Err(NoResult::Overload(ms))) => {
@@ -157,7 +162,7 @@
                 }
             }
             Ended::NotSent | Ended::Barred(_) => attempts.never_sent(ctx),
-            Ended::Declined => (),
+            Ended::Declined | Ended::BackedOff => (),
             Ended::Broken | Ended::Silent if ctx.is_repeatable() => (),
             Ended::Broken | Ended::Silent => break NoSend::Attempts,
         }
@@ -202,6 +207,11 @@
             end_send(ctx, target, End::Failed, "declined");
             Ended::Declined
         }
+        Ok(Ended::BackedOff) => {
+            begun.declined();
+            end_send(ctx, target, End::Dropped, BACKED_OFF);
+            Ended::BackedOff
+        }
         Ok(Ended::Answered(head, body)) => {
             ctx.note_first();
             ctx.has_passed();
@@ -215,7 +225,8 @@
         }
         Ok(Ended::Failed(head, body)) => {
             // A failure of its own now and then says nothing about the target.
-            end_send(ctx, target, End::Dropped, "target-failed");
+            let cause = if asks_backoff(&head) { BACKED_OFF } else { "target-failed" };
+            end_send(ctx, target, End::Dropped, cause);
             Ended::Failed(head, body)
         }
         Ok(Ended::Broken | Ended::Silent) => {
@@ -234,6 +245,7 @@
     match send(ctx, target, permit, &added).await {
         Sent::Nothing => Ended::NotSent,
         Sent::Barred(it) => Ended::Barred(it),
+        Sent::Declined { asks_backoff: true, .. } => Ended::BackedOff,
         Sent::Declined { .. } => Ended::Declined,
         Sent::Broken => Ended::Broken,
         Sent::Answered { head, response, connection } => {
--- a/crates/holdpointd/src/metrics.rs
+++ b/crates/holdpointd/src/metrics.rs
@@ -49,6 +49,8 @@
     pub quarantined: Counter<u64>,
     /// Changes of limits that targets name, by what changed.
     pub target_limits: Counter<u64>,
+    /// Times that targets have asked to back off, by service.
+    pub backoffs: Counter<u64>,
     /// Answers broken off, since their callers did not read them, by route.
     pub unread: Counter<u64>,
     /// Answers of other attempts dropped.
@@ -112,6 +114,7 @@
             pieces: counter("holdpoint_pieces", "Pieces in calls for results of stages by end"),
             quarantined: counter("holdpoint_quarantined", "Requests that were quarantined"),
             target_limits: counter("holdpoint_target_limits", "Changes of limits of targets"),
+            backoffs: counter("holdpoint_backoffs", "Times that targets asked to back off"),
             dropped_chunks: counter("holdpoint_dropped_chunks", "Repeated chunks dropped"),
             unread: counter("holdpoint_unread", "Answers broken off as nobody read them"),
             crossed: counter("holdpoint_crossed", "Answers of other attempts dropped"),
--- a/crates/holdpointd/src/traffic/stage.rs
+++ b/crates/holdpointd/src/traffic/stage.rs
@@ -230,6 +230,7 @@
             cap: self.pool.concurrency,
             share: Share::Whole,
             inputs: &[],
+            is_own: true,
             within: None,
         }
     }
--- a/crates/holdpointd/tests/target_notices.rs
+++ b/crates/holdpointd/tests/target_notices.rs
@@ -229,6 +229,13 @@
     assert!(!other.batches().is_empty());
 }
 
+/// Requests that a target turned away, as their callers saw them.
+fn turned_away<'a>(target: &Target, asked: &'a [Asked]) -> Vec<&'a Asked> {
+    let arrivals = target.notices();
+    let is_turned_away = |it: &&Asked| arrivals.iter().any(|arrival| arrival.request == it.id);
+    asked.iter().filter(is_turned_away).collect()
+}
+
 #[tokio::test]
 async fn no_request_reaches_a_target_that_asked_for_rest() {
     let fleet = three_of_each().await;
@@ -239,5 +246,96 @@
         assert!(!it.notices().is_empty(), "{} was asked", it.id);
         assert_eq!(sent_in_rest(it, &asked), [""; 0], "{}", it.id);
     }
+    // A route with one attempt has no second target for what was turned away.
+    let away: Vec<&Asked> = resting.iter().flat_map(|it| turned_away(it, &asked)).collect();
+    let is_single = |it: &Asked| it.id.trim_start_matches("r-").parse::<usize>().unwrap() % 4 == 2;
+    let is_excused = |it: &Asked| is_single(it) && away.iter().any(|away| away.id == it.id);
+    let unserved = asked.iter().filter(|it| !it.is_served() && !is_excused(it));
+    assert_eq!(unserved.map(|it| it.id.as_str()).collect::<Vec<_>>(), [""; 0]);
+}
+
+/// Calls for pieces go to the other target, and no release to one that wants none.
+#[tokio::test]
+async fn pieces_and_releases_go_to_no_target_that_asked_for_rest() {
+    let fleet = fleet(&[], &[Behaviour::Events(3); 2]).await;
+    let other = Target::start("i-another", "encode", Behaviour::Answer).await;
+    fleet.system.store.put_target(&other, false);
+    until(|| fleet.instances().all(|it| it.target_count() == 4)).await;
+    let resting = &fleet.system.encoder;
+    let staged = |_: usize, id: &str| CallerRequest::new(id, "/staged/x").with_pieces("2,1");
+    assert_served(&fleet.ask(Duration::from_millis(500), "r", staged).await);
+    resting.set_shed(Some(Shed::for_rest(Duration::from_secs(3))));
+    let asked = fleet.ask(Duration::from_millis(2500), "s", staged).await;
     assert_served(&asked);
+    let arrivals = resting.notices();
+    let told = arrivals.iter().find(|it| it.rest.is_some()).expect("it was asked").at;
+    // The instances that batch its service and that release results there are one and the same.
+    let later = arrivals.iter().filter(|it| told + UNDER_WAY < it.at);
+    assert_eq!(later.map(|it| it.path.as_str()).collect::<Vec<_>>(), [""; 0]);
+}
+
+/// When all targets rest, requests are refused at once, told when the first one takes some again, and come back
+/// spread out. The target's own figure is not theirs.
+#[tokio::test]
+async fn what_every_target_wants_rest_from_is_refused_at_once() {
+    let fleet = fleet(&[Behaviour::Answer], &[Behaviour::Events(3)]).await;
+    let all = [&fleet.system.plain[0], &fleet.system.engines[0], &fleet.system.encoder];
+    all.iter().for_each(|it| it.set_shed(Some(Shed::for_rest(Duration::from_secs(4)))));
+    let staged = |id: &str| CallerRequest::new(id, "/staged/x").with_pieces("2,1");
+    let any = |round: usize, id: &str| if round % 5 == 4 { staged(id) } else { mixed(round, id) };
+    fleet.ask(Duration::from_millis(600), "r", any).await;
+    let before: usize = all.iter().map(|it| it.notices().len()).sum();
+    let mut returns = Vec::new();
+    for it in fleet.ask(Duration::from_millis(1500), "s", any).await {
+        assert_eq!(it.answer.status, StatusCode::SERVICE_UNAVAILABLE, "{}", it.id);
+        assert!(it.ended - it.sent < Duration::from_millis(300), "{}", it.id);
+        returns.push(header(&it.answer, "retry-after").parse::<f64>().unwrap());
+    }
+    assert_eq!(all.iter().map(|it| it.notices().len()).sum::<usize>(), before);
+    assert!(returns.iter().all(|it| 1.0 < *it && *it < 6.1), "{returns:?}");
+    let distinct: std::collections::BTreeSet<String> = returns.iter().map(f64::to_string).collect();
+    assert!(returns.len() / 2 < distinct.len(), "{returns:?}");
+}
+
+/// A rest takes the target out for its time and no longer, and counts as no failure.
+#[tokio::test]
+async fn a_target_gets_requests_again_as_soon_as_its_rest_is_over() {
+    let fleet = fleet(&[Behaviour::Answer], &[]).await;
+    let target = &fleet.system.plain[0];
+    target.set_shed(Some(Shed::for_rest(Duration::from_millis(600))));
+    let safe = |_: usize, id: &str| CallerRequest::new(id, "/safe/x");
+    fleet.ask(Duration::from_millis(300), "r", safe).await;
+    target.set_shed(None);
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    assert_served(&fleet.ask(Duration::from_millis(500), "s", safe).await);
+}
+
+/// What is said in other forms: the latest end holds, also where a shorter rest comes later, and a figure that
+/// cannot be read changes nothing.
+#[tokio::test]
+async fn rest_is_read_in_any_form() {
+    let rest = Duration::from_secs(3);
+    let (busy, many) = (StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS);
+    let cases: [(Shed, bool); 9] = [
+        (Shed::for_rest(rest).with_words(&["1e9"]), true),
+        (Shed::for_rest(rest).with_words(&["0.1", "3"]), true),
+        (Shed::for_rest(rest).after_run(), true),
+        (Shed::for_rest(rest).with_words(&[]), false),
+        (Shed::for_rest(rest).with_words(&["0"]), false),
+        (Shed::for_rest(rest).with_words(&[""]), false),
+        (Shed::for_rest(rest).with_words(&["-3"]), false),
+        (Shed::for_rest(rest).with_words(&["soon"]).with_status(busy), false),
+        (Shed::for_rest(rest).with_status(many), false),
+    ];
+    for (shed, is_rest) in cases {
+        let fleet = fleet(&[Behaviour::Answer], &[]).await;
+        let target = &fleet.system.plain[0];
+        target.set_shed(Some(shed.clone()));
+        let unsafe_one = |id: &str| CallerRequest::new(id, "/unsafe/x");
+        let address = fleet.callers()[0];
+        for id in ["a", "b"] {
+            call(address, unsafe_one(id)).await.expect("there is an answer");
+        }
+        assert_eq!(target.notices().len(), if is_rest { 1 } else { 2 }, "{shed:?}");
+    }
 }
