Soak: targets say in their answers that they leave, and ask for back-offs; logs can be kept

Both are drawn by themselves, so that the other faults of a seed stay what they are; the judge goes by what callers and targets saw: nothing to a target 2 s after its process has passed on that it leaves, and no more than two requests in a back-off from half a second on. Restarts and suspensions of the process excuse it, and a cut link to the target where the answer may be lost. The two seeds that are known red are played as they were drawn.

--logs keeps what each process writes, and a target over its limit names the requests: neither of the two known findings could be traced without.

--- a/crates/holdpoint-soak/src/faults.rs
+++ b/crates/holdpoint-soak/src/faults.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use holdpoint_adapter_standin::{Behaviour, Outage, Target};
+use holdpoint_adapter_standin::{Behaviour, Outage, Shed, Target};
 use rustix::process::Signal;
 use tokio::{task::JoinSet, time::sleep};
 
@@ -40,7 +40,11 @@
             fleet.signal(process, Signal::CONT);
         }
         Kind::StoreLink(process, way) => strike(&fleet.store_links[process], way, lasts).await,
-        Kind::TargetLink(target, way) => strike(&fleet.targets[target].proxy, way, lasts).await,
+        Kind::TargetLink(target, way) => {
+            let from = fleet.clock.now();
+            strike(&fleet.targets[target].proxy, way, lasts).await;
+            fleet.struck_links.lock().push((target, from..=fleet.clock.now()));
+        }
         Kind::StoreAway { is_silent } => {
             fleet.store.gate.set_outage(if is_silent { Outage::Silent } else { Outage::Busy });
             sleep(lasts).await;
@@ -59,6 +63,17 @@
             fleet.store.restore(&domain_name(domain));
         }
         Kind::Configure => fleet.configure(),
+        Kind::SaysLeaving(target) => {
+            fleet.targets[target].target.set_leaving(true);
+            sleep(lasts).await;
+            replace(&fleet, target).await;
+        }
+        Kind::AsksBackoff { target, ms } => {
+            let target = &fleet.targets[target].target;
+            target.set_shed(Some(Shed::for_rest(Duration::from_millis(ms))));
+            sleep(lasts).await;
+            target.set_shed(None);
+        }
         Kind::Limit { target, per_10_s } => {
             let target = &fleet.targets[target].target;
             target.set_limit(Some(f64::from(per_10_s) / 10.0));
@@ -94,6 +109,7 @@
         it.proxy.set(None);
         it.target.set_behaviour(usual(index));
         it.target.set_limit(None);
+        it.target.set_shed(None);
     }
     for process in 0..fleet.store_links.len() {
         fleet.signal(process, Signal::CONT);
--- a/crates/holdpoint-soak/src/fleet.rs
+++ b/crates/holdpoint-soak/src/fleet.rs
@@ -1,7 +1,10 @@
 //! The processes of a soak, with the stand-ins that they work with.
 
 use std::{
-    fmt, io,
+    fmt,
+    fs::File,
+    io::{self, Write},
+    ops::RangeInclusive,
     path::{Path, PathBuf},
     process::Stdio,
     sync::{Arc, atomic::Ordering},
@@ -23,6 +26,7 @@
     Millis,
     callers::{self, Attempt, Callers, Outcome},
     faults,
+    notices::{Arrival, Notices, judge_notices},
     plan::{DOMAINS, ENCODERS, Plan, TARGETS},
     proxy::Proxy,
     verdict::{EVENTS, Finding, Kills, Promise, Verdict, judge},
@@ -57,12 +61,13 @@
 pub struct Builds {
     daemon: PathBuf,
     former: Option<PathBuf>,
+    logs: Option<PathBuf>,
 }
 
 impl Builds {
     /// One build for all processes.
     pub fn new(daemon: impl Into<PathBuf>) -> Builds {
-        Builds { daemon: daemon.into(), former: None }
+        Builds { daemon: daemon.into(), former: None, logs: None }
     }
 
     /// Has every second process, and every second life of each, run a former build.
@@ -71,6 +76,19 @@
         self
     }
 
+    /// Has what processes write kept in a folder, a file for each seed and process.
+    pub fn with_logs(mut self, logs: Option<PathBuf>) -> Builds {
+        self.logs = logs;
+        self
+    }
+
+    /// Opens the file that keeps what a process writes.
+    fn log_of(&self, seed: u64, process: usize) -> Option<File> {
+        let path = self.logs.as_ref()?.join(format!("{seed}-p{process}.log"));
+        // Without it the soak is judged all the same.
+        File::create(path).ok()
+    }
+
     /// The program of a process in one of its lives.
     fn program(&self, process: usize, life: usize) -> &Path {
         let former = self.former.as_ref().filter(|_| (process + life) % 2 == 1);
@@ -86,6 +104,11 @@
     pub(crate) fn now(self) -> Millis {
         self.0.elapsed().as_millis() as Millis
     }
+
+    /// A moment, as this clock counts.
+    pub(crate) fn at(self, moment: Instant) -> Millis {
+        moment.saturating_duration_since(self.0).as_millis() as Millis
+    }
 }
 
 /// A target behind a proxy of its own.
@@ -106,6 +129,10 @@
     pub(crate) joined: Mutex<Vec<Target>>,
     pub(crate) version: Mutex<u64>,
     pub(crate) kills: Mutex<Kills>,
+    /// When processes were stopped, killed, suspended, resumed or started, by process.
+    disturbances: Mutex<Kills>,
+    /// Links to targets that failed, and when.
+    pub(crate) struck_links: Mutex<Vec<(usize, RangeInclusive<Millis>)>>,
     /// Ids of the processes that run.
     pids: Vec<Mutex<Option<Pid>>>,
     settings: Vec<PathBuf>,
@@ -143,6 +170,8 @@
             joined: Mutex::default(),
             version: Mutex::new(1),
             kills: Mutex::default(),
+            disturbances: Mutex::default(),
+            struck_links: Mutex::default(),
             pids: (0..plan.processes).map(|_| Mutex::default()).collect(),
             settings,
             callers: Arc::new(callers),
@@ -152,6 +181,9 @@
     /// Sends a signal to a process, if it runs.
     pub(crate) fn signal(&self, process: usize, signal: Signal) {
         if let Some(pid) = *self.pids[process].lock() {
+            if signal != Signal::HUP {
+                self.disturb(process);
+            }
             if signal == Signal::KILL {
                 self.kills.lock().entry(process).or_default().push(self.clock.now());
             }
@@ -160,6 +192,10 @@
         }
     }
 
+    fn disturb(&self, process: usize) {
+        self.disturbances.lock().entry(process).or_default().push(self.clock.now());
+    }
+
     /// Writes a configuration that adds a key of its own.
     pub(crate) fn configure(&self) {
         let mut version = self.version.lock();
@@ -261,7 +297,9 @@
         })
         .collect();
     findings.extend(judge(&attempts, &runs, &fleet.kills.lock()));
+    let over_limit = |it| over_limit(fleet.clock, it, &attempts);
     findings.extend(fleet.targets.iter().filter_map(over_limit));
+    findings.extend(notice_findings(fleet, &attempts));
     let status = |it: &Attempt| match &it.outcome {
         Outcome::Answer { status, is_whole: true, .. } => *status,
         _ => 0,
@@ -278,9 +316,31 @@
 }
 
 /// A target that got more than it named as its limit.
-fn over_limit(it: &ProxiedTarget) -> Option<Finding> {
-    let seen = it.target.limit_excess()?;
-    Some(Finding { promise: Promise::Limited, id: it.target.id.clone(), at: 0, seen })
+fn over_limit(clock: Clock, it: &ProxiedTarget, attempts: &[Attempt]) -> Option<Finding> {
+    let excess = it.target.limit_excess()?;
+    let process = |id: &str| attempts.iter().find(|it| it.id == id).map(|it| it.process);
+    let arrivals = it.target.notices().into_iter();
+    let arrivals = arrivals.filter(|it| (excess.from..=excess.to).contains(&it.at)).map(|it| {
+        let from = process(&it.request).map_or(it.path, |process| format!("p{process}"));
+        format!("{} {from} {}", clock.at(it.at), it.request)
+    });
+    let arrivals: Vec<String> = arrivals.collect();
+    let seen = format!("{excess}: {}", arrivals.join(", "));
+    let (id, at) = (it.target.id.clone(), clock.at(excess.from));
+    Some(Finding { promise: Promise::Limited, id, at, seen })
+}
+
+/// Requests that reached targets which had said that they want none.
+fn notice_findings(fleet: &Fleet, attempts: &[Attempt]) -> Vec<Finding> {
+    let struck = fleet.struck_links.lock();
+    let disturbances = fleet.disturbances.lock();
+    let of_target = |(index, it): (usize, &ProxiedTarget)| {
+        let arrivals = it.target.notices().into_iter();
+        let arrivals = arrivals.map(|it| Arrival::new(fleet.clock.at(it.at), it)).collect();
+        let cuts = struck.iter().filter(|it| it.0 == index).map(|it| it.1.clone()).collect();
+        judge_notices(&Notices { target: &it.target.id, arrivals, cuts }, attempts, &disturbances)
+    };
+    fleet.targets.iter().enumerate().flat_map(of_target).collect()
 }
 
 fn start_process(fleet: &Fleet, daemon: &Path, index: usize) -> io::Result<Child> {
@@ -297,10 +357,15 @@
 
 /// Reads what a process writes until it ends, then starts it again, for good.
 async fn supervise(fleet: Arc<Fleet>, builds: Builds, index: usize, mut child: Child) {
+    let mut log = builds.log_of(fleet.callers.seed, index);
     for life in 1.. {
         if let Some(lines) = child.stderr.take() {
             let mut lines = BufReader::new(lines).lines();
             while let Ok(Some(line)) = lines.next_line().await {
+                if let Some(it) = &mut log {
+                    // What cannot be kept is missing there, and nothing else.
+                    let _ = writeln!(it, "{} {line}", fleet.clock.now());
+                }
                 let address = line.split_once(ADDRESS_MARK).filter(|_| line.contains("E100"));
                 if let Some(it) = address.and_then(|it| it.1.trim().parse().ok()) {
                     *fleet.callers.addresses[index].lock() = Some(it);
@@ -308,6 +373,7 @@
             }
         }
         *fleet.callers.addresses[index].lock() = None;
+        fleet.disturb(index);
         // Its id may be given to another process from now on.
         *fleet.pids[index].lock() = None;
         drop(child.wait().await);
--- a/crates/holdpoint-soak/src/lib.rs
+++ b/crates/holdpoint-soak/src/lib.rs
@@ -22,6 +22,7 @@
 mod callers;
 mod faults;
 mod fleet;
+mod notices;
 mod plan;
 mod proxy;
 mod verdict;
@@ -29,6 +30,7 @@
 pub use crate::{
     callers::{Attempt, Outcome, Route},
     fleet::{Builds, CannotStart, run},
+    notices::{Arrival, Notices, judge_notices},
     plan::{Fault, Kind, Plan, TargetFault, Way},
     verdict::{Finding, Kills, Promise, Verdict, judge},
 };
--- a/crates/holdpoint-soak/src/plan.rs
+++ b/crates/holdpoint-soak/src/plan.rs
@@ -25,6 +25,13 @@
 const SHORTEST_LIMIT: Millis = 1500;
 /// Limits are drawn by themselves, so that the other faults of a seed stay what they are.
 const LIMITS_STREAM: u64 = 1;
+/// Targets that say in their answers that they leave, and targets that ask for a back-off, at most, in a soak.
+const LEAVES: usize = 2;
+const BACKOFFS: usize = 4;
+/// Back-offs that they ask for, in milliseconds.
+const BACKOFFS_MS: [Millis; 4] = [600, 1500, 3000, 5000];
+/// What targets say of themselves is drawn by itself, as limits are.
+const NOTICES_STREAM: u64 = 2;
 /// Every so many seeds are large.
 const LARGE_EVERY: u64 = 10;
 
@@ -90,6 +97,15 @@
     Evacuate(usize),
     /// The operator writes a configuration.
     Configure,
+    /// A target says in its answers that it leaves; its entry in the store says so only at the end.
+    SaysLeaving(usize),
+    /// A target turns all requests away and asks for a back-off.
+    AsksBackoff {
+        /// The target.
+        target: usize,
+        /// How long, in milliseconds.
+        ms: Millis,
+    },
     /// A target names a limit.
     Limit {
         /// The target.
@@ -141,6 +157,7 @@
         }
         faults.retain(|it| it.at < end);
         faults.extend(limits(seed, end));
+        faults.extend(notices(seed, end));
         faults.sort_by_key(|it| it.at);
         Plan { seed, processes, callers, length, faults }
     }
@@ -160,12 +177,39 @@
     (0..LIMITS).map(|_| limit()).collect()
 }
 
+/// Targets that leave and say so in their answers, and targets that ask for back-offs.
+fn notices(seed: u64, end: Millis) -> Vec<Fault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(NOTICES_STREAM);
+    let mut faults = Vec::new();
+    for index in 0..LEAVES + BACKOFFS {
+        let at = rng.random_range(0..end.max(1));
+        let target = rng.random_range(0..2 * TARGETS + ENCODERS);
+        let (kind, lasts) = if index < LEAVES {
+            (Kind::SaysLeaving(target), rng.random_range(500..end.max(1000)))
+        } else {
+            let ms = BACKOFFS_MS[rng.random_range(0..BACKOFFS_MS.len())];
+            (Kind::AsksBackoff { target, ms }, rng.random_range(50..LONGEST_FAULT))
+        };
+        faults.push(Fault { at, lasts, kind });
+    }
+    faults
+}
+
 impl Plan {
-    /// Leaves the limits out that targets name: earlier builds know none.
-    pub fn without_limits(mut self) -> Plan {
-        self.faults.retain(|it| !matches!(it.kind, Kind::Limit { .. }));
+    /// Leaves out what targets say in their answers of leaving and back-offs.
+    pub fn without_notices(mut self) -> Plan {
+        let is_notice = |it: &Kind| matches!(it, Kind::SaysLeaving(_) | Kind::AsksBackoff { .. });
+        self.faults.retain(|it| !is_notice(&it.kind));
         self
     }
+
+    /// Leaves out all that targets say of themselves: earlier builds read nothing of it.
+    pub fn without_limits(self) -> Plan {
+        let mut plan = self.without_notices();
+        plan.faults.retain(|it| !matches!(it.kind, Kind::Limit { .. }));
+        plan
+    }
 }
 
 /// A fault, or the same one several times in quick succession.
--- a/crates/holdpoint-soak/src/verdict.rs
+++ b/crates/holdpoint-soak/src/verdict.rs
@@ -27,6 +27,11 @@
     Answered,
     /// A target gets no more than one and a half times what it names as its limit, and five requests.
     Limited,
+    /// A target that said in an answer that it leaves gets nothing of a process that passed it on 2 s before.
+    Drained,
+    /// A target gets no more than two requests of a process in the time for which it had asked it to back off, half
+    /// a second after that.
+    BackedOff,
     /// After the last fault each process serves the newest configuration.
     Recovered,
 }
@@ -41,6 +46,8 @@
             Promise::Asked => "unasked",
             Promise::Answered => "lost",
             Promise::Limited => "over-limit",
+            Promise::Drained => "sent-to-leaving",
+            Promise::BackedOff => "sent-in-backoff",
             Promise::Recovered => "not-recovered",
         }
     }
@@ -105,6 +112,8 @@
             Promise::Asked,
             Promise::Answered,
             Promise::Limited,
+            Promise::Drained,
+            Promise::BackedOff,
             Promise::Recovered,
         ] {
             write!(f, " {} {}", promise.breach(), self.count(promise))?;
--- a/crates/holdpoint-soak/tests/judge.rs
+++ b/crates/holdpoint-soak/tests/judge.rs
@@ -2,7 +2,9 @@
 
 use bytes::Bytes;
 use holdpoint_adapter_standin::Run;
-use holdpoint_soak::{Attempt, Kills, Millis, Outcome, Plan, Promise, Route, judge};
+use holdpoint_soak::{
+    Arrival, Attempt, Kills, Millis, Notices, Outcome, Plan, Promise, Route, judge, judge_notices,
+};
 
 fn attempt(route: Route, outcome: Outcome) -> Attempt {
     Attempt { id: "r-1".to_owned(), route, process: 0, sent: 100, ended: 200, outcome }
@@ -89,3 +91,61 @@
     assert_ne!(Plan::draw(7, length).faults, Plan::draw(8, length).faults);
     assert_eq!(Plan::draw(10, length).processes, 16);
 }
+
+/// Requests to process 0 that reached target `a`: when they were sent and arrived there.
+fn notices(
+    arrivals: &[(Millis, Millis)],
+    says_leaving: bool,
+    backoff_ms: Option<Millis>,
+) -> (Vec<Attempt>, Notices<'static>) {
+    let id = |index: usize| format!("r-{index}");
+    let attempts = arrivals.iter().enumerate().map(|(index, (sent, at))| Attempt {
+        id: id(index),
+        route: Route::Safe,
+        process: 0,
+        sent: *sent,
+        ended: at + 10,
+        outcome: Outcome::Answer {
+            status: 200,
+            signature: Some(format!("stamp-a-{}", id(index))),
+            body: Bytes::new(),
+            is_whole: true,
+        },
+    });
+    let attempts = attempts.collect();
+    let arrivals = arrivals.iter().enumerate().map(|(index, (_, at))| Arrival {
+        at: *at,
+        request: id(index),
+        says_leaving,
+        backoff_ms: backoff_ms.filter(|_| index == 0),
+    });
+    (attempts, Notices { target: "a", arrivals: arrivals.collect(), cuts: Vec::new() })
+}
+
+fn noticed((attempts, notices): &(Vec<Attempt>, Notices<'_>), disturbed: &[Millis]) -> usize {
+    judge_notices(notices, attempts, &Kills::from([(0, disturbed.to_vec())])).len()
+}
+
+#[test]
+fn a_target_that_said_that_it_leaves_gets_nothing_two_seconds_later() {
+    let late = notices(&[(100, 110), (2130, 2140)], true, None);
+    assert_eq!(noticed(&late, &[]), 1);
+    assert_eq!(noticed(&late, &[1000]), 0, "its process has started again");
+    assert_eq!(noticed(&notices(&[(100, 110), (2110, 2140)], true, None), &[]), 0, "sent before");
+    assert_eq!(noticed(&notices(&[(100, 110), (2130, 2140)], false, None), &[]), 0);
+}
+
+#[test]
+fn a_target_that_asked_for_a_back_off_gets_two_requests_at_most() {
+    let asked = |times: &[Millis]| {
+        let arrivals: Vec<_> = times.iter().map(|it| (it - 5, *it)).collect();
+        notices(&arrivals, false, Some(3000))
+    };
+    let three = asked(&[100, 700, 800, 3000]);
+    assert_eq!(noticed(&three, &[]), 1);
+    assert_eq!(noticed(&three, &[2000]), 0, "its process has started again");
+    assert_eq!(noticed(&asked(&[100, 300, 500, 599, 700, 800, 3100]), &[]), 0);
+    let (attempts, mut notices) = three;
+    notices.cuts.push(50..=150);
+    assert_eq!(noticed(&(attempts, notices), &[]), 0, "the answer was lost, perhaps");
+}
--- a/crates/holdpoint/src/cli.rs
+++ b/crates/holdpoint/src/cli.rs
@@ -181,6 +181,19 @@
                 .value_parser(value_parser!(PathBuf))
                 .help("A former build of it, which half of the processes run; targets name no limits then"),
         )
+        .arg(
+            Arg::new("logs")
+                .long("logs")
+                .value_name("FOLDER")
+                .value_parser(value_parser!(PathBuf))
+                .help("Keeps there what each process writes"),
+        )
+        .arg(
+            Arg::new("no-notices")
+                .long("no-notices")
+                .action(clap::ArgAction::SetTrue)
+                .help("Has no target say that it leaves, or ask for a back-off, as in earlier soaks"),
+        )
 }
 
 /// Writes the completion of a shell to standard output.
--- a/crates/holdpoint/src/soak.rs
+++ b/crates/holdpoint/src/soak.rs
@@ -18,9 +18,11 @@
     let former = matches.get_one::<PathBuf>("former").cloned();
     let has_former = former.is_some();
     let builds = Builds::new(daemon.unwrap_or_else(beside_this_program)).with_former(former);
+    let builds = builds.with_logs(matches.get_one::<PathBuf>("logs").cloned());
     let mut broken = 0;
     for seed in (number("seed")..).take(number("count") as usize) {
         let plan = Plan::draw(seed, length);
+        let plan = if matches.get_flag("no-notices") { plan.without_notices() } else { plan };
         let plan = if has_former { plan.without_limits() } else { plan };
         let verdict = holdpoint_soak::run(&plan, &builds).await.map_err(Failure::Soak)?;
         println!("{verdict}");
--- a/crates/holdpointd/tests/soak.rs
+++ b/crates/holdpointd/tests/soak.rs
@@ -33,7 +33,8 @@
 }
 
 async fn assert_kept(seed: u64) {
-    let plan = Plan::draw(seed, Duration::from_secs(6));
+    // As it was drawn when it failed.
+    let plan = Plan::draw(seed, Duration::from_secs(6)).without_notices();
     let builds = Builds::new(env!("CARGO_BIN_EXE_holdpointd"));
     let verdict = run(&plan, &builds).await.unwrap();
     assert!(verdict.is_kept(), "{verdict}");
