--- a/crates/holdpoint-soak/src/callers.rs
+++ b/crates/holdpoint-soak/src/callers.rs
@@ -110,6 +110,12 @@
         format!("POST {}", self.route.path())
     }
 
+    /// Whether it ended with an answer of a target.
+    pub fn is_answered_by(&self, target: &str) -> bool {
+        let stamp = format!("stamp-{target}-{}", self.id);
+        matches!(&self.outcome, Outcome::Answer { signature: Some(it), .. } if *it == stamp)
+    }
+
     /// Body of a whole answer.
     pub fn expected(&self) -> Bytes {
         if self.route.has_whole_answer() {
--- a/crates/holdpoint-soak/src/fleet.rs
+++ b/crates/holdpoint-soak/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The processes of a soak, with the stand-ins that they work with.
 
 use std::{
+    collections::HashSet,
     fmt,
     fs::File,
     io::{self, Write},
@@ -36,6 +37,8 @@
 const RESTART: Duration = Duration::from_millis(100);
 /// How long processes may take to serve everything again after the last fault.
 const RECOVERY: Duration = Duration::from_secs(20);
+/// How long after a process has passed on an answer that names a limit it is held to that.
+const LIMIT_SETTLES: Millis = 500;
 /// Mark before the address in the line that a process writes at its start.
 const ADDRESS_MARK: &str = "callers=";
 
@@ -297,7 +300,7 @@
         })
         .collect();
     findings.extend(judge(&attempts, &runs, &fleet.kills.lock()));
-    let over_limit = |it| over_limit(fleet.clock, it, &attempts);
+    let over_limit = |it| over_limit(fleet, it, &attempts);
     findings.extend(fleet.targets.iter().filter_map(over_limit));
     findings.extend(notice_findings(fleet, &attempts));
     let status = |it: &Attempt| match &it.outcome {
@@ -315,13 +318,24 @@
     }
 }
 
-/// A target that got more than it named as its limit.
-fn over_limit(clock: Clock, it: &ProxiedTarget, attempts: &[Attempt]) -> Option<Finding> {
-    let excess = it.target.limit_excess()?;
-    let process = |id: &str| attempts.iter().find(|it| it.id == id).map(|it| it.process);
+/// A target that got more than it named as its limit from processes that it had told.
+fn over_limit(fleet: &Fleet, it: &ProxiedTarget, attempts: &[Attempt]) -> Option<Finding> {
+    let clock = fleet.clock;
+    let disturbances = fleet.disturbances.lock();
+    let told = told_limits(&it.target, attempts);
+    let attempt = |id: &str| attempts.iter().find(|it| it.id == id);
+    // A process that has just started has no such answer yet, and is excused.
+    let excess = it.target.limit_excess_of(|arrival| {
+        let Some(by) = attempt(&arrival.request) else { return true };
+        let at = clock.at(arrival.at);
+        let its = disturbances.get(&by.process).into_iter().flatten();
+        let since = its.filter(|it| **it <= at).max().copied().unwrap_or(0);
+        let is_told = |told: &&Attempt| since <= told.sent && told.ended + LIMIT_SETTLES <= at;
+        told.iter().filter(|it| it.process == by.process).any(is_told)
+    })?;
     let arrivals = it.target.notices().into_iter();
     let arrivals = arrivals.filter(|it| (excess.from..=excess.to).contains(&it.at)).map(|it| {
-        let from = process(&it.request).map_or(it.path, |process| format!("p{process}"));
+        let from = attempt(&it.request).map_or(it.path, |it| format!("p{}", it.process));
         format!("{} {from} {}", clock.at(it.at), it.request)
     });
     let arrivals: Vec<String> = arrivals.collect();
@@ -330,6 +344,14 @@
     Some(Finding { promise: Promise::Limited, id, at, seen })
 }
 
+/// Requests whose answers have told their processes that a target names a limit.
+fn told_limits<'a>(target: &Target, attempts: &'a [Attempt]) -> Vec<&'a Attempt> {
+    let named = target.notices().into_iter().filter(|it| it.names_limit);
+    let named: HashSet<String> = named.map(|it| it.request).collect();
+    let told = attempts.iter().filter(|it| named.contains(&it.id));
+    told.filter(|it| it.is_answered_by(&target.id)).collect()
+}
+
 /// Requests that reached targets which had said that they want none.
 fn notice_findings(fleet: &Fleet, attempts: &[Attempt]) -> Vec<Finding> {
     let struck = fleet.struck_links.lock();
--- a/crates/holdpoint-soak/src/notices.rs
+++ b/crates/holdpoint-soak/src/notices.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     Millis,
-    callers::{Attempt, Outcome},
+    callers::Attempt,
     verdict::{Finding, Kills, Promise},
 };
 
@@ -62,7 +62,7 @@
     let mut findings = Vec::new();
     let mut told: HashMap<usize, Millis> = HashMap::new();
     for attempt in notices.arrivals.iter().filter(|it| it.says_leaving).filter_map(of) {
-        if is_answer_of(attempt, notices.target) {
+        if attempt.is_answered_by(notices.target) {
             let first = told.entry(attempt.process).or_insert(attempt.ended);
             *first = attempt.ended.min(*first);
         }
@@ -102,8 +102,3 @@
     }
     findings
 }
-
-fn is_answer_of(attempt: &Attempt, target: &str) -> bool {
-    let stamp = format!("stamp-{target}-{}", attempt.id);
-    matches!(&attempt.outcome, Outcome::Answer { signature: Some(it), .. } if *it == stamp)
-}
--- a/crates/holdpointd/tests/soak.rs
+++ b/crates/holdpointd/tests/soak.rs
@@ -25,8 +25,10 @@
     assert_kept(1042).await;
 }
 
-/// Once a target that took some requests a second got 8 in 1.5 s, where 7.2 are borne, before two processes that end
-/// and start again. The judge counts what processes send that have just started, too.
+/// A target that took one request a second got 8 in 1.5 s, where 7.2 are borne, in about half of the runs. Six of them
+/// came within 10 ms from a process that had started 13 ms before ("E100 … started" at 3,081 ms, arrivals from 3,094 to
+/// 3,102), while the answers of the target were held up: in this life it had had none that names the limit. A process
+/// is held to a limit from half a second after such an answer on, and the judge counts so.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_seed_that_once_went_over_a_limit_keeps_it() {
     assert_kept(1109).await;
