Callers who differ in patience are not taken to have asked before

Cause: whoever brings less than 97 % of the patience that is usual on its route was taken to have asked before, by the rest, and its aim counted from then. On deployments whose callers bring 85 to 100 % that was three in four of those who ask first, by up to 2.2 s; where fewer than 20 had come to an instance, the route's own time limit stood for what is usual.

Change: the upper half of the patience that comes tells how far callers spread below the middle, wider as long as few are known; only what lies below that has asked before. E706 tells before_ms.

--- a/crates/holdpoint-core/src/deadline.rs
+++ b/crates/holdpoint-core/src/deadline.rs
@@ -4,6 +4,17 @@
 
 use crate::ids::Millis;
 
+/// Quantile of the patience that is taken for its upper end.
+const HIGH_PATIENCE: f64 = 0.95;
+/// How far the lowest patience of those who ask first lies below the upper end, in parts of the way from there to the
+/// middle: as far below the middle as the upper end is above, and a tenth more.
+const SPREAD_BELOW: f64 = 2.2;
+/// How much wider the spread is taken to be where little is known, as a part for one measurement; it goes with the
+/// root of their number, as errors of a quantile do.
+const FEW: f64 = 1.5;
+/// Part of a patience by which what is read of it may be wrong, the way of the request included.
+const PATIENCE_ERROR: f64 = 0.02;
+
 /// How long one half of the measurements is gathered, in milliseconds.
 const TURN_MS: Millis = 10_000;
 /// Fewest measurements that a quantile is taken from.
@@ -100,6 +111,11 @@
         self.now.saturating_record(ms.clamp(1, LONGEST_MS));
     }
 
+    /// Number of measurements.
+    fn len(&self) -> u64 {
+        self.now.len() + self.before.len()
+    }
+
     /// A quantile, from 0 to 1; `None` where too little was measured.
     pub fn quantile(&self, q: f64) -> Option<Millis> {
         let newer = self.now.len();
@@ -121,6 +137,33 @@
     }
 }
 
+/// Patience that callers of a route bring, from which it is told who has likely asked before.
+///
+/// A caller that comes back brings what is left of its patience. Callers differ in that by themselves: the upper
+/// half of what comes is theirs who ask for the first time, and tells how far they spread below the middle.
+#[derive(Clone, Debug, Default)]
+pub struct Patience {
+    times: Times,
+}
+
+impl Patience {
+    /// Records the patience of a caller, in milliseconds.
+    pub fn record(&mut self, now: Millis, ms: Millis) {
+        self.times.record(now, ms);
+    }
+
+    /// How long ago a caller with so much patience has likely asked first, in milliseconds: none as long as little
+    /// is known, or one that asks for the first time may bring as much.
+    pub fn asked_before(&self, ms: Millis) -> Millis {
+        let quantile = |it| self.times.quantile(it).map(|it| it as f64);
+        let Some((high, middle)) = quantile(HIGH_PATIENCE).zip(quantile(0.5)) else { return 0 };
+        // Of few callers the middle and the upper end are known by and by only.
+        let below = SPREAD_BELOW * (1.0 + FEW / (self.times.len() as f64).sqrt());
+        let lowest = high - below * (high - middle) - PATIENCE_ERROR * high;
+        if lowest <= ms as f64 { 0 } else { (middle as Millis).saturating_sub(ms) }
+    }
+}
+
 /// What a stage may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Budget {
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -44,13 +44,6 @@
 /// Work of a generation before its first token, in tokens read.
 const GENERATION_BASE: f64 = 2000.0;
 
-/// A caller whose patience is below this part of what is usual on its route is taken to have asked
-/// before: the rest is how long ago. Patience is measured with an error of one in a hundred.
-const SAME_PATIENCE: f64 = 0.97;
-/// Part of a route's callers, most of whom ask for the first time, that bring no more than the usual
-/// patience.
-const USUAL_PATIENCE: f64 = 0.9;
-
 /// One request on its way.
 pub(crate) struct Context {
     pub(crate) shared: Arc<IngressShared>,
@@ -428,11 +421,10 @@
     let Some(patience) = parts.head.patience else { return Duration::ZERO };
     let patiences = shared.patiences.of(&parts.route.name, Default::default);
     let mut patiences = patiences.lock();
-    let usual = patiences.quantile(USUAL_PATIENCE).unwrap_or(parts.route.timeout_ms);
-    patiences.record(shared.clock.now(), patience.as_millis() as Millis);
-    let usual = Duration::from_millis(usual.min(parts.route.timeout_ms));
-    let is_first = usual.mul_f64(SAME_PATIENCE) <= patience;
-    if is_first { Duration::ZERO } else { usual - patience }
+    let patience = patience.as_millis() as Millis;
+    let asked_before = patiences.asked_before(patience);
+    patiences.record(shared.clock.now(), patience);
+    Duration::from_millis(asked_before)
 }
 
 impl Drop for Context {
@@ -442,7 +434,7 @@
         let ms = self.arrived.elapsed().as_millis() as u64;
         let detail = format!(
             "id={} route={} version={} service={} target={} sends={} status={} cause={cause} \
-             stages_ms={} first_ms={} gap_ms={} ms={ms} aim_ms={}",
+             stages_ms={} first_ms={} gap_ms={} ms={ms} aim_ms={} before_ms={}",
             self.request.id,
             self.route.name,
             self.version,
@@ -454,6 +446,7 @@
             end.first_ms,
             end.longest_gap_ms,
             self.route.target_ms,
+            self.asked_before.as_millis(),
         );
         emit(events::REQUEST_ENDED, &self.shared.settings.instance, &detail);
         if let Some(it) = &self.arm {
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -16,7 +16,7 @@
 use holdpoint_core::{
     backoffs::Backoffs,
     change_log::{ChangeLog, Revision},
-    deadline::Times,
+    deadline::{Patience, Times},
     directory::{Change, Directory, TargetId, TargetInstance},
     ids::{Millis, Name},
     ingress::{Configuration, newer},
@@ -113,7 +113,7 @@
     /// Times from the send of a stream to its first event, by route.
     pub(crate) first_times: Lazy<Mutex<Times>>,
     /// Patience that callers bring, by route.
-    pub(crate) patiences: Lazy<Mutex<Times>>,
+    pub(crate) patiences: Lazy<Mutex<Patience>>,
     /// Sent whenever the machine has been suspended.
     woken: watch::Sender<()>,
     /// Eras of the store.
