Batching forgets a wait that is over although only late pieces are made

What callers saw: for 20 s and more after faults were over, 300 requests a second with stages were refused or admitted late at all processes, and told to come back after up to seven minutes.

Late pieces have no prediction, so that nothing was judged any more, while each answered call renewed the trust in what had been: expected_ms=1766 with nothing waiting and calls of 10 to 12 ms, so that all stayed late.

Change: the bias and spread fade with the age of the last judged call; the time of calls as before with that of the last answered one.

Why it holds: no path renews that trust without a judgement.

--- a/crates/holdpoint-core/src/batcher/estimate.rs
+++ b/crates/holdpoint-core/src/batcher/estimate.rs
@@ -45,6 +45,8 @@
     spread_ms: f64,
     /// When a call was answered last.
     answered: Millis,
+    /// When a call was answered last of whose pieces some were predicted.
+    judged: Millis,
 }
 
 impl Judge {
@@ -70,6 +72,7 @@
         let took = judged().map(|it| now.saturating_sub(it.0.offered) as f64).sum::<f64>() / count;
         let error = took - predicted;
         let judgement = Judgement { predicted_ms: predicted + self.bias_ms, took_ms: took };
+        self.judged = now;
         // A piece is likelier to go with a large call than with a small one.
         let newest = (count / self.pieces).min(1.0);
         self.bias_ms += newest * (error - self.bias_ms);
@@ -77,10 +80,16 @@
         Some(judgement)
     }
 
-    /// How much what was measured counts. It fades: a long time that leads to refusals would stay for good
+    /// How much the times of calls count. They fade: a long time that leads to refusals would stay for good
     /// else, since what is refused is not measured.
     fn trust(&self, now: Millis) -> f64 {
-        0.5_f64.powf(now.saturating_sub(self.answered) as f64 / TRUST_MS)
+        trust(now.saturating_sub(self.answered))
+    }
+
+    /// How much the errors of predictions count. Where all are late there are none, however many calls are
+    /// answered, and what was found last must not keep everything late.
+    fn trust_in_errors(&self, now: Millis) -> f64 {
+        trust(now.saturating_sub(self.judged))
     }
 
     /// Time of a piece's call, where it is `usual` without any measurement, in milliseconds.
@@ -92,6 +101,11 @@
     }
 }
 
+/// How much a measurement of an age counts.
+fn trust(age: Millis) -> f64 {
+    0.5_f64.powf(age as f64 / TRUST_MS)
+}
+
 impl Batcher {
     /// Time in which so many more pieces would be made that are due at a time, in milliseconds:
     /// after the call that ends next, after those that are due before them, in a call of their own.
@@ -128,7 +142,7 @@
         let per_ms =
             usable().map(|it| full * it.calls_per_ms(calls, full_ms * slowness_of(it))).sum();
         let slowness = usable().map(slowness_of).sum::<f64>() / usable().count().max(1) as f64;
-        let trust = self.judge.trust(now);
+        let trust = self.judge.trust_in_errors(now);
         let usual_call = self.sizes.stated_ms(most.div_ceil(2));
         StageLoad {
             per_ms,
--- a/crates/holdpointd/tests/soak.rs
+++ b/crates/holdpointd/tests/soak.rs
@@ -18,8 +18,10 @@
     }
 }
 
-/// In 1 of 86 runs of this seed no process served requests with stages for 20 s after the last fault, which are
-/// several outages of the store, an evacuation within them and a target of two that took nothing.
+/// In 3 of 146 runs of this seed processes did not serve requests with stages for 20 s after the last fault: with calls
+/// of 10 to 12 ms and an empty queue the instance that batches expected 1,766 ms and refused 300 requests a second
+/// ("stage refused: ... expected_ms=1766 due_in_ms=1080 waiting=0"). It went by waits of the time before, which late
+/// pieces never put right; the core's `estimate.rs` has that without processes.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_seed_that_once_did_not_recover_does() {
     assert_kept(1042).await;
