Return times of refused requests stay within what callers can wait

Cause: each refusal takes the next turn of a queue of return times, and whoever comes back and is refused again takes another one, so that the queue grows for as long as refusals last: 434 s were told under 300 refusals a second, of callers who have 2 s. Two copies of it had no end, a third one told all who came later the same last time.

Change: one type keeps the turns for batchers, promised stages and limits, and begins anew after 30 s.

--- a/crates/holdpoint-core/src/batcher/estimate.rs
+++ b/crates/holdpoint-core/src/batcher/estimate.rs
@@ -221,9 +221,8 @@
     /// pieces, and after those that were refused before it.
     pub fn return_ms(&mut self, now: Millis, due: Millis, pieces: usize) -> Millis {
         let excess = (now + self.expected_ms(now, due, pieces)).saturating_sub(due.max(now));
-        let at = self.next_return.max(now + excess);
-        self.next_return = at + (pieces as f64 * self.piece_gap(now)) as Millis;
-        at - now
+        let gap_ms = pieces as f64 * self.piece_gap(now);
+        self.returns.take(now, excess, gap_ms)
     }
 
     /// Time in which the targets make one piece where calls are full, in milliseconds.
--- a/crates/holdpoint-core/src/batcher/mod.rs
+++ b/crates/holdpoint-core/src/batcher/mod.rs
@@ -28,6 +28,7 @@
     directory::TargetId,
     ids::Millis,
     pieces::{Call, Sizes, Ticket, Waiting},
+    returns::Returns,
 };
 
 pub use self::estimate::Judgement;
@@ -52,8 +53,8 @@
     judge: Judge,
     /// Pieces that are offered.
     offered: RecentRate,
-    /// From when on the next refused request may come back.
-    next_return: Millis,
+    /// When refused requests may come back.
+    returns: Returns,
 }
 
 impl Batcher {
@@ -68,7 +69,7 @@
             lag: 1.0,
             judge: Judge::default(),
             offered: RecentRate::default(),
-            next_return: 0,
+            returns: Returns::default(),
         }
     }
 
--- a/crates/holdpoint-core/src/lib.rs
+++ b/crates/holdpoint-core/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod readers;
 pub mod regions;
 pub mod retry;
+pub mod returns;
 pub mod rollout;
 pub mod route;
 pub mod snapshot;
--- a/crates/holdpoint-core/src/promises.rs
+++ b/crates/holdpoint-core/src/promises.rs
@@ -14,7 +14,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{Millis, Name};
+use crate::{
+    ids::{Millis, Name},
+    returns::Returns,
+};
 
 /// Age up to which what a batcher has told counts, in milliseconds: it tells every 250 ms, and two of these
 /// may be lost. After that its stages are taken to need the usual time.
@@ -139,8 +142,8 @@
     /// Pieces promised in time, a millisecond, at present and in the long run.
     promised: PromisedRate,
     lasting: PromisedRate,
-    /// From when on the next request that was refused because of it may come back.
-    next_return: Millis,
+    /// When requests that were refused because of it may come back.
+    returns: Returns,
 }
 
 /// Accounts of the stages that requests admitted here come to later.
@@ -221,9 +224,7 @@
     /// after those that were refused before it, at the pace of the service.
     pub fn return_ms(&mut self, now: Millis, service: &str, excess: Millis, pieces: u32) -> Millis {
         let Some(account) = self.accounts.get_mut(service) else { return excess };
-        let at = account.next_return.max(now + excess);
-        account.next_return = at + (f64::from(pieces) / account.load.per_ms) as Millis;
-        at - now
+        account.returns.take(now, excess, f64::from(pieces) / account.load.per_ms)
     }
 
     /// Pieces that are expected at a service and have not been told of, in time and late ones together.
--- a/crates/holdpoint-core/tests/estimate.rs
+++ b/crates/holdpoint-core/tests/estimate.rs
@@ -60,3 +60,18 @@
     let load = batcher.load(begun + 4000);
     assert!(load.bias_ms < 50.0 && load.spread_ms < 50.0, "{load:?}");
 }
+
+/// Whoever is refused again and again takes no place of its own before all others each time.
+#[test]
+fn return_times_stay_within_what_callers_can_wait() {
+    let mut batcher = batcher();
+    let mut times = Vec::new();
+    for round in 0..6000 {
+        let now = 1000 + round * 3;
+        times.push(batcher.return_ms(now, now, 5));
+    }
+    let last = &times[3000..];
+    let (least, most) = (last.iter().min().unwrap(), last.iter().max().unwrap());
+    assert!(*most <= 31_000, "{most}");
+    assert!(*least < 1000 && 20_000 < *most, "spread over all of that: {least} to {most}");
+}
--- a/crates/holdpointd/src/ingress/pools.rs
+++ b/crates/holdpointd/src/ingress/pools.rs
@@ -16,6 +16,7 @@
     evacuation::Evacuations,
     ids::{Millis, Name},
     ingress::Configuration,
+    returns::Returns,
     route::{Call, Choice, End, Load, Member, NoTarget, Router},
     topology::Topology,
 };
@@ -39,8 +40,6 @@
 /// Age at which a load report has lost half its weight, in milliseconds.
 const REPORT_TRUST_MS: u64 = 400;
 
-/// Latest return of a request that its targets' limits have no room for, in milliseconds.
-const LATEST_RETURN_MS: Millis = 30_000;
 /// Least returns a second that are told.
 const LEAST_RETURNS: f64 = 0.1;
 
@@ -54,8 +53,8 @@
     pub(crate) times: Mutex<Times>,
     /// Time of a stage here, as the instance that batches it has told of late.
     stage_time: Mutex<RecentTime>,
-    /// When the last request that was refused for its targets' limits was told to come back, in milliseconds.
-    last_return: Mutex<f64>,
+    /// When requests may come back that were refused for its targets' limits.
+    returns: Mutex<Returns>,
     /// Until when whoever places prompts of the service refuses them, since its targets have got what they
     /// take.
     shut_until: AtomicU64,
@@ -253,7 +252,7 @@
             budget: Mutex::default(),
             times: Mutex::default(),
             stage_time: Mutex::default(),
-            last_return: Mutex::default(),
+            returns: Mutex::default(),
             shut_until: AtomicU64::new(0),
             policy,
         }
@@ -289,11 +288,7 @@
     /// When a request may come back that is refused, in milliseconds, where its targets take `per_s` requests a
     /// second and one more in `soonest` milliseconds: one after the other.
     pub(crate) fn return_ms(&self, now: Millis, soonest: Millis, per_s: f64) -> Millis {
-        let gap = 1000.0 / per_s.max(LEAST_RETURNS);
-        let mut last = self.last_return.lock();
-        let next = (*last + gap).max((now + soonest) as f64);
-        *last = next.min((now + LATEST_RETURN_MS) as f64);
-        *last as Millis - now
+        self.returns.lock().take(now, soonest, 1000.0 / per_s.max(LEAST_RETURNS))
     }
 
     /// Takes in that whoever places prompts of the service refuses them for so long.
