Names: terms of the field in place of our own words

GiveUpCause for NoSend, AnswerSpan { sent, received } for Between { sent, came }, NamedLimit and Invalid for Named and Unreadable, observe for heard, longest_wait_ms for slot_patience, refuse_for and refused_ms for shut and shut_ms, Payload for what the gate lets through.

--- a/crates/holdpoint-core/src/backoffs.rs
+++ b/crates/holdpoint-core/src/backoffs.rs
@@ -15,7 +15,7 @@
 const LONGEST_MS: Millis = 600_000;
 
 /// Targets of which it is remembered that they ask for a time which cannot be read.
-const MOST_UNREADABLE: usize = 64;
+const MOST_INVALID: usize = 64;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct BackingOff {
@@ -29,8 +29,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Backoffs {
     /// By service and target.
-    until: HashMap<Name, HashMap<TargetId, BackingOff>>,
-    unreadable: HashSet<TargetId>,
+    by_service: HashMap<Name, HashMap<TargetId, BackingOff>>,
+    invalid: HashSet<TargetId>,
 }
 
 impl Backoffs {
@@ -47,7 +47,7 @@
         if ms == 0 {
             return None;
         }
-        let of_service = self.until.entry(service.to_owned()).or_default();
+        let of_service = self.by_service.entry(service.to_owned()).or_default();
         of_service.retain(|_, it| now < it.until);
         let known = of_service.entry(id.to_owned()).or_default();
         known.born = known.born.max(born);
@@ -60,13 +60,13 @@
 
     /// Takes in that a target asks for a time which cannot be read: what it asked for before holds. Returns whether
     /// that is worth a line in the log.
-    pub fn unreadable(&mut self, id: &str) -> bool {
-        self.unreadable.len() < MOST_UNREADABLE && self.unreadable.insert(id.to_owned())
+    pub fn note_invalid(&mut self, id: &str) -> bool {
+        self.invalid.len() < MOST_INVALID && self.invalid.insert(id.to_owned())
     }
 
     /// How much longer a target gets nothing of this instance, in milliseconds.
     pub fn left(&self, now: Millis, (id, service): (&str, &str)) -> Millis {
-        let known = self.until.get(service).and_then(|it| it.get(id));
+        let known = self.by_service.get(service).and_then(|it| it.get(id));
         known.map_or(0, |it| it.until.saturating_sub(now))
     }
 
@@ -76,33 +76,33 @@
         now: Millis,
         service: &str,
     ) -> impl Iterator<Item = (&'a TargetId, Millis)> {
-        let its = self.until.get(service).into_iter().flatten();
+        let its = self.by_service.get(service).into_iter().flatten();
         its.map(|(id, it)| (id, it.until)).filter(move |it| now < it.1)
     }
 
     /// Takes in that a life of a target began at `born`, which knows nothing of what the lives before asked for.
     pub fn new_life(&mut self, id: &str, born: Option<Millis>) {
-        for of_service in self.until.values_mut() {
+        for of_service in self.by_service.values_mut() {
             if of_service.get(id).is_some_and(|it| it.born < born) {
                 of_service.remove(id);
             }
         }
-        self.until.retain(|_, it| !it.is_empty());
+        self.by_service.retain(|_, it| !it.is_empty());
     }
 
     /// Forgets those that are over.
     pub fn forget(&mut self, now: Millis) {
-        self.until.values_mut().for_each(|it| it.retain(|_, it| now < it.until));
-        self.until.retain(|_, it| !it.is_empty());
+        self.by_service.values_mut().for_each(|it| it.retain(|_, it| now < it.until));
+        self.by_service.retain(|_, it| !it.is_empty());
     }
 
     /// Number of targets that are remembered.
     pub fn len(&self) -> usize {
-        self.until.values().map(HashMap::len).sum()
+        self.by_service.values().map(HashMap::len).sum()
     }
 
     /// Whether no target is remembered.
     pub fn is_empty(&self) -> bool {
-        self.until.is_empty()
+        self.by_service.is_empty()
     }
 }
--- a/crates/holdpoint-core/src/notice.rs
+++ b/crates/holdpoint-core/src/notice.rs
@@ -1,6 +1,6 @@
 //! What a target says of itself in an answer, whatever the answer is to.
 
-use crate::{choice::Load, ids::Millis, target_limits::Named};
+use crate::{choice::Load, ids::Millis, target_limits::NamedLimit};
 
 /// What a target says of itself in an answer.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -10,7 +10,7 @@
     /// Whether it asks the sender to back off.
     pub backoff: Backoff,
     /// What it says of the requests that it takes from all instances together.
-    pub limit: Named,
+    pub limit: NamedLimit,
     /// Its load, where told.
     pub load: Option<Load>,
 }
@@ -24,7 +24,7 @@
     /// It does, for so many milliseconds.
     For(Millis),
     /// It does, for a time that cannot be read.
-    Unreadable(String),
+    Invalid(String),
 }
 
 impl Backoff {
--- a/crates/holdpoint-core/src/target_limits.rs
+++ b/crates/holdpoint-core/src/target_limits.rs
@@ -37,14 +37,14 @@
 
 /// What an answer of a target says of its limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub enum Named {
+pub enum NamedLimit {
     /// It names none.
     #[default]
     Nothing,
     /// So many requests a second.
     PerSecond(f64),
     /// Something that cannot be read: what was known before holds.
-    Unreadable,
+    Invalid,
 }
 
 /// What news of a limit changed.
@@ -113,11 +113,11 @@
 
 /// When an answer was made: after its request was sent, and before it came.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Between {
+pub struct AnswerSpan {
     /// When its request was sent.
     pub sent: Millis,
     /// When it came.
-    pub came: Millis,
+    pub received: Millis,
 }
 
 /// What instances tell each other of a target's limit.
@@ -138,9 +138,9 @@
 impl LimitNews {
     /// When the answer was made, for an instance that is told at a time. News take a while, for which it seems
     /// to be made later than it was.
-    pub fn made(&self, now: Millis) -> Between {
+    pub fn made(&self, now: Millis) -> AnswerSpan {
         let sent = now.saturating_sub(self.sent_ms + ON_THE_WAY_MS);
-        Between { sent, came: now.saturating_sub(self.age_ms) }
+        AnswerSpan { sent, received: now.saturating_sub(self.age_ms) }
     }
 }
 
@@ -160,9 +160,9 @@
     /// Requests a second; none once the target names no limit any more.
     per_s: Option<f64>,
     /// When the answer was made that told that.
-    made: Between,
+    made: AnswerSpan,
     /// Whether this instance has had such an answer by itself.
-    is_heard: bool,
+    is_observed: bool,
     account: Account,
     /// Until when whoever keeps the account said that nothing more is let through.
     refused_until: Millis,
@@ -205,14 +205,21 @@
 
 impl TargetLimits {
     /// Takes in what an answer says.
-    pub fn heard(&mut self, made: Between, (id, service): (&str, &str), named: Named) -> Change {
+    pub fn observe(
+        &mut self,
+        made: AnswerSpan,
+        (id, service): (&str, &str),
+        named: NamedLimit,
+    ) -> Change {
         let change = match named {
-            Named::PerSecond(it) => self.learn(made, (id, service), Some(it)),
-            Named::Nothing if self.limits.contains_key(id) => self.learn(made, (id, service), None),
-            Named::Nothing | Named::Unreadable => return Change::Nothing,
+            NamedLimit::PerSecond(it) => self.learn(made, (id, service), Some(it)),
+            NamedLimit::Nothing if self.limits.contains_key(id) => {
+                self.learn(made, (id, service), None)
+            }
+            NamedLimit::Nothing | NamedLimit::Invalid => return Change::Nothing,
         };
         if let Some(it) = self.limits.get_mut(id) {
-            it.is_heard = true;
+            it.is_observed = true;
         }
         change
     }
@@ -222,24 +229,28 @@
     /// was made later, and the lower limit holds.
     pub fn learn(
         &mut self,
-        made: Between,
+        made: AnswerSpan,
         (id, service): (&str, &str),
         per_s: Option<f64>,
     ) -> Change {
         let Some(limit) = self.limits.get_mut(id) else {
             let (service, account) = (service.to_owned(), Account::default());
-            let limit = Limit { service, per_s, made, is_heard: false, account, refused_until: 0 };
+            let limit =
+                Limit { service, per_s, made, is_observed: false, account, refused_until: 0 };
             self.limits.insert(id.to_owned(), limit);
             return if per_s.is_some() { Change::Began } else { Change::Nothing };
         };
         let most = |it: Option<f64>| it.unwrap_or(f64::INFINITY);
         let known = limit.made;
-        let is_earlier = made.came < known.sent;
-        let is_later = known.came <= made.sent;
+        let is_earlier = made.received < known.sent;
+        let is_later = known.received <= made.sent;
         if is_earlier || (!is_later && most(limit.per_s) < most(per_s)) {
             return Change::Nothing;
         }
-        limit.made = Between { sent: known.sent.max(made.sent), came: known.came.max(made.came) };
+        limit.made = AnswerSpan {
+            sent: known.sent.max(made.sent),
+            received: known.received.max(made.received),
+        };
         match (std::mem::replace(&mut limit.per_s, per_s), per_s) {
             (Some(before), Some(now)) if before != now => Change::Altered { before },
             (None, Some(_)) => Change::Began,
@@ -315,7 +326,7 @@
 
     /// Forgets what was heard long ago of limits that have ended, and of targets that are not known.
     pub fn forget(&mut self, now: Millis, is_known: impl Fn(&str) -> bool) {
-        let is_new = |it: &Limit| now < it.made.came + HEARD_KEPT_MS;
+        let is_new = |it: &Limit| now < it.made.received + HEARD_KEPT_MS;
         self.limits.retain(|id, it| is_new(it) || (it.per_s.is_some() && is_known(id)));
     }
 
@@ -335,8 +346,8 @@
     }
 
     /// Whether this instance knows of a target's limit by an answer of its own.
-    pub fn is_heard(&self, id: &str) -> bool {
-        self.limits.get(id).is_some_and(|it| it.is_heard)
+    pub fn is_observed(&self, id: &str) -> bool {
+        self.limits.get(id).is_some_and(|it| it.is_observed)
     }
 
     /// The limit of a target in requests a second, if it names one.
@@ -358,7 +369,7 @@
             service: limit.service.clone(),
             per_s: limit.per_s,
             sent_ms: ago(limit.made.sent),
-            age_ms: ago(limit.made.came),
+            age_ms: ago(limit.made.received),
         })
     }
 }
--- a/crates/holdpoint-core/tests/backoffs.rs
+++ b/crates/holdpoint-core/tests/backoffs.rs
@@ -60,7 +60,7 @@
 #[test]
 fn a_figure_that_cannot_be_read_is_told_once_for_each_of_a_few_targets() {
     let mut backoffs = Backoffs::default();
-    let told = (0..1000).filter(|it| backoffs.unreadable(&format!("t-{}", it % 500))).count();
+    let told = (0..1000).filter(|it| backoffs.note_invalid(&format!("t-{}", it % 500))).count();
     assert_eq!(told, 64);
 }
 
--- a/crates/holdpoint-core/tests/limit_worlds.rs
+++ b/crates/holdpoint-core/tests/limit_worlds.rs
@@ -5,7 +5,7 @@
 
 use holdpoint_core::{
     ids::Millis,
-    target_limits::{Between, Change, Keeping, LimitNews, Named, Slot, TargetLimits},
+    target_limits::{AnswerSpan, Change, Keeping, LimitNews, NamedLimit, Slot, TargetLimits},
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -38,7 +38,7 @@
     },
     Answer {
         to: usize,
-        named: Named,
+        named: NamedLimit,
         sent: Millis,
     },
     News {
@@ -69,7 +69,7 @@
 
 /// A limit that the target names.
 #[derive(Clone, Copy, Debug, Default)]
-struct NamedLimit {
+struct TargetLimit {
     per_s: Option<f64>,
     since: Millis,
     /// When the first answer came that names it.
@@ -83,7 +83,7 @@
     under_way: BTreeMap<(Millis, u64), (u32, Message)>,
     next: u64,
     /// The limits that the target has named, one after the other.
-    named: Vec<NamedLimit>,
+    named: Vec<TargetLimit>,
     /// Arrivals at the target; whether the instance knew for a while from an answer that there is a limit.
     arrivals: Vec<(Millis, bool)>,
 }
@@ -105,7 +105,7 @@
             instances: vec![instance; instances],
             under_way: BTreeMap::new(),
             next: 0,
-            named: vec![NamedLimit::default()],
+            named: vec![TargetLimit::default()],
             arrivals: Vec::new(),
         }
     }
@@ -128,9 +128,9 @@
         self.rng.random_range(1..40)
     }
 
-    fn limit(&self) -> Named {
+    fn limit(&self) -> NamedLimit {
         let limit = self.named.last().copied().unwrap_or_default();
-        limit.per_s.map_or(Named::Nothing, Named::PerSecond)
+        limit.per_s.map_or(NamedLimit::Nothing, NamedLimit::PerSecond)
     }
 
     /// Whether a message passes between two instances.
@@ -238,15 +238,18 @@
                 self.post(in_ms, Message::Answer { to: from, named, sent });
             }
             Message::Answer { to, named, sent } if !is_gone(self, to) => {
-                if let Named::PerSecond(it) = named {
+                if let NamedLimit::PerSecond(it) = named {
                     let its = self.named.iter_mut().rev().find(|limit| limit.per_s == Some(it));
                     if let Some(limit) = its {
                         limit.heard.get_or_insert(now);
                     }
                     self.instances[to].told.get_or_insert(now);
                 }
-                let change =
-                    self.instances[to].limits.heard(Between { sent, came: now }, TARGET, named);
+                let change = self.instances[to].limits.observe(
+                    AnswerSpan { sent, received: now },
+                    TARGET,
+                    named,
+                );
                 self.tell(to, change);
             }
             Message::News { to, news } if !is_gone(self, to) => {
@@ -273,7 +276,7 @@
                 Slot::Taken => self.send(to),
                 Slot::Refused(ms) => self.instances[to].limits.refused(now, TARGET.0, ms),
                 Slot::Free => {
-                    let made = Between { sent: asked, came: now };
+                    let made = AnswerSpan { sent: asked, received: now };
                     self.instances[to].limits.learn(made, TARGET, None);
                     self.send(to);
                 }
@@ -311,8 +314,8 @@
     /// while after that, the ones before are borne too.
     fn borne_at(&self, now: Millis) -> f64 {
         let named = self.named.iter().take_while(|it| it.since <= now);
-        let named: Vec<&NamedLimit> = named.collect();
-        let is_known = |it: &&NamedLimit| it.heard.is_some_and(|it| it + SETTLE_MS <= now);
+        let named: Vec<&TargetLimit> = named.collect();
+        let is_known = |it: &&TargetLimit| it.heard.is_some_and(|it| it + SETTLE_MS <= now);
         let first = named.iter().rposition(is_known).unwrap_or(0);
         named[first..].iter().filter_map(|it| it.per_s).fold(0.0, f64::max)
     }
@@ -360,7 +363,7 @@
     for second in 0..20 {
         if second == 0 || changes {
             let per_s = NAMED[world.rng.random_range(0..NAMED.len())];
-            world.named.push(NamedLimit { per_s: Some(per_s), since: world.now, heard: None });
+            world.named.push(TargetLimit { per_s: Some(per_s), since: world.now, heard: None });
         }
         if strikes && second % 3 == 2 {
             world.strike();
--- a/crates/holdpoint-core/tests/target_limits.rs
+++ b/crates/holdpoint-core/tests/target_limits.rs
@@ -3,7 +3,7 @@
 
 use holdpoint_core::{
     ids::Millis,
-    target_limits::{Between, Change, Keeping, Named, Slot, TargetLimits},
+    target_limits::{AnswerSpan, Change, Keeping, NamedLimit, Slot, TargetLimits},
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -40,7 +40,7 @@
     let mut rng = ChaCha8Rng::seed_from_u64(7);
     let keeper = |per_s: f64| {
         let mut limits = TargetLimits::default();
-        limits.learn(Between::default(), TARGET, Some(per_s));
+        limits.learn(AnswerSpan::default(), TARGET, Some(per_s));
         limits.keep(0, TARGET.0, true);
         limits
     };
@@ -112,25 +112,26 @@
 #[test]
 fn an_answer_that_may_be_older_raises_no_limit() {
     let mut limits = TargetLimits::default();
-    let mut heard = |sent, came, named| limits.heard(Between { sent, came }, TARGET, named);
-    assert_eq!(heard(900, 1000, Named::PerSecond(2.0)), Change::Began);
-    assert_eq!(heard(950, 1100, Named::Nothing), Change::Nothing);
-    assert_eq!(heard(1050, 1150, Named::Unreadable), Change::Nothing);
-    assert_eq!(heard(950, 1200, Named::PerSecond(3.0)), Change::Nothing);
-    assert_eq!(heard(950, 1200, Named::PerSecond(1.0)), Change::Altered { before: 2.0 });
-    assert_eq!(heard(1250, 1300, Named::PerSecond(3.0)), Change::Altered { before: 1.0 });
+    let mut heard =
+        |sent, came, named| limits.observe(AnswerSpan { sent, received: came }, TARGET, named);
+    assert_eq!(heard(900, 1000, NamedLimit::PerSecond(2.0)), Change::Began);
+    assert_eq!(heard(950, 1100, NamedLimit::Nothing), Change::Nothing);
+    assert_eq!(heard(1050, 1150, NamedLimit::Invalid), Change::Nothing);
+    assert_eq!(heard(950, 1200, NamedLimit::PerSecond(3.0)), Change::Nothing);
+    assert_eq!(heard(950, 1200, NamedLimit::PerSecond(1.0)), Change::Altered { before: 2.0 });
+    assert_eq!(heard(1250, 1300, NamedLimit::PerSecond(3.0)), Change::Altered { before: 1.0 });
     // News that instances tell each other may be long out of date.
-    assert_eq!(heard(950, 1200, Named::PerSecond(1.0)), Change::Nothing);
-    assert_eq!(heard(1350, 1400, Named::Nothing), Change::Ended);
+    assert_eq!(heard(950, 1200, NamedLimit::PerSecond(1.0)), Change::Nothing);
+    assert_eq!(heard(1350, 1400, NamedLimit::Nothing), Change::Ended);
     // The target may have named it again after the answer before was made.
-    assert_eq!(heard(1360, 1450, Named::PerSecond(1.0)), Change::Began);
+    assert_eq!(heard(1360, 1450, NamedLimit::PerSecond(1.0)), Change::Began);
 }
 
 /// A target that takes nothing is still asked now and then: only its answers tell that its limit has ended.
 #[test]
 fn a_target_that_takes_nothing_is_asked_now_and_then() {
     let mut limits = TargetLimits::default();
-    limits.learn(Between::default(), TARGET, Some(0.0));
+    limits.learn(AnswerSpan::default(), TARGET, Some(0.0));
     let taken = |now: &Millis| limits.take(*now, TARGET.0, Keeping::Sure) == Slot::Taken;
     let sent = (0..=60_000).step_by(100).filter(taken).count();
     assert_eq!(sent, 6);
@@ -143,8 +144,9 @@
         let mut limits = TargetLimits::default();
         for index in 0..targets {
             let id = format!("t-{index}");
-            let named = if index % 100 == 0 { Named::PerSecond(1.0) } else { Named::Nothing };
-            limits.heard(Between { sent: 900, came: 1000 }, (&id, "service"), named);
+            let named =
+                if index % 100 == 0 { NamedLimit::PerSecond(1.0) } else { NamedLimit::Nothing };
+            limits.observe(AnswerSpan { sent: 900, received: 1000 }, (&id, "service"), named);
         }
         assert_eq!(limits.ids().count(), targets / 100);
         assert_eq!(limits.allowances(1000, "service", Keeping::Sure).count(), targets / 100);
@@ -155,7 +157,7 @@
 /// An account that an instance has kept for a while, of a target that takes so many requests a second.
 fn kept(per_s: f64) -> TargetLimits {
     let mut limits = TargetLimits::default();
-    limits.learn(Between::default(), TARGET, Some(per_s));
+    limits.learn(AnswerSpan::default(), TARGET, Some(per_s));
     limits.keep(0, TARGET.0, true);
     limits
 }
@@ -222,7 +224,7 @@
 /// An instance that has missed the end of a limit does not bring it back at whoever keeps the account.
 #[test]
 fn a_limit_that_ended_is_not_brought_back_by_who_has_missed_it() {
-    let made = |at: Millis| Between { sent: at, came: at + 10 };
+    let made = |at: Millis| AnswerSpan { sent: at, received: at + 10 };
     let (mut asker, mut keeper) = (TargetLimits::default(), TargetLimits::default());
     for it in [&mut asker, &mut keeper] {
         it.learn(made(1000), TARGET, Some(0.0));
--- a/crates/holdpointd/src/ingress/attempts.rs
+++ b/crates/holdpointd/src/ingress/attempts.rs
@@ -48,7 +48,7 @@
 
 /// Why no further send is made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum NoSend {
+pub(crate) enum GiveUpCause {
     /// No target is left for this request.
     NoTarget,
     /// The service has no target that stays.
@@ -75,30 +75,32 @@
     Quarantined,
 }
 
-impl NoSend {
+impl GiveUpCause {
     /// Name in the log.
     pub(crate) fn name(self) -> &'static str {
         match self {
-            NoSend::NoTarget => "no-target",
-            NoSend::NoneLeft => "none-left",
-            NoSend::Attempts => "attempts-used",
-            NoSend::Budget => "retry-budget",
-            NoSend::Time => "time-over",
-            NoSend::Stopping => "stopping",
-            NoSend::Evacuated => "evacuated",
-            NoSend::Cold => "cold",
-            NoSend::Limited(_) => "limited",
-            NoSend::BackingOff(_) => "backoff",
-            NoSend::Confined => "confined",
-            NoSend::Quarantined => "quarantined",
+            GiveUpCause::NoTarget => "no-target",
+            GiveUpCause::NoneLeft => "none-left",
+            GiveUpCause::Attempts => "attempts-used",
+            GiveUpCause::Budget => "retry-budget",
+            GiveUpCause::Time => "time-over",
+            GiveUpCause::Stopping => "stopping",
+            GiveUpCause::Evacuated => "evacuated",
+            GiveUpCause::Cold => "cold",
+            GiveUpCause::Limited(_) => "limited",
+            GiveUpCause::BackingOff(_) => "backoff",
+            GiveUpCause::Confined => "confined",
+            GiveUpCause::Quarantined => "quarantined",
         }
     }
 
     /// When a request that is refused for it may come back, where that is not known to be later than usual.
     pub(crate) fn return_after(self, usual: Duration) -> Duration {
         match self {
-            NoSend::Limited(ms) | NoSend::BackingOff(ms) => Duration::from_millis(ms).max(usual),
-            NoSend::NoneLeft => Duration::from_millis(NONE_LEFT_RETURN_MS),
+            GiveUpCause::Limited(ms) | GiveUpCause::BackingOff(ms) => {
+                Duration::from_millis(ms).max(usual)
+            }
+            GiveUpCause::NoneLeft => Duration::from_millis(NONE_LEFT_RETURN_MS),
             _ => usual,
         }
     }
@@ -116,23 +118,23 @@
         &mut self,
         ctx: &Context,
         inputs: &[(Name, u64)],
-    ) -> Result<(TargetInstance, Permit), NoSend> {
+    ) -> Result<(TargetInstance, Permit), GiveUpCause> {
         if ctx.left().is_zero() {
-            return Err(NoSend::Time);
+            return Err(GiveUpCause::Time);
         }
         if !self.may_repeat(ctx) {
-            return Err(NoSend::Attempts);
+            return Err(GiveUpCause::Attempts);
         }
         // It may have ended its last target by now: without this look, a request that was admitted goes on to
         // end the next one.
         if ctx.held_for().is_some() {
-            return Err(NoSend::Quarantined);
+            return Err(GiveUpCause::Quarantined);
         }
         self.running = None;
         let Chosen { target, permit, reason } = self.choose_in_lane(ctx, inputs).await?;
         let now = ctx.shared.clock.now();
         if self.sends != 0 && !ctx.pool.spend(now, &ctx.shared.pools.terms()) {
-            return Err(NoSend::Budget);
+            return Err(GiveUpCause::Budget);
         }
         self.sends += 1;
         self.running = Running::begin(ctx, &target);
@@ -159,7 +161,7 @@
         &mut self,
         ctx: &Context,
         inputs: &[(Name, u64)],
-    ) -> Result<Chosen, NoSend> {
+    ) -> Result<Chosen, GiveUpCause> {
         let rollouts = &ctx.shared.rollouts;
         let now = ctx.shared.clock.now();
         let lane = rollouts.lane(now, &ctx.service, &ctx.route.name);
@@ -180,7 +182,11 @@
 
     /// Chooses a target, with the reason for the log. Prompts are placed by one instance for all,
     /// since an engine that reads a long prompt holds up all that run there, whoever sent them.
-    async fn choose(&mut self, ctx: &Context, inputs: &[(Name, u64)]) -> Result<Chosen, NoSend> {
+    async fn choose(
+        &mut self,
+        ctx: &Context,
+        inputs: &[(Name, u64)],
+    ) -> Result<Chosen, GiveUpCause> {
         let chosen = self.choose_at_peer(ctx, inputs).await?;
         let place = if chosen.is_some() { "peer" } else { "here" };
         ctx.shared.metrics.placements.add(1, &[label("by", place)]);
@@ -197,31 +203,31 @@
                 limits::choose(&ctx.shared, &ctx.pool, policy.as_deref(), &call, region.as_deref());
             let (choice, permit) = match choosing.await {
                 Ok(it) => it,
-                Err(NoTarget::Limited(ms)) if ms <= ctx.slot_patience() => {
+                Err(NoTarget::Limited(ms)) if ms <= ctx.longest_wait_ms() => {
                     tokio::time::sleep(Duration::from_millis(ms)).await;
                     continue;
                 }
                 Err(NoTarget::Limited(ms)) => {
                     let deciders = if decides { 1 } else { ctx.shared.peers.instance_count() };
                     let ms = limits::return_ms(&ctx.shared, &ctx.pool, ms, deciders);
-                    return Err(NoSend::Limited(ms));
+                    return Err(GiveUpCause::Limited(ms));
                 }
-                Err(NoTarget::BackingOff(ms)) => match backoff::wait(ms, ctx.slot_patience()) {
+                Err(NoTarget::BackingOff(ms)) => match backoff::wait(ms, ctx.longest_wait_ms()) {
                     Some(it) => {
                         tokio::time::sleep(it).await;
                         continue;
                     }
-                    None => return Err(NoSend::BackingOff(backoff::return_ms(ms))),
+                    None => return Err(GiveUpCause::BackingOff(backoff::return_ms(ms))),
                 },
                 Err(NoTarget::Cold(ms)) if ctx.may_wait_for(ms) => {
                     tokio::time::sleep(Duration::from_millis(ms)).await;
                     continue;
                 }
-                Err(NoTarget::Cold(_)) => return Err(NoSend::Cold),
-                Err(NoTarget::Evacuated) => return Err(NoSend::Evacuated),
-                Err(NoTarget::Confined) => return Err(NoSend::Confined),
-                Err(NoTarget::Empty) => return Err(NoSend::NoneLeft),
-                Err(NoTarget::Tried | NoTarget::Full) => return Err(NoSend::NoTarget),
+                Err(NoTarget::Cold(_)) => return Err(GiveUpCause::Cold),
+                Err(NoTarget::Evacuated) => return Err(GiveUpCause::Evacuated),
+                Err(NoTarget::Confined) => return Err(GiveUpCause::Confined),
+                Err(NoTarget::Empty) => return Err(GiveUpCause::NoneLeft),
+                Err(NoTarget::Tried | NoTarget::Full) => return Err(GiveUpCause::NoTarget),
             };
             if let Some(target) = ctx.open_target(&choice.address) {
                 let reason = format!(
@@ -243,7 +249,7 @@
         &self,
         ctx: &Context,
         inputs: &[(Name, u64)],
-    ) -> Result<Option<Chosen>, NoSend> {
+    ) -> Result<Option<Chosen>, GiveUpCause> {
         let mut ejected = ctx.pool.ejected(ctx.shared.clock.now());
         loop {
             let (within, region) = (ctx.within(), ctx.region());
@@ -258,7 +264,7 @@
                 let placed = peers.place(&ctx.shared, &address, &ctx.service, prompt, limit);
                 placed.await.map(|target| Assignment::To { target, is_taken: false })
             } else {
-                let ask = (prompt, ctx.slot_patience());
+                let ask = (prompt, ctx.longest_wait_ms());
                 peers.assign(&ctx.shared, &address, &ctx.service, ask, limit).await
             };
             match assignment {
@@ -277,16 +283,16 @@
                 Some(Assignment::Wait(_) | Assignment::Later { .. }) if !ejected.is_empty() => {
                     ejected.clear();
                 }
-                Some(Assignment::Wait(ms)) if ms <= ctx.slot_patience() => {
+                Some(Assignment::Wait(ms)) if ms <= ctx.longest_wait_ms() => {
                     tokio::time::sleep(Duration::from_millis(ms)).await;
                 }
-                Some(Assignment::Wait(ms)) => return Err(NoSend::Limited(ms)),
+                Some(Assignment::Wait(ms)) => return Err(GiveUpCause::Limited(ms)),
                 Some(Assignment::Later { soonest_ms, return_ms }) => {
                     // It may be refused only since it may not go elsewhere.
                     if is_free {
-                        ctx.pool.shut(ctx.shared.clock.now(), soonest_ms);
+                        ctx.pool.refuse_for(ctx.shared.clock.now(), soonest_ms);
                     }
-                    return Err(NoSend::Limited(return_ms));
+                    return Err(GiveUpCause::Limited(return_ms));
                 }
                 Some(Assignment::Nowhere) | None => return Ok(None),
             }
@@ -337,29 +343,31 @@
 
 /// Failure domain of the target that a request is likely to go to once its stages are made. An error tells that they
 /// would be made for nothing.
-pub(crate) fn likely_domain(ctx: &Context) -> Result<Name, NoSend> {
+pub(crate) fn likely_domain(ctx: &Context) -> Result<Name, GiveUpCause> {
     let now = ctx.shared.clock.now();
     let (within, region) = (ctx.within(), ctx.call_region());
     let call = Call { within: within.as_deref(), ..ctx.call(&[]) };
     let likely = ctx.pool.choose(now, None, &call, region.as_deref(), &ctx.shared);
     match likely {
-        Err(NoTarget::Empty) => return Err(NoSend::NoneLeft),
-        Err(NoTarget::Evacuated) => return Err(NoSend::Evacuated),
-        Err(NoTarget::Confined) => return Err(NoSend::Confined),
+        Err(NoTarget::Empty) => return Err(GiveUpCause::NoneLeft),
+        Err(NoTarget::Evacuated) => return Err(GiveUpCause::Evacuated),
+        Err(NoTarget::Confined) => return Err(GiveUpCause::Confined),
         // It ends while the stages are made, perhaps.
-        Err(NoTarget::BackingOff(ms)) if stages::usual_total_ms(ctx) + ctx.slot_patience() < ms => {
-            return Err(NoSend::BackingOff(backoff::return_ms(ms)));
+        Err(NoTarget::BackingOff(ms))
+            if stages::usual_total_ms(ctx) + ctx.longest_wait_ms() < ms =>
+        {
+            return Err(GiveUpCause::BackingOff(backoff::return_ms(ms)));
         }
         _ => (),
     }
     let limited_ms = match likely {
         Err(NoTarget::Limited(ms)) => ms,
-        _ => ctx.pool.shut_ms(now),
+        _ => ctx.pool.refused_ms(now),
     };
-    if ctx.slot_patience() < limited_ms {
+    if ctx.longest_wait_ms() < limited_ms {
         let deciders = ctx.shared.peers.instance_count();
         let ms = limits::return_ms(&ctx.shared, &ctx.pool, limited_ms, deciders);
-        return Err(NoSend::Limited(ms));
+        return Err(GiveUpCause::Limited(ms));
     }
     let target = likely.ok().and_then(|it| ctx.open_target(&it.address));
     Ok(target.map_or(String::new(), |it| it.domain))
--- a/crates/holdpointd/src/ingress/batches/calls.rs
+++ b/crates/holdpointd/src/ingress/batches/calls.rs
@@ -23,7 +23,7 @@
 use crate::{
     events::{self, emit},
     ingress::{
-        gate::{Barred, Cargo},
+        gate::{Barred, Payload},
         limits::{self, Permit},
         piece_ask::PieceResult,
         send::{NoAnswer, OwnCall, left, own_call},
@@ -245,7 +245,7 @@
     let body =
         wire::run_body(pieces.iter().map(|it| (&it.work, left(it.deadline).as_millis() as Millis)));
     let limit = Duration::from_millis(patience.max(LEAST_CALL_MS));
-    let call = OwnCall { path: wire::RUN_PATH, body, cargo: Cargo::Pieces };
+    let call = OwnCall { path: wire::RUN_PATH, body, payload: Payload::Pieces };
     let answer = own_call(shared, (&target, permit), call, limit).await;
     let (status, head, body) = answer.map_err(|it| NoCall {
         end: if matches!(it, NoAnswer::Barred(_)) { CallEnd::Full } else { CallEnd::Failed },
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -304,7 +304,7 @@
 
     /// How long it may wait until a target takes one more, in milliseconds. What has work done for it waits
     /// although it will be late: a refusal would throw that away.
-    pub(crate) fn slot_patience(&self) -> Millis {
+    pub(crate) fn longest_wait_ms(&self) -> Millis {
         let left = if self.has_begun() { self.left() } else { self.left_of_target() };
         left.min(self.left()).min(limits::LONGEST_WAIT).as_millis() as Millis
     }
--- a/crates/holdpointd/src/ingress/gate.rs
+++ b/crates/holdpointd/src/ingress/gate.rs
@@ -11,7 +11,7 @@
     directory::TargetInstance,
     ids::Millis,
     notice::{Backoff, Notice},
-    target_limits::Named,
+    target_limits::NamedLimit,
 };
 use http::{Request, Response};
 use http_body_util::Full;
@@ -34,7 +34,7 @@
 
 /// What is sent.
 #[derive(Clone, Copy, Debug)]
-pub(crate) enum Cargo<'a> {
+pub(crate) enum Payload<'a> {
     /// A caller's request.
     Request {
         /// Its id, which its answer bears.
@@ -88,10 +88,10 @@
     shared: &IngressShared,
     connection: &mut Connection,
     (target, permit): (&TargetInstance, &Permit),
-    cargo: Cargo<'_>,
+    payload: Payload<'_>,
     request: Request<Full<Bytes>>,
 ) -> Result<(TargetHead, Response<Incoming>), NoHead> {
-    let clearance = clear(shared, target, permit, cargo).map_err(NoHead::Barred)?;
+    let clearance = clear(shared, target, permit, payload).map_err(NoHead::Barred)?;
     let sent = shared.clock.now();
     let response = connection.send(clearance, request).await.map_err(|it| match it.message() {
         Some(_) => NoHead::NotSent,
@@ -103,13 +103,13 @@
         shared.target_leaves(&Departure::of(target), "misdirected");
         return Ok((head, response));
     }
-    if let Cargo::Request { id, .. } = cargo
+    if let Payload::Request { id, .. } = payload
         && head.request_id.as_deref() != Some(id)
     {
         shared.metrics.crossed.add(1, &[]);
         return Err(NoHead::Crossed);
     }
-    observe(shared, target, &head.notice, cargo, sent);
+    observe(shared, target, &head.notice, payload, sent);
     Ok((head, response))
 }
 
@@ -118,16 +118,16 @@
     shared: &IngressShared,
     target: &TargetInstance,
     permit: &Permit,
-    cargo: Cargo<'_>,
+    payload: Payload<'_>,
 ) -> Result<Clearance, Barred> {
-    let is_open = match cargo {
-        Cargo::Request { within, .. } => {
+    let is_open = match payload {
+        Payload::Request { within, .. } => {
             let is_allowed = |it: TargetInstance| is_within(within.as_deref(), &it.domain);
             shared.open_target(&target.id).is_some_and(is_allowed)
         }
-        Cargo::Pieces => shared.open_target(&target.id).is_some(),
+        Payload::Pieces => shared.open_target(&target.id).is_some(),
         // Its results need no room any more.
-        Cargo::Release => shared.target(&target.id).is_some_and(|it| !it.is_leaving),
+        Payload::Release => shared.target(&target.id).is_some_and(|it| !it.is_leaving),
     };
     if !is_open {
         return Err(Barred::Closed);
@@ -146,25 +146,25 @@
     shared: &IngressShared,
     target: &TargetInstance,
     notice: &Notice,
-    cargo: Cargo<'_>,
+    payload: Payload<'_>,
     sent: Millis,
 ) {
     let instance = &shared.settings.instance;
     if shared.is_of_former_life(target) {
         return;
     }
-    if notice.limit == Named::Unreadable {
+    if notice.limit == NamedLimit::Invalid {
         emit(events::BAD_LIMIT, instance, &format!("target={}", target.id));
     }
     shared.limits.observe(shared, target, notice.limit, sent);
     if let Some(load) = notice.load {
         let now = shared.clock.now();
-        match cargo {
-            Cargo::Request { .. } => {
+        match payload {
+            Payload::Request { .. } => {
                 shared.pools.of(now, &target.service).report(now, &target.id, load);
             }
-            Cargo::Pieces => shared.batches.report(now, target, load, 1),
-            Cargo::Release => shared.batches.report(now, target, load, 0),
+            Payload::Pieces => shared.batches.report(now, target, load, 1),
+            Payload::Release => shared.batches.report(now, target, load, 0),
         }
     }
     if notice.is_leaving {
@@ -183,8 +183,8 @@
                 shared.metrics.backoffs.add(1, &labels);
             }
         }
-        Backoff::Unreadable(value) => {
-            if shared.backoffs.lock().unreadable(&target.id) {
+        Backoff::Invalid(value) => {
+            if shared.backoffs.lock().note_invalid(&target.id) {
                 let detail = format!("target={} value={value:?}", target.id);
                 emit(events::BAD_BACKOFF, instance, &detail);
             }
--- a/crates/holdpointd/src/ingress/limits.rs
+++ b/crates/holdpointd/src/ingress/limits.rs
@@ -11,7 +11,9 @@
     directory::{TargetId, TargetInstance},
     ids::Millis,
     route::{Call, Choice, NoTarget},
-    target_limits::{Allowance, Between, Change, Keeping, LimitNews, Named, Slot, TargetLimits},
+    target_limits::{
+        Allowance, AnswerSpan, Change, Keeping, LimitNews, NamedLimit, Slot, TargetLimits,
+    },
 };
 use holdpoint_schema::resources::Policy;
 use parking_lot::Mutex;
@@ -81,12 +83,12 @@
         &self,
         shared: &IngressShared,
         target: &TargetInstance,
-        named: Named,
+        named: NamedLimit,
         sent: Millis,
     ) {
-        let made = Between { sent, came: shared.clock.now() };
+        let made = AnswerSpan { sent, received: shared.clock.now() };
         let its = (target.id.as_str(), target.service.as_str());
-        let change = self.known.lock().heard(made, its, named);
+        let change = self.known.lock().observe(made, its, named);
         self.note(shared, &target.id, change, "answer");
         if change != Change::Nothing {
             self.outbox.tell(&target.id);
@@ -218,7 +220,7 @@
         Slot::Refused(ms) => limits.known.lock().refused(shared.clock.now(), &target.id, ms),
         Slot::Free => {
             let its = (target.id.as_str(), target.service.as_str());
-            let made = Between { sent: asked, came: shared.clock.now() };
+            let made = AnswerSpan { sent: asked, received: shared.clock.now() };
             let change = limits.known.lock().learn(made, its, None);
             limits.note(shared, &target.id, change, "peer");
         }
--- a/crates/holdpointd/src/ingress/limits/news.rs
+++ b/crates/holdpointd/src/ingress/limits/news.rs
@@ -170,7 +170,7 @@
         let mut known = limits.known.lock();
         known.keep(now, &id, keeper.is_none());
         // All who were told the same by a peer need not tell it again.
-        let is_teller = known.is_heard(&id);
+        let is_teller = known.is_observed(&id);
         drop(known);
         if is_teller && outbox.told.lock().get(&id) != Some(&keeper) {
             outbox.tell(&id);
--- a/crates/holdpointd/src/ingress/pools.rs
+++ b/crates/holdpointd/src/ingress/pools.rs
@@ -57,7 +57,7 @@
     returns: Mutex<Returns>,
     /// Until when whoever places prompts of the service refuses them, since its targets have got what they
     /// take.
-    shut_until: AtomicU64,
+    refused_until: AtomicU64,
     policy: Policy,
 }
 
@@ -253,7 +253,7 @@
             times: Mutex::default(),
             stage_time: Mutex::default(),
             returns: Mutex::default(),
-            shut_until: AtomicU64::new(0),
+            refused_until: AtomicU64::new(0),
             policy,
         }
     }
@@ -292,13 +292,13 @@
     }
 
     /// Takes in that whoever places prompts of the service refuses them for so long.
-    pub(crate) fn shut(&self, now: Millis, ms: Millis) {
-        self.shut_until.store(now + ms, Ordering::Release);
+    pub(crate) fn refuse_for(&self, now: Millis, ms: Millis) {
+        self.refused_until.store(now + ms, Ordering::Release);
     }
 
     /// For how much longer that is so, in milliseconds.
-    pub(crate) fn shut_ms(&self, now: Millis) -> Millis {
-        self.shut_until.load(Ordering::Acquire).saturating_sub(now)
+    pub(crate) fn refused_ms(&self, now: Millis) -> Millis {
+        self.refused_until.load(Ordering::Acquire).saturating_sub(now)
     }
 
     /// Targets that get no calls of this instance for a while.
--- a/crates/holdpointd/src/ingress/releases.rs
+++ b/crates/holdpointd/src/ingress/releases.rs
@@ -10,7 +10,7 @@
 use tokio::sync::Notify;
 
 use crate::ingress::{
-    gate::Cargo,
+    gate::Payload,
     limits,
     regions::{batcher_of, keeper_region},
     send::{OwnCall, own_call},
@@ -107,7 +107,7 @@
     // A result whose maker was not told goes by itself when its time is over.
     let Ok(permit) = limits::ask(&shared, &target).await else { return };
     let body = wire::free_body(&handles);
-    let call = OwnCall { path: wire::FREE_PATH, body, cargo: Cargo::Release };
+    let call = OwnCall { path: wire::FREE_PATH, body, payload: Payload::Release };
     let told = own_call(&shared, (&target, permit), call, LIMIT).await;
     if told.is_ok_and(|it| it.0.is_success()) {
         shared.batches.released(&service, &handles);
--- a/crates/holdpointd/src/ingress/send.rs
+++ b/crates/holdpointd/src/ingress/send.rs
@@ -13,7 +13,7 @@
 use crate::ingress::{
     connections::{Care, Connection},
     context::Context,
-    gate::{Barred, Cargo, NoHead, exchange},
+    gate::{Barred, NoHead, Payload, exchange},
     limits::Permit,
     shared::IngressShared,
     unread::MOST_EACH,
@@ -89,8 +89,8 @@
     };
     let Some(outgoing) = outgoing(request, added) else { return Sent::Nothing };
     let within = ctx.within();
-    let cargo = Cargo::Request { id: &request.id, within: &within };
-    let sent = exchange(shared, &mut connection, (target, &permit), cargo, outgoing).await;
+    let payload = Payload::Request { id: &request.id, within: &within };
+    let sent = exchange(shared, &mut connection, (target, &permit), payload, outgoing).await;
     let (head, response) = match sent {
         Ok(it) => it,
         Err(NoHead::Barred(it)) => return Sent::Barred(it),
@@ -151,7 +151,7 @@
 pub(crate) struct OwnCall {
     pub(crate) path: &'static str,
     pub(crate) body: Vec<u8>,
-    pub(crate) cargo: Cargo<'static>,
+    pub(crate) payload: Payload<'static>,
 }
 
 /// Makes a call of the system's own; returns its answer's status, head and body.
@@ -169,7 +169,7 @@
         *request.uri_mut() = http::Uri::from_static(call.path);
         *request.headers_mut() = headers::own_call(&target.id);
         set_host(request.headers_mut(), &target.address);
-        let sent = exchange(shared, &mut connection, (target, &permit), call.cargo, request);
+        let sent = exchange(shared, &mut connection, (target, &permit), call.payload, request);
         let (head, response) = sent.await?;
         let status = response.status();
         let body = response.into_body().collect().await;
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -24,7 +24,7 @@
     events::{self, emit},
     ingress::{
         answer::{Answer, passed_on, streamed},
-        attempts::{Attempts, NoSend, end_send, likely_domain},
+        attempts::{Attempts, GiveUpCause, end_send, likely_domain},
         connections::Connection,
         context::Context,
         gate::Barred,
@@ -86,7 +86,7 @@
 /// Why a stream did not begin.
 enum NotOpen {
     Failed(Box<Parts>, Bytes),
-    NoSend(NoSend),
+    GiveUpCause(GiveUpCause),
     /// The results of its stages are missing.
     NoResults(&'static str),
     /// The stages have too much to do; they would take so long.
@@ -100,9 +100,9 @@
     let mut attempts = Attempts::default();
     let opened = tokio::select! {
         it = open(&ctx, &mut attempts, None) => it,
-        () = ctx.time_over() => Err(NotOpen::NoSend(NoSend::Time)),
-        () = ctx.is_held() => Err(NotOpen::NoSend(NoSend::Quarantined)),
-        () = ctx.shared.stop_nears() => Err(NotOpen::NoSend(NoSend::Stopping)),
+        () = ctx.time_over() => Err(NotOpen::GiveUpCause(GiveUpCause::Time)),
+        () = ctx.is_held() => Err(NotOpen::GiveUpCause(GiveUpCause::Quarantined)),
+        () = ctx.shared.stop_nears() => Err(NotOpen::GiveUpCause(GiveUpCause::Stopping)),
     };
     match opened {
         Ok(it) => {
@@ -118,7 +118,9 @@
             ctx.note_end(parts.status.as_u16(), "target-failed");
             passed_on(&parts, body)
         }
-        Err(NotOpen::NoSend(cause)) => ctx.give_up(cause.name(), cause.return_after(COME_BACK)),
+        Err(NotOpen::GiveUpCause(cause)) => {
+            ctx.give_up(cause.name(), cause.return_after(COME_BACK))
+        }
         Err(NotOpen::NoResults(cause)) => ctx.give_up(cause, COME_BACK),
         Err(NotOpen::Overload(it)) => ctx.give_up("overload", it.max(COME_BACK)),
         Err(NotOpen::CallerGone) => ctx.give_up("caller-gone", COME_BACK),
@@ -150,7 +152,7 @@
             Ended::Failed(parts, body) => {
                 last_failure = Some((parts, body));
                 if !ctx.is_repeatable() {
-                    break NoSend::Attempts;
+                    break GiveUpCause::Attempts;
                 }
             }
             Ended::NotSent | Ended::Barred(_) => attempts.never_sent(ctx),
@@ -161,17 +163,17 @@
             }
             Ended::Declined | Ended::BackedOff | Ended::InputsGone => (),
             Ended::Broken | Ended::Silent if ctx.is_repeatable() => (),
-            Ended::Broken | Ended::Silent => break NoSend::Attempts,
+            Ended::Broken | Ended::Silent => break GiveUpCause::Attempts,
         }
     };
     match last_failure {
         Some((parts, body)) => Err(NotOpen::Failed(parts, body)),
-        None => Err(NotOpen::NoSend(cause)),
+        None => Err(NotOpen::GiveUpCause(cause)),
     }
 }
 
 async fn stage_results(ctx: &Context) -> Result<Results, NotOpen> {
-    let domain = likely_domain(ctx).map_err(NotOpen::NoSend)?;
+    let domain = likely_domain(ctx).map_err(NotOpen::GiveUpCause)?;
     stages::make_all(ctx, &domain).await.map_err(|it| match it {
         NoResult::Overload(ms) => NotOpen::Overload(Duration::from_millis(ms)),
         NoResult::Late => NotOpen::NoResults("stages-late"),
@@ -352,7 +354,7 @@
                 let reopened = tokio::select! {
                     it = open(&ctx, &mut attempts, last_id.as_deref()) => it,
                     () = keeper.closed() => Err(NotOpen::CallerGone),
-                    () = ctx.time_over() => Err(NotOpen::NoSend(NoSend::Time)),
+                    () = ctx.time_over() => Err(NotOpen::GiveUpCause(GiveUpCause::Time)),
                 };
                 let event = last_id.as_deref().unwrap_or("none");
                 let detail = format!(
--- a/crates/holdpointd/src/ingress/whole.rs
+++ b/crates/holdpointd/src/ingress/whole.rs
@@ -12,7 +12,7 @@
 
 use crate::ingress::{
     answer::{Answer, passed_on, streamed},
-    attempts::{Attempts, NoSend, end_send, likely_domain},
+    attempts::{Attempts, GiveUpCause, end_send, likely_domain},
     connections::Connection,
     context::Context,
     gate::Barred,
@@ -65,12 +65,12 @@
 
 /// Serves a request.
 pub(crate) async fn serve(ctx: Context) -> Answer {
-    let give_up = |why: NoSend| Outcome::Answer(ctx.give_up(why.name(), COME_BACK));
+    let give_up = |why: GiveUpCause| Outcome::Answer(ctx.give_up(why.name(), COME_BACK));
     let outcome = tokio::select! {
         it = answer(&ctx) => it,
-        () = ctx.time_over() => give_up(NoSend::Time),
-        () = ctx.is_held() => give_up(NoSend::Quarantined),
-        () = ctx.shared.stop_nears() => give_up(NoSend::Stopping),
+        () = ctx.time_over() => give_up(GiveUpCause::Time),
+        () = ctx.is_held() => give_up(GiveUpCause::Quarantined),
+        () = ctx.shared.stop_nears() => give_up(GiveUpCause::Stopping),
     };
     match outcome {
         Outcome::Answer(it) => it,
@@ -104,7 +104,7 @@
     let passed = tokio::select! {
         it = passing => it,
         () = keeper.closed() => Err("caller-gone"),
-        () = ctx.time_over() => Err(NoSend::Time.name()),
+        () = ctx.time_over() => Err(GiveUpCause::Time.name()),
     };
     let status = parts.status.as_u16();
     match passed {
@@ -158,13 +158,13 @@
             Ended::Failed(head, body) => {
                 last_failure = Some((head, body));
                 if !ctx.is_repeatable() {
-                    break NoSend::Attempts;
+                    break GiveUpCause::Attempts;
                 }
             }
             Ended::NotSent | Ended::Barred(_) => attempts.never_sent(ctx),
             Ended::Declined | Ended::BackedOff => (),
             Ended::Broken | Ended::Silent if ctx.is_repeatable() => (),
-            Ended::Broken | Ended::Silent => break NoSend::Attempts,
+            Ended::Broken | Ended::Silent => break GiveUpCause::Attempts,
         }
     };
     match last_failure {
