--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod calls;
+mod hopeless;
 mod inputs;
 mod targets;
 
@@ -36,8 +37,7 @@
     events::{self, emit},
     ingress::{
         attempts::NONE_LEFT_RETURN_MS,
-        backoff,
-        confinement::{self, log_refused},
+        backoff, confinement,
         limits::{self, Permit},
         piece_ask::{PieceAsk, PieceResult},
         regions::own_batcher_of,
@@ -48,14 +48,11 @@
 use self::{
     admit::{admit, waiting},
     calls::run,
+    hopeless::{EVACUATED_RETURN_MS, refuse_hopeless},
     inputs::GroupInputs,
     targets::{Known, Targets},
 };
 
-/// When a request may come back whose pieces have no target, since all stand in evacuated failure
-/// domains, in milliseconds. When an operator restores one is not known.
-const EVACUATED_RETURN_MS: Millis = 1000;
-
 struct Pending {
     work: PieceWork,
     /// Route of its request.
@@ -295,37 +292,7 @@
         let of_service = self.of_service(&mut services, service, sizes);
         let now = shared.clock.now();
         of_service.take_in_backoffs(shared, now, service);
-        if of_service.is_evacuated {
-            let request = asks.first().map_or("none", |it| it.work.request.as_str());
-            let detail = format!("id={request} service={service} return_ms={EVACUATED_RETURN_MS}");
-            emit(events::PIECES_EVACUATED, &shared.settings.instance, &detail);
-            return Err(NoResult::Overload(EVACUATED_RETURN_MS));
-        }
-        if of_service.all_leave {
-            let request = asks.first().map_or("none", |it| it.work.request.as_str());
-            let detail = format!("id={request} service={service} return_ms={NONE_LEFT_RETURN_MS}");
-            emit(events::PIECES_LEFT, &shared.settings.instance, &detail);
-            return Err(NoResult::Overload(NONE_LEFT_RETURN_MS));
-        }
-        if let Some((first, ms)) = asks.first().zip(of_service.batcher.backoff_ms(now)) {
-            let limit_ms = if first.is_refusable { first.due_in_ms } else { first.deadline_in_ms };
-            let call_ms = of_service.batcher.sizes().stated_ms(1) as i64;
-            if limit_ms < ms as i64 + call_ms {
-                let return_ms = backoff::return_ms(ms);
-                let detail = format!(
-                    "id={} service={service} backoff_ms={ms} return_ms={return_ms}",
-                    first.work.request
-                );
-                emit(events::PIECES_BACK_OFF, &shared.settings.instance, &detail);
-                return Err(NoResult::Overload(return_ms));
-            }
-        }
-        let within = asks.first().and_then(|it| it.confinement.bounds(&shared.topology));
-        if let Some(it) = within.as_ref().filter(|it| !of_service.batcher.can_make(Some(it))) {
-            let request = asks.first().map_or("none", |it| it.work.request.as_str());
-            log_refused(shared, request, service, it);
-            return Err(NoResult::Overload(confinement::RETURN_MS));
-        }
+        let within = refuse_hopeless(shared, of_service, service, now, &asks)?;
         let mut promises = self.promises.lock();
         admit(shared, service, &mut of_service.batcher, &mut promises, now, &asks)?;
         drop(promises);
