Observability: tell how connections to targets end at each instance

A send that found no connection was logged as not-sent whether the port refused it or nothing answered, and the metrics did not count it. An instance that was cut off from all targets could not be told from one whose targets had crashed.

E714 names the target, cause and time of each failed connection; holdpoint_connects counts all by service and outcome.

--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -167,6 +167,8 @@
     SENT = 700 Info "sent to a target";
     /// An attempt at a target ended without a complete answer.
     SEND_FAILED = 701 Info "send failed";
+    /// A connection to a target could not be made.
+    CONNECT_FAILED = 714 Info "no connection to a target";
     /// A batched call for results of a stage ended.
     BATCH = 702 Info "batch ended";
     /// Results of a stage are missing.
--- a/crates/holdpointd/src/ingress/connections.rs
+++ b/crates/holdpointd/src/ingress/connections.rs
@@ -1,7 +1,7 @@
 //! Pool of connections to targets. Idle connections are kept for later requests, as long as the target is
 //! unlikely to close them.
 
-use std::{collections::HashMap, io, time::Duration};
+use std::{collections::HashMap, io, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use holdpoint_core::{
@@ -10,6 +10,7 @@
     ingress::Configuration,
 };
 use holdpoint_platform::Instant;
+use holdpoint_schema::ingress::IngressSettings;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::{
@@ -24,7 +25,11 @@
 use socket2::SockRef;
 use tokio::{net::TcpStream, task::AbortHandle};
 
-use crate::ingress::gate::Clearance;
+use crate::{
+    events::{self, emit},
+    ingress::gate::Clearance,
+    metrics::{Metrics, label},
+};
 
 /// How long sent bytes may stay unacknowledged before the system closes the connection.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2500);
@@ -98,16 +103,24 @@
 /// Connections of an instance to all targets.
 #[derive(Debug)]
 pub(crate) struct Connections {
+    instance: Name,
     connect_timeout: Duration,
+    metrics: Arc<Metrics>,
     idle: Mutex<HashMap<TargetId, Vec<IdleConnection>>>,
     /// Maximum number of idle connections to one target, by service.
     max_idle: Mutex<HashMap<Name, usize>>,
 }
 
 impl Connections {
-    /// Creates an empty pool; `connect_timeout` is the timeout for making a connection.
-    pub(crate) fn new(connect_timeout: Duration) -> Connections {
-        Connections { connect_timeout, idle: Mutex::default(), max_idle: Mutex::default() }
+    /// Creates an empty pool.
+    pub(crate) fn new(settings: &IngressSettings, metrics: Arc<Metrics>) -> Connections {
+        Connections {
+            instance: settings.instance.clone(),
+            connect_timeout: Duration::from_millis(settings.timing.connect_ms),
+            metrics,
+            idle: Mutex::default(),
+            max_idle: Mutex::default(),
+        }
     }
 
     /// Applies a configuration: the idle connections of a service's targets are divided among the instances.
@@ -130,12 +143,31 @@
     }
 
     async fn make(&self, target: &TargetInstance) -> io::Result<Connection> {
+        let begun = Instant::now();
         let made = tokio::time::timeout(self.connect_timeout, connect(&target.address)).await;
-        let (sender, task) = made.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        let made = made.unwrap_or_else(|_| Err(io::Error::from(io::ErrorKind::TimedOut)));
+        self.record_connect(target, begun, made.as_ref().err());
+        let (sender, task) = made?;
         let (target, service) = (target.id.clone(), target.service.clone());
         Ok(Connection { sender, target, service, task: Some(task) })
     }
 
+    fn record_connect(&self, target: &TargetInstance, begun: Instant, error: Option<&io::Error>) {
+        let outcome = match error.map(io::Error::kind) {
+            None => "made",
+            Some(io::ErrorKind::TimedOut) => "timed-out",
+            Some(io::ErrorKind::ConnectionRefused) => "refused",
+            Some(_) => "failed",
+        };
+        let service = target.service.as_str();
+        self.metrics.connects.add(1, &[label("service", service), label("outcome", outcome)]);
+        if error.is_some() {
+            let ms = begun.elapsed().as_millis();
+            let detail = format!("target={} service={service} cause={outcome} ms={ms}", target.id);
+            emit(events::CONNECT_FAILED, &self.instance, &detail);
+        }
+    }
+
     /// Probes how a target can be reached. A connection made for the probe is kept.
     pub(crate) async fn reach(&self, target: &TargetInstance) -> Reach {
         let is_open = |it: &IdleConnection| it.connection.sender.is_ready();
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -160,14 +160,14 @@
 impl IngressShared {
     /// Creates the state of an instance without configuration, targets and peers.
     pub(crate) fn new(settings: IngressSettings) -> IngressShared {
-        let connect = Duration::from_millis(settings.timing.connect_ms);
+        let metrics = Arc::new(Metrics::new());
         let epochs = Arc::new(StoreEpochs::default());
         IngressShared {
             clock: Clock::new(),
             topology: Topology::new(&settings.region, settings.regions.clone()),
             started_at: Instant::now(),
-            metrics: Arc::new(Metrics::new()),
-            connections: Connections::new(connect),
+            connections: Connections::new(&settings, metrics.clone()),
+            metrics,
             pools: Pools::new(&settings),
             batches: Batches::default(),
             releases: Releases::default(),
--- a/crates/holdpointd/src/metrics.rs
+++ b/crates/holdpointd/src/metrics.rs
@@ -24,6 +24,8 @@
     pub requests: Counter<u64>,
     /// Latency of requests, in milliseconds.
     pub latency: Histogram<f64>,
+    /// Connections made to targets, by service and outcome.
+    pub connects: Counter<u64>,
     /// Attempts, by pool and result.
     pub attempts: Counter<u64>,
     /// Batched calls for results of stages, by result.
@@ -94,6 +96,7 @@
                 .with_description("Time of requests in milliseconds")
                 .with_boundaries(LATENCY_BOUNDS_MS.to_vec())
                 .build(),
+            connects: counter("holdpoint_connects", "Connections to targets by outcome"),
             attempts: counter("holdpoint_attempts", "Attempts by pool and end"),
             batches: counter("holdpoint_batches", "Calls for results of stages by end"),
             placements: counter("holdpoint_placements", "Prompts by where they were placed"),
