--- a/crates/holdpoint-soak/src/lib.rs
+++ b/crates/holdpoint-soak/src/lib.rs
@@ -31,6 +31,7 @@
     fleet::{Builds, StartError, run},
     notices::{Arrival, Notices, judge_notices},
     plan::{Fault, FaultKind, LinkFault, Plan, TargetFault},
+    proxy::Proxy,
     verdict::{EventTimes, Finding, Invariant, Verdict, judge},
 };
 
--- a/crates/holdpoint-soak/src/plan.rs
+++ b/crates/holdpoint-soak/src/plan.rs
@@ -49,6 +49,12 @@
     DropReverse,
     /// Data is dropped in both directions.
     Blackhole,
+    /// All connections are reset, and so are new ones.
+    Refuse,
+    /// New connections are reset; open ones live on.
+    RefuseNew,
+    /// Data on connections that are open at the start of the fault is dropped; new ones work.
+    SilenceOpen,
 }
 
 /// How a target fails.
--- a/crates/holdpoint-soak/src/proxy.rs
+++ b/crates/holdpoint-soak/src/proxy.rs
@@ -1,8 +1,15 @@
 //! Loopback TCP proxy that delays, resets or drops traffic to simulate link faults.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    net::{IpAddr, SocketAddr},
+    os::fd::AsFd,
+    sync::Arc,
+    time::Duration,
+};
 
 use parking_lot::Mutex;
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
@@ -24,69 +31,147 @@
     Reverse,
 }
 
+/// A fault that is in force.
+#[derive(Clone, Copy, Debug)]
+struct ActiveFault {
+    how: LinkFault,
+    /// Number of connections accepted before it began.
+    accepted: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// Fault of all connections.
+    fault: Option<ActiveFault>,
+    /// Faults of the connections from one address; each overrides the one of all connections.
+    by_source: HashMap<IpAddr, ActiveFault>,
+    accepted: u64,
+}
+
 /// A proxy; it runs until the runtime ends.
 #[derive(Clone, Debug)]
-pub(crate) struct Proxy {
-    pub(crate) address: SocketAddr,
-    link_fault: Arc<Mutex<Option<LinkFault>>>,
-    resets: watch::Sender<u64>,
+pub struct Proxy {
+    /// Address that it listens on.
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    changes: watch::Sender<()>,
+}
+
+/// A connection through a proxy.
+#[derive(Clone, Copy, Debug)]
+struct Origin {
+    source: IpAddr,
+    number: u64,
 }
 
 impl Proxy {
     /// Starts a proxy that forwards to the address `far`.
-    pub(crate) async fn start(far: SocketAddr) -> Proxy {
+    pub async fn start(far: SocketAddr) -> Proxy {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has a free port");
         let address = listener.local_addr().expect("a bound socket has an address");
-        let proxy = Proxy { address, link_fault: Arc::default(), resets: watch::channel(0).0 };
+        let proxy = Proxy { address, state: Arc::default(), changes: watch::channel(()).0 };
         tokio::spawn(accept(listener, far, proxy.clone()));
         proxy
     }
 
-    /// Sets or clears the active fault.
-    pub(crate) fn set(&self, link_fault: Option<LinkFault>) {
-        *self.link_fault.lock() = link_fault;
-        if link_fault == Some(LinkFault::Reset) {
-            self.resets.send_modify(|it| *it += 1);
+    /// Sets or clears the fault of all connections.
+    pub fn set(&self, how: Option<LinkFault>) {
+        let mut state = self.state.lock();
+        let accepted = state.accepted;
+        state.fault = how.map(|how| ActiveFault { how, accepted });
+        drop(state);
+        self.changes.send_replace(());
+    }
+
+    /// Sets or clears the fault of the connections from one address.
+    pub fn set_from(&self, source: IpAddr, how: Option<LinkFault>) {
+        let mut state = self.state.lock();
+        let accepted = state.accepted;
+        match how {
+            Some(how) => drop(state.by_source.insert(source, ActiveFault { how, accepted })),
+            None => drop(state.by_source.remove(&source)),
         }
+        drop(state);
+        self.changes.send_replace(());
+    }
+
+    fn accepted(&self, source: IpAddr) -> Origin {
+        let mut state = self.state.lock();
+        state.accepted += 1;
+        Origin { source, number: state.accepted }
+    }
+
+    fn fault(&self, origin: Origin) -> Option<ActiveFault> {
+        let state = self.state.lock();
+        state.by_source.get(&origin.source).or(state.fault.as_ref()).copied()
     }
 
-    fn drops(&self, direction: Direction) -> bool {
-        match *self.link_fault.lock() {
-            Some(LinkFault::Blackhole) => true,
-            Some(LinkFault::DropForward) => direction == Direction::Forward,
-            Some(LinkFault::DropReverse) => direction == Direction::Reverse,
-            Some(LinkFault::Delay(_) | LinkFault::Reset) | None => false,
+    fn refuses(&self, origin: Origin) -> bool {
+        let how = self.fault(origin).map(|it| it.how);
+        matches!(how, Some(LinkFault::Refuse | LinkFault::RefuseNew))
+    }
+
+    fn resets(&self, origin: Origin) -> bool {
+        let how = self.fault(origin).map(|it| it.how);
+        matches!(how, Some(LinkFault::Refuse | LinkFault::Reset))
+    }
+
+    fn drops(&self, origin: Origin, direction: Direction) -> bool {
+        let Some(fault) = self.fault(origin) else { return false };
+        match fault.how {
+            LinkFault::Blackhole => true,
+            LinkFault::DropForward => direction == Direction::Forward,
+            LinkFault::DropReverse => direction == Direction::Reverse,
+            LinkFault::SilenceOpen => origin.number <= fault.accepted,
+            LinkFault::Delay(_) | LinkFault::Reset | LinkFault::Refuse | LinkFault::RefuseNew => {
+                false
+            }
         }
     }
 
-    async fn delay(&self) {
-        let link_fault = *self.link_fault.lock();
-        if let Some(LinkFault::Delay(ms)) = link_fault {
+    async fn delay(&self, origin: Origin) {
+        if let Some(LinkFault::Delay(ms)) = self.fault(origin).map(|it| it.how) {
             tokio::time::sleep(Duration::from_millis(ms)).await;
         }
     }
+
+    /// Waits until the connection is reset.
+    async fn wait_reset(&self, origin: Origin) {
+        let mut changes = self.changes.subscribe();
+        while changes.changed().await.is_ok() && !self.resets(origin) {}
+    }
 }
 
 async fn accept(listener: TcpListener, far: SocketAddr, proxy: Proxy) {
-    while let Ok((near, _)) = listener.accept().await {
-        tokio::spawn(serve(near, far, proxy.clone()));
+    while let Ok((near, source)) = listener.accept().await {
+        let origin = proxy.accepted(source.ip());
+        tokio::spawn(serve(near, far, proxy.clone(), origin));
     }
 }
 
-async fn serve(near: TcpStream, far: SocketAddr, proxy: Proxy) {
-    let mut resets = proxy.resets.subscribe();
+async fn serve(near: TcpStream, far: SocketAddr, proxy: Proxy, origin: Origin) {
+    let reset = near.as_fd().try_clone_to_owned();
+    if !proxy.refuses(origin) {
+        tokio::select! {
+            () = pass_both(near, far, &proxy, origin) => return,
+            () = proxy.wait_reset(origin) => (),
+        }
+    }
+    // A close without lingering resets the connection.
+    if let Ok(it) = reset {
+        drop(SockRef::from(&it).set_linger(Some(Duration::ZERO)));
+    }
+}
+
+async fn pass_both(near: TcpStream, far: SocketAddr, proxy: &Proxy, origin: Origin) {
     let Ok(far) = TcpStream::connect(far).await else { return };
     // Without the option data may only be delayed.
     drop((near.set_nodelay(true), far.set_nodelay(true)));
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
-    let to = pass(near_read, far_write, &proxy, Direction::Forward);
-    let back = pass(far_read, near_write, &proxy, Direction::Reverse);
-    tokio::select! {
-        _ = async { tokio::join!(to, back) } => (),
-        // Closing a socket with unread data resets its connection.
-        _ = resets.changed() => (),
-    }
+    let to = pass(near_read, far_write, proxy, (origin, Direction::Forward));
+    let back = pass(far_read, near_write, proxy, (origin, Direction::Reverse));
+    tokio::join!(to, back);
 }
 
 /// Forwards bytes until either side closes. Once bytes have been dropped all later ones are dropped
@@ -95,13 +180,13 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     proxy: &Proxy,
-    direction: Direction,
+    (origin, direction): (Origin, Direction),
 ) {
     let mut buffer = vec![0; CHUNK_BYTES];
     let mut is_dropping = false;
     while let Ok(read) = from.read(&mut buffer).await {
-        proxy.delay().await;
-        is_dropping |= proxy.drops(direction);
+        proxy.delay(origin).await;
+        is_dropping |= proxy.drops(origin, direction);
         if is_dropping {
             if read == 0 {
                 // The end of the stream is dropped as well, until the connection is reset.
--- a/crates/holdpointd/src/ingress/connections.rs
+++ b/crates/holdpointd/src/ingress/connections.rs
@@ -1,7 +1,13 @@
 //! Pool of connections to targets. Idle connections are kept for later requests, as long as the target is
 //! unlikely to close them.
 
-use std::{collections::HashMap, io, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    io,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use holdpoint_core::{
@@ -23,7 +29,10 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use socket2::SockRef;
-use tokio::{net::TcpStream, task::AbortHandle};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    task::AbortHandle,
+};
 
 use crate::{
     events::{self, emit},
@@ -104,6 +113,8 @@
 #[derive(Debug)]
 pub(crate) struct Connections {
     instance: Name,
+    /// Address that connections are made from; the system's choice if `None`.
+    source: Option<IpAddr>,
     connect_timeout: Duration,
     metrics: Arc<Metrics>,
     idle: Mutex<HashMap<TargetId, Vec<IdleConnection>>>,
@@ -116,6 +127,7 @@
     pub(crate) fn new(settings: &IngressSettings, metrics: Arc<Metrics>) -> Connections {
         Connections {
             instance: settings.instance.clone(),
+            source: settings.source_address.parse().ok(),
             connect_timeout: Duration::from_millis(settings.timing.connect_ms),
             metrics,
             idle: Mutex::default(),
@@ -144,7 +156,7 @@
 
     async fn make(&self, target: &TargetInstance) -> io::Result<Connection> {
         let begun = Instant::now();
-        let made = tokio::time::timeout(self.connect_timeout, connect(&target.address)).await;
+        let made = tokio::time::timeout(self.connect_timeout, self.connect(&target.address)).await;
         let made = made.unwrap_or_else(|_| Err(io::Error::from(io::ErrorKind::TimedOut)));
         self.record_connect(target, begun, made.as_ref().err());
         let (sender, task) = made?;
@@ -152,6 +164,14 @@
         Ok(Connection { sender, target, service, task: Some(task) })
     }
 
+    async fn connect(&self, address: &str) -> io::Result<(SendRequest<Full<Bytes>>, AbortHandle)> {
+        let Some(source) = self.source else { return connect(address).await };
+        let address: SocketAddr = address.parse().map_err(io::Error::other)?;
+        let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+        socket.bind(SocketAddr::new(source, 0))?;
+        start_http(socket.connect(address).await?).await
+    }
+
     fn record_connect(&self, target: &TargetInstance, begun: Instant, error: Option<&io::Error>) {
         let outcome = match error.map(io::Error::kind) {
             None => "made",
@@ -239,7 +259,10 @@
 
 /// Connects to an address; a task of its own drives the connection.
 pub(crate) async fn connect(address: &str) -> io::Result<(SendRequest<Full<Bytes>>, AbortHandle)> {
-    let stream = TcpStream::connect(address).await?;
+    start_http(TcpStream::connect(address).await?).await
+}
+
+async fn start_http(stream: TcpStream) -> io::Result<(SendRequest<Full<Bytes>>, AbortHandle)> {
     set_socket_options(&stream)?;
     let making =
         http1::Builder::new().max_buf_size(READ_BUFFER_BYTES).handshake(TokioIo::new(stream));
--- a/crates/holdpointd/src/settings.rs
+++ b/crates/holdpointd/src/settings.rs
@@ -92,7 +92,12 @@
 /// As [`load`].
 pub fn load_ingress(path: &Path) -> Result<IngressSettings, Report<FileError>> {
     let value = read_jsonc(path)?;
-    let found = faults(Part::Ingress, &value);
+    let mut found = faults(Part::Ingress, &value);
+    let source = value["source_address"].as_str().unwrap_or_default();
+    if !source.is_empty() && source.parse::<std::net::IpAddr>().is_err() {
+        let text = "must be an IP number".to_owned();
+        found.push(Fault { path: "/source_address".to_owned(), text });
+    }
     if !found.is_empty() {
         return Err(Report::new(FileError::Faults(found)));
     }
--- a/crates/holdpointd/tests/support/mod.rs
+++ b/crates/holdpointd/tests/support/mod.rs
@@ -4,8 +4,12 @@
 #![allow(dead_code, unreachable_pub)]
 
 pub mod fleet;
+pub mod reach;
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use holdpoint_adapter_standin::{
     Behaviour, CallerAnswer, CallerRequest, Endpoint, Store, Target, call, sample_configuration,
@@ -51,6 +55,13 @@
     start_with_settings(settings)
 }
 
+/// Starts an instance whose connections to targets come from an address of its own.
+pub fn start_from(name: &str, gate: &Endpoint, source: IpAddr) -> Ingress {
+    let mut settings = settings(name, gate, &[]);
+    settings["source_address"] = json!(source.to_string());
+    start_with_settings(settings)
+}
+
 fn start_with_settings(settings: Value) -> Ingress {
     Ingress::start(serde_json::from_value(settings).unwrap()).unwrap()
 }
