Serve callers of an instance that has lost its targets, through peers

What callers saw: when some instances lost their links to all targets for 12 s, their callers' first tries were served 31 of 125 times, and 2 of 23 in a second cut; callers of the other instances were served only half of the time as well (114 of 207, 101 of 255).

Cause: an instance knew nothing of its own reach. A cut instance tried one target after another (18 sends, 250 ms each), ended with no-target, and had nobody else to ask. An instance that owned a service went on to batch and place for all: two services had no stage result made for 12 s, so the requests that needed them were refused everywhere. And it took its cut for faults of targets: ejections, retries, probes of "crashed" ones.

The design: `reach` keeps what exchanges and connects show about each path. A request whose path is lost goes through a peer, by HTTP on the peer's RPC address: one hop, the peer's gate and notices hold, the answer streams, a close cancels it, a peer never passes it on, confined requests go only to peers within their regions, and a refusal of the peer is a proof that nothing was sent. An answer through a peer proves that the path is at fault; losses that peers confirm count against the target as before. With two proven losses and no answer since, the instance is isolated: it tells so in health checks and owns the service no longer, until 2 s after it reaches it again. Probes find a path open; one request that may be repeated tries it first. Where no peer reaches a service either, requests and work items are refused at once. Limits stay with their owner, which peers still reach, so that their account keeps its sum.

Why it works: both effects had one root, the missing belief about reach.

--- a/crates/holdpoint-core/src/lib.rs
+++ b/crates/holdpoint-core/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod prelude;
 pub mod prompt;
 pub mod quarantine;
+pub mod reach;
 pub mod readers;
 pub mod regions;
 pub mod reported_pace;
--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -167,6 +167,16 @@
     SENT = 700 Info "sent to a target";
     /// An attempt at a target ended without a complete answer.
     SEND_FAILED = 701 Info "send failed";
+    /// This instance lost the path to a target.
+    PATH_LOST = 730 Warn "path to a target lost";
+    /// A target answered over a lost path again.
+    PATH_REGAINED = 731 Info "path to a target regained";
+    /// This instance reaches no target of a service; it owns the service no longer.
+    ISOLATED = 732 Warn "isolated from a service";
+    /// This instance reaches a service again.
+    ISOLATION_ENDED = 733 Info "isolation from a service ended";
+    /// A request was sent through a peer.
+    RELAYED = 734 Info "sent through a peer";
     /// A connection to a target could not be made.
     CONNECT_FAILED = 714 Info "no connection to a target";
     /// A batched call for results of a stage ended.
--- a/crates/holdpointd/src/ingress/attempts.rs
+++ b/crates/holdpointd/src/ingress/attempts.rs
@@ -29,6 +29,15 @@
 /// of a target until it is listed.
 pub(crate) const NONE_LEFT_RETRY_MS: Millis = 1000;
 
+/// Shortest Retry-After of work whose targets neither this instance nor a peer reaches, in milliseconds. A lost path
+/// is probed about as often.
+const NO_PATH_RETRY_MS: Millis = 1000;
+
+/// Retry-After of such work, in milliseconds.
+pub(crate) fn no_path_retry_ms() -> Millis {
+    backoff::retry_after_ms(NO_PATH_RETRY_MS)
+}
+
 /// The sends made for one request, bounded by its route's attempts and the retry budget.
 #[derive(Debug, Default)]
 pub(crate) struct Attempts {
@@ -74,6 +83,8 @@
     Confined,
     /// The request is quarantined, since targets crashed under it.
     Quarantined,
+    /// Neither this instance nor a peer reaches a target.
+    NoPath,
 }
 
 impl StopCause {
@@ -92,6 +103,7 @@
             StopCause::BackingOff(_) => "backoff",
             StopCause::Confined => "confined",
             StopCause::Quarantined => "quarantined",
+            StopCause::NoPath => "no-path",
         }
     }
 
@@ -102,6 +114,7 @@
                 Duration::from_millis(ms).max(usual)
             }
             StopCause::NoneLeft => Duration::from_millis(NONE_LEFT_RETRY_MS),
+            StopCause::NoPath => Duration::from_millis(no_path_retry_ms()),
             _ => usual,
         }
     }
@@ -131,6 +144,9 @@
         if ctx.quarantine_left().is_some() {
             return Err(StopCause::Quarantined);
         }
+        if ctx.shared.paths.is_unreachable(ctx.shared.clock.now(), &ctx.service) {
+            return Err(StopCause::NoPath);
+        }
         self.running = None;
         let Chosen { target, permit, reason } = self.choose_in_lane(ctx, inputs).await?;
         let now = ctx.shared.clock.now();
@@ -344,6 +360,9 @@
 /// not known. An error means that the stages would run in vain.
 pub(crate) fn likely_domain(ctx: &Context) -> Result<Name, StopCause> {
     let now = ctx.shared.clock.now();
+    if ctx.shared.paths.is_unreachable(now, &ctx.service) {
+        return Err(StopCause::NoPath);
+    }
     let (within, region) = (ctx.within(), ctx.call_region());
     let call = Call { within: within.as_deref(), ..ctx.call(&[]) };
     let likely = ctx.pool.choose(now, None, &call, region.as_deref(), &ctx.shared);
@@ -382,6 +401,14 @@
     let is_slow = || ctx.pool.is_slow(ctx.shared.clock.now(), &target.id);
     // Two timeouts in a row would eject a target that has announced that it is slow.
     let end = if cause == "silent" && is_slow() { CallOutcome::Cancelled } else { end };
+    // A lost path says nothing about the target or its version.
+    let is_cut = || ctx.shared.paths.is_cut(&target.id);
+    let (end, cause) = match (end, cause) {
+        (CallOutcome::Failed, "silent" | "broken" | "not-sent") if is_cut() => {
+            (CallOutcome::Cancelled, "path-lost")
+        }
+        it => it,
+    };
     ctx.pool.record_end(ctx.shared.clock.now(), &target.id, ctx.call(&[]).work, end);
     ctx.shared.rollouts.send_ended(ctx, target, end, cause);
     let labels = [label("service", ctx.service.as_str()), label("end", cause)];
--- a/crates/holdpointd/src/ingress/batches.rs
+++ b/crates/holdpointd/src/ingress/batches.rs
@@ -39,7 +39,7 @@
 use crate::{
     events::{self, emit},
     ingress::{
-        attempts::NONE_LEFT_RETRY_MS,
+        attempts::{NONE_LEFT_RETRY_MS, no_path_retry_ms},
         backoff, confinement,
         item_request::{ItemRequest, ItemResult},
         limits::{self, Permit},
@@ -292,6 +292,9 @@
         let configuration = shared.configuration();
         let sizes = configuration.services.get(service).and_then(|it| sizes(it));
         let sizes = sizes.ok_or(NoResult::Unreachable)?;
+        if shared.paths.is_unreachable(shared.clock.now(), service) {
+            return Err(NoResult::Overload(no_path_retry_ms()));
+        }
         let mut services = self.services.lock();
         let queue = self.queue_of(&mut services, service, sizes);
         let now = shared.clock.now();
--- a/crates/holdpointd/src/ingress/batches/calls.rs
+++ b/crates/holdpointd/src/ingress/batches/calls.rs
@@ -10,6 +10,7 @@
 use holdpoint_adapter::stages as wire;
 use holdpoint_core::{
     batcher::PredictionSample,
+    confinement::{Bounds, Within},
     directory::TargetInstance,
     ids::{Millis, Name},
     items::{Call, CallEnd, QueuedItem},
@@ -23,6 +24,7 @@
 use crate::{
     events::{self, emit},
     ingress::{
+        attempts::no_path_retry_ms,
         gate::{Payload, SendBlock},
         item_request::ItemResult,
         limits::{self, Permit},
@@ -49,7 +51,7 @@
     let outcome = call_and_release(&shared, (&call, permit), &items, timeout_ms).await;
     let ms = begun.elapsed().as_millis() as Millis;
     record_runs(&shared, &service, &items, &outcome);
-    let is_judged = !outcome.as_ref().is_err_and(|it| it.is_backoff);
+    let is_judged = !outcome.as_ref().is_err_and(|it| it.is_unjudged);
     let outcome = outcome.map_err(|it| it.end);
     let (results, end, text) = match outcome {
         Ok(it) => (it, CallEnd::Answered(ms), "answered"),
@@ -64,9 +66,14 @@
     }
     let judgement = shared.batches.record_end(&shared, &service, &call, end, &results);
     log_call(&shared, &service, &call, &items, &results, (begun, ms, text), judgement);
+    let is_unreachable = shared.paths.is_unreachable(shared.clock.now(), &service);
     let mut results = results.into_iter();
     for (waiting, item) in call.items.into_iter().zip(items) {
-        let usual = if end == CallEnd::Full { NoResult::NoRoom } else { NoResult::Failed };
+        let usual = match end {
+            CallEnd::Full if is_unreachable => NoResult::Overload(no_path_retry_ms()),
+            CallEnd::Full => NoResult::NoRoom,
+            _ => NoResult::Failed,
+        };
         let result = results.next().unwrap_or(Err(usual));
         deliver(&shared, &service, waiting, item, result);
     }
@@ -78,13 +85,14 @@
     end: CallEnd,
     /// The target, if its connection was lost while it worked on the call.
     lost_target: Option<TargetInstance>,
-    /// Whether the target requested a backoff, which does not count against its version.
-    is_backoff: bool,
+    /// Whether it does not count against the target's version: the target requested a backoff, or its path is
+    /// lost.
+    is_unjudged: bool,
 }
 
 impl From<CallEnd> for CallFailure {
     fn from(end: CallEnd) -> CallFailure {
-        CallFailure { end, lost_target: None, is_backoff: false }
+        CallFailure { end, lost_target: None, is_unjudged: false }
     }
 }
 
@@ -191,6 +199,13 @@
     }
 }
 
+/// Regions that the bytes of all items of a call may pass through.
+fn common_bounds(shared: &IngressShared, items: &[Pending]) -> Within {
+    let bounds = items.iter().filter_map(|it| it.inputs.within.as_deref());
+    let common = bounds.map(Bounds::confinement).reduce(|all, it| all.and(&it))?;
+    common.bounds(&shared.topology)
+}
+
 fn log_call(
     shared: &IngressShared,
     service: &str,
@@ -252,18 +267,25 @@
     );
     let limit = Duration::from_millis(timeout_ms.max(MIN_CALL_TIMEOUT_MS));
     let call = InternalCall { path: wire::RUN_PATH, body, payload: Payload::Items };
-    let answer = internal_call(shared, (&target, permit), call, limit).await;
-    let (status, head, body) = answer.map_err(|it| CallFailure {
-        end: if matches!(it, InternalCallError::Blocked(_)) {
-            CallEnd::Full
-        } else {
-            CallEnd::Failed
-        },
-        lost_target: (it == InternalCallError::Broken).then(|| target.clone()),
-        is_backoff: it == InternalCallError::Blocked(SendBlock::BackingOff),
+    let within = common_bounds(shared, items);
+    let answer = internal_call(shared, (&target, permit), call, &within, limit).await;
+    let (status, head, body) = answer.map_err(|it| {
+        // A lost path says nothing about the target or its version.
+        let is_cut = shared.paths.is_lost(shared.clock.now(), &target.id);
+        let end = match it {
+            InternalCallError::Blocked(_) | InternalCallError::NoPath => CallEnd::Full,
+            _ if is_cut => CallEnd::Full,
+            _ => CallEnd::Failed,
+        };
+        let is_backoff = it == InternalCallError::Blocked(SendBlock::BackingOff);
+        CallFailure {
+            end,
+            lost_target: (it == InternalCallError::Broken).then(|| target.clone()),
+            is_unjudged: is_backoff || is_cut || it == InternalCallError::NoPath,
+        }
     })?;
     if head.notice.backoff.is_requested() {
-        return Err(CallFailure { end: CallEnd::Full, lost_target: None, is_backoff: true });
+        return Err(CallFailure { end: CallEnd::Full, lost_target: None, is_unjudged: true });
     }
     if head.is_declined {
         return Err(CallEnd::Full.into());
--- a/crates/holdpointd/src/ingress/connections.rs
+++ b/crates/holdpointd/src/ingress/connections.rs
@@ -10,11 +10,7 @@
 };
 
 use bytes::Bytes;
-use holdpoint_core::{
-    directory::{TargetId, TargetInstance},
-    ids::Name,
-    ingress::Configuration,
-};
+use holdpoint_core::{directory::TargetInstance, ids::Name, ingress::Configuration};
 use holdpoint_platform::Instant;
 use holdpoint_schema::ingress::IngressSettings;
 use http::{Request, Response};
@@ -53,6 +49,8 @@
 const READ_BUFFER_BYTES: usize = 16 << 10;
 /// Maximum number of idle connections to one target whose service is not configured.
 const DEFAULT_IDLE_COUNT: usize = 1;
+/// Maximum number of idle connections to one peer that relays requests.
+const MAX_IDLE_RELAYS: usize = 8;
 
 /// Which idle connections a request may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -70,20 +68,31 @@
     Resting,
     /// A new connection can be made.
     New,
+    /// Only through a peer.
+    Peer,
     /// Not at all.
     None,
+    /// Unknown: this instance and the peers that it asked are cut off themselves.
+    Unknown,
 }
 
 /// A connection in use. Dropping it closes it at once, so that the target cancels its work.
 #[derive(Debug)]
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    pub(crate) target: TargetId,
-    service: Name,
+    /// Id of the target, or address of the peer that relays.
+    remote: String,
+    /// Service of the target; `None` for a connection to a peer.
+    service: Option<Name>,
     task: Option<AbortHandle>,
 }
 
 impl Connection {
+    /// Whether it leads to a peer that relays requests to targets.
+    pub(crate) fn is_relayed(&self) -> bool {
+        self.service.is_none()
+    }
+
     /// Sends a request. An error that returns the request means that no byte was sent.
     pub(crate) async fn send(
         &mut self,
@@ -117,7 +126,8 @@
     source: Option<IpAddr>,
     connect_timeout: Duration,
     metrics: Arc<Metrics>,
-    idle: Mutex<HashMap<TargetId, Vec<IdleConnection>>>,
+    /// Idle connections by target, or by the address of a peer that relays.
+    idle: Mutex<HashMap<String, Vec<IdleConnection>>>,
     /// Maximum number of idle connections to one target, by service.
     max_idle: Mutex<HashMap<Name, usize>>,
 }
@@ -142,26 +152,25 @@
         *self.max_idle.lock() = max_idle.collect();
     }
 
-    /// Takes an idle connection or makes a new one. An error means that nothing was sent.
-    pub(crate) async fn take(
-        &self,
-        target: &TargetInstance,
-        reuse: Reuse,
-    ) -> io::Result<Connection> {
-        if let Some(it) = self.take_idle(&target.id, reuse) {
-            return Ok(it);
-        }
-        self.make(target).await
-    }
-
-    async fn make(&self, target: &TargetInstance) -> io::Result<Connection> {
+    /// Makes a connection to a target.
+    pub(crate) async fn make(&self, target: &TargetInstance) -> io::Result<Connection> {
         let begun = Instant::now();
         let made = tokio::time::timeout(self.connect_timeout, self.connect(&target.address)).await;
         let made = made.unwrap_or_else(|_| Err(io::Error::from(io::ErrorKind::TimedOut)));
         self.record_connect(target, begun, made.as_ref().err());
         let (sender, task) = made?;
-        let (target, service) = (target.id.clone(), target.service.clone());
-        Ok(Connection { sender, target, service, task: Some(task) })
+        let (remote, service) = (target.id.clone(), Some(target.service.clone()));
+        Ok(Connection { sender, remote, service, task: Some(task) })
+    }
+
+    /// Takes an idle connection to a peer that relays requests, or makes a new one.
+    pub(crate) async fn take_peer(&self, address: &str, reuse: Reuse) -> io::Result<Connection> {
+        if let Some(it) = self.take_idle(address, reuse) {
+            return Ok(it);
+        }
+        let made = tokio::time::timeout(self.connect_timeout, connect(address)).await;
+        let (sender, task) = made.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        Ok(Connection { sender, remote: address.to_owned(), service: None, task: Some(task) })
     }
 
     async fn connect(&self, address: &str) -> io::Result<(SendRequest<Full<Bytes>>, AbortHandle)> {
@@ -209,10 +218,12 @@
         if limit.is_zero() || connection.sender.is_closed() {
             return;
         }
-        let max_count =
-            self.max_idle.lock().get(&connection.service).copied().unwrap_or(DEFAULT_IDLE_COUNT);
+        let max_count = match &connection.service {
+            Some(it) => self.max_idle.lock().get(it).copied().unwrap_or(DEFAULT_IDLE_COUNT),
+            None => MAX_IDLE_RELAYS,
+        };
         let mut all = self.idle.lock();
-        let idle = all.entry(connection.target.clone()).or_default();
+        let idle = all.entry(connection.remote.clone()).or_default();
         idle.push(IdleConnection { connection, since: Instant::now(), limit });
         if max_count < idle.len() {
             idle.remove(0);
@@ -221,7 +232,13 @@
 
     /// Closes the idle connections to targets that `is_kept` does not name.
     pub(crate) fn retain(&self, is_kept: impl Fn(&str) -> bool) {
-        self.idle.lock().retain(|id, _| is_kept(id));
+        let is_relay = |it: &[IdleConnection]| it.iter().any(|it| it.connection.is_relayed());
+        self.idle.lock().retain(|id, idle| is_relay(idle) || is_kept(id));
+    }
+
+    /// Closes the idle connections to a target, which may have gone silent.
+    pub(crate) fn close_idle(&self, target: &str) {
+        self.idle.lock().remove(target);
     }
 
     /// Closes the connections that have been idle for too long.
@@ -233,9 +250,10 @@
         all.retain(|_, it| !it.is_empty());
     }
 
-    fn take_idle(&self, target: &str, reuse: Reuse) -> Option<Connection> {
+    /// Takes an idle connection to a target, or to the peer at an address.
+    pub(crate) fn take_idle(&self, remote: &str, reuse: Reuse) -> Option<Connection> {
         let mut all = self.idle.lock();
-        let idle = all.get_mut(target)?;
+        let idle = all.get_mut(remote)?;
         // The most recently used one is the least likely to be closing.
         while let Some(it) = idle.pop() {
             if it.is_usable(reuse) {
--- /dev/null
+++ b/crates/holdpointd/src/ingress/dispatch.rs
@@ -0,0 +1,125 @@
+//! Sends requests to targets: over the target's own path, or through a peer where that path is lost.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use holdpoint_adapter::headers::TargetHead;
+use holdpoint_core::{confinement::Within, directory::TargetInstance, reach::Path};
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::sync::oneshot;
+
+use crate::ingress::{
+    connections::{Connection, Reuse},
+    gate::{ExchangeError, Payload, exchange},
+    limits::Permit,
+    paths::{self, AwaitedAnswer},
+    relay,
+    shared::IngressShared,
+};
+
+/// A request to a target.
+pub(crate) struct Outgoing<'a> {
+    pub(crate) target: &'a TargetInstance,
+    pub(crate) permit: &'a Permit,
+    pub(crate) payload: Payload<'a>,
+    pub(crate) request: Request<Full<Bytes>>,
+    pub(crate) reuse: Reuse,
+    /// Whether it may be sent again after it may have been run.
+    pub(crate) is_repeatable: bool,
+    /// Regions that its bytes may pass through.
+    pub(crate) within: &'a Within,
+}
+
+/// The head of an answer, with the connection that its body arrives on.
+pub(crate) struct Exchanged {
+    pub(crate) connection: Connection,
+    pub(crate) head: TargetHead,
+    pub(crate) response: Response<Incoming>,
+}
+
+/// Sends a request, and waits for the head of its answer.
+pub(crate) async fn dispatch(
+    shared: &Arc<IngressShared>,
+    outgoing: &Outgoing<'_>,
+) -> Result<Exchanged, ExchangeError> {
+    let Outgoing { target, is_repeatable, .. } = *outgoing;
+    let now = shared.clock.now();
+    let mut is_tried = false;
+    if shared.paths.path(now, target, is_repeatable) == Path::Direct {
+        let sent = send_direct(shared, outgoing).await;
+        let is_lost = || shared.paths.is_lost(shared.clock.now(), &target.id);
+        if !matches!(sent, Err(ExchangeError::NotSent)) || !is_lost() {
+            return sent;
+        }
+        is_tried = true;
+    }
+    let sent = relay::send(shared, outgoing).await;
+    if !matches!(sent, Err(ExchangeError::NoRelay | ExchangeError::NotSent)) {
+        return sent;
+    }
+    let now = shared.clock.now();
+    let targets = shared.pools.of(now, &target.service).len();
+    if shared.paths.record_no_relay(now, &target.service, targets) {
+        return Err(ExchangeError::NoPath);
+    }
+    match sent {
+        // Without peers, an attempt on the lost path is better than none.
+        Err(ExchangeError::NoRelay) if !is_tried => send_direct(shared, outgoing).await,
+        _ => Err(ExchangeError::NotSent),
+    }
+}
+
+/// Sends a request on a connection of this instance.
+pub(crate) async fn send_direct(
+    shared: &Arc<IngressShared>,
+    outgoing: &Outgoing<'_>,
+) -> Result<Exchanged, ExchangeError> {
+    let Outgoing { target, permit, payload, ref request, reuse, is_repeatable, .. } = *outgoing;
+    let mut connection = connect(shared, target, reuse).await.ok_or(ExchangeError::NotSent)?;
+    let awaited = AwaitedAnswer::new(shared, target);
+    let sending = exchange(shared, &mut connection, (target, permit), payload, request.clone());
+    let sent = tokio::select! {
+        it = sending => it,
+        () = awaited.wait_lost(), if is_repeatable => Err(ExchangeError::Broken),
+    };
+    match sent {
+        Ok((head, response)) => {
+            awaited.answered();
+            Ok(Exchanged { connection, head, response })
+        }
+        Err(ExchangeError::Broken) => {
+            awaited.broken().await;
+            Err(ExchangeError::Broken)
+        }
+        Err(it) => {
+            awaited.disregard();
+            Err(it)
+        }
+    }
+}
+
+/// Takes an idle connection or makes a new one. A request that does not wait for it leaves it to the next one, and
+/// a failure still counts.
+async fn connect(
+    shared: &Arc<IngressShared>,
+    target: &TargetInstance,
+    reuse: Reuse,
+) -> Option<Connection> {
+    if let Some(it) = shared.connections.take_idle(&target.id, reuse) {
+        return Some(it);
+    }
+    let (sender, made) = oneshot::channel();
+    let (shared, target) = (shared.clone(), target.clone());
+    tokio::spawn(async move {
+        let made = shared.connections.make(&target).await;
+        if made.is_err() {
+            paths::record_loss(&shared, &target);
+        }
+        if let Err(Some(it)) = sender.send(made.ok()) {
+            shared.connections.give_back(it, None);
+        }
+    });
+    made.await.ok()?
+}
--- a/crates/holdpointd/src/ingress/gate.rs
+++ b/crates/holdpointd/src/ingress/gate.rs
@@ -23,6 +23,7 @@
         connections::Connection,
         drain_notices::{self, DrainNotice},
         limits::Permit,
+        relay::{self, RelayRefusal},
         shared::IngressShared,
     },
     metrics::label,
@@ -81,6 +82,27 @@
     Broken,
     /// The answer belongs to another request.
     Crossed,
+    /// The peer that was to relay the request has not sent it.
+    Refused(RelayRefusal),
+    /// No peer reaches the service.
+    NoRelay,
+    /// Neither this instance nor a peer reaches the service.
+    NoPath,
+}
+
+impl ExchangeError {
+    /// Name in the log.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            ExchangeError::Blocked(it) => it.name(),
+            ExchangeError::NotSent => "not-sent",
+            ExchangeError::Broken => "broken",
+            ExchangeError::Crossed => "crossed",
+            ExchangeError::Refused(it) => it.name(),
+            ExchangeError::NoRelay => "no-relay",
+            ExchangeError::NoPath => "no-path",
+        }
+    }
 }
 
 /// Sends a request on a connection to its target, if the gate allows it, and waits for the head of the answer.
@@ -94,10 +116,10 @@
     let clearance =
         grant_clearance(shared, target, permit, payload).map_err(ExchangeError::Blocked)?;
     let sent = shared.clock.now();
-    let response = connection.send(clearance, request).await.map_err(|it| match it.message() {
-        Some(_) => ExchangeError::NotSent,
-        None => ExchangeError::Broken,
-    })?;
+    let mut response = send(connection, clearance, request).await?;
+    if connection.is_relayed() {
+        relay::check_outcome(&mut response)?;
+    }
     let head = headers::read_target(response.status(), response.headers());
     if head.is_misdirected {
         // Another target has this address now, and its notices say nothing about the one that was meant.
@@ -114,6 +136,26 @@
     Ok((head, response))
 }
 
+/// Asks a peer on its connection to probe a target.
+pub(crate) async fn exchange_probe(
+    connection: &mut Connection,
+    request: Request<Full<Bytes>>,
+) -> Result<(), ExchangeError> {
+    let mut response = send(connection, Clearance(()), request).await?;
+    relay::check_outcome(&mut response)
+}
+
+async fn send(
+    connection: &mut Connection,
+    clearance: Clearance,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, ExchangeError> {
+    connection.send(clearance, request).await.map_err(|it| match it.message() {
+        Some(_) => ExchangeError::NotSent,
+        None => ExchangeError::Broken,
+    })
+}
+
 /// Checks whether a payload may be sent to a target now.
 fn grant_clearance(
     shared: &IngressShared,
--- a/crates/holdpointd/src/ingress/limits.rs
+++ b/crates/holdpointd/src/ingress/limits.rs
@@ -324,6 +324,16 @@
 }
 
 impl Permit {
+    /// Whether it was counted against a limit.
+    pub(crate) fn is_counted(&self) -> bool {
+        self.is_taken
+    }
+
+    /// The permit of a request that this instance relays for a peer.
+    pub(crate) fn relayed(is_counted: bool) -> Permit {
+        Permit { is_taken: is_counted }
+    }
+
     /// The permit for a target that a peer has assigned and counted against its limit.
     pub(crate) fn assigned() -> Permit {
         Permit { is_taken: true }
--- a/crates/holdpointd/src/ingress/links.rs
+++ b/crates/holdpointd/src/ingress/links.rs
@@ -314,6 +314,7 @@
             Ok(Ok(status)) => {
                 links.record_round_trip(&address, begun.elapsed());
                 links.clear_suspicion(&address);
+                shared.peers.set_unreached(&address, status.unreached);
                 if !shared.peers.is_far(&address) {
                     let (times, loads) = (status.stage_times, status.stage_loads);
                     shared.apply_stage_loads(StageLoads { times, loads });
--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -24,7 +24,7 @@
     server::{BaseChannel, Channel},
     tokio_util::codec::LengthDelimitedCodec,
 };
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio_serde::{Deserializer, formats::Cbor};
 
 use crate::ingress::{
@@ -35,6 +35,7 @@
     item_request::{ItemRequest, ItemResult},
     limits::{self, Assignment},
     quarantine::{self, RunReport},
+    relay,
     releases::notify_makers,
     rollouts::{self, DriverAnswer, RolloutReport},
     shared::IngressShared,
@@ -45,7 +46,7 @@
 const MAX_FRAME_BYTES: usize = 16 << 20;
 
 /// Protocol version of this instance. [`IngressPeers::check`] needs version 1.
-pub(crate) const PROTOCOL: u32 = DRAIN_PROTOCOL;
+pub(crate) const PROTOCOL: u32 = RELAY_PROTOCOL;
 /// First protocol version that keeps confined work within its regions.
 pub(crate) const CONFINEMENT_PROTOCOL: u32 = 2;
 /// First protocol version with [`IngressPeers::lend`].
@@ -59,6 +60,11 @@
 pub(crate) const RATE_LIMIT_PROTOCOL: u32 = 6;
 /// First protocol version with [`IngressPeers::make_pieces`] and [`IngressPeers::tell_departures`].
 pub(crate) const DRAIN_PROTOCOL: u32 = 7;
+/// First protocol version that relays requests to targets, see [`crate::ingress::relay`].
+pub(crate) const RELAY_PROTOCOL: u32 = 8;
+/// Smallest first byte of an HTTP request. The frames of other messages are shorter than what it would stand for as
+/// the first byte of their length.
+const FIRST_HTTP_BYTE: u8 = b'A';
 
 /// Results of the work items that an instance has processed for a peer.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -82,6 +88,9 @@
     /// Load of these services.
     #[serde(default)]
     pub(crate) stage_loads: Vec<(Name, StageLoad)>,
+    /// Services that it does not reach.
+    #[serde(default)]
+    pub(crate) unreached: Vec<Name>,
 }
 
 /// A prompt for which an instance requests a target.
@@ -194,14 +203,25 @@
         if set_socket_options(&stream).is_err() {
             continue;
         }
-        let io: Transport<_, _, _, _> = transport(codec().new_framed(stream), Cbor::default());
-        let server = PeerServer { shared: shared.clone() };
-        let channel = BaseChannel::with_defaults(io);
-        tokio::spawn(channel.execute(server.serve()).for_each(|it| {
-            tokio::spawn(it);
-            std::future::ready(())
-        }));
+        tokio::spawn(serve_peer(shared.clone(), stream));
+    }
+}
+
+async fn serve_peer(shared: Arc<IngressShared>, stream: TcpStream) {
+    let mut first = [0];
+    match stream.peek(&mut first).await {
+        Ok(0) | Err(_) => return,
+        Ok(_) if FIRST_HTTP_BYTE <= first[0] => return relay::serve(shared, stream).await,
+        Ok(_) => (),
     }
+    let io: Transport<_, _, _, _> = transport(codec().new_framed(stream), Cbor::default());
+    let server = PeerServer { shared };
+    let channel = BaseChannel::with_defaults(io);
+    let serving = channel.execute(server.serve()).for_each(|it| {
+        tokio::spawn(it);
+        std::future::ready(())
+    });
+    serving.await;
 }
 
 #[derive(Clone)]
@@ -285,8 +305,9 @@
 
     async fn check(self, context: context::Context, known: Version, address: String) -> PeerStatus {
         let StageLoads { times, loads } = self.shared.batches.stage_loads();
+        let unreached = self.shared.peers.own_unreached();
         let version = self.ping(context, known, address).await;
-        PeerStatus { version, stage_times: times, stage_loads: loads }
+        PeerStatus { version, stage_times: times, stage_loads: loads, unreached }
     }
 
     async fn lend(self, _: context::Context, service: Name, wanted: u32) -> Lease {
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -3,6 +3,7 @@
 //! [`super::links`] tracks which peers respond.
 
 mod calls;
+mod unreached;
 mod view;
 
 use std::{
@@ -32,8 +33,11 @@
     links::Links, packed::peer_hash, peer_service::CONFINEMENT_PROTOCOL, shared::IngressShared,
 };
 
-use self::view::View;
 pub(crate) use self::{calls::process_anywhere, view::Leaders};
+use self::{
+    unreached::Unreached,
+    view::{Owner, View},
+};
 
 /// Time limit for a peer of the same region to choose a target; after that, this instance chooses it.
 pub(crate) const TARGET_CHOICE_TIMEOUT: Duration = Duration::from_millis(60);
@@ -135,6 +139,8 @@
     reported_sizes: Mutex<DomainSizes>,
     /// Whether this instance is draining and no longer owns services.
     is_draining: AtomicBool,
+    /// Services that instances do not reach.
+    unreached: Unreached,
 }
 
 impl Peers {
@@ -158,6 +164,7 @@
             were_read: AtomicBool::new(false),
             reported_sizes: Mutex::default(),
             is_draining: AtomicBool::new(false),
+            unreached: Unreached::default(),
         }
     }
 
@@ -270,7 +277,10 @@
         if self.batching == Batching::Own {
             return None;
         }
-        self.owner_of(owners, service)
+        // An instance that does not reach the service would decide for all instances by what it sees of its own cut.
+        let reaches = |it: &Owner| !self.unreached.contains(it.address.as_deref(), service);
+        let owner = self.choose_owner(owners, service, reaches);
+        owner.or_else(|| self.choose_owner(owners, service, |_| true))?.address
     }
 
     /// Address of the owner of a key among `owners`, chosen by rendezvous hashing; `None` if it is this
@@ -286,13 +296,42 @@
         owners: Owners<'_>,
         key: &str,
     ) -> Option<String> {
+        self.choose_owner(owners, key, |it| protocol <= it.protocol)?.address
+    }
+
+    fn choose_owner(
+        &self,
+        owners: Owners<'_>,
+        key: &str,
+        is_candidate: impl Fn(&Owner) -> bool,
+    ) -> Option<Owner> {
         let view = self.view();
         let candidates = match owners {
             Owners::Any => &view.owners[..],
             Owners::Region(region) => view.regions.get(region).map_or(&[][..], |it| it.as_slice()),
         };
-        let candidates = candidates.iter().filter(|it| protocol <= it.protocol);
-        candidates.max_by_key(|it| (weight(key, &it.name), &it.name))?.address.clone()
+        let candidates = candidates.iter().filter(|it| is_candidate(it));
+        candidates.max_by_key(|it| (weight(key, &it.name), &it.name)).cloned()
+    }
+
+    /// Records the services that the peer at an address does not reach.
+    pub(crate) fn set_unreached(&self, address: &str, services: Vec<Name>) {
+        self.unreached.set(address, services);
+    }
+
+    /// Records the services that this instance does not reach.
+    pub(crate) fn set_own_unreached(&self, services: Vec<Name>) {
+        self.unreached.set_own(services);
+    }
+
+    /// Services that this instance does not reach.
+    pub(crate) fn own_unreached(&self) -> Vec<Name> {
+        self.unreached.own()
+    }
+
+    /// Addresses of the peers that can relay requests, in the order in which this instance asks them.
+    pub(crate) fn relays(&self) -> Vec<String> {
+        self.view().relays.clone()
     }
 
     /// Whether the peer at an address is inside these bounds and keeps confined work in its regions.
--- a/crates/holdpointd/src/ingress/peers/view.rs
+++ b/crates/holdpointd/src/ingress/peers/view.rs
@@ -2,6 +2,7 @@
 //! follows, and the leaders that a starting instance has to know. Cached until one of its inputs changes.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeSet, HashMap},
     sync::{Arc, atomic::Ordering},
     time::Duration,
@@ -11,12 +12,17 @@
     capacity::strong,
     ids::Name,
     readers::{DomainSizes, Member, Role, leaders, plan},
+    subset::{hashed_weight, item_hash},
 };
 use holdpoint_platform::Instant;
 use serde::{Deserialize, Serialize};
 
 use super::{Peer, Peers, Sources};
-use crate::ingress::peer_service::PROTOCOL;
+use crate::ingress::peer_service::{PROTOCOL, RELAY_PROTOCOL};
+
+/// Maximum number of peers that an instance asks to relay requests. If half of all instances are cut off, one in
+/// 4 billion finds no relay among so many.
+const MAX_RELAYS: usize = 32;
 
 /// An instance with enough capacity to own services.
 #[derive(Clone, Debug)]
@@ -52,6 +58,8 @@
     pub(super) owners_reached: (usize, usize),
     /// Instances that a starting instance has to know.
     leaders: Vec<Name>,
+    /// Addresses of the peers that this instance asks to relay requests, the preferred ones first.
+    pub(super) relays: Vec<String>,
 }
 
 /// What a starting instance has to know of the others.
@@ -63,6 +71,29 @@
     pub(crate) sizes: DomainSizes,
 }
 
+/// The peers that an instance asks to relay requests: those of its region first, then by rendezvous weight, so that
+/// the load of instances that are cut off together spreads over all others.
+fn relays(
+    own: &str,
+    members: &[Member<'_>],
+    peer: impl Fn(&str) -> Option<(bool, String)>,
+) -> Vec<String> {
+    let key = item_hash(own);
+    let mut ranked: Vec<(bool, Reverse<u64>, String)> = members
+        .iter()
+        .filter_map(|it| {
+            let (is_far, address) = peer(it.name)?;
+            Some((is_far, Reverse(hashed_weight(key, item_hash(it.name))), address))
+        })
+        .collect();
+    if MAX_RELAYS < ranked.len() {
+        ranked.select_nth_unstable(MAX_RELAYS);
+        ranked.truncate(MAX_RELAYS);
+    }
+    ranked.sort_unstable();
+    ranked.into_iter().map(|it| it.2).collect()
+}
+
 impl Peers {
     /// The current view. It is used for each request and each call to a peer, so it is rebuilt only after a
     /// change: the cost grows with the number of instances.
@@ -147,7 +178,14 @@
         let suspects = all.iter().filter(|it| is_suspect_peer(it)).count();
         let owners_reached = (all.len() - suspects, all.len());
         let leaders = leaders(&members).into_iter().map(str::to_owned).collect();
+        let relays = relays(own, &members, |name| {
+            known
+                .get(name)
+                .filter(|it| RELAY_PROTOCOL <= it.protocol)
+                .map(|it| (!self.topology.is_near(&it.domain), it.address.clone()))
+        });
         View {
+            relays,
             owners: owners(&|_| true),
             regions,
             sources,
--- a/crates/holdpointd/src/ingress/pools.rs
+++ b/crates/holdpointd/src/ingress/pools.rs
@@ -301,6 +301,11 @@
         self.refused_until.load(Ordering::Acquire).saturating_sub(now)
     }
 
+    /// Number of targets that are routed to.
+    pub(crate) fn len(&self) -> usize {
+        self.router.lock().len()
+    }
+
     /// Targets that this instance has ejected.
     pub(crate) fn ejected(&self, now: Millis) -> Vec<TargetId> {
         self.router.lock().ejected(now)
--- a/crates/holdpointd/src/ingress/quarantine.rs
+++ b/crates/holdpointd/src/ingress/quarantine.rs
@@ -33,8 +33,9 @@
 use crate::{
     events::{self, emit},
     ingress::{
-        answer::Answer, connections::Reach, context::Context, peer_service::QUARANTINE_PROTOCOL,
-        peers::Owners, shared::IngressShared, store::StoreClient,
+        answer::Answer, connections::Reach, context::Context, paths,
+        peer_service::QUARANTINE_PROTOCOL, peers::Owners, relay, shared::IngressShared,
+        store::StoreClient,
     },
 };
 
@@ -226,7 +227,7 @@
 /// Treats requests as suspect if their target has crashed. A target that is still reachable has only broken
 /// a connection.
 async fn check_target(shared: Arc<IngressShared>, target: TargetInstance, runs: Vec<CrashedRun>) {
-    let reach = shared.connections.reach(&target).await;
+    let reach = reach(&shared, &target).await;
     let detail = format!(
         "target={} born={} runs={} reach={reach:?} first={}",
         target.id,
@@ -240,6 +241,20 @@
     }
 }
 
+/// Probes a target. One that this instance does not reach may still be reached by peers.
+async fn reach(shared: &Arc<IngressShared>, target: &TargetInstance) -> Reach {
+    let own = shared.connections.reach(target).await;
+    if own != Reach::None {
+        return own;
+    }
+    paths::record_loss(shared, target);
+    match relay::probe(shared, target).await {
+        Some(true) => Reach::Peer,
+        None if shared.paths.is_isolated(&target.service) => Reach::Unknown,
+        Some(false) | None => Reach::None,
+    }
+}
+
 /// Address of the judge of a service; `None` if this instance is the judge.
 fn judge_of(shared: &IngressShared, service: &str) -> Option<String> {
     shared.peers.owner_of(Owners::Any, &format!("{KEY_PREFIX}{service}"))
--- a/crates/holdpointd/src/ingress/releases.rs
+++ b/crates/holdpointd/src/ingress/releases.rs
@@ -109,7 +109,7 @@
     let Ok(permit) = limits::acquire(&shared, &target).await else { return };
     let body = wire::release_body(&handles);
     let call = InternalCall { path: wire::RELEASE_PATH, body, payload: Payload::Release };
-    let outcome = internal_call(&shared, (&target, permit), call, CALL_TIMEOUT).await;
+    let outcome = internal_call(&shared, (&target, permit), call, &None, CALL_TIMEOUT).await;
     if outcome.is_ok_and(|it| it.0.is_success()) {
         shared.batches.record_released(&service, &handles);
         crate::ingress::batches::start_calls(&shared, &service);
--- a/crates/holdpointd/src/ingress/send.rs
+++ b/crates/holdpointd/src/ingress/send.rs
@@ -1,10 +1,10 @@
 //! Sends one request to one target, and classifies the outcome by whether the target may have run it.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use holdpoint_adapter::headers::{self, SystemHeaders, TargetHead};
-use holdpoint_core::directory::TargetInstance;
+use holdpoint_core::{confinement::Within, directory::TargetInstance};
 use holdpoint_platform::Instant;
 use http::{HeaderMap, Method, Request, Response, StatusCode, response::Parts};
 use http_body_util::{BodyExt, Full};
@@ -13,7 +13,8 @@
 use crate::ingress::{
     connections::{Connection, Reuse},
     context::Context,
-    gate::{ExchangeError, Payload, SendBlock, exchange},
+    dispatch::{Exchanged, Outgoing, dispatch},
+    gate::{ExchangeError, Payload, SendBlock},
     limits::Permit,
     shared::IngressShared,
     unread::MAX_RESPONSE_BYTES,
@@ -40,6 +41,8 @@
 pub(crate) enum InternalCallError {
     /// There is no connection to the target, or no byte of the call was sent.
     NotSent,
+    /// Neither this instance nor a peer reaches the service.
+    NoPath,
     /// The gate refused the send.
     Blocked(SendBlock),
     /// The connection broke off.
@@ -52,7 +55,10 @@
     fn from(why: ExchangeError) -> InternalCallError {
         match why {
             ExchangeError::Blocked(it) => InternalCallError::Blocked(it),
-            ExchangeError::NotSent => InternalCallError::NotSent,
+            ExchangeError::NotSent | ExchangeError::Refused(_) | ExchangeError::NoRelay => {
+                InternalCallError::NotSent
+            }
+            ExchangeError::NoPath => InternalCallError::NoPath,
             ExchangeError::Broken | ExchangeError::Crossed => InternalCallError::Broken,
         }
     }
@@ -62,6 +68,8 @@
 pub(crate) enum SendOutcome {
     /// There is no connection to the target, or no byte of the request was sent.
     NotSent,
+    /// Neither this instance nor a peer reaches the service.
+    NoPath,
     /// The gate refused the send.
     Blocked(SendBlock),
     /// The target has not run the request and never will.
@@ -84,17 +92,24 @@
     added_headers: &SystemHeaders<'_>,
 ) -> SendOutcome {
     let Context { shared, request, .. } = ctx;
-    let Ok(mut connection) = shared.connections.take(target, ctx.reuse()).await else {
-        return SendOutcome::NotSent;
-    };
-    let Some(outgoing) = outgoing(request, added_headers) else { return SendOutcome::NotSent };
+    let Some(forwarded) = forwarded(request, added_headers) else { return SendOutcome::NotSent };
     let within = ctx.within();
-    let payload = Payload::Request { id: &request.id, within: &within };
-    let sent = exchange(shared, &mut connection, (target, &permit), payload, outgoing).await;
-    let (head, response) = match sent {
+    let outgoing = Outgoing {
+        target,
+        permit: &permit,
+        payload: Payload::Request { id: &request.id, within: &within },
+        request: forwarded,
+        reuse: ctx.reuse(),
+        is_repeatable: ctx.is_repeatable(),
+        within: &within,
+    };
+    let Exchanged { connection, head, response } = match dispatch(shared, &outgoing).await {
         Ok(it) => it,
         Err(ExchangeError::Blocked(it)) => return SendOutcome::Blocked(it),
-        Err(ExchangeError::NotSent) => return SendOutcome::NotSent,
+        Err(ExchangeError::NoPath) => return SendOutcome::NoPath,
+        Err(ExchangeError::NotSent | ExchangeError::Refused(_) | ExchangeError::NoRelay) => {
+            return SendOutcome::NotSent;
+        }
         Err(ExchangeError::Broken) => {
             ctx.connection_broken(target);
             return SendOutcome::Broken;
@@ -156,21 +171,28 @@
 
 /// Makes an internal call; returns the status, head and body of its answer.
 pub(crate) async fn internal_call(
-    shared: &IngressShared,
+    shared: &Arc<IngressShared>,
     (target, permit): (&TargetInstance, Permit),
     call: InternalCall,
+    within: &Within,
     limit: Duration,
 ) -> Result<(StatusCode, TargetHead, Bytes), InternalCallError> {
     let calling = async {
-        let taken = shared.connections.take(target, Reuse::Any).await;
-        let mut connection = taken.map_err(|_| InternalCallError::NotSent)?;
         let mut request = Request::new(Full::new(Bytes::from(call.body)));
         *request.method_mut() = Method::POST;
         *request.uri_mut() = http::Uri::from_static(call.path);
         *request.headers_mut() = headers::internal_call_headers(&target.id);
         set_host(request.headers_mut(), &target.address);
-        let sent = exchange(shared, &mut connection, (target, &permit), call.payload, request);
-        let (head, response) = sent.await?;
+        let outgoing = Outgoing {
+            target,
+            permit: &permit,
+            payload: call.payload,
+            request,
+            reuse: Reuse::Any,
+            is_repeatable: true,
+            within,
+        };
+        let Exchanged { connection, head, response } = dispatch(shared, &outgoing).await?;
         let status = response.status();
         let body = response.into_body().collect().await;
         let body = body.map_err(|_| InternalCallError::Broken)?.to_bytes();
@@ -187,7 +209,7 @@
     until.saturating_duration_since(Instant::now())
 }
 
-fn outgoing(
+fn forwarded(
     request: &CallerRequest,
     added_headers: &SystemHeaders<'_>,
 ) -> Option<Request<Full<Bytes>>> {
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -43,11 +43,13 @@
         drain_notices::{DrainNotice, DrainNotices},
         limits::Limits,
         packed::{Packed, peer_hash},
+        paths::Paths,
         peer_service::PROTOCOL,
         peers::{Peer, Peers, own_capacity},
         pools::Pools,
         quarantine::{self, Quarantines},
         regions::Regions,
+        relay::Relays,
         releases::Releases,
         rollouts::Rollouts,
         store::StoreEpochs,
@@ -82,6 +84,10 @@
     started_at: Instant,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) connections: Connections,
+    /// Paths of this instance to the targets.
+    pub(crate) paths: Paths,
+    /// Requests relayed for peers, and peers that relay.
+    pub(crate) relays: Relays,
     pub(crate) pools: Pools,
     pub(crate) batches: Batches,
     pub(crate) releases: Releases,
@@ -167,6 +173,8 @@
             topology: Topology::new(&settings.region, settings.regions.clone()),
             started_at: Instant::now(),
             connections: Connections::new(&settings, metrics.clone()),
+            paths: Paths::default(),
+            relays: Relays::default(),
             metrics,
             pools: Pools::new(&settings),
             batches: Batches::default(),
@@ -285,6 +293,7 @@
         for id in changes.ids() {
             if restarted.contains(id.as_str()) || directory.get(id).is_none() {
                 self.limits.remove(id);
+                self.paths.remove(id);
             }
         }
         self.apply_changes(&directory, changes.ids());
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -29,6 +29,7 @@
         context::Context,
         gate::SendBlock,
         limits::Permit,
+        paths,
         send::{BACKOFF_CAUSE, SendOutcome, asks_backoff, send},
         stage_results::StageResults,
         stages::{self, INPUT_FETCH_TIME},
@@ -73,6 +74,8 @@
     /// The target answered with an error.
     Failed(Box<Parts>, Bytes),
     NotSent,
+    /// Neither this instance nor a peer reaches the service.
+    NoPath,
     /// The gate refused the send.
     Blocked(SendBlock),
     Declined,
@@ -156,6 +159,10 @@
                 }
             }
             SendEnd::NotSent | SendEnd::Blocked(_) => attempts.never_sent(ctx),
+            SendEnd::NoPath => {
+                attempts.never_sent(ctx);
+                break StopCause::NoPath;
+            }
             SendEnd::InputsGone if reruns < MAX_STAGE_RERUNS => {
                 reruns += 1;
                 attempts.uncount();
@@ -203,6 +210,10 @@
             begun.never_sent();
             end_send(ctx, target, CallOutcome::Failed, "not-sent");
         }
+        SendEnd::NoPath => {
+            begun.never_sent();
+            end_send(ctx, target, CallOutcome::Cancelled, StopCause::NoPath.name());
+        }
         SendEnd::Blocked(it) => {
             begun.never_sent();
             end_send(ctx, target, CallOutcome::Cancelled, it.name());
@@ -260,6 +271,7 @@
     let sent = send(ctx, target, permit, &added_headers).await;
     let (head, response, connection) = match sent {
         SendOutcome::NotSent => return SendEnd::NotSent,
+        SendOutcome::NoPath => return SendEnd::NoPath,
         SendOutcome::Blocked(it) => return SendEnd::Blocked(it),
         SendOutcome::Broken => return SendEnd::Broken,
         SendOutcome::Declined { asks_backoff: true, .. } => return SendEnd::BackedOff,
@@ -398,7 +410,8 @@
     last_id: &mut Option<String>,
     sink: &ChunkSender,
 ) -> Forwarded {
-    let OpenStream { head, mut body, connection, mut splitter, first, is_ended, .. } = *open;
+    let OpenStream { target, head, mut body, connection, mut splitter, first, is_ended, .. } =
+        *open;
     if let Err(it) = forward_events(first, last_id, sink).await {
         return Forwarded::Undelivered(it);
     }
@@ -407,10 +420,13 @@
         return keep_connection(ctx, connection, &head);
     }
     let mut last = Instant::now();
-    loop {
+    let cause = loop {
         let next = tokio::time::timeout(gap, next_events(&mut body, &mut splitter)).await;
         match next {
             Ok(Next::Events(events)) => {
+                if !connection.is_relayed() {
+                    paths::record_heard(&ctx.shared, &target);
+                }
                 let now = Instant::now();
                 ctx.record_gap(now - last);
                 last = now;
@@ -419,10 +435,14 @@
                 }
             }
             Ok(Next::End) => return keep_connection(ctx, connection, &head),
-            Ok(Next::Broken) => return Forwarded::Broken(BROKEN_CAUSE),
-            Err(_) => return Forwarded::Broken("silent"),
+            Ok(Next::Broken) => break BROKEN_CAUSE,
+            Err(_) => break "silent",
         }
+    };
+    if !connection.is_relayed() {
+        paths::check_interrupted(&ctx.shared, &target).await;
     }
+    Forwarded::Broken(cause)
 }
 
 /// Ends a complete stream, and keeps its connection unless the target closes it.
--- a/crates/holdpointd/src/ingress/whole.rs
+++ b/crates/holdpointd/src/ingress/whole.rs
@@ -56,6 +56,8 @@
     /// The target answered with an error.
     Failed(Box<Parts>, Bytes),
     NotSent,
+    /// Neither this instance nor a peer reaches the service.
+    NoPath,
     /// The gate refused the send.
     Blocked(SendBlock),
     Declined,
@@ -164,6 +166,10 @@
                 }
             }
             SendEnd::NotSent | SendEnd::Blocked(_) => attempts.never_sent(ctx),
+            SendEnd::NoPath => {
+                attempts.never_sent(ctx);
+                break StopCause::NoPath;
+            }
             SendEnd::Declined | SendEnd::BackedOff => (),
             SendEnd::Broken | SendEnd::TimedOut if ctx.is_repeatable() => (),
             SendEnd::Broken | SendEnd::TimedOut => break StopCause::Attempts,
@@ -199,6 +205,11 @@
             end_send(ctx, target, CallOutcome::Failed, "not-sent");
             SendEnd::NotSent
         }
+        Ok(SendEnd::NoPath) => {
+            begun.never_sent();
+            end_send(ctx, target, CallOutcome::Cancelled, StopCause::NoPath.name());
+            SendEnd::NoPath
+        }
         Ok(SendEnd::Blocked(it)) => {
             begun.never_sent();
             end_send(ctx, target, CallOutcome::Cancelled, it.name());
@@ -246,6 +257,7 @@
     let added_headers = ctx.added_headers(target, None, inputs);
     match send(ctx, target, permit, &added_headers).await {
         SendOutcome::NotSent => SendEnd::NotSent,
+        SendOutcome::NoPath => SendEnd::NoPath,
         SendOutcome::Blocked(it) => SendEnd::Blocked(it),
         SendOutcome::Declined { asks_backoff: true, .. } => SendEnd::BackedOff,
         SendOutcome::Declined { .. } => SendEnd::Declined,
--- a/crates/holdpointd/src/metrics.rs
+++ b/crates/holdpointd/src/metrics.rs
@@ -26,6 +26,12 @@
     pub latency: Histogram<f64>,
     /// Connections made to targets, by service and outcome.
     pub connects: Counter<u64>,
+    /// Changes of the paths to targets, by service and kind of change.
+    pub path_changes: Counter<u64>,
+    /// Requests sent through peers, by service and outcome.
+    pub relayed: Counter<u64>,
+    /// Services that this instance does not reach.
+    pub isolated_services: UpDownCounter<i64>,
     /// Attempts, by pool and result.
     pub attempts: Counter<u64>,
     /// Batched calls for results of stages, by result.
@@ -97,6 +103,12 @@
                 .with_boundaries(LATENCY_BOUNDS_MS.to_vec())
                 .build(),
             connects: counter("holdpoint_connects", "Connections to targets by outcome"),
+            path_changes: counter("holdpoint_path_changes", "Paths to targets lost and regained"),
+            relayed: counter("holdpoint_relayed", "Requests sent through peers by outcome"),
+            isolated_services: meter
+                .i64_up_down_counter("holdpoint_isolated_services")
+                .with_description("Services that this instance does not reach")
+                .build(),
             attempts: counter("holdpoint_attempts", "Attempts by pool and end"),
             batches: counter("holdpoint_batches", "Calls for results of stages by end"),
             placements: counter("holdpoint_placements", "Prompts by where they were placed"),
