Targets that crash when they have to reject too much: share out what they can bear

Nothing read this, and instances sent full targets as much as any other.

The statement is decoded into one field of TargetStatus. Each instance has at most its share of the target's slots there at a time; after a rejection it sends nothing for its share of half of what the target can bear, then one request at a time and one more with each that is accepted. The check stands in the gate, so prompts, work items and relayed requests pass it too, on both ends of a relay.

The account is each instance's own: from N / 2 times ten instances on, the pause is cut at 10 s, and the bound holds no longer.

--- a/crates/holdpoint-core/src/lib.rs
+++ b/crates/holdpoint-core/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod lifecycle;
 pub mod liveness;
 pub mod membership;
+pub mod overload;
 pub mod pipeline;
 pub mod placement;
 pub mod prelude;
--- a/crates/holdpoint-core/src/target_status.rs
+++ b/crates/holdpoint-core/src/target_status.rs
@@ -11,6 +11,9 @@
     pub backoff: Backoff,
     /// Limit on the rate of requests from all instances together.
     pub limit: NamedLimit,
+    /// Rejections per second, caused by all instances together, above which the target crashes; `None` if it states
+    /// none.
+    pub overload_limit: Option<f64>,
     /// Its load, if reported.
     pub load: Option<Load>,
 }
--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -163,6 +163,8 @@
     BACKOFF_REQUESTED = 781 Info "target requests backoff";
     /// The backoff time that a target requested cannot be read.
     BAD_BACKOFF = 782 Warn "target's backoff cannot be read";
+    /// A target that too many rejections would crash has rejected a request.
+    OVERLOAD_LIMIT = 783 Info "target paused after a rejection";
     /// A request was sent to a target.
     SENT = 700 Info "sent to a target";
     /// An attempt at a target ended without a complete answer.
--- a/crates/holdpointd/src/ingress/gate.rs
+++ b/crates/holdpointd/src/ingress/gate.rs
@@ -58,6 +58,8 @@
     Limited,
     /// The target has asked this instance to back off.
     BackingOff,
+    /// The target would crash if it had to reject the request.
+    Full,
 }
 
 impl SendBlock {
@@ -67,6 +69,7 @@
             SendBlock::Closed => "closed",
             SendBlock::Limited => "limited",
             SendBlock::BackingOff => "backoff",
+            SendBlock::Full => "full",
         }
     }
 }
@@ -115,6 +118,7 @@
 ) -> Result<(TargetHead, Response<Incoming>), ExchangeError> {
     let clearance =
         grant_clearance(shared, target, permit, payload).map_err(ExchangeError::Blocked)?;
+    let pending = PendingRequest::begin(shared, &target.id).map_err(ExchangeError::Blocked)?;
     let sent = shared.clock.now();
     let mut response = send(connection, clearance, request).await?;
     if connection.is_relayed() {
@@ -133,6 +137,8 @@
         return Err(ExchangeError::Crossed);
     }
     apply_notices(shared, target, &head.notice, payload, sent);
+    drop(pending);
+    apply_overload_limit(shared, target, &head);
     Ok((head, response))
 }
 
@@ -184,6 +190,44 @@
     Ok(Clearance(()))
 }
 
+/// Counts a request to a target that too many rejections would crash, until it is dropped.
+struct PendingRequest<'a> {
+    shared: &'a IngressShared,
+    target: &'a str,
+}
+
+impl<'a> PendingRequest<'a> {
+    /// Counts a request, unless the target must not get it now.
+    fn begin(shared: &'a IngressShared, target: &'a str) -> Result<PendingRequest<'a>, SendBlock> {
+        let is_allowed = shared.overloads.lock().begin(shared.clock.now(), target);
+        is_allowed.then_some(PendingRequest { shared, target }).ok_or(SendBlock::Full)
+    }
+}
+
+impl Drop for PendingRequest<'_> {
+    fn drop(&mut self) {
+        self.shared.overloads.lock().end(self.target);
+    }
+}
+
+/// Applies the limit of rejections that a target states in an answer.
+fn apply_overload_limit(shared: &IngressShared, target: &TargetInstance, head: &TargetHead) {
+    let (now, instances) = (shared.clock.now(), shared.peers.instance_count());
+    let mut overloads = shared.overloads.lock();
+    let limit = head.notice.overload_limit;
+    let Some(limit) = limit.filter(|_| head.is_declined) else {
+        let share = target.slots / instances.max(1) as u32;
+        return overloads.record_accepted(now, &target.id, limit, share);
+    };
+    let ms = overloads.record_rejected(now, &target.id, limit, instances);
+    drop(overloads);
+    let key = (target.id.as_str(), target.service.as_str());
+    shared.backoffs.lock().request(now, key, target.born, ms);
+    let detail = format!("target={} limit_per_s={limit} pause_ms={ms}", target.id);
+    emit(events::OVERLOAD_LIMIT, &shared.settings.instance, &detail);
+    shared.metrics.overload_pauses.add(1, &[label("service", target.service.as_str())]);
+}
+
 /// Applies the notices in a target's answer to a request that was sent at `sent`.
 fn apply_notices(
     shared: &IngressShared,
--- a/crates/holdpointd/src/ingress/relay.rs
+++ b/crates/holdpointd/src/ingress/relay.rs
@@ -83,7 +83,7 @@
     Broken,
 }
 
-const OUTCOMES: [(&str, RelayOutcome); 8] = [
+const OUTCOMES: [(&str, RelayOutcome); 9] = [
     ("answered", RelayOutcome::Answered),
     ("isolated", RelayOutcome::Refused(RelayRefusal::Isolated)),
     ("target-lost", RelayOutcome::Refused(RelayRefusal::TargetLost)),
@@ -91,6 +91,7 @@
     ("closed", RelayOutcome::Blocked(SendBlock::Closed)),
     ("limited", RelayOutcome::Blocked(SendBlock::Limited)),
     ("backoff", RelayOutcome::Blocked(SendBlock::BackingOff)),
+    ("full", RelayOutcome::Blocked(SendBlock::Full)),
     ("broken", RelayOutcome::Broken),
 ];
 
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -23,6 +23,7 @@
     directory::{Change, Directory, TargetId, TargetInstance},
     ids::{Millis, Name},
     ingress::{Configuration, is_newer},
+    overload::Overloads,
     topology::Topology,
 };
 use holdpoint_platform::{Clock, Instant};
@@ -106,6 +107,8 @@
     pub(crate) limits: Limits,
     /// Targets that have asked this instance to back off.
     pub(crate) backoffs: Mutex<Backoffs>,
+    /// Targets that crash if they have to reject too many requests.
+    pub(crate) overloads: Mutex<Overloads>,
     /// Drain notices received in responses of targets.
     pub(crate) departures: DrainNotices,
     /// Policies and experiments declared by operators.
@@ -187,6 +190,7 @@
             quarantines: Quarantines::default(),
             limits: Limits::default(),
             backoffs: Mutex::default(),
+            overloads: Mutex::default(),
             departures: DrainNotices::default(),
             experiments: ActiveResources::default(),
             in_flight: Arc::default(),
@@ -294,6 +298,7 @@
             if restarted.contains(id.as_str()) || directory.get(id).is_none() {
                 self.limits.remove(id);
                 self.paths.remove(id);
+                self.overloads.lock().remove(id);
             }
         }
         self.apply_changes(&directory, changes.ids());
--- a/crates/holdpointd/src/metrics.rs
+++ b/crates/holdpointd/src/metrics.rs
@@ -32,6 +32,8 @@
     pub relayed: Counter<u64>,
     /// Services that this instance does not reach.
     pub isolated_services: UpDownCounter<i64>,
+    /// Pauses after rejections by targets that too many would crash, by service.
+    pub overload_pauses: Counter<u64>,
     /// Attempts, by pool and result.
     pub attempts: Counter<u64>,
     /// Batched calls for results of stages, by result.
@@ -109,6 +111,10 @@
                 .i64_up_down_counter("holdpoint_isolated_services")
                 .with_description("Services that this instance does not reach")
                 .build(),
+            overload_pauses: counter(
+                "holdpoint_overload_pauses",
+                "Pauses after rejections by targets that too many would crash",
+            ),
             attempts: counter("holdpoint_attempts", "Attempts by pool and end"),
             batches: counter("holdpoint_batches", "Calls for results of stages by end"),
             placements: counter("holdpoint_placements", "Prompts by where they were placed"),
