Quarantine: a cut is no crash; tests of cuts of several kinds

What callers saw: in a test that cuts all instances off from all targets, requests that had nothing to do with it stayed refused as quarantined for ten minutes after the cut (36 of 69 right after it).

Cause: a connection that breaks while its target runs a request, and a target that then cannot be connected to, counted as a crash under this request. In a cut of all instances no peer can tell otherwise, and three targets later the request was held.

An instance now connects to some other targets before it reports a crash: if several of the same service, or all that it tries, are out of reach too, the cut is at fault. A target that answers under the same start takes its crashes back, and so does one whose entry is still in the store after 10 s, when that of a crashed one would be gone. New connections are watched for 10 ms while any path is in doubt: on a lost path they may be reset only after they were made, and a request on them could not be told to be unsent.

The tests cover two of three instances cut off, one-way loss, open connections that live on while new ones are refused and the reverse, all cut off (refused at once, served again after it), a stream under way, and a caller that leaves.

--- a/crates/holdpoint-core/src/quarantine.rs
+++ b/crates/holdpoint-core/src/quarantine.rs
@@ -140,6 +140,8 @@
 /// those crashes are explained by a request that is already quarantined.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
+    /// Crashes whose target was not yet checked to be gone, with the time of their record.
+    unconfirmed: HashMap<Incarnation, Millis>,
     suspects: HashMap<Fingerprint, Suspect>,
     quarantined: HashMap<Fingerprint, QuarantineEntry>,
 }
@@ -147,6 +149,7 @@
 impl Quarantine {
     /// Records a crash of a target under a request. Returns whether it is a new one.
     pub fn record_crash(&mut self, now: Millis, run: CrashedRun) -> bool {
+        self.unconfirmed.entry(run.incarnation.clone()).or_insert(now);
         if let Some(it) = self.quarantined.get_mut(&run.fingerprint) {
             return add_crash(&mut it.crashes, run);
         }
@@ -188,6 +191,32 @@
         if after == before { SuccessEffect::Nothing } else { SuccessEffect::Report }
     }
 
+    /// Incarnations recorded as crashed at least `age` milliseconds ago. Each is returned once.
+    pub fn take_unconfirmed(&mut self, now: Millis, age: Millis) -> Vec<Incarnation> {
+        let due = self.unconfirmed.extract_if(|_, it| *it + age <= now);
+        due.map(|it| it.0).collect()
+    }
+
+    /// Records that an incarnation of a target is alive, so that it has not crashed: an instance, or all of them, had
+    /// only lost the path to it. Returns the requests that are released from quarantine by this.
+    pub fn record_alive(&mut self, incarnation: &Incarnation) -> Vec<Fingerprint> {
+        for it in self.suspects.values_mut() {
+            it.crashes.retain(|it| it.incarnation != *incarnation);
+        }
+        self.suspects.retain(|_, it| !it.crashes.is_empty() || it.is_watched);
+        let mut released = Vec::new();
+        self.quarantined.retain(|fingerprint, it| {
+            let before = it.crashes.len();
+            it.crashes.retain(|it| it.incarnation != *incarnation);
+            let is_held = it.crashes.len() == before || QUARANTINE_CRASHES <= it.crashes.len();
+            if !is_held {
+                released.push(*fingerprint);
+            }
+            is_held
+        });
+        released
+    }
+
     /// Returns new decisions: requests to quarantine, which takes effect here at once, and to watch.
     pub fn judge(&mut self, now: Millis) -> Vec<Verdict> {
         let known_crashes = self.quarantined.values().flat_map(|it| &it.crashes);
--- a/crates/holdpoint-core/src/reach.rs
+++ b/crates/holdpoint-core/src/reach.rs
@@ -134,16 +134,17 @@
     }
 
     /// Records that a target answered a request through a peer. If its own path is lost, that proves that the path is
-    /// at fault.
-    pub fn record_relayed(&mut self, now: Millis, target: &str, service: &str) {
+    /// at fault. Returns whether the path is lost.
+    pub fn record_relayed(&mut self, now: Millis, target: &str, service: &str) -> bool {
         let heard = self.service_mut(service).heard;
-        let Some(path) = self.paths.get_mut(target).filter(|it| it.is_lost) else { return };
+        let Some(path) = self.paths.get_mut(target).filter(|it| it.is_lost) else { return false };
         path.target_lost_until = 0;
         // An answer of another target since the proof shows that the instance was not isolated then.
         if path.proven.is_none_or(|it| it < heard) {
             path.proven = Some(now);
             self.service_mut(service).lost_since += 1;
         }
+        true
     }
 
     /// Records that peers do not reach a lost target either.
@@ -249,6 +250,11 @@
         self.paths.retain(|_, it| it.is_lost || now < it.failed.max(it.regained) + STABLE_MS);
     }
 
+    /// Whether no path is lost or was recently.
+    pub fn is_empty(&self) -> bool {
+        self.paths.is_empty()
+    }
+
     /// Number of targets whose path is lost.
     pub fn lost_count(&self) -> usize {
         self.paths.values().filter(|it| it.is_lost).count()
--- a/crates/holdpoint-core/tests/quarantine.rs
+++ b/crates/holdpoint-core/tests/quarantine.rs
@@ -187,3 +187,21 @@
     assert_eq!(quarantined(&quarantine.judge(20_000)), [request("r-19999")]);
     assert_eq!(QUARANTINE_CRASHES, 3);
 }
+
+/// Guards against requests that stay quarantined since all instances had lost the paths to their targets for a while.
+#[test]
+fn a_target_that_is_alive_takes_its_crashes_back() {
+    let mut quarantine = Quarantine::default();
+    (0..4).for_each(|it| drop(quarantine.record_crash(10, crash("cut", &format!("t-{it}"), 0))));
+    quarantine.record_crash(10, crash("neighbour", "t-0", 0));
+    assert_eq!(quarantined(&quarantine.judge(10)), [request("cut")]);
+    assert_eq!(quarantine.take_unconfirmed(500, 1000), []);
+    let mut unconfirmed = quarantine.take_unconfirmed(1010, 1000);
+    unconfirmed.sort();
+    assert_eq!(unconfirmed.len(), 4);
+    assert_eq!(quarantine.take_unconfirmed(5000, 1000), []);
+    assert_eq!(quarantine.record_alive(&unconfirmed[0]), [], "three crashes are left");
+    assert!(!quarantine.is_suspect(request("neighbour")));
+    assert_eq!(quarantine.record_alive(&unconfirmed[1]), [request("cut")]);
+    assert_eq!(quarantine.remaining_ms(1010, request("cut")), None);
+}
--- a/crates/holdpointd/src/ingress/connections.rs
+++ b/crates/holdpointd/src/ingress/connections.rs
@@ -38,6 +38,8 @@
 
 /// How long sent bytes may stay unacknowledged before the system closes the connection.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Time in which a new connection over a lost path is reset.
+const RESET_DELAY: Duration = Duration::from_millis(10);
 /// Longest idle time of a connection whose target states no limit.
 const DEFAULT_IDLE: Duration = Duration::from_secs(4);
 /// Time before a target's stated idle limit at which a connection is no longer used.
@@ -163,6 +165,17 @@
         Ok(Connection { sender, remote, service, task: Some(task) })
     }
 
+    /// Makes a connection to a target, and waits for a moment whether it is reset: on a lost path that may happen only
+    /// after it was made.
+    pub(crate) async fn make_checked(&self, target: &TargetInstance) -> io::Result<Connection> {
+        let made = self.make(target).await?;
+        tokio::time::sleep(RESET_DELAY).await;
+        if made.sender.is_closed() {
+            return Err(io::Error::from(io::ErrorKind::ConnectionReset));
+        }
+        Ok(made)
+    }
+
     /// Takes an idle connection to a peer that relays requests, or makes a new one.
     pub(crate) async fn take_peer(&self, address: &str, reuse: Reuse) -> io::Result<Connection> {
         if let Some(it) = self.take_idle(address, reuse) {
--- a/crates/holdpointd/src/ingress/dispatch.rs
+++ b/crates/holdpointd/src/ingress/dispatch.rs
@@ -60,7 +60,7 @@
         return sent;
     }
     let now = shared.clock.now();
-    let targets = shared.pools.of(now, &target.service).len();
+    let targets = shared.pool_size(&target.service);
     if shared.paths.record_no_relay(now, &target.service, targets) {
         return Err(ExchangeError::NoPath);
     }
@@ -86,7 +86,10 @@
     };
     match sent {
         Ok((head, response)) => {
-            awaited.answered();
+            let was_lost = awaited.answered();
+            if was_lost && !head.is_misdirected {
+                shared.quarantines.target_answered(target);
+            }
             Ok(Exchanged { connection, head, response })
         }
         Err(ExchangeError::Broken) => {
@@ -113,7 +116,11 @@
     let (sender, made) = oneshot::channel();
     let (shared, target) = (shared.clone(), target.clone());
     tokio::spawn(async move {
-        let made = shared.connections.make(&target).await;
+        let made = if shared.paths.has_doubts() {
+            shared.connections.make_checked(&target).await
+        } else {
+            shared.connections.make(&target).await
+        };
         if made.is_err() {
             paths::record_loss(&shared, &target);
         }
--- a/crates/holdpointd/src/ingress/paths.rs
+++ b/crates/holdpointd/src/ingress/paths.rs
@@ -64,6 +64,11 @@
         self.reach.lock().is_cut(target)
     }
 
+    /// Whether any path is lost, or was recently.
+    pub(crate) fn has_doubts(&self) -> bool {
+        !self.reach.lock().is_empty()
+    }
+
     /// Whether this instance reaches no target of a service.
     pub(crate) fn is_isolated(&self, service: &str) -> bool {
         self.reach.lock().is_isolated(service)
@@ -92,9 +97,9 @@
         self.reach.lock().record_target_lost(now, target);
     }
 
-    /// Records that a target answered a request through a peer.
-    pub(crate) fn record_relayed(&self, now: Millis, target: &TargetInstance) {
-        self.reach.lock().record_relayed(now, &target.id, &target.service);
+    /// Records that a target answered a request through a peer; returns whether its own path is lost.
+    pub(crate) fn record_relayed(&self, now: Millis, target: &TargetInstance) -> bool {
+        self.reach.lock().record_relayed(now, &target.id, &target.service)
     }
 
     /// Removes a target that is gone or has restarted.
@@ -132,17 +137,19 @@
     }
 }
 
-/// Records an answer of a target over its own path.
-pub(crate) fn record_answer(shared: &IngressShared, target: &TargetInstance) {
+/// Records an answer of a target over its own path; returns whether the path was lost.
+fn record_answer(shared: &IngressShared, target: &TargetInstance) -> bool {
     record_heard(shared, target);
     let now = shared.clock.now();
-    if shared.paths.reach.lock().record_answer(now, &target.id, &target.service) {
+    let was_lost = shared.paths.reach.lock().record_answer(now, &target.id, &target.service);
+    if was_lost {
         log_change(shared, events::PATH_REGAINED, target, "answered");
     }
     let mut refused_until = shared.paths.refused_until.lock();
     if !refused_until.is_empty() {
         refused_until.remove(&target.service);
     }
+    was_lost
 }
 
 /// Records that no connection to a target could be made.
@@ -187,10 +194,10 @@
         self.is_over = true;
     }
 
-    /// The target has answered.
-    pub(crate) fn answered(mut self) {
+    /// The target has answered. Returns whether its path was lost.
+    pub(crate) fn answered(mut self) -> bool {
         self.is_over = true;
-        record_answer(&self.shared, &self.target);
+        record_answer(&self.shared, &self.target)
     }
 
     /// The connection broke off before an answer. Returns once it is known whether the path is lost.
@@ -203,8 +210,8 @@
     /// Waits until the target has been silent for so long that its path was verified, and found lost.
     pub(crate) async fn wait_lost(&self) {
         loop {
-            let has_doubt = self.shared.paths.reach.lock().lost_count() != 0;
-            let silence = if has_doubt { MAX_SILENCE_IN_DOUBT } else { MAX_SILENCE };
+            let silence =
+                if self.shared.paths.has_doubts() { MAX_SILENCE_IN_DOUBT } else { MAX_SILENCE };
             let since = self.shared.clock.now();
             sleep(silence).await;
             if self.shared.paths.was_heard_since(&self.target.id, since) {
@@ -255,7 +262,7 @@
     if !shared.paths.begin_verification(shared.clock.now(), &target.id) {
         return;
     }
-    match shared.connections.make(target).await {
+    match shared.connections.make_checked(target).await {
         Ok(it) => shared.connections.give_back(it, None),
         Err(_) => {
             record_loss(shared, target);
@@ -287,7 +294,7 @@
 }
 
 async fn probe(shared: Arc<IngressShared>, target: TargetInstance) {
-    let Ok(connection) = shared.connections.make(&target).await else { return };
+    let Ok(connection) = shared.connections.make_checked(&target).await else { return };
     shared.connections.give_back(connection, None);
     shared.paths.reach.lock().record_open(shared.clock.now(), &target.id);
 }
--- a/crates/holdpointd/src/ingress/quarantine.rs
+++ b/crates/holdpointd/src/ingress/quarantine.rs
@@ -12,7 +12,7 @@
 };
 
 use bytes::Bytes;
-use futures::{StreamExt, stream::FuturesUnordered};
+use futures::{StreamExt, future::join_all, stream::FuturesUnordered};
 use holdpoint_adapter::store::RESOURCES_TOPIC;
 use holdpoint_core::{
     directory::TargetInstance,
@@ -24,6 +24,7 @@
     },
 };
 use parking_lot::Mutex;
+use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use tokio::{
     sync::{Notify, watch},
@@ -51,6 +52,13 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Attempts to send reports before they are left to the next review.
 const REPORT_ATTEMPTS: u32 = 3;
+/// Time after which the entry of a target in the store shows that the target has not crashed: entries of crashed
+/// targets go after three missed heartbeats.
+const ENTRY_LIFETIME_MS: Millis = 10_000;
+/// Other targets of the service that are probed to tell a crash from a cut. Far fewer crash at the same time.
+const SAME_SERVICE_PROBES: usize = 4;
+/// Targets of other services that are probed in addition if the service has fewer.
+const OTHER_SERVICE_PROBES: usize = 2;
 /// Most known crashes that are sent to a new judge.
 const MAX_RESENT_CRASHES: usize = 2048;
 
@@ -117,7 +125,7 @@
 impl Quarantines {
     /// Records that the connection to a target broke while the target ran a request.
     pub(crate) fn connection_broken(&self, fingerprint: Fingerprint, target: &TargetInstance) {
-        let incarnation = Incarnation { target: target.id.clone(), born: target.born.unwrap_or(0) };
+        let incarnation = incarnation_of(target);
         let run = CrashedRun {
             fingerprint,
             service: target.service.clone(),
@@ -158,6 +166,21 @@
         self.report(RunReport::Passed(fingerprint, service.to_owned()));
     }
 
+    /// Records that a target has answered that this instance had lost the path to.
+    pub(crate) fn target_answered(&self, target: &TargetInstance) {
+        let mut state = self.state.lock();
+        // The answer may come from a restart under the same id that the list does not show yet.
+        if state.is_empty() || target.born.is_some() {
+            return;
+        }
+        let released = state.record_alive(&incarnation_of(target));
+        drop(state);
+        if !released.is_empty() {
+            self.released.lock().extend(released);
+            self.has_reports.notify_one();
+        }
+    }
+
     fn report(&self, report: RunReport) {
         self.reports.lock().push(report);
         self.has_reports.notify_one();
@@ -251,10 +274,30 @@
     match relay::probe(shared, target).await {
         Some(true) => Reach::Peer,
         None if shared.paths.is_isolated(&target.service) => Reach::Unknown,
+        Some(false) | None if is_cut_off(shared, target).await => Reach::Unknown,
         Some(false) | None => Reach::None,
     }
 }
 
+/// Whether other targets are out of reach as well: several of the same service, or all that are tried.
+async fn is_cut_off(shared: &Arc<IngressShared>, target: &TargetInstance) -> bool {
+    let mut others = shared.targets();
+    others.retain(|it| it.id != target.id && !it.is_draining);
+    let (same, other): (Vec<_>, Vec<_>) =
+        others.into_iter().partition(|it| it.service == target.service);
+    let are_lost = async |of: &[TargetInstance], most: usize| {
+        let sample = of.sample(&mut rand::rng(), most);
+        let probes = sample.map(|it| shared.connections.make_checked(it));
+        let reached = join_all(probes).await;
+        reached.iter().all(Result::is_err).then_some(reached.len())
+    };
+    let Some(same_lost) = are_lost(&same, SAME_SERVICE_PROBES).await else { return false };
+    if SAME_SERVICE_PROBES <= same_lost {
+        return true;
+    }
+    are_lost(&other, OTHER_SERVICE_PROBES).await.is_some_and(|it| it + same_lost != 0)
+}
+
 /// Address of the judge of a service; `None` if this instance is the judge.
 fn judge_of(shared: &IngressShared, service: &str) -> Option<String> {
     shared.peers.owner_of(Owners::Any, &format!("{KEY_PREFIX}{service}"))
@@ -289,6 +332,7 @@
 fn review(shared: &Arc<IngressShared>) {
     let quarantines = &shared.quarantines;
     quarantines.state.lock().remove_expired(shared.clock.now());
+    release_if_listed(shared);
     let services: Vec<Name> = quarantines.judges.lock().keys().cloned().collect();
     for service in services {
         let is_same = quarantines.judges.lock().get(&service) == Some(&judge_of(shared, &service));
@@ -310,6 +354,32 @@
     }
 }
 
+/// Withdraws crashes of targets that are still listed although their entries would be gone by now. The paths to these
+/// targets were cut.
+fn release_if_listed(shared: &IngressShared) {
+    if shared.fresh_age().is_none() {
+        return;
+    }
+    let quarantines = &shared.quarantines;
+    let mut state = quarantines.state.lock();
+    let crashed = state.take_unconfirmed(shared.clock.now(), ENTRY_LIFETIME_MS);
+    if crashed.is_empty() {
+        return;
+    }
+    let lapsed = shared.lapses().0;
+    let is_listed = |it: &&Incarnation| {
+        let target = shared.target(&it.target).filter(|it| !lapsed.contains(&it.id));
+        target.is_some_and(|target| incarnation_of(&target) == **it)
+    };
+    let alive = crashed.iter().filter(is_listed);
+    let released: Vec<Fingerprint> = alive.flat_map(|it| state.record_alive(it)).collect();
+    drop(state);
+    if !released.is_empty() {
+        quarantines.released.lock().extend(released);
+        quarantines.has_reports.notify_one();
+    }
+}
+
 /// Applies the reports of another instance, as their judge.
 pub(crate) fn apply_reports(shared: &Arc<IngressShared>, reports: Vec<RunReport>) {
     let now = shared.clock.now();
@@ -417,6 +487,10 @@
     }
 }
 
+fn incarnation_of(target: &TargetInstance) -> Incarnation {
+    Incarnation { target: target.id.clone(), born: target.born.unwrap_or(0) }
+}
+
 fn key_of(fingerprint: Fingerprint) -> String {
     format!("{KEY_PREFIX}{fingerprint}")
 }
--- a/crates/holdpointd/src/ingress/relay.rs
+++ b/crates/holdpointd/src/ingress/relay.rs
@@ -179,7 +179,10 @@
         log_relayed(shared, target, &address, payload, sent.as_ref().err());
         match sent {
             Ok((head, response)) => {
-                shared.paths.record_relayed(shared.clock.now(), target);
+                let is_lost = shared.paths.record_relayed(shared.clock.now(), target);
+                if is_lost && !head.is_misdirected {
+                    shared.quarantines.target_answered(target);
+                }
                 return Ok(Exchanged { connection, head, response });
             }
             Err(ExchangeError::Refused(why)) => {
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -496,6 +496,11 @@
         self.directory.lock().get(id).cloned()
     }
 
+    /// Number of targets of a service that are routed to.
+    pub(crate) fn pool_size(&self, service: &str) -> usize {
+        self.pools.of(self.clock.now(), service).len()
+    }
+
     /// A known target that may get new work: it is not draining, its failure domain is not evacuated, and
     /// its version is not held back by a rollout.
     pub(crate) fn open_target(&self, id: &str) -> Option<TargetInstance> {
--- a/crates/holdpointd/tests/isolated_instances.rs
+++ b/crates/holdpointd/tests/isolated_instances.rs
@@ -5,10 +5,14 @@
 
 use std::time::Duration;
 
-use holdpoint_adapter_standin::{Behaviour, CallerRequest};
+use holdpoint_adapter_standin::{Behaviour, CallerRequest, call};
 use holdpoint_soak::LinkFault;
 
-use crate::support::reach::{CutFleet, Exchange, cut_fleet};
+use crate::support::{
+    event_stream, header,
+    reach::{CutFleet, Exchange, cut_fleet},
+    until,
+};
 
 const ALL: [&str; 3] = ["plain", "engine", "encode"];
 /// Time within which an instance must have adapted to a cut.
@@ -74,3 +78,80 @@
         }
     }
 }
+
+/// Guards against owners that go on to decide for all instances while most of these are cut off.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_only_instance_that_reaches_the_targets_serves_for_all() {
+    for how in [LinkFault::Refuse, LinkFault::DropReverse] {
+        assert_served(&[0, 1], &ALL, how).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn connections_that_live_on_while_new_ones_are_refused_are_no_obstacle() {
+    for how in [LinkFault::RefuseNew, LinkFault::SilenceOpen] {
+        assert_served(&[0], &ALL, how).await;
+    }
+}
+
+/// Guards against callers who wait for targets that no instance reaches.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_no_instance_can_serve_is_refused_at_once_and_served_again_after_the_cut() {
+    let fleet = cut_fleet(3, Behaviour::Events(4)).await;
+    fleet.send_for(Duration::from_millis(500), mixed).await;
+    (0..3).for_each(|it| fleet.set_cut(it, &ALL, Some(LinkFault::Refuse)));
+    fleet.send_for(ADAPTATION_TIME, |round, id| mixed(round, &format!("a-{id}"))).await;
+    let refused = fleet.send_for(MEASURED_TIME, |round, id| mixed(round, &format!("b-{id}"))).await;
+    assert_eq!(served(&refused, |_| true).0, 0);
+    let is_early = |it: &&Exchange| it.took < Duration::from_millis(300);
+    let early = refused.iter().filter(is_early).count();
+    assert!(9 * refused.len() <= 10 * early, "{early} of {} were refused early", refused.len());
+    let answers = || refused.iter().filter_map(|it| it.answer.as_ref());
+    assert!(
+        answers()
+            .filter(|it| it.status == 503)
+            .all(|it| { header(it, "retry-after").parse::<f64>().is_ok_and(|it| 0.0 < it) })
+    );
+    (0..3).for_each(|it| fleet.set_cut(it, &ALL, None));
+    fleet.send_for(ADAPTATION_TIME, |round, id| mixed(round, &format!("c-{id}"))).await;
+    let after = fleet.send_for(MEASURED_TIME, |round, id| mixed(round, &format!("d-{id}"))).await;
+    let (count, of) = served(&after, |_| true);
+    assert!(9 * of <= 10 * count, "{count} of {of} were served after the cut");
+    assert_single_runs(&fleet);
+}
+
+/// Guards against work that goes on at a target after the caller has left the instance that had it relayed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_relayed_request_ends_at_its_target_when_its_caller_leaves() {
+    let fleet = cut_fleet(2, Behaviour::Events(4)).await;
+    fleet.set_cut(0, &ALL, Some(LinkFault::Refuse));
+    fleet.send_for(ADAPTATION_TIME, mixed).await;
+    for service in ["plain", "engine"] {
+        fleet.targets_of(service).for_each(|it| it.set_behaviour(Behaviour::RunAndHang));
+        let path = if service == "plain" { "/unsafe/" } else { "/once/" };
+        let request = CallerRequest::new(&format!("r-{service}"), path);
+        let waiting = tokio::spawn(call(fleet.callers(0), request));
+        let in_progress = || fleet.targets_of(service).map(|it| it.in_progress()).sum::<u64>();
+        until(|| in_progress() == 1).await;
+        waiting.abort();
+        until(|| in_progress() == 0 && fleet.instances.iter().all(|it| it.0.in_flight() == 0))
+            .await;
+    }
+}
+
+/// Guards against streams that break off at a cut although a peer can go on with them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_under_way_at_a_cut_goes_on_through_a_peer() {
+    let fleet = cut_fleet(2, Behaviour::Events(400)).await;
+    let request =
+        CallerRequest::new("r-1", "/story/").with_header("holdpoint-deadline-ms", "60000");
+    let waiting = tokio::spawn(call(fleet.callers(0), request));
+    let runs = || fleet.targets_of("engine").map(|it| it.runs().len()).sum::<usize>();
+    until(|| runs() == 1).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    fleet.set_cut(0, &ALL, Some(LinkFault::Refuse));
+    let answer = waiting.await.unwrap().expect("there is an answer");
+    assert!(answer.is_complete);
+    assert_eq!(answer.body, event_stream(0, 400));
+    assert_eq!(runs(), 2);
+}
