Try the lost path if peers do not reach the target either; lints

A request whose path was lost, and whose target peers did not reach, ended as not sent without a try of its own. The attempt costs one connect and may be answered: peers may have lost the target for a moment of their own.

--- a/crates/holdpoint-core/tests/quarantine.rs
+++ b/crates/holdpoint-core/tests/quarantine.rs
@@ -192,7 +192,9 @@
 #[test]
 fn a_target_that_is_alive_takes_its_crashes_back() {
     let mut quarantine = Quarantine::default();
-    (0..4).for_each(|it| drop(quarantine.record_crash(10, crash("cut", &format!("t-{it}"), 0))));
+    for target in ["t-0", "t-1", "t-2", "t-3"] {
+        quarantine.record_crash(10, crash("cut", target, 0));
+    }
     quarantine.record_crash(10, crash("neighbour", "t-0", 0));
     assert_eq!(quarantined(&quarantine.judge(10)), [request("cut")]);
     assert_eq!(quarantine.take_unconfirmed(500, 1000), []);
--- a/crates/holdpointd/src/ingress/dispatch.rs
+++ b/crates/holdpointd/src/ingress/dispatch.rs
@@ -65,8 +65,8 @@
         return Err(ExchangeError::NoPath);
     }
     match sent {
-        // Without peers, an attempt on the lost path is better than none.
-        Err(ExchangeError::NoRelay) if !is_tried => send_direct(shared, outgoing).await,
+        // An attempt on the lost path is better than none.
+        _ if !is_tried => send_direct(shared, outgoing).await,
         _ => Err(ExchangeError::NotSent),
     }
 }
--- a/crates/holdpointd/src/ingress/send.rs
+++ b/crates/holdpointd/src/ingress/send.rs
@@ -79,7 +79,7 @@
         asks_backoff: bool,
     },
     /// The head of an answer to this request.
-    Answered { head: TargetHead, response: Box<Response<Incoming>>, connection: Connection },
+    Answered(Box<Exchanged>),
     /// There is no valid answer; the target may have run the request.
     Broken,
 }
@@ -127,7 +127,7 @@
     if response.status().is_success() && !head.has_signature {
         return SendOutcome::Broken;
     }
-    SendOutcome::Answered { head, response: Box::new(response), connection }
+    SendOutcome::Answered(Box::new(Exchanged { connection, head, response }))
 }
 
 /// Whether an answer asks this instance to back off.
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -27,6 +27,7 @@
         attempts::{Attempts, StopCause, end_send, likely_domain},
         connections::Connection,
         context::Context,
+        dispatch::Exchanged,
         gate::SendBlock,
         limits::Permit,
         paths,
@@ -269,7 +270,7 @@
     let started = Instant::now();
     let added_headers = ctx.added_headers(target, last_event, inputs);
     let sent = send(ctx, target, permit, &added_headers).await;
-    let (head, response, connection) = match sent {
+    let Exchanged { connection, head, response } = match sent {
         SendOutcome::NotSent => return SendEnd::NotSent,
         SendOutcome::NoPath => return SendEnd::NoPath,
         SendOutcome::Blocked(it) => return SendEnd::Blocked(it),
@@ -277,7 +278,7 @@
         SendOutcome::Declined { asks_backoff: true, .. } => return SendEnd::BackedOff,
         SendOutcome::Declined { status: StatusCode::CONFLICT, .. } => return SendEnd::InputsGone,
         SendOutcome::Declined { .. } => return SendEnd::Declined,
-        SendOutcome::Answered { head, response, connection } => (head, response, connection),
+        SendOutcome::Answered(it) => *it,
     };
     let (parts, mut body) = response.into_parts();
     if !parts.status.is_success() {
--- a/crates/holdpointd/src/ingress/whole.rs
+++ b/crates/holdpointd/src/ingress/whole.rs
@@ -17,6 +17,7 @@
     attempts::{Attempts, StopCause, end_send, likely_domain},
     connections::Connection,
     context::Context,
+    dispatch::Exchanged,
     gate::SendBlock,
     limits::Permit,
     send::{BACKOFF_CAUSE, BodyRead, SHORT_BODY_BYTES, SendOutcome, asks_backoff, read_body, send},
@@ -262,7 +263,8 @@
         SendOutcome::Declined { asks_backoff: true, .. } => SendEnd::BackedOff,
         SendOutcome::Declined { .. } => SendEnd::Declined,
         SendOutcome::Broken => SendEnd::Broken,
-        SendOutcome::Answered { head, response, connection } => {
+        SendOutcome::Answered(exchanged) => {
+            let Exchanged { connection, head, response } = *exchanged;
             let started = Instant::now();
             let (parts, body) = response.into_parts();
             match read_body(&ctx.shared, body).await {
