Relays: state the time that is left when a request is sent; failed calls of stages

A request stated its time left when it was built, and up to four peers and a connect of its own were tried after that: the target could be told a second more than its caller waits. The time is now set at each send.

A call of work items that was not sent, since its target may be gone, counts as failed again unless a peer has proven that only the path is lost; as full, it went back into the queue up to twenty times at once.

--- a/crates/holdpointd/src/ingress/batches/calls.rs
+++ b/crates/holdpointd/src/ingress/batches/calls.rs
@@ -271,9 +271,14 @@
     let answer = internal_call(shared, (&target, permit), call, &within, limit).await;
     let (status, head, body) = answer.map_err(|it| {
         // A lost path says nothing about the target or its version.
-        let is_cut = shared.paths.is_lost(shared.clock.now(), &target.id);
+        let is_cut = match it {
+            // A target that peers may not reach either must not get the same call again at once.
+            InternalCallError::NotSent => shared.paths.is_cut(&target.id),
+            InternalCallError::NoPath => true,
+            _ => shared.paths.is_lost(shared.clock.now(), &target.id),
+        };
         let end = match it {
-            InternalCallError::Blocked(_) | InternalCallError::NoPath => CallEnd::Full,
+            InternalCallError::Blocked(_) => CallEnd::Full,
             _ if is_cut => CallEnd::Full,
             _ => CallEnd::Failed,
         };
@@ -281,7 +286,7 @@
         CallFailure {
             end,
             lost_target: (it == InternalCallError::Broken).then(|| target.clone()),
-            is_unjudged: is_backoff || is_cut || it == InternalCallError::NoPath,
+            is_unjudged: is_backoff || is_cut,
         }
     })?;
     if head.notice.backoff.is_requested() {
--- a/crates/holdpointd/src/ingress/dispatch.rs
+++ b/crates/holdpointd/src/ingress/dispatch.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use holdpoint_adapter::headers::TargetHead;
+use holdpoint_adapter::headers::{self, TargetHead};
 use holdpoint_core::{confinement::Within, directory::TargetInstance, reach::Path};
+use holdpoint_platform::Instant;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -16,6 +17,7 @@
     limits::Permit,
     paths::{self, AwaitedAnswer},
     relay,
+    send::time_until,
     shared::IngressShared,
 };
 
@@ -25,6 +27,8 @@
     pub(crate) permit: &'a Permit,
     pub(crate) payload: Payload<'a>,
     pub(crate) request: Request<Full<Bytes>>,
+    /// Deadline of the caller, which the request states; `None` if it states none.
+    pub(crate) deadline: Option<Instant>,
     pub(crate) reuse: Reuse,
     /// Whether it may be sent again after it may have been run.
     pub(crate) is_repeatable: bool,
@@ -32,6 +36,17 @@
     pub(crate) within: &'a Within,
 }
 
+impl Outgoing<'_> {
+    /// The request as it is sent now: attempts to connect may have taken a part of the time that is left.
+    pub(crate) fn current_request(&self) -> Request<Full<Bytes>> {
+        let mut request = self.request.clone();
+        if let Some(it) = self.deadline {
+            headers::set_time_left(request.headers_mut(), time_until(it));
+        }
+        request
+    }
+}
+
 /// The head of an answer, with the connection that its body arrives on.
 pub(crate) struct Exchanged {
     pub(crate) connection: Connection,
@@ -76,10 +91,11 @@
     shared: &Arc<IngressShared>,
     outgoing: &Outgoing<'_>,
 ) -> Result<Exchanged, ExchangeError> {
-    let Outgoing { target, permit, payload, ref request, reuse, is_repeatable, .. } = *outgoing;
+    let Outgoing { target, permit, payload, reuse, is_repeatable, .. } = *outgoing;
     let mut connection = connect(shared, target, reuse).await.ok_or(ExchangeError::NotSent)?;
     let awaited = AwaitedAnswer::new(shared, target);
-    let sending = exchange(shared, &mut connection, (target, permit), payload, request.clone());
+    let request = outgoing.current_request();
+    let sending = exchange(shared, &mut connection, (target, permit), payload, request);
     let sent = tokio::select! {
         it = sending => it,
         () = awaited.wait_lost(), if is_repeatable => Err(ExchangeError::Broken),
--- a/crates/holdpointd/src/ingress/relay.rs
+++ b/crates/holdpointd/src/ingress/relay.rs
@@ -172,7 +172,7 @@
             shared.relays.record_unable(shared.clock.now(), &address, &target.service);
             continue;
         };
-        let mut request = outgoing.request.clone();
+        let mut request = outgoing.current_request();
         let is_repeatable = outgoing.is_repeatable;
         mark(request.headers_mut(), target, RelayKind::of(payload), (permit, is_repeatable));
         let sent = exchange(shared, &mut connection, (target, permit), payload, request).await;
--- a/crates/holdpointd/src/ingress/relay/server.rs
+++ b/crates/holdpointd/src/ingress/relay/server.rs
@@ -144,6 +144,7 @@
             RelayKind::Request | RelayKind::Probe => Payload::Request { id: &id, within: &None },
         },
         request: Request::from_parts(parts, Full::new(body)),
+        deadline: None,
         reuse: if order.is_repeatable { Reuse::Any } else { Reuse::RecentOnly },
         is_repeatable: order.is_repeatable,
         within: &None,
