--- a/crates/holdpoint-core/src/reach.rs
+++ b/crates/holdpoint-core/src/reach.rs
@@ -277,6 +277,9 @@
     }
 
     fn service_mut(&mut self, service: &str) -> &mut ServiceReach {
-        self.services.entry(service.to_owned()).or_default()
+        if !self.services.contains_key(service) {
+            self.services.insert(service.to_owned(), ServiceReach::default());
+        }
+        self.services.get_mut(service).expect("the entry exists")
     }
 }
--- a/crates/holdpointd/src/ingress/dispatch.rs
+++ b/crates/holdpointd/src/ingress/dispatch.rs
@@ -37,13 +37,16 @@
 }
 
 impl Outgoing<'_> {
-    /// The request as it is sent now: attempts to connect may have taken a part of the time that is left.
-    pub(crate) fn current_request(&self) -> Request<Full<Bytes>> {
-        let mut request = self.request.clone();
+    /// Updates the time that the request states to be left: attempts to connect may have taken a part of it.
+    pub(crate) fn update_time_left(&mut self) {
         if let Some(it) = self.deadline {
-            headers::set_time_left(request.headers_mut(), time_until(it));
+            headers::set_time_left(self.request.headers_mut(), time_until(it));
         }
-        request
+    }
+
+    fn take_request(&mut self) -> Request<Full<Bytes>> {
+        self.update_time_left();
+        std::mem::replace(&mut self.request, Request::new(Full::default()))
     }
 }
 
@@ -57,20 +60,20 @@
 /// Sends a request, and waits for the head of its answer.
 pub(crate) async fn dispatch(
     shared: &Arc<IngressShared>,
-    outgoing: &Outgoing<'_>,
+    mut outgoing: Outgoing<'_>,
 ) -> Result<Exchanged, ExchangeError> {
-    let Outgoing { target, is_repeatable, .. } = *outgoing;
-    let now = shared.clock.now();
+    let Outgoing { target, reuse, is_repeatable, .. } = outgoing;
     let mut is_tried = false;
-    if shared.paths.path(now, target, is_repeatable) == Path::Direct {
-        let sent = send_direct(shared, outgoing).await;
-        let is_lost = || shared.paths.is_lost(shared.clock.now(), &target.id);
-        if !matches!(sent, Err(ExchangeError::NotSent)) || !is_lost() {
-            return sent;
+    if shared.paths.path(shared.clock.now(), target, is_repeatable) == Path::Direct {
+        if let Some(it) = connect(shared, target, reuse).await {
+            return send_on(shared, it, &mut outgoing).await;
+        }
+        if !shared.paths.is_lost(shared.clock.now(), &target.id) {
+            return Err(ExchangeError::NotSent);
         }
         is_tried = true;
     }
-    let sent = relay::send(shared, outgoing).await;
+    let sent = relay::send(shared, &mut outgoing).await;
     if !matches!(sent, Err(ExchangeError::NoRelay | ExchangeError::NotSent)) {
         return sent;
     }
@@ -81,7 +84,7 @@
     }
     match sent {
         // An attempt on the lost path is better than none.
-        _ if !is_tried => send_direct(shared, outgoing).await,
+        _ if !is_tried => send_direct(shared, &mut outgoing).await,
         _ => Err(ExchangeError::NotSent),
     }
 }
@@ -89,12 +92,20 @@
 /// Sends a request on a connection of this instance.
 pub(crate) async fn send_direct(
     shared: &Arc<IngressShared>,
-    outgoing: &Outgoing<'_>,
+    outgoing: &mut Outgoing<'_>,
+) -> Result<Exchanged, ExchangeError> {
+    let made = connect(shared, outgoing.target, outgoing.reuse).await;
+    send_on(shared, made.ok_or(ExchangeError::NotSent)?, outgoing).await
+}
+
+async fn send_on(
+    shared: &Arc<IngressShared>,
+    mut connection: Connection,
+    outgoing: &mut Outgoing<'_>,
 ) -> Result<Exchanged, ExchangeError> {
-    let Outgoing { target, permit, payload, reuse, is_repeatable, .. } = *outgoing;
-    let mut connection = connect(shared, target, reuse).await.ok_or(ExchangeError::NotSent)?;
+    let Outgoing { target, permit, payload, is_repeatable, .. } = *outgoing;
     let awaited = AwaitedAnswer::new(shared, target);
-    let request = outgoing.current_request();
+    let request = outgoing.take_request();
     let sending = exchange(shared, &mut connection, (target, permit), payload, request);
     let sent = tokio::select! {
         it = sending => it,
--- a/crates/holdpointd/src/ingress/paths.rs
+++ b/crates/holdpointd/src/ingress/paths.rs
@@ -176,17 +176,19 @@
 
 /// Awaits an answer over a target's own path. Unless it is told otherwise before it is dropped, and nothing was
 /// heard from the target, it counts as unanswered.
-pub(crate) struct AwaitedAnswer {
-    shared: Arc<IngressShared>,
-    target: TargetInstance,
+pub(crate) struct AwaitedAnswer<'a> {
+    shared: &'a Arc<IngressShared>,
+    target: &'a TargetInstance,
     begun: Millis,
     is_over: bool,
 }
 
-impl AwaitedAnswer {
-    pub(crate) fn new(shared: &Arc<IngressShared>, target: &TargetInstance) -> AwaitedAnswer {
-        let begun = shared.clock.now();
-        AwaitedAnswer { shared: shared.clone(), target: target.clone(), begun, is_over: false }
+impl<'a> AwaitedAnswer<'a> {
+    pub(crate) fn new(
+        shared: &'a Arc<IngressShared>,
+        target: &'a TargetInstance,
+    ) -> AwaitedAnswer<'a> {
+        AwaitedAnswer { shared, target, begun: shared.clock.now(), is_over: false }
     }
 
     /// The exchange has ended in a way that says nothing about the path.
@@ -197,14 +199,14 @@
     /// The target has answered. Returns whether its path was lost.
     pub(crate) fn answered(mut self) -> bool {
         self.is_over = true;
-        record_answer(&self.shared, &self.target)
+        record_answer(self.shared, self.target)
     }
 
     /// The connection broke off before an answer. Returns once it is known whether the path is lost.
     pub(crate) async fn broken(mut self) {
         self.is_over = true;
         self.record_unanswered();
-        verify(&self.shared, &self.target).await;
+        verify(self.shared, self.target).await;
     }
 
     /// Waits until the target has been silent for so long that its path was verified, and found lost.
@@ -217,7 +219,7 @@
             if self.shared.paths.was_heard_since(&self.target.id, since) {
                 continue;
             }
-            verify(&self.shared, &self.target).await;
+            verify(self.shared, self.target).await;
             let now = self.shared.clock.now();
             if self.shared.paths.is_lost(now, &self.target.id) {
                 return;
@@ -226,7 +228,7 @@
     }
 
     fn record_unanswered(&self) {
-        let (shared, target) = (&self.shared, &self.target);
+        let (shared, target) = (self.shared, self.target);
         let now = shared.clock.now();
         shared.connections.close_idle(&target.id);
         if shared.paths.reach.lock().record_unanswered(now, &target.id, &target.service) {
@@ -235,7 +237,7 @@
     }
 }
 
-impl Drop for AwaitedAnswer {
+impl Drop for AwaitedAnswer<'_> {
     fn drop(&mut self) {
         let waited = self.shared.clock.now().saturating_sub(self.begun);
         if self.is_over
--- a/crates/holdpointd/src/ingress/peers.rs
+++ b/crates/holdpointd/src/ingress/peers.rs
@@ -280,7 +280,7 @@
         // An instance that does not reach the service would decide for all instances by what it sees of its own cut.
         let reaches = |it: &Owner| !self.unreached.contains(it.address.as_deref(), service);
         let owner = self.choose_owner(owners, service, reaches);
-        owner.or_else(|| self.choose_owner(owners, service, |_| true))?.address
+        owner.or_else(|| self.choose_owner(owners, service, |_| true))?
     }
 
     /// Address of the owner of a key among `owners`, chosen by rendezvous hashing; `None` if it is this
@@ -296,22 +296,24 @@
         owners: Owners<'_>,
         key: &str,
     ) -> Option<String> {
-        self.choose_owner(owners, key, |it| protocol <= it.protocol)?.address
+        self.choose_owner(owners, key, |it| protocol <= it.protocol)?
     }
 
+    /// Address of the owner of a key among the candidates, `None` inside if it is this instance.
     fn choose_owner(
         &self,
         owners: Owners<'_>,
         key: &str,
         is_candidate: impl Fn(&Owner) -> bool,
-    ) -> Option<Owner> {
+    ) -> Option<Option<String>> {
         let view = self.view();
         let candidates = match owners {
             Owners::Any => &view.owners[..],
             Owners::Region(region) => view.regions.get(region).map_or(&[][..], |it| it.as_slice()),
         };
         let candidates = candidates.iter().filter(|it| is_candidate(it));
-        candidates.max_by_key(|it| (weight(key, &it.name), &it.name)).cloned()
+        let owner = candidates.max_by_key(|it| (weight(key, &it.name), &it.name))?;
+        Some(owner.address.clone())
     }
 
     /// Records the services that the peer at an address does not reach.
--- a/crates/holdpointd/src/ingress/relay.rs
+++ b/crates/holdpointd/src/ingress/relay.rs
@@ -163,7 +163,7 @@
 /// target either. In both cases nothing was sent.
 pub(crate) async fn send(
     shared: &Arc<IngressShared>,
-    outgoing: &Outgoing<'_>,
+    outgoing: &mut Outgoing<'_>,
 ) -> Result<Exchanged, ExchangeError> {
     let Outgoing { target, permit, payload, reuse, .. } = *outgoing;
     let mut is_target_lost = false;
@@ -172,7 +172,8 @@
             shared.relays.record_unable(shared.clock.now(), &address, &target.service);
             continue;
         };
-        let mut request = outgoing.current_request();
+        outgoing.update_time_left();
+        let mut request = outgoing.request.clone();
         let is_repeatable = outgoing.is_repeatable;
         mark(request.headers_mut(), target, RelayKind::of(payload), (permit, is_repeatable));
         let sent = exchange(shared, &mut connection, (target, permit), payload, request).await;
--- a/crates/holdpointd/src/ingress/relay/server.rs
+++ b/crates/holdpointd/src/ingress/relay/server.rs
@@ -134,7 +134,7 @@
     headers::remove_hop_by_hop(&mut parts.headers);
     let id = headers::read_caller(&parts.headers).request_id.unwrap_or_default();
     let is_short = body.len() <= SHORT_BODY_BYTES;
-    let outgoing = Outgoing {
+    let mut outgoing = Outgoing {
         target,
         permit: &order.permit,
         payload: match order.kind {
@@ -149,7 +149,7 @@
         is_repeatable: order.is_repeatable,
         within: &None,
     };
-    let sent = send_direct(shared, &outgoing).await;
+    let sent = send_direct(shared, &mut outgoing).await;
     let Exchanged { connection, head, response } = sent.map_err(|it| match it {
         ExchangeError::NotSent => refuse(),
         ExchangeError::Blocked(it) => RelayOutcome::Blocked(it),
--- a/crates/holdpointd/src/ingress/send.rs
+++ b/crates/holdpointd/src/ingress/send.rs
@@ -104,7 +104,7 @@
         is_repeatable: ctx.is_repeatable(),
         within: &within,
     };
-    let Exchanged { connection, head, response } = match dispatch(shared, &outgoing).await {
+    let Exchanged { connection, head, response } = match dispatch(shared, outgoing).await {
         Ok(it) => it,
         Err(ExchangeError::Blocked(it)) => return SendOutcome::Blocked(it),
         Err(ExchangeError::NoPath) => return SendOutcome::NoPath,
@@ -194,7 +194,7 @@
             is_repeatable: true,
             within,
         };
-        let Exchanged { connection, head, response } = dispatch(shared, &outgoing).await?;
+        let Exchanged { connection, head, response } = dispatch(shared, outgoing).await?;
         let status = response.status();
         let body = response.into_body().collect().await;
         let body = body.map_err(|_| InternalCallError::Broken)?.to_bytes();
