--- a/crates/holdpoint-core/src/reach.rs
+++ b/crates/holdpoint-core/src/reach.rs
@@ -51,6 +51,8 @@
     is_lost: bool,
     /// When the target answered through a peer while the path was lost.
     proven: Option<Millis>,
+    /// Whether connections could be made when it was lost, so that one that is made now proves nothing.
+    is_silent: bool,
     /// When an exchange over it last ended without an answer.
     failed: Millis,
     /// When it last became usable again.
@@ -125,12 +127,15 @@
         if path.unanswered < MAX_UNANSWERED && !has_failed_trial {
             return false;
         }
+        path.is_silent = true;
         path.lose(now)
     }
 
     /// Records that no connection to a target can be made; returns whether the path was lost by it.
     pub fn record_loss(&mut self, now: Millis, target: &str, service: &str) -> bool {
-        self.path_mut(target, service).lose(now)
+        let path = self.path_mut(target, service);
+        path.is_silent = false;
+        path.lose(now)
     }
 
     /// Records that a target answered a request through a peer. If its own path is lost, that proves that the path is
@@ -171,7 +176,7 @@
             return if is_isolated { Path::Relayed } else { Path::Direct };
         };
         match path.opened {
-            Some(it) if it + PROVEN_MS <= now => Path::Direct,
+            Some(it) if it + PROVEN_MS <= now && !path.is_silent => Path::Direct,
             Some(_) if is_repeatable && path.trial_until <= now => {
                 path.trial_until = now + TRIAL_MS;
                 Path::Direct
@@ -266,6 +271,7 @@
             unanswered: 0,
             is_lost: false,
             proven: None,
+            is_silent: false,
             failed: 0,
             regained: 0,
             interval: 0,
--- a/crates/holdpoint-core/tests/reach.rs
+++ b/crates/holdpoint-core/tests/reach.rs
@@ -37,6 +37,11 @@
     cut(&mut reach, 0, "a");
     reach.record_open(300, "a");
     assert!(is_relayed(&mut reach, 1000, "a") && !is_relayed(&mut reach, 1800, "a"));
+    // Where connections could be made all the time, a new one proves nothing.
+    reach.record_unanswered(0, "b", "s");
+    reach.record_unanswered(1, "b", "s");
+    reach.record_open(300, "b");
+    assert!(is_relayed(&mut reach, 9000, "b"));
 }
 
 #[test]
