Targets that crash when they reject too much: requests without an answer keep their place

Cause: a request that was given up before its answer freed its place at once. The target rejected it later, which the instance never saw, so it sent the next one and did not pause. Two more ways to exceed the share: a request that was sent before the target's first statement was counted as ended without having been counted as begun, and a place was free for a moment between a rejection and its pause.

--- a/crates/holdpoint-core/src/overload.rs
+++ b/crates/holdpoint-core/src/overload.rs
@@ -9,6 +9,9 @@
 
 /// Part of the rejections that a target can bear that the pauses leave. The first ones come before any pause.
 const PAUSED_SHARE: f64 = 0.5;
+/// How long a request that ended without an answer keeps its place: the target may still reject it, and the limit holds
+/// for a second.
+const UNANSWERED_MS: Millis = 1000;
 /// Longest pause after a rejection, in milliseconds.
 const MAX_PAUSE_MS: Millis = 10_000;
 
@@ -16,11 +19,24 @@
 struct Guard {
     /// Requests that were sent and not yet accepted or rejected.
     pending: u32,
+    /// Until when requests that ended without an answer keep their places.
+    unanswered: Vec<Millis>,
     /// Most of these at a time.
     cap: u32,
     paused_until: Millis,
 }
 
+/// Whether a target may get a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It states no limit.
+    Unlimited,
+    /// It may, and the request is counted until [`Overloads::end`].
+    Counted,
+    /// Not now.
+    Refused,
+}
+
 /// State of the targets that state an overload limit, on one instance.
 #[derive(Clone, Debug, Default)]
 pub struct Overloads {
@@ -28,20 +44,26 @@
 }
 
 impl Overloads {
-    /// Counts a request as sent to a target; `false` if the target must not get it now.
-    pub fn begin(&mut self, now: Millis, target: &str) -> bool {
-        let Some(guard) = self.guards.get_mut(target) else { return true };
-        if guard.cap <= guard.pending || now < guard.paused_until {
-            return false;
+    /// Counts a request as sent to a target.
+    pub fn begin(&mut self, now: Millis, target: &str) -> Admission {
+        let Some(guard) = self.guards.get_mut(target) else { return Admission::Unlimited };
+        guard.unanswered.retain(|it| now < *it);
+        if guard.cap as usize <= guard.pending as usize + guard.unanswered.len()
+            || now < guard.paused_until
+        {
+            return Admission::Refused;
         }
         guard.pending += 1;
-        true
+        Admission::Counted
     }
 
-    /// Counts a request as ended, accepted, rejected or neither.
-    pub fn end(&mut self, target: &str) {
+    /// Counts an admitted request as ended, with or without an answer.
+    pub fn end(&mut self, now: Millis, target: &str, is_answered: bool) {
         if let Some(it) = self.guards.get_mut(target) {
             it.pending = it.pending.saturating_sub(1);
+            if !is_answered {
+                it.unanswered.push(now + UNANSWERED_MS);
+            }
         }
     }
 
@@ -87,7 +109,7 @@
     }
 
     fn guard_mut(&mut self, target: &str) -> &mut Guard {
-        let new = || Guard { pending: 0, cap: u32::MAX, paused_until: 0 };
+        let new = || Guard { pending: 0, unanswered: Vec::new(), cap: u32::MAX, paused_until: 0 };
         self.guards.entry(target.to_owned()).or_insert_with(new)
     }
 }
--- a/crates/holdpointd/src/ingress/gate.rs
+++ b/crates/holdpointd/src/ingress/gate.rs
@@ -10,6 +10,7 @@
     confinement::{Within, is_within},
     directory::TargetInstance,
     ids::Millis,
+    overload::Admission,
     target_limits::NamedLimit,
     target_status::{Backoff, TargetStatus},
 };
@@ -118,9 +119,11 @@
 ) -> Result<(TargetHead, Response<Incoming>), ExchangeError> {
     let clearance =
         grant_clearance(shared, target, permit, payload).map_err(ExchangeError::Blocked)?;
-    let pending = PendingRequest::begin(shared, &target.id).map_err(ExchangeError::Blocked)?;
+    let mut pending = PendingRequest::begin(shared, &target.id).map_err(ExchangeError::Blocked)?;
     let sent = shared.clock.now();
-    let mut response = send(connection, clearance, request).await?;
+    let sending = send(connection, clearance, request).await;
+    pending.is_answered = !matches!(sending, Err(ExchangeError::Broken));
+    let mut response = sending?;
     if connection.is_relayed() {
         relay::check_outcome(&mut response)?;
     }
@@ -137,7 +140,7 @@
         return Err(ExchangeError::Crossed);
     }
     apply_notices(shared, target, &head.notice, payload, sent);
-    drop(pending);
+    // Before the place is free again, so that nothing is sent between a rejection and its pause.
     apply_overload_limit(shared, target, &head);
     Ok((head, response))
 }
@@ -194,19 +197,28 @@
 struct PendingRequest<'a> {
     shared: &'a IngressShared,
     target: &'a str,
+    is_counted: bool,
+    is_answered: bool,
 }
 
 impl<'a> PendingRequest<'a> {
     /// Counts a request, unless the target must not get it now.
     fn begin(shared: &'a IngressShared, target: &'a str) -> Result<PendingRequest<'a>, SendBlock> {
-        let is_allowed = shared.overloads.lock().begin(shared.clock.now(), target);
-        is_allowed.then_some(PendingRequest { shared, target }).ok_or(SendBlock::Full)
+        let admission = shared.overloads.lock().begin(shared.clock.now(), target);
+        if admission == Admission::Refused {
+            return Err(SendBlock::Full);
+        }
+        let is_counted = admission == Admission::Counted;
+        Ok(PendingRequest { shared, target, is_counted, is_answered: false })
     }
 }
 
 impl Drop for PendingRequest<'_> {
     fn drop(&mut self) {
-        self.shared.overloads.lock().end(self.target);
+        if self.is_counted {
+            let now = self.shared.clock.now();
+            self.shared.overloads.lock().end(now, self.target, self.is_answered);
+        }
     }
 }
 
