--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -179,6 +179,8 @@
     ISOLATION_ENDED = 733 Info "isolation from a service ended";
     /// A request was sent through a peer.
     RELAYED = 734 Info "sent through a peer";
+    /// This instance uses much of its link, or its timers are late.
+    OWN_LOAD = 740 Info "load of this instance";
     /// A connection to a target could not be made.
     CONNECT_FAILED = 714 Info "no connection to a target";
     /// A batched call for results of a stage ended.
--- a/crates/holdpointd/src/ingress/connections.rs
+++ b/crates/holdpointd/src/ingress/connections.rs
@@ -32,7 +32,11 @@
 
 use crate::{
     events::{self, emit},
-    ingress::gate::Clearance,
+    ingress::{
+        counted_stream::{ByteCounter, CountedStream},
+        gate::Clearance,
+        own_load::Traffic,
+    },
     metrics::{Metrics, label},
 };
 
@@ -128,6 +132,7 @@
     source: Option<IpAddr>,
     connect_timeout: Duration,
     metrics: Arc<Metrics>,
+    traffic: Traffic,
     /// Idle connections by target, or by the address of a peer that relays.
     idle: Mutex<HashMap<String, Vec<IdleConnection>>>,
     /// Maximum number of idle connections to one target, by service.
@@ -136,12 +141,17 @@
 
 impl Connections {
     /// Creates an empty pool.
-    pub(crate) fn new(settings: &IngressSettings, metrics: Arc<Metrics>) -> Connections {
+    pub(crate) fn new(
+        settings: &IngressSettings,
+        metrics: Arc<Metrics>,
+        traffic: &Traffic,
+    ) -> Connections {
         Connections {
             instance: settings.instance.clone(),
             source: settings.source_address.parse().ok(),
             connect_timeout: Duration::from_millis(settings.timing.connect_ms),
             metrics,
+            traffic: traffic.clone(),
             idle: Mutex::default(),
             max_idle: Mutex::default(),
         }
@@ -181,17 +191,20 @@
         if let Some(it) = self.take_idle(address, reuse) {
             return Ok(it);
         }
-        let made = tokio::time::timeout(self.connect_timeout, connect(address)).await;
+        let made =
+            tokio::time::timeout(self.connect_timeout, connect(address, &self.traffic.peers));
+        let made = made.await;
         let (sender, task) = made.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         Ok(Connection { sender, remote: address.to_owned(), service: None, task: Some(task) })
     }
 
     async fn connect(&self, address: &str) -> io::Result<(SendRequest<Full<Bytes>>, AbortHandle)> {
-        let Some(source) = self.source else { return connect(address).await };
+        let traffic = &self.traffic.targets;
+        let Some(source) = self.source else { return connect(address, traffic).await };
         let address: SocketAddr = address.parse().map_err(io::Error::other)?;
         let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
         socket.bind(SocketAddr::new(source, 0))?;
-        start_http(socket.connect(address).await?).await
+        start_http(socket.connect(address).await?, traffic).await
     }
 
     fn record_connect(&self, target: &TargetInstance, begun: Instant, error: Option<&io::Error>) {
@@ -289,12 +302,19 @@
 }
 
 /// Connects to an address; a task of its own drives the connection.
-pub(crate) async fn connect(address: &str) -> io::Result<(SendRequest<Full<Bytes>>, AbortHandle)> {
-    start_http(TcpStream::connect(address).await?).await
+pub(crate) async fn connect(
+    address: &str,
+    traffic: &ByteCounter,
+) -> io::Result<(SendRequest<Full<Bytes>>, AbortHandle)> {
+    start_http(TcpStream::connect(address).await?, traffic).await
 }
 
-async fn start_http(stream: TcpStream) -> io::Result<(SendRequest<Full<Bytes>>, AbortHandle)> {
+async fn start_http(
+    stream: TcpStream,
+    traffic: &ByteCounter,
+) -> io::Result<(SendRequest<Full<Bytes>>, AbortHandle)> {
     set_socket_options(&stream)?;
+    let stream = CountedStream::new(stream, traffic.clone());
     let making =
         http1::Builder::new().max_buf_size(READ_BUFFER_BYTES).handshake(TokioIo::new(stream));
     let (sender, connection) = making.await.map_err(io::Error::other)?;
--- a/crates/holdpointd/src/ingress/links.rs
+++ b/crates/holdpointd/src/ingress/links.rs
@@ -28,6 +28,7 @@
     ingress::{
         batches::StageLoads,
         connections::set_socket_options,
+        counted_stream::CountedStream,
         follow::fetch_configuration,
         monitored_stream::{LastReceived, MonitoredStream},
         peer_service::{IngressPeersClient, PeerStatus, codec},
@@ -191,6 +192,7 @@
         self.record_round_trip(address, begun.elapsed());
         set_socket_options(&stream).map_err(|_| PeerSilent)?;
         let last_received = LastReceived::new();
+        let stream = CountedStream::new(stream, shared.own_load.traffic.peers.clone());
         let stream = MonitoredStream::new(stream, last_received.clone());
         let io = transport(codec().new_framed(stream), Cbor::default());
         let client = IngressPeersClient::new(client::Config::default(), io).spawn();
--- a/crates/holdpointd/src/ingress/listeners.rs
+++ b/crates/holdpointd/src/ingress/listeners.rs
@@ -14,6 +14,7 @@
     ingress::{
         answer::{Answer, empty, text},
         connections::set_socket_options,
+        counted_stream::CountedStream,
         request,
         shared::IngressShared,
     },
@@ -39,6 +40,7 @@
         async move {
             let state = shared.clone();
             let service = service_fn(move |it| request::serve(state.clone(), it));
+            let _open = shared.own_load.open_connection();
             serve_connection(&shared, stream, service).await;
         }
     });
@@ -110,6 +112,7 @@
     let _ = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES);
     let limits = shared.configuration().limits;
     let mut closing = shared.closing.subscribe();
+    let stream = CountedStream::new(stream, shared.own_load.traffic.callers.clone());
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .auto_date_header(false)
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -15,6 +15,7 @@
 mod confirm;
 mod connections;
 mod context;
+mod counted_stream;
 mod dispatch;
 mod domains;
 mod drain_notices;
@@ -25,6 +26,7 @@
 mod links;
 mod listeners;
 mod monitored_stream;
+mod own_load;
 mod packed;
 mod paths;
 mod peer_service;
@@ -233,15 +235,18 @@
     let mut pump = interval(PUMP_INTERVAL);
     let mut sweep = interval(SWEEP_INTERVAL);
     let mut detector = SuspensionDetector::default();
+    let mut reported = Instant::now();
     loop {
         tokio::select! {
-            _ = pump.tick() => {
+            due = pump.tick() => {
+                shared.own_load.record_lateness(due.elapsed());
                 if let Some(it) = detector.detect() {
                     shared.handle_resume(it);
                 }
                 batches::start_all_calls(&shared);
             }
             _ = sweep.tick() => {
+                own_load::report(&shared, std::mem::replace(&mut reported, Instant::now()).elapsed());
                 shared.connections.sweep();
                 shared.backoffs.lock().remove_expired(shared.clock.now());
                 domains::settle(&shared);
--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -31,6 +31,7 @@
 use crate::ingress::{
     batches::StageLoads,
     connections::set_socket_options,
+    counted_stream::CountedStream,
     drain_notices::{self, DrainNotice},
     follow::fetch_configuration,
     item_request::{ItemRequest, ItemResult},
@@ -225,9 +226,12 @@
     let mut first = [0];
     match stream.peek(&mut first).await {
         Ok(0) | Err(_) => return,
-        Ok(_) if FIRST_HTTP_BYTE <= first[0] => return relay::serve(shared, stream).await,
         Ok(_) => (),
     }
+    let stream = CountedStream::new(stream, shared.own_load.traffic.peers.clone());
+    if FIRST_HTTP_BYTE <= first[0] {
+        return relay::serve(shared, stream).await;
+    }
     let io: Transport<_, _, _, _> = transport(codec().new_framed(stream), Cbor::default());
     let server = PeerServer { shared };
     let channel = BaseChannel::with_defaults(io);
--- a/crates/holdpointd/src/ingress/relay/server.rs
+++ b/crates/holdpointd/src/ingress/relay/server.rs
@@ -30,6 +30,7 @@
 use crate::{
     ingress::{
         connections::{Connection, Reach, Reuse},
+        counted_stream::CountedStream,
         dispatch::{Exchanged, Outgoing, send_direct},
         gate::{ExchangeError, Payload},
         limits::Permit,
@@ -49,7 +50,7 @@
 const BUFFER_BYTES: usize = 64 << 10;
 
 /// Serves a peer's connection until it closes.
-pub(crate) async fn serve(shared: Arc<IngressShared>, stream: TcpStream) {
+pub(crate) async fn serve(shared: Arc<IngressShared>, stream: CountedStream<TcpStream>) {
     let state = shared.clone();
     let service = service_fn(move |it| {
         let shared = state.clone();
--- a/crates/holdpointd/src/ingress/request.rs
+++ b/crates/holdpointd/src/ingress/request.rs
@@ -41,6 +41,7 @@
     request: Request<Incoming>,
 ) -> Result<Answer, Infallible> {
     let working = shared.in_flight.start();
+    shared.own_load.record_request();
     let arrived = Instant::now();
     let mut answer = match admit(&shared, request, arrived, working).await {
         Ok(it) => match it.route.response {
--- a/crates/holdpointd/src/ingress/rollouts.rs
+++ b/crates/holdpointd/src/ingress/rollouts.rs
@@ -42,8 +42,8 @@
 use crate::{
     events::{self, emit},
     ingress::{
-        batches::start_all_calls, context::Context, peers::Owners, shared::IngressShared,
-        store::StoreEpochs,
+        batches::start_all_calls, context::Context, counted_stream::ByteCounter, peers::Owners,
+        shared::IngressShared, store::StoreEpochs,
     },
     metrics::label,
 };
@@ -121,7 +121,11 @@
 
 impl Rollouts {
     /// Creates the state without roll-outs.
-    pub(crate) fn new(settings: &IngressSettings, epochs: Arc<StoreEpochs>) -> Rollouts {
+    pub(crate) fn new(
+        settings: &IngressSettings,
+        epochs: Arc<StoreEpochs>,
+        store_traffic: ByteCounter,
+    ) -> Rollouts {
         let limits = &settings.rollouts;
         Rollouts {
             bound: Bound { share: limits.share, slack: limits.slack },
@@ -130,7 +134,7 @@
             orders: Mutex::default(),
             local: Mutex::default(),
             driven: Mutex::default(),
-            records: tokio::sync::Mutex::new(Records::new(settings, epochs)),
+            records: tokio::sync::Mutex::new(Records::new(settings, epochs, store_traffic)),
             orders_changed: Notify::new(),
         }
     }
--- a/crates/holdpointd/src/ingress/rollouts/record.rs
+++ b/crates/holdpointd/src/ingress/rollouts/record.rs
@@ -17,7 +17,10 @@
 use http::StatusCode;
 use serde::{Deserialize, Serialize};
 
-use crate::ingress::store::{StoreClient, StoreEpochs, StoreError};
+use crate::ingress::{
+    counted_stream::ByteCounter,
+    store::{StoreClient, StoreEpochs, StoreError},
+};
 
 /// State that a driver persists.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -60,10 +63,14 @@
 
 impl Records {
     /// Creates a client that is not connected yet.
-    pub(super) fn new(settings: &IngressSettings, epochs: Arc<StoreEpochs>) -> Records {
+    pub(super) fn new(
+        settings: &IngressSettings,
+        epochs: Arc<StoreEpochs>,
+        traffic: ByteCounter,
+    ) -> Records {
         let store = &settings.store;
         let timeout = Duration::from_millis(store.timeout_ms);
-        Records { client: StoreClient::new(&store.address, timeout, epochs) }
+        Records { client: StoreClient::new(&store.address, timeout, epochs, traffic) }
     }
 
     /// Reads the record of a service and the end offset of its topic.
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -44,6 +44,7 @@
         domains::Domains,
         drain_notices::{DrainNotice, DrainNotices},
         limits::Limits,
+        own_load::OwnLoad,
         packed::{Packed, peer_hash},
         paths::Paths,
         peer_service::PROTOCOL,
@@ -90,6 +91,8 @@
     started_at: Instant,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) connections: Connections,
+    /// What this instance carries.
+    pub(crate) own_load: OwnLoad,
     /// Paths of this instance to the targets.
     pub(crate) paths: Paths,
     /// Requests relayed for peers, and peers that relay.
@@ -180,11 +183,14 @@
     pub(crate) fn new(settings: IngressSettings) -> IngressShared {
         let metrics = Arc::new(Metrics::new());
         let epochs = Arc::new(StoreEpochs::default());
+        let own_load = OwnLoad::default();
+        let traffic = own_load.traffic.clone();
         IngressShared {
             clock: Clock::new(),
             topology: Topology::new(&settings.region, settings.regions.clone()),
             started_at: Instant::now(),
-            connections: Connections::new(&settings, metrics.clone()),
+            connections: Connections::new(&settings, metrics.clone(), &traffic),
+            own_load,
             paths: Paths::default(),
             relays: Relays::default(),
             metrics,
@@ -195,7 +201,7 @@
             regions: Regions::new(&settings),
             domains: Domains::default(),
             confinements: Confinements::default(),
-            rollouts: Rollouts::new(&settings, epochs.clone()),
+            rollouts: Rollouts::new(&settings, epochs.clone(), traffic.store),
             quarantines: Quarantines::default(),
             limits: Limits::default(),
             backoffs: Mutex::default(),
--- a/crates/holdpointd/src/ingress/store.rs
+++ b/crates/holdpointd/src/ingress/store.rs
@@ -22,7 +22,7 @@
 use parking_lot::Mutex;
 use tokio::{sync::watch, task::AbortHandle};
 
-use crate::ingress::{connections::connect, shared::IngressShared};
+use crate::ingress::{connections::connect, counted_stream::ByteCounter, shared::IngressShared};
 
 /// Why a call to the store failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -87,6 +87,7 @@
     timeout: Duration,
     connection: Option<(SendRequest<Full<Bytes>>, AbortOnDrop)>,
     eras: Arc<StoreEpochs>,
+    traffic: ByteCounter,
     /// Epoch of the last response.
     epoch: Option<Epoch>,
 }
@@ -102,8 +103,14 @@
 
 impl StoreClient {
     /// Creates a client that connects with its first call.
-    pub(crate) fn new(address: &str, timeout: Duration, eras: Arc<StoreEpochs>) -> StoreClient {
-        StoreClient { address: address.to_owned(), timeout, connection: None, eras, epoch: None }
+    pub(crate) fn new(
+        address: &str,
+        timeout: Duration,
+        eras: Arc<StoreEpochs>,
+        traffic: ByteCounter,
+    ) -> StoreClient {
+        let address = address.to_owned();
+        StoreClient { address, timeout, connection: None, eras, traffic, epoch: None }
     }
 
     /// A client with another timeout for each call, on a connection of its own.
@@ -111,7 +118,7 @@
         StoreClient {
             timeout,
             epoch: self.epoch,
-            ..StoreClient::new(&self.address, timeout, self.eras.clone())
+            ..StoreClient::new(&self.address, timeout, self.eras.clone(), self.traffic.clone())
         }
     }
 
@@ -128,7 +135,8 @@
     /// Opens a new connection and returns the time that it took: about one round trip.
     pub(crate) async fn measure_round_trip(&mut self) -> Result<Duration, StoreError> {
         let begun = Instant::now();
-        let connected = tokio::time::timeout(self.timeout, connect(&self.address)).await;
+        let connected =
+            tokio::time::timeout(self.timeout, connect(&self.address, &self.traffic)).await;
         let (sender, task) = connected.map_err(silent)?.map_err(silent)?;
         self.connection = Some((sender, AbortOnDrop(task)));
         Ok(begun.elapsed())
@@ -204,7 +212,8 @@
         let mut connection = self.connection.take();
         let answering = async {
             if connection.as_ref().is_none_or(|it| !it.0.is_ready()) {
-                let connected = tokio::time::timeout(timeout, connect(&self.address)).await;
+                let connected =
+                    tokio::time::timeout(timeout, connect(&self.address, &self.traffic)).await;
                 let (sender, task) = connected.map_err(|_| StoreError::Silent)?.map_err(silent)?;
                 connection = Some((sender, AbortOnDrop(task)));
             }
@@ -280,6 +289,7 @@
     pub(crate) fn store_client(&self) -> StoreClient {
         let store = &self.settings.store;
         let timeout = Duration::from_millis(store.timeout_ms);
-        StoreClient::new(&store.address, timeout, self.epochs.clone())
+        let traffic = self.own_load.traffic.store.clone();
+        StoreClient::new(&store.address, timeout, self.epochs.clone(), traffic)
     }
 }
--- a/crates/holdpointd/src/metrics.rs
+++ b/crates/holdpointd/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram, Meter, MeterProvider, UpDownCounter},
+    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider, UpDownCounter},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
@@ -30,6 +30,16 @@
     pub path_changes: Counter<u64>,
     /// Requests sent through peers, by service and outcome.
     pub relayed: Counter<u64>,
+    /// Bytes on this instance's link, by kind of connection and direction.
+    pub link_bytes: Counter<u64>,
+    /// Processor time of this process, in milliseconds.
+    pub processor_time: Counter<u64>,
+    /// Largest lateness of a timer in each second, in milliseconds.
+    pub timer_lateness: Histogram<f64>,
+    /// Open connections of callers.
+    pub caller_connections: Gauge<u64>,
+    /// Resident memory of this process, in bytes.
+    pub memory: Gauge<u64>,
     /// Services that this instance does not reach.
     pub isolated_services: UpDownCounter<i64>,
     /// Pauses after rejections by targets that too many would crash, by service.
@@ -109,6 +119,24 @@
             connects: counter("holdpoint_connects", "Connections to targets by outcome"),
             path_changes: counter("holdpoint_path_changes", "Paths to targets lost and regained"),
             relayed: counter("holdpoint_relayed", "Requests sent through peers by outcome"),
+            link_bytes: counter("holdpoint_link_bytes", "Bytes on the link by kind of connection"),
+            processor_time: counter(
+                "holdpoint_processor_ms",
+                "Processor time of this process in milliseconds",
+            ),
+            timer_lateness: meter
+                .f64_histogram("holdpoint_timer_lateness_ms")
+                .with_description("Largest lateness of a timer in each second, in milliseconds")
+                .with_boundaries(LATENCY_BOUNDS_MS.to_vec())
+                .build(),
+            caller_connections: meter
+                .u64_gauge("holdpoint_caller_connections")
+                .with_description("Open connections of callers")
+                .build(),
+            memory: meter
+                .u64_gauge("holdpoint_memory_bytes")
+                .with_description("Resident memory of this process in bytes")
+                .build(),
             isolated_services: meter
                 .i64_up_down_counter("holdpoint_isolated_services")
                 .with_description("Services that this instance does not reach")
