Intake: an instance accepts only what its link and its processor carry

Callers saw requests fail while the balancer sent most new connections to few instances.

Cause: nothing bounded what an instance reads.

Change: core's Intake decides on each new connection. For the link it charges the measured bytes of a request (of callers, targets and calls to peers; counted when the request is sent to its target, so that a sudden crowd does not look cheap) against 0.85 of the stated bandwidth less other traffic. For the processor it raises the rate like TCP's slow start, from 500 a second and core (CAPACITY.md: 131 to 159 us a request of one stage), until all timers of 300 ms are late, and then takes 0.7 of what was served. Open connections are bounded by memory and descriptors, and keep their right. The first connection without room is closed unread; then the instance does not listen until there is room.

--- /dev/null
+++ b/crates/holdpoint-core/src/intake.rs
@@ -0,0 +1,382 @@
+//! How many new connections an instance accepts, so that what it reads is served.
+//!
+//! A link that is full delays all traffic of the instance, and a processor that is full delays all of its timers, until
+//! most requests are late. New connections beyond what link and processor carry are closed unread instead, since their
+//! callers are served by other instances at their next try. Requests on open connections are only counted.
+//!
+//! The link's bandwidth is known, and what a request costs on it is measured. The processor's share is only seen when it
+//! runs out: timers are late. The rate that it carries is approached from below, as in the slow start of TCP.
+
+use crate::ids::Millis;
+
+/// Part of the link that requests may fill. The rest is for retransmissions, and for bursts within a connection.
+const LINK_SHARE: f64 = 0.85;
+/// Part of the link that requests may fill even if other traffic takes the rest.
+const MIN_LINK_SHARE: f64 = 0.25;
+/// Part of the link from which on it counts as full.
+const FULL_SHARE: f64 = 0.95;
+/// Factor of the expected cost of a request after a period with a full link, and after one without.
+const SURCHARGE: (f64, f64) = (1.1, 0.95);
+/// Largest surcharge on the expected cost.
+const MAX_SURCHARGE: f64 = 2.0;
+/// Time on the link that connections accepted at once may take.
+const LINK_BURST_MS: f64 = 250.0;
+/// Time constant of the measured costs, in milliseconds.
+const COST_MS: f64 = 3000.0;
+/// Time constant of the measured traffic that no caller of this instance causes, in milliseconds.
+const OTHER_MS: f64 = 500.0;
+/// Assumed bytes of a request in each direction before any was measured.
+const ASSUMED_BYTES: f64 = 8192.0;
+/// Number of requests for which the assumed cost counts.
+const ASSUMED_COUNT: f64 = 4.0;
+
+/// Time over which the lateness of timers is judged. A quota of the processor makes timers late in a part of each
+/// period of 100 ms; only work that does not end makes all of them late.
+const LATENESS_WINDOW_MS: Millis = 300;
+/// Lateness of all timers of a window from which on the processor is full, in milliseconds.
+const MAX_LATENESS_MS: Millis = 40;
+/// Requests per second that a whole core carries at least.
+const MIN_PER_CORE_S: f64 = 500.0;
+/// Growth of the processor's rate in a window without late timers.
+const GROWTH: f64 = 1.5;
+/// Factor of the rate that was served while the processor was full.
+const BACKOFF: f64 = 0.7;
+/// Part of the rate that the processor should carry at least that is left after repeated decreases.
+const MIN_FRACTION: f64 = 1.0 / 16.0;
+/// Growth of the smallest rate in a window without late timers, until it is as before the decreases.
+const FLOOR_GROWTH: f64 = 1.25;
+/// How long the rate that was served when the processor was full counts, in milliseconds.
+const CARRIED_MS: Millis = 10_000;
+/// Part of that rate up to which the rate grows fast.
+const NEAR_FULL: f64 = 0.8;
+/// Growth beyond it in a window without late timers.
+const CREEP: f64 = 1.03;
+/// Fewer requests in a window do not make timers late.
+const MIN_CHARGED: f64 = 3.0;
+/// Time of the processor's rate that may be used at once, in milliseconds.
+const RATE_BURST_MS: f64 = 200.0;
+
+/// Part of a burst that must be free before new connections are accepted again.
+const FREE_SHARE: f64 = 0.5;
+/// Time after which to look again whether a connection was closed, in milliseconds.
+const REVIEW_MS: Millis = 50;
+/// Shortest and longest wait for room, in milliseconds.
+const WAIT_MS: (Millis, Millis) = (10, 200);
+
+/// How long the consequences of a full link or processor last, such as timeouts that it caused.
+const STRAIN_MS: Millis = 1000;
+
+/// What an instance may use of its machine; 0 if unknown.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Resources {
+    /// Bandwidth of the link, in bytes per millisecond in each direction.
+    pub link: f64,
+    /// Processor, in cores.
+    pub cores: f64,
+    /// Most open connections of callers.
+    pub connections: usize,
+}
+
+/// Bytes in each direction.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LinkBytes {
+    /// Bytes received.
+    pub received: u64,
+    /// Bytes sent.
+    pub sent: u64,
+}
+
+impl LinkBytes {
+    fn values(self) -> [f64; 2] {
+        [self.received as f64, self.sent as f64]
+    }
+}
+
+/// Traffic in a period.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Bytes that requests of this instance's callers caused.
+    pub own: LinkBytes,
+    /// All other bytes.
+    pub other: LinkBytes,
+}
+
+/// Why a connection is closed unread.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Full {
+    /// The link carries no more requests.
+    Link,
+    /// The processor serves no more requests.
+    Processor,
+    /// Too many connections are open.
+    Connections,
+}
+
+impl Full {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Full::Link => "link",
+            Full::Processor => "processor",
+            Full::Connections => "connections",
+        }
+    }
+}
+
+/// State of the link in one direction.
+#[derive(Clone, Copy, Debug, Default)]
+struct Direction {
+    /// Recent bytes of requests, with weights that fade.
+    bytes: f64,
+    /// Bytes per millisecond that requests do not cause.
+    other: f64,
+    /// Expected bytes of accepted requests that the link has not had the time to carry.
+    pending: f64,
+}
+
+impl Direction {
+    /// Bytes per millisecond that requests may fill of a link with this bandwidth.
+    fn free(&self, link: f64) -> f64 {
+        (LINK_SHARE * link - self.other).max(MIN_LINK_SHARE * link)
+    }
+}
+
+/// Limits what an instance reads.
+#[derive(Clone, Debug)]
+pub struct Intake {
+    resources: Resources,
+    directions: [Direction; 2],
+    /// Recent requests, with the same weights as their bytes.
+    requests: f64,
+    /// When `pending` and `tokens` were last updated.
+    updated: Millis,
+    is_link_full: bool,
+    /// Factor of the expected cost, since the link was full in spite of it.
+    surcharge: f64,
+    /// Least lateness of a timer in the current window.
+    least_lateness: Millis,
+    /// Requests per second that the processor may get.
+    rate: f64,
+    /// Rate that it may get whatever was read before.
+    floor: f64,
+    /// Requests that it may get now.
+    tokens: f64,
+    /// Requests charged since the start of the window.
+    charged: f64,
+    /// Requests served since the start of the window, and since traffic was last recorded.
+    served: f64,
+    unrecorded: f64,
+    /// Requests per second that were served when the processor was full, and when that was.
+    carried: Option<(Millis, f64)>,
+    window_start: Millis,
+    strained_until: Millis,
+}
+
+impl Intake {
+    /// Limits what an instance with these resources reads.
+    pub fn new(resources: Resources) -> Intake {
+        let assumed = Direction { bytes: ASSUMED_COUNT * ASSUMED_BYTES, ..Direction::default() };
+        let rate = MIN_PER_CORE_S * resources.cores;
+        Intake {
+            resources,
+            directions: [assumed; 2],
+            requests: ASSUMED_COUNT,
+            updated: 0,
+            is_link_full: false,
+            surcharge: 1.0,
+            least_lateness: Millis::MAX,
+            rate,
+            floor: rate,
+            tokens: rate * RATE_BURST_MS / 1000.0,
+            charged: 0.0,
+            served: 0.0,
+            unrecorded: 0.0,
+            carried: None,
+            window_start: 0,
+            strained_until: 0,
+        }
+    }
+
+    /// Decides on a new connection, with this many open ones. An accepted one counts as one request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection is to be closed unread.
+    pub fn accept(&mut self, now: Millis, open: usize) -> Result<(), Full> {
+        self.update(now);
+        if self.resources.connections != 0 && self.resources.connections <= open {
+            return Err(Full::Connections);
+        }
+        let has_link = self.resources.link > 0.0;
+        if has_link && self.exceeds_link() {
+            return Err(Full::Link);
+        }
+        if self.resources.cores > 0.0 && self.tokens < 1.0 {
+            return Err(Full::Processor);
+        }
+        self.charge(now);
+        Ok(())
+    }
+
+    /// Time until new connections can be accepted again, in milliseconds; `None` if they can be now. Some room is
+    /// awaited, so that they are not accepted one by one.
+    pub fn wait(&mut self, now: Millis, open: usize) -> Option<Millis> {
+        self.update(now);
+        let resources = self.resources;
+        if resources.connections != 0 && resources.connections <= open {
+            return Some(REVIEW_MS);
+        }
+        let mut ms: f64 = 0.0;
+        if resources.link > 0.0 {
+            let burst = FREE_SHARE * LINK_BURST_MS * resources.link;
+            for it in &self.directions {
+                ms = ms.max((it.pending - burst) / it.free(resources.link));
+            }
+        }
+        if resources.cores > 0.0 {
+            let wanted = (FREE_SHARE * self.most_tokens()).max(1.0);
+            ms = ms.max(1000.0 * (wanted - self.tokens) / self.rate);
+        }
+        let (shortest, longest) = WAIT_MS;
+        (ms > 0.0).then(|| (ms.ceil() as Millis).clamp(shortest, longest))
+    }
+
+    /// Counts a request on an open connection, beyond its first.
+    pub fn charge(&mut self, now: Millis) {
+        self.update(now);
+        let costs = [self.cost(0), self.cost(1)];
+        for (direction, cost) in self.directions.iter_mut().zip(costs) {
+            direction.pending += cost;
+        }
+        self.tokens -= 1.0;
+        self.charged += 1.0;
+    }
+
+    /// Counts a request that was sent to a target, or has ended without. Most of its bytes and of its work are done then,
+    /// so that the requests of a sudden crowd do not look cheap.
+    pub fn record_served(&mut self) {
+        self.served += 1.0;
+        self.unrecorded += 1.0;
+    }
+
+    /// Records the traffic of a period that ends now.
+    pub fn record_usage(&mut self, now: Millis, ms: Millis, usage: Usage) {
+        let ms = (ms as f64).max(1.0);
+        let fade = (-ms / COST_MS).exp();
+        let weight = 1.0 - (-ms / OTHER_MS).exp();
+        self.requests = self.requests * fade + std::mem::take(&mut self.unrecorded);
+        let (own, other) = (usage.own.values(), usage.other.values());
+        for (index, direction) in self.directions.iter_mut().enumerate() {
+            direction.bytes = direction.bytes * fade + own[index];
+            direction.other += weight * (other[index] / ms - direction.other);
+        }
+        // A link that other traffic fills, as at a start, is no reason to refuse callers.
+        let is_used = |index: usize| {
+            let used = own[index] + other[index];
+            FULL_SHARE * self.resources.link * ms <= used && other[index] < own[index]
+        };
+        let is_full = self.resources.link > 0.0 && (is_used(0) || is_used(1));
+        self.is_link_full = is_full;
+        let factor = if is_full { SURCHARGE.0 } else { SURCHARGE.1 };
+        self.surcharge = (factor * self.surcharge).clamp(1.0, MAX_SURCHARGE);
+        if is_full {
+            self.strained_until = now + STRAIN_MS;
+        }
+    }
+
+    /// Records by how many milliseconds a timer was late. The timers of a window should fall into different parts of
+    /// the period of a processor's quota.
+    pub fn record_lateness(&mut self, now: Millis, lateness: Millis) {
+        self.least_lateness = self.least_lateness.min(lateness);
+        let ms = now.saturating_sub(self.window_start);
+        if ms < LATENESS_WINDOW_MS {
+            return;
+        }
+        let least = std::mem::replace(&mut self.least_lateness, Millis::MAX);
+        let read = 1000.0 * std::mem::take(&mut self.charged) / ms as f64;
+        let served = 1000.0 * std::mem::take(&mut self.served) / ms as f64;
+        self.window_start = now;
+        if least < MAX_LATENESS_MS {
+            self.grow(now, read);
+            return;
+        }
+        self.strained_until = now + STRAIN_MS;
+        if read * (LATENESS_WINDOW_MS as f64) < 1000.0 * MIN_CHARGED {
+            return;
+        }
+        // In a window that was much longer, the process stood still for a time, and could serve few.
+        let is_pause = 2 * LATENESS_WINDOW_MS <= ms;
+        let carried = if is_pause { self.rate } else { served };
+        if !is_pause {
+            self.carried = Some((now, served));
+        }
+        let least_rate = MIN_FRACTION * self.min_rate();
+        self.rate = (BACKOFF * carried).min(self.rate).max(least_rate);
+        self.floor = self.floor.min(self.rate);
+        self.tokens = self.tokens.min(0.0);
+    }
+
+    /// Raises the rate after a window without late timers in which this rate was read.
+    fn grow(&mut self, now: Millis, read: f64) {
+        self.floor = (FLOOR_GROWTH * self.floor).min(self.min_rate());
+        let grown = self.floor.max(GROWTH * read);
+        self.carried = self.carried.filter(|it| now < it.0 + CARRIED_MS);
+        // Near the rate at which the processor was full, it grows slowly.
+        self.rate = match self.carried {
+            Some((_, carried)) => grown.min((NEAR_FULL * carried).max(CREEP * self.rate)),
+            None => grown,
+        };
+    }
+
+    /// Whether the link or the processor is full or was so recently that timeouts may be its fault.
+    pub fn is_strained(&self, now: Millis) -> bool {
+        now < self.strained_until
+    }
+
+    /// Whether the link is full.
+    pub fn is_link_full(&self) -> bool {
+        self.is_link_full
+    }
+
+    /// Bytes that one request is expected to cost, received and sent.
+    pub fn costs(&self) -> [u64; 2] {
+        [self.cost(0) as u64, self.cost(1) as u64]
+    }
+
+    /// Requests per second that the processor may get.
+    pub fn rate(&self) -> f64 {
+        self.rate
+    }
+
+    fn cost(&self, direction: usize) -> f64 {
+        self.surcharge * self.directions[direction].bytes / self.requests.max(1.0)
+    }
+
+    fn exceeds_link(&self) -> bool {
+        let burst = LINK_BURST_MS * self.resources.link;
+        let exceeds = |index: usize| {
+            let pending = self.directions[index].pending;
+            // One request that is larger than the burst must still be possible.
+            pending > 0.0 && burst < pending + self.cost(index)
+        };
+        exceeds(0) || exceeds(1)
+    }
+
+    fn update(&mut self, now: Millis) {
+        let ms = now.saturating_sub(self.updated) as f64;
+        self.updated = now;
+        for it in &mut self.directions {
+            it.pending = (it.pending - it.free(self.resources.link) * ms).max(0.0);
+        }
+        self.tokens = (self.tokens + self.rate * ms / 1000.0).min(self.most_tokens());
+    }
+
+    fn most_tokens(&self) -> f64 {
+        (self.rate * RATE_BURST_MS / 1000.0).max(1.0)
+    }
+
+    /// Rate that the processor should carry at least, in requests per second.
+    fn min_rate(&self) -> f64 {
+        MIN_PER_CORE_S * self.resources.cores
+    }
+}
--- a/crates/holdpoint-core/src/lib.rs
+++ b/crates/holdpoint-core/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod fold;
 pub mod ids;
 pub mod ingress;
+pub mod intake;
 pub mod items;
 pub mod ledger;
 pub mod lifecycle;
--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -181,6 +181,8 @@
     RELAYED = 734 Info "sent through a peer";
     /// This instance uses much of its link, or its timers are late.
     OWN_LOAD = 740 Info "load of this instance";
+    /// The link or the processor of this instance has become full, or has room again.
+    STRAINED = 741 Warn "link or processor full, or free again";
     /// A connection to a target could not be made.
     CONNECT_FAILED = 714 Info "no connection to a target";
     /// A batched call for results of a stage ended.
--- a/crates/holdpointd/src/ingress/connections.rs
+++ b/crates/holdpointd/src/ingress/connections.rs
@@ -2,7 +2,7 @@
 //! unlikely to close them.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     io,
     net::{IpAddr, SocketAddr},
     sync::Arc,
@@ -137,6 +137,8 @@
     idle: Mutex<HashMap<String, Vec<IdleConnection>>>,
     /// Maximum number of idle connections to one target, by service.
     max_idle: Mutex<HashMap<Name, usize>>,
+    /// Services that run stages.
+    stage_services: Mutex<HashSet<Name>>,
 }
 
 impl Connections {
@@ -154,6 +156,7 @@
             traffic: traffic.clone(),
             idle: Mutex::default(),
             max_idle: Mutex::default(),
+            stage_services: Mutex::default(),
         }
     }
 
@@ -162,12 +165,14 @@
         let services = configuration.services.values();
         let max_idle = services.map(|it| (it.name.clone(), it.idle_connections(instances)));
         *self.max_idle.lock() = max_idle.collect();
+        let stages = configuration.services.values().filter(|it| it.batches.is_some());
+        *self.stage_services.lock() = stages.map(|it| it.name.clone()).collect();
     }
 
     /// Makes a connection to a target.
     pub(crate) async fn make(&self, target: &TargetInstance) -> io::Result<Connection> {
         let begun = Instant::now();
-        let made = tokio::time::timeout(self.connect_timeout, self.connect(&target.address)).await;
+        let made = tokio::time::timeout(self.connect_timeout, self.connect(target)).await;
         let made = made.unwrap_or_else(|_| Err(io::Error::from(io::ErrorKind::TimedOut)));
         self.record_connect(target, begun, made.as_ref().err());
         let (sender, task) = made?;
@@ -198,8 +203,13 @@
         Ok(Connection { sender, remote: address.to_owned(), service: None, task: Some(task) })
     }
 
-    async fn connect(&self, address: &str) -> io::Result<(SendRequest<Full<Bytes>>, AbortHandle)> {
-        let traffic = &self.traffic.targets;
+    async fn connect(
+        &self,
+        target: &TargetInstance,
+    ) -> io::Result<(SendRequest<Full<Bytes>>, AbortHandle)> {
+        let runs_stages = self.stage_services.lock().contains(&target.service);
+        let traffic = if runs_stages { &self.traffic.stages } else { &self.traffic.targets };
+        let address = target.address.as_str();
         let Some(source) = self.source else { return connect(address, traffic).await };
         let address: SocketAddr = address.parse().map_err(io::Error::other)?;
         let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -434,6 +434,9 @@
         target.clone_into(&mut end.target);
         end.sends += 1;
         end.sent = Some(Instant::now());
+        if end.sends == 1 {
+            self.shared.own_load.record_served();
+        }
     }
 
     /// Time since the last send, in milliseconds.
@@ -458,6 +461,9 @@
     fn drop(&mut self) {
         let end = self.end.lock().clone();
         let cause = if end.cause.is_empty() { "caller-gone" } else { end.cause };
+        if end.sends == 0 {
+            self.shared.own_load.record_served();
+        }
         let ms = self.arrived.elapsed().as_millis() as u64;
         let detail = format!(
             "id={} route={} version={} service={} target={} sends={} status={} cause={cause} \
--- a/crates/holdpointd/src/ingress/counted_stream.rs
+++ b/crates/holdpointd/src/ingress/counted_stream.rs
@@ -10,24 +10,18 @@
     task::{Context, Poll},
 };
 
+use holdpoint_core::intake::LinkBytes;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// Bytes received and sent.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct Bytes {
-    pub(crate) received: u64,
-    pub(crate) sent: u64,
-}
-
 /// Counts the bytes of all connections of one kind.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ByteCounter(Arc<(AtomicU64, AtomicU64)>);
 
 impl ByteCounter {
     /// The bytes counted so far.
-    pub(crate) fn total(&self) -> Bytes {
+    pub(crate) fn total(&self) -> LinkBytes {
         let (received, sent) = &*self.0;
-        Bytes { received: received.load(Ordering::Relaxed), sent: sent.load(Ordering::Relaxed) }
+        LinkBytes { received: received.load(Ordering::Relaxed), sent: sent.load(Ordering::Relaxed) }
     }
 }
 
--- a/crates/holdpointd/src/ingress/listeners.rs
+++ b/crates/holdpointd/src/ingress/listeners.rs
@@ -2,20 +2,31 @@
 //!
 //! Each accepted connection is served by a task of its own.
 
-use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    future::Future,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use http::{Request, StatusCode};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::{
+    events::{self, emit},
     ingress::{
         answer::{Answer, empty, text},
         connections::set_socket_options,
         counted_stream::CountedStream,
-        request,
+        own_load, request,
         shared::IngressShared,
     },
     shared::wait_until_set,
@@ -28,6 +39,10 @@
 const SEND_BUFFER_BYTES: usize = 64 << 10;
 /// Pause after a failed accept, for example when file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Pause after a failed attempt to listen again.
+const LISTEN_PAUSE: Duration = Duration::from_millis(100);
+/// Connections that may wait to be accepted. The system drops further ones, whose callers wait for seconds.
+const LISTEN_BACKLOG: u32 = 1024;
 
 /// Serves callers until the task is dropped.
 ///
@@ -35,21 +50,71 @@
 /// ones, while a closed port makes callers use another instance at once.
 pub(crate) async fn callers(shared: Arc<IngressShared>, listener: TcpListener) {
     let mut closing = shared.closing.subscribe();
-    let accepting = accept(listener, |stream| {
+    tokio::select! {
+        () = accept_callers(&shared, listener) => (),
+        () = wait_until_set(&mut closing) => (),
+    }
+}
+
+/// Accepts callers while this instance has room. While it has none it does not listen: a refused connection costs the
+/// link no request, unlike one that is closed unread.
+async fn accept_callers(shared: &Arc<IngressShared>, listener: TcpListener) {
+    let mut listener = Some(listener);
+    loop {
+        let listening = match listener.take() {
+            Some(it) => it,
+            None => listen_again(shared).await,
+        };
+        accept_while_room(shared, &listening).await;
+        drop(listening);
+        while let Some(it) = shared.own_load.wait(shared.clock.now()) {
+            tokio::time::sleep(it).await;
+        }
+    }
+}
+
+/// Accepts callers until one has to be closed unread.
+async fn accept_while_room(shared: &Arc<IngressShared>, listener: &TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let Some(open) = own_load::accept(shared) else { return };
         let shared = shared.clone();
-        async move {
-            let state = shared.clone();
-            let service = service_fn(move |it| request::serve(state.clone(), it));
-            let _open = shared.own_load.open_connection();
+        tokio::spawn(async move {
+            let _open = open;
+            let (state, is_first) = (shared.clone(), AtomicBool::new(true));
+            let service = service_fn(move |it| {
+                request::serve(state.clone(), it, is_first.swap(false, Ordering::Relaxed))
+            });
             serve_connection(&shared, stream, service).await;
+        });
+    }
+}
+
+/// Listens for callers again at the address that was listened on before.
+async fn listen_again(shared: &IngressShared) -> TcpListener {
+    loop {
+        match listen(&shared.settings.listen.callers) {
+            Ok(it) => return it,
+            Err(it) => {
+                let detail = format!("{}: {it}", shared.settings.listen.callers);
+                emit(events::BAD_ADDRESS, &shared.settings.instance, &detail);
+            }
         }
-    });
-    tokio::select! {
-        () = accepting => (),
-        () = wait_until_set(&mut closing) => (),
+        tokio::time::sleep(LISTEN_PAUSE).await;
     }
 }
 
+fn listen(address: &str) -> io::Result<TcpListener> {
+    let address: SocketAddr = address.parse().map_err(io::Error::other)?;
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(LISTEN_BACKLOG)
+}
+
 /// Answers the balancer's readiness probes.
 pub(crate) async fn readiness(shared: Arc<IngressShared>, listener: TcpListener) {
     accept(listener, |stream| {
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -71,8 +71,9 @@
     ingress::shared::IngressShared,
 };
 
-/// Interval at which queued work is started on targets that have become free with time.
-const PUMP_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval at which queued work is started on targets that have become free with time. It is no divisor of the usual
+/// period of a processor's quota, 100 ms, so that some of its ticks fall into the time in which the process may run.
+const PUMP_INTERVAL: Duration = Duration::from_millis(47);
 /// Interval at which idle connections are closed and expired state is removed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(1000);
 /// Part of the grace period that a planned stop keeps free before the platform ends the process.
@@ -235,18 +236,17 @@
     let mut pump = interval(PUMP_INTERVAL);
     let mut sweep = interval(SWEEP_INTERVAL);
     let mut detector = SuspensionDetector::default();
-    let mut reported = Instant::now();
     loop {
         tokio::select! {
             due = pump.tick() => {
-                shared.own_load.record_lateness(due.elapsed());
+                own_load::measure(&shared, due.elapsed());
                 if let Some(it) = detector.detect() {
                     shared.handle_resume(it);
                 }
                 batches::start_all_calls(&shared);
             }
             _ = sweep.tick() => {
-                own_load::report(&shared, std::mem::replace(&mut reported, Instant::now()).elapsed());
+                own_load::report(&shared);
                 shared.connections.sweep();
                 shared.backoffs.lock().remove_expired(shared.clock.now());
                 domains::settle(&shared);
--- a/crates/holdpointd/src/ingress/own_load.rs
+++ b/crates/holdpointd/src/ingress/own_load.rs
@@ -1,23 +1,27 @@
-//! What this instance carries: bytes on its link by kind of connection, lateness of its timers, processor time,
-//! memory and callers' connections.
+//! What this instance carries, and the new connections that it closes unread when it carries no more.
 
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicUsize, Ordering},
     },
     time::Duration,
 };
 
+use holdpoint_core::{
+    ids::Millis,
+    intake::{Full, Intake, LinkBytes, Resources, Usage},
+};
+use holdpoint_schema::ingress::Machine;
 use parking_lot::Mutex;
-use rustix::time::{ClockId, clock_gettime};
+use rustix::{
+    process::{Resource, getrlimit},
+    time::{ClockId, clock_gettime},
+};
 
 use crate::{
     events::{self, emit},
-    ingress::{
-        counted_stream::{ByteCounter, Bytes},
-        shared::IngressShared,
-    },
+    ingress::{counted_stream::ByteCounter, shared::IngressShared},
     metrics::label,
 };
 
@@ -25,46 +29,83 @@
 const LOGGED_PERCENT: u64 = 50;
 /// Lateness of a timer from which on the load is logged, in milliseconds.
 const LOGGED_LATENESS_MS: u64 = 100;
+/// Interval at which the traffic is measured.
+const MEASURE_INTERVAL_MS: Millis = 200;
+/// Memory of one open connection with a request, in bytes.
+const CONNECTION_BYTES: f64 = 65536.0;
+/// Part of the memory that open connections may use.
+const CONNECTIONS_MEMORY: f64 = 0.5;
+/// Part of the file descriptors that callers' connections may use.
+const CONNECTIONS_DESCRIPTORS: u64 = 2;
 
 /// Byte counters of the connections by kind.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Traffic {
+    /// Connections of callers.
     pub(crate) callers: ByteCounter,
+    /// Connections to targets that answer callers' requests.
     pub(crate) targets: ByteCounter,
+    /// Connections to targets that run stages, for callers of all instances.
+    pub(crate) stages: ByteCounter,
+    /// Connections to peers.
     pub(crate) peers: ByteCounter,
+    /// Connections from peers.
+    pub(crate) served_peers: ByteCounter,
+    /// Connections to the store.
     pub(crate) store: ByteCounter,
 }
 
+/// Number of kinds of connections.
+const KINDS: usize = 6;
+/// Number of kinds, the first ones, whose bytes requests of this instance's callers cause.
+const OWN_KINDS: usize = 3;
+
 impl Traffic {
-    fn totals(&self) -> [(&'static str, Bytes); 4] {
+    fn totals(&self) -> [(&'static str, LinkBytes); KINDS] {
         [
             ("callers", self.callers.total()),
             ("targets", self.targets.total()),
             ("peers", self.peers.total()),
+            ("stages", self.stages.total()),
+            ("served_peers", self.served_peers.total()),
             ("store", self.store.total()),
         ]
     }
 }
 
-/// Cumulative figures at the last report.
+/// Cumulative figures at an earlier time.
+#[derive(Clone, Copy, Debug, Default)]
+struct Totals {
+    at: Millis,
+    bytes: [LinkBytes; KINDS],
+    requests: u64,
+}
+
+/// Figures since the last report.
 #[derive(Debug, Default)]
 struct Reported {
-    bytes: [Bytes; 4],
+    totals: Totals,
     processor: Duration,
+    lateness_ms: Millis,
+    closed: u64,
+}
+
+#[derive(Debug)]
+struct State {
+    intake: Intake,
     requests: u64,
+    was_strained: bool,
+    measured: Totals,
+    reported: Reported,
 }
 
 /// The load of this instance.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct OwnLoad {
     pub(crate) traffic: Traffic,
     /// Callers' connections that are open.
     connections: Arc<AtomicUsize>,
-    /// Callers' requests whose heads have been read.
-    requests: AtomicU64,
-    /// Largest lateness of a timer since the last report, in milliseconds.
-    lateness_ms: AtomicU64,
-    reported: Mutex<Reported>,
+    state: Mutex<State>,
 }
 
 /// Counts a caller's connection as open until it is dropped.
@@ -77,33 +118,143 @@
 }
 
 impl OwnLoad {
-    /// Counts a caller's connection as open.
-    pub(crate) fn open_connection(&self) -> OpenConnection {
+    /// Creates the state of an instance on this machine.
+    pub(crate) fn new(machine: &Machine) -> OwnLoad {
+        let state = State {
+            intake: Intake::new(resources(machine)),
+            requests: 0,
+            was_strained: false,
+            measured: Totals::default(),
+            reported: Reported::default(),
+        };
+        OwnLoad {
+            traffic: Traffic::default(),
+            connections: Arc::default(),
+            state: Mutex::new(state),
+        }
+    }
+
+    /// Decides on a caller's new connection, and counts an accepted one as open.
+    fn accept(&self, now: Millis) -> Result<OpenConnection, Full> {
+        let mut state = self.state.lock();
+        let accepted = state.intake.accept(now, self.connections.load(Ordering::Acquire));
+        if let Err(it) = accepted {
+            state.reported.closed += 1;
+            return Err(it);
+        }
         self.connections.fetch_add(1, Ordering::AcqRel);
-        OpenConnection(self.connections.clone())
+        Ok(OpenConnection(self.connections.clone()))
     }
 
-    /// Counts a caller's request whose head has been read.
-    pub(crate) fn record_request(&self) {
-        self.requests.fetch_add(1, Ordering::Relaxed);
+    /// Counts a caller's request whose head has been read. The first one of a connection was accepted with it.
+    pub(crate) fn record_request(&self, now: Millis, is_first: bool) {
+        let mut state = self.state.lock();
+        state.requests += 1;
+        if !is_first {
+            state.intake.charge(now);
+        }
     }
 
-    /// Records by how much a timer was late.
-    pub(crate) fn record_lateness(&self, lateness: Duration) {
-        self.lateness_ms.fetch_max(lateness.as_millis() as u64, Ordering::AcqRel);
+    /// Counts a caller's request that was sent to a target for the first time, or has ended without.
+    pub(crate) fn record_served(&self) {
+        self.state.lock().intake.record_served();
+    }
+
+    /// Time until new connections can be accepted again; `None` if they can be now.
+    pub(crate) fn wait(&self, now: Millis) -> Option<Duration> {
+        let open = self.connections.load(Ordering::Acquire);
+        self.state.lock().intake.wait(now, open).map(Duration::from_millis)
     }
 }
 
-/// Updates the metrics of the load, and logs it if the instance is busy. `since` is the time since the last call.
-pub(crate) fn report(shared: &IngressShared, since: Duration) {
+/// The resources of a machine for callers' connections.
+fn resources(machine: &Machine) -> Resources {
+    let by_memory = CONNECTIONS_MEMORY * machine.memory_mb * f64::from(1 << 20) / CONNECTION_BYTES;
+    let descriptors = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
+    let by_descriptors = (descriptors / CONNECTIONS_DESCRIPTORS) as usize;
+    Resources {
+        link: machine.link_mbps * 125.0,
+        cores: machine.cpu_share * machine.cpu_cores,
+        connections: (by_memory as usize).min(by_descriptors).max(1),
+    }
+}
+
+/// Decides on a caller's new connection; `None` if it is to be closed unread.
+pub(crate) fn accept(shared: &IngressShared) -> Option<OpenConnection> {
+    let accepted = shared.own_load.accept(shared.clock.now());
+    let count = |it: Full| shared.metrics.closed_unread.add(1, &[label("full", it.name())]);
+    accepted.map_err(count).ok()
+}
+
+/// Records by how much a timer was late, and measures the traffic from time to time.
+pub(crate) fn measure(shared: &IngressShared, lateness: Duration) {
+    let now = shared.clock.now();
+    let load = &shared.own_load;
+    let mut state = load.state.lock();
+    let lateness = lateness.as_millis() as Millis;
+    state.reported.lateness_ms = state.reported.lateness_ms.max(lateness);
+    state.intake.record_lateness(now, lateness);
+    log_strain(shared, now, &mut state);
+    let since = now.saturating_sub(state.measured.at);
+    if since < MEASURE_INTERVAL_MS {
+        return;
+    }
+    let totals =
+        Totals { at: now, bytes: load.traffic.totals().map(|it| it.1), requests: state.requests };
+    let before = std::mem::replace(&mut state.measured, totals);
+    if before.at == 0 {
+        return;
+    }
+    let usage = usage(&before, &totals);
+    state.intake.record_usage(now, since, usage);
+}
+
+fn usage(before: &Totals, after: &Totals) -> Usage {
+    let mut usage = Usage::default();
+    for (kind, (before, after)) in before.bytes.iter().zip(&after.bytes).enumerate() {
+        let sum = if kind < OWN_KINDS { &mut usage.own } else { &mut usage.other };
+        sum.received += after.received - before.received;
+        sum.sent += after.sent - before.sent;
+    }
+    usage
+}
+
+fn log_strain(shared: &IngressShared, now: Millis, state: &mut State) {
+    let intake = &state.intake;
+    let is_strained = intake.is_strained(now);
+    if is_strained == std::mem::replace(&mut state.was_strained, is_strained) {
+        return;
+    }
+    let [received, sent] = intake.costs();
+    let detail = format!(
+        "strained={is_strained} link_full={} per_s={:.0} request_received={received} request_sent={sent}",
+        intake.is_link_full(),
+        intake.rate()
+    );
+    emit(events::STRAINED, &shared.settings.instance, &detail);
+}
+
+/// Updates the metrics of the load, and logs it if the instance is busy.
+pub(crate) fn report(shared: &IngressShared) {
+    let now = shared.clock.now();
     let load = &shared.own_load;
-    let mut reported = load.reported.lock();
     let totals = load.traffic.totals();
-    let mut link = Bytes::default();
+    let mut state = load.state.lock();
+    let requests = state.requests;
+    let after = Totals { at: now, bytes: totals.map(|it| it.1), requests };
+    let used = processor_time();
+    let reported = std::mem::replace(
+        &mut state.reported,
+        Reported { totals: after, processor: used, lateness_ms: 0, closed: 0 },
+    );
+    let [request_received, request_sent] = state.intake.costs();
+    let rate = state.intake.rate();
+    drop(state);
+    let before = reported.totals;
+    let mut link = LinkBytes::default();
     let mut by_kind = String::new();
-    for ((kind, total), before) in totals.iter().zip(&reported.bytes) {
-        let received = total.received - before.received;
-        let sent = total.sent - before.sent;
+    for ((kind, total), before) in totals.iter().zip(&before.bytes) {
+        let (received, sent) = (total.received - before.received, total.sent - before.sent);
         link.received += received;
         link.sent += sent;
         by_kind += &format!(" {kind}={received}/{sent}");
@@ -112,41 +263,37 @@
             shared.metrics.link_bytes.add(count, &labels);
         }
     }
-    let used = processor_time();
-    // The first report has nothing to compare with.
-    let before = std::mem::replace(&mut reported.processor, used);
-    let processor = if before.is_zero() { Duration::ZERO } else { used.saturating_sub(before) };
-    let requests = load.requests.load(Ordering::Relaxed);
-    let begun = requests - reported.requests;
-    reported.bytes = totals.map(|it| it.1);
-    reported.requests = requests;
-    drop(reported);
-    let lateness_ms = load.lateness_ms.swap(0, Ordering::AcqRel);
+    let processor_ms = match reported.processor {
+        Duration::ZERO => 0,
+        it => used.saturating_sub(it).as_millis() as u64,
+    };
     let connections = load.connections.load(Ordering::Acquire);
-    shared.metrics.processor_time.add(processor.as_millis() as u64, &[]);
-    shared.metrics.timer_lateness.record(lateness_ms as f64, &[]);
+    let memory = resident_bytes();
+    shared.metrics.processor_time.add(processor_ms, &[]);
+    shared.metrics.timer_lateness.record(reported.lateness_ms as f64, &[]);
     shared.metrics.caller_connections.record(connections as u64, &[]);
-    shared.metrics.memory.record(resident_bytes(), &[]);
-    let machine = &shared.settings.machine;
-    let percent = |used: f64, capacity: f64| {
-        let capacity = capacity * since.as_secs_f64();
-        if capacity <= 0.0 { 0 } else { (100.0 * used / capacity) as u64 }
-    };
-    let link_percent = percent(link.received.max(link.sent) as f64, machine.link_mbps * 125_000.0);
-    if LOGGED_PERCENT <= link_percent || LOGGED_LATENESS_MS <= lateness_ms {
-        let detail = format!(
-            "link_percent={link_percent} lateness_ms={lateness_ms} processor_ms={} \
-             received={} sent={}{by_kind} requests={begun} \
-             in_flight={} connections={connections} memory_kb={} unread={}",
-            processor.as_millis(),
-            link.received,
-            link.sent,
-            shared.in_flight.count(),
-            resident_bytes() >> 10,
-            shared.unread.buffered(),
-        );
-        emit(events::OWN_LOAD, &shared.settings.instance, &detail);
+    shared.metrics.memory.record(memory, &[]);
+    let capacity = shared.settings.machine.link_mbps * 125.0 * now.saturating_sub(before.at) as f64;
+    let busier = link.received.max(link.sent) as f64;
+    let link_percent = if capacity <= 0.0 { 0 } else { (100.0 * busier / capacity) as u64 };
+    let is_busy = LOGGED_PERCENT <= link_percent || LOGGED_LATENESS_MS <= reported.lateness_ms;
+    if !is_busy && reported.closed == 0 {
+        return;
     }
+    let detail = format!(
+        "link_percent={link_percent} lateness_ms={} processor_ms={processor_ms} received={} \
+         sent={}{by_kind} requests={} in_flight={} connections={connections} closed={} per_s={rate:.0} \
+         request_received={request_received} request_sent={request_sent} memory_kb={} unread={}",
+        reported.lateness_ms,
+        link.received,
+        link.sent,
+        requests - before.requests,
+        shared.in_flight.count(),
+        reported.closed,
+        memory >> 10,
+        shared.unread.buffered(),
+    );
+    emit(events::OWN_LOAD, &shared.settings.instance, &detail);
 }
 
 fn processor_time() -> Duration {
--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -228,7 +228,7 @@
         Ok(0) | Err(_) => return,
         Ok(_) => (),
     }
-    let stream = CountedStream::new(stream, shared.own_load.traffic.peers.clone());
+    let stream = CountedStream::new(stream, shared.own_load.traffic.served_peers.clone());
     if FIRST_HTTP_BYTE <= first[0] {
         return relay::serve(shared, stream).await;
     }
--- a/crates/holdpointd/src/ingress/request.rs
+++ b/crates/holdpointd/src/ingress/request.rs
@@ -35,13 +35,14 @@
 /// Retry-After of a request that the known configuration does not allow, while a newer one may exist.
 const UNCONFIGURED_RETRY: Duration = Duration::from_millis(500);
 
-/// Serves a request.
+/// Serves a request; `is_first` if it is the first one of its connection.
 pub(crate) async fn serve(
     shared: Arc<IngressShared>,
     request: Request<Incoming>,
+    is_first: bool,
 ) -> Result<Answer, Infallible> {
     let working = shared.in_flight.start();
-    shared.own_load.record_request();
+    shared.own_load.record_request(shared.clock.now(), is_first);
     let arrived = Instant::now();
     let mut answer = match admit(&shared, request, arrived, working).await {
         Ok(it) => match it.route.response {
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -183,7 +183,7 @@
     pub(crate) fn new(settings: IngressSettings) -> IngressShared {
         let metrics = Arc::new(Metrics::new());
         let epochs = Arc::new(StoreEpochs::default());
-        let own_load = OwnLoad::default();
+        let own_load = OwnLoad::new(&settings.machine);
         let traffic = own_load.traffic.clone();
         IngressShared {
             clock: Clock::new(),
--- a/crates/holdpointd/src/metrics.rs
+++ b/crates/holdpointd/src/metrics.rs
@@ -32,6 +32,8 @@
     pub relayed: Counter<u64>,
     /// Bytes on this instance's link, by kind of connection and direction.
     pub link_bytes: Counter<u64>,
+    /// Callers' connections that were closed unread, by what is full.
+    pub closed_unread: Counter<u64>,
     /// Processor time of this process, in milliseconds.
     pub processor_time: Counter<u64>,
     /// Largest lateness of a timer in each second, in milliseconds.
@@ -120,6 +122,10 @@
             path_changes: counter("holdpoint_path_changes", "Paths to targets lost and regained"),
             relayed: counter("holdpoint_relayed", "Requests sent through peers by outcome"),
             link_bytes: counter("holdpoint_link_bytes", "Bytes on the link by kind of connection"),
+            closed_unread: counter(
+                "holdpoint_closed_unread",
+                "Connections of callers that were closed unread by what is full",
+            ),
             processor_time: counter(
                 "holdpoint_processor_ms",
                 "Processor time of this process in milliseconds",
