Reach: timeouts that an instance's own full link or processor causes count against nobody

Callers of an instance that got more than its link carries were served late or not for 7 s after the crowd had left.

Cause: sends and connections that timed out behind the instance's own queue counted as lost paths to targets and as silent peers. Requests then went through peers, over the same link, and kept it full: 120 connections timed out, 76 paths counted as lost, 78 requests were relayed, 12 peers were suspect, and the instance took itself for isolated from four services.

Change: while link or processor were full within the last second, no path counts as lost or is verified, and a silent peer is suspect for 300 ms instead of 1.5 to 12 s. Traffic is measured every 90 ms, so that a full link is noticed before the first timeouts that it causes, of 200 ms.

--- a/crates/holdpoint-core/src/intake.rs
+++ b/crates/holdpoint-core/src/intake.rs
@@ -16,7 +16,7 @@
 /// Part of the link from which on it counts as full.
 const FULL_SHARE: f64 = 0.95;
 /// Factor of the expected cost of a request after a period with a full link, and after one without.
-const SURCHARGE: (f64, f64) = (1.1, 0.95);
+const SURCHARGE: (f64, f64) = (1.05, 0.975);
 /// Largest surcharge on the expected cost.
 const MAX_SURCHARGE: f64 = 2.0;
 /// Time on the link that connections accepted at once may take.
--- a/crates/holdpoint-core/tests/intake.rs
+++ b/crates/holdpoint-core/tests/intake.rs
@@ -8,7 +8,7 @@
 /// Interval of the timers whose lateness is recorded.
 const TICK_MS: Millis = 47;
 /// Interval at which traffic is measured.
-const MEASURE_MS: Millis = 200;
+const MEASURE_MS: Millis = 90;
 /// Bytes per millisecond of a link of 10 Mbit/s.
 const LINK: f64 = 1250.0;
 /// Bytes of a request in each direction.
@@ -137,7 +137,7 @@
 #[test]
 fn a_crowd_is_not_taken_for_cheap_requests_while_its_bytes_are_on_the_way() {
     let mut intake = Intake::new(small_machine());
-    let own = LinkBytes { received: 20 * REQUEST_BYTES / 5, sent: 20 * REQUEST_BYTES / 5 };
+    let own = LinkBytes { received: 4 * REQUEST_BYTES, sent: 4 * REQUEST_BYTES };
     let mut now = 1000;
     for _ in 0..50 {
         now += MEASURE_MS;
--- a/crates/holdpointd/src/ingress/links.rs
+++ b/crates/holdpointd/src/ingress/links.rs
@@ -50,6 +50,8 @@
 const MAX_LARGE_SILENCE: Duration = Duration::from_millis(1000);
 /// How long a silent peer is suspect for the first time; doubled each time.
 const BASE_SUSPICION: Duration = Duration::from_millis(1500);
+/// How long a peer is suspect that was silent while this instance's own link or processor was full.
+const STRAINED_SUSPICION: Duration = Duration::from_millis(300);
 /// Longest time that a peer is suspect.
 const MAX_SUSPICION: Duration = Duration::from_secs(12);
 /// Round trips added to a timeout: one for the call itself, one for the retransmission of lost packets.
@@ -265,8 +267,12 @@
         if before.is_some_and(|it| now < it.until) {
             return;
         }
-        let times = before.map_or(0, |it| it.times + 1);
-        let suspicion = (BASE_SUSPICION * 2_u32.pow(times.min(4))).min(MAX_SUSPICION);
+        let (times, suspicion) = if shared.own_load.is_strained(shared.clock.now()) {
+            (before.map_or(0, |it| it.times), STRAINED_SUSPICION)
+        } else {
+            let times = before.map_or(0, |it| it.times + 1);
+            (times, (BASE_SUSPICION * 2_u32.pow(times.min(4))).min(MAX_SUSPICION))
+        };
         suspects.insert(address.to_owned(), Suspicion { until: now + suspicion, times });
         self.suspects_revision.fetch_add(1, Ordering::AcqRel);
         let detail = format!("peer={address} cause={cause} for_ms={}", suspicion.as_millis());
--- a/crates/holdpointd/src/ingress/own_load.rs
+++ b/crates/holdpointd/src/ingress/own_load.rs
@@ -29,8 +29,8 @@
 const LOGGED_PERCENT: u64 = 50;
 /// Lateness of a timer from which on the load is logged, in milliseconds.
 const LOGGED_LATENESS_MS: u64 = 100;
-/// Interval at which the traffic is measured.
-const MEASURE_INTERVAL_MS: Millis = 200;
+/// Interval at which the traffic is measured. A full link is noticed before the first timeouts that it causes.
+const MEASURE_INTERVAL_MS: Millis = 90;
 /// Memory of one open connection with a request, in bytes.
 const CONNECTION_BYTES: f64 = 65536.0;
 /// Part of the memory that open connections may use.
@@ -165,6 +165,11 @@
         let open = self.connections.load(Ordering::Acquire);
         self.state.lock().intake.wait(now, open).map(Duration::from_millis)
     }
+
+    /// Whether timeouts may be the fault of this instance's own link or processor.
+    pub(crate) fn is_strained(&self, now: Millis) -> bool {
+        self.state.lock().intake.is_strained(now)
+    }
 }
 
 /// The resources of a machine for callers' connections.
--- a/crates/holdpointd/src/ingress/paths.rs
+++ b/crates/holdpointd/src/ingress/paths.rs
@@ -155,6 +155,9 @@
 /// Records that no connection to a target could be made.
 pub(crate) fn record_loss(shared: &IngressShared, target: &TargetInstance) {
     let now = shared.clock.now();
+    if shared.own_load.is_strained(now) {
+        return;
+    }
     if shared.paths.reach.lock().record_loss(now, &target.id, &target.service) {
         log_change(shared, events::PATH_LOST, target, "no-connection");
     }
@@ -231,6 +234,9 @@
         let (shared, target) = (self.shared, self.target);
         let now = shared.clock.now();
         shared.connections.close_idle(&target.id);
+        if shared.own_load.is_strained(now) {
+            return;
+        }
         if shared.paths.reach.lock().record_unanswered(now, &target.id, &target.service) {
             log_change(shared, events::PATH_LOST, target, "unanswered");
         }
@@ -261,7 +267,8 @@
 /// Makes a new connection to a target to find out whether its path is lost. If it is, a peer tells whether the
 /// target is.
 async fn verify(shared: &Arc<IngressShared>, target: &TargetInstance) {
-    if !shared.paths.begin_verification(shared.clock.now(), &target.id) {
+    let now = shared.clock.now();
+    if shared.own_load.is_strained(now) || !shared.paths.begin_verification(now, &target.id) {
         return;
     }
     match shared.connections.make_checked(target).await {
--- a/crates/holdpointd/tests/full_instance.rs
+++ b/crates/holdpointd/tests/full_instance.rs
@@ -8,14 +8,19 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use holdpoint_adapter_standin::{
-    Behaviour, CallerRequest, Endpoint, Store, Target, call, sample_configuration,
+    Behaviour, CallerRequest, Endpoint, Store, Target, call, sample_configuration, send_on,
 };
 use holdpoint_soak::Proxy;
 use holdpointd::ingress::Ingress;
 use http::StatusCode;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
 use serde_json::json;
 use tokio::{
+    net::TcpStream,
     task::JoinSet,
     time::{sleep, timeout},
 };
@@ -37,6 +42,12 @@
 const CALM_AFTER: Duration = Duration::from_millis(2000);
 /// Smallest share of the requests read that must be served at first, relative to the share before.
 const MIN_SHARE: f64 = 0.95;
+/// Callers that each keep one connection.
+const CLIENTS: usize = 150;
+/// Codes of logged events.
+const PATH_LOST: u16 = 730;
+const RELAYED: u16 = 734;
+const STRAINED: u16 = 741;
 /// Of ten new connections, those that the small instance gets in a crowd.
 const CROWD_OF_TEN: usize = 9;
 
@@ -190,6 +201,53 @@
     check_crowd(size, 45, 300, 4 * 51).await;
 }
 
+/// Guards against a full link that is taken for lost targets, so that requests go through peers over the same link.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_full_link_counts_against_no_target() {
+    let size = MachineSize { cpu_share: 1.0, memory_mb: 160.0, link_mbps: 10.0 };
+    let fleet = fleet(size).await;
+    let mut clients = JoinSet::new();
+    for client in 0..CLIENTS {
+        let address = fleet.small.callers;
+        clients.spawn(async move { timeout(PHASE, use_connection(address, client)).await });
+    }
+    clients.join_all().await;
+    let counts = [PATH_LOST, RELAYED].map(|it| fleet.small.event_count(it));
+    assert_eq!(counts, [0, 0], "lost paths, relayed requests");
+    assert!(fleet.small.event_count(STRAINED) != 0);
+    sleep(CALM_AFTER).await;
+    let after = fleet.phase("after", 45, |count| count % 3).await;
+    assert!(MIN_SHARE <= after.share(), "{after:?}");
+}
+
+/// Sends one request after the other on an open connection.
+async fn use_connection(address: SocketAddr, client: usize) {
+    let mut connected = None;
+    for count in 0.. {
+        let id = format!("open-{client}-{count}");
+        let request = CallerRequest::new(&id, "/safe/").with_body(vec![b'x'; BODY_BYTES]);
+        let mut sender = match connected.take() {
+            Some(it) => it,
+            None => match open_connection(address).await {
+                Some(it) => it,
+                None => continue,
+            },
+        };
+        let Some(answer) = send_on(&mut sender, request).await else { continue };
+        if answer.into_body().collect().await.is_ok() {
+            connected = Some(sender);
+        }
+    }
+}
+
+async fn open_connection(address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    sleep(Duration::from_millis(20)).await;
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(async move { drop(connection.await) });
+    Some(sender)
+}
+
 /// Guards against requests that are read and then wait for a small processor until they fail.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_instance_reads_only_what_a_small_machine_carries() {
