Intake: new connections always get a part of link and processor

A soak with 160 callers on open connections found two of sixteen processes that refused every new connection for 20 s: what requests on open connections took was charged without a bound, so that a steady load on these left nothing. New callers would have been served by nobody while all instances were as busy.

New connections get what the measured rate of requests on open ones leaves, and always a quarter.

--- a/crates/holdpoint-core/src/intake.rs
+++ b/crates/holdpoint-core/src/intake.rs
@@ -2,7 +2,8 @@
 //!
 //! A link that is full delays all traffic of the instance, and a processor that is full delays all of its timers, until
 //! most requests are late. New connections beyond what link and processor carry are closed unread instead, since their
-//! callers are served by other instances at their next try. Requests on open connections are only counted.
+//! callers are served by other instances at their next try. Requests on open connections are only counted; new ones get
+//! what these leave, and always a part.
 //!
 //! The link's bandwidth is known, and what a request costs on it is measured. The processor's share is only seen when it
 //! runs out: timers are late. The rate that it carries is approached from below, as in the slow start of TCP.
@@ -11,8 +12,6 @@
 
 /// Part of the link that requests may fill. The rest is for retransmissions, and for bursts within a connection.
 const LINK_SHARE: f64 = 0.85;
-/// Part of the link that requests may fill even if other traffic takes the rest.
-const MIN_LINK_SHARE: f64 = 0.25;
 /// Part of the link from which on it counts as full.
 const FULL_SHARE: f64 = 0.95;
 /// Factor of the expected cost of a request after a period with a full link, and after one without.
@@ -68,6 +67,11 @@
 /// Shortest and longest wait for room, in milliseconds.
 const WAIT_MS: (Millis, Millis) = (10, 200);
 
+/// Part of link and processor that new connections get if open ones take all.
+const MIN_NEW_SHARE: f64 = 0.25;
+/// Weight of a window in the measured rate of requests on open connections.
+const KEPT_WEIGHT: f64 = 0.5;
+
 /// How long the consequences of a full link or processor last, such as timeouts that it caused.
 const STRAIN_MS: Millis = 1000;
 
@@ -140,9 +144,10 @@
 }
 
 impl Direction {
-    /// Bytes per millisecond that requests may fill of a link with this bandwidth.
-    fn free(&self, link: f64) -> f64 {
-        (LINK_SHARE * link - self.other).max(MIN_LINK_SHARE * link)
+    /// Bytes per millisecond that new connections may fill of a link with this bandwidth, if requests on open ones take
+    /// `kept`.
+    fn free(&self, link: f64, kept: f64) -> f64 {
+        (LINK_SHARE * link - self.other - kept).max(MIN_NEW_SHARE * link)
     }
 }
 
@@ -167,8 +172,11 @@
     floor: f64,
     /// Requests that it may get now.
     tokens: f64,
-    /// Requests charged since the start of the window.
+    /// Requests charged since the start of the window, and those of them on open connections.
     charged: f64,
+    kept: f64,
+    /// Measured rate of requests on open connections, per second.
+    kept_rate: f64,
     /// Requests served since the start of the window, and since traffic was last recorded.
     served: f64,
     unrecorded: f64,
@@ -196,6 +204,8 @@
             floor: rate,
             tokens: rate * RATE_BURST_MS / 1000.0,
             charged: 0.0,
+            kept: 0.0,
+            kept_rate: 0.0,
             served: 0.0,
             unrecorded: 0.0,
             carried: None,
@@ -221,7 +231,11 @@
         if self.resources.cores > 0.0 && self.tokens < 1.0 {
             return Err(Full::Processor);
         }
-        self.charge(now);
+        for index in 0..2 {
+            self.directions[index].pending += self.cost(index);
+        }
+        self.tokens -= 1.0;
+        self.charged += 1.0;
         Ok(())
     }
 
@@ -236,26 +250,22 @@
         let mut ms: f64 = 0.0;
         if resources.link > 0.0 {
             let burst = FREE_SHARE * LINK_BURST_MS * resources.link;
-            for it in &self.directions {
-                ms = ms.max((it.pending - burst) / it.free(resources.link));
+            for (index, it) in self.directions.iter().enumerate() {
+                let free = it.free(resources.link, self.kept_bytes(index));
+                ms = ms.max((it.pending - burst) / free);
             }
         }
         if resources.cores > 0.0 {
             let wanted = (FREE_SHARE * self.most_tokens()).max(1.0);
-            ms = ms.max(1000.0 * (wanted - self.tokens) / self.rate);
+            ms = ms.max(1000.0 * (wanted - self.tokens) / self.new_rate());
         }
         let (shortest, longest) = WAIT_MS;
         (ms > 0.0).then(|| (ms.ceil() as Millis).clamp(shortest, longest))
     }
 
     /// Counts a request on an open connection, beyond its first.
-    pub fn charge(&mut self, now: Millis) {
-        self.update(now);
-        let costs = [self.cost(0), self.cost(1)];
-        for (direction, cost) in self.directions.iter_mut().zip(costs) {
-            direction.pending += cost;
-        }
-        self.tokens -= 1.0;
+    pub fn charge(&mut self) {
+        self.kept += 1.0;
         self.charged += 1.0;
     }
 
@@ -302,6 +312,8 @@
         let least = std::mem::replace(&mut self.least_lateness, Millis::MAX) as f64;
         let read = 1000.0 * std::mem::take(&mut self.charged) / ms as f64;
         let served = 1000.0 * std::mem::take(&mut self.served) / ms as f64;
+        let kept = 1000.0 * std::mem::take(&mut self.kept) / ms as f64;
+        self.kept_rate += KEPT_WEIGHT * (kept - self.kept_rate);
         self.window_start = now;
         let is_idle = read * (LATENESS_WINDOW_MS as f64) < 1000.0 * MIN_CHARGED;
         let is_full = LATENESS_MS + self.usual_lateness <= least;
@@ -378,10 +390,23 @@
     fn update(&mut self, now: Millis) {
         let ms = now.saturating_sub(self.updated) as f64;
         self.updated = now;
-        for it in &mut self.directions {
-            it.pending = (it.pending - it.free(self.resources.link) * ms).max(0.0);
+        for index in 0..2 {
+            let kept = self.kept_bytes(index);
+            let it = &mut self.directions[index];
+            it.pending = (it.pending - it.free(self.resources.link, kept) * ms).max(0.0);
         }
-        self.tokens = (self.tokens + self.rate * ms / 1000.0).min(self.most_tokens());
+        let tokens = self.tokens + self.new_rate() * ms / 1000.0;
+        self.tokens = tokens.min(self.most_tokens());
+    }
+
+    /// Requests per second that the processor may get on new connections.
+    fn new_rate(&self) -> f64 {
+        (self.rate - self.kept_rate).max(MIN_NEW_SHARE * self.rate)
+    }
+
+    /// Bytes per millisecond that requests on open connections take.
+    fn kept_bytes(&self, direction: usize) -> f64 {
+        self.kept_rate * self.cost(direction) / 1000.0
     }
 
     fn most_tokens(&self) -> f64 {
--- a/crates/holdpointd/src/ingress/own_load.rs
+++ b/crates/holdpointd/src/ingress/own_load.rs
@@ -147,11 +147,11 @@
     }
 
     /// Counts a caller's request whose head has been read. The first one of a connection was accepted with it.
-    pub(crate) fn record_request(&self, now: Millis, is_first: bool) {
+    pub(crate) fn record_request(&self, is_first: bool) {
         let mut state = self.state.lock();
         state.requests += 1;
         if !is_first {
-            state.intake.charge(now);
+            state.intake.charge();
         }
     }
 
--- a/crates/holdpointd/src/ingress/request.rs
+++ b/crates/holdpointd/src/ingress/request.rs
@@ -42,7 +42,7 @@
     is_first: bool,
 ) -> Result<Answer, Infallible> {
     let working = shared.in_flight.start();
-    shared.own_load.record_request(shared.clock.now(), is_first);
+    shared.own_load.record_request(is_first);
     let arrived = Instant::now();
     let mut answer = match admit(&shared, request, arrived, working).await {
         Ok(it) => match it.route.response {
