Soak: crowds at one process, narrow links and small processors

Plans draw two crowds: nine in ten new connections go to one process, 24 more callers open a connection for each request, and whose connection is refused or closed unread tries any process. Half of the plans give all processes links of 2 Mbit/s, half of the crowded processes have 0.12 of their processor, by stopping and continuing them.

Fixed seeds of earlier faults keep their plans.

--- a/crates/holdpoint-soak/src/callers.rs
+++ b/crates/holdpoint-soak/src/callers.rs
@@ -34,6 +34,8 @@
 const LEAVE_INTERVAL: u32 = 6;
 /// Random stream for that, kept apart so that the requests of a seed do not depend on it.
 const LEAVE_STREAM: u64 = 1;
+/// Random stream of the callers that a crowd adds.
+const CROWD_STREAM: u64 = 2;
 /// Pause after a failed connection or a request without a 200 response.
 const RETRY_PAUSE: Duration = Duration::from_millis(10);
 
@@ -177,9 +179,42 @@
     /// Caller-facing addresses by process; `None` while a process is down.
     pub(crate) addresses: Vec<Mutex<Option<SocketAddr>>>,
     pub(crate) attempts: Mutex<Vec<Attempt>>,
+    /// Process that most new connections go to.
+    pub(crate) crowded: Mutex<Option<usize>>,
     pub(crate) is_over: AtomicBool,
 }
 
+/// Opens a connection for each request, until the crowd is over. Most go to the crowded process; whose connection is
+/// refused or closed without an answer tries any process.
+pub(crate) async fn run_in_crowd(callers: Arc<Callers>, caller: usize) {
+    let mut rng = ChaCha8Rng::seed_from_u64(callers.seed ^ (caller as u64 + 1) << 32);
+    rng.set_stream(CROWD_STREAM);
+    let mut has_failed = false;
+    for count in 0.. {
+        let Some(crowded) = *callers.crowded.lock() else { return };
+        let drawn = rng.random_range(0..callers.addresses.len());
+        let process = if has_failed || rng.random_range(0..10) == 0 { drawn } else { crowded };
+        let route = [Route::Safe, Route::Unsafe, Route::Story][rng.random_range(0..3)];
+        tokio::time::sleep(RETRY_PAUSE).await;
+        let address = *callers.addresses[process].lock();
+        let connected = match address {
+            Some(it) => connect(it).await,
+            None => None,
+        };
+        let Some(mut sender) = connected else {
+            has_failed = true;
+            continue;
+        };
+        let id = format!("s{}-crowd{caller}-{}-{count}", callers.seed, callers.clock.now());
+        let sent = callers.clock.now();
+        let outcome = attempt(&mut sender, (&id, route), (None, u64::MAX), false).await;
+        has_failed = matches!(outcome, Outcome::Closed);
+        let ended = callers.clock.now();
+        let attempt = Attempt { id, route, process, sent, ended, resumed: None, outcome };
+        callers.attempts.lock().push(attempt);
+    }
+}
+
 /// Sends requests until the soak is over.
 pub(crate) async fn run(callers: Arc<Callers>, caller: usize) {
     let mut rng = ChaCha8Rng::seed_from_u64(callers.seed ^ (caller as u64 + 1) << 32);
--- a/crates/holdpoint-soak/src/faults.rs
+++ b/crates/holdpoint-soak/src/faults.rs
@@ -4,14 +4,24 @@
 
 use holdpoint_adapter_standin::{Behaviour, Outage, Rejection, Target};
 use rustix::process::Signal;
-use tokio::{task::JoinSet, time::sleep};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep},
+};
 
 use crate::{
+    callers,
     fleet::{Fleet, domain_name, domain_of, next_version, source_of},
     plan::{DOMAINS, Fault, FaultKind, LinkFault, Plan, TARGETS, TargetFault},
     verdict::EVENTS,
 };
 
+/// Number of callers that a crowd adds.
+const CROWD_CALLERS: usize = 24;
+/// Period of a processor's quota.
+const QUOTA_PERIOD: Duration = Duration::from_millis(100);
+/// Small share of a processor.
+const SMALL_SHARE: f64 = 0.12;
 /// Cold-start period of a replacement target.
 const COLD_START_MS: u64 = 1000;
 
@@ -75,6 +85,8 @@
             fleet.store.restore(&domain_name(domain));
         }
         FaultKind::Configure => fleet.configure(),
+        FaultKind::Crowd(process) => crowd(&fleet, process, duration).await,
+        FaultKind::SmallShare(process) => share_processor(&fleet, process, duration).await,
         FaultKind::DrainNotice(target) => {
             fleet.targets[target].target.set_draining(true);
             sleep(duration).await;
@@ -95,6 +107,29 @@
     }
 }
 
+/// Sends most new connections to a process, and opens more.
+async fn crowd(fleet: &Arc<Fleet>, process: usize, duration: Duration) {
+    let from = fleet.clock.now();
+    fleet.callers.crowded.lock().replace(process);
+    let callers = (0..CROWD_CALLERS).map(|it| callers::run_in_crowd(fleet.callers.clone(), it));
+    let mut callers: JoinSet<()> = callers.collect();
+    sleep(duration).await;
+    fleet.callers.crowded.lock().take();
+    while callers.join_next().await.is_some() {}
+    fleet.crowds.lock().push(from..=fleet.clock.now());
+}
+
+/// Lets a process run for a part of each period only.
+async fn share_processor(fleet: &Fleet, process: usize, duration: Duration) {
+    let until = Instant::now() + duration;
+    while Instant::now() < until {
+        fleet.signal(process, Signal::STOP);
+        sleep(QUOTA_PERIOD.mul_f64(1.0 - SMALL_SHARE)).await;
+        fleet.signal(process, Signal::CONT);
+        sleep(QUOTA_PERIOD.mul_f64(SMALL_SHARE)).await;
+    }
+}
+
 async fn fail_link(link: &crate::proxy::Proxy, link_fault: LinkFault, duration: Duration) {
     link.set(Some(link_fault));
     sleep(duration).await;
--- a/crates/holdpoint-soak/src/fleet.rs
+++ b/crates/holdpoint-soak/src/fleet.rs
@@ -5,7 +5,7 @@
     fmt,
     fs::File,
     io::{self, Write},
-    net::{IpAddr, Ipv4Addr},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     ops::RangeInclusive,
     path::{Path, PathBuf},
     process::Stdio,
@@ -28,10 +28,11 @@
     Millis,
     callers::{self, Attempt, Callers, Outcome},
     faults,
+    link::Link,
     notices::{Arrival, Notices, judge_notices},
     plan::{DOMAINS, ENCODERS, Plan, TARGETS},
     proxy::Proxy,
-    verdict::{EVENTS, EventTimes, Finding, Invariant, Verdict, judge},
+    verdict::{EVENTS, EventTimes, Finding, Invariant, Verdict, judge, judge_crowds},
 };
 
 /// Delay before a process that has ended is restarted.
@@ -138,10 +139,14 @@
     interruptions: Mutex<EventTimes>,
     /// Index of the target and time span of each failure of a target's link.
     pub(crate) failed_links: Mutex<Vec<(usize, RangeInclusive<Millis>)>>,
+    /// Time spans of the crowds.
+    pub(crate) crowds: Mutex<Vec<RangeInclusive<Millis>>>,
+    /// Links of the processes; empty if they are not limited.
+    links: Vec<Link>,
     /// Process ids; `None` while a process is down.
     pids: Vec<Mutex<Option<Pid>>>,
     settings: Vec<PathBuf>,
-    callers: Arc<Callers>,
+    pub(crate) callers: Arc<Callers>,
 }
 
 impl Fleet {
@@ -156,9 +161,16 @@
         let mut settings = Vec::new();
         for index in 0..plan.processes {
             let link = Proxy::start(store.endpoint.address).await;
-            settings.push(write_settings(folder, index, &link, plan.has_cuts())?);
+            settings.push(write_settings(folder, index, &link, plan)?);
             store_links.push(link);
         }
+        let link = |mbps| (0..plan.processes).map(|_| Link::new(mbps)).collect();
+        let links: Vec<Link> = plan.link_mbps.map_or_else(Vec::new, link);
+        for (index, link) in links.iter().enumerate() {
+            store_links[index].set_client_link(Ipv4Addr::LOCALHOST.into(), link.clone());
+            let source = source_of(index);
+            targets.iter().for_each(|it| it.proxy.set_client_link(source, link.clone()));
+        }
         let clock = Clock(Instant::now());
         let callers = Callers {
             seed: plan.seed,
@@ -166,6 +178,7 @@
             clock,
             addresses: (0..plan.processes).map(|_| Mutex::default()).collect(),
             attempts: Mutex::default(),
+            crowded: Mutex::default(),
             is_over: false.into(),
         };
         Ok(Fleet {
@@ -178,6 +191,8 @@
             kills: Mutex::default(),
             interruptions: Mutex::default(),
             failed_links: Mutex::default(),
+            crowds: Mutex::default(),
+            links,
             pids: (0..plan.processes).map(|_| Mutex::default()).collect(),
             settings,
             callers: Arc::new(callers),
@@ -198,6 +213,14 @@
         }
     }
 
+    /// Address at which callers reach a process that listens at `address`: that of a proxy if its link is narrow.
+    async fn front(&self, process: usize, address: SocketAddr) -> SocketAddr {
+        let Some(link) = self.links.get(process) else { return address };
+        let proxy = Proxy::start(address).await;
+        proxy.set_server_link(link.clone());
+        proxy.address
+    }
+
     fn record_interruption(&self, process: usize) {
         self.interruptions.lock().entry(process).or_default().push(self.clock.now());
     }
@@ -266,12 +289,7 @@
     ProxiedTarget { target, proxy }
 }
 
-fn write_settings(
-    folder: &Path,
-    index: usize,
-    store: &Proxy,
-    has_cuts: bool,
-) -> io::Result<PathBuf> {
+fn write_settings(folder: &Path, index: usize, store: &Proxy, plan: &Plan) -> io::Result<PathBuf> {
     let any = "127.0.0.1:0";
     let mut settings = json!({
         "instance": format!("p{index}"), "domain": domain_name(index % DOMAINS),
@@ -280,7 +298,10 @@
         "timing": { "linger_ms": 300, "grace_s": 6.0 },
         "retries": { "ratio": 0.2, "window_s": 10.0, "slack": 200.0 },
     });
-    if has_cuts {
+    if let Some(it) = plan.link_mbps {
+        settings["machine"] = json!({ "link_mbps": it });
+    }
+    if plan.has_sources() {
         settings["source_address"] = json!(source_of(index).to_string());
     }
     let path = folder.join(format!("p{index}.json"));
@@ -335,6 +356,9 @@
     let over_limit = |it| over_limit(fleet, it, &attempts);
     findings.extend(fleet.targets.iter().filter_map(over_limit));
     findings.extend(notice_findings(fleet, &attempts));
+    if plan.has_only_crowds() {
+        findings.extend(judge_crowds(&attempts, &fleet.crowds.lock()));
+    }
     let status = |it: &Attempt| match &it.outcome {
         Outcome::Answer { status, is_complete: true, .. } => *status,
         _ => 0,
@@ -431,7 +455,8 @@
                 }
                 let address = line.split_once(ADDRESS_MARK).filter(|_| line.contains("E100"));
                 if let Some(it) = address.and_then(|it| it.1.trim().parse().ok()) {
-                    *fleet.callers.addresses[index].lock() = Some(it);
+                    let front = fleet.front(index, it).await;
+                    *fleet.callers.addresses[index].lock() = Some(front);
                 }
             }
         }
--- a/crates/holdpoint-soak/src/lib.rs
+++ b/crates/holdpoint-soak/src/lib.rs
@@ -34,7 +34,7 @@
     notices::{Arrival, Notices, judge_notices},
     plan::{Fault, FaultKind, LinkFault, Plan, TargetFault},
     proxy::Proxy,
-    verdict::{EventTimes, Finding, Invariant, Verdict, judge},
+    verdict::{EventTimes, Finding, Invariant, Verdict, judge, judge_crowds},
 };
 
 /// Milliseconds since the start of a soak.
--- a/crates/holdpoint-soak/src/plan.rs
+++ b/crates/holdpoint-soak/src/plan.rs
@@ -39,6 +39,14 @@
 const MAX_CUT_MS: Millis = 3000;
 /// Random stream for cuts, kept apart as for limits.
 const CUTS_STREAM: u64 = 3;
+/// Number of crowds in a soak, and of processes that get a small share of a processor.
+const CROWD_COUNT: usize = 2;
+/// Longest crowd.
+const MAX_CROWD_MS: Millis = 3000;
+/// Bandwidth of the narrow links, in Mbit/s.
+const NARROW_MBPS: f64 = 2.0;
+/// Random stream for crowds, small shares and narrow links, kept apart as for limits.
+const CROWDS_STREAM: u64 = 4;
 /// Every seed that is a multiple of this gives a large soak.
 const LARGE_SEED_INTERVAL: u64 = 10;
 
@@ -112,6 +120,10 @@
     Evacuate(usize),
     /// The operator publishes a configuration.
     Configure,
+    /// Most new connections go to one process, and callers open more.
+    Crowd(usize),
+    /// A process gets a small share of its processor.
+    SmallShare(usize),
     /// A target announces in its answers that it is draining; its store entry follows only at the
     /// end of the fault.
     DrainNotice(usize),
@@ -155,6 +167,8 @@
     pub length: Duration,
     /// Whether engines run different versions of their software.
     pub has_versions: bool,
+    /// Bandwidth of the link of each process, in Mbit/s; unlimited if `None`.
+    pub link_mbps: Option<f64>,
     /// Faults in order of their start times.
     pub faults: Vec<Fault>,
 }
@@ -177,8 +191,20 @@
         faults.extend(limits(seed, end));
         faults.extend(notices(seed, end));
         faults.extend(cuts(seed, end, processes));
+        let (crowds, link_mbps) = crowds(seed, end, processes);
+        faults.extend(crowds);
         faults.sort_by_key(|it| it.at);
-        Plan { seed, processes, callers, length, has_versions: true, faults }
+        Plan { seed, processes, callers, length, has_versions: true, link_mbps, faults }
+    }
+
+    /// Draws a plan in which crowds meet no other fault than small shares of processors, so that what callers of a crowd
+    /// read can be compared with what they read before.
+    pub fn draw_crowds(seed: u64, length: Duration) -> Plan {
+        let mut plan = Plan::draw(seed, length);
+        plan.faults.retain(|it| matches!(it.kind, FaultKind::Crowd(_) | FaultKind::SmallShare(_)));
+        // The processes that are small are so from the start.
+        plan.faults.iter_mut().filter(|it| !it.is_crowd()).for_each(|it| it.at = 0);
+        plan
     }
 }
 
@@ -235,19 +261,58 @@
     (0..CUT_COUNT).map(|_| cut()).collect()
 }
 
+/// Draws crowds, small shares of processors, and the bandwidth of the links.
+fn crowds(seed: u64, end: Millis, processes: usize) -> (Vec<Fault>, Option<f64>) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(CROWDS_STREAM);
+    let link_mbps = rng.random_bool(0.5).then_some(NARROW_MBPS);
+    let mut faults = Vec::new();
+    for index in 0..CROWD_COUNT {
+        // Crowds do not overlap.
+        let span = end / CROWD_COUNT as Millis;
+        let duration = rng.random_range(span / 4..=(span / 2).clamp(1, MAX_CROWD_MS));
+        let at = index as Millis * span + rng.random_range(span / 4..=span / 2);
+        let process = rng.random_range(0..processes);
+        faults.push(Fault { at, duration, kind: FaultKind::Crowd(process) });
+        if rng.random_bool(0.5) {
+            faults.push(Fault { at: at / 2, duration: end, kind: FaultKind::SmallShare(process) });
+        }
+    }
+    (faults, link_mbps)
+}
+
+impl Fault {
+    /// Whether it is a crowd.
+    pub(crate) fn is_crowd(&self) -> bool {
+        matches!(self.kind, FaultKind::Crowd(_))
+    }
+}
+
 impl Plan {
-    /// Whether any process is cut off from the targets.
-    pub(crate) fn has_cuts(&self) -> bool {
-        self.faults.iter().any(|it| matches!(it.kind, FaultKind::ProcessCut(..)))
+    /// Whether processes connect to targets from addresses of their own.
+    pub(crate) fn has_sources(&self) -> bool {
+        let is_cut = |it: &Fault| matches!(it.kind, FaultKind::ProcessCut(..));
+        self.link_mbps.is_some() || self.faults.iter().any(is_cut)
     }
 
-    /// Removes cuts of processes from targets, and the versions of the engines.
+    /// Removes cuts of processes from targets, the versions of the engines, crowds, small shares of processors and narrow
+    /// links.
     pub fn without_cuts(mut self) -> Plan {
-        self.faults.retain(|it| !matches!(it.kind, FaultKind::ProcessCut(..)));
+        let is_left = |it: &FaultKind| {
+            matches!(it, FaultKind::ProcessCut(..) | FaultKind::Crowd(_) | FaultKind::SmallShare(_))
+        };
+        self.faults.retain(|it| !is_left(&it.kind));
+        self.link_mbps = None;
         self.has_versions = false;
         self
     }
 
+    /// Whether nothing but crowds and small shares of processors is injected.
+    pub(crate) fn has_only_crowds(&self) -> bool {
+        let is_other = |it: &Fault| !it.is_crowd() && !matches!(it.kind, FaultKind::SmallShare(_));
+        self.faults.iter().any(Fault::is_crowd) && !self.faults.iter().any(is_other)
+    }
+
     /// Removes drain and backoff notices, and what [`Plan::without_cuts`] removes.
     pub fn without_notices(self) -> Plan {
         let mut plan = self.without_cuts();
--- a/crates/holdpoint-soak/src/verdict.rs
+++ b/crates/holdpoint-soak/src/verdict.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     fmt,
+    ops::RangeInclusive,
 };
 
 use bytes::Bytes;
@@ -42,6 +43,9 @@
     BackedOff,
     /// The events of a stream come from one software version, over all attempts of its caller.
     OneVersion,
+    /// While most new connections go to one process, requests that were read are served at least three quarters as often
+    /// as at other times.
+    ServedInCrowds,
     /// After the last fault each process serves the newest configuration.
     Recovered,
 }
@@ -59,6 +63,7 @@
             Invariant::Drained => "sent-to-leaving",
             Invariant::BackedOff => "sent-in-backoff",
             Invariant::OneVersion => "mixed-versions",
+            Invariant::ServedInCrowds => "unserved-in-crowd",
             Invariant::Recovered => "not-recovered",
         }
     }
@@ -135,6 +140,7 @@
             Invariant::Drained,
             Invariant::BackedOff,
             Invariant::OneVersion,
+            Invariant::ServedInCrowds,
             Invariant::Recovered,
         ] {
             write!(f, " {} {}", invariant.label(), self.count(invariant))?;
@@ -178,6 +184,43 @@
     findings
 }
 
+/// Smallest share of the requests read in a crowd that is served, relative to that at other times.
+const MIN_CROWD_SHARE: f64 = 0.75;
+/// Fewest requests read in a crowd from which on it is judged.
+const MIN_CROWD_REQUESTS: usize = 20;
+
+/// Checks that crowds leave the service to requests that were read as it is at other times. A connection that was
+/// closed without an answer was not read.
+pub fn judge_crowds(attempts: &[Attempt], crowds: &[RangeInclusive<Millis>]) -> Vec<Finding> {
+    let share = |is_in: &dyn Fn(Millis) -> bool| {
+        let read = attempts.iter().filter(|it| is_in(it.sent)).filter_map(is_served);
+        let read: Vec<bool> = read.collect();
+        let served = read.iter().filter(|it| **it).count();
+        (served, read.len())
+    };
+    let usual = share(&|at| crowds.iter().all(|it| !it.contains(&at)));
+    let finding = |crowd: &RangeInclusive<Millis>| {
+        let (served, read) = share(&|at| crowd.contains(&at));
+        let least = MIN_CROWD_SHARE * read as f64 * usual.0 as f64 / usual.1.max(1) as f64;
+        (MIN_CROWD_REQUESTS <= read && (served as f64) < least).then(|| Finding {
+            invariant: Invariant::ServedInCrowds,
+            id: "crowd".to_owned(),
+            at: *crowd.start(),
+            detail: format!("{served} of {read} served, {} of {} at other times", usual.0, usual.1),
+        })
+    };
+    crowds.iter().filter_map(finding).collect()
+}
+
+/// Whether a request that was read was served; `None` if it was not read or its caller left on purpose.
+fn is_served(attempt: &Attempt) -> Option<bool> {
+    match &attempt.outcome {
+        Outcome::Answer { status, .. } => Some(*status == 200),
+        Outcome::TimedOut => Some(false),
+        Outcome::Closed | Outcome::Cancelled => None,
+    }
+}
+
 /// Streams with events of several versions, over all attempts of their callers.
 fn mixed_streams(attempts: &[Attempt]) -> Vec<Finding> {
     let mut streams: BTreeMap<&str, (Millis, BTreeSet<String>)> = BTreeMap::new();
--- a/crates/holdpoint-soak/tests/judge.rs
+++ b/crates/holdpoint-soak/tests/judge.rs
@@ -4,7 +4,7 @@
 use holdpoint_adapter_standin::Run;
 use holdpoint_soak::{
     Arrival, Attempt, EventTimes, Invariant, Millis, Notices, Outcome, Plan, Resumed, Route, judge,
-    judge_notices,
+    judge_crowds, judge_notices,
 };
 
 fn attempt(route: Route, outcome: Outcome) -> Attempt {
@@ -188,3 +188,19 @@
     assert_eq!(found(&[stream("r-1", None, &[(0, "v1"), (1, "v2")])]), [Invariant::OneVersion]);
     assert_eq!(found(&[stream("r-1", None, &[(0, "v1")]), stream("r-2", None, &[(0, "v2")])]), []);
 }
+
+#[test]
+fn a_crowd_is_compared_with_the_other_times() {
+    let of = |sent, outcome| Attempt { sent, ..attempt(Route::Safe, outcome) };
+    let served = || answer(200, Some("a"), "r-1");
+    let usual = (0..100).map(|_| of(100, served()));
+    let in_crowd = |served_count: usize| {
+        let outcome = move |it| if it < served_count { served() } else { Outcome::TimedOut };
+        (0..100).map(move |it| of(1500, outcome(it)))
+    };
+    let unread = (0..1000).map(|_| of(1500, Outcome::Closed));
+    let all = |count| usual.clone().chain(in_crowd(count)).chain(unread.clone());
+    let found = |count| judge_crowds(&all(count).collect::<Vec<_>>(), &[1000..=2000]).len();
+    assert_eq!(found(76), 0);
+    assert_eq!(found(74), 1);
+}
--- a/crates/holdpoint/src/cli.rs
+++ b/crates/holdpoint/src/cli.rs
@@ -196,6 +196,9 @@
                 .value_parser(value_parser!(PathBuf))
                 .help("Folder in which to keep the output of each process"),
         )
+        .arg(Arg::new("crowds").long("crowds").action(ArgAction::SetTrue).help(
+            "Only crowds: most new connections go to one process, small or with a narrow link",
+        ))
         .arg(
             Arg::new("no-notices")
                 .long("no-notices")
--- a/crates/holdpointd/tests/soak.rs
+++ b/crates/holdpointd/tests/soak.rs
@@ -6,6 +6,8 @@
 
 /// Seeds of the plans that each test run executes.
 const SEEDS: [u64; 2] = [3, 4];
+/// Seeds of plans with crowds only.
+const CROWD_SEEDS: [u64; 3] = [5, 6, 7];
 
 /// Guards against broken guarantees towards callers and targets under randomly drawn faults.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -33,6 +35,26 @@
     assert_seed_passes(1109).await;
 }
 
+/// Guards against requests that fail since most new connections go to one process, small or with a narrow link.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_are_served_in_crowds() {
+    for seed in CROWD_SEEDS {
+        let plan = Plan::draw_crowds(seed, Duration::from_secs(6));
+        let builds = Builds::new(env!("CARGO_BIN_EXE_holdpointd"));
+        let verdict = run(&plan, &builds).await.unwrap();
+        assert!(verdict.is_passed(), "{verdict}");
+    }
+}
+
+/// Guards against processes whose open connections leave nothing to new ones.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn new_connections_are_served_beside_many_open_ones() {
+    let plan = Plan::draw_crowds(10, Duration::from_secs(6));
+    let builds = Builds::new(env!("CARGO_BIN_EXE_holdpointd"));
+    let verdict = run(&plan, &builds).await.unwrap();
+    assert!(verdict.is_passed(), "{verdict}");
+}
+
 async fn assert_seed_passes(seed: u64) {
     // These seeds are for plans without drain notices and backoffs of targets.
     let plan = Plan::draw(seed, Duration::from_secs(6)).without_notices();
