--- a/crates/holdpointd/src/ingress/own_load.rs
+++ b/crates/holdpointd/src/ingress/own_load.rs
@@ -172,15 +172,18 @@
     }
 }
 
-/// The resources of a machine for callers' connections.
+/// The resources of a machine for callers' connections; a size of 0 is unknown.
 fn resources(machine: &Machine) -> Resources {
-    let by_memory = CONNECTIONS_MEMORY * machine.memory_mb * f64::from(1 << 20) / CONNECTION_BYTES;
+    let by_memory = match machine.memory_mb {
+        0.0 => usize::MAX,
+        it => (CONNECTIONS_MEMORY * it * f64::from(1 << 20) / CONNECTION_BYTES) as usize,
+    };
     let descriptors = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
     let by_descriptors = (descriptors / CONNECTIONS_DESCRIPTORS) as usize;
     Resources {
         link: machine.link_mbps * 125.0,
         cores: machine.cpu_share * machine.cpu_cores,
-        connections: (by_memory as usize).min(by_descriptors).max(1),
+        connections: by_memory.min(by_descriptors).max(1),
     }
 }
 
