Intake: the processor refuses connections only while requests wait

Requests count from the read of their head until they are sent to a target or have ended. While fewer wait than 50 ms of the rate, connections are accepted and take nothing of it; the rate may be used 400 ms ahead instead of 200.

denials.rs passes, requests_that_are_served_at_once_are_not_refused_… in the core is new, and full_instance.rs passes once on this code.

--- a/crates/holdpoint-core/src/intake.rs
+++ b/crates/holdpoint-core/src/intake.rs
@@ -58,7 +58,9 @@
 /// Fewer requests in a window do not make timers late.
 const MIN_CHARGED: f64 = 3.0;
 /// Time of the processor's rate that may be used at once, in milliseconds.
-const RATE_BURST_MS: f64 = 200.0;
+const RATE_BURST_MS: f64 = 400.0;
+/// Time of the processor's rate whose requests may wait without being a sign of a full processor, in milliseconds.
+const UNSERVED_MS: f64 = 50.0;
 
 /// Part of a burst that must be free before new connections are accepted again.
 const FREE_SHARE: f64 = 0.5;
@@ -177,6 +179,8 @@
     kept: f64,
     /// Measured rate of requests on open connections, per second.
     kept_rate: f64,
+    /// Requests that were read and not yet served.
+    unserved: u64,
     /// Requests served since the start of the window, and since traffic was last recorded.
     served: f64,
     unrecorded: f64,
@@ -206,6 +210,7 @@
             charged: 0.0,
             kept: 0.0,
             kept_rate: 0.0,
+            unserved: 0,
             served: 0.0,
             unrecorded: 0.0,
             carried: None,
@@ -228,13 +233,16 @@
         if has_link && self.exceeds_link() {
             return Err(Full::Link);
         }
-        if self.resources.cores > 0.0 && self.tokens < 1.0 {
+        let has_backlog = self.rate * UNSERVED_MS / 1000.0 <= self.unserved as f64;
+        if self.resources.cores > 0.0 && has_backlog && self.tokens < 1.0 {
             return Err(Full::Processor);
         }
         for index in 0..2 {
             self.directions[index].pending += self.cost(index);
         }
-        self.tokens -= 1.0;
+        if has_backlog {
+            self.tokens -= 1.0;
+        }
         self.charged += 1.0;
         Ok(())
     }
@@ -269,9 +277,15 @@
         self.charged += 1.0;
     }
 
+    /// Counts a request whose head has been read, until [`Self::record_served`].
+    pub fn record_read(&mut self) {
+        self.unserved += 1;
+    }
+
     /// Counts a request that was sent to a target, or has ended without. Most of its bytes and of its work are done then,
     /// so that the requests of a sudden crowd do not look cheap.
     pub fn record_served(&mut self) {
+        self.unserved = self.unserved.saturating_sub(1);
         self.served += 1.0;
         self.unrecorded += 1.0;
     }
--- a/crates/holdpoint-core/tests/intake.rs
+++ b/crates/holdpoint-core/tests/intake.rs
@@ -102,6 +102,7 @@
             return;
         }
         self.accepted += 1;
+        self.intake.record_read();
         self.queued += REQUEST_BYTES as f64;
         self.work += self.request_ms;
         let on_link = if self.has_link { self.queued / (LINK - self.other) } else { 0.0 };
@@ -213,6 +214,7 @@
         // First idle, then with some 20 requests a second.
         if 1000 < round {
             assert_eq!(intake.accept(now, 0), Ok(()));
+            intake.record_read();
             intake.record_served();
         }
         intake.record_lateness(now, quota_lateness(due));
@@ -294,3 +296,13 @@
     assert!(beside_some < 0.6 * alone, "{beside_some} of {alone}");
     assert!(0.2 * carried <= beside_all && beside_all < 0.6 * alone, "{beside_all} of {alone}");
 }
+
+#[test]
+fn requests_that_are_served_at_once_are_not_refused_however_many_come() {
+    let mut intake = Intake::new(Resources { link: 0.0, ..small_machine() });
+    for count in 0..5000 {
+        assert_eq!(intake.accept(1000 + count / 10, 0), Ok(()));
+        intake.record_read();
+        intake.record_served();
+    }
+}
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -34,6 +34,7 @@
         confinement::RequestBounds,
         connections::Reuse,
         limits,
+        own_load::Unserved,
         pools::Pool,
         regions,
         send::{CallerRequest, time_until},
@@ -82,6 +83,8 @@
     pub(crate) arm: Option<ChosenArm>,
     /// Versions of the targets that the request was sent to, if it begins a stream.
     pub(crate) sent_versions: Mutex<SentVersions>,
+    /// Counts the request until it is sent to a target.
+    unserved: Mutex<Option<Unserved>>,
     end: Mutex<EndRecord>,
     _in_flight: InFlightGuard,
 }
@@ -111,6 +114,7 @@
     pub(crate) version: Version,
     pub(crate) arrived: Instant,
     pub(crate) working: InFlightGuard,
+    pub(crate) unserved: Unserved,
 }
 
 impl Context {
@@ -146,6 +150,7 @@
             is_late: AtomicBool::new(false),
             arm,
             sent_versions: Mutex::default(),
+            unserved: Mutex::new(Some(parts.unserved)),
             end: Mutex::default(),
             _in_flight: parts.working,
         }
@@ -434,9 +439,8 @@
         target.clone_into(&mut end.target);
         end.sends += 1;
         end.sent = Some(Instant::now());
-        if end.sends == 1 {
-            self.shared.own_load.record_served();
-        }
+        drop(end);
+        self.unserved.lock().take();
     }
 
     /// Time since the last send, in milliseconds.
@@ -461,9 +465,6 @@
     fn drop(&mut self) {
         let end = self.end.lock().clone();
         let cause = if end.cause.is_empty() { "caller-gone" } else { end.cause };
-        if end.sends == 0 {
-            self.shared.own_load.record_served();
-        }
         let ms = self.arrived.elapsed().as_millis() as u64;
         let detail = format!(
             "id={} route={} version={} service={} target={} sends={} status={} cause={cause} \
--- a/crates/holdpointd/src/ingress/own_load.rs
+++ b/crates/holdpointd/src/ingress/own_load.rs
@@ -105,7 +105,7 @@
     pub(crate) traffic: Traffic,
     /// Callers' connections that are open.
     connections: Arc<AtomicUsize>,
-    state: Mutex<State>,
+    state: Arc<Mutex<State>>,
 }
 
 /// Counts a caller's connection as open until it is dropped.
@@ -117,6 +117,16 @@
     }
 }
 
+/// Counts a request as read and not yet served; dropped once it is sent to a target or has ended.
+#[derive(Debug)]
+pub(crate) struct Unserved(Arc<Mutex<State>>);
+
+impl Drop for Unserved {
+    fn drop(&mut self) {
+        self.0.lock().intake.record_served();
+    }
+}
+
 impl OwnLoad {
     /// Creates the state of an instance on this machine.
     pub(crate) fn new(machine: &Machine) -> OwnLoad {
@@ -130,7 +140,7 @@
         OwnLoad {
             traffic: Traffic::default(),
             connections: Arc::default(),
-            state: Mutex::new(state),
+            state: Arc::new(Mutex::new(state)),
         }
     }
 
@@ -147,17 +157,14 @@
     }
 
     /// Counts a caller's request whose head has been read. The first one of a connection was accepted with it.
-    pub(crate) fn record_request(&self, is_first: bool) {
+    pub(crate) fn record_request(&self, is_first: bool) -> Unserved {
         let mut state = self.state.lock();
         state.requests += 1;
+        state.intake.record_read();
         if !is_first {
             state.intake.charge();
         }
-    }
-
-    /// Counts a caller's request that was sent to a target for the first time, or has ended without.
-    pub(crate) fn record_served(&self) {
-        self.state.lock().intake.record_served();
+        Unserved(self.state.clone())
     }
 
     /// Time until new connections can be accepted again; `None` if they can be now.
--- a/crates/holdpointd/src/ingress/request.rs
+++ b/crates/holdpointd/src/ingress/request.rs
@@ -25,6 +25,7 @@
         confinement::RequestBounds,
         confirm::confirm,
         context::{Context, ContextParts},
+        own_load::Unserved,
         send::CallerRequest,
         shared::IngressShared,
         stream, whole,
@@ -42,9 +43,9 @@
     is_first: bool,
 ) -> Result<Answer, Infallible> {
     let working = shared.in_flight.start();
-    shared.own_load.record_request(is_first);
+    let unserved = shared.own_load.record_request(is_first);
     let arrived = Instant::now();
-    let mut answer = match admit(&shared, request, arrived, working).await {
+    let mut answer = match admit(&shared, request, arrived, (working, unserved)).await {
         Ok(it) => match it.route.response {
             ResponseKind::Whole => whole::serve(it).await,
             ResponseKind::Events { .. } => stream::serve(it).await,
@@ -62,7 +63,7 @@
     shared: &Arc<IngressShared>,
     request: Request<Incoming>,
     arrived: Instant,
-    working: InFlightGuard,
+    (working, unserved): (InFlightGuard, Unserved),
 ) -> Result<Context, Answer> {
     let configuration = shared.configuration();
     let (parts, body) = request.into_parts();
@@ -118,6 +119,7 @@
         version: configuration.version,
         arrived,
         working,
+        unserved,
         head: head.clone(),
     };
     let ctx = Context::new(shared.clone(), parts);
