Stages: items requested together repeat nothing but their index

Callers of a small instance that got eight times its usual arrivals were served late or not. Half of the bytes on its link went to peers: each work item of a stage carried all that it has in common with the others, the handles of all inputs among it, so that twenty items with twenty inputs were some 20 kB. Items that found no inputs were asked for again, over the link that had delayed them.

Items of one stage differ in their index only. They are one message now (process_group, protocol 10) with the indices of all but the first; peers of earlier protocols get the former one.

--- a/crates/holdpointd/src/ingress/item_request.rs
+++ b/crates/holdpointd/src/ingress/item_request.rs
@@ -59,6 +59,41 @@
     pub(crate) chain: Option<LaterStages>,
 }
 
+/// Work items of one stage that are requested together. They differ in their indices only, so that what they have in
+/// common is sent once.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct ItemGroup {
+    first: ItemRequest,
+    /// Indices of the other items within the stage.
+    others: Vec<u32>,
+}
+
+impl ItemGroup {
+    /// Groups an item with others that differ from it in their indices only.
+    pub(crate) fn new(first: ItemRequest, others: Vec<u32>) -> ItemGroup {
+        ItemGroup { first, others }
+    }
+
+    /// Number of items.
+    pub(crate) fn len(&self) -> usize {
+        1 + self.others.len()
+    }
+
+    /// The items, in the order of their indices.
+    pub(crate) fn into_items(self) -> Vec<ItemRequest> {
+        let ItemGroup { first, others } = self;
+        let other = |item: u32| {
+            let mut other = first.clone();
+            other.work.item = item;
+            other.releasable = Vec::new();
+            (other.fingerprint, other.chain) = (None, None);
+            other
+        };
+        let others: Vec<ItemRequest> = others.into_iter().map(other).collect();
+        std::iter::once(first).chain(others).collect()
+    }
+}
+
 /// The stages that follow the requested one.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct LaterStages {
--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -34,7 +34,7 @@
     counted_stream::CountedStream,
     drain_notices::{self, DrainNotice},
     follow::fetch_configuration,
-    item_request::{ItemRequest, ItemResult},
+    item_request::{ItemGroup, ItemRequest, ItemResult},
     limits::{self, Assignment},
     quarantine::{self, RunReport},
     relay,
@@ -48,7 +48,7 @@
 const MAX_FRAME_BYTES: usize = 16 << 20;
 
 /// Protocol version of this instance. [`IngressPeers::check`] needs version 1.
-pub(crate) const PROTOCOL: u32 = ORIGIN_PROTOCOL;
+pub(crate) const PROTOCOL: u32 = GROUP_PROTOCOL;
 /// First protocol version that keeps confined work within its regions.
 pub(crate) const CONFINEMENT_PROTOCOL: u32 = 2;
 /// First protocol version with [`IngressPeers::lend`].
@@ -69,6 +69,8 @@
 pub(crate) const ORIGIN_PROTOCOL: u32 = 9;
 /// First protocol version that takes reports on parts of prompts for such.
 pub(crate) const PART_PROTOCOL: u32 = 9;
+/// First protocol version with [`IngressPeers::process_group`].
+pub(crate) const GROUP_PROTOCOL: u32 = 10;
 /// Smallest first byte of an HTTP request. The frames of other messages are shorter than what it would stand for as
 /// the first byte of their length.
 const FIRST_HTTP_BYTE: u8 = b'A';
@@ -150,6 +152,8 @@
     async fn make(service: Name, asks: Vec<ItemRequest>) -> Vec<ItemResult>;
     /// Like `make`, and returns drain notices too.
     async fn make_pieces(service: Name, asks: Vec<ItemRequest>) -> ItemResults;
+    /// Like `make_pieces`, for items that have all but their indices in common.
+    async fn process_group(service: Name, group: ItemGroup) -> ItemResults;
     /// Applies drain notices of targets, and returns those that this instance knows.
     async fn tell_departures(news: Vec<DrainNotice>) -> Vec<DrainNotice>;
     /// Chooses the target of a service for a prompt.
@@ -270,6 +274,15 @@
         ItemResults { results, departures }
     }
 
+    async fn process_group(
+        self,
+        context: context::Context,
+        service: Name,
+        group: ItemGroup,
+    ) -> ItemResults {
+        self.make_pieces(context, service, group.into_items()).await
+    }
+
     async fn tell_departures(
         self,
         _: context::Context,
--- a/crates/holdpointd/src/ingress/peers/calls.rs
+++ b/crates/holdpointd/src/ingress/peers/calls.rs
@@ -18,10 +18,12 @@
 use super::{Peers, TARGET_CHOICE_TIMEOUT};
 use crate::ingress::{
     drain_notices::{self, DrainNotice},
-    item_request::{ItemRequest, ItemResult},
+    item_request::{ItemGroup, ItemResult},
     limits::Assignment,
     links::{PeerSilent, context_for},
-    peer_service::{DRAIN_PROTOCOL, IngressPeersClient, LENDING_PROTOCOL, PromptRequest},
+    peer_service::{
+        DRAIN_PROTOCOL, GROUP_PROTOCOL, IngressPeersClient, LENDING_PROTOCOL, PromptRequest,
+    },
     quarantine::RunReport,
     regions::owner_of,
     rollouts::{DriverAnswer, RolloutReport},
@@ -47,16 +49,21 @@
         shared: &Arc<IngressShared>,
         address: &str,
         service: &str,
-        asks: Vec<ItemRequest>,
+        group: ItemGroup,
         limit: Duration,
     ) -> Result<Vec<ItemResult>, PeerSilent> {
         let link = self.links.get(shared, address).await?;
         let call = async {
             let (context, service) = (context_for(limit), service.to_owned());
-            if self.protocol_of(address) < DRAIN_PROTOCOL {
-                return link.client.make(context, service, asks).await;
+            let (client, protocol) = (&link.client, self.protocol_of(address));
+            if protocol < DRAIN_PROTOCOL {
+                return client.make(context, service, group.into_items()).await;
             }
-            let response = link.client.make_pieces(context, service, asks).await?;
+            let response = if protocol < GROUP_PROTOCOL {
+                client.make_pieces(context, service, group.into_items()).await?
+            } else {
+                client.process_group(context, service, group).await?
+            };
             drain_notices::apply_notices(shared, response.departures);
             Ok(response.results)
         };
@@ -314,15 +321,15 @@
     shared: &Arc<IngressShared>,
     region: &str,
     service: &str,
-    asks: Vec<ItemRequest>,
+    group: ItemGroup,
     within: &Within,
     limit: Duration,
 ) -> Vec<ItemResult> {
-    let count = asks.len();
+    let count = group.len();
     let until = Instant::now() + limit;
     while let Some(address) = owner_of(shared, region, service, within) {
         let left = until.saturating_duration_since(Instant::now());
-        let res = shared.peers.process_items(shared, &address, service, asks.clone(), left).await;
+        let res = shared.peers.process_items(shared, &address, service, group.clone(), left).await;
         let Ok(mut results) = res else { continue };
         if results.iter().all(|it| *it == Err(NoResult::Unreachable)) && !results.is_empty() {
             // The peer does not know the service yet.
@@ -331,5 +338,5 @@
         results.resize(count, Err(NoResult::Late));
         return results;
     }
-    shared.batches.process(shared, service, asks).await
+    shared.batches.process(shared, service, group.into_items()).await
 }
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -20,7 +20,7 @@
     events::{self, emit},
     ingress::{
         context::Context,
-        item_request::{ItemRequest, ItemResult, LaterStages},
+        item_request::{ItemGroup, ItemRequest, ItemResult, LaterStages},
         peers::process_anywhere,
         send::time_until,
         spill,
@@ -199,22 +199,18 @@
     let mut until = None;
     for round in 0..=MAX_RETRIES {
         let missing: Vec<u32> = (0..count).filter(|it| handles[*it as usize].is_none()).collect();
-        let to_request = |item: &u32| {
-            let request = new_request(ctx, graph, stage, *item, source.clone(), &preferred_domain);
-            let inputs_for_ms = inputs_until.map(|it| time_until(it).as_millis() as Millis);
-            let confinement = confinement(&within);
-            ItemRequest { inputs_for_ms, confinement, ..request }
-        };
-        let mut requests: Vec<ItemRequest> = missing.iter().map(to_request).collect();
-        if let Some(first) = requests.first_mut() {
-            first.fingerprint = Some(ctx.fingerprint());
-        }
-        if let (Some(first), ItemSource::Inputs(inputs)) = (requests.first_mut(), &source) {
+        let Some((first, others)) = missing.split_first() else { break };
+        let mut first = new_request(ctx, graph, stage, *first, source.clone(), &preferred_domain);
+        first.inputs_for_ms = inputs_until.map(|it| time_until(it).as_millis() as Millis);
+        first.confinement = confinement(&within);
+        first.fingerprint = Some(ctx.fingerprint());
+        if let ItemSource::Inputs(inputs) = &source {
             first.releasable = releasable_inputs(ctx, graph, stage, inputs);
         }
-        if let Some(first) = requests.first_mut().filter(|it| it.is_refusable) {
+        if first.is_refusable {
             first.chain = Some(later_stages(ctx, graph, stage));
         }
+        let requests = ItemGroup::new(first, others.to_vec());
         let region = ctx.region();
         let limit = ctx.time_to_begin();
         let made = tokio::select! {
