Intake: requests that are on the way when an instance stops listening count, and a queue on its link is measured

The byte counters showed 3 to 40 % of the link in use while every connection to targets and peers took over 250 ms.

Cause: when an instance stops listening, further connections have been made whose requests are on the way. They are closed unread and were counted nowhere, but cross the link, and the longer its queue, the more of them there are at the next time.

Change: connections that wait to be accepted when listening ends are counted, and their expected bytes charged to the link. QueueDelay (core) takes the least delay of at least three round trips to several remotes, from connects to targets, pings, and probes of three peers while new connections are refused; from 60 ms on, with 30 % of the link in use, new connections wait, at most 500 ms at once and three quarters of the time, and one open connection in four is closed after its answer. Connections are accepted 80 ms of the link at once (250 before), for a burst is a queue as well.

--- a/crates/holdpoint-core/src/intake.rs
+++ b/crates/holdpoint-core/src/intake.rs
@@ -2,11 +2,13 @@
 //!
 //! A link that is full delays all traffic of the instance, and a processor that is full delays all of its timers, until
 //! most requests are late. New connections beyond what link and processor carry are closed unread instead, since their
-//! callers are served by other instances at their next try. Requests on open connections are only counted; new ones get
-//! what these leave, and always a part.
+//! callers are served by other instances at their next try. Requests on open connections are never refused, and new ones
+//! get what these leave, and always a part.
 //!
-//! The link's bandwidth is known, and what a request costs on it is measured. The processor's share is only seen when it
-//! runs out: timers are late. The rate that it carries is approached from below, as in the slow start of TCP.
+//! The link's bandwidth is known, and what a request costs on it is measured. If round trips become long all the same, no
+//! new connections are accepted until the queue is gone, and some of the open ones are closed after an answer, since they
+//! bring more requests than there is room for. The processor's share is only seen when it runs out: timers are
+//! late. The rate that it carries is approached from below, as in the slow start of TCP.
 
 use crate::ids::Millis;
 
@@ -19,7 +21,19 @@
 /// Largest surcharge on the expected cost.
 const MAX_SURCHARGE: f64 = 2.0;
 /// Time on the link that connections accepted at once may take.
-const LINK_BURST_MS: f64 = 250.0;
+const LINK_BURST_MS: f64 = 80.0;
+/// Delay of all round trips from which on new connections wait for the link's queue, in milliseconds.
+const QUEUE_DELAY_MS: f64 = 60.0;
+/// Part of the link that must be in use for such a delay to be its fault.
+const BUSY_SHARE: f64 = 0.3;
+/// Longest time for which they wait at once, in milliseconds, and part of all time. The rest leaves some service to
+/// callers if round trips have become longer for another reason.
+const QUEUE_WAIT_MS: f64 = 500.0;
+const QUEUE_WAIT_SHARE: f64 = 0.75;
+/// Of the connections whose answers end meanwhile, one in this many is closed.
+const CLOSED_ONE_IN: u64 = 4;
+/// Time constant of the measured use of the link, in milliseconds.
+const USE_MS: f64 = 500.0;
 /// Time constant of the measured costs, in milliseconds.
 const COST_MS: f64 = 3000.0;
 /// Time constant of the measured traffic that no caller of this instance causes, in milliseconds.
@@ -163,6 +177,13 @@
     /// When `pending` and `tokens` were last updated.
     updated: Millis,
     is_link_full: bool,
+    /// Part of the link in use.
+    link_use: f64,
+    /// Until when new connections wait for the link's queue, and for how many milliseconds more they may.
+    queue_until: Millis,
+    queue_wait: f64,
+    /// Requests that were answered while the link had a queue.
+    answered_in_queue: u64,
     /// Factor of the expected cost, since the link was full in spite of it.
     surcharge: f64,
     /// Least lateness of a timer in the current window, and the largest such of windows with few requests.
@@ -179,6 +200,8 @@
     kept: f64,
     /// Measured rate of requests on open connections, per second.
     kept_rate: f64,
+    /// Until when new connections count as refused.
+    refused_until: Millis,
     /// Requests that were read and not yet served.
     unserved: u64,
     /// Requests served since the start of the window, and since traffic was last recorded.
@@ -201,6 +224,10 @@
             requests: ASSUMED_COUNT,
             updated: 0,
             is_link_full: false,
+            link_use: 0.0,
+            queue_until: 0,
+            queue_wait: QUEUE_WAIT_MS,
+            answered_in_queue: 0,
             surcharge: 1.0,
             least_lateness: Millis::MAX,
             usual_lateness: MAX_USUAL_MS,
@@ -210,6 +237,7 @@
             charged: 0.0,
             kept: 0.0,
             kept_rate: 0.0,
+            refused_until: 0,
             unserved: 0,
             served: 0.0,
             unrecorded: 0.0,
@@ -226,14 +254,22 @@
     /// Fails if the connection is to be closed unread.
     pub fn accept(&mut self, now: Millis, open: usize) -> Result<(), Full> {
         self.update(now);
+        let accepted = self.try_accept(now, open);
+        if accepted.is_err() {
+            self.refused_until = now + STRAIN_MS;
+        }
+        accepted
+    }
+
+    fn try_accept(&mut self, now: Millis, open: usize) -> Result<(), Full> {
         if self.resources.connections != 0 && self.resources.connections <= open {
             return Err(Full::Connections);
         }
         let has_link = self.resources.link > 0.0;
-        if has_link && self.exceeds_link() {
+        if self.has_queue(now) || (has_link && self.exceeds_link()) {
             return Err(Full::Link);
         }
-        let has_backlog = self.rate * UNSERVED_MS / 1000.0 <= self.unserved as f64;
+        let has_backlog = self.has_backlog();
         if self.resources.cores > 0.0 && has_backlog && self.tokens < 1.0 {
             return Err(Full::Processor);
         }
@@ -247,6 +283,17 @@
         Ok(())
     }
 
+    /// Records further connections that were closed unread. Their requests cross the link all the same.
+    pub fn record_closed(&mut self, now: Millis, count: usize) {
+        self.update(now);
+        self.directions[0].pending += count as f64 * self.cost(0);
+        let link = self.resources.link;
+        if link > 0.0 && LINK_BURST_MS * link < self.directions[0].pending {
+            let ms = (self.directions[0].pending / link) as Millis;
+            self.strained_until = self.strained_until.max(now + ms + STRAIN_MS);
+        }
+    }
+
     /// Time until new connections can be accepted again, in milliseconds; `None` if they can be now. Some room is
     /// awaited, so that they are not accepted one by one.
     pub fn wait(&mut self, now: Millis, open: usize) -> Option<Millis> {
@@ -255,7 +302,7 @@
         if resources.connections != 0 && resources.connections <= open {
             return Some(REVIEW_MS);
         }
-        let mut ms: f64 = 0.0;
+        let mut ms = self.queue_until.saturating_sub(now) as f64;
         if resources.link > 0.0 {
             let burst = FREE_SHARE * LINK_BURST_MS * resources.link;
             for (index, it) in self.directions.iter().enumerate() {
@@ -277,6 +324,20 @@
         self.charged += 1.0;
     }
 
+    /// Whether a connection stays open after an answer.
+    pub fn keeps_connection(&mut self, now: Millis) -> bool {
+        if !self.has_queue(now) {
+            return true;
+        }
+        self.answered_in_queue += 1;
+        !self.answered_in_queue.is_multiple_of(CLOSED_ONE_IN)
+    }
+
+    /// Whether new connections are refused, or were recently.
+    pub fn is_pressed(&self, now: Millis) -> bool {
+        now < self.refused_until || self.is_strained(now)
+    }
+
     /// Counts a request whose head has been read, until [`Self::record_served`].
     pub fn record_read(&mut self) {
         self.unserved += 1;
@@ -306,7 +367,11 @@
             let used = own[index] + other[index];
             FULL_SHARE * self.resources.link * ms <= used && other[index] < own[index]
         };
-        let is_full = self.resources.link > 0.0 && (is_used(0) || is_used(1));
+        let link = self.resources.link;
+        let is_full = link > 0.0 && (is_used(0) || is_used(1));
+        let bytes = (own[0] + other[0]).max(own[1] + other[1]);
+        let used = if link > 0.0 { bytes / (link * ms) } else { 1.0 };
+        self.link_use += (1.0 - (-ms / USE_MS).exp()) * (used - self.link_use);
         self.is_link_full = is_full;
         let factor = if is_full { SURCHARGE.0 } else { SURCHARGE.1 };
         self.surcharge = (factor * self.surcharge).clamp(1.0, MAX_SURCHARGE);
@@ -315,6 +380,26 @@
         }
     }
 
+    /// Records a delay in milliseconds that all recent round trips had.
+    pub fn record_delay(&mut self, now: Millis, delay: f64) {
+        if delay < QUEUE_DELAY_MS || self.link_use < BUSY_SHARE {
+            self.update(now);
+            self.queue_until = self.queue_until.min(now);
+            return;
+        }
+        self.strained_until = now + STRAIN_MS;
+        self.wait_for_queue(now, delay);
+    }
+
+    /// Lets new connections wait for the link's queue.
+    fn wait_for_queue(&mut self, now: Millis, ms: f64) {
+        self.update(now);
+        // Many short waits in turn would let too few connections in between.
+        if self.has_queue(now) || QUEUE_WAIT_MS / 2.0 <= self.queue_wait {
+            self.queue_until = now + ms.min(self.queue_wait) as Millis;
+        }
+    }
+
     /// Records by how many milliseconds a timer was late. The timers of a window should fall into different parts of
     /// the period of a processor's quota.
     pub fn record_lateness(&mut self, now: Millis, lateness: Millis) {
@@ -372,6 +457,11 @@
         now < self.strained_until
     }
 
+    /// Whether new connections wait for the link's queue.
+    pub fn has_queue(&self, now: Millis) -> bool {
+        now < self.queue_until
+    }
+
     /// Whether the link is full.
     pub fn is_link_full(&self) -> bool {
         self.is_link_full
@@ -382,6 +472,11 @@
         [self.cost(0) as u64, self.cost(1) as u64]
     }
 
+    /// Measured rate of requests on open connections, per second.
+    pub fn kept_rate(&self) -> f64 {
+        self.kept_rate
+    }
+
     /// Requests per second that the processor may get.
     pub fn rate(&self) -> f64 {
         self.rate
@@ -403,6 +498,8 @@
 
     fn update(&mut self, now: Millis) {
         let ms = now.saturating_sub(self.updated) as f64;
+        let waited = now.min(self.queue_until).saturating_sub(self.updated) as f64;
+        self.queue_wait = (self.queue_wait + QUEUE_WAIT_SHARE * ms - waited).min(QUEUE_WAIT_MS);
         self.updated = now;
         for index in 0..2 {
             let kept = self.kept_bytes(index);
@@ -413,6 +510,11 @@
         self.tokens = tokens.min(self.most_tokens());
     }
 
+    /// Whether requests wait that the processor has read.
+    fn has_backlog(&self) -> bool {
+        self.rate * UNSERVED_MS / 1000.0 <= self.unserved as f64
+    }
+
     /// Requests per second that the processor may get on new connections.
     fn new_rate(&self) -> f64 {
         (self.rate - self.kept_rate).max(MIN_NEW_SHARE * self.rate)
--- a/crates/holdpoint-core/src/lib.rs
+++ b/crates/holdpoint-core/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod prelude;
 pub mod prompt;
 pub mod quarantine;
+pub mod queue_delay;
 pub mod reach;
 pub mod readers;
 pub mod regions;
--- a/crates/holdpoint-core/tests/intake.rs
+++ b/crates/holdpoint-core/tests/intake.rs
@@ -306,3 +306,77 @@
         intake.record_served();
     }
 }
+
+/// Serves requests that half fill the link in the time between two measurements; returns their traffic.
+fn half_full(intake: &mut Intake) -> LinkBytes {
+    let count = (0.5 * LINK * MEASURE_MS as f64) as u64 / REQUEST_BYTES;
+    for _ in 0..count {
+        intake.record_read();
+        intake.record_served();
+    }
+    LinkBytes { received: count * REQUEST_BYTES, sent: count * REQUEST_BYTES }
+}
+
+/// An instance whose link is half full, at this time.
+fn busy(now: &mut Millis) -> Intake {
+    let mut intake = Intake::new(small_machine());
+    for _ in 0..20 {
+        *now += MEASURE_MS;
+        let own = half_full(&mut intake);
+        intake.record_usage(*now, MEASURE_MS, Usage { own, ..Usage::default() });
+    }
+    intake
+}
+
+#[test]
+fn new_connections_wait_until_the_link_has_passed_its_queue() {
+    let mut now = 1000;
+    let mut intake = busy(&mut now);
+    intake.record_delay(now, 5.0);
+    assert_eq!(intake.accept(now, 0), Ok(()));
+    assert!(intake.keeps_connection(now));
+    intake.record_delay(now, 200.0);
+    assert_eq!(intake.accept(now, 0), Err(Full::Link));
+    assert!(intake.wait(now, 0).is_some() && intake.is_strained(now));
+    let closed = (0..100).filter(|_| !intake.keeps_connection(now)).count();
+    assert!((10..=50).contains(&closed), "{closed}");
+    now += 50;
+    intake.record_delay(now, 10.0);
+    assert_eq!(intake.accept(now, 0), Ok(()));
+}
+
+#[test]
+fn round_trips_that_stay_long_leave_a_quarter_of_the_time_to_new_connections() {
+    let mut now = 1000;
+    let mut intake = busy(&mut now);
+    let mut accepted = 0;
+    for _ in 0..100 {
+        now += MEASURE_MS;
+        intake.record_delay(now, 300.0);
+        let own = half_full(&mut intake);
+        intake.record_usage(now, MEASURE_MS, Usage { own, ..Usage::default() });
+        accepted += usize::from(intake.accept(now, 0).is_ok());
+    }
+    assert!((20..=40).contains(&accepted), "{accepted} of 100");
+}
+
+#[test]
+fn long_round_trips_are_not_the_fault_of_an_idle_link() {
+    let mut intake = Intake::new(small_machine());
+    for round in 0..100 {
+        intake.record_delay(1000 + 10 * round, 300.0);
+        assert!(!intake.is_strained(1000 + 10 * round));
+        assert_eq!(intake.accept(1000 + 10 * round, 0), Ok(()));
+    }
+}
+
+#[test]
+fn requests_on_connections_that_are_closed_unread_take_their_time_on_the_link() {
+    let mut now = 1000;
+    let mut intake = busy(&mut now);
+    intake.record_closed(now, 100);
+    // The link passes some 140 requests a second.
+    assert!(intake.is_strained(now + 500));
+    assert_eq!(intake.accept(now + 300, 0), Err(Full::Link));
+    assert_eq!(intake.accept(now + 2000, 0), Ok(()));
+}
--- a/crates/holdpointd/src/ingress/connections.rs
+++ b/crates/holdpointd/src/ingress/connections.rs
@@ -226,6 +226,9 @@
         };
         let service = target.service.as_str();
         self.metrics.connects.add(1, &[label("service", service), label("outcome", outcome)]);
+        if matches!(outcome, "made" | "timed-out") {
+            self.traffic.record_round_trip(&target.domain, begun.elapsed());
+        }
         if error.is_some() {
             let ms = begun.elapsed().as_millis();
             let detail = format!("target={} service={service} cause={outcome} ms={ms}", target.id);
--- /dev/null
+++ b/crates/holdpointd/src/ingress/link_probe.rs
@@ -0,0 +1,43 @@
+//! Measures the queue of the own link while new connections are refused.
+
+use std::{sync::Arc, time::Duration};
+
+use holdpoint_platform::Instant;
+use tokio::{
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+
+use crate::ingress::shared::IngressShared;
+
+/// Interval of the probes.
+const INTERVAL: Duration = Duration::from_millis(15);
+/// Time after which a probe counts as this long.
+const TIMEOUT: Duration = Duration::from_millis(250);
+/// Number of peers that are probed in turn.
+const PEERS: usize = 3;
+
+/// Connects to peers in turn while new connections are refused, until the task is dropped. Their round trips tell
+/// whether the link has passed what it was given.
+pub(crate) async fn run(shared: Arc<IngressShared>) {
+    loop {
+        shared.own_load.wait_pressed().await;
+        let mut count = 0;
+        while shared.own_load.is_pressed(shared.clock.now()) {
+            let peers = shared.peers.relays();
+            let probed = &peers[..peers.len().min(PEERS)];
+            if !probed.is_empty() {
+                tokio::spawn(probe(shared.clone(), probed[count % probed.len()].clone()));
+            }
+            count += 1;
+            sleep(INTERVAL).await;
+        }
+    }
+}
+
+async fn probe(shared: Arc<IngressShared>, address: String) {
+    let begun = Instant::now();
+    // A connection that is refused has made its round trip as well.
+    drop(timeout(TIMEOUT, TcpStream::connect(&address)).await);
+    shared.own_load.traffic.record_round_trip(&address, begun.elapsed());
+}
--- a/crates/holdpointd/src/ingress/links.rs
+++ b/crates/holdpointd/src/ingress/links.rs
@@ -191,7 +191,7 @@
             self.suspect(shared, address, "unreachable");
             return Err(PeerSilent);
         };
-        self.record_round_trip(address, begun.elapsed());
+        self.record_round_trip(shared, address, begun.elapsed());
         set_socket_options(&stream).map_err(|_| PeerSilent)?;
         let last_received = LastReceived::new();
         let stream = CountedStream::new(stream, shared.own_load.traffic.peers.clone());
@@ -224,7 +224,8 @@
         limit + round_trip.map_or(Duration::ZERO, |it| ROUND_TRIPS * (*it).min(MAX_ROUND_TRIP))
     }
 
-    fn record_round_trip(&self, address: &str, round_trip: Duration) {
+    fn record_round_trip(&self, shared: &IngressShared, address: &str, round_trip: Duration) {
+        shared.own_load.traffic.record_round_trip(address, round_trip);
         let mut round_trips = self.round_trips.lock();
         let shortest = round_trips.entry(address.to_owned()).or_insert(round_trip);
         *shortest = round_trip.min(*shortest);
@@ -320,7 +321,7 @@
         let limit = links.with_round_trips(&address, PING_TIMEOUT);
         match tokio::time::timeout(limit, check_peer(&shared, &address, &link, limit)).await {
             Ok(Ok(status)) => {
-                links.record_round_trip(&address, begun.elapsed());
+                links.record_round_trip(&shared, &address, begun.elapsed());
                 links.clear_suspicion(&address);
                 shared.peers.set_unreached(&address, status.unreached);
                 if !shared.peers.is_far(&address) {
--- a/crates/holdpointd/src/ingress/listeners.rs
+++ b/crates/holdpointd/src/ingress/listeners.rs
@@ -65,7 +65,11 @@
             Some(it) => it,
             None => listen_again(shared).await,
         };
-        accept_while_room(shared, &listening).await;
+        tokio::select! {
+            () = accept_while_room(shared, &listening) => (),
+            () = shared.own_load.queued() => (),
+        }
+        own_load::close_waiting(shared, &listening);
         drop(listening);
         while let Some(it) = shared.own_load.wait(shared.clock.now()) {
             tokio::time::sleep(it).await;
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -23,6 +23,7 @@
 mod gate;
 mod item_request;
 mod limits;
+mod link_probe;
 mod links;
 mod listeners;
 mod monitored_stream;
@@ -122,6 +123,7 @@
         tokio::spawn(quarantine::run(shared.clone()));
         tokio::spawn(limits::run(shared.clone()));
         tokio::spawn(paths::run(shared.clone()));
+        tokio::spawn(link_probe::run(shared.clone()));
         tokio::spawn(drain_notices::run(shared.clone()));
         tokio::spawn(stream_origins::run(shared.clone()));
         tokio::spawn(tick(shared.clone()));
--- a/crates/holdpointd/src/ingress/own_load.rs
+++ b/crates/holdpointd/src/ingress/own_load.rs
@@ -8,9 +8,11 @@
     time::Duration,
 };
 
+use futures::FutureExt;
 use holdpoint_core::{
     ids::Millis,
     intake::{Full, Intake, LinkBytes, Resources, Usage},
+    queue_delay::QueueDelay,
 };
 use holdpoint_schema::ingress::Machine;
 use parking_lot::Mutex;
@@ -18,6 +20,7 @@
     process::{Resource, getrlimit},
     time::{ClockId, clock_gettime},
 };
+use tokio::{net::TcpListener, sync::Notify};
 
 use crate::{
     events::{self, emit},
@@ -31,6 +34,8 @@
 const LOGGED_LATENESS_MS: u64 = 100;
 /// Interval at which the traffic is measured. A full link is noticed before the first timeouts that it causes.
 const MEASURE_INTERVAL_MS: Millis = 90;
+/// Time after which too few round trips say nothing.
+const DELAY_WINDOW_MS: Millis = 1000;
 /// Memory of one open connection with a request, in bytes.
 const CONNECTION_BYTES: f64 = 65536.0;
 /// Part of the memory that open connections may use.
@@ -38,9 +43,10 @@
 /// Part of the file descriptors that callers' connections may use.
 const CONNECTIONS_DESCRIPTORS: u64 = 2;
 
-/// Byte counters of the connections by kind.
+/// Byte counters of the connections by kind, and the round trips of all.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Traffic {
+    round_trips: Arc<Mutex<QueueDelay>>,
     /// Connections of callers.
     pub(crate) callers: ByteCounter,
     /// Connections to targets that answer callers' requests.
@@ -61,6 +67,11 @@
 const OWN_KINDS: usize = 3;
 
 impl Traffic {
+    /// Records a round trip to a remote: a peer, or a failure domain.
+    pub(crate) fn record_round_trip(&self, remote: &str, round_trip: Duration) {
+        self.round_trips.lock().record(remote, 1000.0 * round_trip.as_secs_f64());
+    }
+
     fn totals(&self) -> [(&'static str, LinkBytes); KINDS] {
         [
             ("callers", self.callers.total()),
@@ -87,7 +98,11 @@
     totals: Totals,
     processor: Duration,
     lateness_ms: Millis,
+    /// Connections closed unread, and those closed after an answer for the sake of new ones.
     closed: u64,
+    shed: u64,
+    /// Longest delay that all round trips of a window had.
+    delay_ms: Millis,
 }
 
 #[derive(Debug)]
@@ -96,6 +111,8 @@
     requests: u64,
     was_strained: bool,
     measured: Totals,
+    /// When the current window of round trips began.
+    delay_window: Millis,
     reported: Reported,
 }
 
@@ -106,6 +123,10 @@
     /// Callers' connections that are open.
     connections: Arc<AtomicUsize>,
     state: Arc<Mutex<State>>,
+    /// Notified when new connections have to wait for the link's queue.
+    queued: Notify,
+    /// Notified when new connections are refused.
+    pressed: Notify,
 }
 
 /// Counts a caller's connection as open until it is dropped.
@@ -135,12 +156,15 @@
             requests: 0,
             was_strained: false,
             measured: Totals::default(),
+            delay_window: 0,
             reported: Reported::default(),
         };
         OwnLoad {
             traffic: Traffic::default(),
             connections: Arc::default(),
             state: Arc::new(Mutex::new(state)),
+            queued: Notify::new(),
+            pressed: Notify::new(),
         }
     }
 
@@ -150,12 +174,21 @@
         let accepted = state.intake.accept(now, self.connections.load(Ordering::Acquire));
         if let Err(it) = accepted {
             state.reported.closed += 1;
+            self.traffic.round_trips.lock().discard();
+            self.pressed.notify_one();
             return Err(it);
         }
         self.connections.fetch_add(1, Ordering::AcqRel);
         Ok(OpenConnection(self.connections.clone()))
     }
 
+    /// Records connections that were closed unread beside the one that was refused.
+    fn record_closed(&self, now: Millis, count: usize) {
+        let mut state = self.state.lock();
+        state.reported.closed += count as u64;
+        state.intake.record_closed(now, count);
+    }
+
     /// Counts a caller's request whose head has been read. The first one of a connection was accepted with it.
     pub(crate) fn record_request(&self, is_first: bool) -> Unserved {
         let mut state = self.state.lock();
@@ -167,12 +200,35 @@
         Unserved(self.state.clone())
     }
 
+    /// Whether a caller's connection stays open after an answer.
+    pub(crate) fn keeps_connection(&self, now: Millis) -> bool {
+        let mut state = self.state.lock();
+        let is_kept = state.intake.keeps_connection(now);
+        state.reported.shed += u64::from(!is_kept);
+        is_kept
+    }
+
+    /// Whether new connections are refused, or were recently.
+    pub(crate) fn is_pressed(&self, now: Millis) -> bool {
+        self.state.lock().intake.is_pressed(now)
+    }
+
+    /// Waits until new connections are refused.
+    pub(crate) async fn wait_pressed(&self) {
+        self.pressed.notified().await;
+    }
+
     /// Time until new connections can be accepted again; `None` if they can be now.
     pub(crate) fn wait(&self, now: Millis) -> Option<Duration> {
         let open = self.connections.load(Ordering::Acquire);
         self.state.lock().intake.wait(now, open).map(Duration::from_millis)
     }
 
+    /// Waits until new connections have to wait for the link's queue.
+    pub(crate) async fn queued(&self) {
+        self.queued.notified().await;
+    }
+
     /// Whether timeouts may be the fault of this instance's own link or processor.
     pub(crate) fn is_strained(&self, now: Millis) -> bool {
         self.state.lock().intake.is_strained(now)
@@ -201,6 +257,17 @@
     accepted.map_err(count).ok()
 }
 
+/// Closes the callers' connections that wait to be accepted when the instance stops listening. Their requests are on the
+/// way already.
+pub(crate) fn close_waiting(shared: &IngressShared, listener: &TcpListener) {
+    let mut count = 0;
+    while let Some(Ok(_)) = listener.accept().now_or_never() {
+        count += 1;
+    }
+    shared.own_load.record_closed(shared.clock.now(), count);
+    shared.metrics.closed_unread.add(count as u64, &[label("full", "waiting")]);
+}
+
 /// Records by how much a timer was late, and measures the traffic from time to time.
 pub(crate) fn measure(shared: &IngressShared, lateness: Duration) {
     let now = shared.clock.now();
@@ -209,6 +276,7 @@
     let lateness = lateness.as_millis() as Millis;
     state.reported.lateness_ms = state.reported.lateness_ms.max(lateness);
     state.intake.record_lateness(now, lateness);
+    measure_delay(load, now, &mut state);
     log_strain(shared, now, &mut state);
     let since = now.saturating_sub(state.measured.at);
     if since < MEASURE_INTERVAL_MS {
@@ -224,6 +292,22 @@
     state.intake.record_usage(now, since, usage);
 }
 
+fn measure_delay(load: &OwnLoad, now: Millis, state: &mut State) {
+    let mut round_trips = load.traffic.round_trips.lock();
+    if let Some(it) = round_trips.take() {
+        state.intake.record_delay(now, it);
+        state.reported.delay_ms = state.reported.delay_ms.max(it as Millis);
+        state.delay_window = now;
+        if state.intake.has_queue(now) {
+            load.queued.notify_one();
+            load.pressed.notify_one();
+        }
+    } else if state.delay_window + DELAY_WINDOW_MS <= now {
+        round_trips.discard();
+        state.delay_window = now;
+    }
+}
+
 fn usage(before: &Totals, after: &Totals) -> Usage {
     let mut usage = Usage::default();
     for (kind, (before, after)) in before.bytes.iter().zip(&after.bytes).enumerate() {
@@ -260,10 +344,11 @@
     let used = processor_time();
     let reported = std::mem::replace(
         &mut state.reported,
-        Reported { totals: after, processor: used, lateness_ms: 0, closed: 0 },
+        Reported { totals: after, processor: used, ..Reported::default() },
     );
     let [request_received, request_sent] = state.intake.costs();
     let rate = state.intake.rate();
+    let kept = state.intake.kept_rate();
     drop(state);
     let before = reported.totals;
     let mut link = LinkBytes::default();
@@ -296,15 +381,18 @@
         return;
     }
     let detail = format!(
-        "link_percent={link_percent} lateness_ms={} processor_ms={processor_ms} received={} \
-         sent={}{by_kind} requests={} in_flight={} connections={connections} closed={} per_s={rate:.0} \
+        "link_percent={link_percent} delay_ms={} lateness_ms={} processor_ms={processor_ms} received={} \
+         sent={}{by_kind} requests={} in_flight={} connections={connections} closed={} shed={} \
+         kept_per_s={kept:.0} per_s={rate:.0} \
          request_received={request_received} request_sent={request_sent} memory_kb={} unread={}",
+        reported.delay_ms,
         reported.lateness_ms,
         link.received,
         link.sent,
         requests - before.requests,
         shared.in_flight.count(),
         reported.closed,
+        reported.shed,
         memory >> 10,
         shared.unread.buffered(),
     );
--- a/crates/holdpointd/src/ingress/request.rs
+++ b/crates/holdpointd/src/ingress/request.rs
@@ -52,7 +52,8 @@
         },
         Err(it) => it,
     };
-    if shared.is_draining.load(Ordering::Acquire) {
+    let is_kept = shared.own_load.keeps_connection(shared.clock.now());
+    if !is_kept || shared.is_draining.load(Ordering::Acquire) {
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(answer)
--- a/crates/holdpointd/tests/full_instance.rs
+++ b/crates/holdpointd/tests/full_instance.rs
@@ -212,6 +212,7 @@
         clients.spawn(async move { timeout(PHASE, use_connection(address, client)).await });
     }
     clients.join_all().await;
+    ["E730", "E740", "E741"].iter().for_each(|it| fleet.small.print_log(it));
     let counts = [PATH_LOST, RELAYED].map(|it| fleet.small.event_count(it));
     assert_eq!(counts, [0, 0], "lost paths, relayed requests");
     assert!(fleet.small.event_count(STRAINED) != 0);
