Intake: the processor is full by what requests cost of it, and while answers wait

A process that runs for a part of each 100 ms has timers that are on time as long as its run queue is short, while its sockets fill: 127 ms of 120 were used, and the least lateness of a window stayed under the bound. And requests counted as waiting only until they were sent to their targets, so that a process whose answers waited took new connections without a bound (107 to 139 a second read, 58 to 105 allowed).

Change: from half of the processor's share on, what a request costs of it is measured, and the rate is bounded by 0.85 of the share. A clock that shows more than one and a half times the share is not believed. While timers are late or the share is used up, new connections take of the rate whatever waits.

--- a/crates/holdpoint-core/src/intake.rs
+++ b/crates/holdpoint-core/src/intake.rs
@@ -7,8 +7,9 @@
 //!
 //! The link's bandwidth is known, and what a request costs on it is measured. If round trips become long all the same, no
 //! new connections are accepted until the queue is gone, and some of the open ones are closed after an answer, since they
-//! bring more requests than there is room for. The processor's share is only seen when it runs out: timers are
-//! late. The rate that it carries is approached from below, as in the slow start of TCP.
+//! bring more requests than there is room for. What a request costs of the processor's share is measured while requests
+//! take most of it. It also shows when it runs out: timers are late. The rate that it carries is approached from below, as
+//! in the slow start of TCP.
 
 use crate::ids::Millis;
 
@@ -69,6 +70,14 @@
 const NEAR_FULL: f64 = 0.8;
 /// Growth beyond it in a window without late timers.
 const CREEP: f64 = 1.03;
+/// Part of the processor's share that requests may take.
+const PROCESSOR_SHARE: f64 = 0.85;
+/// Part of the share in use from which on the cost of a request is known. Below, most of the use is no request's.
+const PROCESSOR_BUSY: f64 = 0.5;
+/// Part of the share above which the clock of the process, or the stated share, must be wrong.
+const MAX_PLAUSIBLE_USE: f64 = 1.5;
+/// Weight of a window in the rate that follows from the measured cost.
+const COST_WEIGHT: f64 = 0.3;
 /// Fewer requests in a window do not make timers late.
 const MIN_CHARGED: f64 = 3.0;
 /// Time of the processor's rate that may be used at once, in milliseconds.
@@ -207,6 +216,12 @@
     /// Requests served since the start of the window, and since traffic was last recorded.
     served: f64,
     unrecorded: f64,
+    /// Until when the processor counts as full.
+    processor_full_until: Millis,
+    /// Processor time used since the start of the window, in milliseconds.
+    processor_ms: f64,
+    /// Requests per second that the processor carries according to what one costs, and when that was measured.
+    affordable: Option<(Millis, f64)>,
     /// Requests per second that were served when the processor was full, and when that was.
     carried: Option<(Millis, f64)>,
     window_start: Millis,
@@ -241,6 +256,9 @@
             unserved: 0,
             served: 0.0,
             unrecorded: 0.0,
+            processor_full_until: 0,
+            processor_ms: 0.0,
+            affordable: None,
             carried: None,
             window_start: 0,
             strained_until: 0,
@@ -269,7 +287,7 @@
         if self.has_queue(now) || (has_link && self.exceeds_link()) {
             return Err(Full::Link);
         }
-        let has_backlog = self.has_backlog();
+        let has_backlog = self.has_backlog(now);
         if self.resources.cores > 0.0 && has_backlog && self.tokens < 1.0 {
             return Err(Full::Processor);
         }
@@ -400,6 +418,11 @@
         }
     }
 
+    /// Records processor time that the process has used, in milliseconds.
+    pub fn record_processor(&mut self, ms: f64) {
+        self.processor_ms += ms;
+    }
+
     /// Records by how many milliseconds a timer was late. The timers of a window should fall into different parts of
     /// the period of a processor's quota.
     pub fn record_lateness(&mut self, now: Millis, lateness: Millis) {
@@ -412,6 +435,8 @@
         let read = 1000.0 * std::mem::take(&mut self.charged) / ms as f64;
         let served = 1000.0 * std::mem::take(&mut self.served) / ms as f64;
         let kept = 1000.0 * std::mem::take(&mut self.kept) / ms as f64;
+        let used = std::mem::take(&mut self.processor_ms) / ms as f64;
+        self.measure_cost(now, used, served);
         self.kept_rate += KEPT_WEIGHT * (kept - self.kept_rate);
         self.window_start = now;
         let is_idle = read * (LATENESS_WINDOW_MS as f64) < 1000.0 * MIN_CHARGED;
@@ -428,6 +453,7 @@
         if is_idle {
             return;
         }
+        self.processor_full_until = now + STRAIN_MS;
         // In a window that was much longer, the process stood still for a time, and could serve few.
         let is_pause = 2 * LATENESS_WINDOW_MS <= ms;
         let carried = if is_pause { self.rate } else { served };
@@ -450,6 +476,26 @@
             Some((_, carried)) => grown.min((NEAR_FULL * carried).max(CREEP * self.rate)),
             None => grown,
         };
+        if let Some((_, affordable)) = self.affordable {
+            self.rate = self.rate.min(affordable);
+        }
+    }
+
+    /// Derives the rate that the processor carries from what requests cost in a window, given the cores used and the
+    /// requests served per second.
+    fn measure_cost(&mut self, now: Millis, used: f64, served: f64) {
+        self.affordable = self.affordable.filter(|it| now < it.0 + CARRIED_MS);
+        let share = self.resources.cores;
+        let is_plausible = used < MAX_PLAUSIBLE_USE * share;
+        if !is_plausible || used < PROCESSOR_BUSY * share || served <= 0.0 {
+            return;
+        }
+        let rate = PROCESSOR_SHARE * share / used * served;
+        if PROCESSOR_SHARE * share < used {
+            self.processor_full_until = now + STRAIN_MS;
+        }
+        let before = self.affordable.map_or(rate, |it| it.1);
+        self.affordable = Some((now, before + COST_WEIGHT * (rate - before)));
     }
 
     /// Whether the link or the processor is full or was so recently that timeouts may be its fault.
@@ -510,9 +556,9 @@
         self.tokens = tokens.min(self.most_tokens());
     }
 
-    /// Whether requests wait that the processor has read.
-    fn has_backlog(&self) -> bool {
-        self.rate * UNSERVED_MS / 1000.0 <= self.unserved as f64
+    /// Whether requests wait for the processor: some that it has read, or answers, which are counted nowhere.
+    fn has_backlog(&self, now: Millis) -> bool {
+        now < self.processor_full_until || self.rate * UNSERVED_MS / 1000.0 <= self.unserved as f64
     }
 
     /// Requests per second that the processor may get on new connections.
--- a/crates/holdpoint-core/tests/intake.rs
+++ b/crates/holdpoint-core/tests/intake.rs
@@ -30,7 +30,10 @@
     /// Milliseconds of work that the processor has not done yet.
     work: f64,
     request_ms: f64,
+    cores: f64,
     has_link: bool,
+    /// Whether timers show how much work waits, as they do unless the process runs for a part of the time.
+    has_lateness: bool,
     /// Bytes and work since the last request that was served.
     passed: f64,
     done: f64,
@@ -50,7 +53,9 @@
             other: 0.0,
             work: 0.0,
             request_ms,
+            cores: resources.cores,
             has_link: resources.link > 0.0,
+            has_lateness: true,
             passed: 0.0,
             done: 0.0,
             measured: Usage::default(),
@@ -70,6 +75,7 @@
             let done = self.work.min(1.0);
             self.work -= done;
             self.done += done;
+            self.intake.record_processor(self.cores * done);
             let passed = self.queued.min(if self.has_link { LINK - self.other } else { f64::MAX });
             self.queued -= passed;
             self.passed += passed;
@@ -87,7 +93,8 @@
             add(&mut self.measured.own, bytes(passed));
             add(&mut self.measured.other, bytes(self.other));
             if self.now.is_multiple_of(TICK_MS) {
-                self.intake.record_lateness(self.now, self.work as Millis);
+                let lateness = if self.has_lateness { self.work as Millis } else { 0 };
+                self.intake.record_lateness(self.now, lateness);
             }
             if self.now.is_multiple_of(MEASURE_MS) {
                 let usage = std::mem::take(&mut self.measured);
@@ -197,6 +204,25 @@
     }
 }
 
+#[test]
+fn a_crowd_does_not_wait_for_a_processor_whose_timers_are_on_time() {
+    for request_ms in [2.0, 8.0, 30.0] {
+        let resources = Resources { link: 0.0, ..small_machine() };
+        let mut world = World::new(resources, request_ms);
+        world.has_lateness = false;
+        let carried = 1000.0 / request_ms;
+        world.run(5000, (carried / 4.0) as u64);
+        world.run(4000, (10.0 * carried).min(1000.0) as u64);
+        world.longest_ms = 0.0;
+        let accepted = world.accepted_per_s(10_000, (10.0 * carried).min(1000.0) as u64);
+        assert!(
+            0.6 * carried <= accepted && accepted <= 1.05 * carried,
+            "{request_ms}: {accepted}"
+        );
+        assert!(world.longest_ms < 1000.0, "{request_ms}: {}", world.longest_ms);
+    }
+}
+
 /// Lateness of a timer that is due at this time, if the process runs for 12 ms in each 100 ms.
 fn quota_lateness(due: Millis) -> Millis {
     match due % 100 {
--- a/crates/holdpointd/src/ingress/own_load.rs
+++ b/crates/holdpointd/src/ingress/own_load.rs
@@ -111,6 +111,8 @@
     requests: u64,
     was_strained: bool,
     measured: Totals,
+    /// Processor time of the process when it was last measured.
+    processor: Duration,
     /// When the current window of round trips began.
     delay_window: Millis,
     reported: Reported,
@@ -156,6 +158,7 @@
             requests: 0,
             was_strained: false,
             measured: Totals::default(),
+            processor: Duration::ZERO,
             delay_window: 0,
             reported: Reported::default(),
         };
@@ -282,6 +285,11 @@
     if since < MEASURE_INTERVAL_MS {
         return;
     }
+    let used = processor_time();
+    let before = std::mem::replace(&mut state.processor, used);
+    if before != Duration::ZERO {
+        state.intake.record_processor(1000.0 * used.saturating_sub(before).as_secs_f64());
+    }
     let totals =
         Totals { at: now, bytes: load.traffic.totals().map(|it| it.1), requests: state.requests };
     let before = std::mem::replace(&mut state.measured, totals);
