Pools: what a full link or processor delays ejects no target and teaches no pace

Callers of an instance with a full link were sent to few of its targets: in a_full_link_counts_against_no_target 174 to 190 of 208 sends were made while targets were ejected, in a play with fourteen times the arrivals of a small instance 81 of 1,598.

Cause: sends that were silent or found no connection behind the instance's own queue counted as failures of their targets, and the time of answers behind it as the pace of their targets; both also counted against a version that is being rolled out.

Change: while the link or the processor is full, such sends end as cancelled (cause=own-delay), and answers teach no pace. The test asserts now that no send is made beside ejected targets; it failed in three of three runs before, and passes in three.

--- a/crates/holdpointd/src/ingress/attempts.rs
+++ b/crates/holdpointd/src/ingress/attempts.rs
@@ -480,13 +480,22 @@
     let end = if cause == "silent" && is_slow() { CallOutcome::Cancelled } else { end };
     // A lost path says nothing about the target or its version.
     let is_cut = || ctx.shared.paths.is_cut(&target.id);
+    // While the own link or processor is full, all targets seem slow or silent.
+    let is_strained = ctx.shared.own_load.is_strained(ctx.shared.clock.now());
     let (end, cause) = match (end, cause) {
+        (CallOutcome::Failed, "silent" | "not-sent") if is_strained => {
+            (CallOutcome::Cancelled, "own-delay")
+        }
         (CallOutcome::Failed, "silent" | "broken" | "not-sent") if is_cut() => {
             (CallOutcome::Cancelled, "path-lost")
         }
         it => it,
     };
-    ctx.pool.record_end(ctx.shared.clock.now(), &target.id, ctx.call(&[]).work, end);
+    let learned = match end {
+        CallOutcome::Completed(_) if is_strained => CallOutcome::Cancelled,
+        it => it,
+    };
+    ctx.pool.record_end(ctx.shared.clock.now(), &target.id, ctx.call(&[]).work, learned);
     ctx.shared.rollouts.send_ended(ctx, target, end, cause);
     let labels = [label("service", ctx.service.as_str()), label("end", cause)];
     ctx.shared.metrics.attempts.add(1, &labels);
--- a/crates/holdpointd/src/ingress/rollouts.rs
+++ b/crates/holdpointd/src/ingress/rollouts.rs
@@ -280,12 +280,13 @@
             return;
         }
         // Taken before the lock below, in the same order as when targets change.
-        let is_cold = ctx.shared.is_cold(&target.id);
+        let is_timed = !ctx.shared.is_cold(&target.id)
+            && !ctx.shared.own_load.is_strained(ctx.shared.clock.now());
         let mut local = self.local.lock();
         let Some(it) = local.get_mut(&target.service) else { return };
         it.unanswered.remove(&ctx.request.id);
         let answer = match (end, cause) {
-            (CallOutcome::Completed(ms), _) => Answer::Good((!is_cold).then_some(ms)),
+            (CallOutcome::Completed(ms), _) => Answer::Good(is_timed.then_some(ms)),
             (_, "target-failed" | "broken") => Answer::Failed,
             (_, "silent") => Answer::TimedOut,
             // A refused connection is not a bad answer.
--- a/crates/holdpointd/tests/full_instance.rs
+++ b/crates/holdpointd/tests/full_instance.rs
@@ -45,6 +45,7 @@
 /// Callers that each keep one connection.
 const CLIENTS: usize = 150;
 /// Codes of logged events.
+const SENT: u16 = 700;
 const PATH_LOST: u16 = 730;
 const RELAYED: u16 = 734;
 const STRAINED: u16 = 741;
@@ -215,6 +216,9 @@
     ["E730", "E740", "E741"].iter().for_each(|it| fleet.small.print_log(it));
     let counts = [PATH_LOST, RELAYED].map(|it| fleet.small.event_count(it));
     assert_eq!(counts, [0, 0], "lost paths, relayed requests");
+    let sent = fleet.small.events(SENT);
+    let beside_ejected = sent.iter().filter(|it| !it.contains(" ejected=0 ")).count();
+    assert_eq!(beside_ejected, 0, "of {} sends with ejected targets", sent.len());
     assert!(fleet.small.event_count(STRAINED) != 0);
     sleep(CALM_AFTER).await;
     let after = fleet.phase("after", 45, |count| count % 3).await;
--- a/crates/holdpointd/tests/support/machine.rs
+++ b/crates/holdpointd/tests/support/machine.rs
@@ -96,8 +96,13 @@
 
     /// Number of logged events with this code.
     pub fn event_count(&self, code: u16) -> usize {
+        self.events(code).len()
+    }
+
+    /// Logged events with this code.
+    pub fn events(&self, code: u16) -> Vec<String> {
         let mark = format!(" E{code:03} ");
-        self.lines.lock().iter().filter(|it| it.contains(&mark)).count()
+        self.lines.lock().iter().filter(|it| it.contains(&mark)).cloned().collect()
     }
 
     /// Prints the last lines of the log.
