--- a/crates/holdpointd/src/ingress/link_probe.rs
+++ b/crates/holdpointd/src/ingress/link_probe.rs
@@ -16,21 +16,26 @@
 const TIMEOUT: Duration = Duration::from_millis(250);
 /// Number of peers that are probed in turn.
 const PEERS: usize = 3;
+/// Number of probes after which the peers are chosen anew.
+const PROBES: usize = 60;
 
 /// Connects to peers in turn while new connections are refused, until the task is dropped. Their round trips tell
 /// whether the link has passed what it was given.
 pub(crate) async fn run(shared: Arc<IngressShared>) {
     loop {
         shared.own_load.wait_pressed().await;
-        let mut count = 0;
         while shared.own_load.is_pressed(shared.clock.now()) {
-            let peers = shared.peers.relays();
-            let probed = &peers[..peers.len().min(PEERS)];
-            if !probed.is_empty() {
-                tokio::spawn(probe(shared.clone(), probed[count % probed.len()].clone()));
+            let peers: Vec<String> = shared.peers.relays().into_iter().take(PEERS).collect();
+            for address in peers.iter().cycle().take(PROBES) {
+                if !shared.own_load.is_pressed(shared.clock.now()) {
+                    break;
+                }
+                tokio::spawn(probe(shared.clone(), address.clone()));
+                sleep(INTERVAL).await;
+            }
+            if peers.is_empty() {
+                sleep(INTERVAL).await;
             }
-            count += 1;
-            sleep(INTERVAL).await;
         }
     }
 }
