--- a/crates/holdpoint-core/src/queue_delay.rs
+++ b/crates/holdpoint-core/src/queue_delay.rs
@@ -7,6 +7,8 @@
 
 /// Fewest round trips in a window from which its delay is known.
 const MIN_COUNT: u32 = 3;
+/// Most remotes that are remembered; beyond, all are measured anew, so that those that are gone take no memory.
+const MAX_REMOTES: usize = 4096;
 /// Growth of the usual round trip with each measurement, so that it follows a path that has become longer.
 const DRIFT: f64 = 1.02;
 
@@ -32,6 +34,9 @@
                 ms - *usual
             }
             None => {
+                if MAX_REMOTES <= self.usual.len() {
+                    self.usual.clear();
+                }
                 self.usual.insert(remote.to_owned(), ms);
                 0.0
             }
@@ -57,9 +62,4 @@
     pub fn discard(&mut self) {
         self.count = 0;
     }
-
-    /// Forgets a remote that is gone.
-    pub fn remove(&mut self, remote: &str) {
-        self.usual.remove(remote);
-    }
 }
--- a/crates/holdpoint-core/tests/queue_delay.rs
+++ b/crates/holdpoint-core/tests/queue_delay.rs
@@ -66,3 +66,16 @@
     }
     assert_eq!(delay.take(), Some(0.0));
 }
+
+#[test]
+fn the_delay_is_known_at_any_number_of_peers() {
+    for count in [100, 1000, 2000] {
+        let mut delay = QueueDelay::default();
+        for round in 0..2 {
+            (0..count).for_each(|it| delay.record(&format!("peer-{it}"), 2.0));
+            assert_eq!(delay.take(), Some(0.0), "{count} peers, round {round}");
+        }
+        (0..3).for_each(|it| delay.record(&format!("peer-{it}"), 100.0));
+        assert!(97.0 <= delay.take().unwrap(), "{count} peers");
+    }
+}
