Review: a late answer of status 421 counts as a refusal of the next request

The case shows that an unsafe request that runs is answered 503 as not run (REFUSED), when its server sends a second answer to the request before it, late, with status 421. The id in that answer is that of the request before; it is not compared for this status. The client acts on the promise, and its order is carried out twice.

Two instances, 4 servers, one attempt, 2,000 orders in 50 s.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -3,6 +3,9 @@
 mod http;
 mod json;
 mod late_answer;
+mod late_refusal;
+mod plain_case;
+mod plain_server;
 mod stage_server;
 mod store;
 mod system;
@@ -19,6 +22,7 @@
     let (root, folder) = (PathBuf::from(root), PathBuf::from(folder));
     let code = match case.as_str() {
         "late-answer" => late_answer::run(&root, &folder),
+        "late-refusal" => late_refusal::run(&root, &folder),
         _ => system::NOT_RUN,
     };
     std::process::exit(code);
