Review: a planned stop cuts answers that slow clients are reading

The case shows that answers that the system has taken over whole are lost at a planned stop (LOST): a request counts as ended once its last bytes are queued for its client's connection, and the process ends 150 ms after the last one, with seconds of the grace period left.

Six instances stopped in turn, 2 s apart; 12 clients at each that read 90 kB a second.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -6,6 +6,7 @@
 mod late_refusal;
 mod plain_case;
 mod plain_server;
+mod slow_reader;
 mod stage_server;
 mod store;
 mod system;
@@ -23,6 +24,7 @@
     let code = match case.as_str() {
         "late-answer" => late_answer::run(&root, &folder),
         "late-refusal" => late_refusal::run(&root, &folder),
+        "slow-reader" => slow_reader::run(&root, &folder),
         _ => system::NOT_RUN,
     };
     std::process::exit(code);
