Review: the stand-in's ports and signals

When the three scripts ran side by side, case 1 once ended with 2: another case had taken a port that was free when it was chosen, and the instances did not become ready. Ports are now taken from a range that the system gives to nobody by itself, and a start that fails is made again with other ports. Signals are sent by the system's call and no longer by a program.

Command: bash review/N/run.sh for N = 1, 2, 3 side by side, five times, and with TROUBLE=0 three times.

--- a/review/standin/src/slow_reader.rs
+++ b/review/standin/src/slow_reader.rs
@@ -13,7 +13,7 @@
     http::{Message, call, read_answer, request},
     plain_case::{begin, configuration, headers},
     plain_server::Profile,
-    system::{BROKEN, HELD, NOT_RUN, Record, has_trouble},
+    system::{BROKEN, HELD, NOT_RUN, Record, SIGTERM, has_trouble},
     wire::wire,
 };
 
@@ -68,7 +68,7 @@
             }
         } else if has_trouble() {
             record.tell(&format!("SIGTERM to {}", instance.name));
-            instance.signal("TERM");
+            instance.signal(SIGTERM);
         }
     }
     let ends: Vec<Option<Message>> =
--- a/review/standin/src/system.rs
+++ b/review/standin/src/system.rs
@@ -12,7 +12,7 @@
         atomic::{AtomicBool, Ordering},
     },
     thread,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use crate::{
@@ -24,13 +24,18 @@
 
 extern "C" {
     fn prctl(option: i32, value: usize) -> i32;
+    fn kill(process: i32, signal: i32) -> i32;
 }
 
+/// Signals that the cases send.
+pub const SIGKILL: i32 = 9;
+pub const SIGTERM: i32 = 15;
+
 /// Has the system end this process when the driver of the case ends, however it ends.
 fn end_with_parent() -> io::Result<()> {
     const PR_SET_PDEATHSIG: i32 = 1;
-    const SIGKILL: usize = 9;
-    match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) } {
+    // SAFETY: the call takes two numbers and touches no memory.
+    match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL as usize) } {
         0 => Ok(()),
         _ => Err(io::Error::last_os_error()),
     }
@@ -41,6 +46,14 @@
 pub const BROKEN: i32 = 1;
 pub const NOT_RUN: i32 = 2;
 
+/// Times that the instances are started until all are ready, and the time that each start has.
+const STARTS: u32 = 3;
+const START_TIME: Duration = Duration::from_secs(10);
+/// Addresses of instances that the settings name.
+const SEEDS: usize = 3;
+/// Ports that the system gives to nobody by itself.
+const PORTS: std::ops::Range<u32> = 15_000..32_000;
+
 /// Longest run of a case; after it, the processes are ended and the case counts as not run.
 const LONGEST: Duration = Duration::from_secs(112);
 
@@ -87,12 +100,17 @@
     }
 
     /// Sends a signal to the process of this instance.
-    pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let _ = Command::new("kill").args(["-s", name, &id]).status();
+    pub fn signal(&self, signal: i32) {
+        send_signal(self.child.id(), signal);
     }
 }
 
+/// Sends a signal to a process that the case has started and not waited for.
+fn send_signal(process: u32, signal: i32) {
+    // SAFETY: the call takes two numbers and touches no memory.
+    unsafe { kill(process as i32, signal) };
+}
+
 /// The processes of a case. Dropping it ends them.
 pub struct System {
     pub instances: Vec<Instance>,
@@ -110,13 +128,29 @@
 }
 
 impl System {
-    /// Starts instances, and waits until all are ready.
+    /// Starts instances, and waits until all are ready. Another program may take a port that was free, so that a start
+    /// that fails is made again with other ports.
     pub fn start(root: &Path, store: &Store, count: usize, record: &Record) -> Option<System> {
+        let system = (0..STARTS).find_map(|_| System::start_once(root, store, count));
+        let Some(system) = system else {
+            record.tell("the instances did not become ready");
+            return None;
+        };
+        system.watch(record.start);
+        // Until the instances know each other and the balancer has noticed them.
+        thread::sleep(Duration::from_millis(2000));
+        record.tell(&format!("{count} instances are ready"));
+        Some(system)
+    }
+
+    fn start_once(root: &Path, store: &Store, count: usize) -> Option<System> {
         let folder = std::env::temp_dir().join(format!("holdpoint-review-{}", std::process::id()));
         fs::create_dir_all(&folder).ok()?;
         let mut system = System { instances: Vec::new(), folder };
-        let ports: Vec<Vec<SocketAddr>> = (0..count).map(|_| free_addresses(4)).collect();
-        let seeds: Vec<String> = ports.iter().map(|it| quote(&it[2].to_string())).collect();
+        let free = free_addresses(4 * count);
+        let ports: Vec<&[SocketAddr]> = free.chunks(4).collect();
+        let seeds = ports.iter().take(SEEDS).map(|it| quote(&it[2].to_string()));
+        let seeds = seeds.collect::<Vec<String>>().join(",");
         for (index, addresses) in ports.iter().enumerate() {
             let name = format!("front-z{}-1", index + 1);
             let settings = format!(
@@ -141,7 +175,6 @@
                 addresses[3],
                 zone = index % 3 + 1,
                 store = store.address,
-                seeds = seeds.join(",")
             );
             let path = system.folder.join(format!("{name}.json"));
             fs::write(&path, settings).ok()?;
@@ -162,28 +195,27 @@
             let (callers, readiness) = (addresses[0], addresses[1]);
             system.instances.push(Instance { name, callers, readiness, child });
         }
-        system.watch();
         let begun = Instant::now();
-        while !system.instances.iter().all(Instance::is_ready) {
-            if Duration::from_secs(20) < begun.elapsed() {
-                record.tell("the instances did not become ready");
+        while begun.elapsed() < START_TIME {
+            if system.instances.iter().all(Instance::is_ready) {
+                return Some(system);
+            }
+            let has_ended = |it: &mut Instance| !matches!(it.child.try_wait(), Ok(None));
+            if system.instances.iter_mut().any(has_ended) {
                 return None;
             }
             thread::sleep(Duration::from_millis(50));
         }
-        // Until the instances know each other and the balancer has noticed them.
-        thread::sleep(Duration::from_millis(2000));
-        record.tell(&format!("{count} instances are ready"));
-        Some(system)
+        None
     }
 
     /// Ends the processes if a case takes too long.
-    fn watch(&self) {
-        let ids: Vec<String> = self.instances.iter().map(|it| it.child.id().to_string()).collect();
+    fn watch(&self, start: Instant) {
+        let ids: Vec<u32> = self.instances.iter().map(|it| it.child.id()).collect();
         let folder = self.folder.clone();
         thread::spawn(move || {
-            thread::sleep(LONGEST);
-            let _ = Command::new("kill").args(["-s", "KILL"]).args(&ids).status();
+            thread::sleep(LONGEST.saturating_sub(start.elapsed()));
+            ids.into_iter().for_each(|it| send_signal(it, SIGKILL));
             let _ = fs::remove_dir_all(folder);
             println!("the case took too long");
             std::process::exit(NOT_RUN);
@@ -198,9 +230,15 @@
 }
 
 /// Addresses whose ports were free just now.
-pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let bind = |_| TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    let listeners: Vec<TcpListener> = (0..count).map(bind).collect();
+fn free_addresses(count: usize) -> Vec<SocketAddr> {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let mut number = since.subsec_nanos() ^ std::process::id().wrapping_mul(7919);
+    let mut listeners = Vec::new();
+    while listeners.len() < count {
+        number = number.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
+        let port = PORTS.start + (number >> 8) % (PORTS.end - PORTS.start);
+        listeners.extend(TcpListener::bind(("127.0.0.1", port as u16)));
+    }
     listeners.iter().map(|it| it.local_addr().expect("a bound socket has an address")).collect()
 }
 
