A send goes on past its timeout where no other target can take the request

Callers of a service with one usable target got a 502 when that target was silent for more than half of the route's target time before it answered, although the route's timeout was far away (400 ms and 3 s in the sample). `a_running_stream_completes_and_new_ones_avoid_the_evacuated_domain` failed on a busy machine for this reason: its only engine stalled for over 200 ms.

Cause: the timeout of a send exists so that another target can take the request, but it was applied whether or not there was one. The late response was then the only one that the caller could get.

The timeout now only begins the search: the send is abandoned once another target can be chosen for the request, with an attempt and the retry budget left, which is checked every 50 ms. Otherwise the send ends with its response or at the deadline. `E716` logs each send that is kept.

--- a/crates/holdpoint-core/src/budget.rs
+++ b/crates/holdpoint-core/src/budget.rs
@@ -38,17 +38,22 @@
         self.requests.push_back(now);
     }
 
-    /// Spends one resent call; `false` if the budget is exhausted.
-    pub fn spend(&mut self, now: Millis, terms: &Terms) -> bool {
+    /// Whether the budget allows a resent call.
+    pub fn can_spend(&mut self, now: Millis, terms: &Terms) -> bool {
         remove_expired(&mut self.requests, now, terms.window_ms);
         remove_expired(&mut self.resends, now, terms.window_ms);
         let share = terms.slack / terms.instances.max(1) as f64;
         let allowed = USED_FRACTION * (terms.ratio * self.requests.len() as f64 + share);
-        if allowed < (self.resends.len() + 1) as f64 {
-            return false;
+        (self.resends.len() + 1) as f64 <= allowed
+    }
+
+    /// Spends one resent call; `false` if the budget is exhausted.
+    pub fn spend(&mut self, now: Millis, terms: &Terms) -> bool {
+        let is_allowed = self.can_spend(now, terms);
+        if is_allowed {
+            self.resends.push_back(now);
         }
-        self.resends.push_back(now);
-        true
+        is_allowed
     }
 
     /// Returns the last resent call to the budget, since it reached no target.
--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -169,6 +169,8 @@
     SENT = 700 Info "sent to a target";
     /// An attempt at a target ended without a complete answer.
     SEND_FAILED = 701 Info "send failed";
+    /// A send that is past its timeout goes on, since no other target can take the request.
+    SEND_KEPT = 716 Info "late send goes on";
     /// This instance lost the path to a target.
     PATH_LOST = 730 Warn "path to a target lost";
     /// A target answered over a lost path again.
--- a/crates/holdpointd/src/ingress/pools.rs
+++ b/crates/holdpointd/src/ingress/pools.rs
@@ -361,6 +361,11 @@
         self.budget.lock().spend(now, terms)
     }
 
+    /// Whether the retry budget allows a resend.
+    pub(crate) fn can_spend(&self, now: Millis, terms: &Terms) -> bool {
+        self.budget.lock().can_spend(now, terms)
+    }
+
     /// Returns the last resend to the retry budget.
     pub(crate) fn refund(&self) {
         self.budget.lock().refund();
--- a/crates/holdpointd/src/ingress/rollouts.rs
+++ b/crates/holdpointd/src/ingress/rollouts.rs
@@ -230,6 +230,28 @@
         }
     }
 
+    /// Targets that a request would be excluded from now, one list for each choice that it would get in turn. Spends no
+    /// permit.
+    pub(crate) fn likely_exclusions(&self, now: Millis, service: &str) -> Vec<Vec<TargetId>> {
+        let excluded = |lane| self.excluded_targets(now, service, lane);
+        match self.likely_lane(now, service) {
+            Lane::Any => vec![Vec::new()],
+            Lane::Old => vec![excluded(Lane::Old)],
+            // Where the new version has no target left, one of the old version is chosen.
+            Lane::New => vec![excluded(Lane::New), excluded(Lane::Old)],
+        }
+    }
+
+    /// Lane that a request would get now. The canary's draw may assign the request to the old version.
+    fn likely_lane(&self, now: Millis, service: &str) -> Lane {
+        let local = self.local.lock();
+        let Some(it) = local.get(service) else { return Lane::Any };
+        match it.gate.phase(now) {
+            Some(Phase::Canary) => Lane::Old,
+            _ => it.lane(now, 1),
+        }
+    }
+
     /// Lane of a call with this many work items; `None` if the service has no roll-out.
     pub(crate) fn item_lane(&self, now: Millis, service: &str, items: u64) -> Option<Lane> {
         if !self.is_active() {
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -222,9 +222,9 @@
 ) -> SendEnd {
     let Some(begun) = ctx.ledger.begin() else { return SendEnd::Broken };
     let limit = first_event_timeout(ctx, attempts);
-    let sent =
-        tokio::time::timeout(limit, send_inputs(ctx, (target, permit), continuation, results))
-            .await;
+    let version = continuation.map(|it| it.version.as_str());
+    let sending = send_inputs(ctx, (target, permit), continuation, results);
+    let sent = attempts.wait_for(ctx, version, limit, sending).await;
     let ended = sent.unwrap_or(SendEnd::TimedOut);
     match &ended {
         SendEnd::Open(it) => ctx.record_first_event(it.first_ms),
@@ -515,7 +515,8 @@
     sink.send(bytes).await
 }
 
-/// Timeout for the first event: the deadline where no other send may follow.
+/// Time after which a send without an event is abandoned for another target: the deadline where no other send may
+/// follow.
 fn first_event_timeout(ctx: &Context, attempts: &Attempts) -> Duration {
     let left = ctx.left();
     if !ctx.is_repeatable() || !attempts.may_repeat(ctx) {
--- a/crates/holdpointd/src/ingress/whole.rs
+++ b/crates/holdpointd/src/ingress/whole.rs
@@ -25,7 +25,7 @@
     unread::ChunkSender,
 };
 
-/// Fraction of the target time after which a repeatable request is sent to another target.
+/// Fraction of the target time after which a repeatable request is sent to another target, if there is one.
 const SEND_FRACTION: f64 = 0.5;
 /// The same bound as a multiple of the service's 95th percentile of answer times; the longer one applies.
 const SEND_P95_FACTOR: u64 = 3;
@@ -194,56 +194,57 @@
     let Some(begun) = ctx.ledger.begin() else { return SendEnd::Broken };
     let started = Instant::now();
     let limit = send_timeout(ctx, attempts);
-    let sent = tokio::time::timeout(limit, send_whole(ctx, (target, permit), inputs)).await;
+    let sending = send_whole(ctx, (target, permit), inputs);
+    let sent = attempts.wait_for(ctx, None, limit, sending).await;
     let ms = started.elapsed().as_millis() as Millis;
     match sent {
-        Err(_) => {
+        None => {
             end_send(ctx, target, CallOutcome::Failed, "silent");
             SendEnd::TimedOut
         }
-        Ok(SendEnd::NotSent) => {
+        Some(SendEnd::NotSent) => {
             begun.never_sent();
             end_send(ctx, target, CallOutcome::Failed, "not-sent");
             SendEnd::NotSent
         }
-        Ok(SendEnd::NoPath) => {
+        Some(SendEnd::NoPath) => {
             begun.never_sent();
             end_send(ctx, target, CallOutcome::Cancelled, StopCause::NoPath.name());
             SendEnd::NoPath
         }
-        Ok(SendEnd::Blocked(it)) => {
+        Some(SendEnd::Blocked(it)) => {
             begun.never_sent();
             end_send(ctx, target, CallOutcome::Cancelled, it.name());
             SendEnd::Blocked(it)
         }
-        Ok(SendEnd::Declined) => {
+        Some(SendEnd::Declined) => {
             begun.declined();
             end_send(ctx, target, CallOutcome::Failed, "declined");
             SendEnd::Declined
         }
-        Ok(SendEnd::BackedOff) => {
+        Some(SendEnd::BackedOff) => {
             begun.declined();
             end_send(ctx, target, CallOutcome::Cancelled, BACKOFF_CAUSE);
             SendEnd::BackedOff
         }
-        Ok(SendEnd::Answered(head, body)) => {
+        Some(SendEnd::Answered(head, body)) => {
             ctx.record_first_byte();
             ctx.request_completed();
             ctx.pool.times.lock().record(ctx.shared.clock.now(), ms);
             end_send(ctx, target, CallOutcome::Completed(ms), "answered");
             SendEnd::Answered(head, body)
         }
-        Ok(SendEnd::Long(it)) => {
+        Some(SendEnd::Long(it)) => {
             ctx.record_first_byte();
             SendEnd::Long(it)
         }
-        Ok(SendEnd::Failed(head, body)) => {
+        Some(SendEnd::Failed(head, body)) => {
             // An occasional error answer says nothing about the target's health.
             let cause = if asks_backoff(&head) { BACKOFF_CAUSE } else { "target-failed" };
             end_send(ctx, target, CallOutcome::Cancelled, cause);
             SendEnd::Failed(head, body)
         }
-        Ok(SendEnd::Broken | SendEnd::TimedOut) => {
+        Some(SendEnd::Broken | SendEnd::TimedOut) => {
             end_send(ctx, target, CallOutcome::Failed, "broken");
             SendEnd::Broken
         }
@@ -298,7 +299,7 @@
     }
 }
 
-/// Timeout of one send: the deadline where no other send may follow.
+/// Time after which a send is abandoned for another target: the deadline where no other send may follow.
 fn send_timeout(ctx: &Context, attempts: &Attempts) -> Duration {
     let left = ctx.left();
     if !ctx.is_repeatable() || !attempts.may_repeat(ctx) {
