A pace that many calls have outdated is forgotten

A target that answered slowly once, for instance while the machine was busy (34 ms for a call of 1 ms), got no further calls of that instance for as long as another target answered in time: callers had one target less, without a fault anywhere. `a_limit_that_changes_and_ends_holds_as_long_as_it_is_named` failed now and then for this reason.

Cause: the pace of a target is corrected by its calls only, and the choice of the lowest prediction gives a target of bad pace no calls. Nothing made the figure older.

A pace is now forgotten once 50 calls for each target of the pool were measured since. The target then counts as of mean pace until its next call is measured.

--- a/crates/holdpoint-core/src/route.rs
+++ b/crates/holdpoint-core/src/route.rs
@@ -60,6 +60,8 @@
     report: Option<Report>,
     /// Milliseconds per unit of work, without queueing; 0 if unknown.
     pace: f64,
+    /// Number of calls to the pool that had been measured when the pace was, including that one.
+    measured_at: u64,
     /// Momentary slowdown that the target reports.
     slowdown: ReportedPace,
     /// Calls that the target runs concurrently, inferred from its reports; 0 if unknown.
@@ -96,6 +98,8 @@
     other_calls: Mean,
     /// Mean of the known paces.
     paces: Mean,
+    /// Number of calls that were measured.
+    measured: u64,
     holders: Holders,
     next_turn: usize,
     topology: Topology,
@@ -117,6 +121,7 @@
             cold_per_s: 0.0,
             other_calls: Mean::default(),
             paces: Mean::default(),
+            measured: 0,
             holders: Holders::default(),
             next_turn: 0,
             topology: Topology::default(),
@@ -284,12 +289,14 @@
         let distance_ms =
             known.filter(|it| self.is_remote(it)).map_or(0.0, |_| self.far_region_ms) as Millis;
         let mut paces = self.paces;
+        let measured = self.measured + 1;
         let Some(target) = self.target_mut(address) else { return };
         match end {
             CallOutcome::Completed(ms) => {
                 let before = target.known_pace();
                 update_pace(now, target, work, ms.saturating_sub(distance_ms));
                 paces.replace(before, target.known_pace());
+                target.measured_at = measured;
                 target.failures = 0;
                 target.ejections = 0;
             }
@@ -307,6 +314,10 @@
         target.in_flight = target.in_flight.saturating_sub(1);
         target.work = (target.work - work).max(0.0);
         self.paces = paces;
+        if let CallOutcome::Completed(_) = end {
+            self.measured = measured;
+            self.forget_old_paces();
+        }
     }
 
     /// Applies a load report that a target made at `at`; older reports than the last one are ignored.
--- a/crates/holdpoint-core/src/route/predict.rs
+++ b/crates/holdpoint-core/src/route/predict.rs
@@ -9,6 +9,9 @@
 const PACE_WEIGHT: f64 = 0.1;
 /// Fraction by which each call in the batch lengthens the others.
 const BATCH_COST: f64 = 0.015;
+/// Age at which a pace is forgotten, in measured calls per target of the pool. A target that its pace keeps calls from
+/// is tried again after that many, so that a pool with one such target spends less than 1 % of its calls on it.
+const PACE_LIFETIME_CALLS: u64 = 50;
 /// Fraction of the mean pace within which a target's pace is treated as the mean.
 const PACE_TOLERANCE: f64 = 0.4;
 /// Added time of a target in another failure domain, in milliseconds.
@@ -90,6 +93,21 @@
         if target.pace != 0.0 && is_distinct { target.pace } else { mean }
     }
 
+    /// Forgets the paces of targets that got no calls while many others were measured. A target that was measured at a
+    /// bad moment would otherwise seem slow forever, since only calls can show that it is not.
+    pub(super) fn forget_old_paces(&mut self) {
+        let targets = self.targets.len() as u64;
+        // Amortizes the pass over all targets.
+        if !self.measured.is_multiple_of(targets.max(1)) {
+            return;
+        }
+        let oldest = self.measured.saturating_sub(PACE_LIFETIME_CALLS * targets);
+        for target in self.targets.iter_mut().filter(|it| it.measured_at < oldest) {
+            self.paces.replace(target.known_pace(), None);
+            target.pace = 0.0;
+        }
+    }
+
     pub(super) fn mean_pace(&self) -> f64 {
         self.paces.get().unwrap_or(1.0)
     }
