Count and log requests that are dropped without an answer

The log had no line for a request whose handling ended before it had a route, and one for a request dropped later said caller-gone whoever had ended it. A guard from the head of a request to its answer, and another while the answer is forwarded, counts each drop by step and by who ended it, and logs those that the caller did not cause. Whether the caller has left is what its socket has told: an end or an error. The counter of drops by the instance is 0 in sound operation.

--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -207,6 +207,8 @@
     STREAM_RESUMED = 715 Info "stream resumed by its caller";
     /// A request was denied before it had a route.
     REQUEST_DENIED = 705 Info "request denied";
+    /// The handling of a request was dropped without an answer, though its caller had not left.
+    REQUEST_DROPPED = 718 Error "request dropped without an answer";
     /// A request ended.
     REQUEST_ENDED = 706 Info "request ended";
 }
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -33,6 +33,7 @@
         answer::{Answer, Failure, failure, refusal},
         confinement::RequestBounds,
         connections::Reuse,
+        departure::{Departure, Handling, Step},
         limits,
         own_load::Unserved,
         pools::Pool,
@@ -86,6 +87,7 @@
     /// Counts the request until it is sent to a target.
     unserved: Mutex<Option<Unserved>>,
     end: Mutex<EndRecord>,
+    departure: Departure,
     _in_flight: InFlightGuard,
 }
 
@@ -115,6 +117,7 @@
     pub(crate) arrived: Instant,
     pub(crate) working: InFlightGuard,
     pub(crate) unserved: Unserved,
+    pub(crate) departure: Departure,
 }
 
 impl Context {
@@ -152,6 +155,7 @@
             sent_versions: Mutex::default(),
             unserved: Mutex::new(Some(parts.unserved)),
             end: Mutex::default(),
+            departure: parts.departure,
             _in_flight: parts.working,
         }
     }
@@ -372,6 +376,12 @@
         end.longest_gap_ms = end.longest_gap_ms.max(gap.as_millis() as u64);
     }
 
+    /// Watches the forwarding of the answer, which a task of its own does.
+    pub(crate) fn begin_forwarding(&self) -> Handling {
+        let departure = self.departure.clone();
+        Handling::new(self.shared.clone(), &self.request.id, Step::Forwarding, departure)
+    }
+
     /// Records how the request ends; the last call counts.
     pub(crate) fn record_end(&self, status: u16, cause: &'static str) {
         let mut end = self.end.lock();
--- a/crates/holdpointd/src/ingress/listeners.rs
+++ b/crates/holdpointd/src/ingress/listeners.rs
@@ -26,6 +26,7 @@
         answer::{Answer, empty, text},
         connections::set_socket_options,
         counted_stream::CountedStream,
+        departure::{Departure, DepartureStream},
         own_load, request,
         shared::IngressShared,
     },
@@ -89,10 +90,13 @@
         tokio::spawn(async move {
             let _open = open;
             let (state, is_first) = (shared.clone(), AtomicBool::new(true));
+            let departure = Departure::default();
+            let of_requests = departure.clone();
             let service = service_fn(move |it| {
-                request::serve(state.clone(), it, is_first.swap(false, Ordering::Relaxed))
+                let is_first = is_first.swap(false, Ordering::Relaxed);
+                request::serve(state.clone(), it, is_first, of_requests.clone())
             });
-            serve_connection(&shared, stream, service).await;
+            serve_connection(&shared, stream, departure, service).await;
         });
     }
 }
@@ -126,7 +130,7 @@
         async move {
             let state = shared.clone();
             let service = service_fn(move |it| std::future::ready(probe_answer(&state, &it)));
-            serve_connection(&shared, stream, service).await;
+            serve_connection(&shared, stream, Departure::default(), service).await;
         }
     })
     .await;
@@ -141,7 +145,7 @@
             let service = service_fn(move |_| {
                 std::future::ready(Ok::<_, Infallible>(text(state.metrics.text())))
             });
-            serve_connection(&shared, stream, service).await;
+            serve_connection(&shared, stream, Departure::default(), service).await;
         }
     })
     .await;
@@ -170,8 +174,12 @@
     }
 }
 
-async fn serve_connection<S>(shared: &IngressShared, stream: TcpStream, service: S)
-where
+async fn serve_connection<S>(
+    shared: &IngressShared,
+    stream: TcpStream,
+    departure: Departure,
+    service: S,
+) where
     S: hyper::service::Service<Request<Incoming>, Response = Answer, Error = Infallible>,
 {
     if set_socket_options(&stream).is_err() {
@@ -182,6 +190,7 @@
     let limits = shared.configuration().limits;
     let mut closing = shared.closing.subscribe();
     let stream = CountedStream::new(stream, shared.own_load.traffic.callers.clone());
+    let stream = DepartureStream::new(stream, departure);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .auto_date_header(false)
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -16,6 +16,7 @@
 mod connections;
 mod context;
 mod counted_stream;
+mod departure;
 mod dispatch;
 mod domains;
 mod drain_notices;
--- a/crates/holdpointd/src/ingress/request.rs
+++ b/crates/holdpointd/src/ingress/request.rs
@@ -25,6 +25,7 @@
         confinement::RequestBounds,
         confirm::confirm,
         context::{Context, ContextParts},
+        departure::{Departure, Handling, Step},
         own_load::Unserved,
         send::CallerRequest,
         shared::IngressShared,
@@ -41,17 +42,27 @@
     shared: Arc<IngressShared>,
     request: Request<Incoming>,
     is_first: bool,
+    departure: Departure,
 ) -> Result<Answer, Infallible> {
     let working = shared.in_flight.start();
     let unserved = shared.own_load.record_request(is_first);
     let arrived = Instant::now();
-    let mut answer = match admit(&shared, request, arrived, (working, unserved)).await {
-        Ok(it) => match it.route.response {
-            ResponseKind::Whole => whole::serve(it).await,
-            ResponseKind::Events { .. } => stream::serve(it).await,
-        },
+    let head = headers::read_caller(request.headers());
+    let id = head.request_id.as_deref().unwrap_or("none");
+    let mut handling = Handling::new(shared.clone(), id, Step::Body, departure.clone());
+    let counted = (working, unserved, departure);
+    let admitted = admit(&shared, request, head, arrived, &mut handling, counted).await;
+    let mut answer = match admitted {
+        Ok(it) => {
+            handling.enter(Step::Answer);
+            match it.route.response {
+                ResponseKind::Whole => whole::serve(it).await,
+                ResponseKind::Events { .. } => stream::serve(it).await,
+            }
+        }
         Err(it) => it,
     };
+    handling.end();
     let is_kept = shared.own_load.keeps_connection(shared.clock.now());
     if !is_kept || shared.is_draining.load(Ordering::Acquire) {
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -63,12 +74,13 @@
 async fn admit(
     shared: &Arc<IngressShared>,
     request: Request<Incoming>,
+    head: CallerHead,
     arrived: Instant,
-    (working, unserved): (InFlightGuard, Unserved),
+    handling: &mut Handling,
+    (working, unserved, departure): (InFlightGuard, Unserved, Departure),
 ) -> Result<Context, Answer> {
     let configuration = shared.configuration();
     let (parts, body) = request.into_parts();
-    let head = headers::read_caller(&parts.headers);
     let deny = |it: Failure| {
         let id = head.request_id.as_deref();
         let detail = format!(
@@ -84,6 +96,7 @@
     if !shared.has_started() {
         // After a restart of all instances, callers arrive before any instance is ready, and a refusal
         // would use up their retry as well.
+        handling.enter(Step::Start);
         shared.wait_until_started().await;
     }
     let configuration = shared.configuration();
@@ -99,6 +112,7 @@
         body,
         id,
     };
+    handling.enter(Step::Confirmation);
     if find_route(&configuration, &request, &head).is_err() && !confirm(shared).await {
         // A denial is final, and this instance may have missed the configuration that allows the request.
         let proof = Ledger::new().close().map_err(|_| deny(Failure::Broken))?;
@@ -121,6 +135,7 @@
         arrived,
         working,
         unserved,
+        departure,
         head: head.clone(),
     };
     let ctx = Context::new(shared.clone(), parts);
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -126,7 +126,11 @@
             ctx.record_end(it.parts.status.as_u16(), "");
             let (sink, frames) = ctx.shared.unread.channel();
             let answer = streamed(&it.parts, frames);
-            tokio::spawn(forward_stream(ctx, attempts, it, sink));
+            let handling = ctx.begin_forwarding();
+            tokio::spawn(async move {
+                forward_stream(ctx, attempts, it, sink).await;
+                handling.end();
+            });
             answer
         }
         Err(OpenError::Failed(parts, body)) => {
--- a/crates/holdpointd/src/ingress/whole.rs
+++ b/crates/holdpointd/src/ingress/whole.rs
@@ -91,6 +91,7 @@
 
 /// Forwards an answer that is too long to be buffered, as fast as its caller reads it.
 async fn forward_rest(ctx: Context, long: Box<LongAnswer>, sink: ChunkSender) {
+    let handling = ctx.begin_forwarding();
     let LongAnswer { target, head, parts, received, rest, connection, started } = *long;
     let forwarding = async {
         let forwarded = sink.send(received).await;
@@ -129,6 +130,7 @@
             sink.break_off();
         }
     }
+    handling.end();
 }
 
 async fn answer(ctx: &Context) -> Outcome {
--- a/crates/holdpointd/src/metrics.rs
+++ b/crates/holdpointd/src/metrics.rs
@@ -34,6 +34,9 @@
     pub link_bytes: Counter<u64>,
     /// Callers' connections that were closed unread, by what is full.
     pub closed_unread: Counter<u64>,
+    /// Requests whose handling was dropped before they had an answer, by step and who ended it. Those by the instance are
+    /// faults.
+    pub dropped_requests: Counter<u64>,
     /// Processor time of this process, in milliseconds.
     pub processor_time: Counter<u64>,
     /// Largest lateness of a timer in each second, in milliseconds.
@@ -126,6 +129,10 @@
                 "holdpoint_closed_unread",
                 "Connections of callers that were closed unread by what is full",
             ),
+            dropped_requests: counter(
+                "holdpoint_dropped_requests",
+                "Requests dropped without an answer by step and who ended them",
+            ),
             processor_time: counter(
                 "holdpoint_processor_ms",
                 "Processor time of this process in milliseconds",
