Log how long connections that are closed unread may have waited

A connection that has waited in the accept queue looks to its caller like one whose request was read. The kernel tells its age by TCP_INFO only, which no safe interface of the crates in use offers. It has an upper bound: each turn of the event loop accepts what waits, so that a connection which is accepted now was made after an earlier turn. The load line and a histogram have this bound for connections that are closed unread, and a new line tells what waits in the queue when a stopping instance listens no longer. The queue is now emptied by asking the kernel: the event loop may not have heard of the latest connections.

--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -185,6 +185,8 @@
     OWN_LOAD = 740 Info "load of this instance";
     /// The link or the processor of this instance has become full, or has room again.
     STRAINED = 741 Warn "link or processor full, or free again";
+    /// A stopping instance listens no longer.
+    STOPPED_LISTENING = 743 Info "stopped listening";
     /// A connection to a target could not be made.
     CONNECT_FAILED = 714 Info "no connection to a target";
     /// A batched call for results of a stage ended.
--- a/crates/holdpointd/src/ingress/listeners.rs
+++ b/crates/holdpointd/src/ingress/listeners.rs
@@ -51,27 +51,42 @@
 /// ones, while a closed port makes callers use another instance at once.
 pub(crate) async fn callers(shared: Arc<IngressShared>, listener: TcpListener) {
     let mut closing = shared.closing.subscribe();
+    let mut listening = Some(listener);
     tokio::select! {
-        () = accept_callers(&shared, listener) => (),
+        () = accept_callers(&shared, &mut listening) => (),
         () = wait_until_set(&mut closing) => (),
     }
+    if let Some(it) = listening.take() {
+        stop_listening(&shared, it);
+    }
+}
+
+/// Closes the listener and the connections in its queue.
+fn stop_listening(shared: &Arc<IngressShared>, listener: TcpListener) {
+    let wait = shared.own_load.longest_wait();
+    let count = own_load::take_waiting(listener).count();
+    let detail = format!("waiting={count} wait_ms={}", wait.as_millis());
+    emit(events::STOPPED_LISTENING, &shared.settings.instance, &detail);
 }
 
 /// Accepts callers while this instance has room. While it has none it does not listen: a refused connection costs the
 /// link no request, unlike one that is closed unread.
-async fn accept_callers(shared: &Arc<IngressShared>, listener: TcpListener) {
-    let mut listener = Some(listener);
+///
+/// `listening` holds the listener while there is one.
+async fn accept_callers(shared: &Arc<IngressShared>, listening: &mut Option<TcpListener>) {
     loop {
-        let listening = match listener.take() {
-            Some(it) => it,
-            None => listen_again(shared).await,
-        };
-        tokio::select! {
-            () = accept_while_room(shared, &listening) => (),
-            () = shared.own_load.queued() => (),
+        if listening.is_none() {
+            *listening = Some(listen_again(shared).await);
+        }
+        if let Some(it) = listening.as_ref() {
+            tokio::select! {
+                () = accept_while_room(shared, it) => (),
+                () = shared.own_load.queued() => (),
+            }
+        }
+        if let Some(it) = listening.take() {
+            own_load::close_waiting(shared, it);
         }
-        own_load::close_waiting(shared, &listening);
-        drop(listening);
         while let Some(it) = shared.own_load.wait(shared.clock.now()) {
             tokio::time::sleep(it).await;
         }
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -5,6 +5,7 @@
 //! state. Decision logic is in `holdpoint-core`, names that the platform defines are in
 //! `holdpoint-adapter`.
 
+mod accept_queue;
 mod active_resources;
 mod answer;
 mod attempts;
--- a/crates/holdpointd/src/ingress/own_load.rs
+++ b/crates/holdpointd/src/ingress/own_load.rs
@@ -1,6 +1,7 @@
 //! What this instance carries, and the new connections that it closes unread when it carries no more.
 
 use std::{
+    net::TcpStream,
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -8,7 +9,6 @@
     time::Duration,
 };
 
-use futures::FutureExt;
 use holdpoint_core::{
     ids::Millis,
     intake::{Full, Intake, LinkBytes, Resources, Usage},
@@ -24,7 +24,7 @@
 
 use crate::{
     events::{self, emit},
-    ingress::{counted_stream::ByteCounter, shared::IngressShared},
+    ingress::{accept_queue::Turns, counted_stream::ByteCounter, shared::IngressShared},
     metrics::label,
 };
 
@@ -101,6 +101,8 @@
     /// Connections closed unread, and those closed after an answer for the sake of new ones.
     closed: u64,
     shed: u64,
+    /// Longest time that one of those closed unread may have waited to be accepted.
+    unread_wait: Duration,
     /// Longest delay that all round trips of a window had.
     delay_ms: Millis,
 }
@@ -115,6 +117,7 @@
     processor: Duration,
     /// When the current window of round trips began.
     delay_window: Millis,
+    turns: Turns,
     reported: Reported,
 }
 
@@ -160,6 +163,7 @@
             measured: Totals::default(),
             processor: Duration::ZERO,
             delay_window: 0,
+            turns: Turns::new(),
             reported: Reported::default(),
         };
         OwnLoad {
@@ -192,6 +196,19 @@
         state.intake.record_closed(now, count);
     }
 
+    /// Longest time that a connection which is accepted now may have waited.
+    pub(crate) fn longest_wait(&self) -> Duration {
+        self.state.lock().turns.longest_wait()
+    }
+
+    /// Returns the longest time that a connection which is closed unread now may have waited, and keeps it for the log.
+    fn record_unread(&self) -> Duration {
+        let mut state = self.state.lock();
+        let wait = state.turns.longest_wait();
+        state.reported.unread_wait = state.reported.unread_wait.max(wait);
+        wait
+    }
+
     /// Counts a caller's request whose head has been read. The first one of a connection was accepted with it.
     pub(crate) fn record_request(&self, is_first: bool) -> Unserved {
         let mut state = self.state.lock();
@@ -256,19 +273,32 @@
 /// Decides on a caller's new connection; `None` if it is to be closed unread.
 pub(crate) fn accept(shared: &IngressShared) -> Option<OpenConnection> {
     let accepted = shared.own_load.accept(shared.clock.now());
-    let count = |it: Full| shared.metrics.closed_unread.add(1, &[label("full", it.name())]);
-    accepted.map_err(count).ok()
+    accepted.map_err(|it| count_unread(shared, 1, it.name())).ok()
+}
+
+/// Returns the connections that wait in the queue of a listener, and closes it after the last one. The kernel is asked for each of them, since the
+/// event loop may not have heard of the latest ones.
+pub(crate) fn take_waiting(listener: TcpListener) -> impl Iterator<Item = TcpStream> {
+    let listener = listener.into_std().ok();
+    std::iter::from_fn(move || Some(listener.as_ref()?.accept().ok()?.0))
+}
+
+fn count_unread(shared: &IngressShared, count: usize, full: &'static str) {
+    shared.metrics.closed_unread.add(count as u64, &[label("full", full)]);
+    let wait = shared.own_load.record_unread();
+    for _ in 0..count {
+        shared.metrics.unread_wait.record(wait.as_millis() as f64, &[]);
+    }
 }
 
 /// Closes the callers' connections that wait to be accepted when the instance stops listening. Their requests are on the
 /// way already.
-pub(crate) fn close_waiting(shared: &IngressShared, listener: &TcpListener) {
-    let mut count = 0;
-    while let Some(Ok(_)) = listener.accept().now_or_never() {
-        count += 1;
-    }
+pub(crate) fn close_waiting(shared: &IngressShared, listener: TcpListener) {
+    let count = take_waiting(listener).count();
     shared.own_load.record_closed(shared.clock.now(), count);
-    shared.metrics.closed_unread.add(count as u64, &[label("full", "waiting")]);
+    if count != 0 {
+        count_unread(shared, count, "waiting");
+    }
 }
 
 /// Records by how much a timer was late, and measures the traffic from time to time.
@@ -278,6 +308,7 @@
     let mut state = load.state.lock();
     let lateness = lateness.as_millis() as Millis;
     state.reported.lateness_ms = state.reported.lateness_ms.max(lateness);
+    state.turns.record();
     state.intake.record_lateness(now, lateness);
     measure_delay(load, now, &mut state);
     log_strain(shared, now, &mut state);
@@ -390,8 +421,8 @@
     }
     let detail = format!(
         "link_percent={link_percent} delay_ms={} lateness_ms={} processor_ms={processor_ms} received={} \
-         sent={}{by_kind} requests={} in_flight={} connections={connections} closed={} shed={} \
-         kept_per_s={kept:.0} per_s={rate:.0} \
+         sent={}{by_kind} requests={} in_flight={} connections={connections} closed={} \
+         unread_wait_ms={} shed={} kept_per_s={kept:.0} per_s={rate:.0} \
          request_received={request_received} request_sent={request_sent} memory_kb={} unread={}",
         reported.delay_ms,
         reported.lateness_ms,
@@ -400,6 +431,7 @@
         requests - before.requests,
         shared.in_flight.count(),
         reported.closed,
+        reported.unread_wait.as_millis(),
         reported.shed,
         memory >> 10,
         shared.unread.buffered(),
--- a/crates/holdpointd/src/metrics.rs
+++ b/crates/holdpointd/src/metrics.rs
@@ -34,6 +34,8 @@
     pub link_bytes: Counter<u64>,
     /// Callers' connections that were closed unread, by what is full.
     pub closed_unread: Counter<u64>,
+    /// Longest time that callers' connections which were closed unread may have waited, in milliseconds.
+    pub unread_wait: Histogram<f64>,
     /// Requests whose handling was dropped before they had an answer, by step and who ended it. Those by the instance are
     /// faults.
     pub dropped_requests: Counter<u64>,
@@ -129,6 +131,11 @@
                 "holdpoint_closed_unread",
                 "Connections of callers that were closed unread by what is full",
             ),
+            unread_wait: meter
+                .f64_histogram("holdpoint_unread_wait_ms")
+                .with_description("Longest wait of connections that were closed unread")
+                .with_boundaries(LATENCY_BOUNDS_MS.to_vec())
+                .build(),
             dropped_requests: counter(
                 "holdpoint_dropped_requests",
                 "Requests dropped without an answer by step and who ended them",
