Test: requests that arrive while a stopping instance is late

Callers whose whole request arrives while the instance does not run, shortly before it stops listening, have their connections closed without an answer.

--- /dev/null
+++ b/crates/holdpointd/tests/unanswered.rs
@@ -0,0 +1,116 @@
+//! Callers whose whole request has arrived at an instance get an answer, also while it is late, full or stopping.
+
+mod support;
+
+use std::{
+    io::{self, Read, Write},
+    net::{SocketAddr, TcpStream},
+    thread,
+    time::Duration,
+};
+
+use holdpoint_adapter_standin::{Behaviour, Store, Target, names, sample_configuration};
+use holdpointd::{StopOutcome, ingress::Ingress};
+
+use crate::support::{CONDITION_TIMEOUT, start_instance, until};
+
+/// How long the instance does not run: longer than callers need to take their requests for read.
+const PAUSE: Duration = Duration::from_millis(400);
+/// Callers that send a request meanwhile.
+const CALLERS: usize = 4;
+/// Times that a stop is tried, since what is ready at the same time runs in random order.
+const ROUNDS: usize = 6;
+
+/// A caller in a thread of its own, which runs while the instance does not.
+struct Caller(thread::JoinHandle<io::Result<String>>);
+
+impl Caller {
+    /// Sends a request on a connection, or on a new one, and reads until the connection ends.
+    fn start(address: SocketAddr, connected: Option<TcpStream>, id: &str, path: &str) -> Caller {
+        let request = request_bytes(id, path, "close");
+        Caller(thread::spawn(move || {
+            let mut stream = match connected {
+                Some(it) => it,
+                None => TcpStream::connect(address)?,
+            };
+            stream.set_read_timeout(Some(CONDITION_TIMEOUT))?;
+            stream.write_all(request.as_bytes())?;
+            let mut answer = String::new();
+            stream.read_to_string(&mut answer)?;
+            Ok(answer)
+        }))
+    }
+
+    /// The answer, up to the end of the connection.
+    async fn answer(self) -> io::Result<String> {
+        tokio::task::spawn_blocking(move || self.0.join().unwrap()).await.unwrap()
+    }
+}
+
+fn request_bytes(id: &str, path: &str, connection: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: shop.example\r\n{}: {id}\r\n{}: 2000\r\n\
+         authorization: Bearer key-1\r\nconnection: {connection}\r\ncontent-length: 5\r\n\r\ninput",
+        names::REQUEST_ID,
+        names::DEADLINE
+    )
+}
+
+/// A connection that has carried a request and stays open.
+async fn kept_connection(address: SocketAddr, id: String) -> TcpStream {
+    let opened = move || -> io::Result<TcpStream> {
+        let mut stream = TcpStream::connect(address)?;
+        stream.write_all(request_bytes(&id, "/safe/", "keep-alive").as_bytes())?;
+        let mut answer = Vec::new();
+        while !answer.ends_with(b"\r\n\r\ninput") {
+            let mut part = [0; 1024];
+            match stream.read(&mut part)? {
+                0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+                it => answer.extend_from_slice(&part[..it]),
+            }
+        }
+        Ok(stream)
+    };
+    tokio::task::spawn_blocking(opened).await.unwrap().expect("the instance answers")
+}
+
+/// Starts an instance with one target.
+async fn start() -> (Ingress, Store, Target) {
+    let store = Store::start().await;
+    store.put_configuration(&sample_configuration(1));
+    let target = Target::start("i-plain", "plain", Behaviour::Answer).await;
+    store.put_target(&target, false);
+    let instance = start_instance("a", &store.endpoint);
+    until(|| instance.is_ready() && instance.target_count() == 1).await;
+    (instance, store, target)
+}
+
+fn callers_of(instance: &Ingress) -> SocketAddr {
+    instance.listen().callers.parse().unwrap()
+}
+
+/// Guards against a listener that is dropped while connections wait in its queue, and against connections that are
+/// closed as idle ones although a request has arrived on them.
+#[tokio::test]
+async fn requests_that_arrive_while_a_stopping_instance_is_late_are_answered() {
+    for round in 0..ROUNDS {
+        let (instance, _store, _target) = start().await;
+        let address = callers_of(&instance);
+        let kept = kept_connection(address, format!("first-{round}")).await;
+        let linger = Duration::from_millis(100);
+        let stopped = tokio::spawn(instance.stop());
+        tokio::time::sleep(linger / 2).await;
+        let mut callers: Vec<Caller> = (0..CALLERS)
+            .map(|it| Caller::start(address, None, &format!("r-{round}-{it}"), "/safe/"))
+            .collect();
+        callers.push(Caller::start(address, Some(kept), &format!("kept-{round}"), "/safe/"));
+        // Blocks the only thread of the instance beyond the time in which it still accepts.
+        thread::sleep(PAUSE);
+        for (index, it) in callers.into_iter().enumerate() {
+            let answer = it.answer().await;
+            let answer = answer.unwrap_or_else(|it| panic!("round {round}, caller {index}: {it}"));
+            assert!(answer.starts_with("HTTP/1.1 "), "round {round}, caller {index}: {answer:?}");
+        }
+        assert_eq!(stopped.await.unwrap(), StopOutcome::Drained);
+    }
+}
