Answer requests that arrive while a stopping instance stops listening

Callers saw their connection closed without an answer, or reset, although their whole request had arrived before the instance stopped listening. The listener was dropped with connections in its queue, which the kernel resets. And a connection was shut down gracefully as soon as the stop closed connections: the HTTP library then closes one that rests, or on which nothing was read yet, without another look at its socket; whether its request had been read before was a matter of the order of tasks.

The queue is now emptied and its connections are served before the listener is closed, and each connection reads for LATE_REQUEST_TIME on, before it is shut down; the stop counts requests in flight after that. A request that is read then is answered with Connection: close, as before.

--- a/crates/holdpointd/src/ingress/listeners.rs
+++ b/crates/holdpointd/src/ingress/listeners.rs
@@ -18,7 +18,10 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpSocket, TcpStream},
+    time::sleep,
+};
 
 use crate::{
     events::{self, emit},
@@ -27,7 +30,8 @@
         connections::set_socket_options,
         counted_stream::CountedStream,
         departure::{Departure, DepartureStream},
-        own_load, request,
+        own_load::{self, OpenConnection},
+        request,
         shared::IngressShared,
     },
     shared::wait_until_set,
@@ -38,6 +42,8 @@
 /// Kernel send buffer of a caller's connection. The system's default grows to megabytes, and a target sees
 /// bytes buffered there as read.
 const SEND_BUFFER_BYTES: usize = 64 << 10;
+/// How long a stopping instance still reads requests that were on the way when it stopped listening.
+pub(crate) const LATE_REQUEST_TIME: Duration = Duration::from_millis(50);
 /// Pause after a failed accept, for example when file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Pause after a failed attempt to listen again.
@@ -61,10 +67,17 @@
     }
 }
 
-/// Closes the listener and the connections in its queue.
+/// Closes the listener. Connections in its queue would be reset, so they are accepted before, unless this instance is
+/// full.
 fn stop_listening(shared: &Arc<IngressShared>, listener: TcpListener) {
     let wait = shared.own_load.longest_wait();
-    let count = own_load::take_waiting(listener).count();
+    let mut count = 0;
+    for it in own_load::take_waiting(listener) {
+        count += 1;
+        if let Some(open) = own_load::accept(shared) {
+            spawn_waiting(shared, it, open);
+        }
+    }
     let detail = format!("waiting={count} wait_ms={}", wait.as_millis());
     emit(events::STOPPED_LISTENING, &shared.settings.instance, &detail);
 }
@@ -101,21 +114,37 @@
             continue;
         };
         let Some(open) = own_load::accept(shared) else { return };
-        let shared = shared.clone();
-        tokio::spawn(async move {
-            let _open = open;
-            let (state, is_first) = (shared.clone(), AtomicBool::new(true));
-            let departure = Departure::default();
-            let of_requests = departure.clone();
-            let service = service_fn(move |it| {
-                let is_first = is_first.swap(false, Ordering::Relaxed);
-                request::serve(state.clone(), it, is_first, of_requests.clone())
-            });
-            serve_connection(&shared, stream, departure, service).await;
-        });
+        spawn_caller(shared, stream, open);
     }
 }
 
+/// Serves a connection that was taken from the queue of a closed listener.
+fn spawn_waiting(shared: &Arc<IngressShared>, stream: std::net::TcpStream, open: OpenConnection) {
+    let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+    match stream {
+        Ok(it) => spawn_caller(shared, it, open),
+        Err(it) => {
+            let detail = format!("{}: {it}", shared.settings.listen.callers);
+            emit(events::BAD_ADDRESS, &shared.settings.instance, &detail);
+        }
+    }
+}
+
+fn spawn_caller(shared: &Arc<IngressShared>, stream: TcpStream, open: OpenConnection) {
+    let shared = shared.clone();
+    tokio::spawn(async move {
+        let _open = open;
+        let (state, is_first) = (shared.clone(), AtomicBool::new(true));
+        let departure = Departure::default();
+        let of_requests = departure.clone();
+        let service = service_fn(move |it| {
+            let is_first = is_first.swap(false, Ordering::Relaxed);
+            request::serve(state.clone(), it, is_first, of_requests.clone())
+        });
+        serve_connection(&shared, stream, departure, service).await;
+    });
+}
+
 /// Listens for callers again at the address that was listened on before.
 async fn listen_again(shared: &IngressShared) -> TcpListener {
     loop {
@@ -214,9 +243,15 @@
         .header_read_timeout(Duration::from_millis(limits.idle_ms))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
+    let last_requests_read = async {
+        wait_until_set(&mut closing).await;
+        sleep(LATE_REQUEST_TIME).await;
+    };
+    // The connection comes first: the library closes one that rests, or is new, without another look at its socket.
     tokio::select! {
+        biased;
         _ = connection.as_mut() => return,
-        () = wait_until_set(&mut closing) => (),
+        () = last_requests_read => (),
     }
     connection.as_mut().graceful_shutdown();
     // An error at shutdown needs no handling.
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -71,7 +71,7 @@
 use crate::{
     StartError, StopOutcome,
     events::{self, emit},
-    ingress::shared::IngressShared,
+    ingress::{listeners::LATE_REQUEST_TIME, shared::IngressShared},
 };
 
 /// Interval at which queued work is started on targets that have become free with time. It is no divisor of the usual
@@ -202,6 +202,8 @@
         });
         sleep(Duration::from_millis(timing.linger_ms).min(grace)).await;
         shared.closing.send_replace(true);
+        // Twice, so that connections have read them before the requests in flight are counted.
+        sleep((2 * LATE_REQUEST_TIME).min(grace.saturating_sub(started_at.elapsed()))).await;
         let remaining = grace.saturating_sub(started_at.elapsed());
         let is_drained = drain(shared, remaining).await;
         sleep(CLOSE_DELAY).await;
