Watch the deadline and the stop before a request has a route

A request waits for the first configuration, or for a confirmation that its route does not exist, for up to 2 s and 1 s. Meanwhile nothing watched its deadline or the final answers of a stop: callers got their answer after they had given up, and a request that waited when a stop ended was cut without an answer. Both waits now end with a refusal at the request's deadline and at the end of a stop, as those of a request with a route do; nothing has been sent for it. These refusals, and the two that had none, get a line in the log.

--- a/crates/holdpointd/src/ingress/request.rs
+++ b/crates/holdpointd/src/ingress/request.rs
@@ -3,6 +3,7 @@
 
 use std::{
     convert::Infallible,
+    future::Future,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
@@ -22,6 +23,7 @@
     events::{self, emit},
     ingress::{
         answer::{Answer, Failure, failure, refusal},
+        attempts::StopCause,
         confinement::RequestBounds,
         confirm::confirm,
         context::{Context, ContextParts},
@@ -92,17 +94,32 @@
         emit(events::REQUEST_DENIED, &shared.settings.instance, &detail);
         failure(it, id)
     };
+    let refuse = |cause: &str| {
+        let id = head.request_id.as_deref();
+        let detail = format!(
+            "id={} cause={cause} path={} version={}",
+            id.unwrap_or("none"),
+            parts.uri.path(),
+            shared.configuration().version
+        );
+        emit(events::REQUEST_DENIED, &shared.settings.instance, &detail);
+        match Ledger::new().close() {
+            Ok(proof) => refusal(proof, id, UNCONFIGURED_RETRY),
+            Err(_) => failure(Failure::Broken, id),
+        }
+    };
     let body = read_body(&configuration, &head, body).await.map_err(deny)?;
+    let deadline = head.timeout.map(|it| arrived + it);
     if !shared.has_started() {
         // After a restart of all instances, callers arrive before any instance is ready, and a refusal
         // would use up their retry as well.
         handling.enter(Step::Start);
-        shared.wait_until_started().await;
+        let waited = wait_for(shared, deadline, shared.wait_until_started()).await;
+        waited.map_err(|it| refuse(it.name()))?;
     }
     let configuration = shared.configuration();
     if configuration.version == 0 {
-        let proof = Ledger::new().close().map_err(|_| deny(Failure::Broken))?;
-        return Err(refusal(proof, head.request_id.as_deref(), UNCONFIGURED_RETRY));
+        return Err(refuse("unconfigured"));
     }
     let Some(id) = head.request_id.clone() else { return Err(deny(Failure::BadRequest)) };
     let request = CallerRequest {
@@ -113,10 +130,12 @@
         id,
     };
     handling.enter(Step::Confirmation);
-    if find_route(&configuration, &request, &head).is_err() && !confirm(shared).await {
-        // A denial is final, and this instance may have missed the configuration that allows the request.
-        let proof = Ledger::new().close().map_err(|_| deny(Failure::Broken))?;
-        return Err(refusal(proof, Some(&request.id), UNCONFIGURED_RETRY));
+    if find_route(&configuration, &request, &head).is_err() {
+        let confirmed = wait_for(shared, deadline, confirm(shared)).await;
+        if !confirmed.map_err(|it| refuse(it.name()))? {
+            // A denial is final, and this instance may have missed the configuration that allows the request.
+            return Err(refuse("unconfirmed"));
+        }
     }
     let configuration = shared.configuration();
     let (route, organisation) =
@@ -142,6 +161,25 @@
     ctx.refuse_quarantined().or_else(|| ctx.refuse_confined()).map_or(Ok(ctx), Err)
 }
 
+/// Waits until the request's deadline, or until pending requests must get a final answer because of a stop.
+async fn wait_for<T>(
+    shared: &IngressShared,
+    deadline: Option<Instant>,
+    wait: impl Future<Output = T>,
+) -> Result<T, StopCause> {
+    let deadline_passed = async {
+        match deadline {
+            Some(it) => shared.wait_until(it).await,
+            None => std::future::pending().await,
+        }
+    };
+    tokio::select! {
+        it = wait => Ok(it),
+        () = deadline_passed => Err(StopCause::Time),
+        () = shared.wait_for_final_answers() => Err(StopCause::Stopping),
+    }
+}
+
 /// Finds the route of a request, and the organisation that its key belongs to.
 fn find_route<'a>(
     configuration: &'a Configuration,
--- a/crates/holdpointd/tests/support/unframed.rs
+++ b/crates/holdpointd/tests/support/unframed.rs
@@ -1,6 +1,13 @@
 //! A target whose answers have neither a length nor chunks and end with their connection.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use holdpoint_adapter_standin::{Store, names};
 use parking_lot::Mutex;
@@ -11,6 +18,10 @@
     time::sleep,
 };
 
+/// Repetitions of a line in one write of an endless answer, and the pause between two writes: some 50 MB a second.
+const FILLER_REPEATS: usize = 4096;
+const FILLER_PAUSE: Duration = Duration::from_millis(1);
+
 /// How the connection ends after an answer's bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -18,6 +29,14 @@
     Close,
     /// It is reset.
     Reset,
+    /// It is closed, after silence between the head and the body.
+    SilentBefore(Duration),
+    /// Headers follow without end.
+    EndlessHead,
+    /// Bytes without a line end follow the body without end.
+    EndlessBody,
+    /// The same, with a status of 500.
+    EndlessError,
 }
 
 /// What a target answers, and how its connections end.
@@ -32,6 +51,8 @@
     reply: Arc<Mutex<Reply>>,
     /// Heads of the requests that it received.
     heads: Arc<Mutex<Vec<String>>>,
+    /// Number of endless answers that go on, and the bytes written of all.
+    endless: Arc<(AtomicUsize, AtomicUsize)>,
 }
 
 impl UnframedTarget {
@@ -43,11 +64,13 @@
             id: id.to_owned(),
             reply: Arc::new(Mutex::new(reply)),
             heads: Arc::default(),
+            endless: Arc::default(),
         };
         let (reply, heads) = (target.reply.clone(), target.heads.clone());
+        let endless = target.endless.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, reply.clone(), heads.clone()));
+                tokio::spawn(serve(stream, reply.clone(), heads.clone(), endless.clone()));
             }
         });
         store.put_target_bytes(id, entry(service, address).to_string().as_bytes());
@@ -63,6 +86,16 @@
         self.heads.lock().len()
     }
 
+    /// Number of endless answers whose connections are open.
+    pub fn endless(&self) -> usize {
+        self.endless.0.load(Ordering::Relaxed)
+    }
+
+    /// Bytes written of endless answers.
+    pub fn endless_bytes(&self) -> usize {
+        self.endless.1.load(Ordering::Relaxed)
+    }
+
     /// Values of a header in the requests that it received.
     pub fn header_values(&self, name: &str) -> Vec<String> {
         self.heads.lock().iter().filter_map(|it| header(it, name)).collect()
@@ -83,7 +116,12 @@
 }
 
 /// Answers one request on a connection.
-async fn serve(mut stream: TcpStream, reply: Arc<Mutex<Reply>>, heads: Arc<Mutex<Vec<String>>>) {
+async fn serve(
+    mut stream: TcpStream,
+    reply: Arc<Mutex<Reply>>,
+    heads: Arc<Mutex<Vec<String>>>,
+    endless: Arc<(AtomicUsize, AtomicUsize)>,
+) {
     let mut read = Vec::new();
     let head_length = loop {
         if let Some(it) = read.windows(4).position(|it| it == b"\r\n\r\n") {
@@ -103,14 +141,40 @@
     let id = header(&head, names::REQUEST_ID).unwrap_or_default();
     heads.lock().push(head);
     let Reply { body, end } = reply.lock().clone();
-    let answer = format!(
-        "HTTP/1.1 200 OK\r\n{}: {id}\r\n{}: stamp-{id}\r\n\r\n{body}",
+    let status = if end == End::EndlessError { "500 Internal Server Error" } else { "200 OK" };
+    let mut answer = format!(
+        "HTTP/1.1 {status}\r\n{}: {id}\r\n{}: stamp-{id}\r\n",
         names::REQUEST_ID,
         names::SIGNATURE
     );
+    if end != End::EndlessHead {
+        answer += "\r\n";
+    }
+    if let End::SilentBefore(it) = end {
+        if stream.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+        sleep(it).await;
+        answer.clear();
+    }
+    answer += &body;
     if stream.write_all(answer.as_bytes()).await.is_err() {
         return;
     }
+    let filler = match end {
+        End::EndlessHead => Some("x-filler: more\r\n".repeat(FILLER_REPEATS)),
+        End::EndlessBody | End::EndlessError => Some("without an end, ".repeat(FILLER_REPEATS)),
+        End::Close | End::Reset | End::SilentBefore(_) => None,
+    };
+    if let Some(it) = filler {
+        endless.0.fetch_add(1, Ordering::Relaxed);
+        while stream.write_all(it.as_bytes()).await.is_ok() {
+            endless.1.fetch_add(it.len(), Ordering::Relaxed);
+            sleep(FILLER_PAUSE).await;
+        }
+        endless.0.fetch_sub(1, Ordering::Relaxed);
+        return;
+    }
     // The answer arrives before the connection ends.
     sleep(Duration::from_millis(20)).await;
     if end == End::Reset {
--- a/crates/holdpointd/tests/unanswered.rs
+++ b/crates/holdpointd/tests/unanswered.rs
@@ -9,10 +9,14 @@
     time::Duration,
 };
 
-use holdpoint_adapter_standin::{Behaviour, Store, Target, names, sample_configuration};
+use holdpoint_adapter_standin::{
+    Behaviour, CallerRequest, Outage, Store, Target, call, names, sample_configuration,
+};
 use holdpointd::{StopOutcome, ingress::Ingress};
+use http::StatusCode;
+use serde_json::json;
 
-use crate::support::{CONDITION_TIMEOUT, start_instance, until};
+use crate::support::{CONDITION_TIMEOUT, settings, start_instance, until};
 
 /// How long the instance does not run: longer than callers need to take their requests for read.
 const PAUSE: Duration = Duration::from_millis(400);
@@ -114,3 +118,58 @@
         assert_eq!(stopped.await.unwrap(), StopOutcome::Drained);
     }
 }
+
+/// Guards against requests that wait for the first configuration until the process ends.
+#[tokio::test]
+async fn a_request_that_waits_for_the_first_configuration_is_answered_at_a_stop() {
+    let store = Store::start().await;
+    let mut settings = settings("a", &store.endpoint, &[]);
+    settings["timing"]["grace_s"] = json!(1.0);
+    let instance = Ingress::start(serde_json::from_value(settings).unwrap()).unwrap();
+    let address = callers_of(&instance);
+    let waiting = tokio::spawn(call(address, CallerRequest::new("r-1", "/safe/")));
+    until(|| instance.in_flight() == 1).await;
+    assert_eq!(instance.stop().await, StopOutcome::Drained, "the request was cut off");
+    let answer = waiting.await.unwrap().expect("the instance answers");
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+}
+
+/// Guards against requests that wait for the first configuration longer than their callers do.
+#[tokio::test]
+async fn a_request_that_waits_for_the_first_configuration_is_answered_by_its_deadline() {
+    let store = Store::start().await;
+    let settings = settings("a", &store.endpoint, &[]);
+    let instance = Ingress::start(serde_json::from_value(settings).unwrap()).unwrap();
+    let address = callers_of(&instance);
+    let patient = tokio::spawn(call(address, CallerRequest::new("patient", "/safe/")));
+    until(|| instance.in_flight() == 1).await;
+    let hasty = CallerRequest::new("hasty", "/safe/").with_header(names::DEADLINE, "100");
+    let answer = call(address, hasty).await.expect("the instance answers");
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(!patient.is_finished(), "the answer came no sooner than that of a later deadline");
+    patient.abort();
+}
+
+/// Guards against requests that wait for a confirmation of the configuration until the process ends.
+#[tokio::test]
+async fn a_request_that_waits_for_a_confirmation_is_answered_at_a_stop() {
+    let store = Store::start().await;
+    store.put_configuration(&sample_configuration(1));
+    let target = Target::start("i-plain", "plain", Behaviour::Answer).await;
+    store.put_target(&target, false);
+    let mut settings = settings("a", &store.endpoint, &[]);
+    // A call to the store outlasts the stop.
+    settings["store"]["timeout_ms"] = json!(5000);
+    settings["timing"]["grace_s"] = json!(0.9);
+    let instance = Ingress::start(serde_json::from_value(settings).unwrap()).unwrap();
+    until(|| instance.is_ready() && instance.target_count() == 1).await;
+    store.endpoint.set_outage(Outage::Silent);
+    // Beyond the time for which the configuration counts as confirmed.
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    let address = callers_of(&instance);
+    let waiting = tokio::spawn(call(address, CallerRequest::new("r-1", "/nowhere/")));
+    until(|| instance.in_flight() == 1).await;
+    assert_eq!(instance.stop().await, StopOutcome::Drained, "the request was cut off");
+    let answer = waiting.await.unwrap().expect("the instance answers");
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+}
