Refuse a request that has waited for a full instance, rather than close its connection unread

An instance without room closes new connections unread, which costs it little, and their callers try another one. But a connection may have waited in the accept queue while the processor was late, with its whole request, and its caller then takes the request for read: it gets neither an answer nor a refusal.

A connection that may have waited for longer than 200 ms is now accepted, and its request is read and refused with 503 and the time until there is room. These connections are bounded apart from those that are served; beyond the bound they are closed unread as before. The bound on the wait comes from the turns of the event loop, so that an instance that is not late closes unread what it closed before.

--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -185,6 +185,8 @@
     OWN_LOAD = 740 Info "load of this instance";
     /// The link or the processor of this instance has become full, or has room again.
     STRAINED = 741 Warn "link or processor full, or free again";
+    /// A request was refused, since its connection had waited for too long to be closed unread by a full instance.
+    REFUSED_FULL = 742 Info "request refused by a full instance";
     /// A stopping instance listens no longer.
     STOPPED_LISTENING = 743 Info "stopped listening";
     /// A connection to a target could not be made.
--- a/crates/holdpointd/src/ingress/listeners.rs
+++ b/crates/holdpointd/src/ingress/listeners.rs
@@ -14,6 +14,7 @@
     time::Duration,
 };
 
+use futures::future::Either;
 use http::{Request, StatusCode};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -30,7 +31,7 @@
         connections::set_socket_options,
         counted_stream::CountedStream,
         departure::{Departure, DepartureStream},
-        own_load::{self, OpenConnection},
+        own_load::{self, Accepted, OpenConnection},
         request,
         shared::IngressShared,
     },
@@ -51,6 +52,13 @@
 /// Connections that may wait to be accepted. The system drops further ones, whose callers wait for seconds.
 const LISTEN_BACKLOG: u32 = 1024;
 
+/// What is done with the requests of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Service {
+    Serve,
+    Refuse,
+}
+
 /// Serves callers until the task is dropped.
 ///
 /// Stops accepting once connections are being closed: the end of the process would cut off requests on new
@@ -67,15 +75,16 @@
     }
 }
 
-/// Closes the listener. Connections in its queue would be reset, so they are accepted before, unless this instance is
-/// full.
+/// Closes the listener. Connections in its queue would be reset, so they are accepted before.
 fn stop_listening(shared: &Arc<IngressShared>, listener: TcpListener) {
     let wait = shared.own_load.longest_wait();
     let mut count = 0;
     for it in own_load::take_waiting(listener) {
         count += 1;
-        if let Some(open) = own_load::accept(shared) {
-            spawn_waiting(shared, it, open);
+        match own_load::accept(shared) {
+            Accepted::Served(open) => spawn_waiting(shared, it, open, Service::Serve),
+            Accepted::Refused(open) => spawn_waiting(shared, it, open, Service::Refuse),
+            Accepted::Closed => (),
         }
     }
     let detail = format!("waiting={count} wait_ms={}", wait.as_millis());
@@ -98,7 +107,9 @@
             }
         }
         if let Some(it) = listening.take() {
-            own_load::close_waiting(shared, it);
+            for (stream, open) in own_load::refuse_waiting(shared, it) {
+                spawn_waiting(shared, stream, open, Service::Refuse);
+            }
         }
         while let Some(it) = shared.own_load.wait(shared.clock.now()) {
             tokio::time::sleep(it).await;
@@ -106,23 +117,31 @@
     }
 }
 
-/// Accepts callers until one has to be closed unread.
+/// Accepts callers until one has to be refused or closed unread.
 async fn accept_while_room(shared: &Arc<IngressShared>, listener: &TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let Some(open) = own_load::accept(shared) else { return };
-        spawn_caller(shared, stream, open);
+        match own_load::accept(shared) {
+            Accepted::Served(open) => spawn_caller(shared, stream, open, Service::Serve),
+            Accepted::Refused(open) => return spawn_caller(shared, stream, open, Service::Refuse),
+            Accepted::Closed => return,
+        }
     }
 }
 
 /// Serves a connection that was taken from the queue of a closed listener.
-fn spawn_waiting(shared: &Arc<IngressShared>, stream: std::net::TcpStream, open: OpenConnection) {
+fn spawn_waiting(
+    shared: &Arc<IngressShared>,
+    stream: std::net::TcpStream,
+    open: OpenConnection,
+    service: Service,
+) {
     let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
     match stream {
-        Ok(it) => spawn_caller(shared, it, open),
+        Ok(it) => spawn_caller(shared, it, open, service),
         Err(it) => {
             let detail = format!("{}: {it}", shared.settings.listen.callers);
             emit(events::BAD_ADDRESS, &shared.settings.instance, &detail);
@@ -130,7 +149,12 @@
     }
 }
 
-fn spawn_caller(shared: &Arc<IngressShared>, stream: TcpStream, open: OpenConnection) {
+fn spawn_caller(
+    shared: &Arc<IngressShared>,
+    stream: TcpStream,
+    open: OpenConnection,
+    service: Service,
+) {
     let shared = shared.clone();
     tokio::spawn(async move {
         let _open = open;
@@ -139,7 +163,11 @@
         let of_requests = departure.clone();
         let service = service_fn(move |it| {
             let is_first = is_first.swap(false, Ordering::Relaxed);
-            request::serve(state.clone(), it, is_first, of_requests.clone())
+            let (state, departure) = (state.clone(), of_requests.clone());
+            match service {
+                Service::Serve => Either::Left(request::serve(state, it, is_first, departure)),
+                Service::Refuse => Either::Right(request::refuse(state, it, departure)),
+            }
         });
         serve_connection(&shared, stream, departure, service).await;
     });
--- a/crates/holdpointd/src/ingress/own_load.rs
+++ b/crates/holdpointd/src/ingress/own_load.rs
@@ -42,6 +42,11 @@
 const CONNECTIONS_MEMORY: f64 = 0.5;
 /// Part of the file descriptors that callers' connections may use.
 const CONNECTIONS_DESCRIPTORS: u64 = 2;
+/// Time after which callers take a request for read: a connection that may have waited longer is not closed unread.
+const READ_AFTER: Duration = Duration::from_millis(200);
+/// Connections whose requests are refused at a time, relative to those that are served, and at least.
+const REFUSED_FRACTION: usize = 4;
+const MIN_REFUSED: usize = 16;
 
 /// Byte counters of the connections by kind, and the round trips of all.
 #[derive(Clone, Debug, Default)]
@@ -101,6 +106,8 @@
     /// Connections closed unread, and those closed after an answer for the sake of new ones.
     closed: u64,
     shed: u64,
+    /// Connections whose requests were refused, since they had waited for too long to be closed unread.
+    refused: u64,
     /// Longest time that one of those closed unread may have waited to be accepted.
     unread_wait: Duration,
     /// Longest delay that all round trips of a window had.
@@ -127,6 +134,9 @@
     pub(crate) traffic: Traffic,
     /// Callers' connections that are open.
     connections: Arc<AtomicUsize>,
+    /// Connections whose requests are being refused, and the most at a time.
+    refused: Arc<AtomicUsize>,
+    max_refused: usize,
     state: Arc<Mutex<State>>,
     /// Notified when new connections have to wait for the link's queue.
     queued: Notify,
@@ -134,6 +144,16 @@
     pressed: Notify,
 }
 
+/// What becomes of a caller's new connection.
+pub(crate) enum Accepted {
+    /// Its requests are served.
+    Served(OpenConnection),
+    /// Its request is refused, since its caller may take it for read.
+    Refused(OpenConnection),
+    /// It is closed unread.
+    Closed,
+}
+
 /// Counts a caller's connection as open until it is dropped.
 pub(crate) struct OpenConnection(Arc<AtomicUsize>);
 
@@ -156,8 +176,9 @@
 impl OwnLoad {
     /// Creates the state of an instance on this machine.
     pub(crate) fn new(machine: &Machine) -> OwnLoad {
+        let resources = resources(machine);
         let state = State {
-            intake: Intake::new(resources(machine)),
+            intake: Intake::new(resources),
             requests: 0,
             was_strained: false,
             measured: Totals::default(),
@@ -169,6 +190,8 @@
         OwnLoad {
             traffic: Traffic::default(),
             connections: Arc::default(),
+            refused: Arc::default(),
+            max_refused: (resources.connections / REFUSED_FRACTION).max(MIN_REFUSED),
             state: Arc::new(Mutex::new(state)),
             queued: Notify::new(),
             pressed: Notify::new(),
@@ -180,7 +203,6 @@
         let mut state = self.state.lock();
         let accepted = state.intake.accept(now, self.connections.load(Ordering::Acquire));
         if let Err(it) = accepted {
-            state.reported.closed += 1;
             self.traffic.round_trips.lock().discard();
             self.pressed.notify_one();
             return Err(it);
@@ -189,11 +211,22 @@
         Ok(OpenConnection(self.connections.clone()))
     }
 
-    /// Records connections that were closed unread beside the one that was refused.
+    /// Records connections that were closed unread, or whose requests are refused, beside the first one.
     fn record_closed(&self, now: Millis, count: usize) {
+        self.state.lock().intake.record_closed(now, count);
+    }
+
+    /// Counts a connection as one whose request is refused; `None` if it may be closed unread, or has to be.
+    fn refuse(&self) -> Option<OpenConnection> {
         let mut state = self.state.lock();
-        state.reported.closed += count as u64;
-        state.intake.record_closed(now, count);
+        if state.turns.longest_wait() <= READ_AFTER
+            || self.max_refused <= self.refused.load(Ordering::Acquire)
+        {
+            return None;
+        }
+        state.reported.refused += 1;
+        self.refused.fetch_add(1, Ordering::AcqRel);
+        Some(OpenConnection(self.refused.clone()))
     }
 
     /// Longest time that a connection which is accepted now may have waited.
@@ -201,10 +234,11 @@
         self.state.lock().turns.longest_wait()
     }
 
-    /// Returns the longest time that a connection which is closed unread now may have waited, and keeps it for the log.
+    /// Counts a connection that is closed unread; returns the longest time that it may have waited.
     fn record_unread(&self) -> Duration {
         let mut state = self.state.lock();
         let wait = state.turns.longest_wait();
+        state.reported.closed += 1;
         state.reported.unread_wait = state.reported.unread_wait.max(wait);
         wait
     }
@@ -270,35 +304,47 @@
     }
 }
 
-/// Decides on a caller's new connection; `None` if it is to be closed unread.
-pub(crate) fn accept(shared: &IngressShared) -> Option<OpenConnection> {
-    let accepted = shared.own_load.accept(shared.clock.now());
-    accepted.map_err(|it| count_unread(shared, 1, it.name())).ok()
+/// Decides on a caller's new connection.
+pub(crate) fn accept(shared: &IngressShared) -> Accepted {
+    match shared.own_load.accept(shared.clock.now()) {
+        Ok(it) => Accepted::Served(it),
+        Err(it) => refuse_or_close(shared, it.name()),
+    }
 }
 
-/// Returns the connections that wait in the queue of a listener, and closes it after the last one. The kernel is asked for each of them, since the
-/// event loop may not have heard of the latest ones.
+/// Decides on the callers' connections that wait to be accepted when the instance stops listening. Their requests are on
+/// the way already.
+pub(crate) fn refuse_waiting(
+    shared: &IngressShared,
+    listener: TcpListener,
+) -> Vec<(TcpStream, OpenConnection)> {
+    let mut count = 0;
+    let mut refused = Vec::new();
+    for stream in take_waiting(listener) {
+        count += 1;
+        if let Accepted::Refused(it) = refuse_or_close(shared, "waiting") {
+            refused.push((stream, it));
+        }
+    }
+    shared.own_load.record_closed(shared.clock.now(), count);
+    refused
+}
+
+/// Returns the connections that wait in the queue of a listener, and closes it after the last one. The kernel is asked for
+/// each of them, since the event loop may not have heard of the latest ones.
 pub(crate) fn take_waiting(listener: TcpListener) -> impl Iterator<Item = TcpStream> {
     let listener = listener.into_std().ok();
     std::iter::from_fn(move || Some(listener.as_ref()?.accept().ok()?.0))
 }
 
-fn count_unread(shared: &IngressShared, count: usize, full: &'static str) {
-    shared.metrics.closed_unread.add(count as u64, &[label("full", full)]);
-    let wait = shared.own_load.record_unread();
-    for _ in 0..count {
-        shared.metrics.unread_wait.record(wait.as_millis() as f64, &[]);
-    }
-}
-
-/// Closes the callers' connections that wait to be accepted when the instance stops listening. Their requests are on the
-/// way already.
-pub(crate) fn close_waiting(shared: &IngressShared, listener: TcpListener) {
-    let count = take_waiting(listener).count();
-    shared.own_load.record_closed(shared.clock.now(), count);
-    if count != 0 {
-        count_unread(shared, count, "waiting");
+fn refuse_or_close(shared: &IngressShared, full: &'static str) -> Accepted {
+    if let Some(it) = shared.own_load.refuse() {
+        return Accepted::Refused(it);
     }
+    let wait = shared.own_load.record_unread();
+    shared.metrics.closed_unread.add(1, &[label("full", full)]);
+    shared.metrics.unread_wait.record(wait.as_millis() as f64, &[]);
+    Accepted::Closed
 }
 
 /// Records by how much a timer was late, and measures the traffic from time to time.
@@ -416,13 +462,13 @@
     let busier = link.received.max(link.sent) as f64;
     let link_percent = if capacity <= 0.0 { 0 } else { (100.0 * busier / capacity) as u64 };
     let is_busy = LOGGED_PERCENT <= link_percent || LOGGED_LATENESS_MS <= reported.lateness_ms;
-    if !is_busy && reported.closed == 0 {
+    if !is_busy && reported.closed == 0 && reported.refused == 0 {
         return;
     }
     let detail = format!(
         "link_percent={link_percent} delay_ms={} lateness_ms={} processor_ms={processor_ms} received={} \
          sent={}{by_kind} requests={} in_flight={} connections={connections} closed={} \
-         unread_wait_ms={} shed={} kept_per_s={kept:.0} per_s={rate:.0} \
+         unread_wait_ms={} refused={} shed={} kept_per_s={kept:.0} per_s={rate:.0} \
          request_received={request_received} request_sent={request_sent} memory_kb={} unread={}",
         reported.delay_ms,
         reported.lateness_ms,
@@ -432,6 +478,7 @@
         shared.in_flight.count(),
         reported.closed,
         reported.unread_wait.as_millis(),
+        reported.refused,
         reported.shed,
         memory >> 10,
         shared.unread.buffered(),
--- a/crates/holdpointd/src/ingress/request.rs
+++ b/crates/holdpointd/src/ingress/request.rs
@@ -4,6 +4,7 @@
 use std::{
     convert::Infallible,
     future::Future,
+    pin::Pin,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
@@ -72,6 +73,32 @@
     Ok(answer)
 }
 
+/// Refuses a request that has waited for too long to be accepted by an instance that is full.
+pub(crate) async fn refuse(
+    shared: Arc<IngressShared>,
+    request: Request<Incoming>,
+    departure: Departure,
+) -> Result<Answer, Infallible> {
+    let _working = shared.in_flight.start();
+    let head = headers::read_caller(request.headers());
+    let id = head.request_id.as_deref();
+    let handling = Handling::new(shared.clone(), id.unwrap_or("none"), Step::Body, departure);
+    let body = read_body(&shared.configuration(), &head, request.into_body()).await;
+    let (mut answer, cause) = match (body, Ledger::new().close()) {
+        (Ok(_), Ok(proof)) => {
+            let retry_after = shared.own_load.wait(shared.clock.now());
+            (refusal(proof, id, retry_after.unwrap_or(UNCONFIGURED_RETRY)), "full".to_owned())
+        }
+        (Ok(_), Err(_)) => (failure(Failure::Broken, id), "full".to_owned()),
+        (Err(it), _) => (failure(it, id), format!("{it:?}")),
+    };
+    let detail = format!("id={} cause={cause}", id.unwrap_or("none"));
+    emit(events::REFUSED_FULL, &shared.settings.instance, &detail);
+    handling.end();
+    answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    Ok(answer)
+}
+
 /// Reads a request and finds its route. An error is the final answer to the request.
 async fn admit(
     shared: &Arc<IngressShared>,
@@ -114,7 +141,7 @@
         // After a restart of all instances, callers arrive before any instance is ready, and a refusal
         // would use up their retry as well.
         handling.enter(Step::Start);
-        let waited = wait_for(shared, deadline, shared.wait_until_started()).await;
+        let waited = wait_for(shared, deadline, Box::pin(shared.wait_until_started())).await;
         waited.map_err(|it| refuse(it.name()))?;
     }
     let configuration = shared.configuration();
@@ -131,7 +158,7 @@
     };
     handling.enter(Step::Confirmation);
     if find_route(&configuration, &request, &head).is_err() {
-        let confirmed = wait_for(shared, deadline, confirm(shared)).await;
+        let confirmed = wait_for(shared, deadline, Box::pin(confirm(shared))).await;
         if !confirmed.map_err(|it| refuse(it.name()))? {
             // A denial is final, and this instance may have missed the configuration that allows the request.
             return Err(refuse("unconfirmed"));
@@ -161,11 +188,12 @@
     ctx.refuse_quarantined().or_else(|| ctx.refuse_confined()).map_or(Ok(ctx), Err)
 }
 
-/// Waits until the request's deadline, or until pending requests must get a final answer because of a stop.
+/// Waits for a future until the request's deadline, or until pending requests must get a final answer because of a stop.
 async fn wait_for<T>(
     shared: &IngressShared,
     deadline: Option<Instant>,
-    wait: impl Future<Output = T>,
+    // Boxed, since each request in flight would hold room for it, and few wait.
+    wait: Pin<Box<impl Future<Output = T>>>,
 ) -> Result<T, StopCause> {
     let deadline_passed = async {
         match deadline {
--- a/crates/holdpointd/tests/unanswered.rs
+++ b/crates/holdpointd/tests/unanswered.rs
@@ -14,9 +14,9 @@
 };
 use holdpointd::{StopOutcome, ingress::Ingress};
 use http::StatusCode;
-use serde_json::json;
+use serde_json::{Value, json};
 
-use crate::support::{CONDITION_TIMEOUT, settings, start_instance, until};
+use crate::support::{CONDITION_TIMEOUT, settings, until};
 
 /// How long the instance does not run: longer than callers need to take their requests for read.
 const PAUSE: Duration = Duration::from_millis(400);
@@ -78,13 +78,15 @@
     tokio::task::spawn_blocking(opened).await.unwrap().expect("the instance answers")
 }
 
-/// Starts an instance with one target.
-async fn start() -> (Ingress, Store, Target) {
+/// Starts an instance with one target; `change` changes its settings.
+async fn start_changed(change: impl FnOnce(&mut Value)) -> (Ingress, Store, Target) {
     let store = Store::start().await;
     store.put_configuration(&sample_configuration(1));
     let target = Target::start("i-plain", "plain", Behaviour::Answer).await;
     store.put_target(&target, false);
-    let instance = start_instance("a", &store.endpoint);
+    let mut settings = settings("a", &store.endpoint, &[]);
+    change(&mut settings);
+    let instance = Ingress::start(serde_json::from_value(settings).unwrap()).unwrap();
     until(|| instance.is_ready() && instance.target_count() == 1).await;
     (instance, store, target)
 }
@@ -93,12 +95,35 @@
     instance.listen().callers.parse().unwrap()
 }
 
+/// Guards against connections that a full instance closes unread after their requests have waited for long.
+#[tokio::test]
+async fn a_request_that_has_waited_for_a_full_instance_is_refused() {
+    // Memory for two connections of callers.
+    let (instance, _store, target) =
+        start_changed(|it| it["machine"] = json!({ "memory_mb": 0.25 })).await;
+    let address = callers_of(&instance);
+    let _kept = [
+        kept_connection(address, "kept-1".to_owned()).await,
+        kept_connection(address, "kept-2".to_owned()).await,
+    ];
+    let callers: Vec<Caller> =
+        (0..CALLERS).map(|it| Caller::start(address, None, &format!("r-{it}"), "/safe/")).collect();
+    // Blocks the only thread of the instance.
+    thread::sleep(PAUSE);
+    for (index, it) in callers.into_iter().enumerate() {
+        let answer = it.answer().await.expect("the connection is not reset");
+        assert!(answer.starts_with("HTTP/1.1 503 "), "caller {index}: {answer:?}");
+        assert!(answer.contains(&format!("r-{index}\r\n")), "{answer:?}");
+    }
+    assert_eq!(target.runs().len(), 2, "what was refused has not run");
+}
+
 /// Guards against a listener that is dropped while connections wait in its queue, and against connections that are
 /// closed as idle ones although a request has arrived on them.
 #[tokio::test]
 async fn requests_that_arrive_while_a_stopping_instance_is_late_are_answered() {
     for round in 0..ROUNDS {
-        let (instance, _store, _target) = start().await;
+        let (instance, _store, _target) = start_changed(|_| ()).await;
         let address = callers_of(&instance);
         let kept = kept_connection(address, format!("first-{round}")).await;
         let linger = Duration::from_millis(100);
