Use nothing of a target's answer before its id is compared

Callers of an order got 503, which states that it has not run, while a target ran it; those who then sent it again had it carried out twice. On routes with two attempts the instance itself sent it to a second target. The target that ran it counted as draining from then on and got no more requests.

Cause: a faulty target may send a second answer to a request, which arrives in the place of the answer to the next one on the connection. The gate returned an answer with status 421 before it compared the answer's id with that of the request, and the send took it for a proof of "not run".

CheckedAnswer::check is now the only place that compares the ids, and the only one that creates a CheckedAnswer. Status, notices and body are read from that type alone, for direct and relayed requests, and only it returns the Declined that uncounts a call: CallGuard::declined asks for the OwnAnswer in it. An answer with another id, or with none where one was sent, is discarded with its connection: the request may have run, and nothing in it counts for the target. Such an answer no longer lowers the count of requests that an easily overloaded target holds, and in a call with work items it no longer counts as a lost connection, of which the requests in the call are suspected. A request whose bounds changed while its stages ran is not sent, and now has an outcome of its own in place of that of a target's refusal.

Tests: late_answers.rs sends each of nine second answers (421, 503 and 429 with a refusal, drain notice, backoff, limits, load) in the place of an order's answer.

--- a/crates/holdpoint-core/src/ledger.rs
+++ b/crates/holdpoint-core/src/ledger.rs
@@ -26,6 +26,13 @@
 #[derive(Debug, PartialEq, Eq)]
 pub struct NotRun(());
 
+/// Proof that an answer belongs to the call that it was received for.
+///
+/// A target may send more than one answer to a request. The later one arrives in the place of the answer to the next
+/// request on the connection, and says nothing about that request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OwnAnswer(());
+
 /// Error: at least one call may have been sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MayHaveRun;
@@ -50,6 +57,14 @@
     }
 }
 
+impl OwnAnswer {
+    /// Compares the id in an answer with the id that was sent. `None` if they differ, also if only one of them is
+    /// there.
+    pub fn check(sent: Option<&str>, answered: Option<&str>) -> Option<OwnAnswer> {
+        (sent == answered).then_some(OwnAnswer(()))
+    }
+}
+
 impl CallGuard<'_> {
     /// Uncounts the call, whose connection was never made, so that no byte of it was sent.
     pub fn never_sent(self) {
@@ -57,7 +72,7 @@
     }
 
     /// Uncounts the call, which the target has reported as not run and never to be run.
-    pub fn declined(self) {
+    pub fn declined(self, _: &OwnAnswer) {
         self.ledger.state.fetch_sub(1, Ordering::AcqRel);
     }
 }
--- a/crates/holdpoint-core/src/prelude.rs
+++ b/crates/holdpoint-core/src/prelude.rs
@@ -4,5 +4,5 @@
     catalog::Catalog,
     fold::State,
     ids::{AttemptId, Incarnation, Millis, Name, Offset},
-    ledger::{Ledger, NotRun},
+    ledger::{Ledger, NotRun, OwnAnswer},
 };
--- a/crates/holdpoint-core/tests/ingress.rs
+++ b/crates/holdpoint-core/tests/ingress.rs
@@ -15,7 +15,7 @@
         CallerLimits, Configuration, Denied, IngressRoute, Repeat, ResponseKind, Service, Tenancy,
         is_newer,
     },
-    ledger::Ledger,
+    ledger::{Ledger, OwnAnswer},
     prompt::{Part, Prompt},
     readers::{order_for, readers, sources},
 };
@@ -299,15 +299,24 @@
 #[test]
 fn a_ledger_closes_only_if_no_call_may_have_run() {
     let ledger = Ledger::new();
-    ledger.begin().unwrap().declined();
+    let own = OwnAnswer::check(Some("r-1"), Some("r-1")).unwrap();
+    ledger.begin().unwrap().declined(&own);
     ledger.begin().unwrap().never_sent();
     assert!(ledger.close().is_ok());
     let ledger = Ledger::new();
-    ledger.begin().unwrap().declined();
+    ledger.begin().unwrap().declined(&own);
     drop(ledger.begin().unwrap());
     assert!(ledger.close().is_err(), "one call may have run");
 }
 
+#[test]
+fn an_answer_without_the_id_of_its_call_proves_nothing() {
+    assert!(OwnAnswer::check(Some("r-1"), Some("r-2")).is_none());
+    assert!(OwnAnswer::check(Some("r-1"), None).is_none());
+    assert!(OwnAnswer::check(None, Some("r-2")).is_none());
+    assert!(OwnAnswer::check(Some("r-1"), Some("r-1")).is_some());
+}
+
 #[test]
 fn requests_with_the_same_shared_parts_have_one_affinity() {
     let part = |id, tokens| Part { id, tokens };
--- a/crates/holdpointd/src/ingress/dispatch.rs
+++ b/crates/holdpointd/src/ingress/dispatch.rs
@@ -3,15 +3,15 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use holdpoint_adapter::headers::{self, TargetHead};
+use holdpoint_adapter::headers;
 use holdpoint_core::{confinement::Within, directory::TargetInstance, reach::Path};
 use holdpoint_platform::Instant;
-use http::{Request, Response};
+use http::Request;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use tokio::sync::oneshot;
 
 use crate::ingress::{
+    checked_answer::CheckedAnswer,
     connections::{Connection, Reuse},
     gate::{ExchangeError, Payload, exchange},
     limits::Permit,
@@ -53,8 +53,7 @@
 /// The head of an answer, with the connection that its body arrives on.
 pub(crate) struct Exchanged {
     pub(crate) connection: Connection,
-    pub(crate) head: TargetHead,
-    pub(crate) response: Response<Incoming>,
+    pub(crate) answer: CheckedAnswer,
 }
 
 /// Sends a request, and waits for the head of its answer.
@@ -112,12 +111,12 @@
         () = awaited.wait_lost(), if is_repeatable => Err(ExchangeError::Broken),
     };
     match sent {
-        Ok((head, response)) => {
+        Ok(answer) => {
             let was_lost = awaited.answered();
-            if was_lost && !head.is_misdirected {
+            if was_lost && !answer.head().is_misdirected {
                 shared.quarantines.target_answered(target);
             }
-            Ok(Exchanged { connection, head, response })
+            Ok(Exchanged { connection, answer })
         }
         Err(ExchangeError::Broken) => {
             awaited.broken().await;
--- a/crates/holdpointd/src/ingress/gate.rs
+++ b/crates/holdpointd/src/ingress/gate.rs
@@ -5,7 +5,7 @@
 //! a peer places a prompt. The gate checks the target against its state at the time of the send. A connection
 //! sends only with a [`Clearance`], which only [`exchange`] creates, so no send can skip the check or the notices.
 
-use holdpoint_adapter::headers::{self, TargetHead};
+use holdpoint_adapter::headers::TargetHead;
 use holdpoint_core::{
     confinement::{Within, is_within},
     directory::TargetInstance,
@@ -22,6 +22,7 @@
 use crate::{
     events::{self, emit},
     ingress::{
+        checked_answer::CheckedAnswer,
         connections::Connection,
         drain_notices::{self, DrainNotice},
         limits::Permit,
@@ -53,6 +54,16 @@
     Release,
 }
 
+impl Payload<'_> {
+    /// Id that the answer has to repeat, if the payload has one.
+    fn request_id(&self) -> Option<&str> {
+        match self {
+            Payload::Request { id, .. } => Some(id),
+            Payload::Items | Payload::Release => None,
+        }
+    }
+}
+
 /// Why nothing may be sent to a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum SendBlock {
@@ -115,40 +126,54 @@
     }
 }
 
-/// Sends a request on a connection to its target, if the gate allows it, and waits for the head of the answer.
+/// Sends a request on a connection to its target, if the gate allows it, and waits for the head of the answer. Nothing
+/// of an answer to another request is used; its connection must not be used again either.
 pub(crate) async fn exchange(
     shared: &IngressShared,
     connection: &mut Connection,
     (target, permit): (&TargetInstance, &Permit),
     payload: Payload<'_>,
     request: Request<Full<Bytes>>,
-) -> Result<(TargetHead, Response<Incoming>), ExchangeError> {
+) -> Result<CheckedAnswer, ExchangeError> {
     let clearance =
         grant_clearance(shared, target, permit, payload).map_err(ExchangeError::Blocked)?;
     let mut pending = PendingRequest::begin(shared, &target.id).map_err(ExchangeError::Blocked)?;
     let sent = shared.clock.now();
-    let sending = send(connection, clearance, request).await;
-    pending.is_answered = !matches!(sending, Err(ExchangeError::Broken));
-    let mut response = sending?;
-    if connection.is_relayed() {
-        relay::check_outcome(&mut response)?;
-    }
-    let head = headers::read_target(response.status(), response.headers());
+    let received = receive(shared, connection, (target, payload), clearance, request).await;
+    pending.is_answered = !matches!(received, Err(ExchangeError::Broken | ExchangeError::Crossed));
+    let answer = received?;
+    let head = answer.head();
     if head.is_misdirected {
         // Another target has this address now, and its notices say nothing about the one that was meant.
         shared.mark_draining(&DrainNotice::of(target), MISDIRECTED_SIGN);
-        return Ok((head, response));
-    }
-    if let Payload::Request { id, .. } = payload
-        && head.request_id.as_deref() != Some(id)
-    {
-        shared.metrics.wrong_attempts.add(1, &[]);
-        return Err(ExchangeError::Crossed);
+        return Ok(answer);
     }
     apply_notices(shared, target, &head.notice, payload, sent);
     // Before the place is free again, so that nothing is sent between a rejection and its pause.
-    apply_overload_limit(shared, target, &head);
-    Ok((head, response))
+    apply_overload_limit(shared, target, head);
+    Ok(answer)
+}
+
+/// Sends a request, and checks that the answer belongs to it.
+async fn receive(
+    shared: &IngressShared,
+    connection: &mut Connection,
+    (target, payload): (&TargetInstance, Payload<'_>),
+    clearance: Clearance,
+    request: Request<Full<Bytes>>,
+) -> Result<CheckedAnswer, ExchangeError> {
+    let mut response = send(connection, clearance, request).await?;
+    if connection.is_relayed() {
+        relay::check_outcome(&mut response)?;
+    }
+    CheckedAnswer::check(payload.request_id(), response).map_err(|other| {
+        let id = payload.request_id().unwrap_or_default();
+        let other = other.unwrap_or_default();
+        let detail = format!("id={id} target={} answer_id={other}", target.id);
+        emit(events::WRONG_ATTEMPT, &shared.settings.instance, &detail);
+        shared.metrics.wrong_attempts.add(1, &[]);
+        ExchangeError::Crossed
+    })
 }
 
 /// Asks a peer on its connection to probe a target.
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -12,6 +12,7 @@
 mod backoff;
 mod batches;
 mod changes;
+mod checked_answer;
 mod confinement;
 mod confirm;
 mod connections;
--- a/crates/holdpointd/src/ingress/relay.rs
+++ b/crates/holdpointd/src/ingress/relay.rs
@@ -180,12 +180,12 @@
         let sent = exchange(shared, &mut connection, (target, permit), payload, request).await;
         log_relayed(shared, target, &address, payload, sent.as_ref().err());
         match sent {
-            Ok((head, response)) => {
+            Ok(answer) => {
                 let is_lost = shared.paths.record_relayed(shared.clock.now(), target);
-                if is_lost && !head.is_misdirected {
+                if is_lost && !answer.head().is_misdirected {
                     shared.quarantines.target_answered(target);
                 }
-                return Ok(Exchanged { connection, head, response });
+                return Ok(Exchanged { connection, answer });
             }
             Err(ExchangeError::Refused(why)) => {
                 shared.connections.give_back(connection, None);
--- a/crates/holdpointd/src/ingress/relay/server.rs
+++ b/crates/holdpointd/src/ingress/relay/server.rs
@@ -153,11 +153,12 @@
         within: &None,
     };
     let sent = send_direct(shared, &mut outgoing).await;
-    let Exchanged { connection, head, response } = sent.map_err(|it| match it {
+    let Exchanged { connection, answer } = sent.map_err(|it| match it {
         ExchangeError::NotSent => refuse(),
         ExchangeError::Blocked(it) => RelayOutcome::Blocked(it),
         _ => RelayOutcome::Broken,
     })?;
+    let (head, response) = answer.into_parts();
     let (mut parts, body) = response.into_parts();
     headers::remove_hop_by_hop(&mut parts.headers);
     let is_kept = !head.is_closing && (is_short || parts.status.is_success());
--- a/crates/holdpointd/src/ingress/send.rs
+++ b/crates/holdpointd/src/ingress/send.rs
@@ -6,11 +6,12 @@
 use holdpoint_adapter::headers::{self, SystemHeaders, TargetHead};
 use holdpoint_core::{confinement::Within, directory::TargetInstance};
 use holdpoint_platform::Instant;
-use http::{HeaderMap, Method, Request, Response, StatusCode, response::Parts};
+use http::{HeaderMap, Method, Request, StatusCode, response::Parts};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 
 use crate::ingress::{
+    checked_answer::{CheckedAnswer, Declined},
     connections::{Connection, Reuse},
     context::Context,
     dispatch::{Exchanged, Outgoing, dispatch},
@@ -47,6 +48,8 @@
     Blocked(SendBlock),
     /// The connection broke off.
     Broken,
+    /// The answer belongs to another call.
+    Crossed,
     /// The call timed out.
     TimedOut,
 }
@@ -59,7 +62,8 @@
                 InternalCallError::NotSent
             }
             ExchangeError::NoPath => InternalCallError::NoPath,
-            ExchangeError::Broken | ExchangeError::Crossed => InternalCallError::Broken,
+            ExchangeError::Broken => InternalCallError::Broken,
+            ExchangeError::Crossed => InternalCallError::Crossed,
         }
     }
 }
@@ -73,11 +77,7 @@
     /// The gate refused the send.
     Blocked(SendBlock),
     /// The target has not run the request and never will.
-    Declined {
-        status: StatusCode,
-        /// Whether the target asked this instance to back off.
-        asks_backoff: bool,
-    },
+    Declined(Declined),
     /// The head of an answer to this request.
     Answered(Box<Exchanged>),
     /// There is no valid answer; the target may have run the request.
@@ -108,7 +108,7 @@
         is_repeatable: ctx.is_repeatable(),
         within: &within,
     };
-    let Exchanged { connection, head, response } = match dispatch(shared, outgoing).await {
+    let Exchanged { connection, answer } = match dispatch(shared, outgoing).await {
         Ok(it) => it,
         Err(ExchangeError::Blocked(it)) => return SendOutcome::Blocked(it),
         Err(ExchangeError::NoPath) => return SendOutcome::NoPath,
@@ -121,18 +121,17 @@
         }
         Err(ExchangeError::Crossed) => return SendOutcome::Broken,
     };
-    if head.is_declined {
-        let status = response.status();
-        if !head.is_misdirected {
-            keep_connection(shared, connection, &response, &head, request.body.len());
+    if let Some(it) = answer.declined() {
+        if !answer.head().is_misdirected {
+            keep_connection(shared, connection, &answer, request.body.len());
         }
-        let asks_backoff = head.notice.backoff.is_requested();
-        return SendOutcome::Declined { status, asks_backoff };
+        return SendOutcome::Declined(it);
     }
-    if response.status().is_success() && !head.has_signature {
+    let is_success = answer.response().status().is_success();
+    if is_success && !answer.head().has_signature {
         return SendOutcome::Broken;
     }
-    SendOutcome::Answered(Box::new(Exchanged { connection, head, response }))
+    SendOutcome::Answered(Box::new(Exchanged { connection, answer }))
 }
 
 /// Whether an answer asks this instance to back off.
@@ -198,7 +197,8 @@
             is_repeatable: true,
             within,
         };
-        let Exchanged { connection, head, response } = dispatch(shared, outgoing).await?;
+        let Exchanged { connection, answer } = dispatch(shared, outgoing).await?;
+        let (head, response) = answer.into_parts();
         let status = response.status();
         let body = response.into_body().collect().await;
         let body = body.map_err(|_| InternalCallError::Broken)?.to_bytes();
@@ -237,12 +237,12 @@
 fn keep_connection(
     shared: &IngressShared,
     connection: Connection,
-    response: &Response<Incoming>,
-    head: &TargetHead,
+    answer: &CheckedAnswer,
     body_length: usize,
 ) {
     use hyper::body::Body;
-    let is_empty = response.body().is_end_stream();
+    let is_empty = answer.response().body().is_end_stream();
+    let head = answer.head();
     if is_empty && !head.is_closing && body_length <= SHORT_BODY_BYTES {
         shared.connections.give_back(connection, head.idle_limit);
     }
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -17,7 +17,7 @@
     stream_versions::Continuation,
 };
 use holdpoint_platform::Instant;
-use http::{StatusCode, response::Parts};
+use http::response::Parts;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
@@ -26,6 +26,7 @@
     ingress::{
         answer::{Answer, passed_on, streamed},
         attempts::{Attempts, StopCause, end_send, likely_domain},
+        checked_answer::Declined,
         connections::Connection,
         context::Context,
         dispatch::Exchanged,
@@ -83,10 +84,12 @@
     NoPath,
     /// The gate refused the send.
     Blocked(SendBlock),
-    Declined,
-    /// The target declined the request and asked this instance to back off.
-    BackedOff,
-    InputsGone,
+    /// The target has not run the request and never will.
+    Declined(Declined),
+    /// The target has not run the request, since inputs are missing.
+    InputsGone(Declined),
+    /// The stages ran within other bounds than those of the request now, so that nothing was sent.
+    BoundsChanged,
     Broken,
     TimedOut,
 }
@@ -164,13 +167,7 @@
             Ok(it) => it,
             Err(it) => break it,
         };
-        let ended = if results.match_bounds(&ctx.within()) {
-            attempt(ctx, attempts, (&target, permit), continuation, &mut results).await
-        } else {
-            end_send(ctx, &target, CallOutcome::Cancelled, "bounds-changed");
-            SendEnd::InputsGone
-        };
-        match ended {
+        match attempt(ctx, attempts, (&target, permit), continuation, &mut results).await {
             SendEnd::Open(it) if continuation.is_some() => return Ok(it),
             SendEnd::Open(it) if ctx.confirm_origin().await => {
                 ctx.record_stream_start();
@@ -192,12 +189,12 @@
                 attempts.never_sent(ctx);
                 break StopCause::NoPath;
             }
-            SendEnd::InputsGone if reruns < MAX_STAGE_RERUNS => {
+            SendEnd::InputsGone(_) | SendEnd::BoundsChanged if reruns < MAX_STAGE_RERUNS => {
                 reruns += 1;
                 attempts.uncount();
                 results = stage_results(ctx).await?;
             }
-            SendEnd::Declined | SendEnd::BackedOff | SendEnd::InputsGone => (),
+            SendEnd::Declined(_) | SendEnd::InputsGone(_) | SendEnd::BoundsChanged => (),
             SendEnd::Broken | SendEnd::TimedOut if ctx.is_repeatable() => (),
             SendEnd::Broken | SendEnd::TimedOut => break StopCause::Attempts,
         }
@@ -248,16 +245,17 @@
             begun.never_sent();
             end_send(ctx, target, CallOutcome::Cancelled, it.name());
         }
-        SendEnd::Declined => {
-            begun.declined();
-            end_send(ctx, target, CallOutcome::Failed, "declined");
+        SendEnd::Declined(it) => {
+            begun.declined(it.proof());
+            let (end, cause) = it.send_end();
+            end_send(ctx, target, end, cause);
         }
-        SendEnd::BackedOff => {
-            begun.declined();
-            end_send(ctx, target, CallOutcome::Cancelled, BACKOFF_CAUSE);
+        SendEnd::BoundsChanged => {
+            begun.never_sent();
+            end_send(ctx, target, CallOutcome::Cancelled, "bounds-changed");
         }
-        SendEnd::InputsGone => {
-            begun.declined();
+        SendEnd::InputsGone(it) => {
+            begun.declined(it.proof());
             end_send(ctx, target, CallOutcome::Cancelled, "inputs-gone");
         }
         SendEnd::Broken => end_send(ctx, target, CallOutcome::Failed, "broken"),
@@ -274,6 +272,9 @@
     continuation: Option<&Continuation>,
     results: &mut StageResults,
 ) -> SendEnd {
+    if !results.match_bounds(&ctx.within()) {
+        return SendEnd::BoundsChanged;
+    }
     let inputs = results.inputs.clone();
     let sending = send_stream(ctx, (target, permit), continuation, &inputs);
     tokio::pin!(sending);
@@ -299,16 +300,16 @@
     let started = Instant::now();
     let added_headers = ctx.added_headers(target, continuation, inputs);
     let sent = send(ctx, target, permit, &added_headers).await;
-    let Exchanged { connection, head, response } = match sent {
+    let Exchanged { connection, answer } = match sent {
         SendOutcome::NotSent => return SendEnd::NotSent,
         SendOutcome::NoPath => return SendEnd::NoPath,
         SendOutcome::Blocked(it) => return SendEnd::Blocked(it),
         SendOutcome::Broken => return SendEnd::Broken,
-        SendOutcome::Declined { asks_backoff: true, .. } => return SendEnd::BackedOff,
-        SendOutcome::Declined { status: StatusCode::CONFLICT, .. } => return SendEnd::InputsGone,
-        SendOutcome::Declined { .. } => return SendEnd::Declined,
+        SendOutcome::Declined(it) if it.lacks_inputs() => return SendEnd::InputsGone(it),
+        SendOutcome::Declined(it) => return SendEnd::Declined(it),
         SendOutcome::Answered(it) => *it,
     };
+    let (head, response) = answer.into_parts();
     let (parts, mut body) = response.into_parts();
     if !parts.status.is_success() {
         return match body.collect().await {
--- a/crates/holdpointd/src/ingress/whole.rs
+++ b/crates/holdpointd/src/ingress/whole.rs
@@ -15,6 +15,7 @@
 use crate::ingress::{
     answer::{Answer, passed_on, streamed},
     attempts::{Attempts, StopCause, end_send, likely_domain},
+    checked_answer::Declined,
     connections::Connection,
     context::Context,
     dispatch::Exchanged,
@@ -61,9 +62,8 @@
     NoPath,
     /// The gate refused the send.
     Blocked(SendBlock),
-    Declined,
-    /// The target declined the request and asked this instance to back off.
-    BackedOff,
+    /// The target has not run the request and never will.
+    Declined(Declined),
     Broken,
     TimedOut,
 }
@@ -173,7 +173,7 @@
                 attempts.never_sent(ctx);
                 break StopCause::NoPath;
             }
-            SendEnd::Declined | SendEnd::BackedOff => (),
+            SendEnd::Declined(_) => (),
             SendEnd::Broken | SendEnd::TimedOut if ctx.is_repeatable() => (),
             SendEnd::Broken | SendEnd::TimedOut => break StopCause::Attempts,
         }
@@ -219,15 +219,11 @@
             end_send(ctx, target, CallOutcome::Cancelled, it.name());
             SendEnd::Blocked(it)
         }
-        Some(SendEnd::Declined) => {
-            begun.declined();
-            end_send(ctx, target, CallOutcome::Failed, "declined");
-            SendEnd::Declined
-        }
-        Some(SendEnd::BackedOff) => {
-            begun.declined();
-            end_send(ctx, target, CallOutcome::Cancelled, BACKOFF_CAUSE);
-            SendEnd::BackedOff
+        Some(SendEnd::Declined(it)) => {
+            begun.declined(it.proof());
+            let (end, cause) = it.send_end();
+            end_send(ctx, target, end, cause);
+            SendEnd::Declined(it)
         }
         Some(SendEnd::Answered(head, body)) => {
             ctx.record_first_byte();
@@ -263,11 +259,11 @@
         SendOutcome::NotSent => SendEnd::NotSent,
         SendOutcome::NoPath => SendEnd::NoPath,
         SendOutcome::Blocked(it) => SendEnd::Blocked(it),
-        SendOutcome::Declined { asks_backoff: true, .. } => SendEnd::BackedOff,
-        SendOutcome::Declined { .. } => SendEnd::Declined,
+        SendOutcome::Declined(it) => SendEnd::Declined(it),
         SendOutcome::Broken => SendEnd::Broken,
         SendOutcome::Answered(exchanged) => {
-            let Exchanged { connection, head, response } = *exchanged;
+            let Exchanged { connection, answer } = *exchanged;
+            let (head, response) = answer.into_parts();
             let started = Instant::now();
             let (parts, body) = response.into_parts();
             match read_body(&ctx.shared, body).await {
--- a/crates/holdpointd/tests/support/mod.rs
+++ b/crates/holdpointd/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, unreachable_pub)]
 
 pub mod fleet;
+pub mod late_answers;
 pub mod machine;
 pub mod reach;
 pub mod streams;
