Bound what is buffered of an answer that goes on without end

A target may send bytes without end. Three places collected them until the deadline: an event of a stream that does not end, the body of an error of a stream's target, and the answer to an internal call such as one for results of a stage. With targets that send some 50 MB a second they took 36 MB, 36 MB and 20 MB within a deadline of 1.5 s; a process whose memory is used up is ended, and with it all that it has accepted.

An event and the body of an error now end with the limit on the unread bytes of a response, and an answer to an internal call with 1 MiB; beyond, the answer counts as broken and its connection is closed.

--- a/crates/holdpoint-core/src/event_split.rs
+++ b/crates/holdpoint-core/src/event_split.rs
@@ -33,6 +33,11 @@
         events
     }
 
+    /// Number of bytes buffered of an event that is not complete.
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether part of an event is buffered.
     pub fn is_partial(&self) -> bool {
         !self.buffer.is_empty()
--- a/crates/holdpointd/src/ingress/send.rs
+++ b/crates/holdpointd/src/ingress/send.rs
@@ -7,7 +7,7 @@
 use holdpoint_core::{confinement::Within, directory::TargetInstance};
 use holdpoint_platform::Instant;
 use http::{HeaderMap, Method, Request, StatusCode, response::Parts};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 
 use crate::ingress::{
@@ -24,6 +24,8 @@
 /// Longest request body that may still be in transit when its connection is kept after the answer.
 pub(crate) const SHORT_BODY_BYTES: usize = 8 << 10;
 
+/// Longest body of an answer to an internal call; a list of results takes some kilobytes.
+const MAX_INTERNAL_BYTES: usize = 1 << 20;
 /// Logged cause of a send whose target asked this instance to back off.
 pub(crate) const BACKOFF_CAUSE: &str = "backoff";
 
@@ -200,7 +202,7 @@
         let Exchanged { connection, answer } = dispatch(shared, outgoing).await?;
         let (head, response) = answer.into_parts();
         let status = response.status();
-        let body = response.into_body().collect().await;
+        let body = Limited::new(response.into_body(), MAX_INTERNAL_BYTES).collect().await;
         let body = body.map_err(|_| InternalCallError::Broken)?.to_bytes();
         if !head.is_closing {
             shared.connections.give_back(connection, head.idle_limit);
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -18,7 +18,7 @@
 };
 use holdpoint_platform::Instant;
 use http::response::Parts;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
 use crate::{
@@ -37,7 +37,7 @@
         stage_results::StageResults,
         stages::{self, INPUT_FETCH_TIME},
         stream_origins::UnknownOrigin,
-        unread::{ChunkSender, DeliveryError},
+        unread::{ChunkSender, DeliveryError, MAX_RESPONSE_BYTES},
     },
 };
 
@@ -312,7 +312,7 @@
     let (head, response) = answer.into_parts();
     let (parts, mut body) = response.into_parts();
     if !parts.status.is_success() {
-        return match body.collect().await {
+        return match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
             Ok(it) => SendEnd::Failed(Box::new(parts), it.to_bytes()),
             Err(_) => SendEnd::Broken,
         };
@@ -351,7 +351,13 @@
 async fn next_events(body: &mut Incoming, splitter: &mut EventSplitter) -> Next {
     match body.frame().await {
         Some(Ok(frame)) => {
-            Next::Events(frame.into_data().map_or(Vec::new(), |it| splitter.push(&it)))
+            let events = frame.into_data().map_or(Vec::new(), |it| splitter.push(&it));
+            // Also guards the memory against a target that never ends an event.
+            if MAX_RESPONSE_BYTES < splitter.buffered() {
+                Next::Broken
+            } else {
+                Next::Events(events)
+            }
         }
         None if !splitter.is_partial() => Next::End,
         Some(Err(_)) | None => Next::Broken,
