Ingress: an answer belongs to the exchange that it names, or to none

Callers got whole, signed answers that were made from another request's stage results, after a target had sent a second copy of an answer in the place of the next one on its connection.

Cause: calls with work items and calls that release results carried no id, and whatever came next on the connection was taken for their answer. The connection was kept even after an answer that did not fit its call.

Each exchange with a target or through a peer has an id now: the caller's, or a random one. The gate compares it in one place before anything of the answer is used, for probes by peers and refusals by peers too. An answer that names another id is dropped and logged, and closes its connection. One without an id is accepted only as the first on its connection, which is not used again then; so a target that does not repeat ids gets a new connection for each call. A connection is not taken for an id that its last answer named. An answer with the wrong number of results, or with a result that is stored already or stands twice in it, is no answer, and its connection is closed.

Peers name the id in all their answers, also where the target's answer has none.

The tests place a proxy in front of a target that sends the second copy.

--- a/crates/holdpoint-core/src/batcher/targets.rs
+++ b/crates/holdpoint-core/src/batcher/targets.rs
@@ -197,6 +197,11 @@
         self.results.insert(handle, stored);
     }
 
+    /// Whether a result with this handle is stored.
+    pub fn is_stored(&self, handle: &str) -> bool {
+        self.results.contains_key(handle)
+    }
+
     /// Records that a result was released at its target.
     pub fn record_released(&mut self, handle: &str) {
         let Some(stored) = self.results.remove(handle) else { return };
--- a/crates/holdpointd/src/ingress/batches/calls.rs
+++ b/crates/holdpointd/src/ingress/batches/calls.rs
@@ -1,6 +1,6 @@
 //! Sends calls to targets, delivers the results of their items, and logs each call.
 
-use super::{Pending, start_calls};
+use super::{Batches, Pending, start_calls};
 use std::{
     collections::HashSet,
     sync::{Arc, atomic::Ordering},
@@ -25,10 +25,10 @@
     events::{self, emit},
     ingress::{
         attempts::no_path_retry_ms,
-        gate::{Payload, SendBlock},
+        gate::{InternalKind, SendBlock},
         item_request::ItemResult,
         limits::{self, Permit},
-        send::{InternalCall, InternalCallError, internal_call, time_until},
+        send::{InternalAnswer, InternalCall, InternalCallError, internal_call, time_until},
         shared::IngressShared,
         stages::INPUT_FETCH_TIME,
     },
@@ -266,10 +266,10 @@
         items.iter().map(|it| (&it.work, time_until(it.deadline).as_millis() as Millis)),
     );
     let limit = Duration::from_millis(timeout_ms.max(MIN_CALL_TIMEOUT_MS));
-    let call = InternalCall { path: wire::RUN_PATH, body, payload: Payload::Items };
+    let call = InternalCall { path: wire::RUN_PATH, body, kind: InternalKind::Items };
     let within = common_bounds(shared, items);
     let answer = internal_call(shared, (&target, permit), call, &within, limit).await;
-    let (status, head, body) = answer.map_err(|it| {
+    let answer = answer.map_err(|it| {
         // A lost path says nothing about the target or its version.
         let is_cut = match it {
             // A target that peers may not reach either must not get the same call again at once.
@@ -289,15 +289,38 @@
             is_unjudged: is_backoff || is_cut,
         }
     })?;
-    if head.notice.backoff.is_requested() {
+    if answer.head.notice.backoff.is_requested() {
+        answer.keep_connection(shared);
         return Err(CallFailure { end: CallEnd::Full, lost_target: None, is_unjudged: true });
     }
-    if head.is_declined {
+    if answer.head.is_declined {
+        answer.keep_connection(shared);
         return Err(CallEnd::Full.into());
     }
-    let results = wire::parse_run(&body).map_err(|_| CallEnd::Failed)?;
-    if !status.is_success() || results.len() != items.len() {
-        return Err(CallEnd::Failed.into());
-    }
+    // After an answer with other content than was asked for, its connection is not used again.
+    let results = results_of(shared, &target, &answer).filter(|it| it.len() == items.len());
+    let results = results.ok_or(CallEnd::Failed)?;
+    answer.keep_connection(shared);
     Ok(results)
 }
+
+/// The results in a target's answer, if it is a success and none of them was delivered before.
+fn results_of(
+    shared: &IngressShared,
+    target: &TargetInstance,
+    answer: &InternalAnswer,
+) -> Option<Vec<ItemResult>> {
+    let results = wire::parse_run(&answer.body).ok().filter(|_| answer.status.is_success())?;
+    shared.batches.are_new(&target.service, &results).then_some(results)
+}
+
+impl Batches {
+    /// Whether each of these results is new: none is given to two items, whether of one call or of two.
+    fn are_new(&self, service: &str, results: &[ItemResult]) -> bool {
+        let services = self.services.lock();
+        let Some(it) = services.get(service) else { return true };
+        let mut handles = HashSet::new();
+        let mut delivered = results.iter().filter_map(|it| it.as_ref().ok());
+        delivered.all(|handle| !it.batcher.is_stored(handle) && handles.insert(handle))
+    }
+}
--- a/crates/holdpointd/src/ingress/connections.rs
+++ b/crates/holdpointd/src/ingress/connections.rs
@@ -90,23 +90,60 @@
     remote: String,
     /// Service of the target; `None` for a connection to a peer.
     service: Option<Name>,
+    last: LastExchange,
     task: Option<AbortHandle>,
 }
 
+/// The last exchange on a connection.
+#[derive(Debug)]
+enum LastExchange {
+    /// Nothing was sent yet, so that the next answer is to the next request.
+    None,
+    /// It is not known whether bytes that arrive from now on belong to it.
+    Open,
+    /// Its answer named this id, and so will a second answer that arrives later.
+    Named(String),
+}
+
 impl Connection {
     /// Whether it leads to a peer that relays requests to targets.
     pub(crate) fn is_relayed(&self) -> bool {
         self.service.is_none()
     }
 
+    /// Id of the target, or address of the peer that relays.
+    pub(crate) fn remote(&self) -> &str {
+        &self.remote
+    }
+
+    /// Whether nothing was sent on it yet.
+    pub(crate) fn is_fresh(&self) -> bool {
+        matches!(self.last, LastExchange::None)
+    }
+
+    /// Records that the answer to what was sent last named this id. Without that, the connection is not kept.
+    pub(crate) fn record_named(&mut self, id: &str) {
+        self.last = LastExchange::Named(id.to_owned());
+    }
+
     /// Sends a request. An error that returns the request means that no byte was sent.
     pub(crate) async fn send(
         &mut self,
         _: Clearance,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.last = LastExchange::Open;
         self.sender.try_send_request(request).await
     }
+
+    /// Whether it may carry an exchange with this id: a second answer to the last one must not carry the same id.
+    fn is_distinct(&self, id: &str) -> bool {
+        match &self.last {
+            LastExchange::None => true,
+            LastExchange::Open => false,
+            LastExchange::Named(last) => last != id,
+        }
+    }
 }
 
 impl Drop for Connection {
@@ -177,7 +214,7 @@
         self.record_connect(target, begun, made.as_ref().err());
         let (sender, task) = made?;
         let (remote, service) = (target.id.clone(), Some(target.service.clone()));
-        Ok(Connection { sender, remote, service, task: Some(task) })
+        Ok(Connection { sender, remote, service, last: LastExchange::None, task: Some(task) })
     }
 
     /// Makes a connection to a target, and waits for a moment whether it is reset: on a lost path that may happen only
@@ -191,16 +228,22 @@
         Ok(made)
     }
 
-    /// Takes an idle connection to a peer that relays requests, or makes a new one.
-    pub(crate) async fn take_peer(&self, address: &str, reuse: Reuse) -> io::Result<Connection> {
-        if let Some(it) = self.take_idle(address, reuse) {
+    /// Takes an idle connection to a peer that relays requests, or makes a new one, for an exchange with this id.
+    pub(crate) async fn take_peer(
+        &self,
+        address: &str,
+        reuse: Reuse,
+        id: &str,
+    ) -> io::Result<Connection> {
+        if let Some(it) = self.take_idle(address, reuse, id) {
             return Ok(it);
         }
         let made =
             tokio::time::timeout(self.connect_timeout, connect(address, &self.traffic.peers));
         let made = made.await;
         let (sender, task) = made.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-        Ok(Connection { sender, remote: address.to_owned(), service: None, task: Some(task) })
+        let (remote, last) = (address.to_owned(), LastExchange::None);
+        Ok(Connection { sender, remote, service: None, last, task: Some(task) })
     }
 
     async fn connect(
@@ -251,10 +294,11 @@
         }
     }
 
-    /// Keeps a connection whose answer was read completely.
+    /// Keeps a connection whose answer was read completely, if the answer named its exchange.
     pub(crate) fn give_back(&self, connection: Connection, idle_limit: Option<Duration>) {
         let limit = idle_limit.map_or(DEFAULT_IDLE, |it| it.saturating_sub(IDLE_MARGIN));
-        if limit.is_zero() || connection.sender.is_closed() {
+        let is_open = matches!(connection.last, LastExchange::Open);
+        if is_open || limit.is_zero() || connection.sender.is_closed() {
             return;
         }
         let max_count = match &connection.service {
@@ -289,13 +333,13 @@
         all.retain(|_, it| !it.is_empty());
     }
 
-    /// Takes an idle connection to a target, or to the peer at an address.
-    pub(crate) fn take_idle(&self, remote: &str, reuse: Reuse) -> Option<Connection> {
+    /// Takes an idle connection to a target, or to the peer at an address, for an exchange with this id.
+    pub(crate) fn take_idle(&self, remote: &str, reuse: Reuse, id: &str) -> Option<Connection> {
         let mut all = self.idle.lock();
         let idle = all.get_mut(remote)?;
         // The most recently used one is the least likely to be closing.
         while let Some(it) = idle.pop() {
-            if it.is_usable(reuse) {
+            if it.is_usable(reuse) && it.connection.is_distinct(id) {
                 return Some(it.connection);
             }
         }
--- a/crates/holdpointd/src/ingress/dispatch.rs
+++ b/crates/holdpointd/src/ingress/dispatch.rs
@@ -61,10 +61,10 @@
     shared: &Arc<IngressShared>,
     mut outgoing: Outgoing<'_>,
 ) -> Result<Exchanged, ExchangeError> {
-    let Outgoing { target, reuse, is_repeatable, .. } = outgoing;
+    let Outgoing { target, payload, reuse, is_repeatable, .. } = outgoing;
     let mut is_tried = false;
     if shared.paths.path(shared.clock.now(), target, is_repeatable) == Path::Direct {
-        if let Some(it) = connect(shared, target, reuse).await {
+        if let Some(it) = connect(shared, target, reuse, payload.id()).await {
             return send_on(shared, it, &mut outgoing).await;
         }
         if !shared.paths.is_lost(shared.clock.now(), &target.id) {
@@ -93,7 +93,8 @@
     shared: &Arc<IngressShared>,
     outgoing: &mut Outgoing<'_>,
 ) -> Result<Exchanged, ExchangeError> {
-    let made = connect(shared, outgoing.target, outgoing.reuse).await;
+    let id = outgoing.payload.id();
+    let made = connect(shared, outgoing.target, outgoing.reuse, id).await;
     send_on(shared, made.ok_or(ExchangeError::NotSent)?, outgoing).await
 }
 
@@ -135,8 +136,9 @@
     shared: &Arc<IngressShared>,
     target: &TargetInstance,
     reuse: Reuse,
+    id: &str,
 ) -> Option<Connection> {
-    if let Some(it) = shared.connections.take_idle(&target.id, reuse) {
+    if let Some(it) = shared.connections.take_idle(&target.id, reuse, id) {
         return Some(it);
     }
     let (sender, made) = oneshot::channel();
--- a/crates/holdpointd/src/ingress/gate.rs
+++ b/crates/holdpointd/src/ingress/gate.rs
@@ -5,7 +5,7 @@
 //! a peer places a prompt. The gate checks the target against its state at the time of the send. A connection
 //! sends only with a [`Clearance`], which only [`exchange`] creates, so no send can skip the check or the notices.
 
-use holdpoint_adapter::headers::TargetHead;
+use holdpoint_adapter::headers::{self, TargetHead};
 use holdpoint_core::{
     confinement::{Within, is_within},
     directory::TargetInstance,
@@ -49,21 +49,50 @@
         continuation: Option<&'a Continuation>,
     },
     /// A call with work items of a stage.
-    Items,
+    Items { id: &'a str },
     /// A call that releases stage results.
-    Release,
+    Release { id: &'a str },
 }
 
-impl Payload<'_> {
-    /// Id that the answer has to repeat, if the payload has one.
-    fn request_id(&self) -> Option<&str> {
+impl<'a> Payload<'a> {
+    /// Id of the exchange, which its answer has to repeat.
+    pub(crate) fn id(self) -> &'a str {
+        match self {
+            Payload::Request { id, .. } | Payload::Items { id } | Payload::Release { id } => id,
+        }
+    }
+
+    /// The same, if even the first answer on a connection has to repeat it.
+    fn required_id(self) -> Option<&'a str> {
         match self {
             Payload::Request { id, .. } => Some(id),
-            Payload::Items | Payload::Release => None,
+            Payload::Items { .. } | Payload::Release { .. } => None,
+        }
+    }
+}
+
+/// Kind of a call that the system makes for itself.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum InternalKind {
+    Items,
+    Release,
+}
+
+impl InternalKind {
+    /// The payload of a call with this id.
+    pub(crate) fn payload(self, id: &str) -> Payload<'_> {
+        match self {
+            InternalKind::Items => Payload::Items { id },
+            InternalKind::Release => Payload::Release { id },
         }
     }
 }
 
+/// Returns an id for an exchange that is no caller's request.
+pub(crate) fn new_exchange_id() -> String {
+    format!("{:016x}", rand::random::<u64>())
+}
+
 /// Why nothing may be sent to a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum SendBlock {
@@ -139,7 +168,7 @@
         grant_clearance(shared, target, permit, payload).map_err(ExchangeError::Blocked)?;
     let mut pending = PendingRequest::begin(shared, &target.id).map_err(ExchangeError::Blocked)?;
     let sent = shared.clock.now();
-    let received = receive(shared, connection, (target, payload), clearance, request).await;
+    let received = receive(shared, connection, payload, clearance, request).await;
     pending.is_answered = !matches!(received, Err(ExchangeError::Broken | ExchangeError::Crossed));
     let answer = received?;
     let head = answer.head();
@@ -158,30 +187,64 @@
 async fn receive(
     shared: &IngressShared,
     connection: &mut Connection,
-    (target, payload): (&TargetInstance, Payload<'_>),
+    payload: Payload<'_>,
     clearance: Clearance,
     request: Request<Full<Bytes>>,
 ) -> Result<CheckedAnswer, ExchangeError> {
+    let is_fresh = connection.is_fresh();
     let mut response = send(connection, clearance, request).await?;
+    let named = check_named(shared, connection, (payload.id(), is_fresh), &response)?;
     if connection.is_relayed() {
         relay::check_outcome(&mut response)?;
     }
-    CheckedAnswer::check(payload.request_id(), response).map_err(|other| {
-        let id = payload.request_id().unwrap_or_default();
-        let other = other.unwrap_or_default();
-        let detail = format!("id={id} target={} answer_id={other}", target.id);
-        emit(events::WRONG_ATTEMPT, &shared.settings.instance, &detail);
-        shared.metrics.wrong_attempts.add(1, &[]);
-        ExchangeError::Crossed
-    })
+    CheckedAnswer::check(payload.required_id().or(named), response)
+        .map_err(|other| record_crossed(shared, connection, payload.id(), other.as_deref()))
+}
+
+/// Checks that an answer belongs to the exchange with this id. One that names no id does if it is the first on its
+/// connection: any other may be a second answer to what was sent before.
+///
+/// Returns the id if the answer names it.
+fn check_named<'a>(
+    shared: &IngressShared,
+    connection: &mut Connection,
+    (id, is_fresh): (&'a str, bool),
+    response: &Response<Incoming>,
+) -> Result<Option<&'a str>, ExchangeError> {
+    match headers::read_target(response.status(), response.headers()).request_id {
+        Some(it) if it == id => {
+            connection.record_named(id);
+            Ok(Some(id))
+        }
+        None if is_fresh => Ok(None),
+        other => Err(record_crossed(shared, connection, id, other.as_deref())),
+    }
+}
+
+/// Records that the answer to the exchange `id` belongs to another one.
+fn record_crossed(
+    shared: &IngressShared,
+    connection: &Connection,
+    id: &str,
+    other: Option<&str>,
+) -> ExchangeError {
+    let (remote, other) = (connection.remote(), other.unwrap_or_default());
+    let detail = format!("id={id} remote={remote} answer_id={other}");
+    emit(events::WRONG_ATTEMPT, &shared.settings.instance, &detail);
+    shared.metrics.wrong_attempts.add(1, &[]);
+    ExchangeError::Crossed
 }
 
 /// Asks a peer on its connection to probe a target.
 pub(crate) async fn exchange_probe(
+    shared: &IngressShared,
     connection: &mut Connection,
+    id: &str,
     request: Request<Full<Bytes>>,
 ) -> Result<(), ExchangeError> {
+    let is_fresh = connection.is_fresh();
     let mut response = send(connection, Clearance(()), request).await?;
+    check_named(shared, connection, (id, is_fresh), &response)?;
     relay::check_outcome(&mut response)
 }
 
@@ -216,9 +279,9 @@
             }
             found.is_some_and(|it| is_within(within.as_deref(), &it.domain))
         }
-        Payload::Items => shared.open_target(&target.id).is_some(),
+        Payload::Items { .. } => shared.open_target(&target.id).is_some(),
         // The results of a draining target need no release.
-        Payload::Release => shared.target(&target.id).is_some_and(|it| !it.is_draining),
+        Payload::Release { .. } => shared.target(&target.id).is_some_and(|it| !it.is_draining),
     };
     if !is_open {
         return Err(SendBlock::Closed);
@@ -301,8 +364,8 @@
             Payload::Request { .. } => {
                 shared.pools.of(now, &target.service).record_load(now, &target.id, load);
             }
-            Payload::Items => shared.batches.record_load(now, target, load, 1),
-            Payload::Release => shared.batches.record_load(now, target, load, 0),
+            Payload::Items { .. } => shared.batches.record_load(now, target, load, 1),
+            Payload::Release { .. } => shared.batches.record_load(now, target, load, 0),
         }
     }
     if notice.is_draining {
--- a/crates/holdpointd/src/ingress/relay.rs
+++ b/crates/holdpointd/src/ingress/relay.rs
@@ -2,7 +2,8 @@
 //!
 //! The request goes to the peer by HTTP on the peer's RPC address, unchanged but for a few headers, and the peer
 //! sends it on a connection of its own. The answer streams back as the sender reads it. Closing the connection
-//! cancels the request at the target. A peer never passes a request on to another peer.
+//! cancels the request at the target. A peer never passes a request on to another peer. Each of its answers names
+//! the id of the request, whether the target has answered or not.
 
 mod server;
 
@@ -13,6 +14,7 @@
 };
 
 use bytes::Bytes;
+use holdpoint_adapter::headers;
 use holdpoint_core::{
     confinement::Within,
     directory::TargetInstance,
@@ -28,7 +30,7 @@
     ingress::{
         connections::Reuse,
         dispatch::{Exchanged, Outgoing},
-        gate::{ExchangeError, Payload, SendBlock, exchange, exchange_probe},
+        gate::{ExchangeError, Payload, SendBlock, exchange, exchange_probe, new_exchange_id},
         limits::Permit,
         shared::IngressShared,
     },
@@ -123,8 +125,8 @@
     fn of(payload: Payload<'_>) -> RelayKind {
         match payload {
             Payload::Request { .. } => RelayKind::Request,
-            Payload::Items => RelayKind::Items,
-            Payload::Release => RelayKind::Release,
+            Payload::Items { .. } => RelayKind::Items,
+            Payload::Release { .. } => RelayKind::Release,
         }
     }
 
@@ -169,7 +171,8 @@
     let Outgoing { target, permit, payload, reuse, .. } = *outgoing;
     let mut is_target_lost = false;
     for address in peers_for(shared, &target.service, outgoing.within) {
-        let Ok(mut connection) = shared.connections.take_peer(&address, reuse).await else {
+        let Ok(mut connection) = shared.connections.take_peer(&address, reuse, payload.id()).await
+        else {
             shared.relays.record_unable(shared.clock.now(), &address, &target.service);
             continue;
         };
@@ -212,15 +215,18 @@
 pub(crate) async fn probe(shared: &Arc<IngressShared>, target: &TargetInstance) -> Option<bool> {
     let mut is_reached = None;
     for address in peers_for(shared, &target.service, &None) {
-        let Ok(mut connection) = shared.connections.take_peer(&address, Reuse::Any).await else {
+        let id = new_exchange_id();
+        let Ok(mut connection) = shared.connections.take_peer(&address, Reuse::Any, &id).await
+        else {
             continue;
         };
         let mut request = Request::new(Full::new(Bytes::new()));
         *request.method_mut() = Method::POST;
         let headers = request.headers_mut();
         headers.insert(http::header::HOST, HeaderValue::from_static("relay"));
+        headers::set_id(headers, &id);
         mark(headers, target, RelayKind::Probe, (&Permit::assigned(), true));
-        let probed = exchange_probe(&mut connection, request);
+        let probed = exchange_probe(shared, &mut connection, &id, request);
         match tokio::time::timeout(PROBE_TIMEOUT, probed).await {
             Ok(Ok(())) => {
                 shared.connections.give_back(connection, None);
@@ -286,10 +292,7 @@
     error: Option<&ExchangeError>,
 ) {
     let outcome = error.map_or("answered", |it| it.name());
-    let id = match payload {
-        Payload::Request { id, .. } => id,
-        Payload::Items | Payload::Release => "",
-    };
+    let id = payload.id();
     let kind = RelayKind::of(payload).name();
     let detail =
         format!("id={id} target={} peer={address} kind={kind} outcome={outcome}", target.id);
--- a/crates/holdpointd/src/ingress/relay/server.rs
+++ b/crates/holdpointd/src/ingress/relay/server.rs
@@ -32,7 +32,7 @@
         connections::{Connection, Reach, Reuse},
         counted_stream::CountedStream,
         dispatch::{Exchanged, Outgoing, send_direct},
-        gate::{ExchangeError, Payload},
+        gate::{ExchangeError, Payload, new_exchange_id},
         limits::Permit,
         paths,
         send::SHORT_BODY_BYTES,
@@ -92,8 +92,11 @@
 }
 
 /// Sends a peer's request to its target.
-async fn carry(shared: &Arc<IngressShared>, request: Request<Incoming>) -> Response<RelayBody> {
-    match try_carry(shared, request).await {
+async fn carry(shared: &Arc<IngressShared>, mut request: Request<Incoming>) -> Response<RelayBody> {
+    let id = headers::read_caller(request.headers()).request_id.unwrap_or_else(new_exchange_id);
+    // Peers of earlier versions send internal calls without an id.
+    headers::set_id(request.headers_mut(), &id);
+    let mut response = match try_carry(shared, request, &id).await {
         Ok(it) => it,
         Err(it) => {
             let mut response = Response::new(RelayBody::Empty);
@@ -102,12 +105,15 @@
             response.headers_mut().insert(OUTCOME, HeaderValue::from_static(it.name()));
             response
         }
-    }
+    };
+    headers::set_id(response.headers_mut(), &id);
+    response
 }
 
 async fn try_carry(
     shared: &Arc<IngressShared>,
     request: Request<Incoming>,
+    id: &str,
 ) -> Result<Response<RelayBody>, RelayOutcome> {
     const BUSY: RelayOutcome = RelayOutcome::Refused(RelayRefusal::Busy);
     let carried = Carried::begin(shared).ok_or(BUSY)?;
@@ -133,17 +139,16 @@
         };
     }
     headers::remove_hop_by_hop(&mut parts.headers);
-    let id = headers::read_caller(&parts.headers).request_id.unwrap_or_default();
     let is_short = body.len() <= SHORT_BODY_BYTES;
     let mut outgoing = Outgoing {
         target,
         permit: &order.permit,
         payload: match order.kind {
-            RelayKind::Items => Payload::Items,
-            RelayKind::Release => Payload::Release,
+            RelayKind::Items => Payload::Items { id },
+            RelayKind::Release => Payload::Release { id },
             // The sender has checked the bounds of the request, and the version if it continues a stream.
             RelayKind::Request | RelayKind::Probe => {
-                Payload::Request { id: &id, within: &None, continuation: None }
+                Payload::Request { id, within: &None, continuation: None }
             }
         },
         request: Request::from_parts(parts, Full::new(body)),
--- a/crates/holdpointd/src/ingress/releases.rs
+++ b/crates/holdpointd/src/ingress/releases.rs
@@ -11,7 +11,7 @@
 use tokio::sync::Notify;
 
 use crate::ingress::{
-    gate::Payload,
+    gate::InternalKind,
     limits,
     regions::{batcher_of, owner_region},
     send::{InternalCall, internal_call},
@@ -108,9 +108,12 @@
     // A result that was not released expires at its target by itself.
     let Ok(permit) = limits::acquire(&shared, &target).await else { return };
     let body = wire::release_body(&handles);
-    let call = InternalCall { path: wire::RELEASE_PATH, body, payload: Payload::Release };
+    let call = InternalCall { path: wire::RELEASE_PATH, body, kind: InternalKind::Release };
     let outcome = internal_call(&shared, (&target, permit), call, &None, CALL_TIMEOUT).await;
-    if outcome.is_ok_and(|it| it.0.is_success()) {
+    let Ok(answer) = outcome else { return };
+    let is_released = answer.status.is_success();
+    answer.keep_connection(&shared);
+    if is_released {
         shared.batches.record_released(&service, &handles);
         crate::ingress::batches::start_calls(&shared, &service);
     }
--- a/crates/holdpointd/src/ingress/send.rs
+++ b/crates/holdpointd/src/ingress/send.rs
@@ -15,7 +15,7 @@
     connections::{Connection, Reuse},
     context::Context,
     dispatch::{Exchanged, Outgoing, dispatch},
-    gate::{ExchangeError, Payload, SendBlock},
+    gate::{ExchangeError, InternalKind, Payload, SendBlock, new_exchange_id},
     limits::Permit,
     shared::IngressShared,
     unread::MAX_RESPONSE_BYTES,
@@ -172,27 +172,45 @@
 pub(crate) struct InternalCall {
     pub(crate) path: &'static str,
     pub(crate) body: Vec<u8>,
-    pub(crate) payload: Payload<'static>,
+    pub(crate) kind: InternalKind,
 }
 
-/// Makes an internal call; returns the status, head and body of its answer.
+/// The complete answer to an internal call. Dropping it closes its connection.
+pub(crate) struct InternalAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) head: TargetHead,
+    pub(crate) body: Bytes,
+    connection: Connection,
+}
+
+impl InternalAnswer {
+    /// Keeps the connection of a valid answer for later requests, unless the target closes it.
+    pub(crate) fn keep_connection(self, shared: &IngressShared) {
+        if !self.head.is_closing {
+            shared.connections.give_back(self.connection, self.head.idle_limit);
+        }
+    }
+}
+
+/// Makes an internal call, under an id that no other exchange has.
 pub(crate) async fn internal_call(
     shared: &Arc<IngressShared>,
     (target, permit): (&TargetInstance, Permit),
     call: InternalCall,
     within: &Within,
     limit: Duration,
-) -> Result<(StatusCode, TargetHead, Bytes), InternalCallError> {
+) -> Result<InternalAnswer, InternalCallError> {
+    let id = new_exchange_id();
     let calling = async {
         let mut request = Request::new(Full::new(Bytes::from(call.body)));
         *request.method_mut() = Method::POST;
         *request.uri_mut() = http::Uri::from_static(call.path);
-        *request.headers_mut() = headers::internal_call_headers(&target.id);
+        *request.headers_mut() = headers::internal_call_headers(&target.id, &id);
         set_host(request.headers_mut(), &target.address);
         let outgoing = Outgoing {
             target,
             permit: &permit,
-            payload: call.payload,
+            payload: call.kind.payload(&id),
             request,
             deadline: None,
             reuse: Reuse::Any,
@@ -204,10 +222,7 @@
         let status = response.status();
         let body = Limited::new(response.into_body(), MAX_INTERNAL_BYTES).collect().await;
         let body = body.map_err(|_| InternalCallError::Broken)?.to_bytes();
-        if !head.is_closing {
-            shared.connections.give_back(connection, head.idle_limit);
-        }
-        Ok((status, head, body))
+        Ok(InternalAnswer { status, head, body, connection })
     };
     tokio::time::timeout(limit, calling).await.map_err(|_| InternalCallError::TimedOut)?
 }
--- /dev/null
+++ b/crates/holdpointd/tests/crossed_calls.rs
@@ -0,0 +1,148 @@
+//! Targets of work items that send a second copy of an answer when the next call arrives on the connection.
+
+mod support;
+
+use std::{
+    collections::HashSet,
+    net::{IpAddr, Ipv4Addr},
+};
+
+use holdpoint_adapter_standin::{
+    Behaviour, CallerRequest, CopyingProxy, Endpoint, Store, Target, call, names,
+    sample_configuration,
+};
+use holdpoint_soak::{LinkFault, Proxy};
+use holdpointd::ingress::Ingress;
+use http::StatusCode;
+
+use crate::support::{start_from, until};
+
+/// Requests sent one after the other, so that their calls use the same connections.
+const REQUESTS: usize = 12;
+/// Address that an instance's own connections come from.
+const SOURCES: [IpAddr; 2] =
+    [IpAddr::V4(Ipv4Addr::new(127, 0, 1, 1)), IpAddr::V4(Ipv4Addr::new(127, 0, 1, 2))];
+
+/// Instances, an engine, and a target of work items behind a proxy that copies its answers.
+struct Fixture {
+    engine: Target,
+    encoder: Target,
+    copies: CopyingProxy,
+    link: Proxy,
+    instances: Vec<(Ingress, Endpoint)>,
+    _store: Store,
+}
+
+async fn fixture(instances: usize) -> Fixture {
+    let store = Store::start().await;
+    store.put_configuration(&sample_configuration(1));
+    let engine = Target::start("i-engine", "engine", Behaviour::Events(3)).await;
+    let encoder = Target::start("i-encode", "encode", Behaviour::Answer).await;
+    let copies = CopyingProxy::start(encoder.address).await;
+    let link = Proxy::start(copies.address).await;
+    let encoder = encoder.with_address(link.address);
+    store.put_target(&engine, false);
+    store.put_target(&encoder, false);
+    let mut started = Vec::new();
+    for (index, source) in SOURCES.into_iter().enumerate().take(instances) {
+        let gate = store.open_endpoint().await;
+        started.push((start_from(&format!("p{index}"), &gate, source), gate));
+    }
+    let is_complete = |it: &Ingress| it.peer_count() == instances - 1 && it.target_count() == 2;
+    until(|| started.iter().all(|it| it.0.is_ready() && is_complete(&it.0))).await;
+    Fixture { engine, encoder, copies, link, instances: started, _store: store }
+}
+
+impl Fixture {
+    /// Sends requests to the first instance one after the other; returns how many were served.
+    async fn send(&self) -> usize {
+        let callers = self.instances[0].0.listen().callers.parse().unwrap();
+        let mut served = 0;
+        for round in 0..REQUESTS {
+            let request = CallerRequest::new(&format!("r-{round}"), "/staged/").with_items("2,2");
+            let answer = call(callers, request).await.expect("the instance answers");
+            served += usize::from(answer.status == StatusCode::OK && answer.is_complete);
+        }
+        served
+    }
+
+    /// Request and stage of the item whose result has this handle.
+    fn origin(&self, handle: &str) -> (String, u64) {
+        let item = self.encoder.item_of(handle).expect("the target has made the result");
+        (item["id"].as_str().unwrap_or_default().to_owned(), item["stage"].as_u64().unwrap())
+    }
+
+    /// Checks that each item and each run got the results of its own request's previous stage.
+    fn check_inputs(&self) {
+        for item in self.encoder.batches().iter().flatten() {
+            let id = item["id"].as_str().unwrap_or_default();
+            for input in item["inputs"].as_array().into_iter().flatten() {
+                let origin = self.origin(input.as_str().unwrap_or_default());
+                assert_eq!(origin, (id.to_owned(), 0), "input of an item of the second stage");
+            }
+        }
+        for run in self.engine.runs() {
+            let inputs = run.headers[names::INPUTS].to_str().unwrap().to_owned();
+            let inputs: Vec<&str> = inputs.split(',').collect();
+            assert_eq!(inputs.len(), 2, "{inputs:?}");
+            assert_ne!(inputs[0], inputs[1]);
+            for input in inputs {
+                assert_eq!(self.origin(input), (run.request.clone(), 1), "input of a request");
+            }
+        }
+    }
+}
+
+/// Guards against a late copy of an answer that is taken for the results of the next call's items.
+#[tokio::test]
+async fn a_late_copy_does_not_become_the_results_of_the_next_call() {
+    let fixture = fixture(1).await;
+    fixture.copies.set_copied(&[names::RUN_PATH]);
+    let served = fixture.send().await;
+    assert!(0 < fixture.copies.copies(), "copies were sent");
+    fixture.check_inputs();
+    assert_eq!(served, REQUESTS);
+}
+
+/// Guards against a late copy of an answer to a release that is taken for the answer to a call. Answers to releases
+/// are all alike, so that only the ids tell them apart.
+#[tokio::test]
+async fn a_late_copy_of_an_answer_to_a_release_answers_no_other_call() {
+    let fixture = fixture(1).await;
+    fixture.copies.set_copied(&[names::RELEASE_PATH]);
+    let served = fixture.send().await;
+    assert!(0 < fixture.copies.copies(), "copies were sent");
+    fixture.check_inputs();
+    assert_eq!(served, REQUESTS);
+    let mut ids = HashSet::new();
+    for path in [names::RUN_PATH, names::RELEASE_PATH] {
+        for id in fixture.copies.ids(path) {
+            assert!(!id.is_empty(), "{path} without an id");
+            assert!(ids.insert(id), "{path} with the id of another call");
+        }
+    }
+}
+
+/// Guards against answers without an id that are taken for those of the next call on their connection.
+#[tokio::test]
+async fn a_connection_whose_answers_name_no_call_is_not_used_again() {
+    let fixture = fixture(1).await;
+    fixture.encoder.set_echoes_calls(false);
+    fixture.copies.set_copied(&[names::RUN_PATH, names::RELEASE_PATH]);
+    let served = fixture.send().await;
+    assert_eq!(fixture.copies.copies(), 0, "no call was followed by another on its connection");
+    fixture.check_inputs();
+    assert_eq!(served, REQUESTS);
+}
+
+/// Guards against late copies that reach another instance's call through the peer that relays it.
+#[tokio::test]
+async fn a_late_copy_does_not_become_the_answer_to_a_relayed_call() {
+    let fixture = fixture(2).await;
+    fixture.link.set_from(SOURCES[0], Some(LinkFault::Refuse));
+    fixture.copies.set_copied(&[names::RUN_PATH, names::RELEASE_PATH]);
+    let served = fixture.send().await;
+    assert!(0 < fixture.copies.copies(), "copies were sent");
+    fixture.check_inputs();
+    assert_eq!(served, REQUESTS);
+}
