--- a/crates/holdpointd/tests/unanswered.rs
+++ b/crates/holdpointd/tests/unanswered.rs
@@ -15,6 +15,7 @@
 use holdpointd::{StopOutcome, ingress::Ingress};
 use http::StatusCode;
 use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 use crate::support::{CONDITION_TIMEOUT, settings, until};
 
@@ -198,3 +199,33 @@
     let answer = waiting.await.unwrap().expect("the instance answers");
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
 }
+
+/// The instance's metrics that count dropped requests.
+async fn dropped_requests(instance: &Ingress) -> Vec<String> {
+    let mut stream = tokio::net::TcpStream::connect(&instance.listen().metrics).await.unwrap();
+    let request = b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    stream.write_all(request).await.unwrap();
+    let mut text = String::new();
+    stream.read_to_string(&mut text).await.unwrap();
+    let lines = text.lines().filter(|it| it.starts_with("holdpoint_dropped_requests"));
+    lines.map(str::to_owned).collect()
+}
+
+/// Guards against callers that leave and are counted as requests that the instance dropped.
+#[tokio::test]
+async fn a_request_whose_caller_leaves_is_not_counted_as_dropped_by_the_instance() {
+    let (instance, _store, target) = start_changed(|_| ()).await;
+    let address = callers_of(&instance);
+    let answer = call(address, CallerRequest::new("r-1", "/safe/")).await;
+    assert_eq!(answer.expect("the instance answers").status, StatusCode::OK);
+    assert_eq!(dropped_requests(&instance).await, Vec::<String>::new());
+    target.set_behaviour(Behaviour::RunAndHang);
+    let leaving = tokio::spawn(call(address, CallerRequest::new("r-2", "/unsafe/")));
+    until(|| target.runs().len() == 2).await;
+    leaving.abort();
+    until(|| instance.in_flight() == 0).await;
+    let counted = dropped_requests(&instance).await;
+    let [line] = &counted[..] else { panic!("one counter: {counted:?}") };
+    assert!(line.contains(r#"by="caller""#) && line.contains(r#"step="answer""#), "{line}");
+    assert!(line.ends_with(" 1"), "{line}");
+}
