Soak: a request that a process drops without an answer is a violation

The soak reads the log of its processes for their addresses already; a line of a dropped request (718) now counts as a lost request.

--- a/crates/holdpoint-soak/src/fleet.rs
+++ b/crates/holdpoint-soak/src/fleet.rs
@@ -43,6 +43,8 @@
 const LIMIT_GRACE_MS: Millis = 500;
 /// Key of the caller-facing address in the start-up log line of a process.
 const ADDRESS_MARK: &str = "callers=";
+/// Mark of a log line on a request that its process dropped without an answer.
+const DROPPED_MARK: &str = " E718 ";
 
 /// The soak or one of its daemon processes could not be started.
 #[derive(Debug)]
@@ -133,6 +135,8 @@
     pub(crate) targets: Vec<ProxiedTarget>,
     /// Targets that replaced drained ones.
     pub(crate) replacements: Mutex<Vec<Target>>,
+    /// Requests that processes dropped without an answer.
+    dropped: Mutex<Vec<Finding>>,
     pub(crate) version: Mutex<u64>,
     pub(crate) kills: Mutex<EventTimes>,
     /// When processes were stopped, killed, suspended or resumed, or ended, by process.
@@ -186,6 +190,7 @@
             store_links,
             targets,
             replacements: Mutex::default(),
+            dropped: Mutex::default(),
             version: Mutex::new(1),
             kills: Mutex::default(),
             interruptions: Mutex::default(),
@@ -220,6 +225,12 @@
         proxy.address
     }
 
+    /// Records a request that a process dropped, as its log tells.
+    fn record_dropped(&self, index: usize, line: &str) {
+        let (id, at, detail) = (format!("p{index}"), self.clock.now(), line.to_owned());
+        self.dropped.lock().push(Finding { invariant: Invariant::Answered, id, at, detail });
+    }
+
     fn record_interruption(&self, process: usize) {
         self.interruptions.lock().entry(process).or_default().push(self.clock.now());
     }
@@ -351,6 +362,7 @@
             (it.id.clone(), of_soak.collect())
         })
         .collect();
+    findings.append(&mut fleet.dropped.lock());
     findings.extend(judge(&attempts, &runs, &fleet.kills.lock()));
     let over_limit = |it| over_limit(fleet, it, &attempts);
     findings.extend(fleet.targets.iter().filter_map(over_limit));
@@ -452,6 +464,9 @@
                     // A failed write only loses the log line.
                     let _ = writeln!(it, "{} {line}", fleet.clock.now());
                 }
+                if line.contains(DROPPED_MARK) {
+                    fleet.record_dropped(index, &line);
+                }
                 let address = line.split_once(ADDRESS_MARK).filter(|_| line.contains("E100"));
                 if let Some(it) = address.and_then(|it| it.1.trim().parse().ok()) {
                     let front = fleet.front(index, it).await;
