The memory check of unread answers counts what the process owns

`callers_that_read_nothing_do_not_fill_the_memory_and_lose_their_answers` failed for two reasons that have nothing to do with unread answers.

It bounded the whole resident peak of the debug build. Nearly half of that are pages mapped from the debug build's own file (29,316 to 30,104 kB in 100 runs), which grow with every change of the program and which no user's machine bears. In the present build the peak was 59,076 to 62,300 kB; 88 of the 100 runs were at or above the bound of 61,440 kB.

It also waited for 200 requests to end, while a busy machine closes some new connections unread, as it is meant to: 1 to 17 connections in 7 of the 100 runs. Such a run ended after 20 s with the message that the requests had not ended.

Connections closed unread are now counted by their metric and waited for with the ended requests; a request that was read and does not end still fails the test, and half of the 200 must still have been served and lost. The other test of the file, whose three requests all have to be read, asserts that none was closed unread.

--- a/crates/holdpointd/tests/slow_readers.rs
+++ b/crates/holdpointd/tests/slow_readers.rs
@@ -27,6 +27,9 @@
 const LARGE_ANSWER_BYTES: usize = 2 << 20;
 /// Largest memory of the daemon on a machine of 120 MB, in kilobytes.
 const MAX_MEMORY_KB: u64 = 60 << 10;
+/// The part of it that a release build may map from files, in kilobytes: the code and constants of its program (20 MB)
+/// and its libraries (3 MB). The debug build under test has more, which no machine of users bears.
+const MAX_FILE_KB: u64 = 24 << 10;
 /// Callers that do not read.
 const SLOW_CALLERS: usize = 200;
 
@@ -34,6 +37,8 @@
     child: Child,
     callers: String,
     metrics: String,
+    /// Connections that were closed unread before the test's own ones.
+    closed_before: usize,
 }
 
 impl Drop for Daemon {
@@ -68,36 +73,57 @@
             .stderr(Stdio::null())
             .spawn()
             .unwrap();
-        Daemon { child, callers, metrics }
+        Daemon { child, callers, metrics, closed_before: 0 }
     }
 
-    /// Peak resident memory of the process, in kilobytes.
-    fn peak_kb(&self) -> u64 {
+    /// A figure of the process's status, in kilobytes.
+    fn status_kb(&self, name: &str) -> u64 {
         let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = status.lines().find(|it| it.starts_with("VmHWM")).unwrap();
+        let line = status.lines().find(|it| it.starts_with(name)).unwrap();
         line.split_whitespace().nth(1).unwrap().parse().unwrap()
     }
 
-    /// Number of requests of a route that have ended with an outcome, or with any if `outcome` is empty.
-    async fn ended(&self, route: &str, outcome: &str) -> usize {
+    /// Peak of the memory that the process owns, in kilobytes: without the pages of its program and libraries, which
+    /// stay mapped once they were used.
+    fn peak_owned_kb(&self) -> u64 {
+        (self.status_kb("VmHWM") - self.status_kb("RssFile")).max(self.status_kb("RssAnon"))
+    }
+
+    /// Sum of a counter over the lines that have these labels.
+    async fn counted(&self, counter: &str, labels: &[&str]) -> usize {
         let request = CallerRequest::new("metrics", "/metrics");
         let text = call(self.metrics.parse().unwrap(), request).await.unwrap().body;
         let text = String::from_utf8(text.to_vec()).unwrap();
-        let (route, outcome) = (format!("route=\"{route}\""), format!("outcome=\"{outcome}"));
-        let lines = text.lines().filter(|it| it.starts_with("holdpoint_requests"));
-        let lines = lines.filter(|it| it.contains(&route) && it.contains(&outcome));
+        let lines = text.lines().filter(|it| it.starts_with(counter));
+        let lines = lines.filter(|line| labels.iter().all(|it| line.contains(it)));
         lines.map(|it| it.rsplit(' ').next().unwrap().parse::<usize>().unwrap()).sum()
     }
 
-    async fn until_ended(&self, route: &str, count: usize) {
+    /// Number of requests of a route that have ended with an outcome, or with any if `outcome` is empty.
+    async fn ended(&self, route: &str, outcome: &str) -> usize {
+        let (route, outcome) = (format!("route=\"{route}\""), format!("outcome=\"{outcome}"));
+        self.counted("holdpoint_requests", &[&route, &outcome]).await
+    }
+
+    /// Number of callers' connections that were closed unread, since the machine is too busy for more.
+    async fn closed_unread(&self) -> usize {
+        self.counted("holdpoint_closed_unread", &[]).await - self.closed_before
+    }
+
+    /// Waits until this many requests of a route have ended or were not read, and returns how many were not.
+    async fn until_ended(&self, route: &str, count: usize) -> usize {
         let ended = async {
-            while self.ended(route, "").await < count {
+            loop {
+                let (ended, unread) = (self.ended(route, "").await, self.closed_unread().await);
+                if count <= ended + unread {
+                    return unread;
+                }
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
         };
         tokio::time::timeout(CONDITION_TIMEOUT, ended)
             .await
-            .expect("the requests ended within the timeout");
+            .expect("the requests ended within the timeout")
     }
 
     async fn until_serving(&self) {
@@ -140,8 +166,9 @@
     store.put_configuration(&configuration);
     let targets = vec![Target::start("i-plain", "plain", Behaviour::Answer).await];
     store.put_target(&targets[0], false);
-    let daemon = Daemon::start(name, &store);
+    let mut daemon = Daemon::start(name, &store);
     daemon.until_serving().await;
+    daemon.closed_before = daemon.closed_unread().await;
     targets[0].set_behaviour(Behaviour::Large(LARGE_ANSWER_BYTES));
     (store, targets, daemon)
 }
@@ -155,11 +182,12 @@
         slow.push(send_request(&daemon, &format!("slow-{index}"), "/safe/").await);
     }
     // Counted by the metrics, since the log drops lines on a busy machine.
-    daemon.until_ended("safe", SLOW_CALLERS).await;
+    let unread = daemon.until_ended("safe", SLOW_CALLERS).await;
     let lost = daemon.ended("safe", "unread").await + daemon.ended("safe", "caller-gone").await;
-    // On a busy machine some requests get no connection to the target in time, and are refused.
-    assert!(SLOW_CALLERS / 2 < lost, "{lost} of {SLOW_CALLERS}");
-    assert!(daemon.peak_kb() < MAX_MEMORY_KB, "{} kB", daemon.peak_kb());
+    // On a busy machine some requests are not read, or get no connection to the target in time and are refused.
+    assert!(SLOW_CALLERS / 2 < lost, "{lost} of {SLOW_CALLERS}, {unread} not read");
+    let owned_kb = daemon.peak_owned_kb();
+    assert!(owned_kb < MAX_MEMORY_KB - MAX_FILE_KB, "{owned_kb} kB");
     targets[0].set_behaviour(Behaviour::Answer);
     let request = CallerRequest::new("after", "/safe/");
     let answer = call(daemon.callers.parse().unwrap(), request).await.unwrap();
@@ -189,6 +217,7 @@
     tokio::time::timeout(CONDITION_TIMEOUT, whole)
         .await
         .expect("the whole answer is read within the timeout");
-    daemon.until_ended("safe", 3).await;
+    let unread = daemon.until_ended("safe", 3).await;
+    assert_eq!(unread, 0, "requests that were not read");
     assert_eq!(daemon.ended("safe", "answered").await, 1);
 }
