Callers that read slowly but steadily are no longer reset

Seen by callers: the connection is reset in the middle of an answer although they keep reading.

Cause: callers' connections had the system's limit on unacknowledged data (TCP_USER_TIMEOUT, 2.5 s). While a caller's receive window keeps closing, the system counts the time since its first window probe, and a window that opens by less than the next segment in the queue does not restart it. A caller that reads without a pause, but more slowly than the answer comes, is reset after 2.5 s.

Change: callers' connections no longer have that limit. Instead a write that is blocked for 5 s, in which the system has taken no byte, fails, ends the connection and is logged (E716). That is twice the time after which an unfinished answer is given up, so that E711 still comes first. Connections to targets and between peers keep the limit. A caller that vanishes without a reset while little is sent to it is now noticed at its deadline or by the system's retransmissions, no longer after 2.5 s.

--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -201,6 +201,8 @@
     ITEMS_HANDED_OVER = 708 Info "work items handed over";
     /// An answer was aborted, since its caller did not read it for too long.
     ANSWER_UNREAD = 711 Warn "caller does not read its answer";
+    /// A caller's connection was closed, since it took no bytes for too long.
+    CALLER_STALLED = 716 Warn "caller takes no bytes";
     /// The load of a service that an instance reported is implausible. The previous value stays in use.
     REPORTED_LOAD_IGNORED = 720 Warn "reported load ignored";
     /// A request that will be late was admitted; it uses capacity that requests in time leave.
--- a/crates/holdpointd/src/ingress/listeners.rs
+++ b/crates/holdpointd/src/ingress/listeners.rs
@@ -4,6 +4,7 @@
 
 use std::{
     convert::Infallible,
+    error::Error,
     future::Future,
     io,
     net::SocketAddr,
@@ -28,12 +29,13 @@
     events::{self, emit},
     ingress::{
         answer::{Answer, empty, text},
-        connections::set_socket_options,
         counted_stream::CountedStream,
         departure::{Departure, DepartureStream},
         own_load::{self, Accepted, OpenConnection},
         request,
         shared::IngressShared,
+        unread::WRITE_TIMEOUT,
+        write_timeout::WriteTimeout,
     },
     shared::wait_until_set,
 };
@@ -254,14 +256,13 @@
 ) where
     S: hyper::service::Service<Request<Incoming>, Response = Answer, Error = Infallible>,
 {
-    if set_socket_options(&stream).is_err() {
-        return;
-    }
+    let (Ok(()), Ok(caller)) = (stream.set_nodelay(true), stream.peer_addr()) else { return };
     // On failure the system's default size applies.
     let _ = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES);
     let limits = shared.configuration().limits;
     let mut closing = shared.closing.subscribe();
     let stream = CountedStream::new(stream, shared.own_load.traffic.callers.clone());
+    let stream = WriteTimeout::new(stream, WRITE_TIMEOUT);
     let stream = DepartureStream::new(stream, departure);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -276,12 +277,22 @@
         sleep(LATE_REQUEST_TIME).await;
     };
     // The connection comes first: the library closes one that rests, or is new, without another look at its socket.
-    tokio::select! {
+    let ended = tokio::select! {
         biased;
-        _ = connection.as_mut() => return,
-        () = last_requests_read => (),
+        it = connection.as_mut() => it,
+        () = last_requests_read => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(it) = ended
+        && is_timeout(&it)
+    {
+        emit(events::CALLER_STALLED, &shared.settings.instance, &format!("caller={caller}"));
     }
-    connection.as_mut().graceful_shutdown();
-    // An error at shutdown needs no handling.
-    drop(connection.await);
+}
+
+fn is_timeout(error: &hyper::Error) -> bool {
+    let cause = error.source().and_then(|it| it.downcast_ref::<io::Error>());
+    cause.is_some_and(|it| it.kind() == io::ErrorKind::TimedOut)
 }
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -55,6 +55,7 @@
 mod update_feed;
 mod updates;
 mod whole;
+mod write_timeout;
 
 use std::{
     io,
--- a/crates/holdpointd/src/ingress/unread.rs
+++ b/crates/holdpointd/src/ingress/unread.rs
@@ -23,6 +23,10 @@
 /// aborts its response.
 const READ_TIMEOUT: Duration = Duration::from_millis(2500);
 
+/// How long a write to a caller may be blocked. Longer than `READ_TIMEOUT`, so that the response is recorded as
+/// unread before its connection is closed.
+pub(crate) const WRITE_TIMEOUT: Duration = READ_TIMEOUT.saturating_mul(2);
+
 /// Capacity of an instance for unread response data.
 #[derive(Clone, Debug)]
 pub(crate) struct UnreadBuffers {
--- /dev/null
+++ b/crates/holdpointd/tests/unread_answers.rs
@@ -0,0 +1,157 @@
+//! Callers that have not read their answers yet, or not sent all of their requests, mostly at planned stops. The
+//! instance runs on a runtime of its own, which ends with the stop and closes the instance's sockets as the end of
+//! its process would.
+
+mod support;
+
+use std::{net::SocketAddr, thread, time::Duration};
+
+use holdpoint_adapter_standin::{Behaviour, Store, Target, sample_configuration, set_times};
+use holdpointd::{StopOutcome, ingress::Ingress};
+use serde_json::json;
+use socket2::{Domain, Socket, Type};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    sync::oneshot,
+    task::JoinHandle,
+};
+
+use crate::support::{CONDITION_TIMEOUT, settings, until};
+
+/// Size of the large answers, in bytes: more than the instance, the system and the caller buffer.
+const ANSWER_BYTES: usize = 640 << 10;
+/// Bytes of an answer that a slow caller reads at once.
+const FAST_BYTES: usize = 256 << 10;
+/// Bytes that a slow caller reads at a time, and its pause after each read.
+const READ_BYTES: usize = 8 << 10;
+const READ_PAUSE: Duration = Duration::from_millis(120);
+/// Segment size of the callers' connections. Those of the loopback interface are so large that a slow reader
+/// rarely opens its window.
+const SEGMENT_BYTES: u32 = 1448;
+/// End of a chunked answer.
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+/// An instance with a target whose answers are large.
+struct Stoppable {
+    callers: SocketAddr,
+    _store: Store,
+    target: Target,
+    stop: oneshot::Sender<()>,
+    stopped: thread::JoinHandle<StopOutcome>,
+}
+
+impl Stoppable {
+    async fn start(grace_s: f64) -> Stoppable {
+        let store = Store::start().await;
+        let mut configuration = sample_configuration(1);
+        (0..3).for_each(|it| set_times(&mut configuration, it, 20_000));
+        store.put_configuration(&configuration);
+        let target = Target::start("i-plain", "plain", Behaviour::Large(ANSWER_BYTES)).await;
+        store.put_target(&target, false);
+        let mut settings = settings("a", &store.endpoint, &[]);
+        settings["timing"]["grace_s"] = json!(grace_s);
+        let (started, address) = oneshot::channel();
+        let (stop, is_stopping) = oneshot::channel();
+        let stopped = thread::spawn(move || {
+            let runtime =
+                tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+            let outcome = runtime.block_on(async {
+                let instance = Ingress::start(serde_json::from_value(settings).unwrap()).unwrap();
+                until(|| instance.is_ready() && instance.target_count() == 1).await;
+                started.send(instance.listen().callers.parse().unwrap()).unwrap();
+                is_stopping.await.unwrap();
+                instance.stop().await
+            });
+            runtime.shutdown_background();
+            outcome
+        });
+        let callers = address.await.unwrap();
+        Stoppable { callers, _store: store, target, stop, stopped }
+    }
+
+    /// Stops the instance, and waits until its sockets are closed.
+    async fn stop(self) -> StopOutcome {
+        self.stop.send(()).unwrap();
+        let ended = tokio::task::spawn_blocking(|| self.stopped.join().unwrap());
+        tokio::time::timeout(CONDITION_TIMEOUT, ended)
+            .await
+            .expect("the instance stops within the timeout")
+            .unwrap()
+    }
+}
+
+/// Connects as over Ethernet, with a receive buffer of this many bytes.
+async fn connect(callers: SocketAddr, buffer_bytes: usize) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_tcp_mss(SEGMENT_BYTES).unwrap();
+    socket.set_recv_buffer_size(buffer_bytes).unwrap();
+    socket.connect(&callers.into()).unwrap();
+    socket.set_nonblocking(true).unwrap();
+    TcpStream::from_std(socket.into()).unwrap()
+}
+
+fn head(id: &str, path: &str, length: usize) -> String {
+    let method = if length == 0 { "GET" } else { "POST" };
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: shop.example\r\nholdpoint-request-id: {id}\r\n\
+         holdpoint-deadline-ms: 20000\r\nauthorization: Bearer key-1\r\ncontent-length: {length}\r\n\r\n"
+    )
+}
+
+/// Reads until the answer or the connection ends; returns all that was read and whether it ended without an error.
+async fn read_slowly(stream: &mut TcpStream, read: Vec<u8>) -> (Vec<u8>, bool) {
+    read_all(stream, read, READ_PAUSE).await
+}
+
+async fn read_all(stream: &mut TcpStream, mut read: Vec<u8>, pause: Duration) -> (Vec<u8>, bool) {
+    let mut part = vec![0; READ_BYTES];
+    loop {
+        match stream.read(&mut part).await {
+            Ok(0) => return (read, true),
+            Ok(count) => read.extend_from_slice(&part[..count]),
+            Err(_) => return (read, false),
+        }
+        if read.ends_with(LAST_CHUNK) {
+            return (read, true);
+        }
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Starts callers of large answers that have read the first part of them.
+async fn start_slow_readers(callers: SocketAddr, count: usize) -> Vec<(TcpStream, Vec<u8>)> {
+    let mut readers = Vec::new();
+    for index in 0..count {
+        let mut stream = connect(callers, 16 << 10).await;
+        let request = head(&format!("slow-{index}"), "/safe/", 0);
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut first = vec![0; FAST_BYTES];
+        stream.read_exact(&mut first).await.unwrap();
+        readers.push((stream, first));
+    }
+    readers
+}
+
+type Reading = JoinHandle<(Vec<u8>, bool)>;
+
+fn start_reading(readers: Vec<(TcpStream, Vec<u8>)>) -> Vec<Reading> {
+    let start =
+        |(mut stream, first)| tokio::spawn(async move { read_slowly(&mut stream, first).await });
+    readers.into_iter().map(start).collect()
+}
+
+async fn assert_all_whole(reading: Vec<Reading>) {
+    for it in reading {
+        let (answer, is_clean) = it.await.unwrap();
+        assert!(is_clean && answer.ends_with(LAST_CHUNK), "cut after {} bytes", answer.len());
+    }
+}
+
+/// Guards against a limit on unacknowledged data that resets the connections of callers that read steadily.
+#[tokio::test]
+async fn a_caller_that_reads_slowly_but_steadily_is_not_reset() {
+    let instance = Stoppable::start(20.0).await;
+    let readers = start_slow_readers(instance.callers, 6).await;
+    assert_all_whole(start_reading(readers)).await;
+}
