A planned stop waits until answers are written, not only queued

Seen by callers: an instance ends 4 to 7 s into a grace period of 8 s, and the last 3 to 50 kB of the answers that slow callers read are missing.

Cause: a request counts as in flight until its last bytes are queued for the caller's connection, inside the process. The stop waited until nothing was in flight, and 150 ms more, and ended the process with what the queues still held.

Change: each connection that has carried a request, of a caller or of a peer that has requests relayed, is counted until it is closed, and the stop waits for these as well, up to the grace period less its margin. Idle ones are closed at once, and connections without a request are not counted. Relays' connections are now closed in order as callers' are. The 150 ms come before the wait, so that requests that were on their way are still read.

--- a/crates/holdpointd/src/ingress/listeners.rs
+++ b/crates/holdpointd/src/ingress/listeners.rs
@@ -8,16 +8,18 @@
     future::Future,
     io,
     net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, OnceLock},
     time::Duration,
 };
 
 use futures::future::Either;
 use http::{Request, StatusCode};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    body::{Body, Incoming},
+    rt::{Read, Write},
+    server::conn::http1,
+    service::{HttpService, service_fn},
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
 use tokio::{
@@ -160,11 +162,13 @@
     let shared = shared.clone();
     tokio::spawn(async move {
         let _open = open;
-        let (state, is_first) = (shared.clone(), AtomicBool::new(true));
+        // Held until the connection is closed.
+        let (state, used) = (shared.clone(), OnceLock::new());
         let departure = Departure::default();
         let of_requests = departure.clone();
         let service = service_fn(move |it| {
-            let is_first = is_first.swap(false, Ordering::Relaxed);
+            let is_first = used.get().is_none();
+            used.get_or_init(|| state.used_connections.start());
             let (state, departure) = (state.clone(), of_requests.clone());
             match service {
                 Service::Serve => Either::Left(request::serve(state, it, is_first, departure)),
@@ -260,7 +264,6 @@
     // On failure the system's default size applies.
     let _ = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES);
     let limits = shared.configuration().limits;
-    let mut closing = shared.closing.subscribe();
     let stream = CountedStream::new(stream, shared.own_load.traffic.callers.clone());
     let stream = WriteTimeout::new(stream, WRITE_TIMEOUT);
     let stream = DepartureStream::new(stream, departure);
@@ -271,21 +274,7 @@
         // The library's header timeout includes the idle time between two requests.
         .header_read_timeout(Duration::from_millis(limits.idle_ms))
         .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    let last_requests_read = async {
-        wait_until_set(&mut closing).await;
-        sleep(LATE_REQUEST_TIME).await;
-    };
-    // The connection comes first: the library closes one that rests, or is new, without another look at its socket.
-    let ended = tokio::select! {
-        biased;
-        it = connection.as_mut() => it,
-        () = last_requests_read => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    if let Err(it) = ended
+    if let Err(it) = run_connection(shared, connection).await
         && is_timeout(&it)
     {
         emit(events::CALLER_STALLED, &shared.settings.instance, &format!("caller={caller}"));
@@ -296,3 +285,32 @@
     let cause = error.source().and_then(|it| it.downcast_ref::<io::Error>());
     cause.is_some_and(|it| it.kind() == io::ErrorKind::TimedOut)
 }
+
+/// Runs a connection until it is closed. Once connections must be closed, an idle one ends at once, and another one
+/// with its current answer.
+pub(crate) async fn run_connection<I, S, B>(
+    shared: &IngressShared,
+    connection: http1::Connection<I, S>,
+) -> hyper::Result<()>
+where
+    I: Read + Write + Unpin,
+    S: HttpService<Incoming, ResBody = B>,
+    S::Error: Into<Box<dyn Error + Send + Sync>>,
+    B: Body + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let mut closing = shared.closing.subscribe();
+    let last_requests_read = async {
+        wait_until_set(&mut closing).await;
+        sleep(LATE_REQUEST_TIME).await;
+    };
+    tokio::pin!(connection);
+    // The connection comes first: the library closes one that rests, or is new, without another look at its socket.
+    tokio::select! {
+        biased;
+        it = connection.as_mut() => return it,
+        () = last_requests_read => (),
+    }
+    connection.as_mut().graceful_shutdown();
+    connection.await
+}
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -86,8 +86,8 @@
 /// Time before the end of the drain at which requests without a response get a final one, so that no
 /// caller's connection is closed without a response.
 const FINAL_RESPONSE_TIME: Duration = Duration::from_millis(300);
-/// Time for callers' connections to close after the drain.
-const CLOSE_DELAY: Duration = Duration::from_millis(150);
+/// Time after which the requests in flight are counted at a stop, so that connections have read the last ones.
+const CLOSE_DELAY: Duration = LATE_REQUEST_TIME.saturating_mul(3);
 
 /// One running ingress instance.
 pub struct Ingress {
@@ -188,7 +188,8 @@
     }
 
     /// Stops gracefully within the platform's grace period: reports not ready at once, accepts requests
-    /// until the load balancer has noticed, then waits for the requests in flight.
+    /// until the load balancer has noticed, then waits for the requests in flight, and until their answers are
+    /// written and the connections closed.
     pub async fn stop(self) -> StopOutcome {
         let shared = &self.shared;
         let started_at = Instant::now();
@@ -204,13 +205,13 @@
         });
         sleep(Duration::from_millis(timing.linger_ms).min(grace)).await;
         shared.closing.send_replace(true);
-        // Twice, so that connections have read them before the requests in flight are counted.
-        sleep((2 * LATE_REQUEST_TIME).min(grace.saturating_sub(started_at.elapsed()))).await;
+        let remaining = grace.saturating_sub(started_at.elapsed());
+        sleep(CLOSE_DELAY.min(remaining)).await;
         let remaining = grace.saturating_sub(started_at.elapsed());
         let is_drained = drain(shared, remaining).await;
-        sleep(CLOSE_DELAY).await;
         deregistration.abort();
-        let detail = format!("in_flight={}", shared.in_flight.count());
+        let (in_flight, connections) = (shared.in_flight.count(), shared.used_connections.count());
+        let detail = format!("in_flight={in_flight} connections={connections}");
         emit(events::STOPPED, &shared.settings.instance, &detail);
         if is_drained { StopOutcome::Drained } else { StopOutcome::Cut }
     }
@@ -228,16 +229,28 @@
     if is_answer { peer_service::read_answer(frame) } else { peer_service::read_request(frame) }
 }
 
-/// Waits up to `remaining` until no request is in flight; returns whether that was reached. Requests without a
+/// Waits up to `remaining` until all requests have ended; returns whether that was reached. Requests without a
 /// response shortly before the end get a final one.
 async fn drain(shared: &IngressShared, remaining: Duration) -> bool {
     let is_drained =
-        timeout(remaining.saturating_sub(FINAL_RESPONSE_TIME), shared.in_flight.idle()).await;
+        timeout(remaining.saturating_sub(FINAL_RESPONSE_TIME), all_ended(shared)).await;
     if is_drained.is_ok() {
         return true;
     }
     shared.answer_now.send_replace(true);
-    timeout(FINAL_RESPONSE_TIME, shared.in_flight.idle()).await.is_ok()
+    timeout(FINAL_RESPONSE_TIME, all_ended(shared)).await.is_ok()
+}
+
+/// Waits until no request is in flight and the connections that carried requests are closed. The last bytes of
+/// an answer may still be queued in the process when its request is no longer in flight.
+async fn all_ended(shared: &IngressShared) {
+    loop {
+        shared.in_flight.idle().await;
+        shared.used_connections.idle().await;
+        if shared.in_flight.count() == 0 {
+            return;
+        }
+    }
 }
 
 async fn tick(shared: Arc<IngressShared>) {
--- a/crates/holdpointd/src/ingress/relay/server.rs
+++ b/crates/holdpointd/src/ingress/relay/server.rs
@@ -4,7 +4,7 @@
     convert::Infallible,
     pin::Pin,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicUsize, Ordering},
     },
     task::{Context, Poll},
@@ -34,6 +34,7 @@
         dispatch::{Exchanged, Outgoing, send_direct},
         gate::{ExchangeError, Payload, new_exchange_id},
         limits::Permit,
+        listeners::run_connection,
         paths,
         send::SHORT_BODY_BYTES,
         shared::IngressShared,
@@ -51,9 +52,10 @@
 
 /// Serves a peer's connection until it closes.
 pub(crate) async fn serve(shared: Arc<IngressShared>, stream: CountedStream<TcpStream>) {
-    let state = shared.clone();
+    let (state, used) = (shared.clone(), OnceLock::new());
     let service = service_fn(move |it| {
         let shared = state.clone();
+        used.get_or_init(|| shared.used_connections.start());
         async move { Ok::<_, Infallible>(carry(&shared, it).await) }
     });
     let connection = http1::Builder::new()
@@ -61,7 +63,7 @@
         .max_buf_size(BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     // An error ends the connection, and with it the requests on it.
-    drop(connection.await);
+    drop(run_connection(&shared, connection).await);
 }
 
 /// Counts a request as carried until it is dropped.
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -125,6 +125,8 @@
     /// Policies and experiments declared by operators.
     pub(crate) experiments: ActiveResources,
     pub(crate) in_flight: Arc<InFlight>,
+    /// Open connections of callers and relaying peers that have carried a request.
+    pub(crate) used_connections: Arc<InFlight>,
     /// Becomes true when callers' connections must be closed.
     pub(crate) closing: watch::Sender<bool>,
     /// Becomes true shortly before the end of a planned stop: all pending requests get a final response.
@@ -211,6 +213,7 @@
             origins: StreamOrigins::default(),
             experiments: ActiveResources::default(),
             in_flight: Arc::default(),
+            used_connections: Arc::default(),
             closing: watch::channel(false).0,
             answer_now: watch::channel(false).0,
             is_draining: AtomicBool::new(false),
--- a/crates/holdpointd/tests/unread_answers.rs
+++ b/crates/holdpointd/tests/unread_answers.rs
@@ -26,6 +26,8 @@
 /// Bytes that a slow caller reads at a time, and its pause after each read.
 const READ_BYTES: usize = 8 << 10;
 const READ_PAUSE: Duration = Duration::from_millis(120);
+/// Pause with which an answer takes far longer than the grace period.
+const PAUSE_BEYOND_GRACE: Duration = Duration::from_secs(1);
 /// Segment size of the callers' connections. Those of the loopback interface are so large that a slow reader
 /// rarely opens its window.
 const SEGMENT_BYTES: u32 = 1448;
@@ -155,3 +157,48 @@
     let readers = start_slow_readers(instance.callers, 6).await;
     assert_all_whole(start_reading(readers)).await;
 }
+
+/// Guards against a stop that ends the process while it still holds the last bytes of answers.
+#[tokio::test]
+async fn a_planned_stop_does_not_cut_answers_that_are_read_slowly() {
+    let instance = Stoppable::start(20.0).await;
+    let readers = start_slow_readers(instance.callers, 6).await;
+    let reading = start_reading(readers);
+    assert_eq!(instance.stop().await, StopOutcome::Drained);
+    assert_all_whole(reading).await;
+}
+
+/// Guards against a reset that discards what a caller has not read: closing a socket with unread input causes one.
+#[tokio::test]
+async fn a_planned_stop_does_not_reset_answers_whose_callers_have_sent_more() {
+    let instance = Stoppable::start(20.0).await;
+    let mut readers = start_slow_readers(instance.callers, 3).await;
+    for (stream, _) in &mut readers {
+        stream.write_all(head("next", "/safe/", 0).as_bytes()).await.unwrap();
+    }
+    let reading = start_reading(readers);
+    instance.stop().await;
+    assert_all_whole(reading).await;
+}
+
+/// Guards against a stop that waits for a caller beyond the grace period, after which the platform ends the process.
+#[tokio::test]
+async fn a_caller_that_reads_too_slowly_does_not_hold_a_planned_stop() {
+    let instance = Stoppable::start(2.0).await;
+    let (mut stream, first) = start_slow_readers(instance.callers, 1).await.remove(0);
+    let reading =
+        tokio::spawn(async move { read_all(&mut stream, first, PAUSE_BEYOND_GRACE).await });
+    assert_eq!(instance.stop().await, StopOutcome::Cut);
+    reading.abort();
+}
+
+/// Guards against a stop that waits for connections without a request.
+#[tokio::test]
+async fn connections_without_a_request_do_not_hold_a_planned_stop() {
+    let instance = Stoppable::start(60.0).await;
+    let unused = connect(instance.callers, 4 << 10).await;
+    let mut partial = connect(instance.callers, 4 << 10).await;
+    partial.write_all(b"GET /safe/ HTTP/1.1\r\n").await.unwrap();
+    assert_eq!(instance.stop().await, StopOutcome::Drained);
+    drop(unused);
+}
