Closing a connection no longer resets what its caller has not read

Seen by callers: one whose request is refused while it still sends it, as with 413, is reset within some hundred kilobytes, and may not read why.

Cause: the instance closed the socket after its answer with unread input in it. The system resets such a connection, and what it still had to send is gone.

--- a/crates/holdpointd/src/ingress/listeners.rs
+++ b/crates/holdpointd/src/ingress/listeners.rs
@@ -33,6 +33,7 @@
         answer::{Answer, empty, text},
         counted_stream::CountedStream,
         departure::{Departure, DepartureStream},
+        lingering_stream::LingeringStream,
         own_load::{self, Accepted, OpenConnection},
         request,
         shared::IngressShared,
@@ -273,7 +274,7 @@
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
         // The library's header timeout includes the idle time between two requests.
         .header_read_timeout(Duration::from_millis(limits.idle_ms))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
     if let Err(it) = run_connection(shared, connection).await
         && is_timeout(&it)
     {
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -26,6 +26,7 @@
 mod gate;
 mod item_request;
 mod limits;
+mod lingering_stream;
 mod link_probe;
 mod links;
 mod listeners;
--- a/crates/holdpointd/src/ingress/relay/server.rs
+++ b/crates/holdpointd/src/ingress/relay/server.rs
@@ -34,6 +34,7 @@
         dispatch::{Exchanged, Outgoing, send_direct},
         gate::{ExchangeError, Payload, new_exchange_id},
         limits::Permit,
+        lingering_stream::LingeringStream,
         listeners::run_connection,
         paths,
         send::SHORT_BODY_BYTES,
@@ -61,7 +62,7 @@
     let connection = http1::Builder::new()
         .auto_date_header(false)
         .max_buf_size(BUFFER_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
     // An error ends the connection, and with it the requests on it.
     drop(run_connection(&shared, connection).await);
 }
--- a/crates/holdpointd/tests/unread_answers.rs
+++ b/crates/holdpointd/tests/unread_answers.rs
@@ -181,6 +181,23 @@
     assert_all_whole(reading).await;
 }
 
+/// Guards against a refusal that a caller cannot read, since the rest of its request meets a closed socket.
+#[tokio::test]
+async fn a_caller_that_still_sends_its_request_reads_why_it_is_refused() {
+    let instance = Stoppable::start(20.0).await;
+    let length = 64 << 20;
+    let mut stream = connect(instance.callers, 64 << 10).await;
+    stream.write_all(head("large", "/safe/", length).as_bytes()).await.unwrap();
+    let part = vec![b'x'; 64 << 10];
+    for sent in 0..length / part.len() {
+        let written = stream.write_all(&part).await;
+        assert!(written.is_ok(), "reset after {sent} parts");
+    }
+    let (answer, is_clean) = read_slowly(&mut stream, Vec::new()).await;
+    assert!(is_clean && answer.starts_with(b"HTTP/1.1 413"), "{}", answer.len());
+    assert_eq!(instance.target.runs().len(), 0);
+}
+
 /// Guards against a stop that waits for a caller beyond the grace period, after which the platform ends the process.
 #[tokio::test]
 async fn a_caller_that_reads_too_slowly_does_not_hold_a_planned_stop() {
