Late answers: heads with the platform's names stand in its stand-in

The list of misleading answers in the test of late answers held names of the platform, which the check of names refuses outside platform/ and deploy/. The test reads the same nine heads from the stand-in now.

--- a/crates/holdpointd/tests/late_answers.rs
+++ b/crates/holdpointd/tests/late_answers.rs
@@ -14,19 +14,6 @@
     start_instance, until,
 };
 
-/// Second answers that would count as a proof that the request was not run, or as a notice of the target.
-const SECOND_ANSWERS: [SecondAnswer; 9] = [
-    "421 Misdirected Request",
-    "421 Misdirected Request\r\nholdpoint-not-executed: 1\r\nserver-leaving: 1",
-    "503 Service Unavailable\r\nholdpoint-not-executed: 1",
-    "503 Service Unavailable\r\nholdpoint-not-executed: 1\r\nretry-after: 60",
-    "429 Too Many Requests\r\nholdpoint-not-executed: 1\r\nretry-after: 60",
-    "200 OK\r\nserver-leaving: 1",
-    "200 OK\r\nserver-limit: 0",
-    "200 OK\r\nholdpoint-server-load: 900,900,8",
-    "200 OK\r\nserver-brittle: 1",
-];
-
 /// Statuses that state that a request has not run and never will.
 const NOT_RUN: [StatusCode; 4] = [
     StatusCode::REQUEST_TIMEOUT,
@@ -100,7 +87,7 @@
 
 /// Guards against an order that is carried out twice: its caller is told that it has not run, while its target runs it.
 async fn assert_second_answers_prove_nothing(service: &str, path: &str) {
-    for second_answer in SECOND_ANSWERS {
+    for second_answer in names::MISLEADING_ANSWERS {
         let fixture = fixture(service).await;
         let (id, answer) = fixture.meet(second_answer, path).await;
         assert!(!NOT_RUN.contains(&answer.status), "{second_answer:?}: {}", answer.status);
@@ -121,7 +108,7 @@
 
 #[tokio::test]
 async fn a_request_that_may_be_repeated_gets_its_own_answer_after_a_late_one() {
-    for second_answer in SECOND_ANSWERS {
+    for second_answer in names::MISLEADING_ANSWERS {
         let fixture = fixture("plain").await;
         let (id, answer) = fixture.meet(second_answer, "/safe/").await;
         assert_eq!(answer.status, StatusCode::OK, "{second_answer:?}");
