--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -202,7 +202,7 @@
     /// An answer was aborted, since its caller did not read it for too long.
     ANSWER_UNREAD = 711 Warn "caller does not read its answer";
     /// A caller's connection was closed, since it took no bytes for too long.
-    CALLER_STALLED = 716 Warn "caller takes no bytes";
+    CALLER_STALLED = 722 Warn "caller takes no bytes";
     /// The load of a service that an instance reported is implausible. The previous value stays in use.
     REPORTED_LOAD_IGNORED = 720 Warn "reported load ignored";
     /// A request that will be late was admitted; it uses capacity that requests in time leave.
