A slow target is tried with one call at a time

Callers of a pool with a target that stays slow could be sent there in numbers: the pace of a target that got no calls was forgotten after a while, and until the next call there had ended, the target counted as an average one for all calls that were made meanwhile.

An outdated pace is now kept and marked. It counts as long as a call runs at the target, and is replaced by the measurement of that call; with no call there, the target counts as of mean pace. So one call at a time tells whether the target is still slow.

--- a/crates/holdpoint-core/src/route.rs
+++ b/crates/holdpoint-core/src/route.rs
@@ -62,6 +62,8 @@
     pace: f64,
     /// Number of calls to the pool that had been measured when the pace was, including that one.
     measured_at: u64,
+    /// Whether so many other calls were measured since that the pace needs a new measurement.
+    is_outdated: bool,
     /// Momentary slowdown that the target reports.
     slowdown: ReportedPace,
     /// Calls that the target runs concurrently, inferred from its reports; 0 if unknown.
@@ -316,7 +318,7 @@
         self.paces = paces;
         if let CallOutcome::Completed(_) = end {
             self.measured = measured;
-            self.forget_old_paces();
+            self.mark_outdated_paces();
         }
     }
 
--- a/crates/holdpoint-core/src/route/predict.rs
+++ b/crates/holdpoint-core/src/route/predict.rs
@@ -9,8 +9,8 @@
 const PACE_WEIGHT: f64 = 0.1;
 /// Fraction by which each call in the batch lengthens the others.
 const BATCH_COST: f64 = 0.015;
-/// Age at which a pace is forgotten, in measured calls per target of the pool. A target that its pace keeps calls from
-/// is tried again after that many, so that a pool with one such target spends less than 1 % of its calls on it.
+/// Age at which a pace is outdated, in measured calls per target of the pool. A target that gets no calls because of its
+/// pace is tried again after that many.
 const PACE_LIFETIME_CALLS: u64 = 50;
 /// Fraction of the mean pace within which a target's pace is treated as the mean.
 const PACE_TOLERANCE: f64 = 0.4;
@@ -85,17 +85,19 @@
         trust * report.other_calls + (1.0 - trust) * mean
     }
 
-    /// Pace of a target, or the mean pace where it is unknown or close to the mean. Small differences
-    /// are noise, and following them would concentrate calls on one target.
+    /// Pace of a target, or the mean pace where it is unknown, outdated or close to the mean. Small differences are
+    /// noise, and following them would concentrate calls on one target. An outdated pace counts while a call runs there,
+    /// so that one call at a time measures it anew.
     pub(super) fn pace_of(&self, target: &Target) -> f64 {
         let mean = self.mean_pace();
         let is_distinct = mean * PACE_TOLERANCE < (target.pace - mean).abs();
-        if target.pace != 0.0 && is_distinct { target.pace } else { mean }
+        let is_usable = target.pace != 0.0 && (!target.is_outdated || target.in_flight != 0);
+        if is_usable && is_distinct { target.pace } else { mean }
     }
 
-    /// Forgets the paces of targets that got no calls while many others were measured. A target that was measured at a
-    /// bad moment would otherwise seem slow forever, since only calls can show that it is not.
-    pub(super) fn forget_old_paces(&mut self) {
+    /// Marks the paces of targets that got no calls while many others were measured. A target that was measured at a bad
+    /// moment would otherwise seem slow forever, since only calls can show that it is not.
+    pub(super) fn mark_outdated_paces(&mut self) {
         let targets = self.targets.len() as u64;
         // Amortizes the pass over all targets.
         if !self.measured.is_multiple_of(targets.max(1)) {
@@ -104,7 +106,7 @@
         let oldest = self.measured.saturating_sub(PACE_LIFETIME_CALLS * targets);
         for target in self.targets.iter_mut().filter(|it| it.measured_at < oldest) {
             self.paces.replace(target.known_pace(), None);
-            target.pace = 0.0;
+            target.is_outdated = true;
         }
     }
 
@@ -114,9 +116,9 @@
 }
 
 impl Target {
-    /// Pace, if known.
+    /// Pace, if known and not outdated.
     pub(super) fn known_pace(&self) -> Option<f64> {
-        (0.0 < self.pace).then_some(self.pace)
+        (0.0 < self.pace && !self.is_outdated).then_some(self.pace)
     }
 }
 
@@ -152,7 +154,8 @@
     let slowdown = queued * (1.0 + BATCH_COST * load.min(target.slots.max(1.0)));
     let slowdown = slowdown * target.slowdown.factor(now);
     let measured = (ms as f64).max(0.1) / (work.max(0.001) * slowdown);
-    target.pace = if target.pace == 0.0 {
+    let is_outdated = std::mem::take(&mut target.is_outdated);
+    target.pace = if target.pace == 0.0 || is_outdated {
         measured
     } else {
         target.pace + PACE_WEIGHT * (measured - target.pace)
--- a/crates/holdpoint-core/tests/measured_pace.rs
+++ b/crates/holdpoint-core/tests/measured_pace.rs
@@ -85,3 +85,28 @@
         }
     }
 }
+
+/// Guards against a slow target that gets many calls at once while the first of them shows that it is still slow.
+#[test]
+fn a_slow_target_is_tried_with_one_call_at_a_time() {
+    for route in ROUTES {
+        let policy = Policy { route, ..default_policy() };
+        for seed in 1..6 {
+            let mut router = measured_router(&policy);
+            for call in 1..=200 {
+                let now = call * CALL_INTERVAL_MS;
+                router.sent(now, "fast", &CALL);
+                router.ended(now + 1, "fast", CALL.work, CallOutcome::Completed(1));
+            }
+            let mut rng = ChaCha8Rng::seed_from_u64(seed);
+            let now = 201 * CALL_INTERVAL_MS;
+            let mut to_slow = 0;
+            for _ in 0..20 {
+                let target = router.choose(now, &policy, &CALL, &mut rng).expect("both are free");
+                router.sent(now, &target.address, &CALL);
+                to_slow += u32::from(target.address == "slow");
+            }
+            assert_eq!(to_slow, 1, "{route:?} {seed}");
+        }
+    }
+}
