Requests of callers that left no longer count as running at their target

Targets got fewer and fewer requests of an instance the more of its callers left before their answer came, for as long as the process lived: the routing took the abandoned sends for calls that still run.

Cause: a send was counted in the pool when its target was chosen, and uncounted by the code that handles its end. When a caller disconnects, the deadline passes or a stop answers the request, that code is dropped with the request and never runs.

The request's context now holds what is counted: it ends the count with the send, or when it is dropped itself, as a cancelled send that teaches nothing about the target.

--- a/crates/holdpointd/src/ingress/attempts.rs
+++ b/crates/holdpointd/src/ingress/attempts.rs
@@ -173,7 +173,7 @@
         }
         self.sends += 1;
         self.running = InFlightSend::begin(ctx, &target);
-        ctx.pool.record_sent(now, &target.id, &ctx.call(&[]));
+        ctx.begin_counted_send(&target.id);
         ctx.record_send(&target.id);
         if continuation.is_none() {
             ctx.record_stream_send(&target);
@@ -562,7 +562,7 @@
         CallOutcome::Completed(_) if is_strained => CallOutcome::Cancelled,
         it => it,
     };
-    ctx.pool.record_end(ctx.shared.clock.now(), &target.id, ctx.call(&[]).work, learned);
+    ctx.end_counted_send(learned);
     ctx.shared.rollouts.send_ended(ctx, target, end, cause);
     let labels = [label("service", ctx.service.as_str()), label("end", cause)];
     ctx.shared.metrics.attempts.add(1, &labels);
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -14,13 +14,13 @@
 use holdpoint_adapter::headers::{CallerHead, SystemHeaders};
 use holdpoint_core::{
     cold::Share,
-    directory::TargetInstance,
+    directory::{TargetId, TargetInstance},
     experiments::ChosenArm,
     ids::{Millis, Name},
     ingress::{IngressRoute, Repeat, ResponseKind, Version},
     ledger::Ledger,
     quarantine::Fingerprint,
-    route::Call,
+    route::{Call, CallOutcome},
     stream_versions::Continuation,
 };
 use holdpoint_platform::Instant;
@@ -86,6 +86,8 @@
     pub(crate) sent_versions: Mutex<SentVersions>,
     /// Counts the request until it is sent to a target.
     unserved: Mutex<Option<Unserved>>,
+    /// Target of the send that counts as running in the pool.
+    counted_send: Mutex<Option<TargetId>>,
     end: Mutex<EndRecord>,
     departure: Departure,
     _in_flight: InFlightGuard,
@@ -154,6 +156,7 @@
             arm,
             sent_versions: Mutex::default(),
             unserved: Mutex::new(Some(parts.unserved)),
+            counted_send: Mutex::default(),
             end: Mutex::default(),
             departure: parts.departure,
             _in_flight: parts.working,
@@ -443,6 +446,20 @@
         "unread"
     }
 
+    /// Counts a send as running at its target until [`Context::end_counted_send`], or until the request is dropped.
+    pub(crate) fn begin_counted_send(&self, target: &str) {
+        self.end_counted_send(CallOutcome::Cancelled);
+        self.pool.record_sent(self.shared.clock.now(), target, &self.call(&[]));
+        *self.counted_send.lock() = Some(target.to_owned());
+    }
+
+    /// Ends the running send, if there is one.
+    pub(crate) fn end_counted_send(&self, outcome: CallOutcome) {
+        if let Some(it) = self.counted_send.lock().take() {
+            self.pool.record_end(self.shared.clock.now(), &it, self.call(&[]).work, outcome);
+        }
+    }
+
     /// Records a send to a target.
     pub(crate) fn record_send(&self, target: &str) {
         let mut end = self.end.lock();
@@ -473,6 +490,7 @@
 
 impl Drop for Context {
     fn drop(&mut self) {
+        self.end_counted_send(CallOutcome::Cancelled);
         let end = self.end.lock().clone();
         let cause = if end.cause.is_empty() { "caller-gone" } else { end.cause };
         let ms = self.arrived.elapsed().as_millis() as u64;
--- a/crates/holdpointd/tests/caller_disconnects.rs
+++ b/crates/holdpointd/tests/caller_disconnects.rs
@@ -204,3 +204,27 @@
     assert_no_arrivals(&[&system.encoder, &system.engines[0]]).await;
     assert_eq!(system.engine_runs(), 0);
 }
+
+/// Guards against targets that get no more requests, since those of callers that left count as running there.
+#[tokio::test]
+async fn requests_of_callers_that_left_do_not_count_as_running_at_their_target() {
+    let system = start_with_long_deadlines(&[Behaviour::RunAndHang], &[]).await;
+    let first = &system.plain[0];
+    for left in 0..20 {
+        let caller = caller(&system.instance, request(&format!("left-{left}"), "/safe/"));
+        until(|| first.runs().len() == left + 1).await;
+        disconnect(caller, "request", || system.instance.in_flight() == 0).await;
+    }
+    let second = Target::start("i-second", "plain", Behaviour::RunAndHang).await;
+    system.store.put_target(&second, false);
+    until(|| system.instance.target_count() == 3).await;
+    // None of these ends, so that nothing but the calls that run at a target tells the two apart.
+    let mut waiting = Vec::new();
+    for id in 0..20 {
+        waiting.push(caller(&system.instance, request(&format!("r-{id}"), "/safe/")));
+        until(|| first.in_progress() + second.in_progress() == id + 1).await;
+    }
+    let (at_first, at_second) = (first.in_progress(), second.in_progress());
+    waiting.iter().for_each(|it| it.abort());
+    assert!(at_first.abs_diff(at_second) <= 4, "{at_first} and {at_second}");
+}
