Stop: answers that outlast it are broken off and recorded

Seen in the log: a stream or long answer that takes longer than the grace period was logged as E718, dropped by the instance, although the catalogue says that this stays at 0. From the code, its end was recorded without a cause, which stands for a caller that left.

Cause: requests without an answer get a final one shortly before the end of a stop, but tasks that forward answers were told nothing, and were dropped with the runtime.

Change: when the time of the stop is over, the tasks that still forward are told to break off: the caller's connection ends without the last chunk, and the end is recorded with cause "stopping". They have 100 ms of the 400 ms that a stop keeps free. The signal comes after the last 0.3 s, so no answer that could still end in them is cut sooner.

No test covers an answer that ends within the last 0.3 s; that follows from the order of the two waits. The metric holdpoint_dropped_requests can't be read after the end of a process; it is counted where E718 is logged.

--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -87,6 +87,8 @@
 /// Time before the end of the drain at which requests without a response get a final one, so that no
 /// caller's connection is closed without a response.
 const FINAL_RESPONSE_TIME: Duration = Duration::from_millis(300);
+/// Part of `STOP_MARGIN` in which answers that outlast the stop are broken off and their ends recorded.
+const BREAK_OFF_TIME: Duration = Duration::from_millis(100);
 /// Time after which the requests in flight are counted at a stop, so that connections have read the last ones.
 const CLOSE_DELAY: Duration = LATE_REQUEST_TIME.saturating_mul(3);
 
@@ -212,6 +214,9 @@
         let is_drained = drain(shared, remaining).await;
         deregistration.abort();
         let (in_flight, connections) = (shared.in_flight.count(), shared.used_connections.count());
+        if !is_drained {
+            break_off(shared).await;
+        }
         let detail = format!("in_flight={in_flight} connections={connections}");
         emit(events::STOPPED, &shared.settings.instance, &detail);
         if is_drained { StopOutcome::Drained } else { StopOutcome::Cut }
@@ -242,6 +247,13 @@
     timeout(FINAL_RESPONSE_TIME, all_ended(shared)).await.is_ok()
 }
 
+/// Breaks off the answers that outlast the stop, and gives their ends time to be recorded.
+async fn break_off(shared: &IngressShared) {
+    shared.break_off_now.send_replace(true);
+    // What has not ended by then is cut by the end of the process.
+    let _ = timeout(BREAK_OFF_TIME, all_ended(shared)).await;
+}
+
 /// Waits until no request is in flight and the connections that carried requests are closed. The last bytes of
 /// an answer may still be queued in the process when its request is no longer in flight.
 async fn all_ended(shared: &IngressShared) {
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -131,6 +131,8 @@
     pub(crate) closing: watch::Sender<bool>,
     /// Becomes true shortly before the end of a planned stop: all pending requests get a final response.
     pub(crate) answer_now: watch::Sender<bool>,
+    /// Whether answers that are still forwarded must be broken off because the stop is over.
+    pub(crate) break_off_now: watch::Sender<bool>,
     /// Whether a planned stop has begun.
     pub(crate) is_draining: AtomicBool,
     /// Time to the first event of a stream, by route.
@@ -216,6 +218,7 @@
             used_connections: Arc::default(),
             closing: watch::channel(false).0,
             answer_now: watch::channel(false).0,
+            break_off_now: watch::channel(false).0,
             is_draining: AtomicBool::new(false),
             first_times: LazyMap::default(),
             stated_timeouts: LazyMap::default(),
--- a/crates/holdpointd/src/ingress/shared/waits.rs
+++ b/crates/holdpointd/src/ingress/shared/waits.rs
@@ -38,6 +38,13 @@
         let _ = answer_now.wait_for(|it| *it).await;
     }
 
+    /// Waits until the time of a stop is over and answers that are still forwarded must be broken off.
+    pub(crate) async fn wait_for_break_off(&self) {
+        let mut break_off_now = self.break_off_now.subscribe();
+        // The sender lives as long as the instance.
+        let _ = break_off_now.wait_for(|it| *it).await;
+    }
+
     /// Waits until a configuration and targets are known, for at most `START_TIMEOUT` after the start.
     pub(crate) async fn wait_until_started(&self) {
         let mut has_news = self.updated.subscribe();
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -379,7 +379,8 @@
         let forwarded = tokio::select! {
             it = forward(&ctx, &attempts, open_stream, &mut last_id, &sink) => it,
             () = sink.closed() => Forwarded::Undelivered(DeliveryError::Disconnected),
-            () = ctx.deadline_passed() => Forwarded::DeadlinePassed,
+            () = ctx.deadline_passed() => Forwarded::Stopped(StopCause::Time),
+            () = ctx.shared.wait_for_break_off() => Forwarded::Stopped(StopCause::Stopping),
         };
         match forwarded {
             Forwarded::Whole => {
@@ -393,9 +394,9 @@
                 end_send(&ctx, &target, CallOutcome::Cancelled, cause);
                 return break_off(&ctx, status, cause, &sink);
             }
-            Forwarded::DeadlinePassed => {
-                end_send(&ctx, &target, CallOutcome::Cancelled, "time-over");
-                return break_off(&ctx, status, "time-over", &sink);
+            Forwarded::Stopped(why) => {
+                end_send(&ctx, &target, CallOutcome::Cancelled, why.name());
+                return break_off(&ctx, status, why.name(), &sink);
             }
             Forwarded::Broken { cause, has_answered } => {
                 if cause == BROKEN_CAUSE {
@@ -411,6 +412,7 @@
                     it = open(&ctx, &mut attempts, Some(&continuation)) => it,
                     () = sink.closed() => Err(OpenError::CallerGone),
                     () = ctx.deadline_passed() => Err(OpenError::Stopped(StopCause::Time)),
+                    () = ctx.shared.wait_for_break_off() => Err(OpenError::Stopped(StopCause::Stopping)),
                 };
                 let event = last_id.as_deref().unwrap_or("none");
                 let detail = format!(
@@ -446,7 +448,8 @@
         has_answered: bool,
     },
     Undelivered(DeliveryError),
-    DeadlinePassed,
+    /// The deadline has passed, or the instance stops.
+    Stopped(StopCause),
 }
 
 async fn forward(
--- a/crates/holdpointd/src/ingress/whole.rs
+++ b/crates/holdpointd/src/ingress/whole.rs
@@ -111,6 +111,7 @@
         it = forwarding => it,
         () = sink.closed() => Err("caller-gone"),
         () = ctx.deadline_passed() => Err(StopCause::Time.name()),
+        () = ctx.shared.wait_for_break_off() => Err(StopCause::Stopping.name()),
     };
     let status = parts.status.as_u16();
     match forwarded {
