A connection that waited for long to be accepted counts so after several turns too

Seen by callers: a connection that had waited for more than 200 ms at a full instance was closed unread, although its caller took the request for read.

Cause: the bound on the waiting time was the time since the last turn but one of the event loop, as a timer saw it. A turn does not accept all that wait: the runtime makes the accept loop yield after some 128 connections. Late ticks of that timer may also count as two turns in one.

It also records the time before the instance listens again. The timer of the event loop no longer counts.

--- a/crates/holdpointd/src/ingress/listeners.rs
+++ b/crates/holdpointd/src/ingress/listeners.rs
@@ -13,6 +13,7 @@
 };
 
 use futures::future::Either;
+use holdpoint_platform::Instant;
 use http::{Request, StatusCode};
 use hyper::{
     body::{Body, Incoming},
@@ -30,6 +31,7 @@
 use crate::{
     events::{self, emit},
     ingress::{
+        accept_queue::{Acceptor, from_waiting},
         answer::{Answer, empty, text},
         counted_stream::CountedStream,
         departure::{Departure, DepartureStream},
@@ -124,8 +126,10 @@
 
 /// Accepts callers until one has to be refused or closed unread.
 async fn accept_while_room(shared: &Arc<IngressShared>, listener: &TcpListener) {
+    let mut acceptor = Acceptor::new(listener);
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let accepted = acceptor.accept(|it| shared.own_load.record_empty_queue(it)).await;
+        let Ok(stream) = accepted else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
@@ -144,8 +148,7 @@
     open: OpenConnection,
     service: Service,
 ) {
-    let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
-    match stream {
+    match from_waiting(stream) {
         Ok(it) => spawn_caller(shared, it, open, service),
         Err(it) => {
             let detail = format!("{}: {it}", shared.settings.listen.callers);
@@ -183,8 +186,12 @@
 /// Listens for callers again at the address that was listened on before.
 async fn listen_again(shared: &IngressShared) -> TcpListener {
     loop {
+        let begun = Instant::now();
         match listen(&shared.settings.listen.callers) {
-            Ok(it) => return it,
+            Ok(it) => {
+                shared.own_load.record_empty_queue(begun);
+                return it;
+            }
             Err(it) => {
                 let detail = format!("{}: {it}", shared.settings.listen.callers);
                 emit(events::BAD_ADDRESS, &shared.settings.instance, &detail);
--- a/crates/holdpointd/src/ingress/own_load.rs
+++ b/crates/holdpointd/src/ingress/own_load.rs
@@ -14,6 +14,7 @@
     intake::{Full, Intake, LinkBytes, Resources, Usage},
     queue_delay::QueueDelay,
 };
+use holdpoint_platform::Instant;
 use holdpoint_schema::ingress::Machine;
 use parking_lot::Mutex;
 use rustix::{
@@ -24,7 +25,7 @@
 
 use crate::{
     events::{self, emit},
-    ingress::{accept_queue::Turns, counted_stream::ByteCounter, shared::IngressShared},
+    ingress::{accept_queue::EmptyQueue, counted_stream::ByteCounter, shared::IngressShared},
     metrics::label,
 };
 
@@ -124,7 +125,7 @@
     processor: Duration,
     /// When the current window of round trips began.
     delay_window: Millis,
-    turns: Turns,
+    queue: EmptyQueue,
     reported: Reported,
 }
 
@@ -184,7 +185,7 @@
             measured: Totals::default(),
             processor: Duration::ZERO,
             delay_window: 0,
-            turns: Turns::new(),
+            queue: EmptyQueue::new(),
             reported: Reported::default(),
         };
         OwnLoad {
@@ -219,7 +220,7 @@
     /// Counts a connection as one whose request is refused; `None` if it may be closed unread, or has to be.
     fn refuse(&self) -> Option<OpenConnection> {
         let mut state = self.state.lock();
-        if state.turns.longest_wait() <= READ_AFTER
+        if state.queue.longest_wait() <= READ_AFTER
             || self.max_refused <= self.refused.load(Ordering::Acquire)
         {
             return None;
@@ -229,15 +230,20 @@
         Some(OpenConnection(self.refused.clone()))
     }
 
+    /// Records that no connection waited to be accepted at this time.
+    pub(crate) fn record_empty_queue(&self, at: Instant) {
+        self.state.lock().queue.record(at);
+    }
+
     /// Longest time that a connection which is accepted now may have waited.
     pub(crate) fn longest_wait(&self) -> Duration {
-        self.state.lock().turns.longest_wait()
+        self.state.lock().queue.longest_wait()
     }
 
     /// Counts a connection that is closed unread; returns the longest time that it may have waited.
     fn record_unread(&self) -> Duration {
         let mut state = self.state.lock();
-        let wait = state.turns.longest_wait();
+        let wait = state.queue.longest_wait();
         state.reported.closed += 1;
         state.reported.unread_wait = state.reported.unread_wait.max(wait);
         wait
@@ -354,7 +360,6 @@
     let mut state = load.state.lock();
     let lateness = lateness.as_millis() as Millis;
     state.reported.lateness_ms = state.reported.lateness_ms.max(lateness);
-    state.turns.record();
     state.intake.record_lateness(now, lateness);
     measure_delay(load, now, &mut state);
     log_strain(shared, now, &mut state);
--- a/crates/holdpointd/tests/unanswered.rs
+++ b/crates/holdpointd/tests/unanswered.rs
@@ -23,6 +23,8 @@
 const PAUSE: Duration = Duration::from_millis(400);
 /// Callers that send a request meanwhile.
 const CALLERS: usize = 4;
+/// Connections that an instance has room for: more than its event loop accepts in one turn.
+const ROOM: usize = 300;
 /// Times that a stop is tried, since what is ready at the same time runs in random order.
 const ROUNDS: usize = 6;
 
@@ -119,6 +121,47 @@
     assert_eq!(target.runs().len(), 2, "what was refused has not run");
 }
 
+/// Guards against a bound on the waiting time that forgets connections which the event loop takes several turns to accept.
+#[tokio::test]
+async fn a_request_behind_many_connections_that_waited_is_refused() {
+    let memory_mb = ROOM as f64 / 8.0;
+    let (instance, _store, _target) =
+        start_changed(|it| it["machine"] = json!({ "memory_mb": memory_mb })).await;
+    let address = callers_of(&instance);
+    // A full instance stops listening, and then listens again with room for all that follow to wait.
+    let mut filling = Vec::new();
+    while let Ok(it) = tokio::net::TcpStream::connect(address).await {
+        filling.push(it);
+    }
+    drop(filling);
+    let request = || call(address, CallerRequest::new("again", "/safe/"));
+    while request().await.is_none_or(|it| it.status != StatusCode::OK) {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    tokio::time::sleep(PAUSE).await;
+    let connected = thread::spawn(move || {
+        let idle: Vec<_> = (0..ROOM).map(|_| TcpStream::connect(address).unwrap()).collect();
+        let late =
+            (0..CALLERS).map(|it| Caller::start(address, None, &format!("r-{it}"), "/safe/"));
+        (idle, late.collect::<Vec<_>>())
+    });
+    // Blocks the only thread of the instance, then makes each turn of its event loop long.
+    thread::sleep(PAUSE);
+    let (_idle, late) = connected.join().unwrap();
+    thread::sleep(PAUSE);
+    let slow_turns = tokio::spawn(async {
+        loop {
+            thread::sleep(Duration::from_millis(50));
+            tokio::task::yield_now().await;
+        }
+    });
+    for (index, it) in late.into_iter().enumerate() {
+        let answer = it.answer().await.expect("the connection is not reset");
+        assert!(answer.starts_with("HTTP/1.1 503 "), "caller {index}: {answer:?}");
+    }
+    slow_turns.abort();
+}
+
 /// Guards against a listener that is dropped while connections wait in its queue, and against connections that are
 /// closed as idle ones although a request has arrived on them.
 #[tokio::test]
