A stop waits until the requests that it has accepted are read

Seen by callers: a request sent just before an instance stopped listening was reset without an answer.

Cause: the stop counts requests in flight 150 ms after connections begin to close. A process that did not run for that time learns of the end of this pause and of the requests in one turn, and polls the stop first: it saw no request in flight, and the process ended.

Change: a connection of a caller counts as one that carries requests from the time at which connections begin to close until its last requests are read, 50 ms later. One that is accepted after that time counts before its task is started. The same holds for connections of peers and probes. Connections without a request hold the stop for no longer than these 50 ms.

--- a/crates/holdpointd/src/ingress/listeners.rs
+++ b/crates/holdpointd/src/ingress/listeners.rs
@@ -42,7 +42,7 @@
         unread::WRITE_TIMEOUT,
         write_timeout::WriteTimeout,
     },
-    shared::wait_until_set,
+    shared::{InFlightGuard, wait_until_set},
 };
 
 /// Smallest read buffer that the HTTP library accepts.
@@ -164,6 +164,7 @@
     service: Service,
 ) {
     let shared = shared.clone();
+    let unread = shared.closing.borrow().then(|| shared.used_connections.start());
     tokio::spawn(async move {
         let _open = open;
         // Held until the connection is closed.
@@ -179,7 +180,7 @@
                 Service::Refuse => Either::Right(request::refuse(state, it, departure)),
             }
         });
-        serve_connection(&shared, stream, departure, service).await;
+        serve_connection(&shared, stream, departure, service, unread).await;
     });
 }
 
@@ -216,7 +217,7 @@
         async move {
             let state = shared.clone();
             let service = service_fn(move |it| std::future::ready(probe_answer(&state, &it)));
-            serve_connection(&shared, stream, Departure::default(), service).await;
+            serve_connection(&shared, stream, Departure::default(), service, None).await;
         }
     })
     .await;
@@ -231,7 +232,7 @@
             let service = service_fn(move |_| {
                 std::future::ready(Ok::<_, Infallible>(text(state.metrics.text())))
             });
-            serve_connection(&shared, stream, Departure::default(), service).await;
+            serve_connection(&shared, stream, Departure::default(), service, None).await;
         }
     })
     .await;
@@ -265,6 +266,7 @@
     stream: TcpStream,
     departure: Departure,
     service: S,
+    unread: Option<InFlightGuard>,
 ) where
     S: hyper::service::Service<Request<Incoming>, Response = Answer, Error = Infallible>,
 {
@@ -282,7 +284,7 @@
         // The library's header timeout includes the idle time between two requests.
         .header_read_timeout(Duration::from_millis(limits.idle_ms))
         .serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
-    if let Err(it) = run_connection(shared, connection).await
+    if let Err(it) = run_connection(shared, connection, unread).await
         && is_timeout(&it)
     {
         emit(events::CALLER_STALLED, &shared.settings.instance, &format!("caller={caller}"));
@@ -296,9 +298,12 @@
 
 /// Runs a connection until it is closed. Once connections must be closed, an idle one ends at once, and another one
 /// with its current answer.
+///
+/// `unread` holds the stop until the connection's requests are read, if it was accepted when connections were being closed.
 pub(crate) async fn run_connection<I, S, B>(
     shared: &IngressShared,
     connection: http1::Connection<I, S>,
+    unread: Option<InFlightGuard>,
 ) -> hyper::Result<()>
 where
     I: Read + Write + Unpin,
@@ -310,15 +315,19 @@
     let mut closing = shared.closing.subscribe();
     let last_requests_read = async {
         wait_until_set(&mut closing).await;
+        // A late process may see the end of the stop's own pause together with the requests.
+        let unread = unread.unwrap_or_else(|| shared.used_connections.start());
         sleep(LATE_REQUEST_TIME).await;
+        unread
     };
     tokio::pin!(connection);
     // The connection comes first: the library closes one that rests, or is new, without another look at its socket.
-    tokio::select! {
+    let unread = tokio::select! {
         biased;
         it = connection.as_mut() => return it,
-        () = last_requests_read => (),
-    }
+        it = last_requests_read => it,
+    };
     connection.as_mut().graceful_shutdown();
+    drop(unread);
     connection.await
 }
--- a/crates/holdpointd/src/ingress/relay/server.rs
+++ b/crates/holdpointd/src/ingress/relay/server.rs
@@ -64,7 +64,7 @@
         .max_buf_size(BUFFER_BYTES)
         .serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
     // An error ends the connection, and with it the requests on it.
-    drop(run_connection(&shared, connection).await);
+    drop(run_connection(&shared, connection, None).await);
 }
 
 /// Counts a request as carried until it is dropped.
--- a/crates/holdpointd/tests/unanswered.rs
+++ b/crates/holdpointd/tests/unanswered.rs
@@ -25,6 +25,8 @@
 const CALLERS: usize = 4;
 /// Connections that an instance has room for: more than its event loop accepts in one turn.
 const ROOM: usize = 300;
+/// Turns in which a stopping instance is late: it stops listening in the second one.
+const LATE_TURNS: usize = 3;
 /// Times that a stop is tried, since what is ready at the same time runs in random order.
 const ROUNDS: usize = 6;
 
@@ -188,6 +190,31 @@
     }
 }
 
+/// Guards against a process that is late, learns of requests and of the end of its stop at once, and ends first.
+#[test]
+fn requests_that_a_late_stop_has_accepted_are_answered_before_it_ends() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let (instance, _store, _target) = runtime.block_on(start_changed(|_| ()));
+    let address = callers_of(&instance);
+    let callers: Vec<Caller> =
+        (0..CALLERS).map(|it| Caller::start(address, None, &format!("r-{it}"), "/safe/")).collect();
+    // Each turn of the event loop lasts longer than a pause of the stop.
+    runtime.spawn(async {
+        for _ in 0..LATE_TURNS {
+            thread::sleep(PAUSE);
+            tokio::task::yield_now().await;
+        }
+    });
+    // The stop is polled before all tasks, as in the daemon, and the runtime ends with it.
+    assert_eq!(runtime.block_on(instance.stop()), StopOutcome::Drained);
+    drop(runtime);
+    for (index, it) in callers.into_iter().enumerate() {
+        let answer = it.0.join().unwrap();
+        let answer = answer.unwrap_or_else(|it| panic!("caller {index}: {it}"));
+        assert!(answer.starts_with("HTTP/1.1 "), "caller {index}: {answer:?}");
+    }
+}
+
 /// Guards against requests that wait for the first configuration until the process ends.
 #[tokio::test]
 async fn a_request_that_waits_for_the_first_configuration_is_answered_at_a_stop() {
