The test of connections that waited behind many makes them before the pause

a_request_behind_many_connections_that_waited_is_refused made its last connections in threads of their own. On a busy machine these started late, the connections had not waited for 200 ms, and they were rightly closed unread: 1 failure in a run beside a build, and 4 in 18 runs beside two busy loops.

--- a/crates/holdpointd/tests/unanswered.rs
+++ b/crates/holdpointd/tests/unanswered.rs
@@ -146,8 +146,10 @@
     tokio::time::sleep(PAUSE).await;
     let connected = thread::spawn(move || {
         let idle: Vec<_> = (0..ROOM).map(|_| TcpStream::connect(address).unwrap()).collect();
-        let late =
-            (0..CALLERS).map(|it| Caller::start(address, None, &format!("r-{it}"), "/safe/"));
+        let late = (0..CALLERS).map(|it| {
+            let connected = TcpStream::connect(address).unwrap();
+            Caller::start(address, Some(connected), &format!("r-{it}"), "/safe/")
+        });
         (idle, late.collect::<Vec<_>>())
     });
     // Blocks the only thread of the instance, then makes each turn of its event loop long.
