Ingress: releases of results share a connection that carries nothing else

Where targets do not repeat the ids of internal calls, each release of stage results took a new connection, as each call for work items does, although nothing depends on its answer.

Cause: an answer without an id counts only as the first on its connection, which is not used again then; that held for releases too.

Releases over a target's own path now travel on connections of a type of their own, of which one idle one is kept for each target. Their answers do not leave that type: the gate learns only that one has arrived whole, and the handles count as released then, whatever its status. So a late copy of an answer to a release, on the only connection on which it can arrive, says nothing about the target. The price: status, load and notices in answers to releases are not used any more, from targets that repeat ids either; the target's other answers carry them. A release whose connection turns out to be closing is lost, as before, and its results expire at the target. Releases through a peer are checked as before. A search for an idle connection skips one that is not distinct for the id; it closed it before.

--- a/crates/holdpointd/src/ingress/connections.rs
+++ b/crates/holdpointd/src/ingress/connections.rs
@@ -1,6 +1,8 @@
 //! Pool of connections to targets. Idle connections are kept for later requests, as long as the target is
 //! unlikely to close them.
 
+mod release;
+
 use std::{
     collections::{HashMap, HashSet},
     io,
@@ -40,6 +42,8 @@
     metrics::{Metrics, label},
 };
 
+pub(crate) use self::release::ReleaseConnection;
+
 /// How long sent bytes may stay unacknowledged before the system closes the connection.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Time in which a new connection over a lost path is reset.
@@ -172,6 +176,7 @@
     traffic: Traffic,
     /// Idle connections by target, or by the address of a peer that relays.
     idle: Mutex<HashMap<String, Vec<IdleConnection>>>,
+    idle_releases: release::IdleReleases,
     /// Maximum number of idle connections to one target, by service.
     max_idle: Mutex<HashMap<Name, usize>>,
     /// Services that run stages.
@@ -192,6 +197,7 @@
             metrics,
             traffic: traffic.clone(),
             idle: Mutex::default(),
+            idle_releases: release::IdleReleases::default(),
             max_idle: Mutex::default(),
             stage_services: Mutex::default(),
         }
@@ -317,11 +323,13 @@
     pub(crate) fn retain(&self, is_kept: impl Fn(&str) -> bool) {
         let is_relay = |it: &[IdleConnection]| it.iter().any(|it| it.connection.is_relayed());
         self.idle.lock().retain(|id, idle| is_relay(idle) || is_kept(id));
+        self.idle_releases.retain(is_kept);
     }
 
     /// Closes the idle connections to a target, which may have gone silent.
     pub(crate) fn close_idle(&self, target: &str) {
         self.idle.lock().remove(target);
+        self.idle_releases.close(target);
     }
 
     /// Closes the connections that have been idle for too long.
@@ -331,6 +339,7 @@
             idle.retain(|it| it.is_usable(Reuse::Any));
         }
         all.retain(|_, it| !it.is_empty());
+        self.idle_releases.sweep();
     }
 
     /// Takes an idle connection to a target, or to the peer at an address, for an exchange with this id.
@@ -338,9 +347,11 @@
         let mut all = self.idle.lock();
         let idle = all.get_mut(remote)?;
         // The most recently used one is the least likely to be closing.
-        while let Some(it) = idle.pop() {
-            if it.is_usable(reuse) && it.connection.is_distinct(id) {
-                return Some(it.connection);
+        for index in (0..idle.len()).rev() {
+            if !idle[index].is_usable(reuse) {
+                idle.remove(index);
+            } else if idle[index].connection.is_distinct(id) {
+                return Some(idle.remove(index).connection);
             }
         }
         None
--- a/crates/holdpointd/src/ingress/dispatch.rs
+++ b/crates/holdpointd/src/ingress/dispatch.rs
@@ -12,8 +12,8 @@
 
 use crate::ingress::{
     checked_answer::CheckedAnswer,
-    connections::{Connection, Reuse},
-    gate::{ExchangeError, Payload, exchange},
+    connections::{Connection, ReleaseConnection, Reuse},
+    gate::{ExchangeError, Payload, exchange, exchange_release},
     limits::Permit,
     paths::{self, AwaitedAnswer},
     relay,
@@ -130,8 +130,41 @@
     }
 }
 
-/// Takes an idle connection or makes a new one. A request that does not wait for it leaves it to the next one, and
-/// a failure still counts.
+/// Releases results over the target's own path, on a connection for releases. Returns `None` if that path is lost.
+pub(crate) async fn dispatch_release(
+    shared: &Arc<IngressShared>,
+    (target, permit): (&TargetInstance, &Permit),
+    id: &str,
+    request: Request<Full<Bytes>>,
+) -> Option<Result<(), ExchangeError>> {
+    if shared.paths.path(shared.clock.now(), target, true) != Path::Direct {
+        return None;
+    }
+    let mut idle = shared.connections.take_release(&target.id);
+    if idle.is_none() {
+        idle = make(shared, target).await.and_then(ReleaseConnection::new);
+    }
+    let Some(mut connection) = idle else {
+        let is_lost = shared.paths.is_lost(shared.clock.now(), &target.id);
+        return (!is_lost).then_some(Err(ExchangeError::NotSent));
+    };
+    let awaited = AwaitedAnswer::new(shared, target);
+    let sent = tokio::select! {
+        it = exchange_release(shared, &mut connection, (target, permit), id, request) => it,
+        () = awaited.wait_lost() => Err(ExchangeError::Broken),
+    };
+    if sent == Err(ExchangeError::Broken) {
+        awaited.broken().await;
+    } else {
+        awaited.disregard();
+    }
+    if sent.is_ok() {
+        shared.connections.give_back_release(connection);
+    }
+    Some(sent)
+}
+
+/// Takes an idle connection or makes a new one.
 async fn connect(
     shared: &Arc<IngressShared>,
     target: &TargetInstance,
@@ -141,6 +174,11 @@
     if let Some(it) = shared.connections.take_idle(&target.id, reuse, id) {
         return Some(it);
     }
+    make(shared, target).await
+}
+
+/// Makes a connection. A request that does not wait for it leaves it to the next one, and a failure still counts.
+async fn make(shared: &Arc<IngressShared>, target: &TargetInstance) -> Option<Connection> {
     let (sender, made) = oneshot::channel();
     let (shared, target) = (shared.clone(), target.clone());
     tokio::spawn(async move {
--- a/crates/holdpointd/src/ingress/gate.rs
+++ b/crates/holdpointd/src/ingress/gate.rs
@@ -3,7 +3,8 @@
 //!
 //! A target is chosen well before the first byte is sent: a connection has to be made, a batch waits for its turn,
 //! a peer places a prompt. The gate checks the target against its state at the time of the send. A connection
-//! sends only with a [`Clearance`], which only [`exchange`] creates, so no send can skip the check or the notices.
+//! sends only with a [`Clearance`], which only this module creates, so no send can skip the check. Notices are applied but
+//! for releases, whose answers are not used.
 
 use holdpoint_adapter::headers::{self, TargetHead};
 use holdpoint_core::{
@@ -23,7 +24,7 @@
     events::{self, emit},
     ingress::{
         checked_answer::CheckedAnswer,
-        connections::Connection,
+        connections::{Connection, ReleaseConnection},
         drain_notices::{self, DrainNotice},
         limits::Permit,
         relay::{self, RelayRefusal},
@@ -183,6 +184,23 @@
     Ok(answer)
 }
 
+/// Releases results on a connection to their target, if the gate allows it. Succeeds once an answer has arrived whole;
+/// nothing else of it is used, since it may belong to an earlier release.
+pub(crate) async fn exchange_release(
+    shared: &IngressShared,
+    connection: &mut ReleaseConnection,
+    (target, permit): (&TargetInstance, &Permit),
+    id: &str,
+    request: Request<Full<Bytes>>,
+) -> Result<(), ExchangeError> {
+    let clearance = grant_clearance(shared, target, permit, Payload::Release { id })
+        .map_err(ExchangeError::Blocked)?;
+    let mut pending = PendingRequest::begin(shared, &target.id).map_err(ExchangeError::Blocked)?;
+    let sent = connection.send(clearance, request).await;
+    pending.is_answered = sent != Err(ExchangeError::Broken);
+    sent
+}
+
 /// Sends a request, and checks that the answer belongs to it.
 async fn receive(
     shared: &IngressShared,
--- a/crates/holdpointd/src/ingress/releases.rs
+++ b/crates/holdpointd/src/ingress/releases.rs
@@ -6,15 +6,15 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use holdpoint_adapter::stages as wire;
-use holdpoint_core::ids::Name;
+use holdpoint_core::{directory::TargetInstance, ids::Name};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
 use crate::ingress::{
     gate::InternalKind,
-    limits,
+    limits::{self, Permit},
     regions::{batcher_of, owner_region},
-    send::{InternalCall, internal_call},
+    send::{InternalCall, internal_call, release_call},
     shared::IngressShared,
 };
 
@@ -99,7 +99,7 @@
 async fn notify_maker(
     shared: Arc<IngressShared>,
     service: Name,
-    target: holdpoint_core::directory::TargetInstance,
+    target: TargetInstance,
     handles: Vec<String>,
 ) {
     if shared.backoff_ms(&target) != 0 {
@@ -108,13 +108,27 @@
     // A result that was not released expires at its target by itself.
     let Ok(permit) = limits::acquire(&shared, &target).await else { return };
     let body = wire::release_body(&handles);
-    let call = InternalCall { path: wire::RELEASE_PATH, body, kind: InternalKind::Release };
-    let outcome = internal_call(&shared, (&target, permit), call, &None, CALL_TIMEOUT).await;
-    let Ok(answer) = outcome else { return };
-    let is_released = answer.status.is_success();
-    answer.keep_connection(&shared);
+    let call = (wire::RELEASE_PATH, body.clone());
+    let is_released = match release_call(&shared, (&target, &permit), call, CALL_TIMEOUT).await {
+        Some(it) => it.is_ok(),
+        None => relay_release(&shared, (&target, permit), body).await,
+    };
     if is_released {
         shared.batches.record_released(&service, &handles);
         crate::ingress::batches::start_calls(&shared, &service);
     }
 }
+
+/// Releases results at a target whose own path is lost. Returns whether the target has confirmed it.
+async fn relay_release(
+    shared: &Arc<IngressShared>,
+    (target, permit): (&TargetInstance, Permit),
+    body: Vec<u8>,
+) -> bool {
+    let call = InternalCall { path: wire::RELEASE_PATH, body, kind: InternalKind::Release };
+    let outcome = internal_call(shared, (target, permit), call, &None, CALL_TIMEOUT).await;
+    let Ok(answer) = outcome else { return false };
+    let is_released = answer.status.is_success();
+    answer.keep_connection(shared);
+    is_released
+}
--- a/crates/holdpointd/src/ingress/send.rs
+++ b/crates/holdpointd/src/ingress/send.rs
@@ -14,7 +14,7 @@
     checked_answer::{CheckedAnswer, Declined},
     connections::{Connection, Reuse},
     context::Context,
-    dispatch::{Exchanged, Outgoing, dispatch},
+    dispatch::{Exchanged, Outgoing, dispatch, dispatch_release},
     gate::{ExchangeError, InternalKind, Payload, SendBlock, new_exchange_id},
     limits::Permit,
     shared::IngressShared,
@@ -202,11 +202,7 @@
 ) -> Result<InternalAnswer, InternalCallError> {
     let id = new_exchange_id();
     let calling = async {
-        let mut request = Request::new(Full::new(Bytes::from(call.body)));
-        *request.method_mut() = Method::POST;
-        *request.uri_mut() = http::Uri::from_static(call.path);
-        *request.headers_mut() = headers::internal_call_headers(&target.id, &id);
-        set_host(request.headers_mut(), &target.address);
+        let request = internal_request(target, call.path, call.body, &id);
         let outgoing = Outgoing {
             target,
             permit: &permit,
@@ -227,6 +223,37 @@
     tokio::time::timeout(limit, calling).await.map_err(|_| InternalCallError::TimedOut)?
 }
 
+/// Releases results at their target, whose answer counts only as having arrived. Returns `None` if the target's own
+/// path is lost.
+pub(crate) async fn release_call(
+    shared: &Arc<IngressShared>,
+    (target, permit): (&TargetInstance, &Permit),
+    (path, body): (&'static str, Vec<u8>),
+    limit: Duration,
+) -> Option<Result<(), InternalCallError>> {
+    let id = new_exchange_id();
+    let request = internal_request(target, path, body, &id);
+    let sending = dispatch_release(shared, (target, permit), &id, request);
+    match tokio::time::timeout(limit, sending).await {
+        Ok(it) => it.map(|it| it.map_err(InternalCallError::from)),
+        Err(_) => Some(Err(InternalCallError::TimedOut)),
+    }
+}
+
+fn internal_request(
+    target: &TargetInstance,
+    path: &'static str,
+    body: Vec<u8>,
+    id: &str,
+) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(Bytes::from(body)));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = http::Uri::from_static(path);
+    *request.headers_mut() = headers::internal_call_headers(&target.id, id);
+    set_host(request.headers_mut(), &target.address);
+    request
+}
+
 /// Time left until an instant; zero once it has passed.
 pub(crate) fn time_until(until: Instant) -> Duration {
     until.saturating_duration_since(Instant::now())
