--- a/crates/holdpointd/src/ingress/batches/calls.rs
+++ b/crates/holdpointd/src/ingress/batches/calls.rs
@@ -297,7 +297,7 @@
         answer.keep_connection(shared);
         return Err(CallEnd::Full.into());
     }
-    // After an answer with other content than was asked for, its connection is not used again.
+    // Unless its answer has results for exactly these items, a connection is not used again.
     let results = results_of(shared, &target, &answer).filter(|it| it.len() == items.len());
     let results = results.ok_or(CallEnd::Failed)?;
     answer.keep_connection(shared);
--- a/crates/holdpointd/src/ingress/checked_answer.rs
+++ b/crates/holdpointd/src/ingress/checked_answer.rs
@@ -40,7 +40,6 @@
         }
     }
 
-    /// Decoded headers.
     pub(crate) fn head(&self) -> &TargetHead {
         &self.head
     }
