Results are not released at a target of another service

Seen by targets: a call that no caller had sent reached a target of a model service, which ran it, at an address that had belonged to a target of a stage's service.

Cause: results are released at the address of their maker, and whatever target had that address now was named as the intended one, also one of another service. Such calls had no id before, so that the target declined them; since each call has an id, it was run.

The maker is now looked up by service and address. Results of a maker that is gone expire by themselves.

--- a/crates/holdpointd/src/ingress/releases.rs
+++ b/crates/holdpointd/src/ingress/releases.rs
@@ -91,7 +91,8 @@
         }
     }
     for (maker, handles) in by_maker {
-        let Some(target) = shared.target_at(&maker) else { continue };
+        // A target of another service that has the address now would run the call as a request.
+        let Some(target) = shared.target_of_at(service, &maker) else { continue };
         tokio::spawn(notify_maker(shared.clone(), service.to_owned(), target, handles));
     }
 }
--- a/crates/holdpointd/src/ingress/shared/targets.rs
+++ b/crates/holdpointd/src/ingress/shared/targets.rs
@@ -86,6 +86,11 @@
         self.directory.lock().cold_left(self.clock.now(), id) != 0
     }
 
+    /// The target of a service at an address, draining or not. A target of another service may have the same address.
+    pub(crate) fn target_of_at(&self, service: &str, address: &str) -> Option<TargetInstance> {
+        self.directory.lock().at(address).find(|it| it.service == service).cloned()
+    }
+
     /// The target at an address, draining or not, whose service is configured.
     pub(crate) fn target_at(&self, address: &str) -> Option<TargetInstance> {
         let configuration = self.configuration();
--- a/crates/holdpointd/tests/reused_addresses.rs
+++ b/crates/holdpointd/tests/reused_addresses.rs
@@ -75,3 +75,24 @@
     assert_eq!(plain.runs().len() + plain.batches().len(), 0);
     assert_eq!(system.engine_runs(), 4);
 }
+
+/// Guards against releases that are sent to a target of another service, which has the address of the results' maker now.
+#[tokio::test]
+async fn results_are_not_released_at_a_target_of_another_service() {
+    let system = start(&[], &[Behaviour::Events(2)]).await;
+    // The successor is known first, so that it is found first at the address.
+    system.store.drop_target(&system.encoder.id);
+    until(|| system.instance.target_count() == 1).await;
+    system.store.put_target(&stale_entry(&system.encoder, "i-successor", "plain"), false);
+    until(|| system.instance.target_count() == 2).await;
+    system.store.put_target(&system.encoder, false);
+    until(|| system.instance.target_count() == 3).await;
+    let staged = CallerRequest::new("r-1", "/staged/").with_items("2,1");
+    assert_eq!(system.send(staged).await.status, StatusCode::OK);
+    let releases = || {
+        let all = system.encoder.addressed().into_iter();
+        all.filter(|it| it.0 == names::RELEASE_PATH).map(|it| it.1).collect::<Vec<_>>()
+    };
+    until(|| !releases().is_empty()).await;
+    assert!(releases().iter().all(|it| *it == system.encoder.id), "{:?}", releases());
+}
