Test: five hundred callers that read nothing fill the memory

An instance on a machine of 120 MB may use 60 MB; the test leaves out what a release build maps from files, as the test with 200 callers does. With 500 callers that read nothing of an answer of 2 MB it owns 77,220 to 77,792 kB in three runs where 36,864 are allowed, 3.6 MB before the callers came.

By a heap profile with 107 callers, of each caller's share: 64 kB are data of the answer (two parts that are counted, one that waits for room, one in the HTTP library's channel), 40 kB are five buffers of 8 kB of the two connections, 19 kB are the future that serves the request, 9 kB the channel of the connection to the target. Connections are admitted as if each took 64 kB.

--- a/crates/holdpointd/tests/slow_readers.rs
+++ b/crates/holdpointd/tests/slow_readers.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use std::{
-    fs,
+    fs, io,
     path::PathBuf,
     process::{Child, Command, Stdio},
     time::Duration,
@@ -32,6 +32,10 @@
 const MAX_FILE_KB: u64 = 24 << 10;
 /// Callers that do not read.
 const SLOW_CALLERS: usize = 200;
+/// Callers that do not read, of which each has a large part of its answer kept.
+const MANY_SLOW_CALLERS: usize = 500;
+/// Pause between two of them.
+const SEND_INTERVAL: Duration = Duration::from_millis(2);
 /// Those of them whose requests a busy machine may leave unread or refuse.
 const MAX_UNREAD: usize = SLOW_CALLERS / 5;
 
@@ -151,15 +155,20 @@
 
 /// Sends a request over a connection with a small receive window, and reads nothing yet.
 async fn send_request(daemon: &Daemon, id: &str, path: &str) -> TcpStream {
-    let socket = TcpSocket::new_v4().unwrap();
-    socket.set_recv_buffer_size(4 << 10).unwrap();
-    let mut stream = socket.connect(daemon.callers.parse().unwrap()).await.unwrap();
+    try_to_send(daemon, id, path).await.unwrap()
+}
+
+/// As [`send_request`]; fails if the daemon is not listening.
+async fn try_to_send(daemon: &Daemon, id: &str, path: &str) -> io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_recv_buffer_size(4 << 10)?;
+    let mut stream = socket.connect(daemon.callers.parse().unwrap()).await?;
     let request = format!(
         "GET {path} HTTP/1.1\r\nhost: shop.example\r\nholdpoint-request-id: {id}\r\n\
          holdpoint-deadline-ms: 20000\r\nauthorization: Bearer key-1\r\n\r\n"
     );
-    stream.write_all(request.as_bytes()).await.unwrap();
-    stream
+    stream.write_all(request.as_bytes()).await?;
+    Ok(stream)
 }
 
 /// A system whose answers on `/safe/` are large, and whose routes have a deadline of 20 s.
@@ -199,6 +208,25 @@
     assert_eq!(answer.status, StatusCode::OK, "other callers are not served");
 }
 
+/// Guards against answers of many callers of which more is kept than is counted.
+#[tokio::test]
+async fn five_hundred_callers_that_read_nothing_do_not_fill_the_memory() {
+    let (_store, targets, daemon) = system("many-unread").await;
+    let runs_before = targets[0].runs().len();
+    let mut slow = Vec::new();
+    // A daemon that gets too many new connections at once does not listen for a while, or closes some unread.
+    let sent = async {
+        while targets[0].runs().len() < runs_before + MANY_SLOW_CALLERS {
+            slow.extend(try_to_send(&daemon, &format!("slow-{}", slow.len()), "/safe/").await);
+            tokio::time::sleep(SEND_INTERVAL).await;
+        }
+    };
+    tokio::time::timeout(CONDITION_TIMEOUT, sent).await.expect("the requests reach the target");
+    daemon.until_ended("safe", MANY_SLOW_CALLERS).await;
+    let owned_kb = daemon.peak_owned_kb();
+    assert!(owned_kb < MAX_MEMORY_KB - MAX_FILE_KB, "{owned_kb} kB");
+}
+
 /// A caller that keeps reading gets its whole answer, however slowly it reads. Callers that stop midway or
 /// half-close their connection lose only their own answers.
 #[tokio::test]
