Unread answers are counted until they are written

Cause: data of an answer was counted as unread until the HTTP library took it from its channel. What the library then held until the caller's connection took it, a part of 16 kB or more for a caller that reads nothing, was in no account, neither against the answer's limit nor against the instance's.

Change: the count is held by the data itself, and ends when the library has written it. A caller that reads gets the same parts as before.

--- a/crates/holdpointd/src/ingress/unread.rs
+++ b/crates/holdpointd/src/ingress/unread.rs
@@ -34,7 +34,7 @@
     capacity: usize,
 }
 
-/// Data of a response, counted against both limits until the caller's connection takes it.
+/// Data of a response, counted against both limits until it is written to the caller's connection.
 #[derive(Debug)]
 pub(crate) struct Chunk {
     bytes: Bytes,
@@ -42,6 +42,12 @@
     _of_instance: OwnedSemaphorePermit,
 }
 
+impl AsRef<[u8]> for Chunk {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 /// Why data was not passed on to the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum DeliveryError {
@@ -90,7 +96,7 @@
         let (chunks, received) = mpsc::unbounded_channel();
         let of_answer = Arc::new(Semaphore::new(MAX_RESPONSE_BYTES));
         let sender = ChunkSender { chunks, of_answer, of_instance: self.free.clone() };
-        let frame = |it: Result<Chunk, EndedEarly>| it.map(|it| Frame::data(it.bytes));
+        let frame = |it: Result<Chunk, EndedEarly>| it.map(|it| Frame::data(Bytes::from_owner(it)));
         (sender, UnboundedReceiverStream::new(received).map(frame))
     }
 }
