Streams stay at a target that pauses while no other one can continue them

Callers saw: a stream was cut with the cause "silent" when its target paused for longer than twice the route's timely pause (at least 800 ms) and then went on, although no other target could continue the stream: none was left, or all others were of another version.

Cause: the wait for the next event ended at that time whatever the other targets were. A send before its first event has asked for another target since it was given up in the same way; a stream in its middle did not.

Change: the wait for the next event goes on past that time in the same way as that for the first one, until another target can continue the stream, the deadline passes or the caller or the instance ends it. Meanwhile the path to the target is verified: where it is lost, the stream is broken off as before, so that its caller can resume it through another instance.

Evidence: of the new tests three failed before: a_stream_that_pauses_is_whole_where_no_other_target_is_left (the answer was not complete), ..._where_only_other_versions_are_left (the same) and a_stream_that_stays_at_a_silent_target_goes_on_at_one_that_joins. The one of a lost path failed in a trial without the verification ("the stream ends": not within 20 s). Those of a stream that runs once, of the deadline and of a stop passed before and guard what must stay. All ten of the file pass, as do silent, mixed_versions, isolated_instances, target_notices and catalogue.

Left: a stream whose connection alone goes silent for good, while new ones to its only target work, now ends with its deadline or its caller's patience rather than after that pause.

--- a/crates/holdpointd/src/ingress/attempts.rs
+++ b/crates/holdpointd/src/ingress/attempts.rs
@@ -1,6 +1,8 @@
 //! The sends made for one request: the target of each, and whether another one is allowed.
 
-use std::{pin::pin, time::Duration};
+mod late_sends;
+
+use std::time::Duration;
 
 use holdpoint_core::{
     confinement::{Confinement, is_within},
@@ -36,9 +38,6 @@
 /// is probed about as often.
 const NO_PATH_RETRY_MS: Millis = 1000;
 
-/// How often a send that is past its timeout looks for another target.
-const OTHER_TARGET_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Retry-After of such work, in milliseconds.
 pub(crate) fn no_path_retry_ms() -> Millis {
     backoff::retry_after_ms(NO_PATH_RETRY_MS)
@@ -238,67 +237,6 @@
         found.filter(|it| it.is_draining && is_within(within.as_deref(), &it.domain)).collect()
     }
 
-    /// Waits for a response of the current send. Once `timeout` has passed, the send is abandoned as soon as another
-    /// target can take the request; until then its late response is the only one that the caller can get. `None` if the
-    /// send was abandoned or the deadline has passed. `version` is the one that a resumed stream is bound to.
-    pub(crate) async fn wait_for<T>(
-        &self,
-        ctx: &Context,
-        version: Option<&str>,
-        timeout: Duration,
-        response: impl Future<Output = T>,
-    ) -> Option<T> {
-        let mut response = pin!(response);
-        let mut wait = timeout;
-        let mut is_logged = false;
-        loop {
-            if let Ok(it) = tokio::time::timeout(wait, &mut response).await {
-                return Some(it);
-            }
-            if ctx.left().is_zero() || self.has_other_target(ctx, version) {
-                return None;
-            }
-            if !is_logged {
-                is_logged = true;
-                let target = self.tried.last().map_or("", String::as_str);
-                let timeout_ms = timeout.as_millis();
-                let id = &ctx.request.id;
-                let detail = format!("id={id} target={target} timeout_ms={timeout_ms}");
-                emit(events::SEND_KEPT, &ctx.shared.settings.instance, &detail);
-            }
-            wait = OTHER_TARGET_INTERVAL.min(ctx.left());
-        }
-    }
-
-    /// Whether another send would be allowed now and find a target.
-    fn has_other_target(&self, ctx: &Context, version: Option<&str>) -> bool {
-        let shared = &ctx.shared;
-        let now = shared.clock.now();
-        let is_allowed = self.may_repeat(ctx)
-            && ctx.pool.can_spend(now, &shared.pools.terms())
-            && !shared.paths.is_unreachable(now, &ctx.service);
-        if !is_allowed {
-            return false;
-        }
-        let Some(version) = version else {
-            let exclusions = shared.rollouts.likely_exclusions(now, &ctx.service);
-            return exclusions.iter().any(|it| self.can_choose(ctx, it));
-        };
-        let others = shared.targets_of_other_versions(&ctx.service, version);
-        shared.has_open_version(&ctx.service, version)
-            && (self.can_choose(ctx, &others) || !self.draining_targets(ctx, version).is_empty())
-    }
-
-    /// Whether a target can be chosen that the request was not sent to yet and that is not excluded.
-    fn can_choose(&self, ctx: &Context, excluded: &[TargetId]) -> bool {
-        let (within, policy, region) = (ctx.within(), ctx.policy(), ctx.call_region());
-        let share = ctx.shared.pools.cold_share(ctx.is_placer());
-        let excluded = [&self.tried, excluded].concat();
-        let call = Call { share, within: within.as_deref(), ..ctx.call(&excluded) };
-        let now = ctx.shared.clock.now();
-        ctx.pool.choose(now, policy.as_deref(), &call, region.as_deref(), &ctx.shared).is_ok()
-    }
-
     /// Chooses a target among those of the version that the roll-out assigns to the request. Where the new
     /// version has none available, a target of another version is chosen.
     async fn choose_in_lane(
--- /dev/null
+++ b/crates/holdpointd/src/ingress/attempts/late_sends.rs
@@ -0,0 +1,96 @@
+//! Sends that are past their timeout. One is abandoned only once another target can take the request: until then its
+//! late response is the only one that the caller can get.
+
+use std::{
+    pin::{Pin, pin},
+    time::Duration,
+};
+
+use holdpoint_core::{directory::TargetId, route::Call};
+use tokio::time::timeout;
+
+use super::Attempts;
+use crate::{
+    events::{self, emit},
+    ingress::context::Context,
+};
+
+/// How often a late send looks for another target.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(50);
+
+impl Attempts {
+    /// Waits for a response of the current send. Once `limit` has passed, the send is abandoned as soon as another
+    /// target can take the request. `None` if the send was abandoned or the deadline has passed. `version` is the one
+    /// that a resumed stream is bound to.
+    pub(crate) async fn wait_for<T>(
+        &self,
+        ctx: &Context,
+        version: Option<&str>,
+        limit: Duration,
+        response: impl Future<Output = T>,
+    ) -> Option<T> {
+        let mut response = pin!(response);
+        match timeout(limit, &mut response).await {
+            Ok(it) => Some(it),
+            Err(_) => self.wait_late(ctx, version, limit, response).await,
+        }
+    }
+
+    /// Waits for a response that was due after `limit`, as [`Attempts::wait_for`] does.
+    pub(crate) async fn wait_late<T>(
+        &self,
+        ctx: &Context,
+        version: Option<&str>,
+        limit: Duration,
+        mut response: Pin<&mut impl Future<Output = T>>,
+    ) -> Option<T> {
+        let mut is_logged = false;
+        while !ctx.left().is_zero() && !self.has_other_target(ctx, version) {
+            if !is_logged {
+                is_logged = true;
+                self.log_kept(ctx, limit);
+            }
+            let wait = SEARCH_INTERVAL.min(ctx.left());
+            if let Ok(it) = timeout(wait, &mut response).await {
+                return Some(it);
+            }
+        }
+        None
+    }
+
+    fn log_kept(&self, ctx: &Context, limit: Duration) {
+        let target = self.tried.last().map_or("", String::as_str);
+        let (id, timeout_ms) = (&ctx.request.id, limit.as_millis());
+        let detail = format!("id={id} target={target} timeout_ms={timeout_ms}");
+        emit(events::SEND_KEPT, &ctx.shared.settings.instance, &detail);
+    }
+
+    /// Whether another send would be allowed now and find a target.
+    fn has_other_target(&self, ctx: &Context, version: Option<&str>) -> bool {
+        let shared = &ctx.shared;
+        let now = shared.clock.now();
+        let is_allowed = self.may_repeat(ctx)
+            && ctx.pool.can_spend(now, &shared.pools.terms())
+            && !shared.paths.is_unreachable(now, &ctx.service);
+        if !is_allowed {
+            return false;
+        }
+        let Some(version) = version else {
+            let exclusions = shared.rollouts.likely_exclusions(now, &ctx.service);
+            return exclusions.iter().any(|it| self.can_choose(ctx, it));
+        };
+        let others = shared.targets_of_other_versions(&ctx.service, version);
+        shared.has_open_version(&ctx.service, version)
+            && (self.can_choose(ctx, &others) || !self.draining_targets(ctx, version).is_empty())
+    }
+
+    /// Whether a target can be chosen that the request was not sent to yet and that is not excluded.
+    fn can_choose(&self, ctx: &Context, excluded: &[TargetId]) -> bool {
+        let (within, policy, region) = (ctx.within(), ctx.policy(), ctx.call_region());
+        let share = ctx.shared.pools.cold_share(ctx.is_placer());
+        let excluded = [&self.tried, excluded].concat();
+        let call = Call { share, within: within.as_deref(), ..ctx.call(&excluded) };
+        let now = ctx.shared.clock.now();
+        ctx.pool.choose(now, policy.as_deref(), &call, region.as_deref(), &ctx.shared).is_ok()
+    }
+}
--- a/crates/holdpointd/src/ingress/paths.rs
+++ b/crates/holdpointd/src/ingress/paths.rs
@@ -215,10 +215,8 @@
     /// Waits until the target has been silent for so long that its path was verified, and found lost.
     pub(crate) async fn wait_lost(&self) {
         loop {
-            let silence =
-                if self.shared.paths.has_doubts() { MAX_SILENCE_IN_DOUBT } else { MAX_SILENCE };
             let since = self.shared.clock.now();
-            sleep(silence).await;
+            sleep(max_silence(self.shared)).await;
             if self.shared.paths.was_heard_since(&self.target.id, since) {
                 continue;
             }
@@ -258,6 +256,21 @@
     }
 }
 
+/// Waits until the path to a target that has fallen silent is found lost.
+pub(crate) async fn wait_lost(shared: &Arc<IngressShared>, target: &TargetInstance) {
+    loop {
+        verify(shared, target).await;
+        if shared.paths.is_lost(shared.clock.now(), &target.id) {
+            return;
+        }
+        sleep(max_silence(shared)).await;
+    }
+}
+
+fn max_silence(shared: &IngressShared) -> Duration {
+    if shared.paths.has_doubts() { MAX_SILENCE_IN_DOUBT } else { MAX_SILENCE }
+}
+
 /// Finds out whether the path to a target is lost, since a stream over it has broken off or fallen silent.
 pub(crate) async fn check_interrupted(shared: &Arc<IngressShared>, target: &TargetInstance) {
     shared.connections.close_idle(&target.id);
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -3,7 +3,7 @@
 //! Complete events are forwarded at once; partial ones are buffered. Where the route allows it, a stream that
 //! breaks off is resumed at another target within the same answer.
 
-use std::time::Duration;
+use std::{pin::pin, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use holdpoint_adapter::headers::TargetHead;
@@ -468,14 +468,15 @@
     if is_ended {
         return keep_connection(ctx, connection, &head);
     }
+    let is_relayed = connection.is_relayed();
     let begun = Instant::now();
     let mut last = begun;
     let mut has_answered = false;
     let cause = loop {
-        let next = tokio::time::timeout(gap, next_events(&mut body, &mut splitter)).await;
-        match next {
-            Ok(Next::Events(events)) => {
-                if !connection.is_relayed() {
+        let next = next_events(&mut body, &mut splitter);
+        match next_in_time(ctx, attempts, (&target, is_relayed), gap, next).await {
+            Some(Next::Events(events)) => {
+                if !is_relayed {
                     paths::record_heard(&ctx.shared, &target);
                 }
                 let now = Instant::now();
@@ -489,17 +490,36 @@
                     return Forwarded::Undelivered(it);
                 }
             }
-            Ok(Next::End) => return keep_connection(ctx, connection, &head),
-            Ok(Next::Broken) => break BROKEN_CAUSE,
-            Err(_) => break "silent",
+            Some(Next::End) => return keep_connection(ctx, connection, &head),
+            Some(Next::Broken) => break BROKEN_CAUSE,
+            None => break "silent",
         }
     };
-    if !connection.is_relayed() {
+    if !is_relayed {
         paths::check_interrupted(&ctx.shared, &target).await;
     }
     Forwarded::Broken { cause, has_answered }
 }
 
+/// Waits for the next events of a stream. Once the target has been silent for `gap`, the stream stays there until
+/// another target can continue it or the path to this one turns out to be lost; returns `None` then.
+async fn next_in_time(
+    ctx: &Context,
+    attempts: &Attempts,
+    (target, is_relayed): (&TargetInstance, bool),
+    gap: Duration,
+    next: impl Future<Output = Next>,
+) -> Option<Next> {
+    let mut next = pin!(next);
+    if let Ok(it) = tokio::time::timeout(gap, &mut next).await {
+        return Some(it);
+    }
+    tokio::select! {
+        it = attempts.wait_late(ctx, Some(&target.version), gap, next) => it,
+        () = paths::wait_lost(&ctx.shared, target), if !is_relayed => None,
+    }
+}
+
 /// Ends a complete stream, and keeps its connection unless the target closes it.
 fn keep_connection(ctx: &Context, connection: Connection, head: &TargetHead) -> Forwarded {
     if !head.is_closing {
@@ -541,7 +561,7 @@
     ctx.target_time().mul_f64(FIRST_EVENT_FRACTION).max(usual).min(left)
 }
 
-/// Timeout for the next event: the deadline where no other send may follow.
+/// Silence after which a stream may be resumed at another target: up to the deadline where no other send may follow.
 fn gap_timeout(ctx: &Context, attempts: &Attempts) -> Duration {
     match ctx.route.response {
         ResponseKind::Events { gap_ms, .. } if ctx.is_repeatable() && attempts.may_repeat(ctx) => {
--- a/crates/holdpointd/tests/late_responses.rs
+++ b/crates/holdpointd/tests/late_responses.rs
@@ -2,16 +2,36 @@
 
 mod support;
 
+use std::{
+    net::{IpAddr, Ipv4Addr},
+    time::Duration,
+};
+
 use holdpoint_adapter_standin::{
-    Behaviour, CallerRequest, FaultProfile, PausingStream, Target, call,
+    Behaviour, CallerRequest, FaultProfile, PausingStream, Store, Target, call, names,
+    sample_configuration,
 };
+use holdpoint_soak::{LinkFault, Proxy};
+use holdpointd::ingress::Ingress;
 use http::StatusCode;
+use serde_json::{Value, json};
+use tokio::time::{sleep, timeout};
 
-use crate::support::{event_stream, start, until};
+use crate::support::{
+    CONDITION_TIMEOUT, System, event_stream, start, start_from, start_instance, until,
+};
 
 /// Time after which the target responds, in milliseconds: longer than half of the routes' target time, after which a
 /// send is abandoned for another target.
 const LATE_MS: u64 = 250;
+/// Pause in a stream, in milliseconds: longer than the 1000 ms after which the routes' streams are resumed elsewhere.
+const PAUSE_MS: u64 = 1500;
+/// Stream that pauses once it has begun.
+const PAUSING: PausingStream = PausingStream { count: 6, pause_before: 3, pause_ms: PAUSE_MS };
+/// Longest time of a request in the routes of [`patient_configuration`], and a deadline that no test waits for.
+const FAR_DEADLINE_MS: u64 = 60_000;
+/// Address that the connections of one of two instances come from.
+const SOURCE: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 1, 1));
 
 /// Guards against a caller that gets a 502 although the only target begins its stream a little later.
 #[tokio::test]
@@ -55,3 +75,123 @@
         assert_eq!(joined.runs().len(), 1, "{path}");
     }
 }
+
+/// The sample with routes whose requests may take far longer than a pause.
+fn patient_configuration(version: u64) -> Value {
+    let mut configuration = sample_configuration(version);
+    for route in configuration["routes"].as_array_mut().unwrap() {
+        route["timeout-ms"] = json!(FAR_DEADLINE_MS);
+    }
+    configuration
+}
+
+async fn start_patient(engines: &[Behaviour]) -> System {
+    let system = start(&[], engines).await;
+    system.store.put_configuration(&patient_configuration(2));
+    until(|| system.instance.version() == 2).await;
+    system
+}
+
+/// A request with this deadline, in milliseconds.
+fn request(path: &str, deadline_ms: u64) -> CallerRequest {
+    CallerRequest::new("r-1", path).with_header(names::DEADLINE, &deadline_ms.to_string())
+}
+
+/// Sends a request whose target pauses in its stream, and checks that the caller gets all events from one send.
+async fn assert_whole_after_pause(system: &System, path: &str) {
+    let answer = system.send(request(path, FAR_DEADLINE_MS).with_items("1,1")).await;
+    assert_eq!(answer.status, StatusCode::OK, "{path}");
+    assert!(answer.is_complete, "{path}");
+    let ids = answer.body.split(|it| *it == b'\n').filter(|it| it.starts_with(b"id: "));
+    assert_eq!(ids.count() as u64, PAUSING.count, "{path}");
+    assert_eq!(system.engine_runs(), 1, "{path}");
+}
+
+/// Guards against a stream that is cut while its target pauses, although no other target can continue it.
+#[tokio::test]
+async fn a_stream_that_pauses_is_whole_where_no_other_target_is_left() {
+    for path in ["/story/", "/staged/"] {
+        let system = start_patient(&[Behaviour::Pausing(PAUSING)]).await;
+        assert_whole_after_pause(&system, path).await;
+    }
+}
+
+/// Guards against a stream that is cut while its target pauses, although the stream must not be resumed.
+#[tokio::test]
+async fn a_stream_that_runs_once_is_whole_after_a_pause() {
+    let system = start_patient(&[Behaviour::Pausing(PAUSING); 2]).await;
+    assert_whole_after_pause(&system, "/once/").await;
+}
+
+/// Guards against a stream that is cut while its target pauses, although all other targets are of another version.
+#[tokio::test]
+async fn a_stream_that_pauses_is_whole_where_only_other_versions_are_left() {
+    let system = start_patient(&[Behaviour::Pausing(PAUSING); 2]).await;
+    for (target, version) in system.engines.iter().zip(["v1", "v2"]) {
+        target.set_version(version);
+        system.store.put_version(target, version, false);
+    }
+    until(|| system.instance.targets_with_version("engine", "v2") == 1).await;
+    assert_whole_after_pause(&system, "/story/").await;
+}
+
+/// Guards against a stream that stays at a silent target although another one that can continue it has joined since.
+#[tokio::test]
+async fn a_stream_that_stays_at_a_silent_target_goes_on_at_one_that_joins() {
+    let system = start_patient(&[Behaviour::HangAfter(2)]).await;
+    let asking = tokio::spawn(call(system.caller_address(), request("/story/", FAR_DEADLINE_MS)));
+    until(|| system.engine_runs() == 1).await;
+    sleep(Duration::from_millis(PAUSE_MS)).await;
+    let joined = Target::start("i-joined", "engine", Behaviour::Events(6)).await;
+    system.store.put_target(&joined, false);
+    let answer = asking.await.unwrap().expect("there is an answer");
+    assert!(answer.is_complete);
+    assert_eq!(answer.body, event_stream(0, 6));
+    assert_eq!(joined.runs().len(), 1);
+}
+
+/// Guards against a stream that waits for a silent target beyond its deadline.
+#[tokio::test]
+async fn a_stream_whose_only_target_stays_silent_ends_by_its_deadline() {
+    let system = start_patient(&[Behaviour::HangAfter(2)]).await;
+    let asked = timeout(CONDITION_TIMEOUT, system.send(request("/story/", 2000))).await;
+    let answer = asked.expect("the stream ends");
+    assert!(!answer.is_complete);
+    assert_eq!(answer.body, event_stream(0, 2));
+}
+
+/// Guards against a stop that waits for a stream whose target is silent.
+#[tokio::test]
+async fn a_stream_whose_only_target_stays_silent_does_not_outlast_a_stop() {
+    let system = start_patient(&[Behaviour::HangAfter(2)]).await;
+    let asking = tokio::spawn(call(system.caller_address(), request("/story/", FAR_DEADLINE_MS)));
+    until(|| system.engine_runs() == 1).await;
+    sleep(Duration::from_millis(PAUSE_MS)).await;
+    let stopped = timeout(CONDITION_TIMEOUT, system.instance.stop()).await;
+    stopped.expect("the instance stops");
+    let answer = timeout(CONDITION_TIMEOUT, asking).await.expect("the stream ends").unwrap();
+    assert!(answer.is_none_or(|it| !it.is_complete));
+}
+
+/// Guards against a stream that waits for a silent target until its deadline, although only the path is lost and
+/// another instance could go on with it.
+#[tokio::test]
+async fn a_stream_on_a_lost_path_is_broken_off_before_its_deadline() {
+    let store = Store::start().await;
+    store.put_configuration(&patient_configuration(1));
+    let engine = Target::start("i-engine", "engine", Behaviour::HangAfter(2)).await;
+    let proxy = Proxy::start(engine.address).await;
+    let engine = engine.with_address(proxy.address);
+    store.put_target(&engine, false);
+    let cut = start_from("a", &store.endpoint, SOURCE);
+    let other = start_instance("b", &store.endpoint);
+    let is_complete =
+        |it: &Ingress| it.is_ready() && it.peer_count() == 1 && it.target_count() == 1;
+    until(|| [&cut, &other].into_iter().all(is_complete)).await;
+    let callers = cut.listen().callers.parse().unwrap();
+    let asking = tokio::spawn(call(callers, request("/story/", FAR_DEADLINE_MS)));
+    until(|| engine.runs().len() == 1).await;
+    proxy.set_from(SOURCE, Some(LinkFault::RefuseNew));
+    let ended = timeout(CONDITION_TIMEOUT, asking).await.expect("the stream ends");
+    assert!(ended.unwrap().is_none_or(|it| !it.is_complete));
+}
