Late sends search for another target rarely

Seen: a send that is kept past its timeout, since no other target can take it, made a whole choice among the targets of its service every 50 ms. With many such sends and targets that work grows with the product of the two.

Cause: the search had a fixed interval and did not ask whether anything had changed.

Change: each service counts the changes of its targets. A kept send compares that count every 50 ms, and searches only if it has changed or a wait is over that doubles from 50 ms up to 800 ms, since backoffs, rate limits and the retry budget free a target without a change. The searches are counted by holdpoint_late_send_searches.

That a change is looked at within 50 ms follows from the code and was not measured.

--- a/crates/holdpointd/src/ingress/attempts/late_sends.rs
+++ b/crates/holdpointd/src/ingress/attempts/late_sends.rs
@@ -7,16 +7,44 @@
 };
 
 use holdpoint_core::{directory::TargetId, route::Call};
+use holdpoint_platform::Instant;
 use tokio::time::timeout;
 
 use super::Attempts;
 use crate::{
     events::{self, emit},
     ingress::context::Context,
+    metrics::label,
 };
 
-/// How often a late send looks for another target.
-const SEARCH_INTERVAL: Duration = Duration::from_millis(50);
+/// How often a late send checks whether the targets of its service have changed, and its first wait between two searches.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Longest wait between two searches. Backoffs, rate limits and the retry budget free a target without a change.
+const MAX_SEARCH_INTERVAL: Duration = Duration::from_millis(800);
+
+/// When a late send looks for another target. A search takes a time that grows with the number of targets, so it is
+/// repeated only after a change of the targets, or ever less often.
+#[derive(Debug, Default)]
+struct Search {
+    /// When the next search is due without a change, and the wait before it; `None` before the first search.
+    next: Option<(Instant, Duration)>,
+    /// Revision of the targets at the last search.
+    revision: u64,
+}
+
+impl Search {
+    /// Whether a search is due now, which then counts as done.
+    fn is_due(&mut self, ctx: &Context) -> bool {
+        let (now, revision) = (Instant::now(), ctx.pool.revision());
+        let is_waiting = self.next.is_some_and(|it| now < it.0);
+        if is_waiting && revision == self.revision {
+            return false;
+        }
+        let wait = self.next.map_or(CHECK_INTERVAL, |it| MAX_SEARCH_INTERVAL.min(2 * it.1));
+        *self = Search { next: Some((now + wait, wait)), revision };
+        true
+    }
+}
 
 impl Attempts {
     /// Waits for a response of the current send. Once `limit` has passed, the send is abandoned as soon as another
@@ -45,12 +73,16 @@
         mut response: Pin<&mut impl Future<Output = T>>,
     ) -> Option<T> {
         let mut is_logged = false;
-        while !ctx.left().is_zero() && !self.has_other_target(ctx, version) {
+        let mut search = Search::default();
+        while !ctx.left().is_zero() {
+            if search.is_due(ctx) && self.has_other_target(ctx, version) {
+                return None;
+            }
             if !is_logged {
                 is_logged = true;
                 self.log_kept(ctx, limit);
             }
-            let wait = SEARCH_INTERVAL.min(ctx.left());
+            let wait = CHECK_INTERVAL.min(ctx.left());
             if let Ok(it) = timeout(wait, &mut response).await {
                 return Some(it);
             }
@@ -69,6 +101,7 @@
     fn has_other_target(&self, ctx: &Context, version: Option<&str>) -> bool {
         let shared = &ctx.shared;
         let now = shared.clock.now();
+        shared.metrics.late_send_searches.add(1, &[label("service", ctx.service.as_str())]);
         let is_allowed = self.may_repeat(ctx)
             && ctx.pool.can_spend(now, &shared.pools.terms())
             && !shared.paths.is_unreachable(now, &ctx.service);
--- a/crates/holdpointd/src/ingress/pools.rs
+++ b/crates/holdpointd/src/ingress/pools.rs
@@ -58,6 +58,8 @@
     /// Time until which the instance that places prompts for the service refuses them because its targets' rate
     /// limits are used up, in milliseconds.
     refused_until: AtomicU64,
+    /// Number of changes of its targets.
+    revision: AtomicU64,
     policy: Policy,
 }
 
@@ -165,6 +167,7 @@
         let none = Targets::default();
         for (name, pool) in self.pools.read().iter() {
             targets.get(name).unwrap_or(&none).set_in(now, &mut pool.router.lock());
+            pool.record_change();
         }
         *self.members.lock() = targets;
     }
@@ -187,6 +190,7 @@
             let mut router = pool.router.lock();
             router.put_member(member);
             router.set_cold(now, id, cold_until);
+            pool.record_change();
         }
     }
 
@@ -204,6 +208,7 @@
             }
             if let Some(pool) = self.pools.read().get(service) {
                 pool.router.lock().remove_member(id);
+                pool.record_change();
             }
         }
     }
@@ -254,6 +259,7 @@
             stage_time: Mutex::default(),
             returns: Mutex::default(),
             refused_until: AtomicU64::new(0),
+            revision: AtomicU64::new(0),
             policy,
         }
     }
@@ -301,6 +307,15 @@
         self.refused_until.load(Ordering::Acquire).saturating_sub(now)
     }
 
+    fn record_change(&self) {
+        self.revision.fetch_add(1, Ordering::Release);
+    }
+
+    /// Number of changes of its targets so far.
+    pub(crate) fn revision(&self) -> u64 {
+        self.revision.load(Ordering::Acquire)
+    }
+
     /// Number of targets that are routed to.
     pub(crate) fn len(&self) -> usize {
         self.router.lock().len()
--- a/crates/holdpointd/src/metrics.rs
+++ b/crates/holdpointd/src/metrics.rs
@@ -57,6 +57,8 @@
     pub attempts: Counter<u64>,
     /// Batched calls for results of stages, by result.
     pub batches: Counter<u64>,
+    /// Searches of late sends for another target, by service.
+    pub late_send_searches: Counter<u64>,
     /// Prompts, by where their target was chosen.
     pub placements: Counter<u64>,
     /// Bytes of stage results fetched from other failure domains, by fetcher.
@@ -170,6 +172,10 @@
             ),
             attempts: counter("holdpoint_attempts", "Attempts by pool and end"),
             batches: counter("holdpoint_batches", "Calls for results of stages by end"),
+            late_send_searches: counter(
+                "holdpoint_late_send_searches",
+                "Searches of late sends for another target",
+            ),
             placements: counter("holdpoint_placements", "Prompts by where they were placed"),
             moved_bytes: counter(
                 "holdpoint_moved_bytes",
--- a/crates/holdpointd/tests/late_responses.rs
+++ b/crates/holdpointd/tests/late_responses.rs
@@ -4,7 +4,7 @@
 
 use std::{
     net::{IpAddr, Ipv4Addr},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use holdpoint_adapter_standin::{
@@ -13,7 +13,7 @@
 };
 use holdpoint_soak::{LinkFault, Proxy};
 use holdpointd::ingress::Ingress;
-use http::StatusCode;
+use http::{Method, StatusCode};
 use serde_json::{Value, json};
 use tokio::time::{sleep, timeout};
 
@@ -30,6 +30,11 @@
 const PAUSING: PausingStream = PausingStream { count: 6, pause_before: 3, pause_ms: PAUSE_MS };
 /// Longest time of a request in the routes of [`patient_configuration`], and a deadline that no test waits for.
 const FAR_DEADLINE_MS: u64 = 60_000;
+/// Time for which the searches of a late send are counted.
+const LATE_TIME: Duration = Duration::from_millis(4000);
+/// Longest interval between two searches, and the searches that are made after shorter ones.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(800);
+const FIRST_SEARCHES: u64 = 6;
 /// Address that the connections of one of two instances come from.
 const SOURCE: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 1, 1));
 
@@ -195,3 +200,49 @@
     let ended = timeout(CONDITION_TIMEOUT, asking).await.expect("the stream ends");
     assert!(ended.unwrap().is_none_or(|it| !it.is_complete));
 }
+
+/// Number of searches of an instance's late sends for another target.
+async fn searches(instance: &Ingress) -> u64 {
+    let address = instance.listen().metrics.parse().unwrap();
+    let request = CallerRequest::new("metrics", "/metrics").with_method(Method::GET);
+    let metrics = call(address, request).await.expect("the metrics endpoint answers").body;
+    let metrics = String::from_utf8(metrics.to_vec()).unwrap();
+    let counts = metrics.lines().filter(|it| it.starts_with("holdpoint_late_send_searches"));
+    counts.filter_map(|it| it.rsplit(' ').next()?.parse::<u64>().ok()).sum()
+}
+
+/// Starts an instance with one silent target and others of another version. Returns the searches that a stream there
+/// makes in `LATE_TIME` once all targets are known, and the time that this took.
+async fn searches_among(targets: usize) -> (u64, Duration) {
+    let system = start_patient(&[Behaviour::HangAfter(2)]).await;
+    let asking = tokio::spawn(call(system.caller_address(), request("/story/", FAR_DEADLINE_MS)));
+    until(|| system.engine_runs() == 1).await;
+    for index in 1..targets {
+        let entry = json!({
+            "service": "engine", "address": "127.0.0.1:9", "zone": "z1", "version": "v2",
+            "slots": 8, "state": "ready", "cold-left-ms": 0, "sequence": 1, "born": 1,
+        });
+        let id = format!("i-other-{index}");
+        system.store.put_target_bytes(&id, entry.to_string().as_bytes());
+    }
+    // With the target of work items.
+    until(|| system.instance.target_count() == targets + 1).await;
+    sleep(Duration::from_millis(PAUSE_MS)).await;
+    let (begun, before) = (Instant::now(), searches(&system.instance).await);
+    sleep(LATE_TIME).await;
+    let made = searches(&system.instance).await - before;
+    assert!(!asking.is_finished(), "the stream still waits");
+    asking.abort();
+    (made, begun.elapsed())
+}
+
+/// Guards against late sends that each search all targets of a service twenty times a second.
+#[tokio::test]
+async fn a_stream_that_stays_at_a_silent_target_searches_for_others_rarely() {
+    let counts = [100, 1000, 2000].map(searches_among);
+    for (made, took) in futures::future::join_all(counts).await {
+        // The first waits are short.
+        let limit = FIRST_SEARCHES + (took.as_millis() / SEARCH_INTERVAL.as_millis()) as u64;
+        assert!(0 < made && made <= limit, "{made} searches in {took:?}");
+    }
+}
