Test that a handle which is returned twice becomes the result of one item

The second proof that results belong to their call, that their handles are new, had no test of its own: the ids of calls hide what it refuses.

--- a/crates/holdpointd/tests/crossed_calls.rs
+++ b/crates/holdpointd/tests/crossed_calls.rs
@@ -14,6 +14,7 @@
 use holdpoint_soak::{LinkFault, Proxy};
 use holdpointd::ingress::Ingress;
 use http::StatusCode;
+use serde_json::Value;
 
 use crate::support::{start_from, until};
 
@@ -183,3 +184,19 @@
     fixture.check_inputs();
     assert_eq!(served, REQUESTS);
 }
+
+/// Guards against a result that is given to two items: a target that returns a handle twice in one answer, or one that
+/// it has returned before for a result that is still stored, mixes the results up.
+#[tokio::test]
+async fn a_handle_that_is_returned_twice_becomes_the_result_of_one_item() {
+    for behaviour in [Behaviour::OneHandle, Behaviour::FormerHandles] {
+        let fixture = fixture(1).await;
+        fixture.encoder.set_behaviour(behaviour);
+        let served = fixture.send().await;
+        let has_inputs = |it: &&Vec<Value>| it.iter().any(|it| !it["inputs"].is_null());
+        let calls = fixture.encoder.batches().iter().filter(has_inputs).count();
+        assert!(REQUESTS < calls, "{behaviour:?}: {calls} calls, of which some were refused");
+        fixture.check_inputs();
+        assert_eq!(served, REQUESTS, "{behaviour:?}");
+    }
+}
