A stop waits for the calls of peers until their answers are written

What callers of another instance saw: the work items of their requests were broken off when the instance that batches them stopped. The call to the target was cut with the process, the other instance saw a broken connection, and the items ran again. A request whose time did not allow for that was late, or refused after its work had been done once.

Cause: only requests of callers, and those relayed for peers, counted as in flight. Calls of peers did not, and an answer that the RPC library has queued is not written yet when its handling ends.

Each call but one that waits for changes now counts from the start of its handling until the transport has written all queued answers.

--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -53,6 +53,7 @@
 mod stream;
 mod stream_origins;
 mod unread;
+mod unwritten;
 mod update_feed;
 mod updates;
 mod whole;
@@ -214,10 +215,11 @@
         let is_drained = drain(shared, remaining).await;
         deregistration.abort();
         let (in_flight, connections) = (shared.in_flight.count(), shared.used_connections.count());
+        let calls = shared.served_calls.count();
         if !is_drained {
             break_off(shared).await;
         }
-        let detail = format!("in_flight={in_flight} connections={connections}");
+        let detail = format!("in_flight={in_flight} connections={connections} calls={calls}");
         emit(events::STOPPED, &shared.settings.instance, &detail);
         if is_drained { StopOutcome::Drained } else { StopOutcome::Cut }
     }
@@ -254,13 +256,14 @@
     let _ = timeout(BREAK_OFF_TIME, all_ended(shared)).await;
 }
 
-/// Waits until no request is in flight and the connections that carried requests are closed. The last bytes of
-/// an answer may still be queued in the process when its request is no longer in flight.
+/// Waits until no request is in flight, the connections that carried requests are closed, and the calls of peers are
+/// answered. The last bytes of an answer may still be queued in the process when its request is no longer in flight.
 async fn all_ended(shared: &IngressShared) {
     loop {
         shared.in_flight.idle().await;
         shared.used_connections.idle().await;
-        if shared.in_flight.count() == 0 {
+        shared.served_calls.idle().await;
+        if shared.in_flight.count() == 0 && shared.used_connections.count() == 0 {
             return;
         }
     }
--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -20,9 +20,9 @@
 };
 use serde::{Deserialize, Serialize};
 use tarpc::{
-    ClientMessage, Response, context,
+    ClientMessage, Response, ServerError, context,
     serde_transport::{Transport, new as transport},
-    server::{BaseChannel, Channel},
+    server::{BaseChannel, Channel, Serve},
     tokio_util::codec::LengthDelimitedCodec,
 };
 use tokio::net::{TcpListener, TcpStream};
@@ -41,6 +41,7 @@
     releases::notify_makers,
     rollouts::{self, DriverAnswer, RolloutReport},
     shared::IngressShared,
+    unwritten::{AnsweringTransport, Unwritten},
     update_feed::{self, FollowRequest, Update},
 };
 
@@ -237,15 +238,41 @@
         return relay::serve(shared, stream).await;
     }
     let io: Transport<_, _, _, _> = transport(codec().new_framed(stream), Cbor::default());
-    let server = PeerServer { shared };
-    let channel = BaseChannel::with_defaults(io);
-    let serving = channel.execute(server.serve()).for_each(|it| {
+    let unwritten = Unwritten::default();
+    let channel = BaseChannel::with_defaults(AnsweringTransport::new(io, unwritten.clone()));
+    let server = CountedCalls { server: PeerServer { shared }, unwritten };
+    let serving = channel.execute(server).for_each(|it| {
         tokio::spawn(it);
         std::future::ready(())
     });
     serving.await;
 }
 
+/// Serves calls, and counts each of them until its answer is written.
+#[derive(Clone)]
+struct CountedCalls {
+    server: PeerServer,
+    unwritten: Unwritten,
+}
+
+impl Serve for CountedCalls {
+    type Req = IngressPeersRequest;
+    type Resp = IngressPeersResponse;
+
+    async fn serve(
+        self,
+        context: context::Context,
+        request: IngressPeersRequest,
+    ) -> Result<IngressPeersResponse, ServerError> {
+        // A peer that follows this instance waits for changes, and follows another one when the connection ends.
+        let is_counted = !matches!(request, IngressPeersRequest::Follow { .. });
+        let call = is_counted.then(|| self.server.shared.served_calls.start());
+        let answer = self.server.serve().serve(context, request).await;
+        self.unwritten.hold(call);
+        answer
+    }
+}
+
 #[derive(Clone)]
 struct PeerServer {
     shared: Arc<IngressShared>,
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -127,6 +127,8 @@
     pub(crate) in_flight: Arc<InFlight>,
     /// Open connections of callers and relaying peers that have carried a request.
     pub(crate) used_connections: Arc<InFlight>,
+    /// Calls of peers whose answers are not written yet.
+    pub(crate) served_calls: Arc<InFlight>,
     /// Becomes true when callers' connections must be closed.
     pub(crate) closing: watch::Sender<bool>,
     /// Becomes true shortly before the end of a planned stop: all pending requests get a final response.
@@ -216,6 +218,7 @@
             experiments: ActiveResources::default(),
             in_flight: Arc::default(),
             used_connections: Arc::default(),
+            served_calls: Arc::default(),
             closing: watch::channel(false).0,
             answer_now: watch::channel(false).0,
             break_off_now: watch::channel(false).0,
