A stop serves the peers in the queue of its listener

What callers of another instance saw: a request that may run only once, relayed through a stopping instance, ended with 502. Its connection had been made, was in the queue of the listener for peers when the process ended, and was reset. The other instance cannot tell whether such a request has run. One that may be repeated cost an attempt.

Cause: the listener for peers was open until the process ended, and dropped with its queue; a connection that was accepted, and on which no byte was seen yet, did not hold the stop.

The listener now closes when connections are closed, after its queue is emptied. What was in it holds the stop until its requests are read, as with callers. A closed port makes peers use another instance at once; calls on connections that are open go on.

Test: requests_that_peers_send_to_a_late_stop_are_answered.

--- a/crates/holdpointd/src/ingress/listeners.rs
+++ b/crates/holdpointd/src/ingress/listeners.rs
@@ -312,22 +312,26 @@
     B: Body + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
-    let mut closing = shared.closing.subscribe();
-    let last_requests_read = async {
-        wait_until_set(&mut closing).await;
-        // A late process may see the end of the stop's own pause together with the requests.
-        let unread = unread.unwrap_or_else(|| shared.used_connections.start());
-        sleep(LATE_REQUEST_TIME).await;
-        unread
-    };
     tokio::pin!(connection);
     // The connection comes first: the library closes one that rests, or is new, without another look at its socket.
     let unread = tokio::select! {
         biased;
         it = connection.as_mut() => return it,
-        it = last_requests_read => it,
+        it = last_requests_read(shared, unread) => it,
     };
     connection.as_mut().graceful_shutdown();
     drop(unread);
     connection.await
 }
+
+/// Waits until connections must be closed and late requests have had time to arrive. The returned guard holds the stop.
+pub(crate) async fn last_requests_read(
+    shared: &IngressShared,
+    unread: Option<InFlightGuard>,
+) -> InFlightGuard {
+    wait_until_set(&mut shared.closing.subscribe()).await;
+    // A late process may see the end of the stop's own pause together with the requests.
+    let unread = unread.unwrap_or_else(|| shared.used_connections.start());
+    sleep(LATE_REQUEST_TIME).await;
+    unread
+}
--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -28,21 +28,27 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_serde::{Deserializer, formats::Cbor};
 
-use crate::ingress::{
-    batches::StageLoads,
-    connections::set_socket_options,
-    counted_stream::CountedStream,
-    drain_notices::{self, DrainNotice},
-    follow::fetch_configuration,
-    item_request::{ItemGroup, ItemRequest, ItemResult},
-    limits::{self, Assignment},
-    quarantine::{self, RunReport},
-    relay,
-    releases::notify_makers,
-    rollouts::{self, DriverAnswer, RolloutReport},
-    shared::IngressShared,
-    unwritten::{AnsweringTransport, Unwritten},
-    update_feed::{self, FollowRequest, Update},
+use crate::{
+    ingress::{
+        accept_queue::from_waiting,
+        batches::StageLoads,
+        connections::set_socket_options,
+        counted_stream::CountedStream,
+        drain_notices::{self, DrainNotice},
+        follow::fetch_configuration,
+        item_request::{ItemGroup, ItemRequest, ItemResult},
+        limits::{self, Assignment},
+        listeners::last_requests_read,
+        own_load,
+        quarantine::{self, RunReport},
+        relay,
+        releases::notify_makers,
+        rollouts::{self, DriverAnswer, RolloutReport},
+        shared::IngressShared,
+        unwritten::{AnsweringTransport, Unwritten},
+        update_feed::{self, FollowRequest, Update},
+    },
+    shared::{InFlightGuard, wait_until_set},
 };
 
 /// Largest message between peers.
@@ -217,26 +223,50 @@
 }
 
 /// Serves peers until the task is dropped.
+///
+/// Stops accepting once connections are being closed: a peer uses another instance at once if the port is closed, while
+/// one whose connection was reset cannot tell whether its request has run.
 pub(crate) async fn serve(shared: Arc<IngressShared>, listener: TcpListener) {
+    let mut closing = shared.closing.subscribe();
     loop {
-        let Ok((stream, _)) = listener.accept().await else { continue };
-        if set_socket_options(&stream).is_err() {
-            continue;
+        let accepted = tokio::select! {
+            it = listener.accept() => it,
+            () = wait_until_set(&mut closing) => break,
+        };
+        if let Ok((stream, _)) = accepted {
+            spawn_peer(&shared, stream);
         }
-        tokio::spawn(serve_peer(shared.clone(), stream));
+    }
+    for it in own_load::take_waiting(listener).filter_map(|it| from_waiting(it).ok()) {
+        spawn_peer(&shared, it);
+    }
+}
+
+fn spawn_peer(shared: &Arc<IngressShared>, stream: TcpStream) {
+    if set_socket_options(&stream).is_ok() {
+        let unread = shared.closing.borrow().then(|| shared.used_connections.start());
+        tokio::spawn(serve_peer(shared.clone(), stream, unread));
     }
 }
 
-async fn serve_peer(shared: Arc<IngressShared>, stream: TcpStream) {
+/// `unread` holds the stop until a first request is read, if the connection was accepted when connections were being
+/// closed.
+async fn serve_peer(shared: Arc<IngressShared>, stream: TcpStream, unread: Option<InFlightGuard>) {
     let mut first = [0];
-    match stream.peek(&mut first).await {
+    let peeked = tokio::select! {
+        biased;
+        it = stream.peek(&mut first) => it,
+        _ = last_requests_read(&shared, None) => return,
+    };
+    match peeked {
         Ok(0) | Err(_) => return,
         Ok(_) => (),
     }
     let stream = CountedStream::new(stream, shared.own_load.traffic.served_peers.clone());
     if FIRST_HTTP_BYTE <= first[0] {
-        return relay::serve(shared, stream).await;
+        return relay::serve(shared, stream, unread).await;
     }
+    drop(unread);
     let io: Transport<_, _, _, _> = transport(codec().new_framed(stream), Cbor::default());
     let unwritten = Unwritten::default();
     let channel = BaseChannel::with_defaults(AnsweringTransport::new(io, unwritten.clone()));
--- a/crates/holdpointd/src/ingress/relay/server.rs
+++ b/crates/holdpointd/src/ingress/relay/server.rs
@@ -51,8 +51,12 @@
 /// Read buffer of a connection from a peer, in bytes. A caller's request head has to fit.
 const BUFFER_BYTES: usize = 64 << 10;
 
-/// Serves a peer's connection until it closes.
-pub(crate) async fn serve(shared: Arc<IngressShared>, stream: CountedStream<TcpStream>) {
+/// Serves a peer's connection until it closes. `unread` holds a stop until the connection's requests are read.
+pub(crate) async fn serve(
+    shared: Arc<IngressShared>,
+    stream: CountedStream<TcpStream>,
+    unread: Option<InFlightGuard>,
+) {
     let (state, used) = (shared.clone(), OnceLock::new());
     let service = service_fn(move |it| {
         let shared = state.clone();
@@ -64,7 +68,7 @@
         .max_buf_size(BUFFER_BYTES)
         .serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
     // An error ends the connection, and with it the requests on it.
-    drop(run_connection(&shared, connection, None).await);
+    drop(run_connection(&shared, connection, unread).await);
 }
 
 /// Counts a request as carried until it is dropped.
--- a/crates/holdpointd/tests/stopped_peers.rs
+++ b/crates/holdpointd/tests/stopped_peers.rs
@@ -2,7 +2,12 @@
 
 mod support;
 
-use std::time::Duration;
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+    thread,
+    time::Duration,
+};
 
 use holdpoint_adapter_standin::{
     Behaviour, CallerRequest, Store, Target, call, names, sample_configuration, set_times,
@@ -11,7 +16,7 @@
 use http::StatusCode;
 use serde_json::json;
 
-use crate::support::{settings, start_instance, stoppable::Stoppable, until};
+use crate::support::{CONDITION_TIMEOUT, settings, start_instance, stoppable::Stoppable, until};
 
 /// Index of the route of staged requests in the sample configuration.
 const STAGED: usize = 6;
@@ -20,6 +25,13 @@
 /// Longer than a stop lasts that waits for nothing.
 const STOP_TIME: Duration = Duration::from_secs(2);
 
+/// Turns in which a stopping instance is late, and by how much. It closes its listeners in the second one.
+const LATE_TURNS: usize = 4;
+const LATENESS: Duration = Duration::from_millis(400);
+/// Peers that relay a request in that turn, and the time between two of them.
+const PEERS: u32 = 8;
+const PEER_INTERVAL: Duration = Duration::from_millis(25);
+
 /// Guards against a stop that breaks off the work items of peers, whose requests are then late or refused.
 #[tokio::test]
 async fn a_stop_waits_for_the_work_items_of_peers() {
@@ -58,3 +70,67 @@
     assert!(answer.is_complete);
     assert_eq!(stage_calls(), 2, "the work items were run again");
 }
+
+/// A store with one target.
+async fn store_with_target() -> (Store, Target) {
+    let store = Store::start().await;
+    store.put_configuration(&sample_configuration(1));
+    let target = Target::start("i-plain", "plain", Behaviour::Answer).await;
+    store.put_target(&target, false);
+    (store, target)
+}
+
+/// Guards against a listener that is dropped with the connections of peers in its queue: their requests may have run, as far
+/// as the peers can tell.
+#[test]
+fn requests_that_peers_send_to_a_late_stop_are_answered() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let (store, target) = runtime.block_on(store_with_target());
+    let instance = runtime.block_on(async {
+        let settings = settings("a", &store.endpoint, &[]);
+        let instance = Ingress::start(serde_json::from_value(settings).unwrap()).unwrap();
+        until(|| instance.is_ready() && instance.target_count() == 1).await;
+        instance
+    });
+    let peers = instance.listen().peers.clone();
+    let started: Vec<_> = (0..PEERS).map(|it| start_peer(&peers, it, &target.id)).collect();
+    // Each turn of the event loop lasts longer than a pause of the stop.
+    runtime.spawn(async {
+        for _ in 0..LATE_TURNS {
+            thread::sleep(LATENESS);
+            tokio::task::yield_now().await;
+        }
+    });
+    // The stop is polled before all tasks, as in the daemon, and the runtime ends with it.
+    assert_eq!(runtime.block_on(instance.stop()), StopOutcome::Drained);
+    drop(runtime);
+    for (index, it) in started.into_iter().enumerate() {
+        let answer = it.join().unwrap();
+        assert!(answer.starts_with("HTTP/1.1 "), "peer {index}: {answer:?}");
+    }
+}
+
+/// Relays a request from a thread of its own, some time after it was started; returns the answer.
+fn start_peer(address: &str, index: u32, target: &str) -> thread::JoinHandle<String> {
+    let address = address.to_owned();
+    let request = format!(
+        "POST /unsafe/ HTTP/1.1\r\nhost: shop.example\r\n{}: r-{index}\r\nrelay-target: {target}\r\n\
+         relay-kind: request\r\nrelay-counted: 0\r\nrelay-repeatable: 0\r\nconnection: close\r\n\
+         content-length: 5\r\n\r\ninput",
+        names::REQUEST_ID
+    );
+    thread::spawn(move || {
+        thread::sleep(LATENESS + PEER_INTERVAL * (index + 3));
+        let Ok(mut stream) = TcpStream::connect(address) else {
+            // A refused connection shows the peer that nothing has run.
+            return "HTTP/1.1 not sent".to_owned();
+        };
+        let mut answer = String::new();
+        stream.set_read_timeout(Some(CONDITION_TIMEOUT)).unwrap();
+        match stream.write_all(request.as_bytes()).and_then(|()| stream.read_to_string(&mut answer))
+        {
+            Ok(_) => answer,
+            Err(it) => it.to_string(),
+        }
+    })
+}
