A stopping instance tells peers not to keep their connections

What callers of another instance could see: a request that may run only once, relayed on a kept connection, ends with 502 if it crosses the close of that connection at a stop. It is not repeated, since the other instance cannot tell whether it has run.

Cause: a stopping instance refuses relayed requests and leaves the connection open. A peer that does not know of the stop uses it again, until the instance closes all idle connections.

A stopping instance now closes the connection with each answer, so that idle connections are those not used since the stop began.

Test: a_stopping_instance_asks_peers_not_to_keep_their_connections. The crossing itself was not played: it needs a close within the time of a single trip.

--- a/crates/holdpointd/src/ingress/relay/server.rs
+++ b/crates/holdpointd/src/ingress/relay/server.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use holdpoint_adapter::headers;
 use holdpoint_core::{directory::TargetInstance, reach::Path};
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     body::{Body, Frame, Incoming, SizeHint},
@@ -114,6 +114,10 @@
         }
     };
     headers::set_id(response.headers_mut(), &id);
+    if shared.is_draining.load(Ordering::Acquire) {
+        // A request that crosses the close of an idle connection may have run, as far as the peer can tell.
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
     response
 }
 
--- a/crates/holdpointd/tests/stopped_peers.rs
+++ b/crates/holdpointd/tests/stopped_peers.rs
@@ -4,16 +4,16 @@
 
 use std::{
     io::{Read, Write},
-    net::TcpStream,
+    net::{SocketAddr, TcpStream},
     thread,
     time::Duration,
 };
 
 use holdpoint_adapter_standin::{
-    Behaviour, CallerRequest, Store, Target, call, names, sample_configuration, set_times,
+    Behaviour, CallerRequest, Store, Target, call, names, sample_configuration, send_on, set_times,
 };
 use holdpointd::{StopOutcome, ingress::Ingress};
-use http::StatusCode;
+use http::{Method, StatusCode};
 use serde_json::json;
 
 use crate::support::{CONDITION_TIMEOUT, settings, start_instance, stoppable::Stoppable, until};
@@ -71,6 +71,15 @@
     assert_eq!(stage_calls(), 2, "the work items were run again");
 }
 
+/// A request that a peer relays to a target; it may not be repeated.
+fn relayed(id: &str, target: &str) -> CallerRequest {
+    CallerRequest::new(id, "/unsafe/")
+        .with_header("relay-target", target)
+        .with_header("relay-kind", "request")
+        .with_header("relay-counted", "0")
+        .with_header("relay-repeatable", "0")
+}
+
 /// A store with one target.
 async fn store_with_target() -> (Store, Target) {
     let store = Store::start().await;
@@ -80,6 +89,34 @@
     (store, target)
 }
 
+/// Guards against peers that keep a connection to a stopping instance, and send a request on it that crosses its close.
+#[tokio::test]
+async fn a_stopping_instance_asks_peers_not_to_keep_their_connections() {
+    let (store, target) = store_with_target().await;
+    let mut settings = settings("a", &store.endpoint, &[]);
+    settings["timing"]["linger_ms"] = json!(2500);
+    let instance = Stoppable::start(settings, |it| it.is_ready() && it.target_count() == 1).await;
+    let stream = tokio::net::TcpStream::connect(&instance.listen.peers).await.unwrap();
+    let (mut sender, connection) =
+        hyper::client::conn::http1::handshake(hyper_util::rt::TokioIo::new(stream)).await.unwrap();
+    tokio::spawn(connection);
+    let first = send_on(&mut sender, relayed("first", &target.id)).await.expect("a first answer");
+    assert_eq!(first.headers()["relay-outcome"], "answered");
+    assert!(!first.headers().contains_key("connection"));
+    http_body_util::BodyExt::collect(first.into_body()).await.unwrap();
+    let readiness: SocketAddr = instance.listen.readiness.parse().unwrap();
+    let stopping = instance.stop();
+    let ready = || CallerRequest::new("ready", "/v1/ready").with_method(Method::GET);
+    while call(readiness, ready()).await.is_some_and(|it| it.status == StatusCode::OK) {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let refused = send_on(&mut sender, relayed("late", &target.id)).await.expect("an answer");
+    assert_eq!(refused.headers()["relay-outcome"], "busy");
+    assert_eq!(refused.headers()["connection"], "close");
+    assert_eq!(target.runs().len(), 1, "what was refused has not run");
+    assert_eq!(stopping.ended().await, StopOutcome::Drained);
+}
+
 /// Guards against a listener that is dropped with the connections of peers in its queue: their requests may have run, as far
 /// as the peers can tell.
 #[test]
