The store's connection is closed after an answer that cannot be read

An answer that belongs to another call could follow an unreadable one on the same connection, and its targets would get requests although the store does not list them.

Cause: the client kept its connection after a whole answer whose body is neither a page nor a list of records. The reader of the targets read on with it; the readers of the other topics closed it themselves.

The client now closes the connection itself, for short and for long reads.

Tests: a_connection_with_an_unreadable_page_is_not_used_again and a_connection_with_an_unreadable_list_of_records_is_not_used_again. A proxy makes one answer unreadable, and answers what follows on that connection from another store.

--- a/crates/holdpointd/src/ingress/store.rs
+++ b/crates/holdpointd/src/ingress/store.rs
@@ -132,6 +132,12 @@
         self.connection = None;
     }
 
+    /// Closes the connection after an answer that cannot be read: it may belong to another call, and so may the next.
+    fn bad_answer(&mut self) -> StoreError {
+        self.reset();
+        StoreError::BadAnswer
+    }
+
     /// Opens a new connection and returns the time that it took: about one round trip.
     pub(crate) async fn measure_round_trip(&mut self) -> Result<Duration, StoreError> {
         let begun = Instant::now();
@@ -152,7 +158,7 @@
         loop {
             let path = newest_path(topic, records.last().map(|it| it.key.as_str()));
             let body = self.call(Method::GET, &path, Bytes::new(), Duration::ZERO).await?;
-            let page = parse_newest(&body).map_err(|_| StoreError::BadAnswer)?;
+            let page = parse_newest(&body).map_err(|_| self.bad_answer())?;
             let is_empty = page.records.is_empty();
             records.extend(page.records);
             // The pages are no consistent snapshot: changes since the first page are read again from its end.
@@ -172,7 +178,7 @@
     ) -> Result<ReadPage, StoreError> {
         let path = read_path(topic, from, wait.as_millis() as u64);
         let body = self.call(Method::GET, &path, Bytes::new(), wait).await?;
-        parse_read(body, from).map_err(|_| StoreError::BadAnswer)
+        parse_read(body, from).map_err(|_| self.bad_answer())
     }
 
     /// Appends a record to a keyed topic owned by Holdpoint.
