A request with more work items than can be held is refused

What callers saw: a number of work items above 32 bits was left out of the list, and the next number taken for its stage. The request ran with numbers that its caller had not sent, and got 200. A number that just fits ended the process, and every request in it.

Cause: numbers that cannot be read were skipped without keeping their place, and nothing bounded the list that a request takes for its items.

A request with more than 512 items is refused with 503 before anything of it runs; the lists of results that its items carry take 4 MB at most.

--- a/crates/holdpoint-core/src/stage_graph.rs
+++ b/crates/holdpoint-core/src/stage_graph.rs
@@ -75,6 +75,11 @@
         self.items.iter().all(|it| *it == 0)
     }
 
+    /// Number of items of all stages.
+    pub fn total_items(&self) -> u64 {
+        self.items.iter().copied().map(u64::from).sum()
+    }
+
     /// Number of items of a stage.
     pub fn items(&self, stage: usize) -> u32 {
         self.items[stage]
--- a/crates/holdpointd/src/ingress/request.rs
+++ b/crates/holdpointd/src/ingress/request.rs
@@ -15,6 +15,7 @@
 use holdpoint_core::{
     ingress::{Configuration, Denied, IngressRoute, ResponseKind, Tenancy},
     ledger::Ledger,
+    stage_graph::StageGraph,
 };
 use holdpoint_platform::Instant;
 use http::{HeaderValue, Request, header};
@@ -40,6 +41,9 @@
 
 /// Retry-After of a request that the known configuration does not allow, while a newer one may exist.
 const UNCONFIGURED_RETRY: Duration = Duration::from_millis(500);
+/// Maximum number of work items of a request. Each item of a stage lists the results of all items of the stage before, so
+/// that the memory of a request grows with the square of this number: to 4 MB.
+const MAX_ITEMS: u64 = 512;
 
 /// Serves a request; `is_first` if it is the first one of its connection.
 pub(crate) async fn serve(
@@ -169,6 +173,9 @@
     let configuration = shared.configuration();
     let (route, organisation) =
         find_route(&configuration, &request, &head).map_err(|it| deny(denial_failure(it)))?;
+    if MAX_ITEMS < StageGraph::new(&route.stages, &head.item_counts).total_items() {
+        return Err(refuse("too-many-items"));
+    }
     let confinement = route.confinement_for(organisation.map(Arc::as_ref));
     let within = confinement.bounds(&shared.topology);
     let service = route.service_of(&request.id).ok_or_else(|| deny(Failure::NoRoute))?.to_owned();
