The memory for the bodies of requests is bounded

A process that has used up its memory is ended, and every caller loses its request without an answer. 40 bodies of 4 MB at once were enough for a machine of 120 MB.

Cause: connections are bounded by memory, at 128 kB each; their bodies were not. Each was collected in parts and then copied whole. Relayed requests, of up to 16 MB each, were read in the same way.

Bodies above 16 kB now count against a quarter of the machine's memory until the last reference to them is dropped. A stated length is reserved at once; without one, room is added as the buffer grows. What has no room is read, not kept, and refused with 503; a relayed request is refused as busy.

Test: large_bodies_that_arrive_together_do_not_fill_the_memory. Bodies without a stated length have no test.

The process under test in slow_readers.rs moved to tests/support/daemon.rs unchanged, so that both files use it.

--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -11,6 +11,7 @@
 mod attempts;
 mod backoff;
 mod batches;
+mod body_memory;
 mod changes;
 mod checked_answer;
 mod confinement;
--- a/crates/holdpointd/src/ingress/relay/server.rs
+++ b/crates/holdpointd/src/ingress/relay/server.rs
@@ -15,7 +15,7 @@
 use holdpoint_adapter::headers;
 use holdpoint_core::{directory::TargetInstance, reach::Path};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{Full, Limited};
 use hyper::{
     body::{Body, Frame, Incoming, SizeHint},
     server::conn::http1,
@@ -130,7 +130,8 @@
     let carried = Carried::begin(shared).ok_or(BUSY)?;
     let (mut parts, body) = request.into_parts();
     let order = RelayOrder::take(shared, &mut parts.headers).ok_or(BUSY)?;
-    let body = Limited::new(body, MAX_BODY_BYTES).collect().await.map_err(|_| BUSY)?.to_bytes();
+    let body = shared.bodies.read(Limited::new(body, MAX_BODY_BYTES)).await;
+    let body = body.ok().flatten().ok_or(BUSY)?;
     let target = &order.target;
     let refuse = || {
         let is_isolated = shared.paths.is_isolated(&target.service);
--- a/crates/holdpointd/src/ingress/request.rs
+++ b/crates/holdpointd/src/ingress/request.rs
@@ -19,7 +19,7 @@
 };
 use holdpoint_platform::Instant;
 use http::{HeaderValue, Request, header};
-use http_body_util::{BodyExt, Collected, LengthLimitError, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 
 use crate::{
@@ -141,7 +141,8 @@
             Err(_) => failure(Failure::Broken, id),
         }
     };
-    let body = read_body(&configuration, &head, body).await.map_err(deny)?;
+    let body = read_body(shared, &configuration, &head, body).await.map_err(deny)?;
+    let Some(body) = body else { return Err(refuse("no-memory")) };
     let deadline = head.timeout.map(|it| arrived + it);
     if !shared.has_started() {
         // After a restart of all instances, callers arrive before any instance is ready, and a refusal
@@ -235,16 +236,18 @@
     }
 }
 
+/// Reads a body; `None` if there is no memory for it.
 async fn read_body(
+    shared: &IngressShared,
     configuration: &Configuration,
     head: &CallerHead,
     body: Incoming,
-) -> Result<Bytes, Failure> {
+) -> Result<Option<Bytes>, Failure> {
     if body.is_end_stream() {
-        return Ok(Bytes::new());
+        return Ok(Some(Bytes::new()));
     }
-    let read = Limited::new(body, configuration.limits.body_bytes).collect();
-    in_body_time(configuration, head, read).await.map(Collected::to_bytes)
+    let read = shared.bodies.read(Limited::new(body, configuration.limits.body_bytes));
+    in_body_time(configuration, head, read).await
 }
 
 /// Reads a body under the same limits as one that is used, and keeps nothing of it.
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -38,6 +38,7 @@
     ingress::{
         active_resources::ActiveResources,
         batches::{Batches, StageLoads},
+        body_memory::BodyMemory,
         changes::{PeerChanges, TargetChanges},
         confinement::Confinements,
         confirm::Confirmation,
@@ -164,6 +165,8 @@
     pub(crate) confirmation: Confirmation,
     /// Response data that callers have not read yet.
     pub(crate) unread: UnreadBuffers,
+    /// Memory for the bodies of requests.
+    pub(crate) bodies: BodyMemory,
     /// Compressed lists for peers.
     pub(crate) packed: Packed,
     /// Becomes true once the first attempt to learn the peers, from seeds or the store, has ended.
@@ -237,6 +240,7 @@
             changes: Mutex::new(ChangeLog::new(MAX_KEPT_CHANGES)),
             confirmation: Confirmation::default(),
             unread: UnreadBuffers::new(settings.machine.memory_mb),
+            bodies: BodyMemory::new(settings.machine.memory_mb),
             packed: Packed::default(),
             peers_known: watch::channel(false).0,
             configuration: ArcSwap::default(),
--- a/crates/holdpointd/tests/support/mod.rs
+++ b/crates/holdpointd/tests/support/mod.rs
@@ -3,6 +3,7 @@
 // Each test file uses only some of these items.
 #![allow(dead_code, unreachable_pub)]
 
+pub mod daemon;
 pub mod fleet;
 pub mod late_answers;
 pub mod machine;
