An unnamed answer of another target on a new connection counts as not run

What callers saw: an order that reached something else than its target, at an address that was given away, ended with 502 if the answer (421) named no request. Its caller may not send it again, although nothing has run.

Cause: answers to callers' requests had to name the request in all cases. The first answer on a connection can belong to nothing else than what was sent first, which already is the proof for calls with work items.

A 421 without an id now counts if it is the first answer on its connection. The request goes on to another target, or is refused. All other answers to callers' requests still need the id, and on a used connection a 421 without one proves nothing.

--- a/crates/holdpointd/src/ingress/gate.rs
+++ b/crates/holdpointd/src/ingress/gate.rs
@@ -63,7 +63,8 @@
         }
     }
 
-    /// The same, if even the first answer on a connection has to repeat it.
+    /// The same, if even the first answer on a connection has to repeat it, unless it comes from something else than the
+    /// addressed target.
     fn required_id(self) -> Option<&'a str> {
         match self {
             Payload::Request { id, .. } => Some(id),
@@ -215,10 +216,16 @@
     if connection.is_relayed() {
         relay::check_outcome(&mut response)?;
     }
-    CheckedAnswer::check(payload.required_id().or(named), response)
+    // What has another target's address now need not repeat the ids of requests that it does not run.
+    let required = payload.required_id().filter(|_| !is_misdirected(&response));
+    CheckedAnswer::check(named.or(required), response)
         .map_err(|other| record_crossed(shared, connection, payload.id(), other.as_deref()))
 }
 
+fn is_misdirected(response: &Response<Incoming>) -> bool {
+    headers::read_target(response.status(), response.headers()).is_misdirected
+}
+
 /// Checks that an answer belongs to the exchange with this id. One that names no id does if it is the first on its
 /// connection: any other may be a second answer to what was sent before.
 ///
