A stop is not held by new work items of peers

What callers saw: nothing. Since the stop waits for the calls of peers, those that do not know of it (the store did not take the removal of the entry) could hold it until the end of the grace period, by sending ever new work items.

Once connections are closed, a stopping instance turns work items away, as one that does not know the service does. The peer then processes them itself. Items that were taken before are still waited for.

Test: a_stop_is_not_held_by_new_work_items_of_peers.

--- a/crates/holdpointd/src/ingress/peer_service.rs
+++ b/crates/holdpointd/src/ingress/peer_service.rs
@@ -15,6 +15,7 @@
     quarantine::Verdict,
     route::Call,
     spill::Lease,
+    stage_graph::NoResult,
     stream_versions::{StreamKey, StreamOrigin, TargetVersion},
     target_limits::{LimitUpdate, Slot},
 };
@@ -315,6 +316,10 @@
         service: Name,
         asks: Vec<ItemRequest>,
     ) -> Vec<ItemResult> {
+        if *self.shared.closing.borrow() {
+            // The peer processes them itself. A peer that does not know of the stop would hold it.
+            return vec![Err(NoResult::Unreachable); asks.len()];
+        }
         self.shared.batches.process(&self.shared, &service, asks).await
     }
 
--- a/crates/holdpointd/tests/stopped_peers.rs
+++ b/crates/holdpointd/tests/stopped_peers.rs
@@ -10,7 +10,8 @@
 };
 
 use holdpoint_adapter_standin::{
-    Behaviour, CallerRequest, Store, Target, call, names, sample_configuration, send_on, set_times,
+    Behaviour, CallerRequest, Outage, Store, Target, call, names, sample_configuration, send_on,
+    set_times,
 };
 use holdpointd::{StopOutcome, ingress::Ingress};
 use http::{Method, StatusCode};
@@ -71,6 +72,66 @@
     assert_eq!(stage_calls(), 2, "the work items were run again");
 }
 
+/// Whether an instance has processed work items.
+async fn has_processed_items(instance: &Ingress) -> bool {
+    let metrics = instance.listen().metrics.parse().unwrap();
+    let request = CallerRequest::new("metrics", "/metrics").with_method(Method::GET);
+    let answer = call(metrics, request).await.expect("the metrics endpoint answers");
+    String::from_utf8_lossy(&answer.body).lines().any(|it| it.starts_with("holdpoint_pieces"))
+}
+
+/// Guards against a stop that lasts until the end of its grace period, since peers that do not know of it go on sending work
+/// items.
+#[tokio::test]
+async fn a_stop_is_not_held_by_new_work_items_of_peers() {
+    let store = Store::start().await;
+    let mut configuration = sample_configuration(1);
+    set_times(&mut configuration, STAGED, 20_000);
+    configuration["services"][ENCODE]["pieces"]["call-ms"] = json!(5000.0);
+    configuration["services"][ENCODE]["pieces"]["slots"] = json!(4);
+    store.put_configuration(&configuration);
+    let encoder = Target::start("i-encode", "encode", Behaviour::StallItems).await;
+    let engine = Target::start("i-engine", "engine", Behaviour::Events(1)).await;
+    store.put_target(&encoder, false);
+    store.put_target(&engine, false);
+    let is_complete = |it: &Ingress| it.is_ready() && it.target_count() == 2;
+    let own_gate = store.open_endpoint().await;
+    let mut owner = settings("owner", &own_gate, &[]);
+    owner["timing"]["grace_s"] = json!(30.0);
+    owner["machine"] = json!({ "cpu_share": 1.0, "cpu_cores": 4.0, "link_mbps": 1000.0 });
+    let owner = Stoppable::start(owner, move |it| is_complete(it)).await;
+    let instance = start_instance("a", &store.endpoint);
+    until(|| is_complete(&instance) && instance.peer_count() == 1).await;
+    let callers = instance.listen().callers.parse().unwrap();
+    let request = |id, items| {
+        let request = CallerRequest::new(id, "/staged/").with_items(items);
+        call(callers, request.with_header(names::DEADLINE, "20000"))
+    };
+    // Its second stage holds the stop.
+    let held = tokio::spawn(request("held", "1,1"));
+    let stage_calls = || encoder.addressed().iter().filter(|it| it.0 == names::RUN_PATH).count();
+    until(|| stage_calls() == 2).await;
+    // The peer does not learn of the stop.
+    own_gate.set_outage(Outage::Silent);
+    let owner_callers = owner.listen.callers.clone();
+    let stopping = owner.stop();
+    while tokio::net::TcpStream::connect(&owner_callers).await.is_ok() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let next = request("next", "1,0").await.expect("the instance answers");
+    assert_eq!(next.status, StatusCode::OK);
+    let processed = async {
+        while !has_processed_items(&instance).await {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let processed = tokio::time::timeout(CONDITION_TIMEOUT, processed).await;
+    processed.expect("the peer processes its new items itself");
+    encoder.set_behaviour(Behaviour::Answer);
+    assert_eq!(stopping.ended().await, StopOutcome::Drained);
+    assert_eq!(held.await.unwrap().expect("the instance answers").status, StatusCode::OK);
+}
+
 /// A request that a peer relays to a target; it may not be repeated.
 fn relayed(id: &str, target: &str) -> CallerRequest {
     CallerRequest::new(id, "/unsafe/")
