--- a/crates/holdpointd/src/ingress/relay/server.rs
+++ b/crates/holdpointd/src/ingress/relay/server.rs
@@ -14,8 +14,8 @@
 use bytes::Bytes;
 use holdpoint_adapter::headers;
 use holdpoint_core::{directory::TargetInstance, reach::Path};
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::{Full, Limited};
 use hyper::{
     body::{Body, Frame, Incoming, SizeHint},
     server::conn::http1,
@@ -51,8 +51,12 @@
 /// Read buffer of a connection from a peer, in bytes. A caller's request head has to fit.
 const BUFFER_BYTES: usize = 64 << 10;
 
-/// Serves a peer's connection until it closes.
-pub(crate) async fn serve(shared: Arc<IngressShared>, stream: CountedStream<TcpStream>) {
+/// Serves a peer's connection until it closes. `unread` holds a stop until the connection's requests are read.
+pub(crate) async fn serve(
+    shared: Arc<IngressShared>,
+    stream: CountedStream<TcpStream>,
+    unread: Option<InFlightGuard>,
+) {
     let (state, used) = (shared.clone(), OnceLock::new());
     let service = service_fn(move |it| {
         let shared = state.clone();
@@ -64,7 +68,7 @@
         .max_buf_size(BUFFER_BYTES)
         .serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
     // An error ends the connection, and with it the requests on it.
-    drop(run_connection(&shared, connection, None).await);
+    drop(run_connection(&shared, connection, unread).await);
 }
 
 /// Counts a request as carried until it is dropped.
@@ -110,6 +114,10 @@
         }
     };
     headers::set_id(response.headers_mut(), &id);
+    if shared.is_draining.load(Ordering::Acquire) {
+        // A request that crosses the close of an idle connection may have run, as far as the peer can tell.
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
     response
 }
 
@@ -122,7 +130,8 @@
     let carried = Carried::begin(shared).ok_or(BUSY)?;
     let (mut parts, body) = request.into_parts();
     let order = RelayOrder::take(shared, &mut parts.headers).ok_or(BUSY)?;
-    let body = Limited::new(body, MAX_BODY_BYTES).collect().await.map_err(|_| BUSY)?.to_bytes();
+    let body = shared.bodies.read(Limited::new(body, MAX_BODY_BYTES)).await;
+    let body = body.ok().flatten().ok_or(BUSY)?;
     let target = &order.target;
     let refuse = || {
         let is_isolated = shared.paths.is_isolated(&target.service);
--- a/crates/holdpointd/src/ingress/request.rs
+++ b/crates/holdpointd/src/ingress/request.rs
@@ -15,10 +15,11 @@
 use holdpoint_core::{
     ingress::{Configuration, Denied, IngressRoute, ResponseKind, Tenancy},
     ledger::Ledger,
+    stage_graph::StageGraph,
 };
 use holdpoint_platform::Instant;
 use http::{HeaderValue, Request, header};
-use http_body_util::{BodyExt, Collected, LengthLimitError, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 
 use crate::{
@@ -40,6 +41,9 @@
 
 /// Retry-After of a request that the known configuration does not allow, while a newer one may exist.
 const UNCONFIGURED_RETRY: Duration = Duration::from_millis(500);
+/// Maximum number of work items of a request. Each item of a stage lists the results of all items of the stage before, so
+/// that the memory of a request grows with the square of this number: to 4 MB.
+const MAX_ITEMS: u64 = 512;
 
 /// Serves a request; `is_first` if it is the first one of its connection.
 pub(crate) async fn serve(
@@ -137,7 +141,8 @@
             Err(_) => failure(Failure::Broken, id),
         }
     };
-    let body = read_body(&configuration, &head, body).await.map_err(deny)?;
+    let body = read_body(shared, &configuration, &head, body).await.map_err(deny)?;
+    let Some(body) = body else { return Err(refuse("no-memory")) };
     let deadline = head.timeout.map(|it| arrived + it);
     if !shared.has_started() {
         // After a restart of all instances, callers arrive before any instance is ready, and a refusal
@@ -169,6 +174,9 @@
     let configuration = shared.configuration();
     let (route, organisation) =
         find_route(&configuration, &request, &head).map_err(|it| deny(denial_failure(it)))?;
+    if MAX_ITEMS < StageGraph::new(&route.stages, &head.item_counts).total_items() {
+        return Err(refuse("too-many-items"));
+    }
     let confinement = route.confinement_for(organisation.map(Arc::as_ref));
     let within = confinement.bounds(&shared.topology);
     let service = route.service_of(&request.id).ok_or_else(|| deny(Failure::NoRoute))?.to_owned();
@@ -228,16 +236,18 @@
     }
 }
 
+/// Reads a body; `None` if there is no memory for it.
 async fn read_body(
+    shared: &IngressShared,
     configuration: &Configuration,
     head: &CallerHead,
     body: Incoming,
-) -> Result<Bytes, Failure> {
+) -> Result<Option<Bytes>, Failure> {
     if body.is_end_stream() {
-        return Ok(Bytes::new());
+        return Ok(Some(Bytes::new()));
     }
-    let read = Limited::new(body, configuration.limits.body_bytes).collect();
-    in_body_time(configuration, head, read).await.map(Collected::to_bytes)
+    let read = shared.bodies.read(Limited::new(body, configuration.limits.body_bytes));
+    in_body_time(configuration, head, read).await
 }
 
 /// Reads a body under the same limits as one that is used, and keeps nothing of it.
--- a/crates/holdpointd/src/ingress/shared.rs
+++ b/crates/holdpointd/src/ingress/shared.rs
@@ -38,6 +38,7 @@
     ingress::{
         active_resources::ActiveResources,
         batches::{Batches, StageLoads},
+        body_memory::BodyMemory,
         changes::{PeerChanges, TargetChanges},
         confinement::Confinements,
         confirm::Confirmation,
@@ -127,6 +128,8 @@
     pub(crate) in_flight: Arc<InFlight>,
     /// Open connections of callers and relaying peers that have carried a request.
     pub(crate) used_connections: Arc<InFlight>,
+    /// Calls of peers whose answers are not written yet.
+    pub(crate) served_calls: Arc<InFlight>,
     /// Becomes true when callers' connections must be closed.
     pub(crate) closing: watch::Sender<bool>,
     /// Becomes true shortly before the end of a planned stop: all pending requests get a final response.
@@ -162,6 +165,8 @@
     pub(crate) confirmation: Confirmation,
     /// Response data that callers have not read yet.
     pub(crate) unread: UnreadBuffers,
+    /// Memory for the bodies of requests.
+    pub(crate) bodies: BodyMemory,
     /// Compressed lists for peers.
     pub(crate) packed: Packed,
     /// Becomes true once the first attempt to learn the peers, from seeds or the store, has ended.
@@ -216,6 +221,7 @@
             experiments: ActiveResources::default(),
             in_flight: Arc::default(),
             used_connections: Arc::default(),
+            served_calls: Arc::default(),
             closing: watch::channel(false).0,
             answer_now: watch::channel(false).0,
             break_off_now: watch::channel(false).0,
@@ -234,6 +240,7 @@
             changes: Mutex::new(ChangeLog::new(MAX_KEPT_CHANGES)),
             confirmation: Confirmation::default(),
             unread: UnreadBuffers::new(settings.machine.memory_mb),
+            bodies: BodyMemory::new(settings.machine.memory_mb),
             packed: Packed::default(),
             peers_known: watch::channel(false).0,
             configuration: ArcSwap::default(),
--- a/crates/holdpointd/tests/support/unframed.rs
+++ b/crates/holdpointd/tests/support/unframed.rs
@@ -103,7 +103,7 @@
 }
 
 /// Entry of a target in the store.
-pub(super) fn entry(service: &str, address: SocketAddr) -> Value {
+pub fn entry(service: &str, address: SocketAddr) -> Value {
     json!({
         "service": service, "address": address.to_string(), "zone": "z1", "version": "v1",
         "slots": 8, "state": "ready", "cold-left-ms": 0, "sequence": 1, "born": 1,
