Count a request before its handling is polled

A caller that had closed its side of the connection right after its request got no answer, which is meant, but the request was in no counter, no log line and no guard of the stop: neither ended nor dropped nor closed unread. `a_caller_that_reads_slowly_gets_all_of_its_answer` waited for three requests and saw two, in about 1 of 10 runs on a busy machine.

Cause: where the request and the end of the caller's side arrive together, the HTTP library reads the head, calls the service, sees the end and drops the future that the service returned, in one poll and without ever polling that future. All that counts a request stood inside of it. On an idle machine the two mostly arrive apart.

Now the request is counted when its head has been read, before the future is made; its drop shows as `holdpoint_dropped_requests` with `step="body"` and `by="caller"`, as docs/OPERATIONS.md states. The same holds for requests that a full instance refuses.

--- a/crates/holdpointd/src/ingress/request.rs
+++ b/crates/holdpointd/src/ingress/request.rs
@@ -41,19 +41,50 @@
 /// Retry-After of a request that the known configuration does not allow, while a newer one may exist.
 const UNCONFIGURED_RETRY: Duration = Duration::from_millis(500);
 
+/// A request whose head has been read, counted until its handling ends.
+struct ReadRequest {
+    request: Request<Incoming>,
+    head: CallerHead,
+    arrived: Instant,
+    working: InFlightGuard,
+    handling: Handling,
+}
+
+impl ReadRequest {
+    fn new(
+        shared: &Arc<IngressShared>,
+        request: Request<Incoming>,
+        departure: Departure,
+    ) -> ReadRequest {
+        let head = headers::read_caller(request.headers());
+        let id = head.request_id.as_deref().unwrap_or("none");
+        let handling = Handling::new(shared.clone(), id, Step::Body, departure);
+        let working = shared.in_flight.start();
+        ReadRequest { request, head, arrived: Instant::now(), working, handling }
+    }
+}
+
 /// Serves a request; `is_first` if it is the first one of its connection.
-pub(crate) async fn serve(
+///
+/// It is counted before the returned future is polled: the HTTP library drops that unpolled if the caller has closed
+/// its side already.
+pub(crate) fn serve(
     shared: Arc<IngressShared>,
     request: Request<Incoming>,
     is_first: bool,
     departure: Departure,
+) -> impl Future<Output = Result<Answer, Infallible>> {
+    let read = ReadRequest::new(&shared, request, departure.clone());
+    let counted = (shared.own_load.record_request(is_first), departure);
+    serve_read(shared, read, counted)
+}
+
+async fn serve_read(
+    shared: Arc<IngressShared>,
+    read: ReadRequest,
+    (unserved, departure): (Unserved, Departure),
 ) -> Result<Answer, Infallible> {
-    let working = shared.in_flight.start();
-    let unserved = shared.own_load.record_request(is_first);
-    let arrived = Instant::now();
-    let head = headers::read_caller(request.headers());
-    let id = head.request_id.as_deref().unwrap_or("none");
-    let mut handling = Handling::new(shared.clone(), id, Step::Body, departure.clone());
+    let ReadRequest { request, head, arrived, working, mut handling } = read;
     let counted = (working, unserved, departure);
     let admitted = admit(&shared, request, head, arrived, &mut handling, counted).await;
     let mut answer = match admitted {
@@ -74,16 +105,19 @@
     Ok(answer)
 }
 
-/// Refuses a request that has waited for too long to be accepted by an instance that is full.
-pub(crate) async fn refuse(
+/// Refuses a request that has waited for too long to be accepted by an instance that is full. Counted as in [`serve`].
+pub(crate) fn refuse(
     shared: Arc<IngressShared>,
     request: Request<Incoming>,
     departure: Departure,
-) -> Result<Answer, Infallible> {
-    let _working = shared.in_flight.start();
-    let head = headers::read_caller(request.headers());
+) -> impl Future<Output = Result<Answer, Infallible>> {
+    let read = ReadRequest::new(&shared, request, departure);
+    refuse_read(shared, read)
+}
+
+async fn refuse_read(shared: Arc<IngressShared>, read: ReadRequest) -> Result<Answer, Infallible> {
+    let ReadRequest { request, head, working: _working, handling, .. } = read;
     let id = head.request_id.as_deref();
-    let handling = Handling::new(shared.clone(), id.unwrap_or("none"), Step::Body, departure);
     let body = discard_body(&shared.configuration(), &head, request.into_body()).await;
     let (mut answer, cause) = match (body, Ledger::new().close()) {
         (Ok(()), Ok(proof)) => {
