Tests: addresses of a daemon that no other program can take

The tests in slow_readers.rs chose ports, released them, and gave them to the daemon, in settings under a fixed name. Another program could take the port first, or the settings of another run of the tests be read. With five or six copies of a test at once, each with settings of its own already, 3 of 206 runs did not find the daemon serving within 20 s, and 1 of 50 did not find all of its requests counted; whose port it was then is not shown.

No assertion changed.

--- a/crates/holdpointd/tests/slow_readers.rs
+++ b/crates/holdpointd/tests/slow_readers.rs
@@ -6,8 +6,10 @@
 
 use std::{
     fs,
+    net::Ipv4Addr,
     path::PathBuf,
     process::{Child, Command, Stdio},
+    sync::Mutex,
     time::Duration,
 };
 
@@ -37,6 +39,9 @@
 /// Callers that close their side of the connection right after their request.
 const HALF_CLOSED_CALLERS: usize = 20;
 
+/// Hosts 127.x that belong to one test program each begin with this x.
+const OWN_HOSTS: u8 = 64;
+
 struct Daemon {
     child: Child,
     callers: String,
@@ -52,15 +57,27 @@
     }
 }
 
-fn free_port() -> String {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap().to_string()
+/// Returns an address of loopback for the daemon. Its host is this process's alone, so that nobody else takes the port
+/// before the daemon does: neither another test program nor the source of a connection.
+fn free_address() -> String {
+    static TAKEN: Mutex<Vec<String>> = Mutex::new(Vec::new());
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    let host = Ipv4Addr::new(127, OWN_HOSTS + high % OWN_HOSTS, middle, low);
+    let mut taken = TAKEN.lock().unwrap();
+    loop {
+        let listener = std::net::TcpListener::bind((host, 0)).unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        if !taken.contains(&address) {
+            taken.push(address.clone());
+            return address;
+        }
+    }
 }
 
 impl Daemon {
     fn start(name: &str, store: &Store) -> Daemon {
-        let (callers, readiness, peers) = (free_port(), free_port(), free_port());
-        let metrics = free_port();
+        let (callers, readiness, peers) = (free_address(), free_address(), free_address());
+        let metrics = free_address();
         let settings = json!({
             "instance": name, "domain": "z1",
             "listen": { "callers": callers, "readiness": readiness, "peers": peers,
@@ -69,7 +86,8 @@
             "machine": { "memory_mb": 120.0 },
         });
         let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-        let path = dir.join(format!("{name}.json"));
+        // Another run of these tests at the same time has settings of its own.
+        let path = dir.join(format!("{name}-{}.json", std::process::id()));
         fs::write(&path, settings.to_string()).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_holdpointd"))
             .args(["--ingress", "--settings", path.to_str().unwrap()])
