A late process looks at a connection before it closes it for its idle limit or a stop

Cause: the event loop of a process that was suspended in its wait for sockets gets EINTR, sees no events, and runs the timers that are due first. The HTTP library then finds the idle limit over, or the stop finds the time for late requests over, before the socket was looked at; the request in it is dropped with the connection. A system call trace shows the timers run, and all 20 connections closed, before the next epoll_wait.

Timers of callers' connections now yield once when their time is over, which lets the event loop look at the sockets first. The library and the stop both poll the connection before the timer, so a request that has arrived is read.

--- a/crates/holdpointd/src/ingress/listeners.rs
+++ b/crates/holdpointd/src/ingress/listeners.rs
@@ -9,7 +9,7 @@
     io,
     net::SocketAddr,
     sync::{Arc, OnceLock},
-    time::Duration,
+    time::{self, Duration},
 };
 
 use futures::future::Either;
@@ -21,12 +21,9 @@
     server::conn::http1,
     service::{HttpService, service_fn},
 };
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use tokio::{
-    net::{TcpListener, TcpSocket, TcpStream},
-    time::sleep,
-};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::{
     events::{self, emit},
@@ -35,6 +32,7 @@
         answer::{Answer, empty, text},
         counted_stream::CountedStream,
         departure::{Departure, DepartureStream},
+        driver_timer::{self, DriverTimer},
         lingering_stream::LingeringStream,
         own_load::{self, Accepted, OpenConnection},
         request,
@@ -278,7 +276,7 @@
     let stream = WriteTimeout::new(stream, WRITE_TIMEOUT);
     let stream = DepartureStream::new(stream, departure);
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
+        .timer(DriverTimer)
         .auto_date_header(false)
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
         // The library's header timeout includes the idle time between two requests.
@@ -317,7 +315,7 @@
         wait_until_set(&mut closing).await;
         // A late process may see the end of the stop's own pause together with the requests.
         let unread = unread.unwrap_or_else(|| shared.used_connections.start());
-        sleep(LATE_REQUEST_TIME).await;
+        driver_timer::sleep_until(time::Instant::now() + LATE_REQUEST_TIME).await;
         unread
     };
     tokio::pin!(connection);
--- a/crates/holdpointd/src/ingress/mod.rs
+++ b/crates/holdpointd/src/ingress/mod.rs
@@ -22,6 +22,7 @@
 mod dispatch;
 mod domains;
 mod drain_notices;
+mod driver_timer;
 mod follow;
 mod gate;
 mod item_request;
