Soak: books of each caller, slow readers, series of configurations, plans of planned work

Each request that was sent whole has to end with an answer, a refusal, or a close within 200 ms of its last byte, unless its process was killed. Callers record when the last byte was handed to the system; times in which the soak itself did not run are taken off. Plans with narrow links, which hold requests for an unknown time, are not judged so.

New draws, each in a random stream of its own: callers that read answers of 320 KiB slowly and keep their connections open between requests, and series of changes of idle limits, timeouts, routes and API keys.

In tests/judge.rs the attempts get the two new fields; the checks are as before.

--- a/crates/holdpoint-soak/src/callers.rs
+++ b/crates/holdpoint-soak/src/callers.rs
@@ -10,22 +10,23 @@
 };
 
 use bytes::{Bytes, BytesMut};
-use holdpoint_adapter_standin::{CallerRequest, names, send_on};
-use http_body_util::{BodyExt, Full};
-use hyper::{
-    body::Incoming,
-    client::conn::http1::{self, SendRequest},
-};
-use hyper_util::rt::TokioIo;
+use holdpoint_adapter_standin::{CallerRequest, names};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use parking_lot::Mutex;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use tokio::{net::TcpStream, time::timeout};
+use tokio::time::timeout;
 
-use crate::{Millis, fleet::Clock, verdict::EVENTS};
+use crate::{
+    Millis,
+    caller_connection::{CallerConnection, connect},
+    fleet::Clock,
+    verdict::EVENTS,
+};
 
 /// Longest wait for a connection or an answer; exceeds the deadline that requests carry.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(3500);
+pub(crate) const ANSWER_TIMEOUT: Duration = Duration::from_millis(3500);
 /// Timeout of the requests that callers cancel early.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(30);
 /// One request in this many, on average, has the short timeout.
@@ -42,7 +43,7 @@
 /// Random stream of the callers that a crowd adds.
 const CROWD_STREAM: u64 = 2;
 /// Pause after a failed connection or a request without a 200 response.
-const RETRY_PAUSE: Duration = Duration::from_millis(10);
+pub(crate) const RETRY_PAUSE: Duration = Duration::from_millis(10);
 
 /// Route of the sample configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -60,7 +61,7 @@
 }
 
 impl Route {
-    fn path(self) -> &'static str {
+    pub(crate) fn path(self) -> &'static str {
         match self {
             Route::Safe => "/safe/",
             Route::Unsafe => "/unsafe/",
@@ -109,10 +110,14 @@
     pub process: usize,
     /// When it was sent.
     pub sent: Millis,
+    /// When its last byte was handed to the system; `None` if that is not known.
+    pub written: Option<Millis>,
     /// When its outcome was known.
     pub ended: Millis,
     /// Set if the caller resumes a stream.
     pub resumed: Option<Resumed>,
+    /// Size of the large answer that it asks for, in bytes; 0 for a short one.
+    pub answer_bytes: usize,
     /// Outcome.
     pub outcome: Outcome,
 }
@@ -140,6 +145,9 @@
 
     /// Body that a complete successful answer must have.
     pub fn expected_body(&self) -> Bytes {
+        if self.answer_bytes != 0 {
+            return Bytes::from(vec![b'x'; self.answer_bytes]);
+        }
         if self.route.is_unary() {
             return Bytes::from(self.id.clone());
         }
@@ -198,18 +206,21 @@
         let process = if count == 0 && rng.random_range(0..10) != 0 { crowded } else { drawn };
         let address = *callers.addresses[process].lock();
         let connected = match address {
-            Some(it) => connect(it).await,
+            Some(it) => connect(it, callers.clock).await,
             None => None,
         };
-        let Some(mut sender) = connected else { continue };
+        let Some(mut connection) = connected else { continue };
         let id = format!("s{}-crowd{caller}-{}-{count}", callers.seed, callers.clock.now());
         let sent = callers.clock.now();
         let request = request(&id, route).with_header(NOTE, &"n".repeat(NOTE_BYTES));
-        let exchanged = timeout(ANSWER_TIMEOUT, exchange(&mut sender, request, u64::MAX)).await;
+        let exchanged = timeout(ANSWER_TIMEOUT, exchange(&mut connection, request, u64::MAX)).await;
         let outcome = exchanged.unwrap_or(Outcome::TimedOut);
         let is_closed = matches!(outcome, Outcome::Closed);
         let ended = callers.clock.now();
-        let attempt = Attempt { id, route, process, sent, ended, resumed: None, outcome };
+        let written = connection.written();
+        let (resumed, answer_bytes) = (None, 0);
+        let attempt =
+            Attempt { id, route, process, sent, written, ended, resumed, answer_bytes, outcome };
         callers.attempts.lock().push(attempt);
         if !is_closed {
             return;
@@ -228,14 +239,14 @@
         let process = rng.random_range(0..callers.addresses.len());
         let address = *callers.addresses[process].lock();
         let connected = match address {
-            Some(it) => connect(it).await,
+            Some(it) => connect(it, callers.clock).await,
             None => None,
         };
-        let Some(mut sender) = connected else {
+        let Some(mut connection) = connected else {
             tokio::time::sleep(RETRY_PAUSE).await;
             continue;
         };
-        while sender.ready().await.is_ok() && !callers.is_over.load(Ordering::Acquire) {
+        while connection.is_ready().await && !callers.is_over.load(Ordering::Acquire) {
             count += 1;
             let id = format!("s{}-c{caller}-{count}", callers.seed);
             let drawn = [
@@ -253,11 +264,23 @@
             let leaves = callers.has_returns && leave_rng.random_range(0..LEAVE_INTERVAL) == 0;
             let events = if leaves { leave_rng.random_range(1..EVENTS) } else { u64::MAX };
             let outcome =
-                attempt(&mut sender, (&id, route), (resumed.as_ref(), events), is_cancelled).await;
+                attempt(&mut connection, (&id, route), (resumed.as_ref(), events), is_cancelled)
+                    .await;
             let is_abandoned = matches!(outcome, Outcome::Cancelled | Outcome::TimedOut);
             let is_served = matches!(outcome, Outcome::Answer { status: 200, .. });
             let ended = callers.clock.now();
-            let attempt = Attempt { id, route, process, sent, ended, resumed, outcome };
+            let (written, answer_bytes) = (connection.written(), 0);
+            let attempt = Attempt {
+                id,
+                route,
+                process,
+                sent,
+                written,
+                ended,
+                resumed,
+                answer_bytes,
+                outcome,
+            };
             resumption = attempt.resumption().map(|it| (route, it));
             callers.attempts.lock().push(attempt);
             // A stream that broke off is resumed on a new connection, most often at another process.
@@ -271,13 +294,6 @@
     }
 }
 
-pub(crate) async fn connect(address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
-    let stream = timeout(ANSWER_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-    tokio::spawn(async move { drop(connection.await) });
-    Some(sender)
-}
-
 fn request(id: &str, route: Route) -> CallerRequest {
     let request = CallerRequest::new(id, route.path()).with_body(id.to_owned());
     match route {
@@ -287,7 +303,7 @@
 }
 
 async fn attempt(
-    sender: &mut SendRequest<Full<Bytes>>,
+    connection: &mut CallerConnection,
     (id, route): (&str, Route),
     (resumed, events): (Option<&Resumed>, u64),
     is_cancelled: bool,
@@ -300,7 +316,7 @@
     }
     let limit = if is_cancelled { CANCEL_TIMEOUT } else { ANSWER_TIMEOUT };
     let events = if route.is_unary() { u64::MAX } else { events };
-    match timeout(limit, exchange(sender, request, events)).await {
+    match timeout(limit, exchange(connection, request, events)).await {
         Ok(it) => it,
         Err(_) if is_cancelled => Outcome::Cancelled,
         Err(_) => Outcome::TimedOut,
@@ -309,11 +325,11 @@
 
 /// Sends a request, and reads its answer up to this many events.
 async fn exchange(
-    sender: &mut SendRequest<Full<Bytes>>,
+    connection: &mut CallerConnection,
     request: CallerRequest,
     events: u64,
 ) -> Outcome {
-    let Some(answer) = send_on(sender, request).await else { return Outcome::Closed };
+    let Some(answer) = connection.send(request).await else { return Outcome::Closed };
     let (parts, body) = answer.into_parts();
     let signature = parts.headers.get(names::SIGNATURE);
     let signature = signature.and_then(|it| it.to_str().ok()).map(str::to_owned);
--- a/crates/holdpoint-soak/src/faults.rs
+++ b/crates/holdpoint-soak/src/faults.rs
@@ -20,6 +20,8 @@
 const CROWD_INTERVAL: Duration = Duration::from_millis(4);
 /// Period of a processor's quota.
 const QUOTA_PERIOD: Duration = Duration::from_millis(100);
+/// Period of a processor that runs a process in long slices.
+const COARSE_PERIOD: Duration = Duration::from_millis(600);
 /// Cold-start period of a replacement target.
 const COLD_START_MS: u64 = 1000;
 
@@ -82,9 +84,15 @@
             sleep(duration).await;
             fleet.store.restore(&domain_name(domain));
         }
-        FaultKind::Configure => fleet.configure(),
+        FaultKind::Configure => fleet.configure(None),
+        FaultKind::Change(it) => fleet.configure(Some(it)),
         FaultKind::Crowd(process) => crowd(&fleet, process, duration).await,
-        FaultKind::SmallShare(process) => share_processor(&fleet, process, duration).await,
+        FaultKind::SmallShare(process) => {
+            share_processor(&fleet, process, duration, QUOTA_PERIOD).await;
+        }
+        FaultKind::CoarseShare(process) => {
+            share_processor(&fleet, process, duration, COARSE_PERIOD).await;
+        }
         FaultKind::DrainNotice(target) => {
             fleet.targets[target].target.set_draining(true);
             sleep(duration).await;
@@ -118,13 +126,13 @@
 }
 
 /// Lets a process run for a part of each period only.
-async fn share_processor(fleet: &Fleet, process: usize, duration: Duration) {
+async fn share_processor(fleet: &Fleet, process: usize, duration: Duration, period: Duration) {
     let until = Instant::now() + duration;
     while Instant::now() < until {
         fleet.signal(process, Signal::STOP);
-        sleep(QUOTA_PERIOD.mul_f64(1.0 - SMALL_SHARE)).await;
+        sleep(period.mul_f64(1.0 - SMALL_SHARE)).await;
         fleet.signal(process, Signal::CONT);
-        sleep(QUOTA_PERIOD.mul_f64(SMALL_SHARE)).await;
+        sleep(period.mul_f64(SMALL_SHARE)).await;
     }
 }
 
--- a/crates/holdpoint-soak/src/fleet.rs
+++ b/crates/holdpoint-soak/src/fleet.rs
@@ -26,12 +26,16 @@
 
 use crate::{
     Millis,
+    answers::{Excuses, judge_answers},
     callers::{self, Attempt, Callers, Outcome},
+    changes::Change,
     faults,
     link::Link,
     notices::{Arrival, Notices, judge_notices},
     plan::{DOMAINS, ENCODERS, Plan, TARGETS},
     proxy::Proxy,
+    slow_readers,
+    stalls::{self, Stalls},
     verdict::{EVENTS, EventTimes, Finding, Invariant, Verdict, judge, judge_crowds},
 };
 
@@ -139,6 +143,8 @@
     dropped: Mutex<Vec<Finding>>,
     pub(crate) version: Mutex<u64>,
     pub(crate) kills: Mutex<EventTimes>,
+    /// When processes were suspended or resumed.
+    suspensions: Mutex<EventTimes>,
     /// When processes were stopped, killed, suspended or resumed, or ended, by process.
     interruptions: Mutex<EventTimes>,
     /// Index of the target and time span of each failure of a target's link.
@@ -193,6 +199,7 @@
             dropped: Mutex::default(),
             version: Mutex::new(1),
             kills: Mutex::default(),
+            suspensions: Mutex::default(),
             interruptions: Mutex::default(),
             failed_links: Mutex::default(),
             crowds: Mutex::default(),
@@ -209,6 +216,9 @@
             if signal != Signal::HUP {
                 self.record_interruption(process);
             }
+            if matches!(signal, Signal::STOP | Signal::CONT) {
+                self.suspensions.lock().entry(process).or_default().push(self.clock.now());
+            }
             if signal == Signal::KILL {
                 self.kills.lock().entry(process).or_default().push(self.clock.now());
             }
@@ -235,12 +245,15 @@
         self.interruptions.lock().entry(process).or_default().push(self.clock.now());
     }
 
-    /// Publishes a new configuration with an API key that only this version accepts.
-    pub(crate) fn configure(&self) {
+    /// Publishes a new configuration with an API key that only this version accepts, and with a change.
+    pub(crate) fn configure(&self, change: Option<Change>) {
         let mut version = self.version.lock();
         *version += 1;
         let mut configuration = configuration(*version);
         configuration["tenants"][0]["api-keys"] = json!(["key-1", key(*version)]);
+        if let Some(it) = change {
+            it.apply(&mut configuration);
+        }
         self.store.put_configuration(&configuration);
     }
 }
@@ -336,8 +349,13 @@
         processes.push(tokio::spawn(supervise(fleet.clone(), builds.clone(), index, child)));
     }
     let mut findings = await_recovery(&fleet).await;
-    let sending: Vec<_> =
+    let stalls = Stalls::default();
+    let recording = tokio::spawn(stalls::record(fleet.clock, stalls.clone()));
+    let mut sending: Vec<_> =
         (0..plan.callers).map(|it| tokio::spawn(callers::run(fleet.callers.clone(), it))).collect();
+    let readers =
+        (0..plan.slow_readers).map(|it| tokio::spawn(slow_readers::run(fleet.callers.clone(), it)));
+    sending.extend(readers);
     faults::play(&fleet, plan).await;
     findings.extend(await_recovery(&fleet).await);
     fleet.callers.is_over.store(true, Ordering::Release);
@@ -345,14 +363,20 @@
         // The attempts of a caller that panicked are already recorded.
         drop(it.await);
     }
-    processes.iter().for_each(tokio::task::JoinHandle::abort);
-    let verdict = conclude(plan, &fleet, findings);
+    processes.iter().chain([&recording]).for_each(tokio::task::JoinHandle::abort);
+    let stalls = std::mem::take(&mut *stalls.lock());
+    let verdict = conclude(plan, &fleet, &stalls, findings);
     // A leftover temporary folder is harmless.
     drop(std::fs::remove_dir_all(&folder));
     Ok(verdict)
 }
 
-fn conclude(plan: &Plan, fleet: &Fleet, mut findings: Vec<Finding>) -> Verdict {
+fn conclude(
+    plan: &Plan,
+    fleet: &Fleet,
+    stalls: &[RangeInclusive<Millis>],
+    mut findings: Vec<Finding>,
+) -> Verdict {
     let attempts: Vec<Attempt> = std::mem::take(&mut *fleet.callers.attempts.lock());
     let replacements = fleet.replacements.lock().clone();
     let targets = fleet.targets.iter().map(|it| &it.target).chain(&replacements);
@@ -364,6 +388,7 @@
         .collect();
     findings.append(&mut fleet.dropped.lock());
     findings.extend(judge(&attempts, &runs, &fleet.kills.lock()));
+    findings.extend(unanswered(plan, fleet, stalls, &attempts));
     let over_limit = |it| over_limit(fleet, it, &attempts);
     findings.extend(fleet.targets.iter().filter_map(over_limit));
     findings.extend(notice_findings(fleet, &attempts));
@@ -385,10 +410,29 @@
             attempts.iter().filter(|it| it.resumed.is_some() && status(it) == 200).count(),
             attempts.iter().filter(|it| it.resumed.is_some()).count(),
         ),
+        read_slowly: (
+            attempts.iter().filter(|it| it.answer_bytes != 0 && status(it) == 200).count(),
+            attempts.iter().filter(|it| it.answer_bytes != 0).count(),
+        ),
         findings,
     }
 }
 
+/// Reports requests without an answer. Narrow links hold requests and answers for an unknown time.
+fn unanswered(
+    plan: &Plan,
+    fleet: &Fleet,
+    stalls: &[RangeInclusive<Millis>],
+    attempts: &[Attempt],
+) -> Vec<Finding> {
+    if plan.link_mbps.is_some() {
+        return Vec::new();
+    }
+    let (kills, suspensions) = (&fleet.kills.lock(), &fleet.suspensions.lock());
+    let breaks_answers = !plan.has_only_planned();
+    judge_answers(attempts, &Excuses { kills, suspensions, stalls, breaks_answers })
+}
+
 /// Reports a target that received more than its limit from processes that knew the limit.
 fn over_limit(fleet: &Fleet, it: &ProxiedTarget, attempts: &[Attempt]) -> Option<Finding> {
     let clock = fleet.clock;
--- a/crates/holdpoint-soak/src/lib.rs
+++ b/crates/holdpoint-soak/src/lib.rs
@@ -18,17 +18,25 @@
 //! # }
 //! ```
 
+mod answers;
+mod caller_connection;
 mod callers;
+mod changes;
 mod faults;
 mod fleet;
 mod link;
 mod notices;
 mod plan;
+mod planned;
 mod proxy;
+mod slow_readers;
+mod stalls;
 mod verdict;
 
 pub use crate::{
+    answers::{Excuses, judge_answers},
     callers::{Attempt, Outcome, Resumed, Route},
+    changes::Change,
     fleet::{Builds, StartError, run},
     link::Link,
     notices::{Arrival, Notices, judge_notices},
--- a/crates/holdpoint-soak/src/plan.rs
+++ b/crates/holdpoint-soak/src/plan.rs
@@ -5,7 +5,10 @@
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::Millis;
+use crate::{
+    Millis,
+    changes::{self, Change},
+};
 
 /// Number of plain targets, and of model targets.
 pub(crate) const TARGETS: usize = 3;
@@ -43,6 +46,8 @@
 const CROWD_COUNT: usize = 2;
 /// Longest crowd.
 const MAX_CROWD_MS: Millis = 3000;
+/// Number of callers for each process that read large answers slowly.
+const SLOW_READERS_PER_PROCESS: usize = 3;
 /// Bandwidth of the narrow links, in Mbit/s.
 const NARROW_MBPS: f64 = 2.0;
 /// Small share of a processor.
@@ -122,10 +127,14 @@
     Evacuate(usize),
     /// The operator publishes a configuration.
     Configure,
+    /// The operator publishes a configuration of a series.
+    Change(Change),
     /// Most new connections go to one process, and callers open more.
     Crowd(usize),
     /// A process gets a small share of its processor.
     SmallShare(usize),
+    /// A process gets a small share of its processor in long slices, so that much waits for it in between.
+    CoarseShare(usize),
     /// A target announces in its answers that it is draining; its store entry follows only at the
     /// end of the fault.
     DrainNotice(usize),
@@ -165,6 +174,8 @@
     pub processes: usize,
     /// Number of callers, each with one request at a time.
     pub callers: usize,
+    /// Number of callers that read large answers slowly.
+    pub slow_readers: usize,
     /// Period in which faults start.
     pub length: Duration,
     /// Whether engines run different versions of their software.
@@ -195,14 +206,20 @@
         faults.extend(cuts(seed, end, processes));
         let (crowds, link_mbps) = crowds(seed, end, processes);
         faults.extend(crowds);
+        faults.extend(changes::draw(seed, end));
         faults.sort_by_key(|it| it.at);
-        Plan { seed, processes, callers, length, has_versions: true, link_mbps, faults }
+        // Their answers would fill narrow links.
+        let slow_readers =
+            if link_mbps.is_some() { 0 } else { SLOW_READERS_PER_PROCESS * processes };
+        let has_versions = true;
+        Plan { seed, processes, callers, slow_readers, length, has_versions, link_mbps, faults }
     }
 
     /// Draws a plan in which crowds meet no other fault than small shares of processors, so that what callers of a crowd
     /// read can be compared with what they read before.
     pub fn draw_crowds(seed: u64, length: Duration) -> Plan {
         let mut plan = Plan::draw(seed, length);
+        plan.slow_readers = 0;
         plan.faults.retain(|it| matches!(it.kind, FaultKind::Crowd(_) | FaultKind::SmallShare(_)));
         // The processes that are small are so from the start.
         plan.faults.iter_mut().filter(|it| !it.is_crowd()).for_each(|it| it.at = 0);
@@ -297,21 +314,36 @@
         self.link_mbps.is_some() || self.faults.iter().any(is_cut)
     }
 
-    /// Removes cuts of processes from targets, the versions of the engines, crowds, small shares of processors and narrow
-    /// links.
+    /// Removes cuts of processes from targets, the versions of the engines, crowds, small shares of processors, narrow
+    /// links, series of configurations and slow readers.
     pub fn without_cuts(mut self) -> Plan {
         let is_left = |it: &FaultKind| {
-            matches!(it, FaultKind::ProcessCut(..) | FaultKind::Crowd(_) | FaultKind::SmallShare(_))
+            matches!(
+                it,
+                FaultKind::ProcessCut(..)
+                    | FaultKind::Crowd(_)
+                    | FaultKind::SmallShare(_)
+                    | FaultKind::Change(_)
+            )
         };
         self.faults.retain(|it| !is_left(&it.kind));
         self.link_mbps = None;
         self.has_versions = false;
+        self.slow_readers = 0;
+        self
+    }
+
+    /// Removes narrow links, which leave no room for slow readers.
+    pub(crate) fn without_narrow_links(mut self) -> Plan {
+        self.link_mbps = None;
+        self.slow_readers = SLOW_READERS_PER_PROCESS * self.processes;
         self
     }
 
     /// Smallest share of a processor that a process gets.
     pub(crate) fn cpu_share(&self, process: usize) -> f64 {
-        let is_its = |it: &Fault| it.kind == FaultKind::SmallShare(process);
+        let small = [FaultKind::SmallShare(process), FaultKind::CoarseShare(process)];
+        let is_its = |it: &Fault| small.contains(&it.kind);
         if self.faults.iter().any(is_its) { SMALL_SHARE } else { 1.0 }
     }
 
--- a/crates/holdpoint-soak/src/verdict.rs
+++ b/crates/holdpoint-soak/src/verdict.rs
@@ -31,7 +31,8 @@
     Intact,
     /// Targets run only requests that callers sent, unchanged.
     Requested,
-    /// A request for a single response that has run is answered, unless its process was killed.
+    /// A request that was sent whole is answered or refused, unless its process was killed or its connection was closed
+    /// within 200 ms.
     Answered,
     /// A target receives at most one and a half times its limit plus five requests.
     WithinLimit,
@@ -99,6 +100,8 @@
     pub refused: usize,
     /// Number of resumed streams that went on to their end, and of all attempts to resume one.
     pub resumed: (usize, usize),
+    /// Number of large answers that were read slowly and whole, and of all requests for one.
+    pub read_slowly: (usize, usize),
     /// Violations found.
     pub findings: Vec<Finding>,
 }
@@ -121,14 +124,16 @@
         write!(
             f,
             "seed {} processes {processes} callers {callers} faults {} requests {} answered {} refused {} \
-             resumed {} of {}",
+             resumed {} of {} read-slowly {} of {}",
             self.seed,
             self.faults,
             self.requests,
             self.answered,
             self.refused,
             self.resumed.0,
-            self.resumed.1
+            self.resumed.1,
+            self.read_slowly.0,
+            self.read_slowly.1
         )?;
         for invariant in [
             Invariant::AtMostOnce,
@@ -296,7 +301,9 @@
                     format!("{} unexpected bytes presented as complete", body.len()),
                 );
             }
-            let is_truncated = attempt.route.is_unary() && !is_complete;
+            // Large answers are forwarded while they arrive, so that a fault of their target breaks them off.
+            let is_collected = attempt.route.is_unary() && attempt.answer_bytes == 0;
+            let is_truncated = is_collected && !is_complete;
             if is_truncated && !was_killed(attempt, kills) {
                 report(Invariant::Answered, format!("{status}, body truncated"));
             }
--- a/crates/holdpoint-soak/tests/judge.rs
+++ b/crates/holdpoint-soak/tests/judge.rs
@@ -3,13 +3,15 @@
 use bytes::Bytes;
 use holdpoint_adapter_standin::Run;
 use holdpoint_soak::{
-    Arrival, Attempt, EventTimes, Invariant, Millis, Notices, Outcome, Plan, Resumed, Route, judge,
-    judge_crowds, judge_notices,
+    Arrival, Attempt, EventTimes, Excuses, FaultKind, Invariant, Millis, Notices, Outcome, Plan,
+    Resumed, Route, judge, judge_answers, judge_crowds, judge_notices,
 };
 
 fn attempt(route: Route, outcome: Outcome) -> Attempt {
     let id = "r-1".to_owned();
-    Attempt { id, route, process: 0, sent: 100, ended: 200, resumed: None, outcome }
+    let (written, resumed, answer_bytes) = (Some(100), None, 0);
+    let (process, sent, ended) = (0, 100, 200);
+    Attempt { id, route, process, sent, written, ended, resumed, answer_bytes, outcome }
 }
 
 fn answer(status: u16, signer: Option<&str>, body: impl Into<Bytes>) -> Outcome {
@@ -74,6 +76,89 @@
     assert_eq!(violations(&closed, &["a"], &[150]), []);
 }
 
+/// Number of missing answers, for a process that was killed and suspended at these times and with targets that break
+/// answers off or not.
+fn missing_answers(
+    attempt: &Attempt,
+    (kills, suspensions): (&[Millis], &[Millis]),
+    stalls: &[std::ops::RangeInclusive<Millis>],
+    breaks_answers: bool,
+) -> usize {
+    let of_process = |it: &[Millis]| EventTimes::from([(0, it.to_vec())]);
+    let (kills, suspensions) = (&of_process(kills), &of_process(suspensions));
+    let excuses = Excuses { kills, suspensions, stalls, breaks_answers };
+    judge_answers(std::slice::from_ref(attempt), &excuses).len()
+}
+
+#[test]
+fn a_request_that_was_read_does_not_end_with_a_closed_connection() {
+    let closed_after = |ms: Millis| Attempt {
+        written: Some(110),
+        ended: 110 + ms,
+        ..attempt(Route::Story, Outcome::Closed)
+    };
+    let missing = |it: &Attempt, kills: &[Millis], stalls: &[_]| {
+        missing_answers(it, (kills, &[]), stalls, true)
+    };
+    assert_eq!(missing(&closed_after(200), &[], &[]), 0);
+    assert_eq!(missing(&closed_after(201), &[], &[]), 1);
+    assert_eq!(missing(&closed_after(201), &[150], &[]), 0, "the process was killed");
+    assert_eq!(missing(&closed_after(201), &[90], &[]), 1, "killed before");
+    assert_eq!(missing(&closed_after(250), &[], &[300..=360]), 0, "the end was seen late");
+    assert_eq!(missing(&closed_after(250), &[], &[50..=130, 340..=400]), 1);
+    let unsent = Attempt { written: None, ..closed_after(900) };
+    assert_eq!(missing(&unsent, &[], &[]), 0, "its last byte may not have been sent");
+    assert_eq!(missing_answers(&closed_after(900), (&[], &[500]), &[], true), 1);
+}
+
+#[test]
+fn a_request_has_an_answer_at_its_deadline() {
+    let late = Attempt { ended: 3600, ..attempt(Route::Once, Outcome::TimedOut) };
+    assert_eq!(missing_answers(&late, (&[], &[]), &[], true), 1);
+    assert_eq!(missing_answers(&late, (&[200], &[]), &[], true), 0, "the process was killed");
+    assert_eq!(missing_answers(&late, (&[], &[200]), &[], true), 0, "it was suspended");
+    let left = attempt(Route::Once, Outcome::Cancelled);
+    assert_eq!(missing_answers(&left, (&[], &[]), &[], true), 0);
+}
+
+#[test]
+fn answers_that_are_read_slowly_arrive_whole_beside_planned_work() {
+    let mut outcome = answer(200, Some("a"), "xxx");
+    let Outcome::Answer { is_complete, .. } = &mut outcome else { unreachable!() };
+    *is_complete = false;
+    let part = Attempt { answer_bytes: 4, ..attempt(Route::Safe, outcome) };
+    assert_eq!(missing_answers(&part, (&[], &[]), &[], false), 1);
+    assert_eq!(missing_answers(&part, (&[], &[]), &[], true), 0, "its target may have cut it");
+    assert_eq!(missing_answers(&part, (&[150], &[]), &[], false), 0, "the process was killed");
+    let late = Attempt { ended: 3000, ..part.clone() };
+    assert_eq!(missing_answers(&late, (&[], &[]), &[], false), 0, "past its deadline");
+    assert_eq!(violations(&part, &["a"], &[]), [], "judged with what broke it off");
+    let crossed = Attempt { outcome: answer(200, Some("a"), "xxy"), answer_bytes: 3, ..part };
+    assert_eq!(violations(&crossed, &["a"], &[]), [Invariant::Intact]);
+}
+
+#[test]
+fn a_plan_of_planned_work_has_nothing_that_breaks_answers_off() {
+    for seed in 1..20 {
+        let length = std::time::Duration::from_secs(8);
+        let plan = Plan::draw_planned(seed, length);
+        assert_eq!(plan, Plan::draw_planned(seed, length));
+        assert!(plan.link_mbps.is_none() && 0 < plan.slow_readers);
+        let is_drawn = |check: fn(&FaultKind) -> bool| plan.faults.iter().any(|it| check(&it.kind));
+        assert!(is_drawn(|it| matches!(it, FaultKind::Stop(_))));
+        assert!(is_drawn(|it| matches!(it, FaultKind::Change(_))));
+        assert!(!is_drawn(|it| matches!(
+            it,
+            FaultKind::Kill(_)
+                | FaultKind::Pause(_)
+                | FaultKind::Target(..)
+                | FaultKind::TargetLink(..)
+                | FaultKind::ProcessCut(..)
+                | FaultKind::StoreLink(..)
+        )));
+    }
+}
+
 #[test]
 fn no_target_runs_what_nobody_sent() {
     let sent = attempt(Route::Unsafe, Outcome::Cancelled);
@@ -106,8 +191,10 @@
         route: Route::Safe,
         process: 0,
         sent: *sent,
+        written: Some(*sent),
         ended: at + 10,
         resumed: None,
+        answer_bytes: 0,
         outcome: Outcome::Answer {
             status: 200,
             signature: Some(format!("stamp-a-{}", id(index))),
--- a/crates/holdpoint/src/cli.rs
+++ b/crates/holdpoint/src/cli.rs
@@ -199,6 +199,9 @@
         .arg(Arg::new("crowds").long("crowds").action(ArgAction::SetTrue).help(
             "Only crowds: most new connections go to one process, small or with a narrow link",
         ))
+        .arg(Arg::new("planned").long("planned").action(ArgAction::SetTrue).conflicts_with("crowds").help(
+            "Only restarts, reloads and configurations, beside crowds and small shares of processors",
+        ))
         .arg(
             Arg::new("no-notices")
                 .long("no-notices")
--- a/crates/holdpoint/src/soak.rs
+++ b/crates/holdpoint/src/soak.rs
@@ -21,8 +21,11 @@
     let builds = builds.with_logs(matches.get_one::<PathBuf>("logs").cloned());
     let mut violations = 0;
     for seed in (number("seed")..).take(number("count") as usize) {
-        let is_crowds = matches.get_flag("crowds");
-        let draw = if is_crowds { Plan::draw_crowds } else { Plan::draw };
+        let draw = match (matches.get_flag("crowds"), matches.get_flag("planned")) {
+            (true, _) => Plan::draw_crowds,
+            (_, true) => Plan::draw_planned,
+            _ => Plan::draw,
+        };
         let plan = draw(seed, length);
         let plan = if matches.get_flag("no-notices") { plan.without_notices() } else { plan };
         let plan = if has_former { plan.without_limits() } else { plan };
--- a/crates/holdpointd/tests/soak.rs
+++ b/crates/holdpointd/tests/soak.rs
@@ -6,6 +6,8 @@
 
 /// Seeds of the plans that each test run executes.
 const SEEDS: [u64; 2] = [3, 4];
+/// Seeds of plans of planned work only.
+const PLANNED_SEEDS: [u64; 2] = [1, 2];
 /// Seeds of plans with crowds only.
 const CROWD_SEEDS: [u64; 2] = [7, 8];
 
@@ -46,6 +48,19 @@
     }
 }
 
+/// Guards against requests that are lost around restarts and configurations: answers that are read slowly and cut, and
+/// connections that are closed unread after they waited for a late process.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn planned_work_costs_no_answers() {
+    for seed in PLANNED_SEEDS {
+        let plan = Plan::draw_planned(seed, Duration::from_secs(8));
+        let builds = Builds::new(env!("CARGO_BIN_EXE_holdpointd"));
+        let verdict = run(&plan, &builds).await.unwrap();
+        assert!(verdict.is_passed(), "{verdict}");
+        assert!(0 < verdict.read_slowly.0, "{verdict}");
+    }
+}
+
 /// Guards against processes whose open connections leave nothing to new ones.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn new_connections_are_served_beside_many_open_ones() {
