Soak: second, endless and silent answers of targets

The soak drew no faults of targets' answers but wrong ids and truncation. Second answers on a connection, answers without end and silence of a sound target were tested by single cases only, never beside other faults.

A proxy next to each target, which the tests of second answers already used, now also passes on streams and injects these faults for every kind of call (requests, streams, work items, releases): - a second answer, an exact copy or a refusal or notice, with the next request on the connection or some milliseconds after the first; - a head or a body without end, at once or after correct chunks; - silence of 0.8 to 1.2 s before the head or in the body. Each is drawn from a random stream of its own, so that the other faults of a seed stay. The services take turns.

The judge also checks that the connection of an endless answer is closed and that what is not forwarded is not collected; that a request that may run only once is not given up in a silence; and that requests and work items get results of their own request only. A caller may get a part of a body that has no end; all other truncations count as before. Second answers, endless answers and silences are counted in the verdict, and the test checks that there were some.

Seeds 13 and 14 are fixed for this, 3 s each.

--- a/crates/holdpoint-soak/src/callers.rs
+++ b/crates/holdpoint-soak/src/callers.rs
@@ -26,6 +26,8 @@
 
 /// Longest wait for a connection or an answer; exceeds the deadline that requests carry.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(3500);
+/// Deadline that requests carry.
+pub(crate) const DEADLINE_MS: Millis = 2000;
 /// Timeout of the requests that callers cancel early.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(30);
 /// One request in this many, on average, has the short timeout.
@@ -279,7 +281,9 @@
 }
 
 fn request(id: &str, route: Route) -> CallerRequest {
-    let request = CallerRequest::new(id, route.path()).with_body(id.to_owned());
+    let request = CallerRequest::new(id, route.path())
+        .with_header(names::DEADLINE, &DEADLINE_MS.to_string())
+        .with_body(id.to_owned());
     match route {
         Route::Staged => request.with_items("2,3").with_prompt("a:4000,b:4000,c:3000"),
         _ => request,
--- a/crates/holdpoint-soak/src/faults.rs
+++ b/crates/holdpoint-soak/src/faults.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     callers,
-    fleet::{Fleet, domain_name, domain_of, next_version, source_of},
+    fleet::{FailedLink, Fleet, domain_name, domain_of, next_version, source_of},
     plan::{DOMAINS, Fault, FaultKind, LinkFault, Plan, SMALL_SHARE, TARGETS, TargetFault},
     verdict::EVENTS,
 };
@@ -53,7 +53,8 @@
         FaultKind::TargetLink(target, link_fault) => {
             let from = fleet.clock.now();
             fail_link(&fleet.targets[target].proxy, link_fault, duration).await;
-            fleet.failed_links.lock().push((target, from..=fleet.clock.now()));
+            let span = from..=fleet.clock.now();
+            fleet.failed_links.lock().push(FailedLink { target, span, process: None });
         }
         FaultKind::ProcessCut(process, link_fault) => {
             let from = fleet.clock.now();
@@ -62,7 +63,11 @@
             sleep(duration).await;
             fleet.targets.iter().for_each(|it| it.proxy.set_from(source, None));
             let span = from..=fleet.clock.now();
-            let failed = (0..fleet.targets.len()).map(|it| (it, span.clone()));
+            let failed = (0..fleet.targets.len()).map(|target| FailedLink {
+                target,
+                span: span.clone(),
+                process: Some(process),
+            });
             fleet.failed_links.lock().extend(failed);
         }
         FaultKind::StoreOutage { is_silent } => {
@@ -96,6 +101,11 @@
             sleep(duration).await;
             target.set_rejection(None);
         }
+        FaultKind::Answers { target, fault } => {
+            fleet.targets[target].set_answer_fault(Some(fault));
+            sleep(duration).await;
+            fleet.targets[target].set_answer_fault(None);
+        }
         FaultKind::Limit { target, per_10_s } => {
             let target = &fleet.targets[target].target;
             target.set_limit(Some(f64::from(per_10_s) / 10.0));
@@ -159,6 +169,7 @@
         it.target.set_behaviour(normal_behaviour(index));
         it.target.set_limit(None);
         it.target.set_rejection(None);
+        it.set_answer_fault(None);
     }
     for process in 0..fleet.store_links.len() {
         fleet.signal(process, Signal::CONT);
--- a/crates/holdpoint-soak/src/fleet.rs
+++ b/crates/holdpoint-soak/src/fleet.rs
@@ -14,7 +14,8 @@
 };
 
 use holdpoint_adapter_standin::{
-    Behaviour, CallerRequest, Store, Target, call, sample_configuration,
+    AnswerFault, AnswerProxy, Behaviour, CallerRequest, EndlessAnswer, SilentAnswer, Store, Target,
+    call, sample_configuration,
 };
 use parking_lot::Mutex;
 use rustix::process::{Pid, Signal, kill_process};
@@ -26,13 +27,14 @@
 
 use crate::{
     Millis,
+    answer_verdict::{AnswerCounts, answer_findings, endless_requests},
     callers::{self, Attempt, Callers, Outcome},
     faults,
     link::Link,
     notices::{Arrival, Notices, judge_notices},
     plan::{DOMAINS, ENCODERS, Plan, TARGETS},
     proxy::Proxy,
-    verdict::{EVENTS, EventTimes, Finding, Invariant, Verdict, judge, judge_crowds},
+    verdict::{EVENTS, EventTimes, Finding, Invariant, Verdict, judge_crowds, judge_with_endless},
 };
 
 /// Delay before a process that has ended is restarted.
@@ -41,6 +43,8 @@
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Delay after an answer that states a limit before the process must respect it.
 const LIMIT_GRACE_MS: Millis = 500;
+/// Size of the kernel's buffers on the link to a target with faulty answers.
+const LINK_BUFFER_BYTES: usize = 64 << 10;
 /// Key of the caller-facing address in the start-up log line of a process.
 const ADDRESS_MARK: &str = "callers=";
 /// Mark of a log line on a request that its process dropped without an answer.
@@ -123,6 +127,32 @@
 pub(crate) struct ProxiedTarget {
     pub(crate) target: Target,
     pub(crate) proxy: Proxy,
+    /// Second proxy, next to the target; `None` if no answers are faulty.
+    pub(crate) answers: Option<AnswerProxy>,
+}
+
+impl ProxiedTarget {
+    /// Sets or clears the fault of its answers.
+    pub(crate) fn set_answer_fault(&self, fault: Option<AnswerFault>) {
+        self.answers.iter().for_each(|it| it.set_fault(fault));
+    }
+
+    pub(crate) fn endless_answers(&self) -> Vec<EndlessAnswer> {
+        self.answers.as_ref().map_or_else(Vec::new, AnswerProxy::endless)
+    }
+
+    pub(crate) fn silent_answers(&self) -> Vec<SilentAnswer> {
+        self.answers.as_ref().map_or_else(Vec::new, AnswerProxy::silent)
+    }
+}
+
+/// Failure of the links to a target.
+pub(crate) struct FailedLink {
+    /// Index of the target.
+    pub(crate) target: usize,
+    pub(crate) span: RangeInclusive<Millis>,
+    /// Process whose link failed; those of all processes if `None`.
+    pub(crate) process: Option<usize>,
 }
 
 /// Processes, stand-ins and links that faults act on.
@@ -140,9 +170,9 @@
     pub(crate) version: Mutex<u64>,
     pub(crate) kills: Mutex<EventTimes>,
     /// When processes were stopped, killed, suspended or resumed, or ended, by process.
-    interruptions: Mutex<EventTimes>,
-    /// Index of the target and time span of each failure of a target's link.
-    pub(crate) failed_links: Mutex<Vec<(usize, RangeInclusive<Millis>)>>,
+    pub(crate) interruptions: Mutex<EventTimes>,
+    /// Failures of the links to targets.
+    pub(crate) failed_links: Mutex<Vec<FailedLink>>,
     /// Time spans of the crowds.
     pub(crate) crowds: Mutex<Vec<RangeInclusive<Millis>>>,
     /// Links of the processes; empty if they are not limited.
@@ -159,7 +189,7 @@
         store.put_configuration(&configuration(1));
         let mut targets = Vec::new();
         for index in 0..2 * TARGETS + ENCODERS {
-            targets.push(start_target(&store, index, plan.has_versions).await);
+            targets.push(start_target(&store, index, plan).await);
         }
         let mut store_links = Vec::new();
         let mut settings = Vec::new();
@@ -283,20 +313,28 @@
     IpAddr::V4(Ipv4Addr::new(127, 0, 2, process as u8 + 1))
 }
 
-async fn start_target(store: &Store, index: usize, has_versions: bool) -> ProxiedTarget {
+async fn start_target(store: &Store, index: usize, plan: &Plan) -> ProxiedTarget {
     let (service, behaviour) = match index / TARGETS {
         0 => ("plain", Behaviour::Answer),
         1 => ("engine", Behaviour::Events(EVENTS)),
         _ => ("encode", Behaviour::Answer),
     };
     let target = Target::start(&format!("i-{service}-{index}"), service, behaviour).await;
-    let proxy = Proxy::start(target.address).await;
+    let answers = match plan.has_answer_faults() {
+        true => Some(AnswerProxy::start(target.address).await),
+        false => None,
+    };
+    let far = answers.as_ref().map_or(target.address, |it| it.address);
+    let proxy = Proxy::start(far).await;
+    if answers.is_some() {
+        proxy.set_buffer_bytes(LINK_BUFFER_BYTES);
+    }
     let target = target.with_address(proxy.address);
-    if has_versions && service == "engine" {
+    if plan.has_versions && service == "engine" {
         target.set_version(VERSIONS[index % 2]);
     }
     store.put_target_in(&target, &domain_of(index), 0);
-    ProxiedTarget { target, proxy }
+    ProxiedTarget { target, proxy, answers }
 }
 
 fn write_settings(folder: &Path, index: usize, store: &Proxy, plan: &Plan) -> io::Result<PathBuf> {
@@ -345,6 +383,7 @@
         // The attempts of a caller that panicked are already recorded.
         drop(it.await);
     }
+    await_ends(&fleet).await;
     processes.iter().for_each(tokio::task::JoinHandle::abort);
     let verdict = conclude(plan, &fleet, findings);
     // A leftover temporary folder is harmless.
@@ -363,7 +402,9 @@
         })
         .collect();
     findings.append(&mut fleet.dropped.lock());
-    findings.extend(judge(&attempts, &runs, &fleet.kills.lock()));
+    let endless = endless_requests(&fleet.targets);
+    findings.extend(judge_with_endless(&attempts, &runs, &fleet.kills.lock(), &endless));
+    findings.extend(answer_findings(fleet, &attempts, &replacements));
     let over_limit = |it| over_limit(fleet, it, &attempts);
     findings.extend(fleet.targets.iter().filter_map(over_limit));
     findings.extend(notice_findings(fleet, &attempts));
@@ -385,10 +426,19 @@
             attempts.iter().filter(|it| it.resumed.is_some() && status(it) == 200).count(),
             attempts.iter().filter(|it| it.resumed.is_some()).count(),
         ),
+        faulty_answers: AnswerCounts::of(&fleet.targets),
         findings,
     }
 }
 
+/// Waits until all answers without end have ended, each of which takes a bounded time.
+async fn await_ends(fleet: &Fleet) {
+    let is_active = |it: &ProxiedTarget| it.endless_answers().iter().any(|it| it.is_active);
+    while fleet.targets.iter().any(is_active) {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
 /// Reports a target that received more than its limit from processes that knew the limit.
 fn over_limit(fleet: &Fleet, it: &ProxiedTarget, attempts: &[Attempt]) -> Option<Finding> {
     let clock = fleet.clock;
@@ -431,7 +481,8 @@
     let of_target = |(index, it): (usize, &ProxiedTarget)| {
         let arrivals = it.target.requests().into_iter();
         let arrivals = arrivals.map(|it| Arrival::new(fleet.clock.at(it.at), it)).collect();
-        let outages = failed.iter().filter(|it| it.0 == index).map(|it| it.1.clone()).collect();
+        let outages =
+            failed.iter().filter(|it| it.target == index).map(|it| it.span.clone()).collect();
         judge_notices(
             &Notices { target: &it.target.id, arrivals, outages },
             attempts,
--- a/crates/holdpoint-soak/src/lib.rs
+++ b/crates/holdpoint-soak/src/lib.rs
@@ -18,6 +18,8 @@
 //! # }
 //! ```
 
+mod answer_faults;
+mod answer_verdict;
 mod callers;
 mod faults;
 mod fleet;
@@ -28,6 +30,7 @@
 mod verdict;
 
 pub use crate::{
+    answer_verdict::{AnswerCounts, judge_endless, judge_silent},
     callers::{Attempt, Outcome, Resumed, Route},
     fleet::{Builds, StartError, run},
     link::Link,
--- a/crates/holdpoint-soak/src/plan.rs
+++ b/crates/holdpoint-soak/src/plan.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
+use holdpoint_adapter_standin::AnswerFault;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::Millis;
+use crate::{Millis, answer_faults};
 
 /// Number of plain targets, and of model targets.
 pub(crate) const TARGETS: usize = 3;
@@ -136,6 +137,13 @@
         /// Requested backoff, in milliseconds.
         ms: Millis,
     },
+    /// The answers of a target are faulty.
+    Answers {
+        /// The target.
+        target: usize,
+        /// The fault.
+        fault: AnswerFault,
+    },
     /// A target announces a rate limit.
     Limit {
         /// The target.
@@ -195,6 +203,7 @@
         faults.extend(cuts(seed, end, processes));
         let (crowds, link_mbps) = crowds(seed, end, processes);
         faults.extend(crowds);
+        faults.extend(answer_faults::draw(seed, end));
         faults.sort_by_key(|it| it.at);
         Plan { seed, processes, callers, length, has_versions: true, link_mbps, faults }
     }
@@ -297,16 +306,32 @@
         self.link_mbps.is_some() || self.faults.iter().any(is_cut)
     }
 
+    /// Whether answers of targets are faulty.
+    pub(crate) fn has_answer_faults(&self) -> bool {
+        self.faults.iter().any(|it| matches!(it.kind, FaultKind::Answers { .. }))
+    }
+
+    /// Removes the faults of targets' answers.
+    pub fn without_answer_faults(mut self) -> Plan {
+        self.faults.retain(|it| !matches!(it.kind, FaultKind::Answers { .. }));
+        self
+    }
+
     /// Removes cuts of processes from targets, the versions of the engines, crowds, small shares of processors and narrow
-    /// links.
-    pub fn without_cuts(mut self) -> Plan {
+    /// links, and what [`Plan::without_answer_faults`] removes.
+    pub fn without_cuts(self) -> Plan {
+        let mut plan = self.without_answer_faults();
+        plan.remove_cuts();
+        plan
+    }
+
+    fn remove_cuts(&mut self) {
         let is_left = |it: &FaultKind| {
             matches!(it, FaultKind::ProcessCut(..) | FaultKind::Crowd(_) | FaultKind::SmallShare(_))
         };
         self.faults.retain(|it| !is_left(&it.kind));
         self.link_mbps = None;
         self.has_versions = false;
-        self
     }
 
     /// Smallest share of a processor that a process gets.
--- a/crates/holdpoint-soak/src/proxy.rs
+++ b/crates/holdpoint-soak/src/proxy.rs
@@ -53,6 +53,8 @@
     /// Links of the machines that connect from these addresses.
     client_links: HashMap<IpAddr, Link>,
     accepted: u64,
+    /// Size of the kernel's buffers for data sent by the server; the system's choice if `None`.
+    buffer_bytes: Option<usize>,
 }
 
 /// A proxy; it runs until the runtime ends.
@@ -112,6 +114,11 @@
         self.state.lock().client_links.insert(source, link);
     }
 
+    /// Limits the kernel's buffers for data sent by the server, on connections that are made from now on.
+    pub(crate) fn set_buffer_bytes(&self, bytes: usize) {
+        self.state.lock().buffer_bytes = Some(bytes);
+    }
+
     async fn pass_links(&self, origin: Origin, direction: Direction, bytes: usize) {
         let (client, server) = {
             let state = self.state.lock();
@@ -201,6 +208,12 @@
     let Ok(far) = TcpStream::connect(far).await else { return };
     // Without the option data may only be delayed.
     drop((near.set_nodelay(true), far.set_nodelay(true)));
+    let buffer_bytes = proxy.state.lock().buffer_bytes;
+    if let Some(it) = buffer_bytes {
+        let (near, far) = (SockRef::from(&near), SockRef::from(&far));
+        // Without the option more is buffered.
+        drop((near.set_send_buffer_size(it), far.set_recv_buffer_size(it)));
+    }
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
     let to = pass(near_read, far_write, proxy, (origin, Direction::Forward));
--- a/crates/holdpoint-soak/src/verdict.rs
+++ b/crates/holdpoint-soak/src/verdict.rs
@@ -1,7 +1,7 @@
 //! Checks the invariants of a soak against what callers and targets observed.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     fmt,
     ops::RangeInclusive,
 };
@@ -11,6 +11,7 @@
 
 use crate::{
     Millis,
+    answer_verdict::AnswerCounts,
     callers::{Attempt, Outcome, Route, split_events},
 };
 
@@ -46,6 +47,12 @@
     /// While most new connections go to one process, requests that were read are served at least three quarters as often
     /// as at other times.
     ServedInCrowds,
+    /// The connection of an answer without end is closed, and what is not forwarded is not buffered without bound.
+    Bounded,
+    /// A request that may run only once is not given up before its deadline because its target is silent for a while.
+    Awaited,
+    /// A request and its work items get only results of its own stages.
+    OwnInputs,
     /// After the last fault each process serves the newest configuration.
     Recovered,
 }
@@ -64,6 +71,9 @@
             Invariant::BackedOff => "sent-in-backoff",
             Invariant::OneVersion => "mixed-versions",
             Invariant::ServedInCrowds => "unserved-in-crowd",
+            Invariant::Bounded => "unbounded",
+            Invariant::Awaited => "not-awaited",
+            Invariant::OwnInputs => "crossed-inputs",
             Invariant::Recovered => "not-recovered",
         }
     }
@@ -99,6 +109,8 @@
     pub refused: usize,
     /// Number of resumed streams that went on to their end, and of all attempts to resume one.
     pub resumed: (usize, usize),
+    /// Faulty answers that targets sent.
+    pub faulty_answers: AnswerCounts,
     /// Violations found.
     pub findings: Vec<Finding>,
 }
@@ -121,14 +133,17 @@
         write!(
             f,
             "seed {} processes {processes} callers {callers} faults {} requests {} answered {} refused {} \
-             resumed {} of {}",
+             resumed {} of {} second {} endless {} silent {}",
             self.seed,
             self.faults,
             self.requests,
             self.answered,
             self.refused,
             self.resumed.0,
-            self.resumed.1
+            self.resumed.1,
+            self.faulty_answers.second,
+            self.faulty_answers.endless,
+            self.faulty_answers.silent
         )?;
         for invariant in [
             Invariant::AtMostOnce,
@@ -141,6 +156,9 @@
             Invariant::BackedOff,
             Invariant::OneVersion,
             Invariant::ServedInCrowds,
+            Invariant::Bounded,
+            Invariant::Awaited,
+            Invariant::OwnInputs,
             Invariant::Recovered,
         ] {
             write!(f, " {} {}", invariant.label(), self.count(invariant))?;
@@ -161,6 +179,16 @@
     attempts: &[Attempt],
     runs: &[(String, Vec<Run>)],
     kills: &EventTimes,
+) -> Vec<Finding> {
+    judge_with_endless(attempts, runs, kills, &HashSet::new())
+}
+
+/// The same, beside `endless` requests: their targets' answers have no end, so that their callers may get only a part.
+pub(crate) fn judge_with_endless(
+    attempts: &[Attempt],
+    runs: &[(String, Vec<Run>)],
+    kills: &EventTimes,
+    endless: &HashSet<String>,
 ) -> Vec<Finding> {
     let mut by_id: HashMap<&str, Vec<(&str, &Run)>> = HashMap::new();
     for (target, target_runs) in runs {
@@ -171,7 +199,7 @@
     let mut findings = Vec::new();
     for attempt in attempts {
         let ran = by_id.remove(attempt.id.as_str()).unwrap_or_default();
-        judge_attempt(attempt, &ran, kills, &mut findings);
+        judge_attempt(attempt, &ran, (kills, endless), &mut findings);
     }
     let spurious = by_id.into_iter().map(|(id, ran)| Finding {
         invariant: Invariant::Requested,
@@ -258,7 +286,7 @@
 fn judge_attempt(
     attempt: &Attempt,
     ran: &[(&str, &Run)],
-    kills: &EventTimes,
+    (kills, endless): (&EventTimes, &HashSet<String>),
     findings: &mut Vec<Finding>,
 ) {
     let mut report = |invariant, detail: String| {
@@ -297,7 +325,8 @@
                 );
             }
             let is_truncated = attempt.route.is_unary() && !is_complete;
-            if is_truncated && !was_killed(attempt, kills) {
+            let is_endless = endless.contains(&attempt.id);
+            if is_truncated && !is_endless && !was_killed(attempt, kills) {
                 report(Invariant::Answered, format!("{status}, body truncated"));
             }
         }
--- a/crates/holdpointd/tests/soak.rs
+++ b/crates/holdpointd/tests/soak.rs
@@ -6,6 +6,8 @@
 
 /// Seeds of the plans that each test run executes.
 const SEEDS: [u64; 2] = [3, 4];
+/// Seeds of plans in which targets of each service send second answers, answers without end and silent ones.
+const FAULTY_ANSWER_SEEDS: [u64; 2] = [13, 14];
 /// Seeds of plans with crowds only.
 const CROWD_SEEDS: [u64; 2] = [7, 8];
 
@@ -21,6 +23,20 @@
     }
 }
 
+/// Guards against second answers that are taken for answers to other requests, answers without end that are collected, and
+/// silence that is taken for an end of the target.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn promises_hold_under_faulty_answers() {
+    for seed in FAULTY_ANSWER_SEEDS {
+        let plan = Plan::draw(seed, Duration::from_secs(3));
+        let builds = Builds::new(env!("CARGO_BIN_EXE_holdpointd"));
+        let verdict = run(&plan, &builds).await.unwrap();
+        assert!(verdict.is_passed(), "{verdict}");
+        let sent = verdict.faulty_answers;
+        assert!(0 < sent.second && 0 < sent.endless && 0 < sent.silent, "{sent:?}");
+    }
+}
+
 /// Guards against estimates of waits that stay too high after a fault, so that requests with stages are refused
 /// although the queue is empty. `tests/estimate.rs` of the core tests this without processes.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
