--- a/crates/holdpoint-soak/src/lib.rs
+++ b/crates/holdpoint-soak/src/lib.rs
@@ -18,6 +18,8 @@
 //! # }
 //! ```
 
+mod answer_faults;
+mod answer_verdict;
 mod answers;
 mod caller_connection;
 mod callers;
@@ -34,6 +36,7 @@
 mod verdict;
 
 pub use crate::{
+    answer_verdict::{AnswerCounts, judge_endless, judge_silent},
     answers::{Excuses, judge_answers},
     callers::{Attempt, Outcome, Resumed, Route},
     changes::Change,
--- a/crates/holdpoint-soak/src/plan.rs
+++ b/crates/holdpoint-soak/src/plan.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
+use holdpoint_adapter_standin::AnswerFault;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
-    Millis,
+    Millis, answer_faults,
     changes::{self, Change},
 };
 
@@ -145,6 +146,13 @@
         /// Requested backoff, in milliseconds.
         ms: Millis,
     },
+    /// The answers of a target are faulty.
+    Answers {
+        /// The target.
+        target: usize,
+        /// The fault.
+        fault: AnswerFault,
+    },
     /// A target announces a rate limit.
     Limit {
         /// The target.
@@ -207,6 +215,7 @@
         let (crowds, link_mbps) = crowds(seed, end, processes);
         faults.extend(crowds);
         faults.extend(changes::draw(seed, end));
+        faults.extend(answer_faults::draw(seed, end));
         faults.sort_by_key(|it| it.at);
         // Their answers would fill narrow links.
         let slow_readers =
@@ -314,9 +323,26 @@
         self.link_mbps.is_some() || self.faults.iter().any(is_cut)
     }
 
-    /// Removes cuts of processes from targets, the versions of the engines, crowds, small shares of processors, narrow
-    /// links, series of configurations and slow readers.
-    pub fn without_cuts(mut self) -> Plan {
+    /// Whether answers of targets are faulty.
+    pub(crate) fn has_answer_faults(&self) -> bool {
+        self.faults.iter().any(|it| matches!(it.kind, FaultKind::Answers { .. }))
+    }
+
+    /// Removes the faults of targets' answers.
+    pub fn without_answer_faults(mut self) -> Plan {
+        self.faults.retain(|it| !matches!(it.kind, FaultKind::Answers { .. }));
+        self
+    }
+
+    /// Removes cuts of processes from targets, the versions of the engines, crowds, small shares of processors and narrow
+    /// links, series of configurations and slow readers, and what [`Plan::without_answer_faults`] removes.
+    pub fn without_cuts(self) -> Plan {
+        let mut plan = self.without_answer_faults();
+        plan.remove_cuts();
+        plan
+    }
+
+    fn remove_cuts(&mut self) {
         let is_left = |it: &FaultKind| {
             matches!(
                 it,
@@ -330,7 +356,6 @@
         self.link_mbps = None;
         self.has_versions = false;
         self.slow_readers = 0;
-        self
     }
 
     /// Removes narrow links, which leave no room for slow readers.
--- a/crates/holdpoint-soak/src/verdict.rs
+++ b/crates/holdpoint-soak/src/verdict.rs
@@ -1,7 +1,7 @@
 //! Checks the invariants of a soak against what callers and targets observed.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     fmt,
     ops::RangeInclusive,
 };
@@ -11,6 +11,7 @@
 
 use crate::{
     Millis,
+    answer_verdict::AnswerCounts,
     callers::{Attempt, Outcome, Route, split_events},
 };
 
@@ -47,6 +48,12 @@
     /// While most new connections go to one process, requests that were read are served at least three quarters as often
     /// as at other times.
     ServedInCrowds,
+    /// The connection of an answer without end is closed, and what is not forwarded is not buffered without bound.
+    Bounded,
+    /// A request that may run only once is not given up before its deadline because its target is silent for a while.
+    Awaited,
+    /// A request and its work items get only results of its own stages.
+    OwnInputs,
     /// After the last fault each process serves the newest configuration.
     Recovered,
 }
@@ -65,6 +72,9 @@
             Invariant::BackedOff => "sent-in-backoff",
             Invariant::OneVersion => "mixed-versions",
             Invariant::ServedInCrowds => "unserved-in-crowd",
+            Invariant::Bounded => "unbounded",
+            Invariant::Awaited => "not-awaited",
+            Invariant::OwnInputs => "crossed-inputs",
             Invariant::Recovered => "not-recovered",
         }
     }
@@ -102,6 +112,8 @@
     pub resumed: (usize, usize),
     /// Number of large answers that were read slowly and whole, and of all requests for one.
     pub read_slowly: (usize, usize),
+    /// Faulty answers that targets sent.
+    pub faulty_answers: AnswerCounts,
     /// Violations found.
     pub findings: Vec<Finding>,
 }
@@ -124,7 +136,7 @@
         write!(
             f,
             "seed {} processes {processes} callers {callers} faults {} requests {} answered {} refused {} \
-             resumed {} of {} read-slowly {} of {}",
+             resumed {} of {} read-slowly {} of {} second {} endless {} silent {}",
             self.seed,
             self.faults,
             self.requests,
@@ -133,7 +145,10 @@
             self.resumed.0,
             self.resumed.1,
             self.read_slowly.0,
-            self.read_slowly.1
+            self.read_slowly.1,
+            self.faulty_answers.second,
+            self.faulty_answers.endless,
+            self.faulty_answers.silent
         )?;
         for invariant in [
             Invariant::AtMostOnce,
@@ -146,6 +161,9 @@
             Invariant::BackedOff,
             Invariant::OneVersion,
             Invariant::ServedInCrowds,
+            Invariant::Bounded,
+            Invariant::Awaited,
+            Invariant::OwnInputs,
             Invariant::Recovered,
         ] {
             write!(f, " {} {}", invariant.label(), self.count(invariant))?;
@@ -166,6 +184,16 @@
     attempts: &[Attempt],
     runs: &[(String, Vec<Run>)],
     kills: &EventTimes,
+) -> Vec<Finding> {
+    judge_with_endless(attempts, runs, kills, &HashSet::new())
+}
+
+/// The same, beside `endless` requests: their targets' answers have no end, so that their callers may get only a part.
+pub(crate) fn judge_with_endless(
+    attempts: &[Attempt],
+    runs: &[(String, Vec<Run>)],
+    kills: &EventTimes,
+    endless: &HashSet<String>,
 ) -> Vec<Finding> {
     let mut by_id: HashMap<&str, Vec<(&str, &Run)>> = HashMap::new();
     for (target, target_runs) in runs {
@@ -176,7 +204,7 @@
     let mut findings = Vec::new();
     for attempt in attempts {
         let ran = by_id.remove(attempt.id.as_str()).unwrap_or_default();
-        judge_attempt(attempt, &ran, kills, &mut findings);
+        judge_attempt(attempt, &ran, (kills, endless), &mut findings);
     }
     let spurious = by_id.into_iter().map(|(id, ran)| Finding {
         invariant: Invariant::Requested,
@@ -263,7 +291,7 @@
 fn judge_attempt(
     attempt: &Attempt,
     ran: &[(&str, &Run)],
-    kills: &EventTimes,
+    (kills, endless): (&EventTimes, &HashSet<String>),
     findings: &mut Vec<Finding>,
 ) {
     let mut report = |invariant, detail: String| {
@@ -304,7 +332,8 @@
             // Large answers are forwarded while they arrive, so that a fault of their target breaks them off.
             let is_collected = attempt.route.is_unary() && attempt.answer_bytes == 0;
             let is_truncated = is_collected && !is_complete;
-            if is_truncated && !was_killed(attempt, kills) {
+            let is_endless = endless.contains(&attempt.id);
+            if is_truncated && !is_endless && !was_killed(attempt, kills) {
                 report(Invariant::Answered, format!("{status}, body truncated"));
             }
         }
