Soak: the checks of recovery move to a module of their own

No check changes: the processes are counted by the callers' addresses, of which there is one for each.

--- a/crates/holdpoint-soak/src/fleet.rs
+++ b/crates/holdpoint-soak/src/fleet.rs
@@ -14,8 +14,8 @@
 };
 
 use holdpoint_adapter_standin::{
-    AnswerFault, AnswerProxy, Behaviour, CallerRequest, EndlessAnswer, SilentAnswer, Store, Target,
-    call, sample_configuration,
+    AnswerFault, AnswerProxy, Behaviour, EndlessAnswer, SilentAnswer, Store, Target,
+    sample_configuration,
 };
 use parking_lot::Mutex;
 use rustix::process::{Pid, Signal, kill_process};
@@ -36,6 +36,7 @@
     notices::{Arrival, Notices, judge_notices},
     plan::{DOMAINS, ENCODERS, Plan, TARGETS},
     proxy::Proxy,
+    recovery::{PROBE, await_recovery},
     slow_readers,
     stalls::{self, Stalls},
     verdict::{EVENTS, EventTimes, Finding, Invariant, Verdict, judge_crowds, judge_with_endless},
@@ -43,8 +44,6 @@
 
 /// Delay before a process that has ended is restarted.
 const RESTART_DELAY: Duration = Duration::from_millis(100);
-/// Time limit for a process to serve requests again, at the start and after the last fault.
-const RECOVERY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Delay after an answer that states a limit before the process must respect it.
 const LIMIT_GRACE_MS: Millis = 500;
 /// Size of the kernel's buffers on the link to a target with faulty answers.
@@ -298,7 +297,8 @@
     configuration
 }
 
-fn key(version: u64) -> String {
+/// Key that a version of the configuration adds.
+pub(crate) fn key(version: u64) -> String {
     format!("key-of-{version}")
 }
 
@@ -581,47 +581,3 @@
         }
     }
 }
-
-/// Prefix of the ids of requests that check whether a process has recovered.
-const PROBE: &str = "probe-";
-
-/// Waits until each process serves with the newest configuration; reports those that time out.
-async fn await_recovery(fleet: &Fleet) -> Vec<Finding> {
-    let start = fleet.clock.now();
-    let mut findings = Vec::new();
-    for process in 0..fleet.pids.len() {
-        let recovered =
-            tokio::time::timeout(RECOVERY_TIMEOUT, wait_until_serving(fleet, process)).await;
-        if recovered.is_err() {
-            let id = format!("p{process}");
-            let version = *fleet.version.lock();
-            let detail = format!("does not serve with configuration {version}");
-            findings.push(Finding { invariant: Invariant::Recovered, id, at: start, detail });
-        }
-    }
-    findings
-}
-
-async fn wait_until_serving(fleet: &Fleet, process: usize) {
-    let mut count = 0;
-    loop {
-        count += 1;
-        let key = match *fleet.version.lock() {
-            1 => "key-1".to_owned(),
-            version => key(version),
-        };
-        let request = |path: &str| {
-            let id = format!("{PROBE}{process}-{}-{count}", fleet.clock.now());
-            CallerRequest::new(&id, path).with_header("authorization", &format!("Bearer {key}"))
-        };
-        let address = *fleet.callers.addresses[process].lock();
-        if let Some(it) = address {
-            let plain = call(it, request("/safe/")).await;
-            let staged = call(it, request("/staged/").with_items("1,1")).await;
-            if [plain, staged].into_iter().all(|it| it.is_some_and(|it| it.status == 200)) {
-                return;
-            }
-        }
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    }
-}
--- a/crates/holdpoint-soak/src/lib.rs
+++ b/crates/holdpoint-soak/src/lib.rs
@@ -31,6 +31,7 @@
 mod plan;
 mod planned;
 mod proxy;
+mod recovery;
 mod slow_readers;
 mod stalls;
 mod verdict;
