Unanswered: callers have sent their requests before the instance is late

The threads of the callers connect while the stop runs; one that gets no turn for half a second finds the listener closed, which is a refused connection, not a request without an answer.

The callers of this file now connect and send before their threads start, which need the instance's turn no more than the threads did; the kernel takes both. The tests were not run again with their fixes taken out.

--- a/crates/holdpointd/tests/unanswered.rs
+++ b/crates/holdpointd/tests/unanswered.rs
@@ -30,20 +30,18 @@
 /// Times that a stop is tried, since what is ready at the same time runs in random order.
 const ROUNDS: usize = 6;
 
-/// A caller in a thread of its own, which runs while the instance does not.
+/// A caller that reads in a thread of its own, so that it needs no turn of the instance's.
 struct Caller(thread::JoinHandle<io::Result<String>>);
 
 impl Caller {
-    /// Sends a request on a connection, or on a new one, and reads until the connection ends.
+    /// Sends a request on a connection, or on a new one, before it returns; reads until the connection ends.
     fn start(address: SocketAddr, connected: Option<TcpStream>, id: &str, path: &str) -> Caller {
         let request = request_bytes(id, path, "close");
+        let sent = connected.map_or_else(|| TcpStream::connect(address), Ok);
+        let sent = sent.and_then(|mut it| it.write_all(request.as_bytes()).map(|()| it));
         Caller(thread::spawn(move || {
-            let mut stream = match connected {
-                Some(it) => it,
-                None => TcpStream::connect(address)?,
-            };
+            let mut stream = sent?;
             stream.set_read_timeout(Some(CONDITION_TIMEOUT))?;
-            stream.write_all(request.as_bytes())?;
             let mut answer = String::new();
             stream.read_to_string(&mut answer)?;
             Ok(answer)
