Soak: a silent target is not judged where the peer that relays has failed

A request that may run only once has to end with 502 then. The check looked only at the process that the caller had asked.

--- a/crates/holdpoint-soak/src/answer_verdict.rs
+++ b/crates/holdpoint-soak/src/answer_verdict.rs
@@ -83,7 +83,14 @@
             let Some((closed, attempt)) = it.closed.zip(attempt(&it.request)) else { continue };
             let closed = clock.at(closed);
             let span = attempt.sent..=closed;
-            if !has_failed(&span, Some(attempt)) && !is_interrupted(attempt.process, &span) {
+            // A process that was cut off from the target sends through another one for a while, which may fail in turn.
+            let may_be_relayed = has_failed(&(0..=closed), Some(attempt));
+            let others_failed = has_failed(&span, None)
+                || interruptions.keys().any(|process| is_interrupted(*process, &span));
+            let is_excused = is_interrupted(attempt.process, &span)
+                || has_failed(&span, Some(attempt))
+                || may_be_relayed && others_failed;
+            if !is_excused {
                 findings.extend(judge_silent(&it, closed, attempt));
             }
         }
