Bodies have room on a machine of unknown memory

Settings state an unknown memory as 0. The room for bodies was a quarter of that, so every request with a body of more than 16 kB was refused with 503.

Test: a_body_has_room_on_a_machine_of_unknown_memory failed before (503), and passes with the other two of its file.

--- a/crates/holdpointd/src/ingress/body_memory.rs
+++ b/crates/holdpointd/src/ingress/body_memory.rs
@@ -39,9 +39,12 @@
 }
 
 impl BodyMemory {
-    /// Creates the room of an instance whose machine has `memory_mb` mebibytes of memory.
+    /// Creates the room of an instance whose machine has `memory_mb` mebibytes of memory; 0 is unknown, and no bound.
     pub(crate) fn new(memory_mb: f64) -> BodyMemory {
-        let capacity = (memory_mb * f64::from(1 << 20)) as usize / MEMORY_DIVISOR;
+        let capacity = match memory_mb {
+            0.0 => usize::MAX,
+            it => (it * f64::from(1 << 20)) as usize / MEMORY_DIVISOR,
+        };
         BodyMemory { free: Arc::new(Semaphore::new(capacity.min(Semaphore::MAX_PERMITS))) }
     }
 
--- a/crates/holdpointd/tests/large_requests.rs
+++ b/crates/holdpointd/tests/large_requests.rs
@@ -78,3 +78,19 @@
     let unread = daemon.closed_unread().await;
     assert!(unanswered <= unread, "{unanswered} without an answer, {unread} not read");
 }
+
+/// Guards against bodies that are refused since the memory of the machine is unknown, which the settings state as 0.
+#[tokio::test]
+async fn a_body_has_room_on_a_machine_of_unknown_memory() {
+    let store = Store::start().await;
+    let mut configuration = sample_configuration(1);
+    configuration["limits"]["max-body-bytes"] = json!(BODY_BYTES);
+    store.put_configuration(&configuration);
+    let target = Target::start("i-plain", "plain", Behaviour::Answer).await;
+    store.put_target(&target, false);
+    let daemon = Daemon::start("unknown-memory", &store, 0.0);
+    daemon.until_serving().await;
+    let request = CallerRequest::new("r-1", "/safe/").with_body(vec![b'x'; 64 << 10]);
+    let answer = call(daemon.callers.parse().unwrap(), request).await.expect("there is an answer");
+    assert_eq!(answer.status, StatusCode::OK);
+}
