--- a/crates/holdpoint-core/src/route/predict.rs
+++ b/crates/holdpoint-core/src/route/predict.rs
@@ -9,8 +9,8 @@
 const PACE_WEIGHT: f64 = 0.1;
 /// Fraction by which each call in the batch lengthens the others.
 const BATCH_COST: f64 = 0.015;
-/// Age at which a pace is outdated, in measured calls per target of the pool. A target that gets no calls because of its
-/// pace is tried again after that many.
+/// Number of measured calls of a pool, per target, after which a pace is outdated. A target that gets no calls because
+/// of its pace is then tried again.
 const PACE_LIFETIME_CALLS: u64 = 50;
 /// Fraction of the mean pace within which a target's pace is treated as the mean.
 const PACE_TOLERANCE: f64 = 0.4;
--- a/crates/holdpoint-core/tests/measured_pace.rs
+++ b/crates/holdpoint-core/tests/measured_pace.rs
@@ -57,7 +57,7 @@
     to_slow
 }
 
-/// Guards against a target that gets no calls anymore, since it answered slowly once.
+/// Guards against a target that is avoided for good after it was slow once.
 #[test]
 fn a_target_that_was_slow_once_gets_its_share_again() {
     for route in ROUTES {
@@ -73,7 +73,7 @@
     }
 }
 
-/// Guards against a slow target that costs more than one call in a hundred to find out that it still is.
+/// Guards against trials of a slow target that take more than one call in a hundred.
 #[test]
 fn a_target_that_stays_slow_gets_less_than_one_call_in_a_hundred() {
     for route in ROUTES {
--- a/crates/holdpointd/src/ingress/accept_queue.rs
+++ b/crates/holdpointd/src/ingress/accept_queue.rs
@@ -60,7 +60,7 @@
                 _ = self.checks.tick() => (),
             }
             let checked_at = Instant::now();
-            // Asks the kernel: the event loop may not have heard of the latest connections, or may have to yield.
+            // Asks the kernel: the event loop may not know of the latest connections yet.
             match SockRef::from(self.listener).accept() {
                 Ok((it, _)) => return from_waiting(it.into()),
                 Err(it) if it.kind() == io::ErrorKind::WouldBlock => record_empty(checked_at),
