--- a/review/standin-2/src/bin/spoiled-event.rs
+++ b/review/standin-2/src/bin/spoiled-event.rs
@@ -1,5 +1,5 @@
-//! A faulty server spoils an event of a stream, in its text or in its id, and then cuts the answer off. The stream goes on
-//! at another server, and no piece may come twice.
+//! A faulty server spoils bytes of a stream: in the text or the id of an event, and in the framing of the next one. The
+//! stream goes on at another server, and no piece may come twice.
 //!
 //! The third argument names what is spoiled: `text` or `id`.
 
@@ -35,8 +35,8 @@
     Whole,
     /// It cut the answer off in the middle of an event.
     Cut,
-    /// It spoiled an event, then cut the answer off in the middle of the next one.
-    SpoiledAndCut,
+    /// It spoiled an event and the length of the chunk after it, and broke nothing off.
+    Spoiled,
 }
 
 struct Log {
@@ -107,7 +107,7 @@
             let deed = match is_spoiled {
                 false => Deed::Whole,
                 true if log.answers / ONE_IN % 2 == 0 => Deed::Cut,
-                true => Deed::SpoiledAndCut,
+                true => Deed::Spoiled,
             };
             log.deeds.push((id.clone(), name.clone(), from, deed));
             deed
@@ -124,7 +124,7 @@
         for number in from..EVENTS {
             tokio::time::sleep(Duration::from_millis(15)).await;
             let mut event = format!("id: {number}\ndata: piece {number} of {id}\n\n").into_bytes();
-            if deed == Deed::SpoiledAndCut && number == 3 {
+            if deed == Deed::Spoiled && number == 3 {
                 event =
                     match spoils_id {
                         true => format!("id: {number}\x01\ndata: piece {number} of {id}\n\n")
@@ -133,13 +133,17 @@
                             .concat(),
                     };
             }
-            if deed != Deed::Whole && number == 4 {
+            if deed == Deed::Cut && number == 4 {
                 // The connection is closed in the middle of this event.
                 let half = &event[..event.len() / 2];
                 let _ = stream.write_all(&chunk(half)).await;
                 return;
             }
-            if stream.write_all(&chunk(&event)).await.is_err() {
+            let mut framed = chunk(&event);
+            if deed == Deed::Spoiled && number == 4 {
+                framed[0] = 0x8e;
+            }
+            if stream.write_all(&framed).await.is_err() {
                 return;
             }
         }
