ORDER: the id of an event is read from its own line, whatever its text holds

What callers saw: a stream whose target had spoiled the text of an event, and broken off after it, went on at another target with that event a second time, within one answer that ended as complete.

Cause: the id of an event was read only if the whole event was valid UTF-8. An event with other bytes in its text was passed on whole, but the id of the event before it stayed the last one, so that the next target began with it again. A target whose text is never valid UTF-8 would have had each of its streams begun anew after a break.

Why it works: what a resumption needs is read from the bytes of the id's line alone, so that no other line of the event can take it away. The text is passed on as the target sent it.

--- a/crates/holdpoint-core/src/event_split.rs
+++ b/crates/holdpoint-core/src/event_split.rs
@@ -54,8 +54,9 @@
     }
 }
 
+/// Reads the id from its own line only: the other lines of the event may hold any bytes.
 fn event_id(bytes: &[u8]) -> Option<String> {
-    let text = std::str::from_utf8(bytes).ok()?;
-    let id = text.lines().filter_map(|it| it.strip_prefix("id:")).next_back()?;
-    Some(id.trim().to_owned())
+    let mut lines = bytes.split(|it| matches!(it, b'\n' | b'\r'));
+    let id = lines.rfind(|it| it.starts_with(b"id:"))?;
+    Some(std::str::from_utf8(&id[3..]).ok()?.trim().to_owned())
 }
--- a/crates/holdpointd/tests/endless_answers.rs
+++ b/crates/holdpointd/tests/endless_answers.rs
@@ -37,7 +37,7 @@
     store.put_configuration(&sample_configuration(1));
     let mut targets = Vec::new();
     for id in ["i-1", "i-2"] {
-        let reply = Reply { body: body.to_owned(), end };
+        let reply = Reply { body: body.into(), end };
         targets.push(UnframedTarget::start(&store, id, service, reply).await);
     }
     let engine = match service {
--- a/crates/holdpointd/tests/support/unframed.rs
+++ b/crates/holdpointd/tests/support/unframed.rs
@@ -42,7 +42,7 @@
 /// What a target answers, and how its connections end.
 #[derive(Clone, Debug)]
 pub struct Reply {
-    pub body: String,
+    pub body: Vec<u8>,
     pub end: End,
 }
 
@@ -77,8 +77,8 @@
         target
     }
 
-    pub fn set_reply(&self, body: &str, end: End) {
-        *self.reply.lock() = Reply { body: body.to_owned(), end };
+    pub fn set_reply(&self, body: impl Into<Vec<u8>>, end: End) {
+        *self.reply.lock() = Reply { body: body.into(), end };
     }
 
     /// Number of requests that it received.
@@ -159,8 +159,8 @@
         sleep(it).await;
         answer.clear();
     }
-    answer += &body;
-    if stream.write_all(answer.as_bytes()).await.is_err() {
+    let answer = [answer.as_bytes(), &body].concat();
+    if stream.write_all(&answer).await.is_err() {
         return;
     }
     let filler = match end {
