ORDER: a stream is left at an event whose id cannot be used or does not rise

What callers saw: a stream whose target had spoiled the id of an event, and broken off after it, began anew within the same answer, which ended as complete. The same without a spoiled byte: a target that repeats an event, or that begins anew where it was to go on, had its events passed on, within an answer and where the caller had resumed the stream itself.

Cause: an event was passed on whatever its id was, and the id was taken for the last one as a text. A text that no header may hold was dropped without a word when the next request was built, so that it went out as one for a new stream. Nothing compared the first event of a run with the last one that was passed on.

Change: an id is a number (`EventId`), so that one that cannot be sent on cannot be kept either. `EventSplitter` knows the id after which a run begins, and returns nothing from an event on whose id is missing, no number, not the only one, or not greater than the last one; the stream then goes on at another target as after a break (E723, holdpoint_spoiled_streams). Where a stream may not be resumed, events need no id, but one that repeats cuts the answer. Lines may end with LF, CR or both; comments need no id; a byte order mark may begin a stream.

Weighed: passing on an event that cannot be resumed after, and cutting the answer if the target breaks off later. The caller would get one event more and lose the rest; left before it, the caller gets all events from the next target.

--- a/crates/holdpoint-core/src/stream_versions.rs
+++ b/crates/holdpoint-core/src/stream_versions.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     directory::TargetId,
+    event_split::EventId,
     ids::{Millis, Name},
     subset::hashed_weight,
 };
@@ -46,7 +47,7 @@
     /// Version that began the stream.
     pub version: TargetVersion,
     /// Id of the last event that the caller has received, if it had one.
-    pub last_event: Option<String>,
+    pub last_event: Option<EventId>,
 }
 
 /// A request for a stream that was sent to a target.
--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -213,6 +213,8 @@
     ADMITTED_LATE = 721 Info "admitted late";
     /// A stream was interrupted at its target.
     STREAM_INTERRUPTED = 704 Info "stream broke off at its target";
+    /// A target has sent an event whose id is missing, unreadable or not greater than the one before.
+    STREAM_SPOILED = 723 Warn "event of a stream cannot be used";
     /// A caller resumes a stream that an earlier attempt began.
     STREAM_RESUMED = 715 Info "stream resumed by its caller";
     /// A request was denied before it had a route.
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -9,7 +9,7 @@
 use holdpoint_adapter::headers::TargetHead;
 use holdpoint_core::{
     directory::TargetInstance,
-    event_split::{EventSplitter, WholeEvent},
+    event_split::{EventId, EventSplitter, IdRule, SpoiledEvent, WholeEvent},
     ids::Millis,
     ingress::ResponseKind,
     route::CallOutcome,
@@ -32,9 +32,10 @@
         dispatch::Exchanged,
         paths,
         send::{SendOutcome, send},
-        stream_origins::UnknownOrigin,
+        stream_origins::{UnknownOrigin, name_of_event},
         unread::{ChunkSender, DeliveryError, MAX_RESPONSE_BYTES},
     },
+    metrics::label,
 };
 
 /// Logged cause of a stream whose connection to the target broke off.
@@ -177,7 +178,7 @@
         parts,
         body,
         connection,
-        splitter: EventSplitter::default(),
+        splitter: EventSplitter::new(id_rule(ctx), continuation.and_then(|it| it.last_event)),
         ready: Vec::new(),
         is_ended: false,
         has_answered: false,
@@ -211,7 +212,11 @@
             }
             Next::Broken => {
                 ctx.connection_broken(&stream.target, stream.has_answered);
-                return Err(Interrupted);
+                return Err(Interrupted::Broken);
+            }
+            Next::Spoiled(why) => {
+                record_spoiled(ctx, stream, why);
+                return Err(Interrupted::Spoiled);
             }
         }
     }
@@ -221,25 +226,58 @@
 async fn await_silent(ctx: &Context, mut stream: Box<OpenStream>) -> SendEnd<Box<OpenStream>> {
     match await_events(ctx, &mut stream).await {
         Ok(()) => SendEnd::Answered(stream),
-        Err(Interrupted) => {
-            if !stream.connection.is_relayed() {
-                paths::check_interrupted(&ctx.shared, &stream.target).await;
-            }
+        Err(it) => {
+            check_path(ctx, &stream, it).await;
             SendEnd::Broken
         }
     }
 }
 
-/// A stream broke off.
-struct Interrupted;
+/// Why a stream does not go on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Interrupted {
+    /// Its connection broke off.
+    Broken,
+    /// Its target has sent an event that cannot be used.
+    Spoiled,
+}
+
+/// Checks the path to a target whose stream broke off.
+async fn check_path(ctx: &Context, stream: &OpenStream, why: Interrupted) {
+    if why == Interrupted::Broken && !stream.connection.is_relayed() {
+        paths::check_interrupted(&ctx.shared, &stream.target).await;
+    }
+}
+
+/// Which events of the answer need an id. Where one was forwarded without, its stream could not be resumed after it.
+fn id_rule(ctx: &Context) -> IdRule {
+    if ctx.is_repeatable() { IdRule::Required } else { IdRule::Optional }
+}
+
+fn record_spoiled(ctx: &Context, stream: &OpenStream, why: SpoiledEvent) {
+    let detail = format!(
+        "id={} target={} cause={} last_event={}",
+        ctx.request.id,
+        stream.target.id,
+        why.name(),
+        name_of_event(stream.splitter.last()),
+    );
+    emit(events::STREAM_SPOILED, &ctx.shared.settings.instance, &detail);
+    let labels = [label("service", ctx.service.as_str()), label("cause", why.name())];
+    ctx.shared.metrics.spoiled_streams.add(1, &labels);
+}
 
 enum Next {
     Events(Vec<WholeEvent>),
     End,
     Broken,
+    Spoiled(SpoiledEvent),
 }
 
 async fn next_events(body: &mut Incoming, splitter: &mut EventSplitter) -> Next {
+    if let Some(it) = splitter.spoiled() {
+        return Next::Spoiled(it);
+    }
     match body.frame().await {
         Some(Ok(frame)) => {
             let events = frame.into_data().map_or(Vec::new(), |it| splitter.push(&it));
@@ -262,7 +300,7 @@
     mut open_stream: Box<OpenStream>,
     sink: ChunkSender,
 ) {
-    let mut last_id: Option<String> = ctx.head.last_event.clone();
+    let mut last_id: Option<EventId> = ctx.head.last_event.value().copied();
     let status = open_stream.parts.status.as_u16();
     loop {
         let target = open_stream.target.clone();
@@ -302,7 +340,7 @@
             Forwarded::Silent(it) => Some(it),
         };
         let reopened = tokio::select! {
-            it = go_on(&ctx, &mut attempts, (&target, silent), last_id.as_deref()) => it,
+            it = go_on(&ctx, &mut attempts, (&target, silent), last_id) => it,
             () = sink.closed() => Err(Undelivered::CallerGone),
             () = ctx.deadline_passed() => Err(Undelivered::Stopped(StopCause::Time)),
             () = ctx.shared.wait_for_break_off() => Err(Undelivered::Stopped(StopCause::Stopping)),
@@ -327,10 +365,9 @@
     ctx: &Context,
     attempts: &mut Attempts,
     (target, silent): (&TargetInstance, Option<Box<OpenStream>>),
-    last_event: Option<&str>,
+    last_event: Option<EventId>,
 ) -> Result<Box<OpenStream>, Undelivered> {
-    let continuation =
-        Continuation { version: target.version.clone(), last_event: last_event.map(str::to_owned) };
+    let continuation = Continuation { version: target.version.clone(), last_event };
     let (silent_ms, begun) = (ctx.silent_ms(), Instant::now());
     let mut delivery = Delivery::new(ctx, attempts, PLAN, Some(&continuation));
     if let Some(it) = silent {
@@ -351,7 +388,7 @@
         ctx.request.id,
         target.id,
         target.version,
-        last_event.unwrap_or("none"),
+        name_of_event(last_event),
         delivered.as_ref().map_or("none", |it| it.target.version.as_str()),
         delivered.is_ok(),
         delivered.as_ref().err().map_or("none", Undelivered::name),
@@ -384,11 +421,10 @@
 async fn forward(
     ctx: &Context,
     mut stream: Box<OpenStream>,
-    last_id: &mut Option<String>,
+    last_id: &mut Option<EventId>,
     sink: &ChunkSender,
 ) -> Forwarded {
     let gap = gap_timeout(ctx);
-    let is_relayed = stream.connection.is_relayed();
     loop {
         if let Err(it) = forward_events(std::mem::take(&mut stream.ready), last_id, sink).await {
             return Forwarded::Undelivered(it);
@@ -398,9 +434,8 @@
         }
         match timeout(gap, await_events(ctx, &mut stream)).await {
             Ok(Ok(())) => record_events(ctx, &mut stream),
-            Ok(Err(Interrupted)) if is_relayed => return Forwarded::Broken,
-            Ok(Err(Interrupted)) => {
-                paths::check_interrupted(&ctx.shared, &stream.target).await;
+            Ok(Err(it)) => {
+                check_path(ctx, &stream, it).await;
                 return Forwarded::Broken;
             }
             Err(_) => return Forwarded::Silent(stream),
@@ -434,12 +469,10 @@
 /// Forwards events as one chunk, and records the id of the last one.
 async fn forward_events(
     events: Vec<WholeEvent>,
-    last_id: &mut Option<String>,
+    last_id: &mut Option<EventId>,
     sink: &ChunkSender,
 ) -> Result<(), DeliveryError> {
-    if let Some(it) = events.iter().rev().find_map(|it| it.id.clone()) {
-        *last_id = Some(it);
-    }
+    *last_id = events.iter().rev().find_map(|it| it.id).or(*last_id);
     let bytes = match &events[..] {
         [] => return Ok(()),
         [one] => one.bytes.clone(),
--- a/crates/holdpointd/src/ingress/stream_origins.rs
+++ b/crates/holdpointd/src/ingress/stream_origins.rs
@@ -23,6 +23,7 @@
 };
 use holdpoint_core::{
     directory::{Directory, TargetInstance},
+    event_split::EventId,
     ids::{Millis, Name},
     ingress::ResponseKind,
     stream_versions::{
@@ -354,6 +355,11 @@
     holders
 }
 
+/// Id of an event in the log.
+pub(crate) fn name_of_event(id: Option<EventId>) -> String {
+    id.map_or_else(|| "none".to_owned(), |it| it.to_string())
+}
+
 fn key_of(service: &str) -> String {
     format!("{KEY_PREFIX}{service}")
 }
@@ -470,7 +476,8 @@
     ///
     /// If the version that began the stream is not known.
     pub(crate) async fn find_continuation(&self) -> Result<Option<Continuation>, UnknownOrigin> {
-        let CallerHead { last_event, first_attempt, .. } = &self.head;
+        let CallerHead { first_attempt, .. } = &self.head;
+        let last_event = self.head.last_event.value().copied();
         if last_event.is_none() && first_attempt.is_none() {
             return Ok(None);
         }
@@ -479,7 +486,7 @@
             "id={} first_attempt={} last_event={} version={} known_by={}",
             self.request.id,
             first_attempt.as_deref().unwrap_or("none"),
-            last_event.as_deref().unwrap_or("none"),
+            name_of_event(last_event),
             found.as_ref().map_or("unknown", |it| it.0.as_str()),
             found.as_ref().map_or("none", |it| it.1.name()),
         );
@@ -488,7 +495,7 @@
         let labels = [label("service", self.service.as_str()), label("known_by", known_by)];
         self.shared.metrics.resumed_streams.add(1, &labels);
         let (version, _) = found.ok_or(UnknownOrigin)?;
-        Ok(Some(Continuation { version, last_event: last_event.clone() }))
+        Ok(Some(Continuation { version, last_event }))
     }
 
     async fn find_origin(&self) -> Option<(TargetVersion, Source)> {
--- a/crates/holdpointd/src/metrics.rs
+++ b/crates/holdpointd/src/metrics.rs
@@ -93,6 +93,8 @@
     pub unread_answers: Counter<u64>,
     /// Discarded answers that belonged to other attempts.
     pub wrong_attempts: Counter<u64>,
+    /// Streams of targets that were left at an event that cannot be used, by service and cause.
+    pub spoiled_streams: Counter<u64>,
     /// Streams that callers resumed, by service and where the version that began them is known from.
     pub resumed_streams: Counter<u64>,
     /// Generations resumed at their engine.
@@ -218,6 +220,10 @@
                 "Answers aborted as their callers did not read them",
             ),
             wrong_attempts: counter("holdpoint_crossed", "Answers of other attempts dropped"),
+            spoiled_streams: counter(
+                "holdpoint_spoiled_streams",
+                "Streams left at an event that cannot be used by cause",
+            ),
             resumed_streams: counter(
                 "holdpoint_resumed_streams",
                 "Streams that callers resumed by where their version is known from",
