ORDER: a header that cannot be read or sent does not count as none

A caller whose Last-Event-Id could not be read had its stream begun anew, behind the events that it had. An organisation whose name is not ASCII had its requests sent without an organisation, and a target whose id has control characters got requests that any target would run.

Cause: `headers::set` dropped each value that no header may hold, whatever the header, and `read_caller` read a caller's last event and the input key of work items as absent where it could not read them.

Change: `forwarded` and `internal_call_headers` fail for such a value, and nothing is sent (E724; the send counts against no target). `Field` tells an absent header from a malformed one: a stream with a malformed last event, or work items with a malformed key, are denied with 400 before anything runs. Requests whose answers have no events pass on a Last-Event-Id of any form, as before.

--- a/crates/holdpointd/src/events.rs
+++ b/crates/holdpointd/src/events.rs
@@ -173,6 +173,8 @@
     SEND_KEPT = 716 Info "late send goes on";
     /// The target of a late send has answered.
     SEND_RESUMED = 717 Info "late send answered";
+    /// A request was not sent to a target, since a header cannot hold its value.
+    INVALID_HEADER = 724 Error "value of a header cannot be sent";
     /// This instance lost the path to a target.
     PATH_LOST = 730 Warn "path to a target lost";
     /// A target answered over a lost path again.
--- a/crates/holdpointd/src/ingress/gate.rs
+++ b/crates/holdpointd/src/ingress/gate.rs
@@ -108,6 +108,8 @@
     Full,
     /// The target runs another version of its software than the one that began the stream.
     OtherVersion,
+    /// A header of the request cannot hold its value.
+    InvalidHeader,
 }
 
 impl SendBlock {
@@ -119,6 +121,7 @@
             SendBlock::BackingOff => "backoff",
             SendBlock::Full => "full",
             SendBlock::OtherVersion => "other-version",
+            SendBlock::InvalidHeader => "invalid-header",
         }
     }
 }
--- a/crates/holdpointd/src/ingress/request.rs
+++ b/crates/holdpointd/src/ingress/request.rs
@@ -208,6 +208,9 @@
     let configuration = shared.configuration();
     let (route, organisation) =
         find_route(&configuration, &request, &head).map_err(|it| deny(denial_failure(it)))?;
+    if has_malformed_head(route, &head) {
+        return Err(deny(Failure::BadRequest));
+    }
     if MAX_ITEMS < StageGraph::new(&route.stages, &head.item_counts).total_items() {
         return Err(refuse("too-many-items"));
     }
@@ -263,6 +266,14 @@
     Ok((route, organisation))
 }
 
+/// Whether a header that its route uses cannot be read. Sent on without it, the request would be another one: a resumed
+/// stream would begin anew, and work items would lack their inputs.
+fn has_malformed_head(route: &IngressRoute, head: &CallerHead) -> bool {
+    let is_stream = matches!(route.response, ResponseKind::Events { .. });
+    is_stream && head.last_event.is_malformed()
+        || !route.stages.is_empty() && head.item_key.is_malformed()
+}
+
 fn denial_failure(denied: Denied) -> Failure {
     match denied {
         Denied::NoRoute => Failure::NoRoute,
--- a/crates/holdpointd/src/ingress/send.rs
+++ b/crates/holdpointd/src/ingress/send.rs
@@ -3,22 +3,25 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use holdpoint_adapter::headers::{self, SystemHeaders, TargetHead};
+use holdpoint_adapter::headers::{self, InvalidValue, SystemHeaders, TargetHead};
 use holdpoint_core::{confinement::Within, directory::TargetInstance, reach::Trial};
 use holdpoint_platform::Instant;
 use http::{HeaderMap, Method, Request, StatusCode, response::Parts};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 
-use crate::ingress::{
-    checked_answer::{CheckedAnswer, Declined},
-    connections::{Connection, Reuse},
-    context::Context,
-    dispatch::{Exchanged, Handoff, Outgoing, dispatch, dispatch_release, prepare_connection},
-    gate::{ExchangeError, InternalKind, Payload, SendBlock, new_exchange_id},
-    limits::Permit,
-    shared::IngressShared,
-    unread::MAX_RESPONSE_BYTES,
+use crate::{
+    events::{self, emit},
+    ingress::{
+        checked_answer::{CheckedAnswer, Declined},
+        connections::{Connection, Reuse},
+        context::Context,
+        dispatch::{Exchanged, Handoff, Outgoing, dispatch, dispatch_release, prepare_connection},
+        gate::{ExchangeError, InternalKind, Payload, SendBlock, new_exchange_id},
+        limits::Permit,
+        shared::IngressShared,
+        unread::MAX_RESPONSE_BYTES,
+    },
 };
 
 /// Longest request body that may still be in transit when its connection is kept after the answer.
@@ -94,7 +97,14 @@
     added_headers: &SystemHeaders<'_>,
 ) -> SendOutcome {
     let Context { shared, request, .. } = ctx;
-    let Some(forwarded) = forwarded(request, added_headers) else { return SendOutcome::NotSent };
+    let forwarded = match forwarded(request, added_headers) {
+        Ok(Some(it)) => it,
+        Ok(None) => return SendOutcome::NotSent,
+        Err(it) => {
+            record_invalid(shared, &request.id, target, &it);
+            return SendOutcome::Blocked(SendBlock::InvalidHeader);
+        }
+    };
     let within = ctx.within();
     let outgoing = Outgoing {
         target,
@@ -211,7 +221,7 @@
 ) -> Result<InternalAnswer, InternalCallError> {
     let id = new_exchange_id();
     let calling = async {
-        let request = internal_request(target, call.path, call.body, &id);
+        let request = internal_request(shared, target, (call.path, call.body), &id)?;
         let outgoing = Outgoing {
             target,
             permit: &permit,
@@ -243,7 +253,10 @@
     limit: Duration,
 ) -> Option<Result<(), InternalCallError>> {
     let id = new_exchange_id();
-    let request = internal_request(target, path, body, &id);
+    let request = match internal_request(shared, target, (path, body), &id) {
+        Ok(it) => it,
+        Err(it) => return Some(Err(it)),
+    };
     let sending = dispatch_release(shared, (target, permit), &id, request);
     match tokio::time::timeout(limit, sending).await {
         Ok(it) => it.map(|it| it.map_err(InternalCallError::from)),
@@ -252,17 +265,31 @@
 }
 
 fn internal_request(
+    shared: &IngressShared,
     target: &TargetInstance,
-    path: &'static str,
-    body: Vec<u8>,
+    (path, body): (&'static str, Vec<u8>),
     id: &str,
-) -> Request<Full<Bytes>> {
+) -> Result<Request<Full<Bytes>>, InternalCallError> {
+    let headers = headers::internal_call_headers(&target.id, id).map_err(|it| {
+        record_invalid(shared, id, target, &it);
+        InternalCallError::Blocked(SendBlock::InvalidHeader)
+    })?;
     let mut request = Request::new(Full::new(Bytes::from(body)));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = http::Uri::from_static(path);
-    *request.headers_mut() = headers::internal_call_headers(&target.id, id);
+    *request.headers_mut() = headers;
     set_host(request.headers_mut(), &target.address);
-    request
+    Ok(request)
+}
+
+fn record_invalid(
+    shared: &IngressShared,
+    id: &str,
+    target: &TargetInstance,
+    invalid: &InvalidValue,
+) {
+    let detail = format!("id={id} target={:?} header={}", target.id, invalid.header);
+    emit(events::INVALID_HEADER, &shared.settings.instance, &detail);
 }
 
 /// Time left until an instant; zero once it has passed.
@@ -270,16 +297,17 @@
     until.saturating_duration_since(Instant::now())
 }
 
+/// The request as it is sent to a target; `None` if it has no path.
 fn forwarded(
     request: &CallerRequest,
     added_headers: &SystemHeaders<'_>,
-) -> Option<Request<Full<Bytes>>> {
+) -> Result<Option<Request<Full<Bytes>>>, InvalidValue> {
+    let Some(path) = request.path.path_and_query() else { return Ok(None) };
     let mut out = Request::new(Full::new(request.body.clone()));
     *out.method_mut() = request.method.clone();
-    let path = request.path.path_and_query()?.clone();
-    *out.uri_mut() = http::Uri::from(path);
-    *out.headers_mut() = headers::forwarded(&request.headers, added_headers);
-    Some(out)
+    *out.uri_mut() = http::Uri::from(path.clone());
+    *out.headers_mut() = headers::forwarded(&request.headers, added_headers)?;
+    Ok(Some(out))
 }
 
 fn set_host(headers: &mut HeaderMap, address: &str) {
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -189,7 +189,7 @@
     let preferred_domain = preferred_domain(ctx, graph, stage, &inputs, domain);
     let within = ctx.within();
     let source = if inputs.is_empty() {
-        ItemSource::Key(ctx.head.item_key.clone().unwrap_or_default())
+        ItemSource::Key(ctx.head.item_key.value().cloned().unwrap_or_default())
     } else {
         ItemSource::Inputs(inputs)
     };
--- a/crates/holdpointd/tests/ingress.rs
+++ b/crates/holdpointd/tests/ingress.rs
@@ -176,6 +176,24 @@
     assert_eq!(answer.body, event_stream(8, 12));
 }
 
+/// Guards against a resumed stream that begins anew because its last event cannot be read.
+#[tokio::test]
+async fn a_stream_with_an_unreadable_last_event_is_denied_and_not_run() {
+    let system = start(&[Behaviour::Answer], &[Behaviour::Events(12)]).await;
+    for last_event in ["7x", "-7", "7,8", "seven"] {
+        for path in ["/story/", "/once/"] {
+            let request =
+                CallerRequest::new("r-1", path).with_header(names::LAST_EVENT, last_event);
+            let answer = system.send(request).await;
+            assert_eq!(answer.status, StatusCode::BAD_REQUEST, "{path} {last_event}");
+        }
+    }
+    assert_eq!(system.engine_runs(), 0);
+    let request = CallerRequest::new("r-2", "/safe/").with_header(names::LAST_EVENT, "7x");
+    let answer = system.send(request).await;
+    assert_eq!(answer.status, StatusCode::OK, "other answers have no events");
+}
+
 #[tokio::test]
 async fn stages_run_in_order_and_their_results_are_released() {
     let system = start(&[], &[Behaviour::Events(3)]).await;
