REFUSED: a target's 408, 429 or 503 without a statement of "not run" becomes 502

What callers saw: a target ran a request that may not be repeated, failed it with 503 and stated nothing about whether it had run. The caller was answered that 503, which promises that the request has not run and never will; one that heeds it sends the order a second time.

Cause: the promise was kept for statuses that the system chooses only. A target's failure was passed on with its own status by `whole::answer` (503 as a failure; 408 and 429 even as a complete answer, since they are no server errors), by a long answer whose head goes out before its end, by `stream::serve`, and through a peer.

Change: `promises_not_run` names the four statuses once; a target's answer with one of them that states nothing counts as a failure of the target, and `Context::target_failure` sends 502 in its place, without body and signature (a signature would be that of another status). The same for requests that may be repeated: another send of them may still run. E706 has `target_status` beside the status sent, and holdpoint_target_failures counts both.

--- a/crates/holdpointd/src/ingress/answer.rs
+++ b/crates/holdpointd/src/ingress/answer.rs
@@ -84,7 +84,7 @@
 pub(crate) fn passed_on(head: &http::response::Parts, body: Bytes) -> Answer {
     let mut answer = Response::new(full(body));
     *answer.status_mut() = head.status;
-    *answer.headers_mut() = headers::returned(head.status, &head.headers);
+    *answer.headers_mut() = headers::returned(&head.headers);
     answer
 }
 
@@ -95,7 +95,7 @@
 ) -> Answer {
     let mut answer = Response::new(StreamBody::new(frames).boxed_unsync());
     *answer.status_mut() = head.status;
-    *answer.headers_mut() = headers::returned(head.status, &head.headers);
+    *answer.headers_mut() = headers::returned(&head.headers);
     answer
 }
 
--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -13,7 +13,8 @@
     time::Duration,
 };
 
-use holdpoint_adapter::headers::{CallerHead, SystemHeaders};
+use bytes::Bytes;
+use holdpoint_adapter::headers::{self, CallerHead, SystemHeaders};
 use holdpoint_core::{
     cold::Share,
     directory::TargetInstance,
@@ -28,13 +29,14 @@
 };
 use holdpoint_platform::Instant;
 use holdpoint_schema::resources::Policy;
+use http::response::Parts;
 use parking_lot::Mutex;
 
 use self::running_sends::RunningSend;
 use crate::{
     events::{self, emit},
     ingress::{
-        answer::{Answer, Failure, failure, refusal},
+        answer::{Answer, Failure, failure, passed_on, refusal},
         confinement::RequestBounds,
         connections::Reuse,
         departure::{Departure, Handling, Step},
@@ -101,7 +103,10 @@
 /// Data of the event that is logged at the end of a request.
 #[derive(Clone, Debug, Default)]
 struct EndRecord {
+    /// Status sent to the caller.
     status: u16,
+    /// Status of the target, where it has failed the request.
+    target_status: Option<u16>,
     cause: &'static str,
     target: String,
     sends: u32,
@@ -461,6 +466,25 @@
         answer
     }
 
+    /// A target's failure, forwarded. The target has not stated that the request has not run, so a status that promises
+    /// this is replaced.
+    pub(crate) fn target_failure(&self, head: &Parts, body: Bytes) -> Answer {
+        let answer = if headers::promises_not_run(head.status) {
+            failure(Failure::Broken, Some(&self.request.id))
+        } else {
+            passed_on(head, body)
+        };
+        self.end.lock().target_status = Some(head.status.as_u16());
+        self.record_end(answer.status().as_u16(), "target-failed");
+        let labels = [
+            label("service", self.service.as_str()),
+            label("status", head.status.as_str().to_owned()),
+            label("sent", answer.status().as_str().to_owned()),
+        ];
+        self.shared.metrics.target_failures.add(1, &labels);
+        answer
+    }
+
     /// Updates the metrics of the request's trial arm: whether it was answered within the target time, and the
     /// milliseconds spent in its stages and at its target.
     fn count_for_arm(&self, arm: &ChosenArm, end: &EndRecord, ms: u64) {
@@ -520,7 +544,7 @@
         let cause = if end.cause.is_empty() { "caller-gone" } else { end.cause };
         let ms = self.arrived.elapsed().as_millis() as u64;
         let detail = format!(
-            "id={} route={} version={} service={} target={} sends={} status={} cause={cause} \
+            "id={} route={} version={} service={} target={} sends={} status={} target_status={} cause={cause} \
              stages_ms={} first_ms={} gap_ms={} ms={ms} aim_ms={} before_ms={}",
             self.request.id,
             self.route.name,
@@ -529,6 +553,7 @@
             end.target,
             end.sends,
             end.status,
+            end.target_status.map_or_else(|| "none".to_owned(), |it| it.to_string()),
             end.stages_ms,
             end.first_ms,
             end.longest_gap_ms,
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -24,7 +24,7 @@
 use crate::{
     events::{self, emit},
     ingress::{
-        answer::{Answer, passed_on, streamed},
+        answer::{Answer, streamed},
         attempts::{Attempts, SendEnd, StopCause, end_send},
         connections::Connection,
         context::Context,
@@ -112,10 +112,7 @@
             });
             answer
         }
-        Err(Undelivered::Failed(parts, body)) => {
-            ctx.record_end(parts.status.as_u16(), "target-failed");
-            passed_on(&parts, body)
-        }
+        Err(Undelivered::Failed(parts, body)) => ctx.target_failure(&parts, body),
         Err(Undelivered::Stopped(cause)) => {
             ctx.final_answer(cause.name(), cause.retry_after(MIN_RETRY_AFTER))
         }
--- a/crates/holdpointd/src/ingress/whole.rs
+++ b/crates/holdpointd/src/ingress/whole.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use holdpoint_adapter::headers::TargetHead;
+use holdpoint_adapter::headers::{self, TargetHead};
 use holdpoint_core::{directory::TargetInstance, ids::Millis, route::CallOutcome};
 use holdpoint_platform::Instant;
 use http::response::Parts;
@@ -142,10 +142,7 @@
                 }
             }
         }
-        Err(Undelivered::Failed(parts, body)) => {
-            ctx.record_end(parts.status.as_u16(), "target-failed");
-            passed_on(&parts, body)
-        }
+        Err(Undelivered::Failed(parts, body)) => ctx.target_failure(&parts, body),
         Err(Undelivered::Stopped(cause)) => {
             ctx.final_answer(cause.name(), cause.retry_after(MIN_RETRY_AFTER))
         }
@@ -171,14 +168,17 @@
     let (head, response) = answer.into_parts();
     let started = Instant::now();
     let (parts, body) = response.into_parts();
+    let is_replaced = headers::promises_not_run(parts.status);
     match read_body(&ctx.shared, body).await {
         BodyRead::Whole(body) => {
             keep_connection(ctx, &head, parts.status.is_success(), connection);
-            match parts.status.is_server_error() {
+            match parts.status.is_server_error() || is_replaced {
                 true => SendEnd::Failed(Box::new(parts), body),
                 false => SendEnd::Answered(WholeAnswer::Complete(Box::new(parts), body)),
             }
         }
+        // Nothing of it is forwarded.
+        BodyRead::Long(..) if is_replaced => SendEnd::Failed(Box::new(parts), Bytes::new()),
         BodyRead::Long(received, rest) => {
             let long = LongAnswer { target, head, parts, received, rest, connection, started };
             SendEnd::Answered(WholeAnswer::Long(Box::new(long)))
--- a/crates/holdpointd/src/metrics.rs
+++ b/crates/holdpointd/src/metrics.rs
@@ -93,6 +93,8 @@
     pub unread_answers: Counter<u64>,
     /// Discarded answers that belonged to other attempts.
     pub wrong_attempts: Counter<u64>,
+    /// Requests that their targets failed, by service, the target's status and the status sent to the caller.
+    pub target_failures: Counter<u64>,
     /// Streams of targets that were left at an event that cannot be used, by service and cause.
     pub spoiled_streams: Counter<u64>,
     /// Streams that callers resumed, by service and where the version that began them is known from.
@@ -220,6 +222,10 @@
                 "Answers aborted as their callers did not read them",
             ),
             wrong_attempts: counter("holdpoint_crossed", "Answers of other attempts dropped"),
+            target_failures: counter(
+                "holdpoint_target_failures",
+                "Requests failed by their targets by status and the status sent to callers",
+            ),
             spoiled_streams: counter(
                 "holdpoint_spoiled_streams",
                 "Streams left at an event that cannot be used by cause",
--- a/crates/holdpointd/tests/endless_answers.rs
+++ b/crates/holdpointd/tests/endless_answers.rs
@@ -33,12 +33,15 @@
 }
 
 async fn fixture(service: &str, body: &str, end: End) -> Fixture {
+    fixture_of(service, Reply::ok(body, end)).await
+}
+
+async fn fixture_of(service: &str, reply: Reply) -> Fixture {
     let store = Store::start().await;
     store.put_configuration(&sample_configuration(1));
     let mut targets = Vec::new();
     for id in ["i-1", "i-2"] {
-        let reply = Reply { body: body.into(), end };
-        targets.push(UnframedTarget::start(&store, id, service, reply).await);
+        targets.push(UnframedTarget::start(&store, id, service, reply.clone()).await);
     }
     let engine = match service {
         "encode" => Some(Target::start("i-9", "engine", Behaviour::Events(3)).await),
@@ -116,7 +119,9 @@
 /// Guards against an error of a stream's target whose body is collected without bound.
 #[tokio::test]
 async fn an_endless_error_of_a_stream_ends_with_a_final_answer() {
-    let fixture = fixture("engine", "", End::EndlessError).await;
+    let status = "500 Internal Server Error";
+    let reply = Reply { status, body: Vec::new(), end: End::EndlessBody };
+    let fixture = fixture_of("engine", reply).await;
     let answer = fixture.ask("r-1", "/once/").await;
     assert!(answer.status.is_server_error(), "{}", answer.status);
     assert!(answer.is_complete);
--- a/crates/holdpointd/tests/relay_refusals.rs
+++ b/crates/holdpointd/tests/relay_refusals.rs
@@ -52,6 +52,8 @@
     Unnamed,
     /// A refusal of another request.
     Crossed,
+    /// The answer of a target that has failed the request.
+    Failure,
 }
 
 struct Script {
@@ -130,6 +132,7 @@
         Reply::Refusal => ("502 Bad Gateway", "busy", named(&id)),
         Reply::Unnamed => ("502 Bad Gateway", "busy", String::new()),
         Reply::Crossed => ("502 Bad Gateway", "busy", named("another")),
+        Reply::Failure => ("503 Service Unavailable", "answered", named(&id)),
     };
     let answer = format!(
         "HTTP/1.1 {status}\r\n{OUTCOME}: {outcome}\r\n{named}{}: stamp-{id}\r\ncontent-length: 0\r\n\r\n",
@@ -197,6 +200,14 @@
     }
 }
 
+/// Guards against a target's failure that counts as its peer's refusal, and promises that the request has not run.
+#[tokio::test]
+async fn a_failure_of_a_target_that_a_peer_reaches_promises_nothing() {
+    let fixture = fixture(&[Reply::Failure]).await;
+    let answer = fixture.ask("r").await;
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+}
+
 /// Guards against an order that is carried out twice: a late refusal of another request says nothing about this one,
 /// which the peer may have sent.
 #[tokio::test]
--- a/crates/holdpointd/tests/spoiled_streams.rs
+++ b/crates/holdpointd/tests/spoiled_streams.rs
@@ -30,7 +30,7 @@
 async fn fixture(spoiled: &[u8]) -> Fixture {
     let store = Store::start().await;
     store.put_configuration(&sample_configuration(1));
-    let reply = Reply { body: spoiled.to_vec(), end: End::Reset };
+    let reply = Reply::ok(spoiled, End::Reset);
     let faulty = UnframedTarget::start(&store, "i-1", "engine", reply).await;
     let sound = Target::start("i-2", "engine", Behaviour::Events(EVENTS)).await;
     store.put_target(&sound, false);
--- a/crates/holdpointd/tests/support/unframed.rs
+++ b/crates/holdpointd/tests/support/unframed.rs
@@ -35,17 +35,23 @@
     EndlessHead,
     /// Bytes without a line end follow the body without end.
     EndlessBody,
-    /// The same, with a status of 500.
-    EndlessError,
 }
 
 /// What a target answers, and how its connections end.
 #[derive(Clone, Debug)]
 pub struct Reply {
+    pub status: &'static str,
     pub body: Vec<u8>,
     pub end: End,
 }
 
+impl Reply {
+    /// A success.
+    pub fn ok(body: impl Into<Vec<u8>>, end: End) -> Reply {
+        Reply { status: "200 OK", body: body.into(), end }
+    }
+}
+
 pub struct UnframedTarget {
     pub id: String,
     reply: Arc<Mutex<Reply>>,
@@ -78,7 +84,7 @@
     }
 
     pub fn set_reply(&self, body: impl Into<Vec<u8>>, end: End) {
-        *self.reply.lock() = Reply { body: body.into(), end };
+        *self.reply.lock() = Reply::ok(body, end);
     }
 
     /// Number of requests that it received.
@@ -142,8 +148,7 @@
     }
     let id = header(&head, names::REQUEST_ID).unwrap_or_default();
     heads.lock().push(head);
-    let Reply { body, end } = reply.lock().clone();
-    let status = if end == End::EndlessError { "500 Internal Server Error" } else { "200 OK" };
+    let Reply { status, body, end } = reply.lock().clone();
     let mut answer = format!(
         "HTTP/1.1 {status}\r\n{}: {id}\r\n{}: stamp-{id}\r\n",
         names::REQUEST_ID,
@@ -165,7 +170,7 @@
     }
     let filler = match end {
         End::EndlessHead => Some("x-filler: more\r\n".repeat(FILLER_REPEATS)),
-        End::EndlessBody | End::EndlessError => Some("without an end, ".repeat(FILLER_REPEATS)),
+        End::EndlessBody => Some("without an end, ".repeat(FILLER_REPEATS)),
         End::Close | End::Reset | End::SilentBefore(_) => None,
     };
     if let Some(it) = filler {
--- a/crates/holdpointd/tests/unframed_answers.rs
+++ b/crates/holdpointd/tests/unframed_answers.rs
@@ -26,7 +26,7 @@
     store.put_configuration(&sample_configuration(1));
     let mut targets = Vec::new();
     for id in ["i-1", "i-2"] {
-        let reply = Reply { body: body.into(), end: End::Close };
+        let reply = Reply::ok(body, End::Close);
         targets.push(UnframedTarget::start(&store, id, service, reply).await);
     }
     let instance = start_instance("a", &store.endpoint);
