ORDER: after a loss of all instances, a version that nobody saw beside another one continues no stream

What callers saw, reported from a system like this one: streams that had broken off in a kill of all instances were resumed, answered 200 and ran to the end, but the text was joined from two software versions of the targets.

Cause: an instance that does not know the origin of a stream lets the only version of the service continue it, if the store has no record that the service had several. That record is written only by an instance that sees two versions side by side, at a review once a second. If all targets are replaced while no instance runs, or the last ones of the old version leave within the second before the kill, nobody writes it, and the new version counts as the only one ever.

Change: while a service has one version, the store keeps that version in the same record (`only`), written once by the instance that owns it. A version that differs from it counts as one of several from the start on: what is not known is refused, origins of new streams are told and stored, and the record is rewritten. Instances of the version before read the record as one that has expired.

What remains: the first two seconds of a service's first instance, before the record is written.

--- a/crates/holdpoint-core/src/stream_versions.rs
+++ b/crates/holdpoint-core/src/stream_versions.rs
@@ -2,7 +2,7 @@
 //!
 //! What two versions write does not fit together, so a stream is continued only by the version that began it.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -210,6 +210,13 @@
         recent.next().is_none().then(|| only.clone())
     }
 
+    /// Services with a single version within the last `window_ms` milliseconds, and that version.
+    pub fn single(&self, now: Millis, window_ms: Millis) -> BTreeMap<Name, TargetVersion> {
+        let services: BTreeSet<&Name> = self.versions.iter().map(|it| &it.service).collect();
+        let single = |it: &Name| Some((it.clone(), self.only(now, it, window_ms)?));
+        services.into_iter().filter_map(single).collect()
+    }
+
     /// Services with several versions within the last `window_ms` milliseconds.
     pub fn mixed(&self, now: Millis, window_ms: Millis) -> BTreeSet<Name> {
         let services = self.versions.iter().map(|it| &it.service);
--- a/crates/holdpointd/src/ingress/stream_origins.rs
+++ b/crates/holdpointd/src/ingress/stream_origins.rs
@@ -4,7 +4,8 @@
 //! While a service has targets of one version only, nothing is sent. As soon as it has several, each instance tells the
 //! versions of its streams to a few others, the holders, which rendezvous hashing over the stream's key chooses. An
 //! instance that a stream is resumed at asks them. The store keeps the same for the case that all instances are lost:
-//! those that read the store read it once after their start.
+//! those that read the store read it once after their start. While a service has one version only, the store keeps that
+//! version: all targets may be replaced while no instance runs.
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -61,6 +62,9 @@
 const MAX_STREAM_MS: Millis = 30_000;
 /// Interval at which the versions of the services are reviewed.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(1000);
+/// Time from the start of an instance until it has found its peers, so that one instance writes the records of services with
+/// a single version.
+const SETTLE_TIME: Duration = Duration::from_millis(2000);
 /// How long the record in the store that a service has several versions is valid, in milliseconds. Longer than the
 /// clocks of machines differ.
 const MIXED_VALID_MS: Millis = 15_000;
@@ -74,11 +78,48 @@
 /// Prefix of the keys of these records; the name of the service follows.
 const KEY_PREFIX: &str = "versions/";
 
-/// Record in the store that a service has had targets of several versions.
-#[derive(Debug, Serialize, Deserialize)]
-struct MixedRecord {
-    /// Until when it is valid, in milliseconds of Unix time.
+/// Record in the store of the versions that a service has had.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct VersionRecord {
+    /// Until when the service may have several, in milliseconds of Unix time.
     until: Millis,
+    /// The version, if it has had only one for as long as a stream may run.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    only: Option<TargetVersion>,
+}
+
+impl VersionRecord {
+    fn mixed() -> VersionRecord {
+        VersionRecord { until: unix_ms() + MIXED_VALID_MS, only: None }
+    }
+
+    fn single(version: &TargetVersion) -> VersionRecord {
+        VersionRecord { until: 0, only: Some(version.clone()) }
+    }
+
+    fn parse(value: &[u8]) -> Option<VersionRecord> {
+        serde_json::from_slice(value).ok()
+    }
+
+    /// Whether the service has had several versions within the longest time of a stream.
+    fn is_recent(&self) -> bool {
+        unix_ms() < self.until + MAX_STREAM_MS
+    }
+
+    /// Whether it need not be written again while the service has several versions.
+    fn stays_mixed(&self) -> bool {
+        unix_ms() + MIXED_REFRESH_MS < self.until
+    }
+
+    /// Whether the service may have had another version than this one within the longest time of a stream.
+    fn contradicts(&self, version: &TargetVersion) -> bool {
+        self.is_recent() || self.names_other(version)
+    }
+
+    /// Whether it had another one when the record was written.
+    fn names_other(&self, version: &TargetVersion) -> bool {
+        self.only.as_ref().is_some_and(|it| it != version)
+    }
 }
 
 /// Record in the store of the streams that an instance began within one interval.
@@ -129,7 +170,7 @@
     /// Origins that are still to be sent, by the address of their holder.
     outgoing: Mutex<HashMap<String, Vec<StreamOrigin>>>,
     has_outgoing: Notify,
-    /// Records in the store on services with several versions, by key.
+    /// Records in the store on the versions of services, by key.
     stored: Mutex<BTreeMap<String, Bytes>>,
     /// Whether these records have been read since the start.
     is_store_read: AtomicBool,
@@ -165,8 +206,18 @@
                 None => history.remove(now, id),
             }
         }
-        let mixed = history.mixed(now, MAX_STREAM_MS);
         drop(history);
+        self.update_mixed(now)
+    }
+
+    /// Updates the services with several versions; returns whether there are new ones.
+    fn update_mixed(&self, now: Millis) -> bool {
+        let history = self.history.lock();
+        let mut mixed = history.mixed(now, MAX_STREAM_MS);
+        let single = history.single(now, MAX_STREAM_MS);
+        drop(history);
+        let is_contradicted = |it: &(Name, TargetVersion)| self.is_contradicted(&it.0, &it.1);
+        mixed.extend(single.into_iter().filter(is_contradicted).map(|it| it.0));
         let mut known = self.mixed.lock();
         let is_new = !mixed.is_subset(&known);
         *known = mixed;
@@ -178,7 +229,7 @@
         !mixed.is_empty() && mixed.contains(service)
     }
 
-    /// Records in the store on services with several versions, by key.
+    /// Records in the store on the versions of services, by key.
     pub(crate) fn stored(&self) -> Vec<(String, Bytes)> {
         self.stored.lock().iter().map(|(key, value)| (key.clone(), value.clone())).collect()
     }
@@ -200,10 +251,13 @@
         own.or_else(|| self.held.lock().get(now, key).cloned())
     }
 
-    /// Whether the store tells that a service has had several versions within the longest time of a stream.
-    fn was_mixed_by_store(&self, service: &str) -> bool {
-        let stored = self.stored.lock();
-        stored.get(&key_of(service)).is_some_and(|it| is_recent(it))
+    fn record_of(&self, service: &str) -> Option<VersionRecord> {
+        self.stored.lock().get(&key_of(service)).and_then(|it| VersionRecord::parse(it))
+    }
+
+    /// Whether the store tells that a service may have had another version within the longest time of a stream.
+    fn is_contradicted(&self, service: &str, version: &TargetVersion) -> bool {
+        self.record_of(service).is_some_and(|it| it.contradicts(version))
     }
 }
 
@@ -234,28 +288,56 @@
     }
 }
 
-/// Removes services that have had a single version for long, and writes the records of the others to the store.
+/// Removes services that have had a single version for long, and keeps the records in the store up to date.
 fn review(shared: &Arc<IngressShared>) {
-    let origins = &shared.origins;
-    let mixed = origins.history.lock().mixed(shared.clock.now(), MAX_STREAM_MS);
-    let now = unix_ms();
-    for service in &mixed {
-        let key = key_of(service);
-        let valid_until = origins.stored.lock().get(&key).and_then(|it| parse_record(it));
-        let is_valid = valid_until.is_some_and(|it| now + MIXED_REFRESH_MS < it.until);
-        if !is_valid && shared.peers.owner_of(Owners::Any, &key).is_none() {
-            tokio::spawn(write_mixed(shared.clone(), key));
+    let (origins, now) = (&shared.origins, shared.clock.now());
+    if origins.update_mixed(now) {
+        tell_all(shared);
+    }
+    for (service, record) in due_records(shared, now) {
+        let key = key_of(&service);
+        if shared.peers.owner_of(Owners::Any, &key).is_none() {
+            tokio::spawn(write_record(shared.clone(), key, record));
         }
     }
-    *origins.mixed.lock() = mixed;
     let may_load =
         *shared.reading.borrow() && shared.uptime() < Duration::from_millis(MAX_STREAM_MS);
+    let is_recent = |it: &Bytes| VersionRecord::parse(it).is_some_and(|it| it.is_recent());
     let is_needed = || origins.stored().iter().any(|it| is_recent(&it.1));
     if may_load && is_needed() && !origins.is_loaded.swap(true, Ordering::AcqRel) {
         tokio::spawn(load_streams(shared.clone()));
     }
 }
 
+/// Records on services that the store lacks or has outdated.
+fn due_records(shared: &IngressShared, now: Millis) -> Vec<(Name, VersionRecord)> {
+    let origins = &shared.origins;
+    let history = origins.history.lock();
+    let mixed = history.mixed(now, MAX_STREAM_MS);
+    let single = history.single(now, MAX_STREAM_MS);
+    drop(history);
+    let mut due = Vec::new();
+    for service in mixed {
+        if !origins.record_of(&service).is_some_and(|it| it.stays_mixed()) {
+            due.push((service, VersionRecord::mixed()));
+        }
+    }
+    let has_read = *shared.reading.borrow() && origins.is_store_read.load(Ordering::Acquire);
+    if !has_read || shared.uptime() < SETTLE_TIME {
+        return due;
+    }
+    for (service, version) in single {
+        match origins.record_of(&service) {
+            Some(it) if it.names_other(&version) => due.push((service, VersionRecord::mixed())),
+            Some(it) if it.only.is_some() || it.is_recent() => (),
+            // Before, streams of other versions may be left that began when no instance ran that is left.
+            Some(_) if shared.uptime() < Duration::from_millis(MAX_STREAM_MS) => (),
+            _ => due.push((service, VersionRecord::single(&version))),
+        }
+    }
+    due
+}
+
 /// Interval at which this instance writes the origins of its streams to the store.
 fn store_interval(shared: &IngressShared) -> Duration {
     STORE_INTERVAL * (1 + shared.peers.instance_count() / INSTANCES_PER_INTERVAL) as u32
@@ -305,14 +387,8 @@
     }
 }
 
-/// Whether a record tells that a service has had several versions within the longest time of a stream.
-fn is_recent(record: &[u8]) -> bool {
-    parse_record(record).is_some_and(|it| unix_ms() < it.until + MAX_STREAM_MS)
-}
-
-/// Writes to the store that a service has several versions. A failed write is repeated by the next review.
-async fn write_mixed(shared: Arc<IngressShared>, key: String) {
-    let record = MixedRecord { until: unix_ms() + MIXED_VALID_MS };
+/// Writes a record on the versions of a service. A failed write is repeated by the next review.
+async fn write_record(shared: Arc<IngressShared>, key: String, record: VersionRecord) {
     let value = Bytes::from(serde_json::to_vec(&record).unwrap_or_default());
     if shared.store_client().append(RESOURCES_TOPIC, &key, &value).await.is_ok() {
         shared.set_resource(&key, Some(value));
@@ -364,10 +440,6 @@
     format!("{KEY_PREFIX}{service}")
 }
 
-fn parse_record(value: &[u8]) -> Option<MixedRecord> {
-    serde_json::from_slice(value).ok()
-}
-
 impl IngressShared {
     /// Ids of the targets of a service that run another version than the given one.
     pub(crate) fn targets_of_other_versions(&self, service: &str, version: &str) -> Vec<String> {
@@ -529,6 +601,6 @@
         // The history begins with the process, while the store knows of versions before its start.
         let is_known = Duration::from_millis(MAX_STREAM_MS) < shared.uptime()
             || shared.origins.is_store_read.load(Ordering::Acquire);
-        (is_known && !shared.origins.was_mixed_by_store(&self.service)).then_some(only)
+        (is_known && !shared.origins.is_contradicted(&self.service, &only)).then_some(only)
     }
 }
