ORDER: the store knows the streams that began before their service had two versions

What callers saw: a stream that began while its service had one version could not be resumed after a kill of all instances that followed the arrival of a second one (503, version unknown), though targets of its version served.

Cause: the origins of streams go to the store as they begin, and only while the service has several versions. When it begins to have several, the holders are told of the streams that run, the store was not.

Change: an instance keeps the origins of the streams that have begun, as it keeps those of its sends, and writes them when a second version appears; at most 2,048 in one record, the rest with the next interval.

Evidence: `a_stream_begun_before_another_version_came_goes_on_after_a_kill_of_all` gets 503 without the change.

--- a/crates/holdpointd/src/ingress/stream_origins.rs
+++ b/crates/holdpointd/src/ingress/stream_origins.rs
@@ -72,6 +72,8 @@
 const MIXED_REFRESH_MS: Millis = 10_000;
 /// Shortest interval at which an instance writes the origins of its streams to the store.
 const STORE_INTERVAL: Duration = Duration::from_millis(500);
+/// Most streams of one record in the store, a fifth of the largest record that it takes.
+const MAX_RECORD_STREAMS: usize = 2048;
 /// Number of instances from which on that interval grows with their number, which bounds the writes of all instances to
 /// 500 per second.
 const INSTANCES_PER_INTERVAL: usize = 250;
@@ -174,6 +176,8 @@
     stored: Mutex<BTreeMap<String, Bytes>>,
     /// Whether these records have been read since the start.
     is_store_read: AtomicBool,
+    /// Streams that have begun while their service had one version.
+    begun: Mutex<StreamVersions>,
     /// Streams that have begun and are not written to the store yet.
     unstored: Mutex<Vec<StreamOrigin>>,
     /// Whether the streams in the store have been read.
@@ -346,7 +350,11 @@
 /// Writes the streams that have begun since the last time to the store. The keys of an instance are used in turn, so that
 /// a record is overwritten once its streams have ended, also after a restart.
 fn write_streams(shared: &Arc<IngressShared>, every: Duration) {
-    let streams = std::mem::take(&mut *shared.origins.unstored.lock());
+    let streams: Vec<StreamOrigin> = {
+        let mut unstored = shared.origins.unstored.lock();
+        let count = unstored.len().min(MAX_RECORD_STREAMS);
+        unstored.drain(..count).collect()
+    };
     let Some(left_ms) = streams.iter().map(|it| it.left_ms).max() else { return };
     let now = unix_ms();
     let mut by_version: BTreeMap<TargetVersion, Vec<StreamKey>> = BTreeMap::new();
@@ -413,10 +421,14 @@
     Some(true)
 }
 
-/// Tells the holders the origins of all streams of this instance, when a service begins to have several versions.
+/// Tells the holders and the store the origins of all streams of this instance, when a service begins to have several
+/// versions. The store gets those that have begun, whose version is final.
 pub(crate) fn tell_all(shared: &IngressShared) {
-    let own: Vec<StreamOrigin> = shared.origins.own.lock().all(shared.clock.now()).collect();
+    let (origins, now) = (&shared.origins, shared.clock.now());
+    let own: Vec<StreamOrigin> = origins.own.lock().all(now).collect();
     own.iter().for_each(|it| drop(tell(shared, it)));
+    let begun = std::mem::take(&mut *origins.begun.lock());
+    origins.unstored.lock().extend(begun.all(now));
 }
 
 /// Queues the origin of a stream for its holders; returns their addresses.
@@ -508,8 +520,11 @@
     pub(crate) fn record_stream_start(&self) {
         let sent = self.sent_versions.lock();
         let Some(version) = &sent.version else { return };
-        if self.shared.origins.is_mixed(&self.service) {
-            self.shared.origins.unstored.lock().push(self.stream_origin(&sent, version));
+        let (origins, origin) = (&self.shared.origins, self.stream_origin(&sent, version));
+        if origins.is_mixed(&self.service) {
+            origins.unstored.lock().push(origin);
+        } else {
+            origins.begun.lock().record(self.shared.clock.now(), origin);
         }
     }
 
--- a/crates/holdpointd/tests/resumed_after_kill.rs
+++ b/crates/holdpointd/tests/resumed_after_kill.rs
@@ -6,7 +6,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use holdpoint_adapter_standin::{
-    Behaviour, CallerRequest, Outage, Store, Target, sample_configuration,
+    Behaviour, CallerRequest, Outage, Store, Target, names, sample_configuration,
 };
 use http::StatusCode;
 use tokio::{net::TcpStream, time::sleep};
@@ -20,6 +20,8 @@
 const EVENTS: u64 = 8;
 const BEGUN: usize = 3;
 const MEMORY_MB: f64 = 260.0;
+/// Deadline of the callers, within which they resume their streams.
+const DEADLINE_MS: &str = "20000";
 /// Time in which an instance has written to the store what it knows of its services' versions.
 const WRITE_TIME: Duration = Duration::from_millis(4000);
 /// Time from a change of the list to a kill, in which an instance has read the list and written nothing yet.
@@ -72,7 +74,8 @@
 
     /// Begins a stream, whose caller leaves after some events.
     async fn begin(&self, daemon: &Daemon, id: &str) -> Begun {
-        let begun = begin(address(daemon), CallerRequest::new(id, "/story/"), BEGUN).await;
+        let request = CallerRequest::new(id, "/story/").with_header(names::DEADLINE, DEADLINE_MS);
+        let begun = begin(address(daemon), request, BEGUN).await;
         assert_eq!(begun.status, StatusCode::OK, "the stream begins");
         begun
     }
@@ -165,3 +168,21 @@
     assert_eq!(rest.status, StatusCode::OK);
     assert_eq!(versions(&rest.body), versions(&begun.body));
 }
+
+/// Guards against streams that were begun before their service had two versions, and that nobody knows after a kill of
+/// all.
+#[tokio::test]
+async fn a_stream_begun_before_another_version_came_goes_on_after_a_kill_of_all() {
+    let fixture = Fixture::start().await;
+    let daemon = fixture.start_daemon("before-1").await;
+    sleep(WRITE_TIME).await;
+    let begun = fixture.begin(&daemon, "r-1").await;
+    fixture.list(&fixture.new);
+    sleep(WRITE_TIME).await;
+    drop(daemon);
+    let daemon = fixture.start_daemon("before-2").await;
+    sleep(WRITE_TIME).await;
+    let rest = fixture.resume(&daemon, "r-1").await;
+    assert_eq!(rest.status, StatusCode::OK);
+    assert_eq!(versions(&rest.body), versions(&begun.body));
+}
