A stream that its caller resumes is not refused for late stages

What callers saw: after a kill of all instances under a burst, most streams that callers took up again were refused at once (503, overload), though targets of their version served: the caller keeps a part that it cannot use.

Cause: a resumed stream counts as a new request until its stages have results. Its target time is over long before, so that it is refused wherever late work does not fit, while a stream that breaks off within its answer is not.

Change: a request that names a last event counts as work that was begun, as it does within an answer.

Evidence: `a_stream_that_its_caller_resumes_is_not_refused_for_late_stages` gets 503 without the change.

--- a/crates/holdpointd/src/ingress/context.rs
+++ b/crates/holdpointd/src/ingress/context.rs
@@ -248,8 +248,8 @@
         })
     }
 
-    /// Records that stage results were produced for the request.
-    pub(crate) fn record_stage_results(&self) {
+    /// Records that stage results were produced for the request, or that its caller has a part of its answer.
+    pub(crate) fn record_work_done(&self) {
         self.has_begun.store(true, Ordering::Release);
     }
 
--- a/crates/holdpointd/src/ingress/stages.rs
+++ b/crates/holdpointd/src/ingress/stages.rs
@@ -223,7 +223,7 @@
         };
         let failure = store_results(&mut handles, &missing, made);
         if handles.iter().any(Option::is_some) {
-            ctx.record_stage_results();
+            ctx.record_work_done();
             until.get_or_insert_with(|| Instant::now() + result_lifetime(ctx, service));
         }
         let Some(cause) = failure else { break };
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -132,6 +132,9 @@
     if !continuation.is_none_or(has_target) {
         return Err(Undelivered::Stopped(StopCause::VersionGone));
     }
+    if continuation.is_some_and(|it| it.last_event.is_some()) {
+        ctx.record_work_done();
+    }
     let delivered = Delivery::new(ctx, attempts, PLAN, continuation).run().await?;
     let stream = delivered.answer;
     ctx.record_first_event(stream.first_ms);
--- a/crates/holdpointd/tests/ingress.rs
+++ b/crates/holdpointd/tests/ingress.rs
@@ -176,6 +176,37 @@
     assert_eq!(answer.body, event_stream(8, 12));
 }
 
+/// Guards against a stream whose caller has a part of it and that is refused like a new one, since its stages are late.
+#[tokio::test]
+async fn a_stream_that_its_caller_resumes_is_not_refused_for_late_stages() {
+    const WAITING: usize = 60;
+    let system = start(&[], &[Behaviour::Events(6)]).await;
+    let mut configuration = sample_configuration(2);
+    configuration["routes"][6]["timeout-ms"] = json!(60_000);
+    configuration["services"][2]["pieces"]["call-ms"] = json!(400.0);
+    system.store.put_configuration(&configuration);
+    until(|| system.instance.version() == 2).await;
+    system.encoder.set_behaviour(Behaviour::StallItems);
+    let request = |id: String, deadline_ms: &str| {
+        let request = CallerRequest::new(&id, "/staged/").with_items("1,2");
+        request.with_header(names::DEADLINE, deadline_ms)
+    };
+    let address = system.caller_address();
+    for round in 0..WAITING {
+        tokio::spawn(call(address, request(format!("w-{round}"), "10000")));
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let answer = system.send(request("r-1".to_owned(), "10000")).await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "a new stream is refused");
+    let resumed = request("r-2".to_owned(), "10000").with_header(names::LAST_EVENT, "2");
+    let resumed = tokio::spawn(call(address, resumed));
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    system.encoder.set_behaviour(Behaviour::Answer);
+    let answer = resumed.await.unwrap().unwrap();
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(answer.body, event_stream(3, 6));
+}
+
 /// Guards against a resumed stream that begins anew because its last event cannot be read.
 #[tokio::test]
 async fn a_stream_with_an_unreadable_last_event_is_denied_and_not_run() {
