Answers to calls for work items are bounded by their items, not each by a megabyte

What callers saw, reported from a system like this one: a faulty server sent bytes without end, the instance that had called it kept them and ran out of memory, and the requests of others on it ended with it.

Cause: each answer was bounded, but not the sum of them. A call for work items kept up to 1 MB of its answer, whose results take some 50 bytes for each item.

Change: the answer to an internal call may have 4 kB and 512 bytes for each of its items; a longer one counts as broken, as before.

Shown not to happen, by tests that passed at once: a header, a chunk extension, trailers, informational answers, and bytes behind a whole answer on a kept connection without end, and an endless answer whose caller has left. Answers that a peer relays are read with the same buffers; messages of peers are frames of 16 MB at most (read, not tested).

--- a/crates/holdpointd/src/ingress/batches/calls.rs
+++ b/crates/holdpointd/src/ingress/batches/calls.rs
@@ -266,7 +266,8 @@
         items.iter().map(|it| (&it.work, time_until(it.deadline).as_millis() as Millis)),
     );
     let limit = Duration::from_millis(timeout_ms.max(MIN_CALL_TIMEOUT_MS));
-    let call = InternalCall { path: wire::RUN_PATH, body, kind: InternalKind::Items };
+    let kind = InternalKind::Items;
+    let call = InternalCall { path: wire::RUN_PATH, body, kind, items: items.len() };
     let within = common_bounds(shared, items);
     let answer = internal_call(shared, (&target, permit), call, &within, limit).await;
     let answer = answer.map_err(|it| {
--- a/crates/holdpointd/src/ingress/releases.rs
+++ b/crates/holdpointd/src/ingress/releases.rs
@@ -126,7 +126,8 @@
     (target, permit): (&TargetInstance, Permit),
     body: Vec<u8>,
 ) -> bool {
-    let call = InternalCall { path: wire::RELEASE_PATH, body, kind: InternalKind::Release };
+    let kind = InternalKind::Release;
+    let call = InternalCall { path: wire::RELEASE_PATH, body, kind, items: 0 };
     let outcome = internal_call(shared, (target, permit), call, &None, CALL_TIMEOUT).await;
     let Ok(answer) = outcome else { return false };
     let is_released = answer.status.is_success();
--- a/crates/holdpointd/src/ingress/send.rs
+++ b/crates/holdpointd/src/ingress/send.rs
@@ -27,8 +27,11 @@
 /// Longest request body that may still be in transit when its connection is kept after the answer.
 pub(crate) const SHORT_BODY_BYTES: usize = 8 << 10;
 
-/// Longest body of an answer to an internal call; a list of results takes some kilobytes.
-const MAX_INTERNAL_BYTES: usize = 1 << 20;
+/// Longest body of an answer to an internal call without items. Many such answers may be awaited at the same time, so that
+/// none gets much more room than it needs.
+const MAX_INTERNAL_BYTES: usize = 4 << 10;
+/// Part of such a body for each work item of the call: its result is a handle or a reason of some 50 bytes.
+const MAX_ITEM_BYTES: usize = 512;
 /// Logged cause of a send whose target asked this instance to back off.
 pub(crate) const BACKOFF_CAUSE: &str = "backoff";
 
@@ -185,6 +188,8 @@
     pub(crate) path: &'static str,
     pub(crate) body: Vec<u8>,
     pub(crate) kind: InternalKind,
+    /// Number of work items whose results the answer lists.
+    pub(crate) items: usize,
 }
 
 /// The complete answer to an internal call. Dropping it closes its connection.
@@ -220,6 +225,7 @@
     limit: Duration,
 ) -> Result<InternalAnswer, InternalCallError> {
     let id = new_exchange_id();
+    let max_bytes = MAX_INTERNAL_BYTES + MAX_ITEM_BYTES * call.items;
     let calling = async {
         let request = internal_request(shared, target, (call.path, call.body), &id)?;
         let outgoing = Outgoing {
@@ -237,7 +243,7 @@
         let Exchanged { connection, answer } = dispatch(shared, outgoing).await?;
         let (head, response) = answer.into_parts();
         let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_INTERNAL_BYTES).collect().await;
+        let body = Limited::new(response.into_body(), max_bytes).collect().await;
         let body = body.map_err(|_| InternalCallError::Broken)?.to_bytes();
         Ok(InternalAnswer { status, head, body, connection })
     };
--- a/crates/holdpointd/tests/endless_answers.rs
+++ b/crates/holdpointd/tests/endless_answers.rs
@@ -21,6 +21,8 @@
 /// Most bytes of an endless answer that a target may get rid of where nothing is forwarded: what the instance buffers,
 /// and what the kernel holds for both ends.
 const MAX_TAKEN_BYTES: usize = 16 << 20;
+/// How long a caller waits that leaves early.
+const CALLER_TIME: Duration = Duration::from_millis(300);
 /// How long a sound target is silent.
 const SILENCE: Duration = Duration::from_millis(1200);
 
@@ -90,6 +92,48 @@
     }
 }
 
+/// Guards against parts of an answer's framing that are buffered without bound.
+#[tokio::test]
+async fn endless_framing_ends_with_a_final_answer() {
+    for end in [End::EndlessLine, End::EndlessExtension, End::EndlessTrailers] {
+        for (service, path) in [("plain", "/safe/"), ("plain", "/unsafe/"), ("engine", "/once/")] {
+            let fixture = fixture(service, "the beginning", end).await;
+            let answer = fixture.ask("r-1", path).await;
+            assert!(answer.status.is_server_error(), "{end:?} {path}: {answer:?}");
+            assert!(answer.is_complete, "{end:?} {path}");
+            let taken = fixture.until_closed().await;
+            assert!(taken < MAX_TAKEN_BYTES, "{end:?} {path}: {taken} bytes");
+        }
+    }
+}
+
+/// Guards against bytes that are taken after a whole answer, and against later requests that get them.
+#[tokio::test]
+async fn bytes_without_end_after_a_whole_answer_belong_to_no_request() {
+    let fixture = fixture("plain", "the whole answer", End::EndlessTail).await;
+    for round in 0..6 {
+        let path = if round % 2 == 0 { "/safe/" } else { "/unsafe/" };
+        let answer = fixture.ask(&format!("r-{round}"), path).await;
+        assert_eq!(answer.status, StatusCode::OK, "round {round}");
+        assert_eq!((&answer.body[..], answer.is_complete), (&b"the whole answer"[..], true));
+    }
+    let taken = fixture.until_closed().await;
+    assert!(taken < MAX_TAKEN_BYTES, "{taken} bytes");
+    assert_eq!(fixture.requests(), 6);
+}
+
+/// Guards against informational answers without end that hold a connection beyond the request's deadline.
+#[tokio::test]
+async fn endless_informational_answers_end_with_a_final_answer() {
+    for (service, path) in [("plain", "/safe/"), ("plain", "/unsafe/"), ("engine", "/story/")] {
+        let fixture = fixture(service, "", End::EndlessInformation).await;
+        let answer = fixture.ask("r-1", path).await;
+        assert!(answer.status.is_server_error(), "{path}: {}", answer.status);
+        assert!(answer.is_complete, "{path}");
+        fixture.until_closed().await;
+    }
+}
+
 /// Guards against bodies without end that hold a request beyond its deadline, or pass for whole ones.
 #[tokio::test]
 async fn an_endless_body_ends_with_its_deadline() {
@@ -130,6 +174,20 @@
     assert_eq!(fixture.requests(), 1);
 }
 
+/// Guards against an endless answer that is read on after its caller has left.
+#[tokio::test]
+async fn an_endless_answer_ends_with_its_caller() {
+    for path in ["/safe/", "/unsafe/"] {
+        let fixture = fixture("plain", "the beginning", End::EndlessBody).await;
+        let callers = fixture.instance.listen().callers.parse().unwrap();
+        let request = CallerRequest::new("r-1", path).with_header(names::DEADLINE, "60000");
+        let asked = tokio::time::timeout(CALLER_TIME, call(callers, request)).await;
+        assert!(asked.is_err(), "{path}: the answer has no end");
+        fixture.until_closed().await;
+        assert_eq!(fixture.requests(), 1, "{path}");
+    }
+}
+
 /// Guards against an endless answer to a call for work items that is collected without bound.
 #[tokio::test]
 async fn an_endless_answer_of_a_stage_ends_with_a_final_answer() {
--- a/crates/holdpointd/tests/support/daemon.rs
+++ b/crates/holdpointd/tests/support/daemon.rs
@@ -54,13 +54,18 @@
 impl Daemon {
     /// Starts a daemon on a machine with this memory.
     pub fn start(name: &str, store: &Store, memory_mb: f64) -> Daemon {
+        Daemon::start_at(name, &store.endpoint.address.to_string(), memory_mb)
+    }
+
+    /// The same with a store at this address.
+    pub fn start_at(name: &str, store: &str, memory_mb: f64) -> Daemon {
         let (callers, readiness, peers) = (free_address(), free_address(), free_address());
         let metrics = free_address();
         let settings = json!({
             "instance": name, "domain": "z1",
             "listen": { "callers": callers, "readiness": readiness, "peers": peers,
                 "metrics": metrics },
-            "store": { "address": store.endpoint.address.to_string(), "poll_ms": 50, "timeout_ms": 300 },
+            "store": { "address": store, "poll_ms": 50, "timeout_ms": 300 },
             "machine": { "memory_mb": memory_mb },
         });
         let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
@@ -107,7 +112,9 @@
     /// Peak of the memory that the process owns, in kilobytes: without the pages of its program and libraries, which
     /// stay mapped once they were used.
     pub fn peak_owned_kb(&self) -> u64 {
-        (self.status_kb("VmHWM") - self.status_kb("RssFile")).max(self.status_kb("RssAnon"))
+        // The process may read its program while its figures are read one by one.
+        let peak = self.status_kb("VmHWM").saturating_sub(self.status_kb("RssFile"));
+        peak.max(self.status_kb("RssAnon"))
     }
 
     /// Sum of a counter over the lines that have these labels.
--- a/crates/holdpointd/tests/support/unframed.rs
+++ b/crates/holdpointd/tests/support/unframed.rs
@@ -33,8 +33,18 @@
     SilentBefore(Duration),
     /// Headers follow without end.
     EndlessHead,
+    /// A header goes on without end.
+    EndlessLine,
+    /// Informational answers precede the final one without end.
+    EndlessInformation,
     /// Bytes without a line end follow the body without end.
     EndlessBody,
+    /// The body is a chunk, and the extension of the next one has no end.
+    EndlessExtension,
+    /// The body is a chunk, and trailers follow without end.
+    EndlessTrailers,
+    /// Bytes follow a whole answer without end, on a connection that may be kept.
+    EndlessTail,
 }
 
 /// What a target answers, and how its connections end.
@@ -123,6 +133,21 @@
     values.next().map(|it| it.1.trim().to_owned())
 }
 
+/// The head and the body of an answer, each up to the part that has no end.
+fn framed(end: End, head: &str, body: &[u8]) -> (Vec<u8>, Vec<u8>) {
+    let chunked = format!("{head}transfer-encoding: chunked\r\n\r\n{:x}\r\n", body.len());
+    let (head, after) = match end {
+        End::EndlessHead => (head.to_owned(), ""),
+        End::EndlessLine => (format!("{head}x-filler: "), ""),
+        End::EndlessInformation => return (Vec::new(), Vec::new()),
+        End::EndlessExtension => (chunked, "\r\n5;"),
+        End::EndlessTrailers => (chunked, "\r\n0\r\n"),
+        End::EndlessTail => (format!("{head}content-length: {}\r\n\r\n", body.len()), ""),
+        _ => (format!("{head}\r\n"), ""),
+    };
+    (head.into_bytes(), [body, after.as_bytes()].concat())
+}
+
 /// Answers one request on a connection.
 async fn serve(
     mut stream: TcpStream,
@@ -149,30 +174,30 @@
     let id = header(&head, names::REQUEST_ID).unwrap_or_default();
     heads.lock().push(head);
     let Reply { status, body, end } = reply.lock().clone();
-    let mut answer = format!(
+    let head = format!(
         "HTTP/1.1 {status}\r\n{}: {id}\r\n{}: stamp-{id}\r\n",
         names::REQUEST_ID,
-        names::SIGNATURE
+        names::SIGNATURE,
     );
-    if end != End::EndlessHead {
-        answer += "\r\n";
+    let (head, body) = framed(end, &head, &body);
+    if stream.write_all(&head).await.is_err() {
+        return;
     }
     if let End::SilentBefore(it) = end {
-        if stream.write_all(answer.as_bytes()).await.is_err() {
-            return;
-        }
         sleep(it).await;
-        answer.clear();
     }
-    let answer = [answer.as_bytes(), &body].concat();
-    if stream.write_all(&answer).await.is_err() {
+    if stream.write_all(&body).await.is_err() {
         return;
     }
     let filler = match end {
-        End::EndlessHead => Some("x-filler: more\r\n".repeat(FILLER_REPEATS)),
-        End::EndlessBody => Some("without an end, ".repeat(FILLER_REPEATS)),
+        End::EndlessHead | End::EndlessTrailers => Some("x-filler: more\r\n"),
+        End::EndlessInformation => Some("HTTP/1.1 102 Processing\r\n\r\n"),
+        End::EndlessLine | End::EndlessBody | End::EndlessExtension | End::EndlessTail => {
+            Some("without an end, ")
+        }
         End::Close | End::Reset | End::SilentBefore(_) => None,
     };
+    let filler = filler.map(|it| it.repeat(FILLER_REPEATS));
     if let Some(it) = filler {
         endless.0.fetch_add(1, Ordering::Relaxed);
         while stream.write_all(it.as_bytes()).await.is_ok() {
