An answer of the store without end is not kept

What callers would see: an instance that runs out of memory, and all requests on it ended.

Cause: the body of a store's answer was read to its end, with a limit on the time for each part and none on the whole.

Change: 4 MiB at most; the store's pages have about 1 MB.

Evidence: `an_endless_answer_of_the_store_does_not_fill_the_memory` fails without the change, with 135,276 kB owned after 0.4 s on a machine of 120 MB.

--- a/crates/holdpointd/src/ingress/store.rs
+++ b/crates/holdpointd/src/ingress/store.rs
@@ -17,13 +17,16 @@
 };
 use holdpoint_platform::Instant;
 use http::{HeaderValue, Method, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{body::Incoming, client::conn::http1::SendRequest};
 use parking_lot::Mutex;
 use tokio::{sync::watch, task::AbortHandle};
 
 use crate::ingress::{connections::connect, counted_stream::ByteCounter, shared::IngressShared};
 
+/// Longest body of a response; the store's pages have about 1 MB at most.
+const MAX_BODY_BYTES: usize = 4 << 20;
+
 /// Why a call to the store failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum StoreError {
@@ -254,7 +257,8 @@
 }
 
 /// Reads a body to its end. The timeout holds for each frame, as a large body takes long on a slow link.
-async fn whole_body(mut body: Incoming, limit: Duration) -> Result<Bytes, StoreError> {
+async fn whole_body(body: Incoming, limit: Duration) -> Result<Bytes, StoreError> {
+    let mut body = Limited::new(body, MAX_BODY_BYTES);
     let mut body_bytes = BytesMut::new();
     loop {
         let frame = tokio::time::timeout(limit, body.frame()).await.map_err(silent)?;
--- a/crates/holdpointd/tests/endless_memory.rs
+++ b/crates/holdpointd/tests/endless_memory.rs
@@ -2,13 +2,13 @@
 
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use holdpoint_adapter_standin::{
     Behaviour, CallerRequest, Store, Target, call, names, sample_configuration,
 };
 use serde_json::json;
-use tokio::time::sleep;
+use tokio::{io::AsyncWriteExt, net::TcpListener, time::sleep};
 
 use crate::support::{
     daemon::Daemon,
@@ -25,6 +25,10 @@
 const AT_ONCE: usize = 200;
 /// Deadline of the requests, in milliseconds.
 const DEADLINE_MS: &str = "2000";
+/// How long the store's answer goes on.
+const STORE_TIME: Duration = Duration::from_secs(3);
+/// Bytes of one write of the store's answer.
+const PART_BYTES: usize = 64 << 10;
 
 struct Fixture {
     _store: Store,
@@ -101,3 +105,28 @@
         assert!(peak < MEMORY_KB, "{name}: {peak} kB");
     }
 }
+
+/// Guards against an answer of the store without end that is kept until the memory is used up.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_endless_answer_of_the_store_does_not_fill_the_memory() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let part = vec![b' '; PART_BYTES];
+                let mut sent = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n{").await;
+                while sent.is_ok() {
+                    sent = stream.write_all(&part).await;
+                }
+            });
+        }
+    });
+    let daemon = Daemon::start_at("endless-store", &address.to_string(), MEMORY_MB);
+    let begun = Instant::now();
+    while begun.elapsed() < STORE_TIME {
+        let peak = daemon.peak_owned_kb();
+        assert!(peak < MEMORY_KB, "{peak} kB after {:?}", begun.elapsed());
+        sleep(Duration::from_millis(50)).await;
+    }
+}
