Soak: spoiled events, statuses that promise too much, and events that come twice

The judge checks the events of each stream, also of one that is cut: they come once and in order. It no longer leaves out refusals with a target's signature, which hid that targets' own statuses were passed on.

--- a/crates/holdpoint-soak/src/answer_faults.rs
+++ b/crates/holdpoint-soak/src/answer_faults.rs
@@ -1,8 +1,10 @@
-//! Draws the faults of targets' answers: second answers, answers without end, and silence of a sound target.
+//! Draws the faults of targets' answers: second answers, answers without end, spoiled ones, and silence of a sound target.
 
 use std::{ops::RangeInclusive, time::Duration};
 
-use holdpoint_adapter_standin::{AnswerFault, EndlessPart, SecondAnswer, SilentPoint, names};
+use holdpoint_adapter_standin::{
+    AnswerFault, EndlessPart, SecondAnswer, SilentPoint, SpoiledPart, names,
+};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -37,6 +39,22 @@
 const SILENT_PARTS: usize = 3;
 /// Random stream for silence.
 const SILENCE_STREAM: u64 = 7;
+/// Number of periods in a soak in which a target spoils the events of its streams.
+const SPOILED_COUNT: usize = 6;
+/// Random stream for spoiled events.
+const SPOILED_STREAM: u64 = 9;
+const SPOILED_PARTS: [SpoiledPart; 4] =
+    [SpoiledPart::Id, SpoiledPart::NoId, SpoiledPart::Text, SpoiledPart::Repeated];
+/// Number of periods in a soak in which a target runs requests and answers with a status that promises the opposite.
+const STATUS_COUNT: usize = 6;
+/// Random stream for these.
+const STATUS_STREAM: u64 = 10;
+const STATUSES: [&str; 4] = [
+    "408 Request Timeout",
+    "429 Too Many Requests",
+    "500 Internal Server Error",
+    "503 Service Unavailable",
+];
 /// Shortest and longest period in which answers are faulty.
 const PERIOD_MS: RangeInclusive<Millis> = 300..=1500;
 /// Draws the faults of targets' answers; they may overlap.
@@ -70,6 +88,23 @@
         }
     }
     faults.extend(second_runs);
+    faults.extend(spoiled_streams(seed, end));
+    faults.extend(periods(seed, STATUS_STREAM, STATUS_COUNT, end, |rng| {
+        AnswerFault::Status(STATUSES[rng.random_range(0..STATUSES.len())])
+    }));
+    faults
+}
+
+fn spoiled_streams(seed: u64, end: Millis) -> Vec<Fault> {
+    let mut faults = periods(seed, SPOILED_STREAM, SPOILED_COUNT, end, |rng| {
+        let part = SPOILED_PARTS[rng.random_range(0..SPOILED_PARTS.len())];
+        AnswerFault::Spoiled { part, is_broken: rng.random_bool(0.5) }
+    });
+    for (index, fault) in faults.iter_mut().enumerate() {
+        if let FaultKind::Answers { target, .. } = &mut fault.kind {
+            *target = TARGETS + index % TARGETS;
+        }
+    }
     faults
 }
 
--- a/crates/holdpoint-soak/src/answer_verdict.rs
+++ b/crates/holdpoint-soak/src/answer_verdict.rs
@@ -28,6 +28,8 @@
     pub second: u64,
     /// Answers without end.
     pub endless: usize,
+    /// Streams with a spoiled event.
+    pub spoiled: usize,
     /// Answers with a silence in the middle.
     pub silent: usize,
 }
@@ -38,16 +40,31 @@
         AnswerCounts {
             second: proxies().map(|it| it.copies()).sum(),
             endless: proxies().map(|it| it.endless().len()).sum(),
+            spoiled: proxies().map(|it| it.spoiled().len()).sum(),
             silent: proxies().map(|it| it.silent().len()).sum(),
         }
     }
 }
 
-/// Ids of the requests whose bodies were without end, so that their callers can get only a part.
-pub(crate) fn endless_requests(targets: &[ProxiedTarget]) -> HashSet<String> {
-    let endless = targets.iter().flat_map(ProxiedTarget::endless_answers);
-    let bodies = endless.filter(|it| matches!(it.part, EndlessPart::Body(_)));
-    bodies.map(|it| it.request).collect()
+/// Ids of the requests that got faulty answers.
+#[derive(Clone, Debug, Default)]
+pub struct FaultyAnswers {
+    /// Their bodies were without end, so that their callers can get only a part.
+    pub endless: HashSet<String>,
+    /// An event was spoiled.
+    pub spoiled: HashSet<String>,
+}
+
+impl FaultyAnswers {
+    pub(crate) fn of(targets: &[ProxiedTarget]) -> FaultyAnswers {
+        let endless = targets.iter().flat_map(ProxiedTarget::endless_answers);
+        let bodies = endless.filter(|it| matches!(it.part, EndlessPart::Body(_)));
+        let proxies = targets.iter().filter_map(|it| it.answers.as_ref());
+        FaultyAnswers {
+            endless: bodies.map(|it| it.request).collect(),
+            spoiled: proxies.flat_map(|it| it.spoiled()).collect(),
+        }
+    }
 }
 
 /// Checks answers without end and silent ones, except those over links that failed, and the inputs of requests.
--- a/crates/holdpoint-soak/src/fleet.rs
+++ b/crates/holdpoint-soak/src/fleet.rs
@@ -28,7 +28,7 @@
 
 use crate::{
     Millis,
-    answer_verdict::{AnswerCounts, answer_findings, endless_requests},
+    answer_verdict::{AnswerCounts, FaultyAnswers, answer_findings},
     answers::{Excuses, judge_answers},
     builds::{Builds, StartError},
     callers::{self, Attempt, Callers, Outcome},
@@ -43,7 +43,7 @@
     recovery::{PROBE, await_recovery},
     slow_readers,
     stalls::{self, Stalls},
-    verdict::{EVENTS, EventTimes, Finding, Invariant, Verdict, judge_crowds, judge_with_endless},
+    verdict::{EVENTS, EventTimes, Finding, Invariant, Verdict, judge_crowds, judge_with_faulty},
 };
 
 /// Number of soaks that this program has started.
@@ -420,8 +420,8 @@
         let large = fleet.callers.large_requests.lock();
         findings.extend(judge_large(&large, &fleet.interruptions.lock()));
     }
-    let endless = endless_requests(&fleet.targets);
-    findings.extend(judge_with_endless(&attempts, &runs, &fleet.kills.lock(), &endless));
+    let faulty = FaultyAnswers::of(&fleet.targets);
+    findings.extend(judge_with_faulty(&attempts, &runs, &fleet.kills.lock(), &faulty));
     findings.extend(answer_findings(fleet, &attempts, &replacements));
     findings.extend(unanswered(plan, fleet, stalls, &attempts));
     let over_limit = |it| over_limit(fleet, it, &attempts);
--- a/crates/holdpoint-soak/src/lib.rs
+++ b/crates/holdpoint-soak/src/lib.rs
@@ -42,7 +42,7 @@
 mod verdict;
 
 pub use crate::{
-    answer_verdict::{AnswerCounts, judge_endless, judge_silent},
+    answer_verdict::{AnswerCounts, FaultyAnswers, judge_endless, judge_silent},
     answers::{Excuses, judge_answers},
     builds::{Builds, StartError},
     callers::{Attempt, Outcome, Resumed, Route},
@@ -54,7 +54,7 @@
     notices::{Arrival, Notices, judge_notices},
     plan::{Fault, FaultKind, LinkFault, Plan, TargetFault},
     proxy::Proxy,
-    verdict::{EventTimes, Finding, Invariant, Verdict, judge, judge_crowds},
+    verdict::{EventTimes, Finding, Invariant, Verdict, judge, judge_crowds, judge_with_faulty},
 };
 
 /// Milliseconds since the start of a soak.
--- a/crates/holdpoint-soak/src/verdict.rs
+++ b/crates/holdpoint-soak/src/verdict.rs
@@ -1,7 +1,7 @@
 //! Checks the invariants of a soak against what callers and targets observed.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap},
     fmt,
     ops::RangeInclusive,
 };
@@ -11,7 +11,7 @@
 
 use crate::{
     Millis,
-    answer_verdict::AnswerCounts,
+    answer_verdict::{AnswerCounts, FaultyAnswers},
     callers::{Attempt, Outcome, Route, split_events},
 };
 
@@ -139,7 +139,7 @@
         write!(
             f,
             "seed {} processes {processes} callers {callers} faults {} requests {} answered {} refused {} \
-             resumed {} of {} read-slowly {} of {} second {} endless {} silent {}",
+             resumed {} of {} read-slowly {} of {} second {} endless {} spoiled {} silent {}",
             self.seed,
             self.faults,
             self.requests,
@@ -151,6 +151,7 @@
             self.read_slowly.1,
             self.faulty_answers.second,
             self.faulty_answers.endless,
+            self.faulty_answers.spoiled,
             self.faulty_answers.silent
         )?;
         for invariant in [
@@ -189,15 +190,15 @@
     runs: &[(String, Vec<Run>)],
     kills: &EventTimes,
 ) -> Vec<Finding> {
-    judge_with_endless(attempts, runs, kills, &HashSet::new())
+    judge_with_faulty(attempts, runs, kills, &FaultyAnswers::default())
 }
 
-/// The same, beside `endless` requests: their targets' answers have no end, so that their callers may get only a part.
-pub(crate) fn judge_with_endless(
+/// The same, beside requests that got faulty answers.
+pub fn judge_with_faulty(
     attempts: &[Attempt],
     runs: &[(String, Vec<Run>)],
     kills: &EventTimes,
-    endless: &HashSet<String>,
+    faulty: &FaultyAnswers,
 ) -> Vec<Finding> {
     let mut by_id: HashMap<&str, Vec<(&str, &Run)>> = HashMap::new();
     for (target, target_runs) in runs {
@@ -208,7 +209,7 @@
     let mut findings = Vec::new();
     for attempt in attempts {
         let ran = by_id.remove(attempt.id.as_str()).unwrap_or_default();
-        judge_attempt(attempt, &ran, (kills, endless), &mut findings);
+        judge_attempt(attempt, &ran, (kills, faulty), &mut findings);
     }
     let spurious = by_id.into_iter().map(|(id, ran)| Finding {
         invariant: Invariant::Requested,
@@ -295,7 +296,7 @@
 fn judge_attempt(
     attempt: &Attempt,
     ran: &[(&str, &Run)],
-    (kills, endless): (&EventTimes, &HashSet<String>),
+    (kills, faulty): (&EventTimes, &FaultyAnswers),
     findings: &mut Vec<Finding>,
 ) {
     let mut report = |invariant, detail: String| {
@@ -316,7 +317,7 @@
     }
     match &attempt.outcome {
         Outcome::Answer { status, signature, body, is_complete } => {
-            let is_rejection = matches!(status, 408 | 421 | 429 | 503) && signature.is_none();
+            let is_rejection = matches!(status, 408 | 421 | 429 | 503);
             if is_rejection && runs_once && !ran.is_empty() {
                 report(Invariant::NotRun, format!("{status}, ran at {}", targets.join(", ")));
             }
@@ -327,16 +328,19 @@
             if is_success && !targets.iter().any(is_signed) {
                 report(Invariant::Intact, format!("{status} signed {signature:?}"));
             }
-            if is_success && *is_complete && without_versions(body) != attempt.expected_body() {
-                report(
-                    Invariant::Intact,
-                    format!("{} unexpected bytes presented as complete", body.len()),
+            let is_spoiled = faulty.spoiled.contains(&attempt.id);
+            if is_success && !is_expected(attempt, body, *is_complete, is_spoiled) {
+                let detail = format!(
+                    "{} unexpected bytes, complete {is_complete}, spoiled {is_spoiled}: events {:?}",
+                    body.len(),
+                    event_ids(body)
                 );
+                report(Invariant::Intact, detail);
             }
             // Large answers are forwarded while they arrive, so that a fault of their target breaks them off.
             let is_collected = attempt.route.is_unary() && attempt.answer_bytes == 0;
             let is_truncated = is_collected && !is_complete;
-            let is_endless = endless.contains(&attempt.id);
+            let is_endless = faulty.endless.contains(&attempt.id);
             if is_truncated && !is_endless && !was_killed(attempt, kills) {
                 report(Invariant::Answered, format!("{status}, body truncated"));
             }
@@ -350,6 +354,28 @@
     }
 }
 
+/// Whether the body of a success is the expected one, as far as it was received. Where the target has spoiled an event,
+/// the ids of the events still rise, and none is missing from a whole stream that may be resumed.
+fn is_expected(attempt: &Attempt, body: &Bytes, is_complete: bool, is_spoiled: bool) -> bool {
+    let expected = attempt.expected_body();
+    match (is_complete, attempt.route.is_unary()) {
+        (true, _) if !is_spoiled => without_versions(body) == expected,
+        (false, true) => true,
+        (false, false) if !is_spoiled => {
+            let whole = body.windows(2).rposition(|it| it == b"\n\n").map_or(0, |it| it + 2);
+            expected.starts_with(&without_versions(&body.slice(..whole)))
+        }
+        (true, _) if attempt.route != Route::Once => event_ids(body) == event_ids(&expected),
+        _ => event_ids(body).is_sorted_by(|a, b| a < b),
+    }
+}
+
+/// Ids of the events of a stream that can be read.
+fn event_ids(body: &[u8]) -> Vec<u64> {
+    let lines = body.split(|it| *it == b'\n').filter_map(|it| it.strip_prefix(b"id: "));
+    lines.filter_map(|it| std::str::from_utf8(it).ok()?.parse().ok()).collect()
+}
+
 fn was_killed(attempt: &Attempt, kills: &EventTimes) -> bool {
     let of_process = kills.get(&attempt.process).map_or(&[][..], Vec::as_slice);
     of_process.iter().any(|it| (attempt.sent..=attempt.ended).contains(it))
--- a/crates/holdpoint-soak/tests/judge.rs
+++ b/crates/holdpoint-soak/tests/judge.rs
@@ -7,9 +7,10 @@
     AnswerFault, EndlessAnswer, EndlessPart, Run, SilentAnswer, names,
 };
 use holdpoint_soak::{
-    Arrival, Attempt, CutAnswer, EventTimes, Excuses, FaultKind, Invariant, LargeRequest, Millis,
-    Notices, Outcome, Plan, Resumed, Route, Stops, TargetFault, judge, judge_answers, judge_crowds,
-    judge_cut, judge_cut_lines, judge_endless, judge_large, judge_notices, judge_silent,
+    Arrival, Attempt, CutAnswer, EventTimes, Excuses, FaultKind, FaultyAnswers, Invariant,
+    LargeRequest, Millis, Notices, Outcome, Plan, Resumed, Route, Stops, TargetFault, judge,
+    judge_answers, judge_crowds, judge_cut, judge_cut_lines, judge_endless, judge_large,
+    judge_notices, judge_silent, judge_with_faulty,
 };
 
 fn attempt(route: Route, outcome: Outcome) -> Attempt {
@@ -67,6 +68,8 @@
     let refused = attempt(Route::Once, answer(503, None, ""));
     assert_eq!(violations(&refused, &[], &[]), []);
     assert_eq!(violations(&refused, &["a"], &[]), [Invariant::NotRun]);
+    let passed_on = attempt(Route::Once, answer(503, Some("a"), ""));
+    assert_eq!(violations(&passed_on, &["a"], &[]), [Invariant::NotRun], "whoever chose it");
     let failed = attempt(Route::Once, answer(502, None, ""));
     assert_eq!(violations(&failed, &["a"], &[]), []);
 }
@@ -83,6 +86,40 @@
     assert_eq!(violations(&whole, &["a", "b"], &[]), []);
 }
 
+#[test]
+fn the_events_of_a_stream_come_once_and_in_order() {
+    let event = |it: u64| format!("id: {it}\ndata: part {it} by v1\n\n");
+    let of = |route, events: &[u64], is_complete| {
+        let body: String = events.iter().copied().map(event).collect();
+        let signature = Some("stamp-a-r-1".to_owned());
+        let outcome =
+            Outcome::Answer { status: 200, signature, body: Bytes::from(body), is_complete };
+        attempt(route, outcome)
+    };
+    let found = |it: &Attempt, is_spoiled: bool| {
+        let runs = [("a".to_owned(), vec![run(it)])];
+        let spoiled = is_spoiled.then(|| it.id.clone()).into_iter().collect();
+        let faulty = FaultyAnswers { spoiled, ..FaultyAnswers::default() };
+        judge_with_faulty(std::slice::from_ref(it), &runs, &EventTimes::default(), &faulty).len()
+    };
+    for is_spoiled in [false, true] {
+        for (route, events, is_complete, count) in [
+            (Route::Story, &[0, 1, 2, 3, 4][..], true, 0),
+            (Route::Story, &[0, 1, 1, 2, 3, 4], true, 1),
+            (Route::Story, &[0, 2, 3, 4], true, 1),
+            (Route::Story, &[0, 1], false, 0),
+            (Route::Story, &[0, 1, 1], false, 1),
+            (Route::Once, &[0, 1, 0, 1], false, 1),
+        ] {
+            let it = of(route, events, is_complete);
+            assert_eq!(found(&it, is_spoiled), count, "{route:?} {events:?} {is_spoiled}");
+        }
+    }
+    // One that may not be resumed is passed on as it is.
+    let unread = of(Route::Once, &[0, 2, 3, 4], true);
+    assert_eq!((found(&unread, false), found(&unread, true)), (1, 0));
+}
+
 #[test]
 fn what_ran_is_answered_unless_its_process_was_killed() {
     let closed = attempt(Route::Unsafe, Outcome::Closed);
@@ -326,6 +363,8 @@
 #[test]
 fn an_answer_without_end_is_closed_and_not_collected() {
     const MUCH: usize = 64 << 20;
+    let passed_on = attempt(Route::Once, answer(503, Some("a"), ""));
+    assert_eq!(violations(&passed_on, &["a"], &[]), [Invariant::NotRun], "whoever chose it");
     let failed = attempt(Route::Once, answer(502, None, ""));
     let violation = |it: &EndlessAnswer, of| judge_endless(it, of).map(|it| it.invariant);
     assert_eq!(violation(&endless("/once/", 1 << 20), Some(&failed)), None);
