--- a/crates/holdpointd/src/ingress/stream_origins.rs
+++ b/crates/holdpointd/src/ingress/stream_origins.rs
@@ -7,6 +7,8 @@
 //! those that read the store read it once after their start. While a service has one version only, the store keeps that
 //! version: all targets may be replaced while no instance runs.
 
+mod version_records;
+
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     sync::{
@@ -18,10 +20,7 @@
 
 use bytes::Bytes;
 use futures::{StreamExt, stream::FuturesUnordered};
-use holdpoint_adapter::{
-    headers::CallerHead,
-    store::{RESOURCES_TOPIC, STREAMS_TOPIC},
-};
+use holdpoint_adapter::{headers::CallerHead, store::STREAMS_TOPIC};
 use holdpoint_core::{
     directory::{Directory, TargetInstance},
     event_split::EventId,
@@ -38,12 +37,10 @@
     time::{interval, sleep},
 };
 
+pub(crate) use self::version_records::apply_stored;
 use crate::{
     events::{self, emit},
-    ingress::{
-        changes::TargetChanges, context::Context, peers::Owners, shared::IngressShared,
-        store::unix_ms,
-    },
+    ingress::{changes::TargetChanges, context::Context, shared::IngressShared, store::unix_ms},
     metrics::label,
 };
 
@@ -62,14 +59,6 @@
 const MAX_STREAM_MS: Millis = 30_000;
 /// Interval at which the versions of the services are reviewed.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(1000);
-/// Time from the start of an instance until it has found its peers, so that one instance writes the records of services with
-/// a single version.
-const SETTLE_TIME: Duration = Duration::from_millis(2000);
-/// How long the record in the store that a service has several versions is valid, in milliseconds. Longer than the
-/// clocks of machines differ.
-const MIXED_VALID_MS: Millis = 15_000;
-/// Remaining validity at which that record is written again, in milliseconds.
-const MIXED_REFRESH_MS: Millis = 10_000;
 /// Shortest interval at which an instance writes the origins of its streams to the store.
 const STORE_INTERVAL: Duration = Duration::from_millis(500);
 /// Most streams of one record in the store, a fifth of the largest record that it takes.
@@ -77,52 +66,6 @@
 /// Number of instances from which on that interval grows with their number, which bounds the writes of all instances to
 /// 500 per second.
 const INSTANCES_PER_INTERVAL: usize = 250;
-/// Prefix of the keys of these records; the name of the service follows.
-const KEY_PREFIX: &str = "versions/";
-
-/// Record in the store of the versions that a service has had.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct VersionRecord {
-    /// Until when the service may have several, in milliseconds of Unix time.
-    until: Millis,
-    /// The version, if it has had only one for as long as a stream may run.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    only: Option<TargetVersion>,
-}
-
-impl VersionRecord {
-    fn mixed() -> VersionRecord {
-        VersionRecord { until: unix_ms() + MIXED_VALID_MS, only: None }
-    }
-
-    fn single(version: &TargetVersion) -> VersionRecord {
-        VersionRecord { until: 0, only: Some(version.clone()) }
-    }
-
-    fn parse(value: &[u8]) -> Option<VersionRecord> {
-        serde_json::from_slice(value).ok()
-    }
-
-    /// Whether the service has had several versions within the longest time of a stream.
-    fn is_recent(&self) -> bool {
-        unix_ms() < self.until + MAX_STREAM_MS
-    }
-
-    /// Whether it need not be written again while the service has several versions.
-    fn stays_mixed(&self) -> bool {
-        unix_ms() + MIXED_REFRESH_MS < self.until
-    }
-
-    /// Whether the service may have had another version than this one within the longest time of a stream.
-    fn contradicts(&self, version: &TargetVersion) -> bool {
-        self.is_recent() || self.names_other(version)
-    }
-
-    /// Whether it had another one when the record was written.
-    fn names_other(&self, version: &TargetVersion) -> bool {
-        self.only.as_ref().is_some_and(|it| it != version)
-    }
-}
 
 /// Record in the store of the streams that an instance began within one interval.
 #[derive(Debug, Serialize, Deserialize)]
@@ -254,15 +197,6 @@
         let own = self.own.lock().get(now, key).cloned();
         own.or_else(|| self.held.lock().get(now, key).cloned())
     }
-
-    fn record_of(&self, service: &str) -> Option<VersionRecord> {
-        self.stored.lock().get(&key_of(service)).and_then(|it| VersionRecord::parse(it))
-    }
-
-    /// Whether the store tells that a service may have had another version within the longest time of a stream.
-    fn is_contradicted(&self, service: &str, version: &TargetVersion) -> bool {
-        self.record_of(service).is_some_and(|it| it.contradicts(version))
-    }
 }
 
 /// Sends the origins of streams to their holders, and reviews the versions of the services, until the task is dropped.
@@ -298,50 +232,14 @@
     if origins.update_mixed(now) {
         tell_all(shared);
     }
-    for (service, record) in due_records(shared, now) {
-        let key = key_of(&service);
-        if shared.peers.owner_of(Owners::Any, &key).is_none() {
-            tokio::spawn(write_record(shared.clone(), key, record));
-        }
-    }
+    version_records::write_due(shared, now);
     let may_load =
         *shared.reading.borrow() && shared.uptime() < Duration::from_millis(MAX_STREAM_MS);
-    let is_recent = |it: &Bytes| VersionRecord::parse(it).is_some_and(|it| it.is_recent());
-    let is_needed = || origins.stored().iter().any(|it| is_recent(&it.1));
-    if may_load && is_needed() && !origins.is_loaded.swap(true, Ordering::AcqRel) {
+    if may_load && origins.has_recent_record() && !origins.is_loaded.swap(true, Ordering::AcqRel) {
         tokio::spawn(load_streams(shared.clone()));
     }
 }
 
-/// Records on services that the store lacks or has outdated.
-fn due_records(shared: &IngressShared, now: Millis) -> Vec<(Name, VersionRecord)> {
-    let origins = &shared.origins;
-    let history = origins.history.lock();
-    let mixed = history.mixed(now, MAX_STREAM_MS);
-    let single = history.single(now, MAX_STREAM_MS);
-    drop(history);
-    let mut due = Vec::new();
-    for service in mixed {
-        if !origins.record_of(&service).is_some_and(|it| it.stays_mixed()) {
-            due.push((service, VersionRecord::mixed()));
-        }
-    }
-    let has_read = *shared.reading.borrow() && origins.is_store_read.load(Ordering::Acquire);
-    if !has_read || shared.uptime() < SETTLE_TIME {
-        return due;
-    }
-    for (service, version) in single {
-        match origins.record_of(&service) {
-            Some(it) if it.names_other(&version) => due.push((service, VersionRecord::mixed())),
-            Some(it) if it.only.is_some() || it.is_recent() => (),
-            // Before, streams of other versions may be left that began when no instance ran that is left.
-            Some(_) if shared.uptime() < Duration::from_millis(MAX_STREAM_MS) => (),
-            _ => due.push((service, VersionRecord::single(&version))),
-        }
-    }
-    due
-}
-
 /// Interval at which this instance writes the origins of its streams to the store.
 fn store_interval(shared: &IngressShared) -> Duration {
     STORE_INTERVAL * (1 + shared.peers.instance_count() / INSTANCES_PER_INTERVAL) as u32
@@ -395,32 +293,6 @@
     }
 }
 
-/// Writes a record on the versions of a service. A failed write is repeated by the next review.
-async fn write_record(shared: Arc<IngressShared>, key: String, record: VersionRecord) {
-    let value = Bytes::from(serde_json::to_vec(&record).unwrap_or_default());
-    if shared.store_client().append(RESOURCES_TOPIC, &key, &value).await.is_ok() {
-        shared.set_resource(&key, Some(value));
-    }
-}
-
-/// Applies a record of the store. Returns `None` if the key is of another kind, else whether it has changed.
-pub(crate) fn apply_stored(
-    shared: &IngressShared,
-    key: &str,
-    value: Option<Bytes>,
-) -> Option<bool> {
-    key.strip_prefix(KEY_PREFIX)?;
-    let mut stored = shared.origins.stored.lock();
-    if stored.get(key) == value.as_ref() {
-        return Some(false);
-    }
-    match value {
-        Some(it) => drop(stored.insert(key.to_owned(), it)),
-        None => drop(stored.remove(key)),
-    }
-    Some(true)
-}
-
 /// Tells the holders and the store the origins of all streams of this instance, when a service begins to have several
 /// versions. The store gets those that have begun, whose version is final.
 pub(crate) fn tell_all(shared: &IngressShared) {
@@ -448,10 +320,6 @@
     id.map_or_else(|| "none".to_owned(), |it| it.to_string())
 }
 
-fn key_of(service: &str) -> String {
-    format!("{KEY_PREFIX}{service}")
-}
-
 impl IngressShared {
     /// Ids of the targets of a service that run another version than the given one.
     pub(crate) fn targets_of_other_versions(&self, service: &str, version: &str) -> Vec<String> {
