The last event of a stream may lack an id

What callers would see: a resumable stream of a target that ends its streams with an event without an id, as many do, left at that event, resumed at another target and cut in the end.

Cause: the rule that an event without an id cannot be resumed after held for the last one too, after which nothing is resumed.

Change: an event without an id is held until the next one, which ends the trust in the run, or the end of the stream, with which it is passed on.

--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -207,6 +207,7 @@
                 return Ok(());
             }
             Next::End => {
+                stream.ready.extend(stream.splitter.take_last());
                 stream.is_ended = true;
                 return Ok(());
             }
