--- a/crates/holdpoint-core/src/event_split.rs
+++ b/crates/holdpoint-core/src/event_split.rs
@@ -40,7 +40,7 @@
 /// Which events of a stream need an id.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum IdRule {
-    /// All but comments and the last one: the stream is resumed after the last event that was forwarded.
+    /// All but comments: the stream is resumed after the last event that was forwarded.
     Required,
     /// None, since the stream is not resumed.
     Optional,
@@ -49,7 +49,7 @@
 /// Why an event and all that follows it in its stream cannot be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SpoiledEvent {
-    /// It has no id, and others follow.
+    /// It has no id.
     NoId,
     /// Its id is no number.
     UnreadableId,
@@ -80,8 +80,6 @@
     spoiled: Option<SpoiledEvent>,
     /// Whether an event was returned.
     has_begun: bool,
-    /// An event without an id, which may only be the last one.
-    held: Option<WholeEvent>,
     buffer: BytesMut,
     /// Start of the buffer's last line.
     line_start: usize,
@@ -97,7 +95,6 @@
             last,
             spoiled: None,
             has_begun: false,
-            held: None,
             buffer: BytesMut::new(),
             line_start: 0,
             searched: 0,
@@ -113,13 +110,8 @@
         {
             let bytes = self.buffer.split_to(end).freeze();
             (self.line_start, self.searched) = (0, 0);
-            if self.held.is_some() {
-                self.spoiled = Some(SpoiledEvent::NoId);
-                break;
-            }
             match self.check(&bytes) {
                 Ok(id) => events.push(WholeEvent { bytes, id }),
-                Err(SpoiledEvent::NoId) => self.held = Some(WholeEvent { bytes, id: None }),
                 Err(it) => self.spoiled = Some(it),
             }
             self.has_begun = true;
@@ -127,11 +119,6 @@
         events
     }
 
-    /// Returns the last event of a stream that has ended, if it has no id. It needs none: the stream is not resumed.
-    pub fn take_last(&mut self) -> Option<WholeEvent> {
-        self.held.take_if(|_| self.spoiled.is_none())
-    }
-
     /// Why no more events are returned, if one was spoiled.
     pub fn spoiled(&self) -> Option<SpoiledEvent> {
         self.spoiled
--- a/crates/holdpoint-core/tests/event_split.rs
+++ b/crates/holdpoint-core/tests/event_split.rs
@@ -115,28 +115,13 @@
     }
 }
 
-#[test]
-fn only_the_last_event_of_a_stream_may_lack_an_id() {
-    let mut splitter = required(None);
-    assert_eq!(ids(&splitter.push(b"id: 2\ndata: a\n\ndata: [DONE]\n\n")), [Some(id("2"))]);
-    assert_eq!((splitter.spoiled(), splitter.is_partial()), (None, false));
-    assert_eq!(splitter.take_last().unwrap().bytes, "data: [DONE]\n\n");
-    for more in ["id: 3\ndata: b\n\n", ": note\n\n", "data: b\n\n"] {
-        let mut splitter = required(None);
-        splitter.push(b"id: 2\ndata: a\n\ndata: [DONE]\n\n");
-        assert!(splitter.push(more.as_bytes()).is_empty());
-        assert_eq!(splitter.spoiled(), Some(SpoiledEvent::NoId), "{more:?}");
-        assert_eq!(splitter.take_last(), None, "{more:?}");
-    }
-}
-
 #[test]
 fn a_byte_order_mark_may_only_begin_a_stream() {
     let mut splitter = required(None);
     let out = splitter.push("\u{feff}id: 0\ndata: a\n\n".as_bytes());
     assert_eq!(ids(&out), [Some(id("0"))]);
     assert_eq!(joined(&out), "\u{feff}id: 0\ndata: a\n\n".as_bytes());
-    splitter.push("\u{feff}id: 1\ndata: a\n\nid: 2\n\n".as_bytes());
+    splitter.push("\u{feff}id: 1\ndata: a\n\n".as_bytes());
     assert_eq!(splitter.spoiled(), Some(SpoiledEvent::NoId));
 }
 
--- a/crates/holdpointd/src/ingress/stream.rs
+++ b/crates/holdpointd/src/ingress/stream.rs
@@ -207,7 +207,6 @@
                 return Ok(());
             }
             Next::End => {
-                stream.ready.extend(stream.splitter.take_last());
                 stream.is_ended = true;
                 return Ok(());
             }
--- a/crates/holdpointd/tests/spoiled_streams.rs
+++ b/crates/holdpointd/tests/spoiled_streams.rs
@@ -101,26 +101,6 @@
     }
 }
 
-/// Guards against a last event without an id that is held back, or that is passed on although its stream has broken off.
-#[tokio::test]
-async fn a_last_event_without_an_id_comes_with_the_end_of_its_stream() {
-    let events = event_stream(0, EVENTS) + "data: [DONE]\n\n";
-    let broken = fixture(events.as_bytes()).await;
-    for body in broken.whole_bodies().await {
-        assert_eq!(body, event_stream(0, EVENTS).as_bytes(), "the faulty target breaks off");
-    }
-    let fixture = fixture(events.as_bytes()).await;
-    fixture.faulty.set_reply(events.as_bytes(), End::Close);
-    let mut done = 0;
-    for round in 0..ROUNDS {
-        let answer = fixture.send(CallerRequest::new(&format!("s-{round}"), "/story/")).await;
-        assert!(answer.is_complete, "round {round}");
-        done += usize::from(answer.body == events);
-        assert!(answer.body == events || answer.body == event_stream(0, EVENTS), "round {round}");
-    }
-    assert!(0 < done, "the target got no request");
-}
-
 /// Guards against events that come again, from a target that repeats them or begins anew.
 #[tokio::test]
 async fn an_event_that_a_target_repeats_does_not_come_twice() {
