--- a/crates/holdpointd/tests/soak.rs
+++ b/crates/holdpointd/tests/soak.rs
@@ -45,6 +45,16 @@
     }
 }
 
+/// Guards against whole streams without their last event, whose id its target has spoiled.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_last_event_of_a_spoiled_stream_is_not_missing() {
+    let plan = Plan::draw(5004, Duration::from_secs(6));
+    let builds = Builds::new(env!("CARGO_BIN_EXE_holdpointd"));
+    let verdict = run(&plan, &builds).await.unwrap();
+    assert!(verdict.is_passed(), "{verdict}");
+    assert!(0 < verdict.faulty_answers.spoiled, "{verdict}");
+}
+
 /// Guards against estimates of waits that stay too high after a fault, so that requests with stages are refused
 /// although the queue is empty. `tests/estimate.rs` of the core tests this without processes.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
